--- /dev/null
+++ b/internal/core/model/model.go
@@ -0,0 +1,279 @@
+// Package model holds the types that the decision packages share: sizes,
+// classes, workers, tasks, requests, key records and fates. It does no I/O.
+package model
+
+import (
+	"strconv"
+	"time"
+)
+
+// Class is the kind of a workload. It selects the placement policy.
+type Class string
+
+// Classes, from most to least urgent.
+const (
+	Interactive Class = "interactive"
+	Service     Class = "service"
+	AllAtOnce   Class = "all_at_once"
+	Batch       Class = "batch"
+)
+
+// Classes lists all classes from most to least urgent.
+var Classes = []Class{Interactive, Service, AllAtOnce, Batch}
+
+// Rank returns the urgency of a class; 0 is the most urgent.
+func (c Class) Rank() int {
+	for i, k := range Classes {
+		if k == c {
+			return i
+		}
+	}
+	return len(Classes)
+}
+
+// Dims is the number of dimensions of a Size.
+const Dims = 5
+
+// Size is an amount of resources, either of a task or of a worker.
+type Size struct {
+	// MilliCPU is processor time in thousandths of a core.
+	MilliCPU int64 `json:"milli_cpu"`
+	// MemMB is memory in MiB.
+	MemMB int64 `json:"mem_mb"`
+	// Accel is a number of accelerators.
+	Accel int64 `json:"accel,omitempty"`
+	// Slots is a number of task slots.
+	Slots int64 `json:"slots"`
+	// Conns is a number of connections.
+	Conns int64 `json:"conns,omitempty"`
+}
+
+// Vector returns the dimensions in a fixed order.
+func (s Size) Vector() [Dims]int64 {
+	return [Dims]int64{s.MilliCPU, s.MemMB, s.Accel, s.Slots, s.Conns}
+}
+
+// Add returns s + o.
+func (s Size) Add(o Size) Size {
+	return Size{s.MilliCPU + o.MilliCPU, s.MemMB + o.MemMB, s.Accel + o.Accel, s.Slots + o.Slots, s.Conns + o.Conns}
+}
+
+// Sub returns s - o; a dimension may become negative.
+func (s Size) Sub(o Size) Size {
+	return Size{s.MilliCPU - o.MilliCPU, s.MemMB - o.MemMB, s.Accel - o.Accel, s.Slots - o.Slots, s.Conns - o.Conns}
+}
+
+// Times returns s multiplied by n.
+func (s Size) Times(n int64) Size {
+	return Size{s.MilliCPU * n, s.MemMB * n, s.Accel * n, s.Slots * n, s.Conns * n}
+}
+
+// Fits reports whether s fits into free in every dimension.
+func (s Size) Fits(free Size) bool {
+	return s.MilliCPU <= free.MilliCPU && s.MemMB <= free.MemMB && s.Accel <= free.Accel &&
+		s.Slots <= free.Slots && s.Conns <= free.Conns
+}
+
+// DominantShare returns the largest share of capacity that s takes in any
+// dimension. A dimension that capacity lacks counts as 1 when s needs it.
+func (s Size) DominantShare(capacity Size) float64 {
+	sv, cv := s.Vector(), capacity.Vector()
+	share := 0.0
+	for i, need := range sv {
+		if need <= 0 {
+			continue
+		}
+		if cv[i] <= 0 {
+			return 1
+		}
+		share = max(share, float64(need)/float64(cv[i]))
+	}
+	return share
+}
+
+// WorkerID identifies a worker in the cell.
+type WorkerID string
+
+// DataCentre names a data centre.
+type DataCentre string
+
+// Worker describes a worker as its data centre's owner sees it.
+type Worker struct {
+	ID         WorkerID
+	DataCentre DataCentre
+	Rack       string
+	Capacity   Size
+}
+
+// TaskID identifies one task of a request: the key and the task's index.
+type TaskID struct {
+	Key   string `json:"key"`
+	Index int    `json:"index"`
+}
+
+// String returns "key/index".
+func (t TaskID) String() string { return t.Key + "/" + strconv.Itoa(t.Index) }
+
+// Side tells which system runs a key.
+type Side string
+
+// Sides.
+const (
+	NewSide Side = "new"
+	OldSide Side = "old"
+)
+
+// Fate is the state of a request as a caller sees it.
+type Fate string
+
+// Fates. Queued and Running are not final; the others never change.
+const (
+	Queued    Fate = "queued"
+	Running   Fate = "running"
+	Done      Fate = "done"
+	NotRun    Fate = "not_run"
+	Cancelled Fate = "cancelled"
+	// Unknown means that the request may have run: its worker was lost and it
+	// is not idempotent, so it is not started again.
+	Unknown Fate = "unknown"
+)
+
+// Terminal reports whether the fate is final.
+func (f Fate) Terminal() bool { return f != Queued && f != Running && f != "" }
+
+// Reason says why a request waits or was refused.
+type Reason string
+
+// Reasons, used as keys of counts in explanations.
+const (
+	ReasonNoFit          Reason = "no_fit"
+	ReasonSlots          Reason = "slots"
+	ReasonCPU            Reason = "cpu"
+	ReasonMemory         Reason = "memory"
+	ReasonAccel          Reason = "accelerators"
+	ReasonConns          Reason = "connections"
+	ReasonSetAside       Reason = "worker_set_aside"
+	ReasonDraining       Reason = "worker_draining"
+	ReasonNoLease        Reason = "worker_not_leased"
+	ReasonQuota          Reason = "team_quota"
+	ReasonHeadroom       Reason = "reserved_headroom"
+	ReasonQueueFull      Reason = "queue_full"
+	ReasonDeadline       Reason = "deadline_passed"
+	ReasonCancelled      Reason = "cancelled_before_start"
+	ReasonShed           Reason = "shed"
+	ReasonNeverFits      Reason = "can_never_run"
+	ReasonBackoff        Reason = "retry_backoff"
+	ReasonGang           Reason = "not_all_tasks_fit"
+	ReasonAttempts       Reason = "attempts_exhausted"
+	ReasonRetryBudget    Reason = "retry_budget_exhausted"
+	ReasonWorkerLost     Reason = "worker_lost"
+	ReasonNotAccepted    Reason = "not_accepted_by_worker"
+	ReasonOldUnavailable Reason = "old_system_unavailable"
+)
+
+// Counts explains a decision: for each reason, how many workers, tasks or
+// limits it applied to.
+type Counts map[Reason]int
+
+// Request is a caller's request after defaults from the text were applied.
+type Request struct {
+	Key        string        `json:"key"`
+	Service    string        `json:"service"`
+	Team       string        `json:"team"`
+	Class      Class         `json:"class"`
+	Size       Size          `json:"size"`
+	Tasks      int           `json:"tasks"`
+	Idempotent bool          `json:"idempotent"`
+	RunTime    time.Duration `json:"run_time"`
+	// Deadline is the latest start; zero means none.
+	Deadline time.Time `json:"deadline"`
+	// IssuedAt is when the caller created the request; zero if not stated.
+	IssuedAt time.Time `json:"issued_at"`
+	Payload  []byte    `json:"payload,omitempty"`
+	// Fingerprint is a hash of what must be equal when a key is used again.
+	Fingerprint uint64 `json:"fingerprint"`
+}
+
+// TaskState is the state of one task.
+type TaskState string
+
+// Task states.
+const (
+	TaskQueued   TaskState = "queued"
+	TaskStarting TaskState = "starting" // a start was sent and is not confirmed yet
+	TaskRunning  TaskState = "running"
+	TaskStopping TaskState = "stopping"
+	TaskDone     TaskState = "done"
+	TaskFailed   TaskState = "failed"
+	TaskStopped  TaskState = "stopped"
+	TaskLost     TaskState = "lost"
+)
+
+// Final reports whether the task will not change any more in this attempt.
+func (s TaskState) Final() bool {
+	return s == TaskDone || s == TaskFailed || s == TaskStopped || s == TaskLost
+}
+
+// HoldsWorker reports whether the task may be using its worker's capacity.
+func (s TaskState) HoldsWorker() bool {
+	return s == TaskStarting || s == TaskRunning || s == TaskStopping
+}
+
+// TaskRecord is the state of one task within a Record.
+type TaskRecord struct {
+	State   TaskState `json:"state"`
+	Worker  WorkerID  `json:"worker,omitempty"`
+	Attempt int       `json:"attempt"`
+	// Planned is the size that was reserved on the worker.
+	Planned Size   `json:"planned"`
+	Answer  []byte `json:"answer,omitempty"`
+}
+
+// Record is everything the home data centre knows about a key.
+type Record struct {
+	Request Request      `json:"request"`
+	Side    Side         `json:"side"`
+	Fate    Fate         `json:"fate"`
+	OK      bool         `json:"ok"`
+	Reason  Reason       `json:"reason,omitempty"`
+	Answer  []byte       `json:"answer,omitempty"`
+	Tasks   []TaskRecord `json:"tasks"`
+	// Term is the owner's term in which the record last changed.
+	Term uint64 `json:"term"`
+	// Version grows with each change of the record within all terms.
+	Version  uint64    `json:"version"`
+	Accepted time.Time `json:"accepted"`
+	Started  time.Time `json:"started"`
+	Ended    time.Time `json:"ended"`
+	// DelegatedTo is the data centre that runs the request for its home.
+	DelegatedTo DataCentre `json:"delegated_to,omitempty"`
+}
+
+// Newer reports whether r is a later state of the same key than o. A terminal
+// fate beats any other, then the term decides, then the version.
+func (r *Record) Newer(o *Record) bool {
+	if r.Fate.Terminal() != o.Fate.Terminal() {
+		return r.Fate.Terminal()
+	}
+	if r.Term != o.Term {
+		return r.Term > o.Term
+	}
+	return r.Version > o.Version
+}
+
+// RunningTask is an entry of a worker's inventory.
+type RunningTask struct {
+	ID      TaskID
+	Attempt int
+	Service string
+	Size    Size
+	State   TaskState
+	OK      bool
+	Answer  []byte
+}
+
+// Usage is a lagging measurement of one running task.
+type Usage struct {
+	ID   TaskID
+	Size Size
+}
