--- /dev/null
+++ b/internal/core/confirm/reader_test.go
@@ -0,0 +1,156 @@
+package confirm
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var at = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func publish(id string, base uint64) []byte {
+	b, _ := json.Marshal(Record{Publish: &Publish{ID: id, Base: base, Text: "text-" + id}})
+	return b
+}
+
+func snapshot(s State) []byte {
+	b, _ := json.Marshal(Record{Snapshot: &s})
+	return b
+}
+
+func accept(string) error { return nil }
+
+func newAtStart() *Reader {
+	r := NewReader(accept)
+	r.StartOfStream()
+	return r
+}
+
+// Guards against two operators both being told that they won.
+func TestFirstPublicationFromABaseWins(t *testing.T) {
+	r := newAtStart()
+	assert.Assert(t, r.Apply(0, at, publish("a", 0)))
+	assert.Assert(t, !r.Apply(1, at, publish("b", 0)))
+	v, ok := r.Verdict("b")
+	assert.Assert(t, ok && !v.Accepted)
+	assert.Equal(t, v.Revision, uint64(1))
+	assert.Equal(t, r.State().Text, "text-a")
+}
+
+// Guards against a retry of a lost acknowledgement being applied twice or refused.
+func TestRepeatedPublishIDKeepsFirstVerdict(t *testing.T) {
+	r := newAtStart()
+	r.Apply(0, at, publish("a", 0))
+	r.Apply(1, at, publish("b", 1))
+	assert.Assert(t, !r.Apply(2, at, publish("a", 2)))
+	v, _ := r.Verdict("a")
+	assert.Assert(t, v.Accepted)
+	assert.Equal(t, r.State().Revision, uint64(2))
+}
+
+// Guards against an invalid text coming into force through a direct append.
+func TestInvalidTextIsRefused(t *testing.T) {
+	r := NewReader(func(string) error { return errors.New("bad") })
+	r.StartOfStream()
+	assert.Assert(t, !r.Apply(0, at, publish("a", 0)))
+	assert.Equal(t, r.State().Revision, uint64(0))
+}
+
+// Guards against a reader that missed dropped records guessing the revision.
+func TestTruncationRemovesAnchorAndKeepsRevision(t *testing.T) {
+	r := newAtStart()
+	r.Apply(0, at, publish("a", 0))
+	r.Truncated(5)
+	assert.Assert(t, !r.Anchored())
+	assert.Assert(t, !r.Apply(5, at, publish("x", 1)))
+	assert.Equal(t, r.State().Revision, uint64(1))
+	// A snapshot from before the gap cannot anchor: records 2 to 4 are unknown.
+	r.Apply(6, at, snapshot(State{Revision: 2, Text: "t", Next: 2}))
+	assert.Assert(t, !r.Anchored())
+	r.Apply(7, at, snapshot(State{Revision: 4, Text: "t4", Next: 5}))
+	assert.Assert(t, r.Anchored())
+	assert.Equal(t, r.State().Revision, uint64(4))
+}
+
+// Guards against a publication between a snapshot's position and its record being lost.
+func TestPublicationsBeforeTheSnapshotRecordAreApplied(t *testing.T) {
+	r := NewReader(accept)
+	r.Truncated(10)
+	r.Apply(10, at, publish("late", 3))
+	changed := r.Apply(11, at, snapshot(State{Revision: 3, Text: "t3", Next: 10}))
+	assert.Assert(t, changed)
+	assert.Equal(t, r.State().Revision, uint64(4))
+	assert.Equal(t, r.State().Text, "text-late")
+}
+
+// Guards against a lagging peer taking a daemon back to an earlier revision.
+func TestAdoptNeverGoesBack(t *testing.T) {
+	r := newAtStart()
+	r.Apply(0, at, publish("a", 0))
+	r.Apply(1, at, publish("b", 1))
+	assert.Assert(t, !r.Adopt(State{Revision: 1, Next: 1, Text: "text-a"}))
+	assert.Equal(t, r.State().Revision, uint64(2))
+	assert.Assert(t, r.Adopt(State{Revision: 5, Next: 9, Text: "five"}))
+	assert.Equal(t, r.Next(), int64(9))
+}
+
+// Guards against a newcomer finding no anchor in a log that drops old records.
+func TestSnapshotBecomesDueByAgeAndByCount(t *testing.T) {
+	r := newAtStart()
+	r.Apply(0, at, publish("a", 0))
+	assert.Assert(t, !r.NeedsSnapshot(at.Add(time.Minute), time.Hour))
+	assert.Assert(t, r.NeedsSnapshot(at.Add(2*time.Hour), time.Hour))
+	for i := range snapshotEvery {
+		r.Apply(int64(i+1), at, publish(fmt.Sprint("p", i), uint64(i+1)))
+	}
+	assert.Assert(t, r.NeedsSnapshot(at, time.Hour))
+}
+
+// Guards against readers that join at different places, lose records to
+// retention or adopt a peer's state reaching different revisions.
+func TestReadersAgreeProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		full := newAtStart()
+		var log [][]byte
+		var states []State
+		n := rapid.IntRange(1, 60).Draw(t, "records")
+		for i := range n {
+			var data []byte
+			if rapid.IntRange(0, 5).Draw(t, "kind") == 0 && len(states) > 0 {
+				data = snapshot(states[rapid.IntRange(0, len(states)-1).Draw(t, "as of")])
+			} else {
+				base := full.State().Revision
+				if base > 0 && rapid.Bool().Draw(t, "stale") {
+					base--
+				}
+				data = publish(fmt.Sprint("p", rapid.IntRange(0, 30).Draw(t, "id")), base)
+			}
+			log = append(log, data)
+			full.Apply(int64(i), at, data)
+			states = append(states, full.State())
+		}
+		late := NewReader(accept)
+		first := rapid.IntRange(0, n-1).Draw(t, "first")
+		if first == 0 {
+			late.StartOfStream()
+		} else {
+			late.Truncated(int64(first))
+		}
+		previous := uint64(0)
+		for i := first; i < n; i++ {
+			late.Apply(int64(i), at, log[i])
+			if late.State().Revision < previous {
+				t.Fatalf("revision went back from %d to %d", previous, late.State().Revision)
+			}
+			previous = late.State().Revision
+			if late.Anchored() && late.State().Revision != states[i].Revision {
+				t.Fatalf("late reader is at %d, first reader at %d", late.State().Revision, states[i].Revision)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/election/election.go
@@ -0,0 +1,142 @@
+// Package election decides when a daemon campaigns for its data centre, when
+// it may serve as its owner and when it must step down. The worker leases are
+// the only authority; the election only avoids useless campaigns.
+package election
+
+import "time"
+
+// Role is a daemon's role in its data centre.
+type Role uint8
+
+// Roles in the order in which a daemon passes through them.
+const (
+	Standby Role = iota
+	Campaigning
+	Recovering
+	Owner
+)
+
+// String returns the role's name for logs and status.
+func (r Role) String() string {
+	return [...]string{"standby", "campaigning", "recovering", "owner"}[r]
+}
+
+// Input is what the election looks at.
+type Input struct {
+	Now time.Time
+	// Ready is false until the daemon has configuration and the instance list.
+	Ready bool
+	// Draining is true once shutdown began.
+	Draining bool
+	// Candidate is the membership table's advice to campaign.
+	Candidate bool
+	// OtherOwner is the term of a living owner other than this daemon, or 0.
+	OtherOwner uint64
+	// MaxTerm is the highest term seen in the data centre.
+	MaxTerm uint64
+	// Majority and All describe the worker leases held at Now.
+	Majority, All bool
+	// Recovered is true when the records were loaded for the current term.
+	Recovered bool
+}
+
+// Step is what the daemon has to do after a Tick.
+type Step uint8
+
+// Steps.
+const (
+	None          Step = iota
+	StartCampaign      // request all leases with Term
+	StartRecovery      // load records
+	StartServing
+	StepDown // release all leases and stop deciding
+)
+
+// Election is the state machine of one daemon. It is not safe for concurrent use.
+type Election struct {
+	ttl     time.Duration
+	role    Role
+	term    uint64
+	since   time.Time
+	holdOff time.Time
+}
+
+// New returns a standby. ttl is the worker lease TTL.
+func New(ttl time.Duration) *Election { return &Election{ttl: ttl} }
+
+// Role returns the current role.
+func (e *Election) Role() Role { return e.role }
+
+// Term returns the term of the current campaign or ownership.
+func (e *Election) Term() uint64 { return e.term }
+
+// campaignTTLs bounds a campaign without a majority, in lease TTLs. Leases of
+// a dead owner expire within one TTL; after that more time does not help.
+const campaignTTLs = 2
+
+// Tick advances the state machine.
+func (e *Election) Tick(in Input) Step {
+	switch e.role {
+	case Standby:
+		return e.tickStandby(in)
+	case Campaigning:
+		return e.tickCampaign(in)
+	case Recovering:
+		return e.tickRecovery(in)
+	default:
+		return e.tickOwner(in)
+	}
+}
+
+func (e *Election) tickStandby(in Input) Step {
+	if !in.Ready || in.Draining || !in.Candidate || in.Now.Before(e.holdOff) {
+		return None
+	}
+	e.role, e.since, e.term = Campaigning, in.Now, in.MaxTerm+1
+	return StartCampaign
+}
+
+func (e *Election) tickCampaign(in Input) Step {
+	switch {
+	case in.Draining, in.OtherOwner >= e.term:
+		return e.stepDown(in, 0)
+	case in.Majority:
+		e.role = Recovering
+		return StartRecovery
+	case in.MaxTerm > e.term:
+		// A worker granted a higher term before; a new campaign has to exceed it.
+		e.term = in.MaxTerm + 1
+		return StartCampaign
+	case in.Now.Sub(e.since) > campaignTTLs*e.ttl:
+		return e.stepDown(in, e.ttl/2)
+	}
+	return None
+}
+
+func (e *Election) tickRecovery(in Input) Step {
+	if in.Draining || !in.Majority || in.OtherOwner > e.term {
+		return e.stepDown(in, 0)
+	}
+	// Workers that did not grant yet may still be leased to a dead owner. After
+	// a TTL and a half they are unreachable, not leased.
+	if in.Recovered && (in.All || in.Now.Sub(e.since) > e.ttl*3/2) {
+		e.role = Owner
+		return StartServing
+	}
+	return None
+}
+
+func (e *Election) tickOwner(in Input) Step {
+	if !in.Majority || in.OtherOwner > e.term {
+		return e.stepDown(in, 0)
+	}
+	return None
+}
+
+// Resign makes an owner step down at the end of a graceful shutdown.
+func (e *Election) Resign(now time.Time) { e.stepDown(Input{Now: now}, e.ttl) }
+
+func (e *Election) stepDown(in Input, wait time.Duration) Step {
+	e.role, e.holdOff = Standby, in.Now.Add(wait)
+	return StepDown
+}
--- /dev/null
+++ b/internal/core/membership/peers.go
@@ -0,0 +1,125 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// Load is the bounded load summary that an owner sends with its heartbeats.
+type Load struct {
+	Free, Capacity, LargestFree model.Size
+	Workers                     int
+	Queued, Running             int64
+	BatchWait, InteractiveWait  time.Duration
+}
+
+// Peer is what a daemon knows of another one from heartbeats.
+type Peer struct {
+	ID          string
+	Incarnation string
+	DataCentre  model.DataCentre
+	Region      string
+	Addr        string
+	Revision    uint64
+	// Term is the term that the peer leads its data centre with; 0 for a standby.
+	Term     uint64
+	Ready    bool
+	Draining bool
+	Load     Load
+	LastSeen time.Time
+}
+
+// Table holds the peers of one daemon. It is not safe for concurrent use.
+type Table struct {
+	self    Peer
+	suspect time.Duration
+	peers   map[string]*Peer
+	// maxTerm is the highest term seen for the own data centre.
+	maxTerm uint64
+}
+
+// NewTable returns a table for the daemon self. A peer that was not heard of
+// for suspect counts as dead.
+func NewTable(self Peer, suspect time.Duration) *Table {
+	return &Table{self: self, suspect: suspect, peers: map[string]*Peer{}}
+}
+
+// Seen records a heartbeat of a peer.
+func (t *Table) Seen(now time.Time, p Peer) {
+	if p.ID == t.self.ID {
+		return
+	}
+	p.LastSeen = now
+	if p.DataCentre == t.self.DataCentre {
+		t.SawTerm(p.Term)
+	}
+	t.peers[p.ID] = &p
+}
+
+// SawTerm raises the highest term known for the own data centre.
+func (t *Table) SawTerm(term uint64) { t.maxTerm = max(t.maxTerm, term) }
+
+// MaxTerm returns the highest term known for the own data centre.
+func (t *Table) MaxTerm() uint64 { return t.maxTerm }
+
+// Forget removes a peer that left the instance list.
+func (t *Table) Forget(id string) { delete(t.peers, id) }
+
+// Alive reports whether a peer was heard of recently.
+func (t *Table) Alive(now time.Time, id string) bool {
+	p := t.peers[id]
+	return p != nil && now.Sub(p.LastSeen) < t.suspect
+}
+
+// Peers returns copies of all known peers in order of ID.
+func (t *Table) Peers() []Peer {
+	out := make([]Peer, 0, len(t.peers))
+	for _, p := range t.peers {
+		out = append(out, *p)
+	}
+	slices.SortFunc(out, func(a, b Peer) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Owner returns the living peer with the highest term in a data centre.
+func (t *Table) Owner(now time.Time, dc model.DataCentre) (Peer, bool) {
+	var best *Peer
+	for _, p := range t.peers {
+		if p.DataCentre == dc && p.Term > 0 && t.Alive(now, p.ID) && (best == nil || p.Term > best.Term) {
+			best = p
+		}
+	}
+	if best == nil {
+		return Peer{}, false
+	}
+	return *best, true
+}
+
+// Mates returns the living peers of the own data centre in order of ID.
+func (t *Table) Mates(now time.Time) []Peer {
+	var out []Peer
+	for _, p := range t.Peers() {
+		if p.DataCentre == t.self.DataCentre && t.Alive(now, p.ID) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Candidate reports whether the own daemon should campaign: no living owner is
+// known and no living, ready mate has a lower ID. Two daemons that disagree do
+// no harm, because the workers grant each lease once.
+func (t *Table) Candidate(now time.Time) bool {
+	if _, ok := t.Owner(now, t.self.DataCentre); ok {
+		return false
+	}
+	for _, p := range t.Mates(now) {
+		if p.Ready && !p.Draining && p.ID < t.self.ID {
+			return false
+		}
+	}
+	return true
+}
