--- a/internal/core/lease/table.go
+++ b/internal/core/lease/table.go
@@ -66,8 +66,16 @@
 	}
 }
 
-// Lost removes a lease, for instance after the worker refused it.
-func (t *Table) Lost(id model.WorkerID) { delete(t.leases, id) }
+// Lost removes a lease, for instance after the worker refused it. It returns
+// false when another term holds the worker by now.
+func (t *Table) Lost(id model.WorkerID, term uint64) bool {
+	e := t.leases[id]
+	if e == nil || e.term != term {
+		return false
+	}
+	delete(t.leases, id)
+	return true
+}
 
 // Clear removes all leases.
 func (t *Table) Clear() { clear(t.leases) }
@@ -111,3 +119,6 @@
 	}
 	return ids
 }
+
+// Drop removes the lease on a worker that is not used any more.
+func (t *Table) Drop(id model.WorkerID) { delete(t.leases, id) }
--- a/internal/core/membership/peers.go
+++ b/internal/core/membership/peers.go
@@ -68,10 +68,21 @@
 // Forget removes a peer that left the instance list.
 func (t *Table) Forget(id string) { delete(t.peers, id) }
 
+// remoteSuspectFactor stretches the suspicion time for peers of other data
+// centres, which exchange heartbeats less often.
+const remoteSuspectFactor = 4
+
 // Alive reports whether a peer was heard of recently.
 func (t *Table) Alive(now time.Time, id string) bool {
 	p := t.peers[id]
-	return p != nil && now.Sub(p.LastSeen) < t.suspect
+	if p == nil {
+		return false
+	}
+	limit := t.suspect
+	if p.DataCentre != t.self.DataCentre {
+		limit *= remoteSuspectFactor
+	}
+	return now.Sub(p.LastSeen) < limit
 }
 
 // Peers returns copies of all known peers in order of ID.
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -224,6 +224,9 @@
 	State   TaskState `json:"state"`
 	Worker  WorkerID  `json:"worker,omitempty"`
 	Attempt int       `json:"attempt"`
+	// Boot is the worker's boot ID when the task was assigned. A worker that
+	// restarted since then cannot tell whether the task ran before.
+	Boot string `json:"boot,omitempty"`
 	// Planned is the size that was reserved on the worker.
 	Planned Size   `json:"planned"`
 	Answer  []byte `json:"answer,omitempty"`
@@ -245,6 +248,8 @@
 	Accepted time.Time `json:"accepted"`
 	Started  time.Time `json:"started"`
 	Ended    time.Time `json:"ended"`
+	// CancelRequested is set once a caller asked to stop the request.
+	CancelRequested bool `json:"cancel_requested,omitempty"`
 	// DelegatedTo is the data centre that runs the request for its home.
 	DelegatedTo DataCentre `json:"delegated_to,omitempty"`
 }
--- /dev/null
+++ b/internal/core/scheduler/core.go
@@ -0,0 +1,219 @@
+// Package scheduler is the state machine of a data centre's owner. It keeps the
+// key records, decides what starts where and settles fates. It does no I/O:
+// the daemon calls its methods from one goroutine with the current time, takes
+// the resulting Actions and reports their outcome by further calls.
+package scheduler
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"catkinvalve/internal/core/estimate"
+	"catkinvalve/internal/core/membership"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/placement"
+	"catkinvalve/internal/core/queue"
+	"catkinvalve/internal/core/retry"
+	"catkinvalve/internal/core/split"
+	"catkinvalve/internal/text"
+)
+
+// Config holds what does not change while the daemon runs.
+type Config struct {
+	DataCentre model.DataCentre
+	Region     string
+	LeaseTTL   time.Duration
+	TaskGrace  time.Duration
+	// Retention is how long records of final fates are kept.
+	Retention time.Duration
+	// MaxRecords bounds the records in memory.
+	MaxRecords int
+	// Seed makes the backoff jitter repeatable in tests.
+	Seed uint64
+}
+
+// Default limits of the record table.
+const (
+	DefaultRetention  = 24 * time.Hour
+	DefaultMaxRecords = 100_000
+)
+
+// Core is the state machine. It is not safe for concurrent use.
+type Core struct {
+	cfg  Config
+	text *text.Config
+	// dataCentres lists the data centres of the text.
+	dataCentres []model.DataCentre
+
+	index   *placement.Index
+	queue   *queue.Queue
+	sizes   *estimate.Estimator
+	budget  *retry.Budget
+	backoff *retry.Backoff
+	health  *retry.Health
+	shares  *split.History
+	entries map[string]*entry
+	workers map[model.WorkerID]*workerState
+	// grants holds leases granted before Serve; their inventories are merged
+	// after the records of the peers and the journal.
+	grants []Grant
+	// early holds task reports that arrived before Serve.
+	early []earlyReport
+	// capacityKnown is true when every listed worker has granted a lease once.
+	capacityKnown bool
+	settled       []settledKey
+	lastSweep     time.Time
+	homeTerm      map[model.DataCentre]uint64
+	remote        map[model.DataCentre]*remoteLoad
+
+	serving bool
+	term    uint64
+	doubt   *doubt
+	// dirty is set when something changed that may let a waiting task start.
+	dirty bool
+	// holds protects the estimated start of the oldest waiting gang.
+	hold gangHold
+	out  Actions
+	stat Counters
+}
+
+// Counters counts decisions since the process started.
+type Counters struct {
+	Admitted, Refused, Started, Finished, Failed, Retried, Preempted int64
+	StaleAnswers, DelegatedOut, DelegatedIn, RecordsDropped          int64
+}
+
+// entry is a key record with what the owner needs besides.
+type entry struct {
+	rec model.Record
+	// home is the data centre that delegated the request here, or "".
+	home model.DataCentre
+	// acked is the highest version that the standbys have.
+	acked uint64
+	// settleAt is the version after which the final fate may be told.
+	settleAt uint64
+	tasks    []taskRuntime
+	// preempting is set while victims are stopped to make room.
+	preempting bool
+	// delegated is set once the delegation was handed to the daemon.
+	delegated bool
+	// lookup is set while the old system is asked for the key.
+	lookup bool
+	// standing marks an instance that the text asks for.
+	standing bool
+	waitedAt time.Time
+}
+
+// taskRuntime is the owner's volatile state of one task.
+type taskRuntime struct {
+	// startAt is the record version that must be replicated before the start
+	// is sent; 0 when no start is pending.
+	startAt uint64
+	charged model.Size
+	began   time.Time
+	// requeue is set when a stop is meant to place the task again.
+	requeue bool
+}
+
+type workerState struct {
+	worker model.Worker
+	bootID string
+	leased bool
+	// contact is the latest time at which the worker's lease may have been renewed.
+	contact  time.Time
+	leaving  bool
+	leavedAt time.Time
+	// drained is set once the drain deadline stopped its tasks.
+	drained bool
+}
+
+type earlyReport struct {
+	worker model.WorkerID
+	event  TaskEvent
+}
+
+type settledKey struct {
+	key string
+	at  time.Time
+}
+
+// New returns a standby's core.
+func New(cfg Config) *Core {
+	if cfg.Retention == 0 {
+		cfg.Retention = DefaultRetention
+	}
+	if cfg.MaxRecords == 0 {
+		cfg.MaxRecords = DefaultMaxRecords
+	}
+	return &Core{
+		cfg:      cfg,
+		text:     &text.Config{},
+		index:    placement.New(placement.Options{}),
+		queue:    queue.New(queue.Config{}),
+		sizes:    estimate.New(estimate.Options{}),
+		budget:   retry.NewBudget(retry.BudgetOptions{}),
+		backoff:  retry.NewBackoff(retry.BackoffOptions{}, rand.New(rand.NewPCG(cfg.Seed, 1))),
+		health:   retry.NewHealth(retry.HealthOptions{}),
+		shares:   split.NewHistory(split.Options{}),
+		entries:  map[string]*entry{},
+		workers:  map[model.WorkerID]*workerState{},
+		homeTerm: map[model.DataCentre]uint64{},
+		remote:   map[model.DataCentre]*remoteLoad{},
+	}
+}
+
+// Take returns the actions since the last call and clears them.
+func (c *Core) Take() Actions {
+	a := c.out
+	c.out = Actions{}
+	return a
+}
+
+// Serving reports whether the core may decide.
+func (c *Core) Serving() bool { return c.serving }
+
+// Term returns the term of the current or last ownership.
+func (c *Core) Term() uint64 { return c.term }
+
+// Counters returns the decision counters.
+func (c *Core) Counters() Counters { return c.stat }
+
+// Records returns the number of records in memory.
+func (c *Core) Records() int { return len(c.entries) }
+
+// Home returns the home data centre of a key under the current text.
+func (c *Core) Home(key string) model.DataCentre { return membership.Home(key, c.dataCentres) }
+
+// BeginCampaign drops inventories of earlier campaigns.
+func (c *Core) BeginCampaign() { c.grants, c.early = nil, nil }
+
+// AllRecords returns copies of all records, for standbys and successors.
+func (c *Core) AllRecords() []model.Record {
+	out := make([]model.Record, 0, len(c.entries))
+	for _, e := range c.entries {
+		out = append(out, copyRecord(&e.rec))
+	}
+	return out
+}
+
+// changed marks a new version of the record. Standbys and the journal get it
+// with the next Actions.
+func (c *Core) changed(e *entry) {
+	e.rec.Version++
+	e.rec.Term = c.term
+	c.out.Replicate = append(c.out.Replicate, copyRecord(&e.rec))
+}
+
+// journal adds the record to the next batch for the log. Payloads stay out:
+// the journal only has to answer for fates.
+func (c *Core) journal(e *entry) {
+	r := copyRecord(&e.rec)
+	r.Request.Payload = nil
+	c.out.Journal = append(c.out.Journal, r)
+}
+
+func copyRecord(r *model.Record) model.Record {
+	out := *r
+	out.Tasks = append([]model.TaskRecord(nil), r.Tasks...)
+	return out
+}
--- /dev/null
+++ b/internal/core/scheduler/old.go
@@ -0,0 +1,139 @@
+package scheduler
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/split"
+	"catkinvalve/internal/fault"
+)
+
+// lookupFirst asks the old system about a key that a change of share may have
+// moved. The caller sees the request as queued meanwhile.
+func (c *Core) lookupFirst(e *entry) (model.Record, *fault.Error) {
+	e.lookup = true
+	c.stat.Admitted++
+	c.changed(e)
+	c.out.OldLookups = append(c.out.OldLookups, e.rec.Request.Key)
+	return c.view(e), nil
+}
+
+// OldLookedUp takes the old system's answer about a key. With unavailable set
+// the old system could not be asked, and nothing may start.
+func (c *Core) OldLookedUp(now time.Time, key string, known, unavailable bool) {
+	e := c.entries[key]
+	if !c.serving || e == nil || !e.lookup {
+		return
+	}
+	e.lookup = false
+	switch {
+	case e.rec.Fate.Terminal():
+	case e.rec.CancelRequested:
+		c.settle(now, e, model.NotRun, model.ReasonCancelled)
+	case unavailable:
+		c.retryLookup(now, e)
+	case known:
+		e.rec.Side = model.OldSide
+		c.sendOld(e)
+		c.changed(e)
+	default:
+		e.rec.Side = split.Side(key, e.rec.Request.Service, c.newPercent(e.rec.Request.Service))
+		c.enterLate(now, e)
+	}
+}
+
+func (c *Core) retryLookup(now time.Time, e *entry) {
+	r := &e.rec.Request
+	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+		c.settle(now, e, model.NotRun, model.ReasonDeadline)
+		return
+	}
+	e.lookup = true
+	c.out.OldLookups = append(c.out.OldLookups, r.Key)
+}
+
+// enterLate queues a request after the lookup. A refusal becomes its fate.
+func (c *Core) enterLate(now time.Time, e *entry) {
+	if e.rec.Side == model.OldSide {
+		c.sendOld(e)
+		c.changed(e)
+		return
+	}
+	if err := c.admit(now, e); err != nil {
+		reason := model.ReasonQueueFull
+		if err.Kind == fault.CanNeverRun {
+			reason = model.ReasonNeverFits
+		}
+		c.settle(now, e, model.NotRun, reason)
+	}
+}
+
+// sendOld runs the request on the old system once the standbys know its side.
+func (c *Core) sendOld(e *entry) {
+	e.rec.Side = model.OldSide
+	if e.acked > 0 && e.acked >= e.rec.Version {
+		c.runOld(e)
+	}
+}
+
+func (c *Core) runOld(e *entry) {
+	if e.rec.Tasks[0].State != model.TaskQueued {
+		return
+	}
+	r := &e.rec.Request
+	e.rec.Tasks[0].State = model.TaskStarting
+	c.out.OldRuns = append(c.out.OldRuns, OldRun{Key: r.Key, Service: r.Service, Payload: r.Payload, Deadline: r.Deadline})
+}
+
+// OldReport is what the old system said about a run.
+type OldReport struct {
+	Key    string
+	Fate   model.Fate
+	OK     bool
+	Answer []byte
+	// NotSent is true when nothing reached the old system.
+	NotSent bool
+}
+
+// OldReported takes the old system's state of a request.
+func (c *Core) OldReported(now time.Time, o OldReport) {
+	e := c.entries[o.Key]
+	if !c.serving || e == nil || e.rec.Side != model.OldSide || e.rec.Fate.Terminal() {
+		return
+	}
+	switch {
+	case o.NotSent:
+		e.rec.Tasks[0].State = model.TaskQueued
+		c.retryOld(now, e)
+	case o.Fate == model.Done:
+		c.markRunning(now, e)
+		e.rec.OK, e.rec.Answer = o.OK, o.Answer
+		c.settle(now, e, model.Done, "")
+	default:
+		e.rec.Tasks[0].State = model.TaskRunning
+		c.markRunning(now, e)
+	}
+}
+
+// retryOld sends the request again until its deadline. The old system runs a
+// key once, so a repeated send is safe.
+func (c *Core) retryOld(now time.Time, e *entry) {
+	r := &e.rec.Request
+	if !r.Deadline.IsZero() && !now.Before(r.Deadline) && e.rec.Started.IsZero() {
+		c.settle(now, e, model.NotRun, model.ReasonOldUnavailable)
+		return
+	}
+	if e.rec.CancelRequested {
+		c.settle(now, e, model.NotRun, model.ReasonCancelled)
+		return
+	}
+	c.runOld(e)
+}
+
+// cancelOld withdraws a request that did not reach the old system yet. The old
+// system cannot cancel, so a sent request runs to its end.
+func (c *Core) cancelOld(now time.Time, e *entry) {
+	if e.rec.Tasks[0].State == model.TaskQueued {
+		c.settle(now, e, model.NotRun, model.ReasonCancelled)
+	}
+}
--- /dev/null
+++ b/internal/core/scheduler/recovery.go
@@ -0,0 +1,249 @@
+package scheduler
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/fault"
+)
+
+// doubt says what a new owner could not learn about earlier requests.
+type doubt struct {
+	since time.Time
+	// journal is true while the log could not be read to its end.
+	journal bool
+	// homes lists data centres that may run requests delegated earlier.
+	homes map[model.DataCentre]bool
+}
+
+// Recovery describes what a new owner has learned before it serves.
+type Recovery struct {
+	Term uint64
+	// SyncedPeer is true when a standby with all records answered.
+	SyncedPeer bool
+	// JournalRead is true when the fate stream was read up to its end.
+	JournalRead bool
+	// Unasked lists data centres that did not report delegated requests.
+	Unasked []model.DataCentre
+}
+
+// Restore merges a record from a peer, the journal or the own replica.
+//
+// While serving, the own records are ahead of any other source; only keys that
+// were not known are added.
+func (c *Core) Restore(now time.Time, rec model.Record) {
+	e := c.entries[rec.Request.Key]
+	if c.serving {
+		if e == nil {
+			e = &entry{rec: copyRecord(&rec), tasks: make([]taskRuntime, len(rec.Tasks))}
+			c.entries[rec.Request.Key] = e
+			c.resume(now, e)
+		}
+		return
+	}
+	if e == nil {
+		e = &entry{rec: rec}
+		c.entries[rec.Request.Key] = e
+	} else if !rec.Newer(&e.rec) {
+		return
+	}
+	payload := e.rec.Request.Payload
+	e.rec = copyRecord(&rec)
+	if e.rec.Request.Payload == nil && !rec.Fate.Terminal() {
+		e.rec.Request.Payload = payload
+	}
+	e.tasks = make([]taskRuntime, len(e.rec.Tasks))
+	e.acked = e.rec.Version
+	if rec.Fate.Terminal() {
+		e.settleAt = rec.Version
+	}
+}
+
+// Serve makes the core the owner's. All records and inventories that can be
+// had are in place; what they leave open puts the data centre in doubt.
+func (c *Core) Serve(now time.Time, r Recovery) {
+	c.serving, c.term = true, r.Term
+	c.doubt = nil
+	if !r.SyncedPeer {
+		c.doubt = &doubt{since: now, journal: !r.JournalRead, homes: map[model.DataCentre]bool{}}
+		for _, dc := range r.Unasked {
+			c.doubt.homes[dc] = true
+		}
+	}
+	for _, w := range c.workers {
+		w.contact = now
+	}
+	for _, g := range c.grants {
+		c.takeOver(now, g)
+	}
+	for _, e := range c.entries {
+		c.resume(now, e)
+	}
+	for _, r := range c.early {
+		c.TaskReported(now, r.worker, r.event)
+	}
+	c.BeginCampaign()
+	c.refreshDoubt(now)
+	c.syncServices(now)
+	c.dirty = true
+}
+
+// resume continues a restored request.
+func (c *Core) resume(now time.Time, e *entry) {
+	if e.rec.Fate.Terminal() {
+		c.settled = append(c.settled, settledKey{e.rec.Request.Key, e.rec.Ended})
+		return
+	}
+	if home := c.Home(e.rec.Request.Key); home != c.cfg.DataCentre {
+		e.home = home
+	}
+	e.standing = c.isStanding(e.rec.Request.Key)
+	c.changed(e)
+	switch {
+	case e.rec.Side == model.OldSide:
+		e.rec.Tasks[0].State = model.TaskQueued
+		return
+	case e.rec.DelegatedTo != "":
+		return
+	case e.untouched() && c.shares.NeedsLookup(e.rec.Request.Key, e.rec.Request.Service):
+		e.lookup = true
+		c.out.OldLookups = append(c.out.OldLookups, e.rec.Request.Key)
+		return
+	}
+	gangQueued := false
+	for i := range e.rec.Tasks {
+		t := &e.rec.Tasks[i]
+		switch {
+		case t.State == model.TaskQueued && !gangQueued:
+			gangQueued = e.rec.Request.Class == model.AllAtOnce
+			c.requeue(now, e, i, 0)
+		case t.State.HoldsWorker() && e.tasks[i].charged == (model.Size{}):
+			c.resumeAssigned(now, e, i)
+		}
+	}
+}
+
+// untouched reports whether no task was ever assigned to a worker.
+func (e *entry) untouched() bool {
+	for i := range e.rec.Tasks {
+		if e.rec.Tasks[i].Attempt > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// resumeAssigned keeps the assignment of a task whose worker has not granted a
+// lease yet, or loses it when the worker does not exist any more. A task that
+// is still unassigned here although its worker granted was not in its inventory.
+func (c *Core) resumeAssigned(now time.Time, e *entry, index int) {
+	t := &e.rec.Tasks[index]
+	w := c.workers[t.Worker]
+	if w == nil {
+		c.taskLost(now, e, index)
+		return
+	}
+	id := model.TaskID{Key: e.rec.Request.Key, Index: index}
+	c.reserveAdopted(now, e, t.Worker, model.RunningTask{ID: id, Service: e.rec.Request.Service, Size: t.Planned})
+	if !w.leased {
+		return
+	}
+	c.missing(now, e, index)
+}
+
+// StepDown stops all deciding. The records stay as a replica.
+func (c *Core) StepDown() {
+	c.serving, c.doubt = false, nil
+	c.out = Actions{}
+	c.BeginCampaign()
+	for id, w := range c.workers {
+		w.leased = false
+		for _, t := range c.index.Tasks(id) {
+			c.index.Release(t)
+		}
+	}
+	for _, e := range c.entries {
+		for i := range e.tasks {
+			if size := e.tasks[i].charged; size != (model.Size{}) {
+				c.queue.Refund(e.rec.Request.Team, size)
+			}
+		}
+		e.tasks = make([]taskRuntime, len(e.rec.Tasks))
+		e.preempting, e.lookup = false, false
+		c.queue.Remove(e.rec.Request.Key)
+	}
+}
+
+// InDoubt reports whether requests of the past may be unknown.
+func (c *Core) InDoubt() bool { return c.doubt != nil }
+
+// JournalRead reports that the fate stream was read to its end after all.
+func (c *Core) JournalRead(now time.Time) {
+	if c.doubt != nil {
+		c.doubt.journal = false
+		c.refreshDoubt(now)
+	}
+}
+
+// HomeAnswered reports that a data centre told which requests it runs for this one.
+func (c *Core) HomeAnswered(now time.Time, dc model.DataCentre) {
+	if c.doubt != nil {
+		delete(c.doubt.homes, dc)
+		c.refreshDoubt(now)
+	}
+}
+
+// OpenHomes lists the data centres that have not answered yet.
+func (c *Core) OpenHomes() []model.DataCentre {
+	if c.doubt == nil {
+		return nil
+	}
+	var out []model.DataCentre
+	for dc := range c.doubt.homes {
+		out = append(out, dc)
+	}
+	return out
+}
+
+// refreshDoubt ends the doubt once every source of memory has answered, or
+// when records of that time would have been dropped anyway.
+func (c *Core) refreshDoubt(now time.Time) {
+	d := c.doubt
+	if d == nil {
+		return
+	}
+	if now.Sub(d.since) > c.cfg.Retention {
+		c.doubt = nil
+		return
+	}
+	if d.journal || len(d.homes) > 0 || c.unleased() {
+		return
+	}
+	c.doubt = nil
+}
+
+// unleased reports whether a listed worker has not shown its inventory yet.
+func (c *Core) unleased() bool {
+	for _, w := range c.workers {
+		if !w.leased {
+			return true
+		}
+	}
+	return false
+}
+
+// checkDoubt refuses a new key that may have run before the data centre lost
+// its records. Requests issued after the loss cannot have.
+func (c *Core) checkDoubt(now time.Time, r model.Request) *fault.Error {
+	d := c.doubt
+	if d == nil || (!r.IssuedAt.IsZero() && r.IssuedAt.After(d.since)) {
+		return nil
+	}
+	if r.Idempotent && now.Sub(d.since) > c.cfg.LeaseTTL+c.cfg.TaskGrace+lostMargin {
+		return nil
+	}
+	return fault.New(fault.FateInDoubt,
+		"retry later with the same key; for a new request set issued_at to the time at which it was created",
+		"data centre %s lost records at %s and cannot tell whether %q ran before",
+		c.cfg.DataCentre, d.since.UTC().Format(time.RFC3339), r.Key)
+}
--- /dev/null
+++ b/internal/core/scheduler/reports.go
@@ -0,0 +1,298 @@
+package scheduler
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// TaskEvent is a worker's report about one attempt of a task.
+type TaskEvent struct {
+	ID      model.TaskID
+	Attempt int
+	State   model.TaskState
+	OK      bool
+	Answer  []byte
+}
+
+// TaskReported handles a report of a worker. Reports of attempts that the
+// record no longer refers to are dropped.
+func (c *Core) TaskReported(now time.Time, w model.WorkerID, ev TaskEvent) {
+	if !c.serving {
+		c.early = append(c.early, earlyReport{w, ev})
+		return
+	}
+	e := c.entries[ev.ID.Key]
+	if e == nil || ev.ID.Index < 0 || ev.ID.Index >= len(e.rec.Tasks) {
+		c.stat.StaleAnswers++
+		return
+	}
+	t := &e.rec.Tasks[ev.ID.Index]
+	if t.Worker != w || t.Attempt != ev.Attempt || t.State.Final() || t.State == model.TaskQueued {
+		c.stat.StaleAnswers++
+		return
+	}
+	c.applyReport(now, e, ev)
+}
+
+func (c *Core) applyReport(now time.Time, e *entry, ev TaskEvent) {
+	switch ev.State {
+	case model.TaskRunning:
+		c.taskStarted(now, e, ev.ID.Index)
+	case model.TaskDone, model.TaskFailed:
+		c.taskEnded(now, e, ev)
+	case model.TaskStopped:
+		c.taskStopped(now, e, ev.ID.Index)
+	}
+}
+
+func (c *Core) taskStarted(now time.Time, e *entry, index int) {
+	if t := &e.rec.Tasks[index]; t.State == model.TaskStarting {
+		t.State = model.TaskRunning
+		e.tasks[index].began = now
+	}
+	c.markRunning(now, e)
+}
+
+func (c *Core) markRunning(now time.Time, e *entry) {
+	if e.rec.Fate == model.Queued {
+		e.rec.Fate = model.Running
+	}
+	if e.rec.Started.IsZero() {
+		e.rec.Started = now
+	}
+}
+
+func (c *Core) taskEnded(now time.Time, e *entry, ev TaskEvent) {
+	c.markRunning(now, e)
+	t := &e.rec.Tasks[ev.ID.Index]
+	c.release(e, ev.ID.Index)
+	if ev.State == model.TaskDone && ev.OK {
+		c.stat.Finished++
+		c.health.Succeeded(now, t.Worker)
+		t.State, t.Answer = model.TaskDone, ev.Answer
+		if e.standing && !e.rec.CancelRequested {
+			c.requeue(now, e, ev.ID.Index, c.backoff.Delay(1))
+			return
+		}
+		c.settleIfEnded(now, e)
+		return
+	}
+	c.stat.Failed++
+	c.health.Failed(now, t.Worker, e.rec.Request.Key)
+	c.updateHealth(now)
+	t.State, t.Answer = model.TaskFailed, ev.Answer
+	if c.mayRetry(now, e, t.Attempt) {
+		c.retry(now, e, ev.ID.Index)
+		return
+	}
+	c.settleIfEnded(now, e)
+}
+
+// mayRetry reports whether a task that ended badly may run again.
+func (c *Core) mayRetry(now time.Time, e *entry, attempts int) bool {
+	r := &e.rec.Request
+	if e.rec.CancelRequested || e.rec.Fate.Terminal() {
+		return false
+	}
+	if e.standing {
+		return true
+	}
+	if !r.Idempotent || attempts >= max(c.text.Retry.MaxAttempts, 1) || c.health.Parked(r.Key) {
+		return false
+	}
+	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+		return false
+	}
+	return c.budget.Withdraw(now, r.Team)
+}
+
+func (c *Core) retry(now time.Time, e *entry, index int) {
+	c.stat.Retried++
+	c.requeue(now, e, index, c.backoff.Delay(e.rec.Tasks[index].Attempt))
+	c.changed(e)
+}
+
+func (c *Core) taskStopped(now time.Time, e *entry, index int) {
+	c.markRunning(now, e)
+	again := e.tasks[index].requeue
+	e.tasks[index].requeue = false
+	c.release(e, index)
+	e.rec.Tasks[index].State = model.TaskStopped
+	if !e.rec.CancelRequested && (again || e.standing) {
+		c.requeue(now, e, index, 0)
+		c.changed(e)
+		return
+	}
+	c.settleIfEnded(now, e)
+}
+
+// NotStarted reports that a worker surely did not start a task that was sent
+// to it: it refused the start, or its inventory does not have it.
+func (c *Core) NotStarted(now time.Time, w model.WorkerID, id model.TaskID, attempt int) {
+	e := c.entries[id.Key]
+	if !c.serving || e == nil || id.Index >= len(e.rec.Tasks) {
+		return
+	}
+	t := &e.rec.Tasks[id.Index]
+	if t.Worker != w || t.Attempt != attempt || !t.State.HoldsWorker() {
+		return
+	}
+	c.notStarted(now, e, id.Index)
+}
+
+func (c *Core) notStarted(now time.Time, e *entry, index int) {
+	c.release(e, index)
+	t := &e.rec.Tasks[index]
+	t.State, t.Worker = model.TaskQueued, ""
+	if e.rec.CancelRequested {
+		t.State = model.TaskStopped
+		c.settleIfEnded(now, e)
+		return
+	}
+	c.requeue(now, e, index, 0)
+	c.changed(e)
+}
+
+// taskLost handles a task whose worker is gone.
+func (c *Core) taskLost(now time.Time, e *entry, index int) {
+	c.markRunning(now, e)
+	c.release(e, index)
+	t := &e.rec.Tasks[index]
+	t.State = model.TaskLost
+	if c.mayRetry(now, e, t.Attempt) {
+		c.retry(now, e, index)
+		return
+	}
+	c.settleIfEnded(now, e)
+}
+
+// settleIfEnded gives the request its final fate once all tasks have ended.
+func (c *Core) settleIfEnded(now time.Time, e *entry) {
+	if e.rec.Fate.Terminal() {
+		return
+	}
+	var done, failed, lost, stopped, size int
+	for i := range e.rec.Tasks {
+		t := &e.rec.Tasks[i]
+		switch t.State {
+		case model.TaskDone:
+			done++
+		case model.TaskFailed:
+			failed++
+		case model.TaskLost:
+			lost++
+		case model.TaskStopped:
+			stopped++
+		default:
+			return
+		}
+		size += len(t.Answer)
+	}
+	e.rec.Answer = joinAnswers(e.rec.Tasks, size)
+	switch {
+	case lost > 0:
+		c.settle(now, e, model.Unknown, model.ReasonWorkerLost)
+	case e.rec.Started.IsZero():
+		c.settle(now, e, model.NotRun, e.reasonOr(model.ReasonCancelled))
+	case stopped > 0:
+		c.settle(now, e, model.Cancelled, e.reasonOr(""))
+	default:
+		e.rec.OK = failed == 0
+		c.settle(now, e, model.Done, "")
+	}
+}
+
+func (e *entry) reasonOr(r model.Reason) model.Reason {
+	if e.rec.Reason != "" {
+		return e.rec.Reason
+	}
+	return r
+}
+
+func joinAnswers(tasks []model.TaskRecord, size int) []byte {
+	if size == 0 {
+		return nil
+	}
+	out := make([]byte, 0, size)
+	for i := range tasks {
+		out = append(out, tasks[i].Answer...)
+		tasks[i].Answer = nil
+	}
+	return out
+}
+
+// settle makes a fate final. Callers are told once the standbys know it.
+func (c *Core) settle(now time.Time, e *entry, f model.Fate, reason model.Reason) {
+	if e.rec.Fate.Terminal() {
+		return
+	}
+	c.queue.Remove(e.rec.Request.Key)
+	e.rec.Fate, e.rec.Reason, e.rec.Ended = f, reason, now
+	e.rec.Request.Payload = nil
+	c.changed(e)
+	e.settleAt = e.rec.Version
+	c.journal(e)
+	c.settled = append(c.settled, settledKey{e.rec.Request.Key, now})
+	if e.standing {
+		c.dirty = true
+	}
+}
+
+// dropWaiting removes the tasks that have not started and settles the request
+// if nothing of it runs.
+func (c *Core) dropWaiting(now time.Time, e *entry, reason model.Reason) {
+	if e.rec.Fate.Terminal() {
+		return
+	}
+	c.queue.Remove(e.rec.Request.Key)
+	e.rec.Reason = reason
+	for i := range e.rec.Tasks {
+		t := &e.rec.Tasks[i]
+		pending := t.State == model.TaskStarting && e.tasks[i].startAt != 0
+		if pending {
+			c.release(e, i)
+		}
+		if pending || t.State == model.TaskQueued {
+			t.State = model.TaskStopped
+		}
+	}
+	c.settleIfEnded(now, e)
+}
+
+// Cancel withdraws a request. What has not started never will; what runs is
+// stopped, and the worker's confirmation decides the fate.
+func (c *Core) Cancel(now time.Time, key string) (model.Record, error) {
+	if !c.serving {
+		return model.Record{}, c.errNoOwner()
+	}
+	e := c.entries[key]
+	if e == nil {
+		return model.Record{}, c.errUnknownKey(key)
+	}
+	c.cancel(now, e)
+	return c.view(e), nil
+}
+
+func (c *Core) cancel(now time.Time, e *entry) {
+	if e.rec.Fate.Terminal() || e.rec.CancelRequested {
+		return
+	}
+	e.rec.CancelRequested = true
+	if e.rec.Side == model.OldSide {
+		c.cancelOld(now, e)
+		return
+	}
+	if e.rec.DelegatedTo != "" {
+		c.cancelDelegated(now, e)
+		return
+	}
+	for i := range e.rec.Tasks {
+		t := &e.rec.Tasks[i]
+		if t.State.HoldsWorker() && e.tasks[i].startAt == 0 && t.State != model.TaskStopping {
+			c.stopTask(e, i, StopNow, false)
+		}
+		e.tasks[i].requeue = false
+	}
+	c.dropWaiting(now, e, model.ReasonCancelled)
+}
--- /dev/null
+++ b/internal/core/scheduler/schedule.go
@@ -0,0 +1,251 @@
+package scheduler
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/placement"
+	"catkinvalve/internal/core/queue"
+	"catkinvalve/internal/core/retry"
+)
+
+// gangHold keeps smaller work from delaying the oldest waiting gang.
+type gangHold struct {
+	key     string
+	start   time.Time
+	workers map[model.WorkerID]bool
+}
+
+func (c *Core) need(r *model.Request) placement.Need {
+	return placement.Need{Class: r.Class, Service: r.Service, Size: c.sizes.Plan(r.Service, r.Size)}
+}
+
+// Schedule places what can start now. It is cheap when nothing changed.
+func (c *Core) Schedule(now time.Time) {
+	if !c.serving || !c.dirty {
+		return
+	}
+	c.dirty = false
+	c.hold = gangHold{}
+	c.queue.Next(now, func(it queue.Item) queue.Verdict { return c.try(now, it) })
+}
+
+func (c *Core) try(now time.Time, it queue.Item) queue.Verdict {
+	e := c.entries[it.Key]
+	if e == nil || e.rec.Fate.Terminal() || e.rec.DelegatedTo != "" {
+		return queue.Skip
+	}
+	if it.Class == model.AllAtOnce {
+		return c.tryGang(now, e, it)
+	}
+	n := placement.Need{Class: it.Class, Service: e.rec.Request.Service, Size: it.Size}
+	w, ok := c.index.Place(n)
+	if !ok {
+		if c.delegate(now, e, it) {
+			return queue.Placed
+		}
+		c.preempt(now, e, n)
+		return queue.NoRoom
+	}
+	if c.delaysGang(now, e, w) {
+		return queue.Skip
+	}
+	c.assign(now, e, it.Index, w, n)
+	c.placed(e)
+	return queue.Placed
+}
+
+func (c *Core) tryGang(now time.Time, e *entry, it queue.Item) queue.Verdict {
+	n := placement.Need{Class: it.Class, Service: e.rec.Request.Service, Size: it.Size}
+	workers, ok := c.index.PlaceGang(n, it.Tasks)
+	if !ok {
+		c.holdFor(now, e, n, it.Tasks)
+		return queue.NoRoom
+	}
+	for i, w := range workers {
+		c.assign(now, e, i, w, n)
+	}
+	c.placed(e)
+	return queue.Placed
+}
+
+// holdFor records when the gang can start, so that backfill does not delay it.
+func (c *Core) holdFor(now time.Time, e *entry, n placement.Need, tasks int) {
+	if c.hold.key != "" {
+		return
+	}
+	start, workers, ok := c.index.Earliest(n, tasks, func(id model.TaskID) time.Time { return c.endOf(now, id) })
+	if !ok {
+		return
+	}
+	c.hold = gangHold{key: e.rec.Request.Key, start: start, workers: make(map[model.WorkerID]bool, len(workers))}
+	for _, w := range workers {
+		c.hold.workers[w] = true
+	}
+}
+
+// endOf estimates when a running task ends. Tasks past their declared run time
+// are assumed to run as long again as they already did.
+func (c *Core) endOf(now time.Time, id model.TaskID) time.Time {
+	e := c.entries[id.Key]
+	if e == nil || id.Index >= len(e.tasks) || e.rec.Request.RunTime <= 0 {
+		return now.Add(c.cfg.Retention)
+	}
+	began := e.tasks[id.Index].began
+	end := began.Add(e.rec.Request.RunTime)
+	if end.Before(now) {
+		end = now.Add(now.Sub(began))
+	}
+	return end
+}
+
+// delaysGang reports whether a task on w would outlast the start of the gang
+// that waits for w. Urgent classes do not wait for gangs.
+func (c *Core) delaysGang(now time.Time, e *entry, w model.WorkerID) bool {
+	if c.hold.key == "" || e.rec.Request.Class != model.Batch || !c.hold.workers[w] {
+		return false
+	}
+	run := e.rec.Request.RunTime
+	return run <= 0 || now.Add(run).After(c.hold.start)
+}
+
+// assign reserves the worker. The start is sent once the standbys know it.
+func (c *Core) assign(now time.Time, e *entry, index int, w model.WorkerID, n placement.Need) {
+	t := &e.rec.Tasks[index]
+	t.State, t.Worker, t.Planned = model.TaskStarting, w, n.Size
+	t.Boot = c.workers[w].bootID
+	t.Attempt++
+	e.tasks[index].charged = n.Size
+	e.tasks[index].began = now
+	e.tasks[index].startAt = e.rec.Version + 1
+	c.index.Reserve(w, model.TaskID{Key: e.rec.Request.Key, Index: index}, n)
+}
+
+// placed publishes the new assignment to the standbys.
+func (c *Core) placed(e *entry) {
+	e.preempting = false
+	c.changed(e)
+}
+
+// sendPending sends the starts that the standbys know of.
+func (c *Core) sendPending(e *entry) {
+	for i := range e.tasks {
+		rt, t := &e.tasks[i], &e.rec.Tasks[i]
+		if rt.startAt == 0 || rt.startAt > e.acked || t.State != model.TaskStarting {
+			continue
+		}
+		rt.startAt = 0
+		c.stat.Started++
+		r := &e.rec.Request
+		if !r.Idempotent {
+			c.journal(e)
+		}
+		c.out.start(t.Worker, Start{
+			ID: model.TaskID{Key: r.Key, Index: i}, Attempt: t.Attempt, Service: r.Service,
+			Size: t.Planned, RunTime: r.RunTime, Deadline: r.Deadline, Payload: r.Payload,
+		})
+	}
+	if e.rec.Side == model.OldSide && !e.rec.Fate.Terminal() {
+		c.runOld(e)
+	}
+	if e.rec.DelegatedTo != "" && !e.rec.Fate.Terminal() {
+		c.sendDelegation(e)
+	}
+}
+
+// preempt stops batch tasks by checkpoint to make room for urgent work.
+func (c *Core) preempt(now time.Time, e *entry, n placement.Need) {
+	if e.preempting || n.Class == model.Batch {
+		return
+	}
+	victims, _, ok := c.index.Preempt(n, c.preemptible)
+	if !ok {
+		return
+	}
+	e.preempting = true
+	for _, id := range victims {
+		c.stat.Preempted++
+		c.stopTask(c.entries[id.Key], id.Index, StopCheckpoint, true)
+	}
+}
+
+// preemptible allows stopping idempotent batch tasks that run for sure.
+func (c *Core) preemptible(id model.TaskID) bool {
+	e := c.entries[id.Key]
+	return e != nil && id.Index < len(e.rec.Tasks) && e.rec.Request.Class == model.Batch &&
+		e.rec.Request.Idempotent && e.rec.Tasks[id.Index].State == model.TaskRunning && !e.rec.CancelRequested
+}
+
+// stopTask asks the worker to end a running task.
+func (c *Core) stopTask(e *entry, index int, mode StopMode, requeue bool) {
+	t := &e.rec.Tasks[index]
+	t.State = model.TaskStopping
+	e.tasks[index].requeue = requeue
+	c.out.stop(t.Worker, Stop{ID: model.TaskID{Key: e.rec.Request.Key, Index: index}, Attempt: t.Attempt, Mode: mode})
+}
+
+// release frees the reservation and the quota of a task.
+func (c *Core) release(e *entry, index int) {
+	c.index.Release(model.TaskID{Key: e.rec.Request.Key, Index: index})
+	rt := &e.tasks[index]
+	if rt.charged != (model.Size{}) {
+		c.queue.Refund(e.rec.Request.Team, rt.charged)
+		rt.charged = model.Size{}
+	}
+	rt.startAt, rt.requeue = 0, false
+	c.dirty = true
+}
+
+// requeue puts a task that has to run again back into the queue. A gang goes
+// back as a whole, once none of its tasks holds a worker.
+func (c *Core) requeue(now time.Time, e *entry, index int, wait time.Duration) {
+	e.rec.Tasks[index].State = model.TaskQueued
+	e.rec.Tasks[index].Worker = ""
+	if e.rec.Request.Class == model.AllAtOnce {
+		index = 0
+		for i := range e.rec.Tasks {
+			if e.rec.Tasks[i].State.HoldsWorker() {
+				if e.rec.Tasks[i].State != model.TaskStopping {
+					c.stopTask(e, i, StopCheckpoint, true)
+				}
+				return
+			}
+		}
+		for i := range e.rec.Tasks {
+			e.rec.Tasks[i].State = model.TaskQueued
+		}
+	}
+	it := c.item(now, e, index)
+	it.Enqueued = e.rec.Accepted
+	if wait > 0 {
+		it.NotBefore = now.Add(wait)
+	}
+	c.queue.Requeue(now, it)
+	c.dirty = true
+}
+
+// updateHealth moves workers in and out of quarantine.
+func (c *Core) updateHealth(now time.Time) {
+	for _, w := range c.health.Changed(now) {
+		c.setState(now, w)
+	}
+}
+
+// setState tells the index whether a worker may get new work.
+func (c *Core) setState(now time.Time, id model.WorkerID) {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	state := placement.Available
+	switch {
+	case !w.leased:
+		state = placement.NotLeased
+	case w.leaving:
+		state = placement.Draining
+	case c.health.State(now, id) == retry.Quarantined:
+		state = placement.Quarantined
+	}
+	c.index.SetState(id, state)
+	c.dirty = true
+}
--- /dev/null
+++ b/internal/core/scheduler/services.go
@@ -0,0 +1,104 @@
+package scheduler
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/placement"
+	"catkinvalve/internal/core/queue"
+	"catkinvalve/internal/core/split"
+	"catkinvalve/internal/text"
+)
+
+// standingPrefix marks keys of service instances that the text asks for.
+const standingPrefix = "instance."
+
+// SetText puts a configuration revision in force.
+func (c *Core) SetText(now time.Time, revision uint64, t *text.Config) {
+	c.text = t
+	c.dataCentres = c.dataCentres[:0]
+	for _, dc := range t.DataCentres {
+		c.dataCentres = append(c.dataCentres, dc.Name)
+	}
+	c.index.SetOptions(placement.Options{
+		WaitingWeight: t.Weigh.Waiting, PackingWeight: t.Weigh.Packing,
+		HeadroomPercent: t.Limits.InteractiveHeadroomPercent, RackSpare: t.Limits.RackSpare,
+	})
+	c.queue.Configure(queueConfig(t))
+	for i := range t.Services {
+		c.shares.Observe(revision, t.Services[i].Name, t.Services[i].NewPercent)
+	}
+	for id, w := range c.workers {
+		c.index.Upsert(c.usable(w.worker))
+		c.setState(now, id)
+	}
+	if c.serving {
+		c.syncServices(now)
+	}
+	c.dirty = true
+}
+
+func queueConfig(t *text.Config) queue.Config {
+	quotas := make(map[string]queue.Quota, len(t.Teams))
+	for _, team := range t.Teams {
+		quotas[team.Name] = queue.Quota{MilliCPU: team.Quota.MilliCPU, Slots: team.Quota.Slots, Borrow: team.Quota.Borrow}
+	}
+	return queue.Config{
+		PerTeamClass: t.Limits.QueuePerTeam, Total: t.Limits.QueueTotal, Quotas: quotas,
+		Urgent: time.Duration(t.Limits.UrgentWaitMS) * time.Millisecond,
+	}
+}
+
+// syncServices starts and stops service instances so that the data centre runs
+// its part of what the text asks for.
+func (c *Core) syncServices(now time.Time) {
+	wanted := map[string]bool{}
+	for i := range c.text.Services {
+		s := &c.text.Services[i]
+		if s.Class != model.Service {
+			continue
+		}
+		for n := range s.Instances {
+			key, mine := c.instanceKey(s, n)
+			if !mine {
+				continue
+			}
+			wanted[key] = true
+			if c.entries[key] == nil {
+				c.startInstance(now, s, key)
+			}
+		}
+	}
+	for key, e := range c.entries {
+		if e.standing && !wanted[key] {
+			c.cancel(now, e)
+		}
+	}
+}
+
+// instanceKey names instance n of a service and tells whether this data centre
+// runs it on the new system. Instances are spread over the data centres in
+// order, and each keeps its place while the numbers change.
+func (c *Core) instanceKey(s *text.Service, n int) (string, bool) {
+	if len(c.dataCentres) == 0 {
+		return "", false
+	}
+	dc := c.dataCentres[n%len(c.dataCentres)]
+	key := fmt.Sprintf("%s:%s%s.%d", dc, standingPrefix, s.Name, n)
+	return key, dc == c.cfg.DataCentre && split.Side(key, s.Name, s.NewPercent) == model.NewSide
+}
+
+func (c *Core) isStanding(key string) bool {
+	return strings.HasPrefix(key, string(c.cfg.DataCentre)+":"+standingPrefix)
+}
+
+func (c *Core) startInstance(now time.Time, s *text.Service, key string) {
+	e := c.newEntry(now, model.Request{
+		Key: key, Service: s.Name, Team: s.Team, Class: model.Service, Size: s.Size, Tasks: 1, Idempotent: true,
+	})
+	e.standing = true
+	c.queue.Requeue(now, c.item(now, e, 0))
+	c.changed(e)
+}
--- /dev/null
+++ b/internal/core/scheduler/view.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"catkinvalve/internal/core/membership"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/queue"
+	"catkinvalve/internal/core/retry"
+	"catkinvalve/internal/fault"
+)
+
+// Explanation tells why a request waits or how it ended.
+type Explanation struct {
+	Fate    model.Fate
+	Summary string
+	Counts  model.Counts
+}
+
+// Explain returns the reasons for the state of a key.
+func (c *Core) Explain(key string) (Explanation, *fault.Error) {
+	if !c.serving {
+		return Explanation{}, c.errNoOwner()
+	}
+	e := c.entries[key]
+	if e == nil {
+		return Explanation{}, c.errUnknownKey(key)
+	}
+	rec := c.view(e)
+	x := Explanation{Fate: rec.Fate}
+	switch {
+	case rec.Fate.Terminal():
+		x.Summary = fmt.Sprintf("ended as %s", rec.Fate)
+		if rec.Reason != "" {
+			x.Counts = model.Counts{rec.Reason: 1}
+		}
+	case e.lookup:
+		x.Summary = "waits for the old system to tell whether it knows the key"
+		x.Counts = model.Counts{model.ReasonOldUnavailable: 1}
+	case rec.Side == model.OldSide:
+		x.Summary = "is with the old system"
+	case rec.DelegatedTo != "":
+		x.Summary = fmt.Sprintf("runs in data centre %s, because its home had no room", rec.DelegatedTo)
+	default:
+		c.explainTasks(e, &x)
+	}
+	return x, nil
+}
+
+func (c *Core) explainTasks(e *entry, x *Explanation) {
+	waiting := 0
+	for i := range e.rec.Tasks {
+		if e.rec.Tasks[i].State == model.TaskQueued {
+			waiting++
+		}
+	}
+	if waiting == 0 {
+		x.Summary = fmt.Sprintf("all %d tasks are with workers", len(e.rec.Tasks))
+		return
+	}
+	x.Counts = c.waitReasons(e)
+	x.Summary = fmt.Sprintf("%d of %d tasks wait: %s", waiting, len(e.rec.Tasks), formatCounts(x.Counts))
+}
+
+// waitReasons counts for each reason the workers that cannot take the request.
+// Without any, the request waits for its turn or its team's quota.
+func (c *Core) waitReasons(e *entry) model.Counts {
+	r := &e.rec.Request
+	counts := c.index.Explain(c.need(r))
+	if counts == nil {
+		counts = model.Counts{}
+	}
+	if e.rec.Tasks[0].Attempt > 0 && len(counts) == 0 {
+		counts[model.ReasonBackoff] = 1
+	}
+	if c.queue.Borrowed(r.Team) {
+		counts[model.ReasonQuota]++
+	}
+	if r.Class == model.AllAtOnce && len(counts) == 0 {
+		counts[model.ReasonGang] = 1
+	}
+	return counts
+}
+
+func formatCounts(counts model.Counts) string {
+	if len(counts) == 0 {
+		return "nothing in the way; it is next in turn"
+	}
+	parts := make([]string, 0, len(counts))
+	for r, n := range counts {
+		parts = append(parts, fmt.Sprintf("%s=%d", r, n))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
+
+// WorkerView is a worker's line of a status report.
+type WorkerView struct {
+	Worker  model.Worker
+	State   string
+	Planned model.Size
+	Tasks   int
+}
+
+// Workers returns the state of all workers in order of ID.
+func (c *Core) Workers(now time.Time) []WorkerView {
+	out := make([]WorkerView, 0, len(c.workers))
+	for id, w := range c.workers {
+		v := WorkerView{Worker: w.worker, State: c.stateName(now, w), Tasks: len(c.index.Tasks(id))}
+		if iv, ok := c.index.Worker(id); ok {
+			v.Planned = iv.Planned
+		}
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b WorkerView) int { return strings.Compare(string(a.Worker.ID), string(b.Worker.ID)) })
+	return out
+}
+
+func (c *Core) stateName(now time.Time, w *workerState) string {
+	switch {
+	case !w.leased:
+		return "not_leased"
+	case w.leaving:
+		return "draining"
+	case c.health.State(now, w.worker.ID) == retry.Quarantined:
+		return "quarantined"
+	}
+	return "available"
+}
+
+// Waiting returns what waits, by team and class.
+func (c *Core) Waiting() []queue.Waiting { return c.queue.Waiting() }
+
+// Running returns the number of tasks that hold a worker.
+func (c *Core) Running() int { return c.index.Totals().Tasks }
+
+// Load returns the summary for other data centres.
+func (c *Core) Load(now time.Time) membership.Load {
+	t := c.index.Totals()
+	return membership.Load{
+		Free: t.Free, Capacity: t.Capacity, LargestFree: t.LargestFree, Workers: t.Workers,
+		Queued: int64(c.queue.Len()), Running: int64(t.Tasks),
+		BatchWait: c.queue.OldestOf(model.Batch, now), InteractiveWait: c.queue.OldestOf(model.Interactive, now),
+	}
+}
--- /dev/null
+++ b/internal/core/scheduler/workers.go
@@ -0,0 +1,337 @@
+package scheduler
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/placement"
+)
+
+// lostMargin is added to the lease TTL and the task grace before the tasks of
+// an unreachable worker count as stopped. It covers clock rate differences.
+const lostMargin = 2 * time.Second
+
+// ListedWorker is a worker of the data centre as the instance list shows it.
+type ListedWorker struct {
+	Worker  model.Worker
+	Leaving bool
+}
+
+// SetListed applies a new instance list. Workers that left it and whose lease
+// is not held are gone; their tasks cannot run any more.
+func (c *Core) SetListed(now time.Time, listed []ListedWorker) {
+	seen := make(map[model.WorkerID]bool, len(listed))
+	for _, l := range listed {
+		seen[l.Worker.ID] = true
+		c.upsert(now, l)
+	}
+	for id, w := range c.workers {
+		if !seen[id] && !w.leased {
+			c.workerGone(now, id)
+		}
+	}
+	c.health.SetWorkers(len(c.workers))
+	c.updateCapacityKnown()
+	c.refreshDoubt(now)
+}
+
+func (c *Core) upsert(now time.Time, l ListedWorker) {
+	w := c.workers[l.Worker.ID]
+	if w == nil {
+		w = &workerState{worker: l.Worker, contact: now}
+		c.workers[l.Worker.ID] = w
+		c.index.Upsert(c.usable(l.Worker))
+		c.setState(now, l.Worker.ID)
+	}
+	if l.Leaving != w.leaving {
+		c.setLeaving(now, w, l.Leaving)
+	}
+}
+
+// usable takes the slots of the old system off a shared worker's capacity.
+func (c *Core) usable(w model.Worker) model.Worker {
+	w.Capacity.Slots = max(0, w.Capacity.Slots-c.text.Old.SlotsPerWorker)
+	return w
+}
+
+func (c *Core) setLeaving(now time.Time, w *workerState, leaving bool) {
+	w.leaving, w.leavedAt, w.drained = leaving, now, false
+	c.setState(now, w.worker.ID)
+}
+
+// Drain stops new work on a worker at an operator's request. It returns the
+// number of tasks that still run there.
+func (c *Core) Drain(now time.Time, id model.WorkerID) (running int, found bool) {
+	w := c.workers[id]
+	if w == nil {
+		return 0, false
+	}
+	if !w.leaving {
+		c.setLeaving(now, w, true)
+	}
+	return len(c.index.Tasks(id)), true
+}
+
+// drainWorkers moves tasks off workers whose drain time is over.
+func (c *Core) drainWorkers(now time.Time) {
+	wait := time.Duration(c.text.Limits.DrainMS) * time.Millisecond
+	for id, w := range c.workers {
+		if !w.leaving || w.drained || now.Sub(w.leavedAt) < wait {
+			continue
+		}
+		w.drained = true
+		for _, task := range c.index.Tasks(id) {
+			c.moveTask(task)
+		}
+	}
+}
+
+// moveTask checkpoints an idempotent running task so that it is placed again.
+// A non-idempotent task runs to its end: it must not start a second time.
+func (c *Core) moveTask(id model.TaskID) {
+	e := c.entries[id.Key]
+	if e == nil || id.Index >= len(e.rec.Tasks) || e.rec.CancelRequested {
+		return
+	}
+	if e.rec.Tasks[id.Index].State == model.TaskRunning && (e.rec.Request.Idempotent || e.standing) {
+		c.stopTask(e, id.Index, StopCheckpoint, true)
+	}
+}
+
+// Grant is the outcome of a granted lease.
+type Grant struct {
+	Worker   model.WorkerID
+	BootID   string
+	Capacity model.Size
+	Rack     string
+	Tasks    []model.RunningTask
+}
+
+// WorkerGranted takes over a worker with its complete inventory. Starts of
+// earlier leases can no longer arrive, so what the inventory lacks is not there.
+func (c *Core) WorkerGranted(now time.Time, g Grant) {
+	if !c.serving {
+		c.grants = append(c.grants, g)
+		return
+	}
+	c.takeOver(now, g)
+}
+
+func (c *Core) takeOver(now time.Time, g Grant) {
+	w := c.workers[g.Worker]
+	if w == nil {
+		return
+	}
+	w.bootID, w.leased, w.contact = g.BootID, true, now
+	w.worker.Capacity = g.Capacity
+	if g.Rack != "" {
+		w.worker.Rack = g.Rack
+	}
+	c.index.Upsert(c.usable(w.worker))
+	listed := make(map[model.TaskID]bool, len(g.Tasks))
+	for _, t := range g.Tasks {
+		listed[t.ID] = true
+		c.adopt(now, g.Worker, t)
+	}
+	c.reconcileMissing(now, g.Worker, listed)
+	c.setState(now, g.Worker)
+	c.updateCapacityKnown()
+	c.refreshDoubt(now)
+}
+
+// adopt merges one task of a worker's inventory into the records.
+func (c *Core) adopt(now time.Time, w model.WorkerID, t model.RunningTask) {
+	e := c.entries[t.ID.Key]
+	if e == nil {
+		e = c.fromInventory(now, t)
+	}
+	for t.ID.Index >= len(e.rec.Tasks) {
+		e.rec.Tasks = append(e.rec.Tasks, model.TaskRecord{State: model.TaskQueued})
+		e.tasks = append(e.tasks, taskRuntime{})
+	}
+	rec := &e.rec.Tasks[t.ID.Index]
+	if rec.Attempt > t.Attempt || rec.State.Final() || e.rec.Fate.Terminal() {
+		if !t.State.Final() {
+			// A leftover of an attempt that was given up holds real capacity.
+			c.index.Reserve(w, t.ID, placement.Need{Class: e.rec.Request.Class, Service: t.Service, Size: t.Size})
+			c.out.stop(w, Stop{ID: t.ID, Attempt: t.Attempt, Mode: StopNow})
+		}
+		return
+	}
+	known := rec.Worker == w && rec.State.HoldsWorker() && e.tasks[t.ID.Index].charged != (model.Size{})
+	stopping := rec.State == model.TaskStopping
+	rec.Worker, rec.Attempt = w, t.Attempt
+	if !known {
+		rec.State, rec.Planned = model.TaskStarting, t.Size
+		c.queue.RemoveTask(t.ID.Key, t.ID.Index)
+		c.reserveAdopted(now, e, w, t)
+	}
+	e.tasks[t.ID.Index].startAt = 0
+	if t.State.Final() {
+		c.applyReport(now, e, TaskEvent{ID: t.ID, Attempt: t.Attempt, State: t.State, OK: t.OK, Answer: t.Answer})
+		return
+	}
+	c.taskStarted(now, e, t.ID.Index)
+	if e.rec.CancelRequested || stopping {
+		c.stopTask(e, t.ID.Index, StopNow, e.tasks[t.ID.Index].requeue)
+	}
+}
+
+func (c *Core) reserveAdopted(now time.Time, e *entry, w model.WorkerID, t model.RunningTask) {
+	c.index.Reserve(w, t.ID, placement.Need{Class: e.rec.Request.Class, Service: t.Service, Size: t.Size})
+	rt := &e.tasks[t.ID.Index]
+	rt.charged, rt.began = t.Size, now
+	c.queue.Charge(e.rec.Request.Team, t.Size)
+}
+
+// fromInventory makes a record for a task whose request is not known any more.
+// Its fingerprint is unknown, so a retry of the caller joins it.
+func (c *Core) fromInventory(now time.Time, t model.RunningTask) *entry {
+	s := c.service(t.Service)
+	tasks := 1
+	if s.Class == model.AllAtOnce {
+		tasks = max(s.Tasks, 1)
+	}
+	e := c.newEntry(now, model.Request{
+		Key: t.ID.Key, Service: t.Service, Team: s.Team, Class: s.Class, Size: t.Size, Tasks: max(tasks, t.ID.Index+1),
+		Idempotent: s.Idempotent, RunTime: time.Duration(s.RunMS) * time.Millisecond,
+	})
+	if home := c.Home(t.ID.Key); home != c.cfg.DataCentre {
+		e.home = home
+	}
+	return e
+}
+
+// reconcileMissing handles tasks that the records place on a worker whose
+// inventory does not list them.
+func (c *Core) reconcileMissing(now time.Time, w model.WorkerID, listed map[model.TaskID]bool) {
+	for _, id := range c.assigned(w) {
+		e := c.entries[id.Key]
+		t := &e.rec.Tasks[id.Index]
+		switch {
+		case listed[id]:
+		case t.State == model.TaskStarting && e.tasks[id.Index].startAt != 0:
+			// Not sent yet; it goes out under the new lease.
+		default:
+			c.missing(now, e, id.Index)
+		}
+	}
+}
+
+// missing handles a task that its worker does not list. A start that the
+// present boot never saw was not accepted; an earlier boot may have run it.
+func (c *Core) missing(now time.Time, e *entry, index int) {
+	t := &e.rec.Tasks[index]
+	if t.State == model.TaskStarting && t.Boot == c.workers[t.Worker].bootID {
+		c.notStarted(now, e, index)
+		return
+	}
+	c.taskLost(now, e, index)
+}
+
+// updateCapacityKnown notes whether every listed worker has shown its capacity.
+// Until then nothing can be said to fit no worker.
+func (c *Core) updateCapacityKnown() {
+	c.capacityKnown = len(c.workers) > 0
+	for _, w := range c.workers {
+		if w.bootID == "" {
+			c.capacityKnown = false
+		}
+	}
+}
+
+// assigned returns the tasks that the records place on a worker.
+func (c *Core) assigned(w model.WorkerID) []model.TaskID {
+	var ids []model.TaskID
+	for _, id := range c.index.Tasks(w) {
+		e := c.entries[id.Key]
+		if e == nil || id.Index >= len(e.rec.Tasks) {
+			continue
+		}
+		if t := &e.rec.Tasks[id.Index]; t.Worker == w && t.State.HoldsWorker() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// WorkerRenewed records that a worker's lease was renewed.
+func (c *Core) WorkerRenewed(now time.Time, id model.WorkerID) {
+	if w := c.workers[id]; w != nil {
+		w.contact = now
+	}
+}
+
+// WorkerUnreachable records that the lease on a worker is no longer held. Its
+// tasks stay assigned until the worker answers or must have stopped them.
+func (c *Core) WorkerUnreachable(now time.Time, id model.WorkerID) {
+	if w := c.workers[id]; w != nil && w.leased {
+		w.leased = false
+		c.setState(now, id)
+	}
+}
+
+// expireWorkers gives up the tasks of workers that were unreachable for so
+// long that they have stopped them on their own clock.
+func (c *Core) expireWorkers(now time.Time) {
+	limit := c.cfg.LeaseTTL + c.cfg.TaskGrace + lostMargin
+	for id, w := range c.workers {
+		if !w.leased && now.Sub(w.contact) > limit {
+			c.loseTasks(now, id)
+		}
+	}
+}
+
+func (c *Core) loseTasks(now time.Time, w model.WorkerID) {
+	for _, id := range c.assigned(w) {
+		c.taskLost(now, c.entries[id.Key], id.Index)
+	}
+}
+
+func (c *Core) workerGone(now time.Time, id model.WorkerID) {
+	c.loseTasks(now, id)
+	for _, t := range c.index.Tasks(id) {
+		c.index.Release(t)
+	}
+	c.index.Remove(id)
+	c.health.Forget(id)
+	delete(c.workers, id)
+	c.dirty = true
+}
+
+// UsageReported corrects size estimates and reservations from measured usage.
+func (c *Core) UsageReported(now time.Time, w model.WorkerID, usage []model.Usage) {
+	if !c.serving {
+		return
+	}
+	for _, u := range usage {
+		e := c.entries[u.ID.Key]
+		if e == nil || u.ID.Index >= len(e.rec.Tasks) || e.rec.Tasks[u.ID.Index].Worker != w {
+			continue
+		}
+		r := &e.rec.Request
+		c.sizes.Observe(r.Service, r.Size, u.Size)
+		c.resize(e, u)
+	}
+}
+
+// resize follows the estimate. A batch task that needs more than its worker
+// has left is throttled: its worker must not be overloaded.
+func (c *Core) resize(e *entry, u model.Usage) {
+	t := &e.rec.Tasks[u.ID.Index]
+	if t.State != model.TaskRunning {
+		return
+	}
+	planned := c.sizes.Plan(e.rec.Request.Service, e.rec.Request.Size)
+	if planned == t.Planned {
+		return
+	}
+	if c.index.Resize(u.ID, planned) {
+		t.Planned = planned
+		c.dirty = true
+		return
+	}
+	if e.rec.Request.Class == model.Batch && !u.Size.Fits(t.Planned) {
+		c.out.stop(t.Worker, Stop{ID: u.ID, Attempt: t.Attempt, Mode: StopThrottle})
+	}
+}
--- /dev/null
+++ b/internal/daemon/agent.go
@@ -0,0 +1,357 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/ports"
+)
+
+const (
+	// agentQueue bounds the batches that wait for one worker.
+	agentQueue = 1024
+	// retryPause is the wait after a worker did not answer.
+	retryPause = 100 * time.Millisecond
+	// maxBatch bounds the tasks of one call to a worker.
+	maxBatch = 256
+)
+
+// agentBatch is a batch of starts or stops for one worker.
+type agentBatch struct {
+	starts []scheduler.Start
+	stops  []scheduler.Stop
+}
+
+// agent talks to one worker. One goroutine acquires and renews the lease,
+// another sends starts and stops under it, in order.
+type agent struct {
+	d      *Daemon
+	id     model.WorkerID
+	worker ports.Worker
+	// want is the term to acquire; 0 means to hold no lease.
+	want atomic.Uint64
+	// raise allows terms above want, once the daemon is owner.
+	raise atomic.Bool
+	wake  chan struct{}
+	queue chan agentBatch
+	// held is the term of the current lease; 0 when none.
+	held   atomic.Uint64
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+func newAgent(d *Daemon, id model.WorkerID, w ports.Worker) *agent {
+	ctx, cancel := context.WithCancel(d.ctx)
+	a := &agent{d: d, id: id, worker: w, wake: make(chan struct{}, 1), queue: make(chan agentBatch, agentQueue), cancel: cancel}
+	a.done.Add(2)
+	d.group.Go(func() { defer a.done.Done(); a.holdLease(ctx) })
+	d.group.Go(func() { defer a.done.Done(); a.sendBatches(ctx) })
+	return a
+}
+
+func (a *agent) campaign(term uint64) {
+	a.raise.Store(false)
+	a.want.Store(term)
+	a.poke()
+}
+
+// mayRaiseTerm lets the agent acquire with a higher term than the campaign's.
+// During a campaign all leases need the same term, because the owner's term
+// must exceed every term granted before by a majority of the workers.
+func (a *agent) mayRaiseTerm() { a.raise.Store(true) }
+
+func (a *agent) release() {
+	a.want.Store(0)
+	a.poke()
+}
+
+func (a *agent) stop() { a.cancel() }
+
+func (a *agent) poke() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// send queues a batch. A full queue means that the worker does not answer; the
+// starts were never sent, so they go back to the scheduler.
+func (a *agent) send(b agentBatch) {
+	select {
+	case a.queue <- b:
+		return
+	default:
+	}
+	a.d.metrics.agentQueueFull.Inc(1)
+	a.refuse(b.starts)
+	if len(b.stops) > 0 {
+		a.d.group.Go(func() {
+			select {
+			case a.queue <- agentBatch{stops: b.stops}:
+			case <-a.d.ctx.Done():
+			}
+		})
+	}
+}
+
+// refuse reports starts that were not sent. It must not block the owner loop,
+// which may be the caller.
+func (a *agent) refuse(starts []scheduler.Start) {
+	if len(starts) == 0 {
+		return
+	}
+	a.d.group.Go(func() { a.d.control(notStartedMsg{a.id, starts}) })
+}
+
+// holdLease acquires the lease when it is wanted, renews it and reports events.
+func (a *agent) holdLease(ctx context.Context) {
+	var ack int64
+	var lastTerm uint64
+	for ctx.Err() == nil {
+		want := a.want.Load()
+		switch {
+		case want == 0:
+			a.releaseLease(ctx)
+			a.sleep(ctx, time.Hour)
+		case a.held.Load() < want:
+			var ok bool
+			if lastTerm, ok = a.acquire(ctx, want, lastTerm); ok {
+				ack = 0
+			}
+		default:
+			ack = a.sync(ctx, ack)
+		}
+	}
+}
+
+func (a *agent) lease(term uint64) ports.Lease {
+	return ports.Lease{Holder: a.d.holder, Term: term}
+}
+
+func (a *agent) releaseLease(ctx context.Context) {
+	term := a.held.Swap(0)
+	if term == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.d.set.Timings.RenewInterval)
+	defer cancel()
+	_ = a.worker.Release(ctx, a.lease(term))
+}
+
+// acquire asks for the lease once. It returns the highest term that the worker
+// has granted as far as known.
+func (a *agent) acquire(ctx context.Context, want, lastTerm uint64) (uint64, bool) {
+	term := want
+	if a.raise.Load() && lastTerm >= term {
+		term = lastTerm + 1
+	}
+	sentAt := a.d.now()
+	callCtx, cancel := context.WithTimeout(ctx, a.d.set.Timings.LeaseTTL)
+	defer cancel()
+	grant, err := a.worker.Acquire(callCtx, a.lease(term), a.d.set.Timings.LeaseTTL, a.d.set.Timings.TaskGrace)
+	var held *ports.HeldError
+	switch {
+	case err == nil:
+		a.held.Store(term)
+		a.d.control(grantedMsg{a.id, term, sentAt, grant})
+		return term, true
+	case errors.As(err, &held):
+		a.d.control(heldMsg{a.id, held.Lease.Term})
+		a.sleep(ctx, min(max(held.Remaining, retryPause/4), a.d.set.Timings.LeaseTTL))
+		return max(lastTerm, held.Lease.Term), false
+	default:
+		a.sleep(ctx, retryPause)
+		return lastTerm, false
+	}
+}
+
+// sync renews the lease and hands the worker's events to the owner loop. It
+// returns the sequence number to acknowledge next.
+func (a *agent) sync(ctx context.Context, ack int64) int64 {
+	term := a.held.Load()
+	sentAt := a.d.now()
+	callCtx, cancel := context.WithTimeout(ctx, a.d.set.Timings.LeaseTTL)
+	defer cancel()
+	res, err := a.worker.Sync(callCtx, a.lease(term), a.d.set.Timings.LeaseTTL, ack, a.d.set.Timings.RenewInterval)
+	if err != nil {
+		a.syncFailed(ctx, term, err)
+		return ack
+	}
+	for _, ev := range res.Events {
+		ack = max(ack, ev.Seq)
+	}
+	a.d.control(renewedMsg{a.id, term, sentAt, res})
+	return ack
+}
+
+func (a *agent) syncFailed(ctx context.Context, term uint64, err error) {
+	if fault.KindOf(err) == fault.LeaseLost {
+		a.loseLease(term)
+	}
+	a.sleep(ctx, retryPause)
+}
+
+// loseLease makes the agent acquire the lease again with a higher term.
+func (a *agent) loseLease(term uint64) {
+	if a.held.CompareAndSwap(term, 0) {
+		a.d.control(lostMsg{a.id, term})
+		a.poke()
+	}
+}
+
+// reacquire is called by the owner loop when the lease expired on its clock.
+func (a *agent) reacquire() {
+	a.held.Store(0)
+	a.poke()
+}
+
+func (a *agent) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-a.wake:
+	case <-t.C:
+	}
+}
+
+// sendBatches sends starts and stops in order.
+func (a *agent) sendBatches(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case b := <-a.queue:
+			a.sendBatch(ctx, a.gather(b))
+		}
+	}
+}
+
+// gather joins queued batches of the same kind into one call.
+func (a *agent) gather(b agentBatch) agentBatch {
+	for len(b.starts) > 0 && len(b.stops) == 0 && len(b.starts) < maxBatch {
+		select {
+		case next := <-a.queue:
+			b.starts = append(b.starts, next.starts...)
+			b.stops = next.stops
+		default:
+			return b
+		}
+	}
+	return b
+}
+
+func (a *agent) sendBatch(ctx context.Context, b agentBatch) {
+	term := a.held.Load()
+	if term == 0 {
+		a.refuse(b.starts)
+		return
+	}
+	if len(b.starts) > 0 {
+		a.sendStarts(ctx, term, b.starts)
+	}
+	if len(b.stops) > 0 {
+		a.sendStops(ctx, term, b.stops)
+	}
+}
+
+// sendStarts repeats a batch under the same lease until the worker answers.
+// Starts are idempotent by task and attempt. After a lost answer only the
+// inventory of the next lease can tell whether they took effect.
+func (a *agent) sendStarts(ctx context.Context, term uint64, starts []scheduler.Start) {
+	tasks := make([]ports.StartTask, len(starts))
+	maybeSent := false
+	for ctx.Err() == nil && a.held.Load() == term {
+		for i, s := range starts {
+			tasks[i] = a.startTask(s)
+		}
+		refused, err := a.call(ctx, func(ctx context.Context) ([]ports.StartRefusal, error) {
+			return a.worker.Start(ctx, a.lease(term), tasks)
+		})
+		if err == nil {
+			a.reportRefused(term, starts, refused, maybeSent)
+			return
+		}
+		if fault.KindOf(err) == fault.LeaseLost {
+			if !maybeSent {
+				a.d.control(notStartedMsg{a.id, starts})
+			}
+			return
+		}
+		maybeSent = true
+		a.pause(ctx)
+	}
+	if !maybeSent {
+		a.refuse(starts)
+	}
+}
+
+func (a *agent) startTask(s scheduler.Start) ports.StartTask {
+	t := ports.StartTask{ID: s.ID, Attempt: s.Attempt, Service: s.Service, Size: s.Size, RunTime: s.RunTime, Payload: s.Payload}
+	if !s.Deadline.IsZero() {
+		// A passed deadline still needs a positive limit, so that the worker refuses.
+		t.StartWithin = max(s.Deadline.Sub(a.d.now()), time.Millisecond)
+	}
+	return t
+}
+
+// reportRefused reports the starts that the worker refused. After a call whose
+// answer was lost, that call may still be on its way to the worker; a new lease
+// term makes the worker refuse it, and the inventory then tells the truth.
+func (a *agent) reportRefused(term uint64, starts []scheduler.Start, refused []ports.StartRefusal, maybeSent bool) {
+	if len(refused) == 0 {
+		return
+	}
+	if maybeSent {
+		a.loseLease(term)
+		return
+	}
+	byID := make(map[model.TaskID]bool, len(refused))
+	for _, r := range refused {
+		byID[r.ID] = true
+	}
+	var out []scheduler.Start
+	for _, s := range starts {
+		if byID[s.ID] {
+			out = append(out, s)
+		}
+	}
+	a.d.control(notStartedMsg{a.id, out})
+}
+
+func (a *agent) sendStops(ctx context.Context, term uint64, stops []scheduler.Stop) {
+	tasks := make([]ports.StopTask, len(stops))
+	for i, s := range stops {
+		tasks[i] = ports.StopTask{ID: s.ID, Attempt: s.Attempt, Mode: ports.StopMode(s.Mode)}
+	}
+	for ctx.Err() == nil && a.held.Load() == term {
+		_, err := a.call(ctx, func(ctx context.Context) ([]ports.StartRefusal, error) {
+			return nil, a.worker.Stop(ctx, a.lease(term), tasks)
+		})
+		if err == nil || fault.KindOf(err) == fault.LeaseLost {
+			return
+		}
+		a.pause(ctx)
+	}
+}
+
+func (a *agent) call(ctx context.Context, fn func(context.Context) ([]ports.StartRefusal, error)) ([]ports.StartRefusal, error) {
+	ctx, cancel := context.WithTimeout(ctx, a.d.set.Timings.RenewInterval)
+	defer cancel()
+	return fn(ctx)
+}
+
+func (a *agent) pause(ctx context.Context) {
+	t := time.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/daemon/config.go
@@ -0,0 +1,231 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"catkinvalve/internal/adapters/peerrpc"
+	"catkinvalve/internal/api"
+	"catkinvalve/internal/core/confirm"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/peerpb"
+	"catkinvalve/internal/text"
+)
+
+const (
+	configStream = "config"
+	// logPage bounds the records of one read.
+	logPage = 256
+	// snapshotAge makes a snapshot due long before a log that keeps records for
+	// an hour drops the last accepted one.
+	snapshotAge = 20 * time.Minute
+	// verdictWait is how long a publication waits for its verdict.
+	verdictWait = 5 * time.Second
+)
+
+// configStore follows the configuration stream.
+type configStore struct {
+	mu       sync.Mutex
+	reader   *confirm.Reader
+	cfg      *text.Config
+	revision uint64
+	changed  chan struct{}
+}
+
+func newConfigStore() *configStore {
+	return &configStore{reader: confirm.NewReader(validateText), changed: make(chan struct{})}
+}
+
+func validateText(s string) error {
+	if _, problems := text.Parse("published text", []byte(s)); len(problems) > 0 {
+		return errors.New(problems[0].String())
+	}
+	return nil
+}
+
+// inForce returns the configuration in force, or nil.
+func (c *configStore) inForce() (*text.Config, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cfg, c.revision
+}
+
+// update runs fn on the reader and puts a new revision into force.
+func (c *configStore) update(fn func(*confirm.Reader)) (*text.Config, uint64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fn(c.reader)
+	close(c.changed)
+	c.changed = make(chan struct{})
+	s := c.reader.State()
+	if s.Revision <= c.revision {
+		return c.cfg, c.revision, false
+	}
+	cfg, problems := text.Parse("published text", []byte(s.Text))
+	if len(problems) > 0 {
+		return c.cfg, c.revision, false
+	}
+	c.cfg, c.revision = cfg, s.Revision
+	return cfg, s.Revision, true
+}
+
+func (c *configStore) state() (confirm.State, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reader.State(), c.reader.Anchored()
+}
+
+// verdict waits for the outcome of a publication.
+func (c *configStore) verdict(ctx context.Context, id string) (confirm.Verdict, bool) {
+	for {
+		c.mu.Lock()
+		v, ok := c.reader.Verdict(id)
+		changed := c.changed
+		c.mu.Unlock()
+		if ok {
+			return v, true
+		}
+		select {
+		case <-ctx.Done():
+			return confirm.Verdict{}, false
+		case <-changed:
+		}
+	}
+}
+
+// applyConfig updates the store and tells the owner loop of a new revision.
+func (d *Daemon) applyConfig(fn func(*confirm.Reader)) {
+	if cfg, revision, changed := d.config.update(fn); changed {
+		d.control(configMsg{revision, cfg})
+	}
+}
+
+// followConfig reads the configuration stream.
+func (d *Daemon) followConfig(ctx context.Context) {
+	first := true
+	for ctx.Err() == nil {
+		s, _ := d.config.state()
+		page, err := d.logService.Read(ctx, configStream, s.Next, logPage, d.set.Timings.LogPoll)
+		if err != nil {
+			d.metrics.logErrors.Inc(1)
+			sleep(ctx, d.set.Timings.LogPoll)
+			continue
+		}
+		d.applyConfig(func(r *confirm.Reader) {
+			if first && page.First == 0 {
+				r.StartOfStream()
+			}
+			r.Truncated(page.First)
+			for _, rec := range page.Records {
+				r.Apply(rec.Offset, rec.Time, rec.Data)
+			}
+		})
+		first = false
+		d.maybeSnapshot(ctx, len(page.Records) == 0)
+		if len(page.Records) == 0 {
+			sleep(ctx, d.set.Timings.LogPoll/5)
+		}
+	}
+}
+
+// maybeSnapshot appends the accepted state when the last one grows old. Several
+// daemons may do so at once; equal snapshots do no harm.
+func (d *Daemon) maybeSnapshot(ctx context.Context, caughtUp bool) {
+	d.config.mu.Lock()
+	due := caughtUp && d.config.reader.NeedsSnapshot(d.now(), snapshotAge)
+	s := d.config.reader.State()
+	d.config.mu.Unlock()
+	if !due {
+		return
+	}
+	data, err := json.Marshal(confirm.Record{Snapshot: &s})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if _, err := d.logService.Append(ctx, configStream, data); err == nil {
+		d.metrics.appends.Inc(1)
+	}
+}
+
+// sawRevision fetches a newer configuration from a peer, for a daemon that is
+// cut off from the log.
+func (d *Daemon) sawRevision(revision uint64, from peerrpc.Target) {
+	if _, have := d.config.inForce(); revision <= have || !d.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	d.group.Go(func() {
+		defer d.fetching.Store(false)
+		ctx, cancel := context.WithTimeout(d.ctx, recoveryTimeout)
+		defer cancel()
+		_, have := d.config.inForce()
+		resp, err := d.peers.FetchConfig(ctx, from, &peerpb.FetchConfigRequest{HaveRevision: have})
+		if err != nil || len(resp.State) == 0 {
+			return
+		}
+		var s confirm.State
+		if json.Unmarshal(resp.State, &s) == nil {
+			d.applyConfig(func(r *confirm.Reader) { r.Adopt(s) })
+		}
+	})
+}
+
+// Config returns the text in force.
+func (d *Daemon) Config(context.Context) (api.ConfigDocument, error) {
+	s, _ := d.config.state()
+	return api.ConfigDocument{Revision: s.Revision, Text: s.Text}, nil
+}
+
+// History returns the remembered publications, newest first.
+func (d *Daemon) History(context.Context) (api.History, error) {
+	s, _ := d.config.state()
+	var h api.History
+	for i := len(s.Verdicts) - 1; i >= 0; i-- {
+		v := s.Verdicts[i]
+		h.Entries = append(h.Entries, api.HistoryEntry{
+			PublishID: v.ID, Author: v.Author, Time: v.Time, Accepted: v.Accepted, Revision: v.Revision,
+		})
+	}
+	return h, nil
+}
+
+// Publish appends a publication and waits for its verdict. After a lost answer
+// the append may have taken effect, so the verdict is awaited all the same.
+func (d *Daemon) Publish(ctx context.Context, p api.PublishRequest) (api.PublishResult, error) {
+	if err := validateText(p.Text); err != nil {
+		return api.PublishResult{}, fault.Wrap(err, fault.Malformed, "run catkinvalve check on the file and correct it", "the text is not valid")
+	}
+	if _, anchored := d.config.state(); !anchored {
+		return api.PublishResult{}, fault.New(fault.NotReady, "retry later or at another daemon", "the daemon has not read the configuration stream yet")
+	}
+	data, err := json.Marshal(confirm.Record{Publish: &confirm.Publish{ID: p.PublishID, Base: p.Base, Text: p.Text, Author: p.Author}})
+	if err != nil {
+		return api.PublishResult{}, fault.From(err)
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, verdictWait)
+	defer cancel()
+	_, appendErr := d.logService.Append(waitCtx, configStream, data)
+	if appendErr == nil {
+		d.metrics.appends.Inc(1)
+	} else {
+		var cancelWait context.CancelFunc
+		waitCtx, cancelWait = context.WithTimeout(waitCtx, 3*d.set.Timings.LogPoll)
+		defer cancelWait()
+	}
+	v, ok := d.config.verdict(waitCtx, p.PublishID)
+	switch {
+	case ok && v.Accepted:
+		return api.PublishResult{PublishID: v.ID, Accepted: true, Revision: v.Revision}, nil
+	case ok:
+		return api.PublishResult{PublishID: v.ID, Revision: v.Revision}, nil
+	case appendErr != nil:
+		return api.PublishResult{}, fault.Wrap(appendErr, fault.LogUnavailable,
+			"publish again with the same publish_id once the log answers; it is applied at most once", "the publication may not have reached the log")
+	}
+	return api.PublishResult{}, fault.New(fault.FateUnknownYet, "publish again with the same publish_id to learn the verdict",
+		"the publication is in the log and has no verdict yet")
+}
--- /dev/null
+++ b/internal/daemon/heartbeat.go
@@ -0,0 +1,148 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"catkinvalve/internal/adapters/peerrpc"
+	"catkinvalve/internal/core/membership"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/peerpb"
+)
+
+const (
+	// remoteHeartbeatEvery sends every fourth heartbeat to other data centres:
+	// their traffic crosses regions and is paid by volume.
+	remoteHeartbeatEvery = 4
+	// suspectBeats is the number of missed heartbeats after which a peer counts as dead.
+	suspectBeats = 3
+)
+
+// peerBook holds the addresses of all daemons from the list and the seeds.
+type peerBook struct {
+	mu      sync.Mutex
+	targets map[string]peerTarget
+}
+
+type peerTarget struct {
+	peerrpc.Target
+	dataCentre model.DataCentre
+}
+
+func (b *peerBook) replace(list []peerTarget) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.targets = make(map[string]peerTarget, len(list))
+	for _, t := range list {
+		b.targets[t.Addr] = t
+	}
+}
+
+func (b *peerBook) all() []peerTarget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]peerTarget, 0, len(b.targets))
+	for _, t := range b.targets {
+		out = append(out, t)
+	}
+	return out
+}
+
+// sendHeartbeats exchanges heartbeats with all peers until ctx ends. Calls to
+// different peers run at the same time, so a dead one delays nobody.
+func (d *Daemon) sendHeartbeats(ctx context.Context) {
+	ticker := time.NewTicker(d.set.Timings.HeartbeatInterval)
+	defer ticker.Stop()
+	busy := &sync.Map{}
+	for beat := 0; ; beat++ {
+		for _, t := range d.book.all() {
+			if t.dataCentre != d.set.DataCentre && beat%remoteHeartbeatEvery != 0 {
+				continue
+			}
+			if _, running := busy.LoadOrStore(t.Addr, true); running {
+				continue
+			}
+			d.group.Go(func() {
+				defer busy.Delete(t.Addr)
+				callCtx, cancel := context.WithTimeout(ctx, suspectBeats*d.set.Timings.HeartbeatInterval)
+				defer cancel()
+				d.heartbeat(callCtx, t.Target)
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// heartbeat exchanges identity and state with one peer.
+func (d *Daemon) heartbeat(ctx context.Context, to peerrpc.Target) bool {
+	resp, err := d.peers.Heartbeat(ctx, to, d.heartbeatRequest())
+	if err != nil {
+		return false
+	}
+	d.sawRevision(resp.Revision, to)
+	return true
+}
+
+func (d *Daemon) heartbeatRequest() *peerpb.HeartbeatRequest {
+	s := d.state.Load()
+	req := &peerpb.HeartbeatRequest{
+		Daemon: d.set.DaemonID, Incarnation: d.incarnation, DataCentre: string(d.set.DataCentre), Region: d.set.Region,
+		PeerAddr: d.set.Addresses.AdvertisePeer, Revision: s.revision, Term: s.term, Ready: s.ready, Draining: s.draining,
+	}
+	if s.serving {
+		req.Load = loadToProto(s.load)
+	}
+	return req
+}
+
+func peerFromHeartbeat(r *peerpb.HeartbeatRequest) membership.Peer {
+	return membership.Peer{
+		ID: r.Daemon, Incarnation: r.Incarnation, DataCentre: model.DataCentre(r.DataCentre), Region: r.Region,
+		Addr: r.PeerAddr, Revision: r.Revision, Term: r.Term, Ready: r.Ready, Draining: r.Draining, Load: loadFromProto(r.Load),
+	}
+}
+
+func loadToProto(l membership.Load) *peerpb.Load {
+	return &peerpb.Load{
+		Free: peerpb.SizeToProto(l.Free), Capacity: peerpb.SizeToProto(l.Capacity), LargestFree: peerpb.SizeToProto(l.LargestFree),
+		Workers: int32(l.Workers), Queued: l.Queued, Running: l.Running,
+		BatchWaitMs: l.BatchWait.Milliseconds(), InteractiveWaitMs: l.InteractiveWait.Milliseconds(),
+	}
+}
+
+func loadFromProto(p *peerpb.Load) membership.Load {
+	if p == nil {
+		return membership.Load{}
+	}
+	return membership.Load{
+		Free: sizeOf(p.Free), Capacity: sizeOf(p.Capacity), LargestFree: sizeOf(p.LargestFree),
+		Workers: int(p.Workers), Queued: p.Queued, Running: p.Running,
+		BatchWait:       time.Duration(p.BatchWaitMs) * time.Millisecond,
+		InteractiveWait: time.Duration(p.InteractiveWaitMs) * time.Millisecond,
+	}
+}
+
+// sizeOf decodes a size; a malformed one counts as nothing free.
+func sizeOf(p *peerpb.Size) model.Size {
+	s, err := peerpb.SizeFromProto(p)
+	if err != nil {
+		return model.Size{}
+	}
+	return s
+}
+
+// recordsOf decodes records and leaves out malformed ones.
+func recordsOf(ps []*peerpb.Record) []model.Record {
+	out := make([]model.Record, 0, len(ps))
+	for _, p := range ps {
+		if r, err := peerpb.RecordFromProto(p); err == nil {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/daemon/instances.go
@@ -0,0 +1,117 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"catkinvalve/internal/adapters/peerrpc"
+	"catkinvalve/internal/core/election"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/ports"
+)
+
+// followList polls the instance list. While it does not answer, the last list
+// stays in use: leases, not the list, decide who may start work.
+func (d *Daemon) followList(ctx context.Context) {
+	ticker := time.NewTicker(d.set.Timings.ListPoll)
+	defer ticker.Stop()
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, 5*d.set.Timings.ListPoll)
+		list, err := d.list.Instances(callCtx)
+		cancel()
+		if err == nil {
+			d.book.replace(d.targets(list))
+			d.control(listMsg{list})
+		} else {
+			d.metrics.listErrors.Inc(1)
+			d.log.WithError(err).Debug("instance list did not answer")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// targets returns the other daemons of the list and the seeds.
+func (d *Daemon) targets(list []ports.Instance) []peerTarget {
+	var out []peerTarget
+	for _, s := range d.set.Seeds {
+		out = append(out, peerTarget{Target: peerrpc.Target{Addr: s.Address}, dataCentre: s.DataCentre})
+	}
+	for _, i := range list {
+		if i.Kind == ports.KindDaemon && i.ID != d.set.DaemonID {
+			out = append(out, peerTarget{peerrpc.Target{ID: i.ID, Addr: i.Addr, Region: i.Region}, i.DataCentre})
+		}
+	}
+	return out
+}
+
+// applyList brings agents, leases and the core in line with the list.
+func (l *loop) applyList(now time.Time, list []ports.Instance) {
+	l.listRead = true
+	listed := map[model.WorkerID]ports.Instance{}
+	daemons := map[string]bool{}
+	var workers []scheduler.ListedWorker
+	var ids []model.WorkerID
+	for _, i := range list {
+		switch {
+		case i.Kind == ports.KindDaemon:
+			daemons[i.ID] = true
+		case i.DataCentre == l.set.DataCentre:
+			id := model.WorkerID(i.ID)
+			listed[id] = i
+			ids = append(ids, id)
+			workers = append(workers, scheduler.ListedWorker{
+				Worker:  model.Worker{ID: id, DataCentre: i.DataCentre, Rack: i.Rack},
+				Leaving: i.State == ports.StateLeaving,
+			})
+		}
+	}
+	for _, p := range l.members.Peers() {
+		if !daemons[p.ID] && !l.members.Alive(now, p.ID) {
+			l.members.Forget(p.ID)
+		}
+	}
+	l.syncAgents(now, listed)
+	l.leases.SetListed(ids)
+	l.core.SetListed(now, workers)
+}
+
+// syncAgents starts agents for new workers and stops those of workers that
+// left the list and whose lease is gone. A worker that still renews its lease
+// is alive whatever the list says.
+func (l *loop) syncAgents(now time.Time, listed map[model.WorkerID]ports.Instance) {
+	for id, inst := range listed {
+		if old, ok := l.listed[id]; ok && old.Addr != inst.Addr {
+			l.dropAgent(now, id)
+		}
+		if l.agents[id] == nil {
+			a := newAgent(l.d, id, l.d.dialer.Worker(inst.Addr))
+			l.agents[id] = a
+			if l.election.Role() != election.Standby {
+				a.campaign(l.election.Term())
+				if l.core.Serving() {
+					a.mayRaiseTerm()
+				}
+			}
+		}
+	}
+	for id := range l.agents {
+		if _, ok := listed[id]; !ok && !l.leases.Held(now, id) {
+			l.dropAgent(now, id)
+		}
+	}
+	l.listed = listed
+}
+
+func (l *loop) dropAgent(now time.Time, id model.WorkerID) {
+	if a := l.agents[id]; a != nil {
+		a.stop()
+		delete(l.agents, id)
+	}
+	l.leases.Drop(id)
+	l.core.WorkerUnreachable(now, id)
+}
--- /dev/null
+++ b/internal/daemon/journal.go
@@ -0,0 +1,160 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+const (
+	// journalInterval bounds the appends to one a second whatever the number
+	// of starts, because all users of the log share several hundred a second.
+	journalInterval = time.Second
+	// journalBytes bounds one append.
+	journalBytes = 64 << 10
+	// journalRecords bounds the records that wait for the log.
+	journalRecords = 16384
+	// journalAnswerBytes bounds an answer in the journal. The journal has to
+	// tell fates; larger answers are kept by the daemons only.
+	journalAnswerBytes = 1 << 10
+	appendTimeout      = 5 * time.Second
+)
+
+// journal appends changed records to the data centre's fate stream.
+type journal struct {
+	d       *Daemon
+	mu      sync.Mutex
+	pending map[string]model.Record
+	order   []string
+}
+
+func newJournal(d *Daemon) *journal {
+	return &journal{d: d, pending: map[string]model.Record{}}
+}
+
+func fateStream(dc model.DataCentre) string { return "fates." + string(dc) }
+
+// add queues a record. When the journal is full because the log is down, the
+// oldest record of an idempotent request gives way, else the oldest of all.
+func (j *journal) add(rec model.Record) {
+	if len(rec.Answer) > journalAnswerBytes {
+		rec.Answer = nil
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	key := rec.Request.Key
+	if _, ok := j.pending[key]; !ok {
+		if len(j.order) >= journalRecords {
+			j.dropOne()
+		}
+		j.order = append(j.order, key)
+	}
+	j.pending[key] = rec
+}
+
+func (j *journal) dropOne() {
+	drop := 0
+	for i, key := range j.order {
+		if j.pending[key].Request.Idempotent {
+			drop = i
+			break
+		}
+	}
+	delete(j.pending, j.order[drop])
+	j.order = append(j.order[:drop], j.order[drop+1:]...)
+	j.d.metrics.journalDropped.Inc(1)
+}
+
+// take encodes the oldest records up to the size of one append.
+func (j *journal) take() (keys []model.Record, data []byte) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	data = append(data, '[')
+	for _, key := range j.order {
+		rec := j.pending[key]
+		b, err := json.Marshal(rec)
+		if err != nil || len(data)+len(b)+2 > journalBytes {
+			break
+		}
+		if len(keys) > 0 {
+			data = append(data, ',')
+		}
+		data = append(data, b...)
+		keys = append(keys, rec)
+	}
+	return keys, append(data, ']')
+}
+
+// done removes what was appended, unless it changed meanwhile.
+func (j *journal) done(records []model.Record) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for i := range records {
+		key := records[i].Request.Key
+		if p, ok := j.pending[key]; ok && p.Version == records[i].Version {
+			delete(j.pending, key)
+		}
+	}
+	kept := j.order[:0]
+	for _, key := range j.order {
+		if _, ok := j.pending[key]; ok {
+			kept = append(kept, key)
+		}
+	}
+	j.order = kept
+}
+
+func (j *journal) run(ctx context.Context) {
+	ticker := time.NewTicker(journalInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			j.flush(ctx)
+		}
+	}
+}
+
+// flush appends one batch. A batch whose answer was lost is appended again;
+// readers keep the newest version of each record.
+func (j *journal) flush(ctx context.Context) {
+	records, data := j.take()
+	if len(records) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if _, err := j.d.logService.Append(ctx, fateStream(j.d.set.DataCentre), data); err != nil {
+		j.d.log.WithError(err).Debug("fate journal is waiting for the log")
+		return
+	}
+	j.d.metrics.appends.Inc(1)
+	j.done(records)
+}
+
+// readJournal reads the whole fate stream and hands its records to add. It
+// returns false when the log could not be read to its end.
+func (d *Daemon) readJournal(ctx context.Context, add func([]model.Record)) bool {
+	var from int64
+	for {
+		page, err := d.logService.Read(ctx, fateStream(d.set.DataCentre), from, logPage, 0)
+		if err != nil {
+			return false
+		}
+		for _, r := range page.Records {
+			var records []model.Record
+			if json.Unmarshal(r.Data, &records) == nil {
+				add(records)
+			}
+		}
+		if len(page.Records) == 0 || page.Next <= from {
+			return true
+		}
+		from = page.Next
+	}
+}
--- /dev/null
+++ b/internal/daemon/loop.go
@@ -0,0 +1,341 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"catkinvalve/internal/core/election"
+	"catkinvalve/internal/core/lease"
+	"catkinvalve/internal/core/membership"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/ports"
+	"catkinvalve/internal/ring"
+	"catkinvalve/internal/settings"
+	"catkinvalve/internal/telemetry"
+)
+
+// Sizes of the rings between the duties. docs/design.md lists what happens
+// when one is full.
+const (
+	requestRingSize = 4096
+	controlRingSize = 8192
+	// loopBatch bounds the messages handled before actions are executed.
+	loopBatch = 256
+	// tickInterval bounds how late deadlines, backoff ends and lease expiry are seen.
+	tickInterval = 20 * time.Millisecond
+	// pauseLimit is the tick delay after which the process counts as paused. It
+	// is below the time after which an owner stops waiting for a standby.
+	pauseLimit = time.Second
+)
+
+// message is an input of the owner loop.
+type message interface {
+	handle(l *loop, now time.Time)
+}
+
+// loop is the goroutine that owns the scheduler core, the lease table, the
+// membership table and the election. Everything else reaches it by messages.
+type loop struct {
+	d        *Daemon
+	set      settings.Settings
+	log      *logrus.Entry
+	core     *scheduler.Core
+	leases   *lease.Table
+	members  *membership.Table
+	election *election.Election
+	waiters  map[string][]chan answer
+	agents   map[model.WorkerID]*agent
+	listed   map[model.WorkerID]ports.Instance
+
+	listRead  bool
+	revision  uint64
+	recovered bool
+	recovery  scheduler.Recovery
+	// synced is true while this standby has every record of the owner.
+	synced bool
+	// fence is the highest term whose owner this daemon has obeyed or become;
+	// records of lower terms are refused.
+	fence     uint64
+	lastTick  time.Time
+	draining  bool
+	resigned  bool
+	startedAt time.Time
+	mateList  []membership.Peer
+	lastLoad  time.Time
+	histogram *telemetry.Histograms
+}
+
+// answer is what a waiting call gets: a record view or a fault.
+type answer struct {
+	rec   model.Record
+	fault *fault.Error
+}
+
+// run handles messages until ctx ends.
+func (l *loop) run(ctx context.Context, requests, control *ring.Ring[message]) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	batch := make([]message, 0, loopBatch)
+	for {
+		batch = batch[:0]
+		select {
+		case <-ctx.Done():
+			l.releaseWaiters()
+			return
+		case m := <-control.C():
+			batch = append(batch, m)
+		case m := <-requests.C():
+			batch = append(batch, m)
+		case <-ticker.C:
+		}
+		// Control comes first: task reports free the room that requests need.
+		batch = control.DrainInto(batch, loopBatch)
+		batch = requests.DrainInto(batch, loopBatch)
+		l.step(batch)
+	}
+}
+
+func (l *loop) step(batch []message) {
+	now := l.d.now()
+	l.checkOwnership(now)
+	for _, m := range batch {
+		m.handle(l, now)
+	}
+	if now.Sub(l.lastTick) >= tickInterval {
+		l.tick(now)
+	}
+	l.core.Schedule(now)
+	l.execute(now)
+}
+
+func (l *loop) tick(now time.Time) {
+	if !l.lastTick.IsZero() && now.Sub(l.lastTick) > pauseLimit && l.election.Role() == election.Standby {
+		l.log.WithField("pause", now.Sub(l.lastTick).String()).Warn("process was paused; records are fetched again")
+		l.synced = false
+	}
+	l.lastTick = now
+	for _, id := range l.leases.Expired(now) {
+		l.log.WithField("worker", id).Warn("worker lease expired")
+		l.core.WorkerUnreachable(now, id)
+		if a := l.agents[id]; a != nil {
+			a.reacquire()
+		}
+	}
+	l.advance(now)
+	l.core.Tick(now)
+	l.publishState(now)
+}
+
+// checkOwnership steps down before anything is decided on expired leases. It
+// runs before each batch, because the process may have been paused.
+func (l *loop) checkOwnership(now time.Time) {
+	if l.core.Serving() && !l.leases.Majority(now) {
+		l.advance(now)
+	}
+}
+
+func (l *loop) electionInput(now time.Time) election.Input {
+	in := election.Input{
+		Now: now, Ready: l.ready(), Draining: l.draining, Candidate: l.members.Candidate(now),
+		MaxTerm: l.members.MaxTerm(), Majority: l.leases.Majority(now), All: l.leases.All(now), Recovered: l.recovered,
+	}
+	if o, ok := l.members.Owner(now, l.set.DataCentre); ok {
+		in.OtherOwner = o.Term
+	}
+	return in
+}
+
+// advance runs the election and does what it asks for.
+func (l *loop) advance(now time.Time) {
+	switch l.election.Tick(l.electionInput(now)) {
+	case election.StartCampaign:
+		l.startCampaign()
+	case election.StartRecovery:
+		l.startRecovery()
+	case election.StartServing:
+		l.startServing(now)
+	case election.StepDown:
+		l.stepDown()
+	case election.None:
+	}
+}
+
+func (l *loop) startCampaign() {
+	term := l.election.Term()
+	l.log.WithField("term", term).Info("campaigning for the data centre")
+	l.leases.Clear()
+	l.core.BeginCampaign()
+	for _, a := range l.agents {
+		a.campaign(term)
+	}
+}
+
+func (l *loop) startRecovery() {
+	l.recovered = false
+	term := l.election.Term()
+	l.fence = max(l.fence, term)
+	l.log.WithField("term", term).Info("majority of worker leases held; loading records")
+	l.d.recover(recoveryRequest{term: term, mates: l.members.Mates(l.d.now()), others: l.otherOwners(), synced: l.synced})
+}
+
+// otherOwners lists the data centres of the text and the peers there.
+func (l *loop) otherOwners() map[model.DataCentre][]membership.Peer {
+	out := map[model.DataCentre][]membership.Peer{}
+	if cfg, _ := l.d.config.inForce(); cfg != nil {
+		for _, dc := range cfg.DataCentres {
+			if dc.Name != l.set.DataCentre {
+				out[dc.Name] = nil
+			}
+		}
+	}
+	for _, p := range l.members.Peers() {
+		if p.DataCentre != l.set.DataCentre {
+			out[p.DataCentre] = append(out[p.DataCentre], p)
+		}
+	}
+	return out
+}
+
+func (l *loop) startServing(now time.Time) {
+	l.log.WithFields(logrus.Fields{
+		"term": l.recovery.Term, "synced_peer": l.recovery.SyncedPeer, "journal_read": l.recovery.JournalRead,
+		"records": l.core.Records(),
+	}).Info("serving as owner")
+	for _, a := range l.agents {
+		a.mayRaiseTerm()
+	}
+	l.core.Serve(now, l.recovery)
+	l.synced = true
+}
+
+func (l *loop) stepDown() {
+	l.log.WithField("term", l.election.Term()).Warn("stepping down")
+	l.leases.Clear()
+	for _, a := range l.agents {
+		a.release()
+	}
+	l.core.StepDown()
+	l.d.replicator.reset()
+	l.recovered = false
+	l.releaseWaiters()
+}
+
+// releaseWaiters sends every waiting call to the next owner.
+func (l *loop) releaseWaiters() {
+	for key, list := range l.waiters {
+		for _, w := range list {
+			w <- answer{fault: fault.New(fault.NoOwner, "ask again with the same key", "the data centre changes its owner")}
+		}
+		delete(l.waiters, key)
+	}
+}
+
+// ready reports whether the daemon knows enough to take part.
+func (l *loop) ready() bool { return l.revision > 0 && l.listRead && l.joined() }
+
+// joinWait is how long a daemon waits for heartbeats of living mates before it
+// campaigns. It covers two heartbeat intervals.
+const joinWait = 1200 * time.Millisecond
+
+func (l *loop) joined() bool {
+	return l.d.now().Sub(l.startedAt) > joinWait
+}
+
+// publishState makes a copy of what other goroutines need.
+func (l *loop) publishState(now time.Time) {
+	s := &state{
+		role: l.election.Role(), revision: l.revision, ready: l.ready() && (l.synced || l.core.Serving()),
+		draining: l.draining, peers: l.members.Peers(), mates: l.members.Mates(now), synced: l.synced,
+		serving: l.core.Serving(), at: now,
+	}
+	if l.core.Serving() {
+		s.term = l.election.Term()
+		s.load = l.core.Load(now)
+		s.openHomes = l.core.OpenHomes()
+		s.inDoubt = l.core.InDoubt()
+	}
+	l.d.state.Store(s)
+}
+
+// execute hands the core's actions to the goroutines that carry them out.
+func (l *loop) execute(now time.Time) {
+	for {
+		a := l.core.Take()
+		if a.Empty() {
+			return
+		}
+		l.sendToWorkers(a)
+		l.replicate(a.Replicate)
+		for _, r := range a.Journal {
+			l.d.journal.add(r)
+		}
+		l.answerSettled(now, a.Settled)
+		for _, r := range a.OldRuns {
+			l.d.old.run(r)
+		}
+		for _, key := range a.OldLookups {
+			l.d.old.lookup(key)
+		}
+		for _, del := range a.Delegations {
+			l.d.delegator.start(del)
+		}
+		for _, del := range a.DelegateCancels {
+			l.d.delegator.cancel(del)
+		}
+	}
+}
+
+func (l *loop) sendToWorkers(a scheduler.Actions) {
+	for w, starts := range a.Starts {
+		if ag := l.agents[w]; ag != nil {
+			ag.send(agentBatch{starts: starts})
+		}
+	}
+	for w, stops := range a.Stops {
+		if ag := l.agents[w]; ag != nil {
+			ag.send(agentBatch{stops: stops})
+		}
+	}
+}
+
+// replicate sends records to the standbys, or confirms them at once when the
+// data centre has no other living daemon.
+func (l *loop) replicate(records []model.Record) {
+	if len(records) == 0 {
+		return
+	}
+	if len(l.members.Mates(l.d.now())) == 0 {
+		for i := range records {
+			l.core.Replicated(records[i].Request.Key, records[i].Version)
+		}
+		return
+	}
+	l.d.replicator.add(l.election.Term(), records)
+}
+
+func (l *loop) answerSettled(now time.Time, keys []string) {
+	for _, key := range keys {
+		rec, err := l.core.Fate(key)
+		if err != nil {
+			continue
+		}
+		l.observe(now, &rec)
+		for _, w := range l.waiters[key] {
+			w <- answer{rec: rec}
+		}
+		delete(l.waiters, key)
+	}
+}
+
+// observe records the waiting time of a settled request.
+func (l *loop) observe(now time.Time, rec *model.Record) {
+	wait := now.Sub(rec.Accepted)
+	if !rec.Started.IsZero() {
+		wait = rec.Started.Sub(rec.Accepted)
+	}
+	l.histogram.Waiting(rec.Request.Team, string(rec.Request.Class)).Update(wait.Microseconds())
+}
--- /dev/null
+++ b/internal/daemon/oldsystem.go
@@ -0,0 +1,98 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/ports"
+)
+
+const (
+	// oldCalls bounds the calls to the old system at a time.
+	oldCalls = 64
+	// oldRetry is the wait before an unanswered call is repeated.
+	oldRetry = 300 * time.Millisecond
+	// oldRunTimeout bounds one call; a longer run is asked about again by key.
+	oldRunTimeout = 30 * time.Second
+	oldAskTimeout = 2 * time.Second
+)
+
+// oldForwarder calls the old system. It remembers keys and runs each once, so
+// a call whose answer was lost is repeated safely.
+type oldForwarder struct {
+	d     *Daemon
+	sys   ports.OldSystem
+	slots chan struct{}
+}
+
+func newOldForwarder(d *Daemon, sys ports.OldSystem) *oldForwarder {
+	return &oldForwarder{d: d, sys: sys, slots: make(chan struct{}, oldCalls)}
+}
+
+// do runs fn on a goroutine of its own; at most oldCalls run at a time.
+func (o *oldForwarder) do(fn func(ctx context.Context)) {
+	o.d.group.Go(func() {
+		select {
+		case o.slots <- struct{}{}:
+			defer func() { <-o.slots }()
+			fn(o.d.ctx)
+		case <-o.d.ctx.Done():
+		}
+	})
+}
+
+func (o *oldForwarder) run(r scheduler.OldRun) {
+	o.do(func(ctx context.Context) {
+		if o.sys == nil || (!r.Deadline.IsZero() && !o.d.now().Before(r.Deadline)) {
+			o.d.control(oldReportMsg{scheduler.OldReport{Key: r.Key, NotSent: true}})
+			return
+		}
+		sent := false
+		for ctx.Err() == nil && o.d.state.Load().serving {
+			st, err := o.once(ctx, r)
+			if err == nil {
+				o.d.control(oldReportMsg{scheduler.OldReport{Key: r.Key, Fate: st.Fate, OK: st.OK, Answer: st.Answer}})
+				if st.Fate == model.Done {
+					return
+				}
+			}
+			sent = sent || err == nil || !ports.NothingSent(err)
+			if !sent {
+				sleep(ctx, oldRetry)
+				o.d.control(oldReportMsg{scheduler.OldReport{Key: r.Key, NotSent: true}})
+				return
+			}
+			sleep(ctx, oldRetry)
+		}
+	})
+}
+
+func (o *oldForwarder) once(ctx context.Context, r scheduler.OldRun) (ports.OldState, error) {
+	ctx, cancel := context.WithTimeout(ctx, oldRunTimeout)
+	defer cancel()
+	return o.sys.Run(ctx, r.Key, r.Service, r.Payload)
+}
+
+func (o *oldForwarder) lookup(key string) {
+	o.do(func(ctx context.Context) {
+		if o.sys == nil {
+			o.d.control(oldLookupMsg{key: key})
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, oldAskTimeout)
+		defer cancel()
+		st, err := o.sys.Lookup(callCtx, key)
+		if err != nil {
+			o.d.log.WithError(err).WithField("key", key).Debug("old system did not answer a lookup")
+			sleep(ctx, oldRetry)
+		}
+		o.d.control(oldLookupMsg{key: key, known: err == nil && st.Known, unavailable: err != nil})
+	})
+}
+
+func errOldMissing() *fault.Error {
+	return fault.New(fault.OldSystemUnavailable, "set platform.old in the settings", "no old system is configured")
+}
--- /dev/null
+++ b/internal/daemon/recovery.go
@@ -0,0 +1,177 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"catkinvalve/internal/adapters/peerrpc"
+	"catkinvalve/internal/core/election"
+	"catkinvalve/internal/core/membership"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/peerpb"
+)
+
+const (
+	// recoveryTimeout bounds how long a new owner waits for each source of
+	// records. It is below a lease TTL, so that takeover stays within 4 s.
+	recoveryTimeout = 800 * time.Millisecond
+	// lateRetry is how often missing sources are asked again after that.
+	lateRetry = 2 * time.Second
+	fetchPage = 256
+)
+
+type recoveryRequest struct {
+	term   uint64
+	mates  []membership.Peer
+	others map[model.DataCentre][]membership.Peer
+	synced bool
+}
+
+// recover loads records from the mates, the journal and the other data centres
+// at the same time and reports what it found.
+func (d *Daemon) recover(r recoveryRequest) {
+	d.group.Go(func() {
+		ctx, cancel := context.WithTimeout(d.ctx, recoveryTimeout)
+		defer cancel()
+		res := scheduler.Recovery{Term: r.term, SyncedPeer: r.synced}
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		run := func(fn func()) {
+			wg.Add(1)
+			d.group.Go(func() { defer wg.Done(); fn() })
+		}
+		for _, m := range r.mates {
+			run(func() {
+				synced := d.fetchRecords(ctx, m, r.term)
+				mu.Lock()
+				defer mu.Unlock()
+				res.SyncedPeer = res.SyncedPeer || synced
+			})
+		}
+		run(func() {
+			read := d.readJournal(ctx, func(rs []model.Record) { d.control(restoreMsg{records: rs}) })
+			mu.Lock()
+			defer mu.Unlock()
+			res.JournalRead = read
+		})
+		for dc, peers := range r.others {
+			run(func() {
+				if d.recoverHome(ctx, dc, peers, r.term) {
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				res.Unasked = append(res.Unasked, dc)
+			})
+		}
+		wg.Wait()
+		d.control(recoveredMsg{res})
+	})
+}
+
+// fetchRecords restores all records of a mate. It returns true when the mate
+// had every record of the last owner.
+func (d *Daemon) fetchRecords(ctx context.Context, mate membership.Peer, term uint64) bool {
+	after, synced := "", true
+	for {
+		resp, err := d.peers.FetchRecords(ctx, target(mate), &peerpb.FetchRecordsRequest{
+			DataCentre: string(d.set.DataCentre), Term: term, After: after, Limit: fetchPage,
+		})
+		if err != nil {
+			return false
+		}
+		synced = synced && resp.Synced
+		records := recordsOf(resp.Records)
+		d.control(restoreMsg{records: records})
+		if !resp.More || len(records) == 0 {
+			return synced
+		}
+		after = records[len(records)-1].Request.Key
+	}
+}
+
+// recoverHome asks the owner of another data centre for the requests that it
+// runs for this one. Any daemon there forwards the call to its owner.
+func (d *Daemon) recoverHome(ctx context.Context, dc model.DataCentre, peers []membership.Peer, term uint64) bool {
+	for _, p := range peers {
+		if d.recoverHomeFrom(ctx, dc, target(p), term) {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Daemon) recoverHomeFrom(ctx context.Context, dc model.DataCentre, to peerrpc.Target, term uint64) bool {
+	after := ""
+	for {
+		resp, err := d.peers.RecoverHome(ctx, to, &peerpb.RecoverHomeRequest{
+			Home: string(d.set.DataCentre), HomeTerm: term, After: after, Limit: fetchPage,
+		})
+		if err != nil {
+			return false
+		}
+		records := recordsOf(resp.Records)
+		d.control(restoreMsg{records: records, delegatedTo: dc})
+		if !resp.More || len(records) == 0 {
+			return true
+		}
+		after = records[len(records)-1].Request.Key
+	}
+}
+
+// watchRecords keeps a standby's records complete and asks the sources that a
+// new owner could not reach again until they answer.
+func (d *Daemon) watchRecords(ctx context.Context) {
+	ticker := time.NewTicker(d.set.Timings.HeartbeatInterval)
+	defer ticker.Stop()
+	var lastLate time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s := d.state.Load()
+		if s.role == election.Standby && !s.synced {
+			d.syncStandby(ctx, s)
+		}
+		if s.inDoubt && d.now().Sub(lastLate) > lateRetry {
+			lastLate = d.now()
+			d.recoverLate(ctx, s)
+		}
+	}
+}
+
+// syncStandby fetches all records of the owner. The heartbeat before makes sure
+// that the owner replicates to this daemon from then on, so nothing is missed.
+func (d *Daemon) syncStandby(ctx context.Context, s *state) {
+	owner, ok := s.ownerMate()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, 10*recoveryTimeout)
+	defer cancel()
+	if !d.heartbeat(ctx, target(owner)) {
+		return
+	}
+	// The owner's loop publishes its view of the mates with its next tick.
+	sleep(ctx, 2*tickInterval)
+	if d.fetchRecords(ctx, owner, 0) {
+		d.control(syncedMsg{owner.Term})
+	}
+}
+
+func (d *Daemon) recoverLate(ctx context.Context, s *state) {
+	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
+	defer cancel()
+	if d.readJournal(ctx, func(rs []model.Record) { d.control(restoreMsg{records: rs}) }) {
+		d.control(lateRecoveryMsg{journal: true})
+	}
+	for _, dc := range s.openHomes {
+		if d.recoverHome(ctx, dc, s.peersIn(dc), s.term) {
+			d.control(lateRecoveryMsg{home: dc})
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/replicator.go
@@ -0,0 +1,144 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"catkinvalve/internal/adapters/peerrpc"
+	"catkinvalve/internal/core/membership"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/peerpb"
+)
+
+const (
+	// replicateBatchRecords bounds the records of one Replicate call.
+	replicateBatchRecords = 256
+	// replicateTimeout bounds one Replicate call. A standby that does not answer
+	// is asked again until its heartbeats stop.
+	replicateTimeout = 500 * time.Millisecond
+)
+
+// replicator sends changed records to the standbys. The owner loop must never
+// block on it, since it waits for the owner loop itself; the pending records
+// are therefore kept one a key, which the record table bounds.
+type replicator struct {
+	d       *Daemon
+	mu      sync.Mutex
+	term    uint64
+	pending map[string]model.Record
+	order   []string
+	wake    chan struct{}
+}
+
+func newReplicator(d *Daemon) *replicator {
+	return &replicator{d: d, pending: map[string]model.Record{}, wake: make(chan struct{}, 1)}
+}
+
+// add queues the latest version of each record.
+func (r *replicator) add(term uint64, records []model.Record) {
+	r.mu.Lock()
+	r.term = term
+	for i := range records {
+		key := records[i].Request.Key
+		if _, ok := r.pending[key]; !ok {
+			r.order = append(r.order, key)
+		}
+		r.pending[key] = records[i]
+	}
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// reset drops what a former owner had not sent yet.
+func (r *replicator) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.pending)
+	r.order = nil
+}
+
+// take returns the next batch in the order of first change.
+func (r *replicator) take() (uint64, []model.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := min(len(r.order), replicateBatchRecords)
+	out := make([]model.Record, 0, n)
+	for _, key := range r.order[:n] {
+		out = append(out, r.pending[key])
+		delete(r.pending, key)
+	}
+	r.order = r.order[n:]
+	return r.term, out
+}
+
+func (r *replicator) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+		}
+		for ctx.Err() == nil {
+			term, records := r.take()
+			if len(records) == 0 {
+				break
+			}
+			r.send(ctx, term, records)
+		}
+	}
+}
+
+// send delivers a batch to all living standbys and confirms it. Records are
+// confirmed only when every standby that still sends heartbeats has them.
+func (r *replicator) send(ctx context.Context, term uint64, records []model.Record) {
+	req := &peerpb.ReplicateRequest{DataCentre: string(r.d.set.DataCentre), Owner: r.d.holder, Term: term}
+	for i := range records {
+		req.Records = append(req.Records, peerpb.RecordToProto(&records[i]))
+	}
+	var wg sync.WaitGroup
+	for _, mate := range r.d.state.Load().mates {
+		wg.Add(1)
+		r.d.group.Go(func() { defer wg.Done(); r.sendTo(ctx, mate, req) })
+	}
+	wg.Wait()
+	acks := make([]recordVersion, len(records))
+	for i := range records {
+		acks[i] = recordVersion{records[i].Request.Key, records[i].Version}
+	}
+	r.d.control(replicatedMsg{term, acks})
+}
+
+func (r *replicator) sendTo(ctx context.Context, mate membership.Peer, req *peerpb.ReplicateRequest) {
+	for ctx.Err() == nil && r.d.state.Load().aliveMate(mate.ID) {
+		callCtx, cancel := context.WithTimeout(ctx, replicateTimeout)
+		resp, err := r.d.peers.Replicate(callCtx, target(mate), req)
+		cancel()
+		switch {
+		case err != nil:
+			sleep(ctx, retryPause)
+		case resp.Accepted:
+			return
+		default:
+			r.d.control(staleMsg{resp.Term})
+			return
+		}
+	}
+}
+
+func target(p membership.Peer) peerrpc.Target {
+	return peerrpc.Target{ID: p.ID, Addr: p.Addr, Region: p.Region}
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/daemon/route.go
@@ -0,0 +1,310 @@
+package daemon
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"catkinvalve/internal/adapters/peerrpc"
+	"catkinvalve/internal/api"
+	"catkinvalve/internal/core/membership"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/peerpb"
+)
+
+const (
+	// routePatience is how long a call looks for an owner of the home data
+	// centre. It covers a takeover: lease TTL and election.
+	routePatience = 8 * time.Second
+	// routePause is the wait between two tries.
+	routePause = 50 * time.Millisecond
+	// forwardTimeout bounds a forwarded call besides the wait for a fate.
+	forwardTimeout = 3 * time.Second
+	// longPoll bounds one forwarded wait, so that a dead owner is noticed.
+	longPoll = 2 * time.Second
+)
+
+// call is one operation on a key at the owner of its home data centre.
+type call struct {
+	key   string
+	local func(ctx context.Context) answer
+	// remote returns the peer's record; nothingSent tells whether the call may
+	// have had an effect when it failed.
+	remote func(ctx context.Context, to peerrpc.Target) (*peerpb.RecordResponse, error)
+}
+
+// home returns the home data centre of a key.
+func (d *Daemon) home(key string) (model.DataCentre, error) {
+	cfg, _ := d.config.inForce()
+	if cfg == nil {
+		return "", fault.New(fault.NotReady, "retry at another daemon, or publish a configuration", "no configuration is in force at this daemon")
+	}
+	dcs := make([]model.DataCentre, len(cfg.DataCentres))
+	for i := range cfg.DataCentres {
+		dcs[i] = cfg.DataCentres[i].Name
+	}
+	return membership.Home(key, dcs), nil
+}
+
+// route finds the owner of the key's home and repeats the call by key until it
+// is answered or the patience ends. The owner's record makes that idempotent.
+func (d *Daemon) route(ctx context.Context, c call) (model.Record, error) {
+	home, err := d.home(c.key)
+	if err != nil {
+		return model.Record{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, routePatience)
+	defer cancel()
+	maybeSent := false
+	last := error(fault.New(fault.NoOwner, "retry with the same key", "data centre %s has no known owner", home))
+	for {
+		rec, err := d.try(ctx, home, c)
+		if err == nil {
+			return rec, nil
+		}
+		if !retryable(err) {
+			return model.Record{}, err
+		}
+		maybeSent = maybeSent || fault.KindOf(err) == fault.FateUnknownYet
+		last = err
+		sleep(ctx, routePause)
+		if ctx.Err() != nil {
+			return model.Record{}, routeFailure(home, c.key, maybeSent, last)
+		}
+	}
+}
+
+func retryable(err error) bool {
+	switch fault.KindOf(err) {
+	case fault.NoOwner, fault.HomeUnreachable, fault.FateUnknownYet, fault.StaleTerm, fault.Draining:
+		return true
+	}
+	return false
+}
+
+func routeFailure(home model.DataCentre, key string, maybeSent bool, last error) error {
+	if maybeSent {
+		return fault.Wrap(last, fault.FateUnknownYet, "ask for the fate of the key later, or repeat the request with the same key",
+			"the request %q may have reached data centre %s, which did not answer", key, home)
+	}
+	if fault.KindOf(last) == fault.NoOwner || fault.KindOf(last) == fault.Draining {
+		return last
+	}
+	return fault.Wrap(last, fault.HomeUnreachable, "retry later, or use a key with the prefix of a reachable data centre for a new request",
+		"data centre %s, the home of %q, cannot be reached; nothing was sent", home, key)
+}
+
+func (d *Daemon) try(ctx context.Context, home model.DataCentre, c call) (model.Record, error) {
+	s := d.state.Load()
+	if home == d.set.DataCentre && s.role != 0 {
+		a := c.local(ctx)
+		if a.fault != nil {
+			return model.Record{}, a.fault
+		}
+		return a.rec, nil
+	}
+	var last error = fault.New(fault.NoOwner, "retry with the same key", "data centre %s has no known owner", home)
+	for _, p := range d.ownersOf(s, home) {
+		rec, err := d.forward(ctx, p, c)
+		if err == nil || !retryable(err) || fault.KindOf(err) == fault.FateUnknownYet {
+			return rec, err
+		}
+		last = err
+	}
+	return model.Record{}, last
+}
+
+// ownersOf lists the peers to try: the living owner of the own data centre, or
+// all daemons of another one, which forward to their owner.
+func (d *Daemon) ownersOf(s *state, home model.DataCentre) []membership.Peer {
+	if home != d.set.DataCentre {
+		return s.peersIn(home)
+	}
+	if p, ok := s.ownerMate(); ok {
+		return []membership.Peer{p}
+	}
+	return nil
+}
+
+func (d *Daemon) forward(ctx context.Context, p membership.Peer, c call) (model.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	resp, err := c.remote(ctx, target(p))
+	switch {
+	case err == nil:
+	case peerrpc.NothingSent(err):
+		return model.Record{}, fault.Wrap(err, fault.HomeUnreachable, "retry later", "daemon %s did not answer", p.ID)
+	case fault.KindOf(err) == fault.Internal, isTransport(err):
+		return model.Record{}, fault.Wrap(err, fault.FateUnknownYet, "ask for the fate of the key", "daemon %s did not answer a sent call", p.ID)
+	default:
+		return model.Record{}, err
+	}
+	rec, err := peerpb.RecordFromProto(resp.Record)
+	if err != nil {
+		return model.Record{}, fault.Wrap(err, fault.Internal, "report this as a defect", "daemon %s sent a malformed record", p.ID)
+	}
+	return rec, nil
+}
+
+// Submit implements the caller API.
+func (d *Daemon) Submit(ctx context.Context, r api.SubmitRequest) (api.RequestStatus, error) {
+	req := requestOf(r)
+	rec, err := d.route(ctx, d.submitCall(req))
+	if err != nil {
+		return api.RequestStatus{}, err
+	}
+	if wait := time.Duration(r.WaitMS) * time.Millisecond; wait > 0 && !rec.Fate.Terminal() {
+		return d.Fate(ctx, req.Key, wait)
+	}
+	return d.statusOf(&rec), nil
+}
+
+func (d *Daemon) submitCall(req model.Request) call {
+	return call{
+		key: req.Key,
+		local: func(ctx context.Context) answer {
+			return d.ask(ctx, func(reply chan answer) message { return submitMsg{req: req, reply: reply} })
+		},
+		remote: func(ctx context.Context, to peerrpc.Target) (*peerpb.RecordResponse, error) {
+			return d.peers.Submit(ctx, to, &peerpb.SubmitRequest{Request: peerpb.RequestToProto(&req)})
+		},
+	}
+}
+
+// Fate implements the caller API. A wait is made of bounded polls, each to the
+// daemon that is the owner by then.
+func (d *Daemon) Fate(ctx context.Context, key string, wait time.Duration) (api.RequestStatus, error) {
+	deadline := d.now().Add(wait)
+	for {
+		rec, err := d.route(ctx, d.fateCall(key, min(longPoll, deadline.Sub(d.now()))))
+		if err != nil {
+			return api.RequestStatus{}, err
+		}
+		if rec.Fate.Terminal() || !d.now().Before(deadline) || ctx.Err() != nil {
+			return d.statusOf(&rec), nil
+		}
+	}
+}
+
+func (d *Daemon) fateCall(key string, wait time.Duration) call {
+	return call{
+		key:   key,
+		local: func(ctx context.Context) answer { return d.localFate(ctx, key, wait) },
+		remote: func(ctx context.Context, to peerrpc.Target) (*peerpb.RecordResponse, error) {
+			return d.peers.Fate(ctx, to, &peerpb.FateRequest{Key: key, WaitMs: max(0, wait.Milliseconds())})
+		},
+	}
+}
+
+// localFate asks the owner loop and waits for a final fate up to wait.
+func (d *Daemon) localFate(ctx context.Context, key string, wait time.Duration) answer {
+	if wait <= 0 {
+		return d.ask(ctx, func(reply chan answer) message { return fateMsg{key: key, reply: reply} })
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	reply := make(chan answer, 1)
+	if !d.requests.TryPush(fateMsg{key: key, wait: true, reply: reply}) {
+		return answer{fault: errOverloaded()}
+	}
+	select {
+	case a := <-reply:
+		return a
+	case <-waitCtx.Done():
+		d.control(forgetWaiter{key, reply})
+		return d.ask(ctx, func(reply chan answer) message { return fateMsg{key: key, reply: reply} })
+	}
+}
+
+func errOverloaded() *fault.Error {
+	return fault.New(fault.Overloaded, "retry later with backoff and the same key", "the daemon's request ring is full; nothing was started")
+}
+
+// ask sends a message to the owner loop and waits for its answer.
+func (d *Daemon) ask(ctx context.Context, make1 func(chan answer) message) answer {
+	reply := make(chan answer, 1)
+	if !d.requests.TryPush(make1(reply)) {
+		return answer{fault: errOverloaded()}
+	}
+	select {
+	case a := <-reply:
+		return a
+	case <-ctx.Done():
+		return answer{fault: fault.New(fault.FateUnknownYet, "ask for the fate of the key", "the call ended before the daemon answered")}
+	}
+}
+
+// Cancel implements the caller API.
+func (d *Daemon) Cancel(ctx context.Context, key string) (api.RequestStatus, error) {
+	rec, err := d.route(ctx, call{
+		key: key,
+		local: func(ctx context.Context) answer {
+			return d.ask(ctx, func(reply chan answer) message { return cancelMsg{key: key, reply: reply} })
+		},
+		remote: func(ctx context.Context, to peerrpc.Target) (*peerpb.RecordResponse, error) {
+			return d.peers.Cancel(ctx, to, &peerpb.CancelRequest{Key: key})
+		},
+	})
+	if err != nil {
+		return api.RequestStatus{}, err
+	}
+	return d.statusOf(&rec), nil
+}
+
+// requestOf converts a submission. The fingerprint covers what a repeated
+// submission must repeat; waiting and issue time may differ.
+func requestOf(r api.SubmitRequest) model.Request {
+	req := model.Request{
+		Key: r.Key, Service: r.Service, Team: r.Team, Tasks: r.Tasks,
+		RunTime: time.Duration(r.RunMS) * time.Millisecond, Payload: r.Payload,
+	}
+	if r.Size != nil {
+		req.Size = *r.Size
+	}
+	if r.Deadline != nil {
+		req.Deadline = *r.Deadline
+	}
+	if r.IssuedAt != nil {
+		req.IssuedAt = *r.IssuedAt
+	}
+	req.Fingerprint = fingerprint(r)
+	if r.Idempotent != nil {
+		req.Idempotent = *r.Idempotent
+	}
+	return req
+}
+
+func fingerprint(r api.SubmitRequest) uint64 {
+	r.WaitMS, r.IssuedAt, r.Deadline = 0, nil, nil
+	b, err := json.Marshal(r)
+	if err != nil {
+		return 0
+	}
+	h := xxhash.New()
+	_, _ = h.Write(b)
+	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, uint64(len(r.Payload))))
+	return h.Sum64()
+}
+
+// statusOf converts a record for callers.
+func (d *Daemon) statusOf(rec *model.Record) api.RequestStatus {
+	home, _ := d.home(rec.Request.Key)
+	s := api.RequestStatus{
+		Key: rec.Request.Key, Service: rec.Request.Service, Team: rec.Request.Team, Class: rec.Request.Class,
+		Side: rec.Side, Fate: rec.Fate, OK: rec.OK, Reason: rec.Reason, Answer: rec.Answer, Home: home, AcceptedAt: rec.Accepted,
+	}
+	if !rec.Started.IsZero() {
+		s.StartedAt = &rec.Started
+	}
+	if !rec.Ended.IsZero() {
+		s.EndedAt = &rec.Ended
+	}
+	for i, t := range rec.Tasks {
+		s.Tasks = append(s.Tasks, api.TaskStatus{Index: i, State: t.State, Worker: t.Worker, Attempt: t.Attempt})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/daemon/state.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/election"
+	"catkinvalve/internal/core/membership"
+	"catkinvalve/internal/core/model"
+)
+
+// state is a copy of the owner loop's view for the other goroutines. It is
+// replaced with every tick and never changed.
+type state struct {
+	at        time.Time
+	role      election.Role
+	term      uint64
+	revision  uint64
+	ready     bool
+	draining  bool
+	serving   bool
+	synced    bool
+	inDoubt   bool
+	openHomes []model.DataCentre
+	peers     []membership.Peer
+	mates     []membership.Peer
+	load      membership.Load
+}
+
+func (s *state) aliveMate(id string) bool {
+	for i := range s.mates {
+		if s.mates[i].ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// ownerMate returns the living owner of the own data centre.
+func (s *state) ownerMate() (membership.Peer, bool) {
+	var best membership.Peer
+	for _, p := range s.mates {
+		if p.Term > best.Term {
+			best = p
+		}
+	}
+	return best, best.Term > 0
+}
+
+// peersIn returns the known daemons of a data centre, its owner first.
+func (s *state) peersIn(dc model.DataCentre) []membership.Peer {
+	var out []membership.Peer
+	for _, p := range s.peers {
+		if p.DataCentre != dc {
+			continue
+		}
+		out = append(out, p)
+		if last := len(out) - 1; p.Term > out[0].Term {
+			out[0], out[last] = out[last], out[0]
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,199 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"catkinvalve/internal/adapters/peerrpc"
+	"catkinvalve/internal/api"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/peerpb"
+)
+
+// query runs fn on the owner loop.
+func (d *Daemon) query(ctx context.Context, fn func(l *loop, now time.Time)) error {
+	done := make(chan struct{})
+	if !d.requests.TryPush(queryMsg{fn, done}) {
+		return errOverloaded()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return fault.New(fault.Overloaded, "retry later", "the daemon did not answer in time")
+	case <-d.ctx.Done():
+		return errDraining()
+	}
+}
+
+func (d *Daemon) localExplain(ctx context.Context, key string) (scheduler.Explanation, error) {
+	var x scheduler.Explanation
+	var failed *fault.Error
+	if err := d.query(ctx, func(l *loop, _ time.Time) { x, failed = l.core.Explain(key) }); err != nil {
+		return x, err
+	}
+	if failed != nil {
+		return x, failed
+	}
+	return x, nil
+}
+
+// Explain implements the caller API.
+func (d *Daemon) Explain(ctx context.Context, key string) (api.Explanation, error) {
+	home, err := d.home(key)
+	if err != nil {
+		return api.Explanation{}, err
+	}
+	s := d.state.Load()
+	if home == d.set.DataCentre && s.serving {
+		x, err := d.localExplain(ctx, key)
+		return api.Explanation{Key: key, Fate: x.Fate, Summary: x.Summary, Counts: x.Counts}, err
+	}
+	var out api.Explanation
+	err = d.firstAnswer(ctx, home, func(ctx context.Context, to peerrpc.Target) error {
+		resp, err := d.peers.Explain(ctx, to, &peerpb.ExplainRequest{Key: key})
+		if err != nil {
+			return err
+		}
+		out = api.Explanation{Key: key, Fate: model.Fate(resp.Fate), Summary: resp.Summary, Counts: model.Counts{}}
+		for _, c := range resp.Counts {
+			out.Counts[model.Reason(c.Reason)] = int(c.Count)
+		}
+		return nil
+	})
+	return out, err
+}
+
+// firstAnswer calls the daemons of a data centre in turn until one answers.
+func (d *Daemon) firstAnswer(ctx context.Context, dc model.DataCentre, fn func(context.Context, peerrpc.Target) error) error {
+	var last error = fault.New(fault.NoOwner, "retry later", "data centre %s has no known owner", dc)
+	for _, p := range d.ownersOf(d.state.Load(), dc) {
+		callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
+		err := fn(callCtx, target(p))
+		cancel()
+		if err == nil || !(peerrpc.NothingSent(err) || isTransport(err) || retryable(err)) {
+			return err
+		}
+		last = fault.Wrap(err, fault.HomeUnreachable, "retry later", "data centre %s did not answer", dc)
+	}
+	return last
+}
+
+func (d *Daemon) localDrain(ctx context.Context, worker string) (running int, found bool, err error) {
+	var serving bool
+	err = d.query(ctx, func(l *loop, now time.Time) {
+		serving = l.core.Serving()
+		running, found = l.core.Drain(now, model.WorkerID(worker))
+	})
+	if err == nil && !serving {
+		err = fault.New(fault.NoOwner, "retry at another daemon", "this daemon does not own data centre %s", d.set.DataCentre)
+	}
+	return running, found, err
+}
+
+// Drain implements the caller API. It asks each data centre for the worker.
+func (d *Daemon) Drain(ctx context.Context, worker string) (api.DrainResult, error) {
+	if d.state.Load().serving {
+		if n, found, err := d.localDrain(ctx, worker); err == nil && found {
+			return api.DrainResult{Worker: model.WorkerID(worker), Running: n}, nil
+		}
+	}
+	for _, dc := range d.dataCentres() {
+		var resp *peerpb.DrainResponse
+		err := d.firstAnswer(ctx, dc, func(ctx context.Context, to peerrpc.Target) (err error) {
+			resp, err = d.peers.Drain(ctx, to, &peerpb.DrainRequest{Worker: worker})
+			return err
+		})
+		if err == nil && resp.Found {
+			return api.DrainResult{Worker: model.WorkerID(worker), Running: int(resp.Running)}, nil
+		}
+	}
+	return api.DrainResult{}, fault.New(fault.NotFound, "check the name with catkinvalve status", "no reachable data centre has worker %q", worker)
+}
+
+func (d *Daemon) dataCentres() []model.DataCentre {
+	cfg, _ := d.config.inForce()
+	if cfg == nil {
+		return []model.DataCentre{d.set.DataCentre}
+	}
+	var out []model.DataCentre
+	for _, dc := range cfg.DataCentres {
+		out = append(out, dc.Name)
+	}
+	return out
+}
+
+// localStatus reports this data centre as this daemon sees it.
+func (d *Daemon) localStatus(ctx context.Context) (api.DataCentreStatus, error) {
+	out := api.DataCentreStatus{DataCentre: d.set.DataCentre, Region: d.set.Region, Reachable: true}
+	err := d.query(ctx, func(l *loop, now time.Time) { l.report(&out, now) })
+	return out, err
+}
+
+func (l *loop) report(out *api.DataCentreStatus, now time.Time) {
+	serving := l.core.Serving()
+	out.Daemons = append(out.Daemons, api.DaemonStatus{
+		ID: l.set.DaemonID, Ready: l.ready(), Draining: l.draining, Owner: serving, Revision: l.revision, Reachable: true,
+	})
+	for _, p := range l.members.Peers() {
+		if p.DataCentre != l.set.DataCentre {
+			continue
+		}
+		alive := l.members.Alive(now, p.ID)
+		out.Daemons = append(out.Daemons, api.DaemonStatus{
+			ID: p.ID, Ready: p.Ready, Draining: p.Draining, Owner: alive && p.Term > 0 && !serving, Revision: p.Revision, Reachable: alive,
+		})
+	}
+	slices.SortFunc(out.Daemons, func(a, b api.DaemonStatus) int { return strings.Compare(a.ID, b.ID) })
+	if !serving {
+		return
+	}
+	out.Owner, out.Term, out.InDoubt, out.Running = l.set.DaemonID, l.election.Term(), l.core.InDoubt(), l.core.Running()
+	for _, w := range l.core.Workers(now) {
+		out.Workers = append(out.Workers, api.WorkerStatus{
+			ID: w.Worker.ID, Rack: w.Worker.Rack, State: w.State, Capacity: w.Worker.Capacity, Planned: w.Planned, Tasks: w.Tasks,
+		})
+	}
+	for _, q := range l.core.Waiting() {
+		out.Queues = append(out.Queues, api.QueueStatus{Team: q.Team, Class: q.Class, Waiting: q.Tasks, Reasons: l.core.WaitReasons(q)})
+	}
+}
+
+// Status implements the caller API.
+func (d *Daemon) Status(ctx context.Context) (api.Status, error) {
+	var out api.Status
+	for _, dc := range d.dataCentres() {
+		out.DataCentres = append(out.DataCentres, d.statusOfDC(ctx, dc))
+	}
+	return out, nil
+}
+
+func (d *Daemon) statusOfDC(ctx context.Context, dc model.DataCentre) api.DataCentreStatus {
+	if dc == d.set.DataCentre && d.state.Load().serving {
+		if s, err := d.localStatus(ctx); err == nil {
+			return s
+		}
+	}
+	var s api.DataCentreStatus
+	err := d.firstAnswer(ctx, dc, func(ctx context.Context, to peerrpc.Target) error {
+		resp, err := d.peers.Status(ctx, to, &peerpb.StatusRequest{})
+		if err != nil {
+			return err
+		}
+		return json.Unmarshal(resp.Status, &s)
+	})
+	if err == nil {
+		return s
+	}
+	if dc == d.set.DataCentre {
+		if s, err := d.localStatus(ctx); err == nil {
+			return s
+		}
+	}
+	return api.DataCentreStatus{DataCentre: dc}
+}
