--- /dev/null
+++ b/internal/standin/listd/listd.go
@@ -0,0 +1,155 @@
+// Package listd is a stand-in for the platform's lagging instance list.
+package listd
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/platform"
+	"catkinvalve/internal/ports"
+	"catkinvalve/internal/standin/harness"
+)
+
+// change sets an instance or, when instance is nil, removes it.
+type change struct {
+	at       time.Time
+	id       string
+	instance *ports.Instance
+}
+
+// List shows each change after the lag.
+type List struct {
+	gate *harness.Gate
+
+	mu      sync.Mutex
+	lag     time.Duration
+	initial time.Duration
+	visible map[string]ports.Instance
+	pending []change
+	version int64
+	reads   int64
+}
+
+// New returns an empty list.
+func New(lag time.Duration) *List {
+	return &List{
+		gate: harness.NewGate(fault.ListUnavailable, ""),
+		lag:  lag, initial: lag, visible: map[string]ports.Instance{},
+	}
+}
+
+// Handler returns the instance list API.
+func (l *List) Handler() http.Handler {
+	r := httprouter.New()
+	r.GET("/v1/instances", l.gate.Wrap(func(*harness.Call) (int, any) { return http.StatusOK, l.read() }))
+	return r
+}
+
+// Admin returns the admin API, which includes PUT and DELETE /admin/instances/:id.
+func (l *List) Admin() http.Handler {
+	r := harness.Admin(l.apply, func() any { return l.Stats() }, l.reset)
+	r.PUT("/admin/instances/:id", harness.Plain(harness.Typed(func(c *harness.Call, in ports.Instance) (int, any) {
+		in.ID = c.Params.ByName("id")
+		if err := check(in); err != nil {
+			return harness.Fail(fault.New(fault.Malformed, "correct the instance", "%v", err))
+		}
+		l.Put(in)
+		return http.StatusOK, struct{}{}
+	})))
+	r.DELETE("/admin/instances/:id", harness.Plain(func(c *harness.Call) (int, any) {
+		l.Remove(c.Params.ByName("id"))
+		return http.StatusOK, struct{}{}
+	}))
+	return r
+}
+
+func check(in ports.Instance) error {
+	if in.Kind != ports.KindWorker && in.Kind != ports.KindDaemon {
+		return fmt.Errorf("kind %q is neither worker nor daemon", in.Kind)
+	}
+	if in.State != ports.StateLive && in.State != ports.StateLeaving {
+		return fmt.Errorf("state %q is neither live nor leaving", in.State)
+	}
+	return nil
+}
+
+// Put adds or replaces an instance.
+func (l *List) Put(in ports.Instance) { l.push(change{at: time.Now(), id: in.ID, instance: &in}) }
+
+// Remove removes an instance.
+func (l *List) Remove(id string) { l.push(change{at: time.Now(), id: id}) }
+
+func (l *List) push(c change) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending = append(l.pending, c)
+}
+
+// settle applies the pending changes that are older than the lag.
+func (l *List) settle(now time.Time) {
+	n := 0
+	for ; n < len(l.pending) && !l.pending[n].at.Add(l.lag).After(now); n++ {
+		if c := l.pending[n]; c.instance != nil {
+			l.visible[c.id] = *c.instance
+		} else {
+			delete(l.visible, c.id)
+		}
+		l.version++
+	}
+	l.pending = slices.Delete(l.pending, 0, n)
+}
+
+func (l *List) read() platform.InstancesReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle(time.Now())
+	l.reads++
+	out := platform.InstancesReply{Version: l.version, Instances: make([]ports.Instance, 0, len(l.visible))}
+	for _, in := range l.visible {
+		out.Instances = append(out.Instances, in)
+	}
+	slices.SortFunc(out.Instances, func(a, b ports.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+func (l *List) apply(f platform.ListFault) error {
+	if err := l.gate.Set(f.GateFault); err != nil {
+		return err
+	}
+	if f.LagMS != nil {
+		l.setLag(time.Duration(*f.LagMS) * time.Millisecond)
+	}
+	return nil
+}
+
+// setLag shows what was due under the old lag first; a change that was visible
+// never disappears again.
+func (l *List) setLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle(time.Now())
+	l.lag = lag
+}
+
+// Stats returns the counters.
+func (l *List) Stats() platform.ListStats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle(time.Now())
+	return platform.ListStats{Version: l.version, Pending: len(l.pending), Instances: len(l.visible), Reads: l.reads}
+}
+
+func (l *List) reset() {
+	l.gate.Reset()
+	l.setLag(l.initial)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads = 0
+}
--- /dev/null
+++ b/internal/standin/logd/logd.go
@@ -0,0 +1,205 @@
+// Package logd is a stand-in for the platform's append-only log.
+package logd
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"golang.org/x/time/rate"
+
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standin/harness"
+)
+
+const (
+	defaultReadLimit = 1000
+	maxReadLimit     = 10000
+	// maxWait bounds long polls so that a forgotten reader holds no connection.
+	maxWait = time.Minute
+)
+
+// Config sets the limits of the log.
+type Config struct {
+	// Rate is the number of appends a second over all streams.
+	Rate float64
+	// Retention is the number of records kept in each stream; 0 keeps all.
+	Retention int
+}
+
+type stream struct {
+	first   int64
+	records []platform.LogRecord
+}
+
+func (s *stream) end() int64 { return s.first + int64(len(s.records)) }
+
+// dropBefore removes records in front of an offset.
+func (s *stream) dropBefore(offset int64) {
+	offset = min(offset, s.end())
+	if offset > s.first {
+		s.records = append([]platform.LogRecord(nil), s.records[offset-s.first:]...)
+		s.first = offset
+	}
+}
+
+// Log holds streams in memory.
+type Log struct {
+	cfg     Config
+	gate    *harness.Gate
+	limiter *rate.Limiter
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	changed chan struct{} // closed and replaced by each append
+	stats   platform.LogStats
+}
+
+// New returns an empty log.
+func New(cfg Config) *Log {
+	return &Log{
+		cfg: cfg, gate: harness.NewGate(fault.LogUnavailable, ""),
+		limiter: rate.NewLimiter(rate.Limit(cfg.Rate), burst(cfg.Rate)),
+		streams: map[string]*stream{}, changed: make(chan struct{}),
+	}
+}
+
+// burst allows a tenth of a second of appends at once, so that a burst cannot
+// hide a caller that exceeds the rate.
+func burst(perSecond float64) int {
+	if perSecond <= 0 {
+		return 0
+	}
+	return max(1, int(perSecond/10))
+}
+
+// Handler returns the log API.
+func (l *Log) Handler() http.Handler {
+	r := httprouter.New()
+	r.POST("/v1/streams/:name", l.gate.Wrap(harness.Typed(l.append)))
+	r.GET("/v1/streams/:name", l.gate.Wrap(l.read))
+	return r
+}
+
+// Admin returns the admin API.
+func (l *Log) Admin() http.Handler {
+	return harness.Admin(l.apply, func() any { return l.Stats() }, l.reset)
+}
+
+func (l *Log) append(c *harness.Call, in platform.AppendRequest) (int, any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.limiter.Allow() {
+		l.stats.Refused++
+		return harness.Fail(fault.New(fault.Overloaded, "append less often", "append rate exceeds the limit"))
+	}
+	name := c.Params.ByName("name")
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{}
+		l.streams[name] = s
+	}
+	offset := s.end()
+	s.records = append(s.records, platform.LogRecord{Offset: offset, TimeMS: time.Now().UnixMilli(), Data: in.Data})
+	// Truncates in steps so that the copy is not made for each append.
+	if keep := l.cfg.Retention; keep > 0 && len(s.records) >= keep+max(1, keep/8) {
+		s.dropBefore(s.end() - int64(keep))
+	}
+	l.stats.Appends++
+	l.stats.AppendedBytes += int64(len(in.Data))
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return http.StatusOK, platform.AppendReply{Offset: offset}
+}
+
+func (l *Log) read(c *harness.Call) (int, any) {
+	q := c.Request.URL.Query()
+	from, err1 := intParam(q.Get("from"), 0)
+	limit, err2 := intParam(q.Get("max"), defaultReadLimit)
+	waitMS, err3 := intParam(q.Get("wait_ms"), 0)
+	if err1 != nil || err2 != nil || err3 != nil || limit < 1 {
+		return harness.Fail(fault.New(fault.Malformed, "use integers for from, max and wait_ms", "query is malformed"))
+	}
+	deadline := time.NewTimer(min(time.Duration(waitMS)*time.Millisecond, maxWait))
+	defer deadline.Stop()
+	for {
+		page, changed := l.page(c.Params.ByName("name"), from, int(min(limit, maxReadLimit)))
+		if len(page.Records) > 0 || waitMS <= 0 {
+			return http.StatusOK, page
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return http.StatusOK, page
+		case <-c.Ctx.Done():
+			return harness.Abort, nil
+		}
+	}
+}
+
+// page returns the records from an offset on and a channel that the next append closes.
+func (l *Log) page(name string, from int64, limit int) (platform.ReadReply, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stats.Reads++
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{}
+	}
+	from = min(max(from, s.first), s.end())
+	to := min(from+int64(limit), s.end())
+	records := append([]platform.LogRecord{}, s.records[from-s.first:to-s.first]...)
+	return platform.ReadReply{First: s.first, Next: to, Records: records}, l.changed
+}
+
+func intParam(s string, missing int64) (int64, error) {
+	if s == "" {
+		return missing, nil
+	}
+	return strconv.ParseInt(s, 10, 64)
+}
+
+func (l *Log) apply(f platform.LogFault) error {
+	if err := l.gate.Set(f.GateFault); err != nil {
+		return err
+	}
+	if f.Rate != nil {
+		l.setRate(*f.Rate)
+	}
+	if f.Truncate != nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if s := l.streams[f.Truncate.Stream]; s != nil {
+			s.dropBefore(f.Truncate.Before)
+		}
+	}
+	return nil
+}
+
+func (l *Log) setRate(perSecond float64) {
+	l.limiter.SetLimit(rate.Limit(perSecond))
+	l.limiter.SetBurst(burst(perSecond))
+}
+
+// Stats returns the counters.
+func (l *Log) Stats() platform.LogStats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := l.stats
+	out.Streams = map[string]platform.StreamStats{}
+	for name, s := range l.streams {
+		out.Streams[name] = platform.StreamStats{First: s.first, Next: s.end()}
+	}
+	return out
+}
+
+func (l *Log) reset() {
+	l.gate.Reset()
+	l.setRate(l.cfg.Rate)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stats = platform.LogStats{}
+}
--- /dev/null
+++ b/internal/standin/oldd/oldd.go
@@ -0,0 +1,172 @@
+// Package oldd is a stand-in for the old scheduler.
+package oldd
+
+import (
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standin/harness"
+)
+
+type run struct {
+	reply     platform.RunReply
+	directive platform.Directive
+	payload   []byte
+	timer     *time.Timer
+	done      chan struct{}
+}
+
+// Old runs each key once and remembers it. Each running key takes one slot.
+type Old struct {
+	gate *harness.Gate
+
+	mu       sync.Mutex
+	keys     map[string]*run
+	queue    []*run
+	running  int
+	limit    int64
+	proposed uint64 // revision of limit
+	inForce  uint64 // highest revision whose limit the running keys fit
+	runs     map[string]int
+}
+
+// New returns an old system without a limit on slots.
+func New() *Old {
+	return &Old{
+		gate: harness.NewGate(fault.OldSystemUnavailable, ""),
+		keys: map[string]*run{}, limit: math.MaxInt64, runs: map[string]int{},
+	}
+}
+
+// Handler returns the old system's API.
+func (o *Old) Handler() http.Handler {
+	r := httprouter.New()
+	r.POST("/v1/run", o.gate.Wrap(harness.Typed(o.run)))
+	r.GET("/v1/keys/:key", o.gate.Wrap(o.lookup))
+	r.PUT("/v1/reserve", o.gate.Wrap(harness.Typed(o.reserve)))
+	return r
+}
+
+// Admin returns the admin API.
+func (o *Old) Admin() http.Handler {
+	return harness.Admin(func(f platform.OldFault) error { return o.gate.Set(f.GateFault) },
+		func() any { return o.Stats() }, o.reset)
+}
+
+// Close stops the timers of running keys.
+func (o *Old) Close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range o.keys {
+		if r.timer != nil {
+			r.timer.Stop()
+		}
+	}
+}
+
+// run answers when the key has finished. The run goes on when its caller leaves.
+func (o *Old) run(c *harness.Call, in platform.RunRequest) (int, any) {
+	if in.Key == "" {
+		return harness.Fail(fault.New(fault.Malformed, "set key", "key is empty"))
+	}
+	o.mu.Lock()
+	r := o.keys[in.Key]
+	if r == nil {
+		r = &run{
+			reply:     platform.RunReply{Key: in.Key, State: model.Queued},
+			directive: platform.ParseDirective(in.Payload), payload: in.Payload, done: make(chan struct{}),
+		}
+		o.keys[in.Key] = r
+		o.queue = append(o.queue, r)
+		o.startQueued()
+	}
+	o.mu.Unlock()
+	select {
+	case <-r.done:
+	case <-c.Ctx.Done():
+		return harness.Abort, nil
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return http.StatusOK, r.reply
+}
+
+// startQueued starts keys while the limit has room. The caller holds mu.
+func (o *Old) startQueued() {
+	for len(o.queue) > 0 && int64(o.running) < o.limit {
+		r := o.queue[0]
+		o.queue = o.queue[1:]
+		r.reply.State = model.Running
+		o.running++
+		o.runs[r.reply.Key]++
+		r.timer = time.AfterFunc(time.Duration(r.directive.SleepMS)*time.Millisecond, func() { o.finish(r) })
+	}
+}
+
+func (o *Old) finish(r *run) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r.reply.State, r.reply.OK = model.Done, !r.directive.Fail
+	r.reply.Answer = r.directive.AnswerFor(r.reply.Key, r.payload)
+	close(r.done)
+	o.running--
+	o.settleReserve()
+	o.startQueued()
+}
+
+// settleReserve puts the proposed revision in force when running keys fit.
+func (o *Old) settleReserve() {
+	if int64(o.running) <= o.limit {
+		o.inForce = o.proposed
+	}
+}
+
+func (o *Old) lookup(c *harness.Call) (int, any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r := o.keys[c.Params.ByName("key")]
+	if r == nil {
+		return harness.Fail(fault.New(fault.NotFound, "submit the key with POST /v1/run", "the key was never seen"))
+	}
+	return http.StatusOK, r.reply
+}
+
+func (o *Old) reserve(_ *harness.Call, in platform.ReserveRequest) (int, any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	// A late request of an earlier revision must not undo a later one.
+	if in.Revision > o.proposed {
+		o.proposed, o.limit = in.Revision, in.Slots
+	}
+	o.settleReserve()
+	o.startQueued()
+	return http.StatusOK, platform.ReserveReply{Revision: o.inForce}
+}
+
+// Stats returns the counters.
+func (o *Old) Stats() platform.OldStats {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := platform.OldStats{
+		RunsPerKey: make(map[string]int, len(o.runs)), Running: o.running, Queued: len(o.queue),
+		Revision: o.inForce, Slots: o.limit,
+	}
+	for k, n := range o.runs {
+		out.RunsPerKey[k] = n
+	}
+	return out
+}
+
+func (o *Old) reset() {
+	o.gate.Reset()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	clear(o.runs)
+}
