--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,14 @@
+// Command standin runs test stand-ins for the platform's services.
+package main
+
+import (
+	"os"
+
+	"catkinvalve/internal/standin"
+)
+
+func main() {
+	if err := standin.Command().Execute(); err != nil {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/adapters/jsonhttp/jsonhttp.go
@@ -0,0 +1,173 @@
+// Package jsonhttp is the HTTP client that the adapters to the platform's
+// services share.
+package jsonhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/platform"
+)
+
+const (
+	defaultTimeout       = 30 * time.Second
+	defaultDialTimeout   = 2 * time.Second
+	defaultConnsPerHost  = 16
+	defaultMaxReplyBytes = 32 << 20
+	// maxIdlePerHost covers one long poll and the usual calls beside it.
+	maxIdlePerHost = 4
+	// idleTimeout is longer than any sync period, so that syncs reuse connections.
+	idleTimeout = 90 * time.Second
+	// bufferBytes is enough for a sync in one read or write; many connections are kept.
+	bufferBytes     = 4 << 10
+	maxHeaderBytes  = 16 << 10
+	maxDiscardBytes = 64 << 10
+)
+
+// Options configure a Client. Zero values select the defaults.
+type Options struct {
+	// Daemon is the ID sent in platform.DaemonHeader.
+	Daemon string
+	// LocalAddr is the source IP address of connections.
+	LocalAddr string
+	// Timeout bounds calls whose context has no deadline.
+	Timeout       time.Duration
+	DialTimeout   time.Duration
+	ConnsPerHost  int
+	MaxReplyBytes int64
+}
+
+// Client sends JSON requests over one shared transport.
+type Client struct {
+	http      *http.Client
+	transport *http.Transport
+	daemon    string
+	timeout   time.Duration
+	maxReply  int64
+}
+
+// StatusError is an answer that is not 2xx.
+type StatusError struct {
+	Code int
+	Body []byte
+}
+
+// Error implements the error interface.
+func (e *StatusError) Error() string {
+	var f fault.Error
+	if json.Unmarshal(e.Body, &f) == nil && f.Message != "" {
+		return fmt.Sprintf("status %d: %s", e.Code, f.Message)
+	}
+	return fmt.Sprintf("status %d", e.Code)
+}
+
+// StatusOf returns the HTTP status of err, or 0 when there was no answer.
+func StatusOf(err error) int {
+	var e *StatusError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return 0
+}
+
+// New returns a client. Close releases its connections.
+func New(o Options) (*Client, error) {
+	dialer := &net.Dialer{Timeout: orDefault(o.DialTimeout, defaultDialTimeout)}
+	if o.LocalAddr != "" {
+		ip := net.ParseIP(o.LocalAddr)
+		if ip == nil {
+			return nil, fault.New(fault.Malformed, "use an IP address as local address", "%q is not an IP address", o.LocalAddr)
+		}
+		dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	t := &http.Transport{
+		DialContext:            dialer.DialContext,
+		DisableCompression:     true,
+		MaxConnsPerHost:        orDefault(o.ConnsPerHost, defaultConnsPerHost),
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		ReadBufferSize:         bufferBytes,
+		WriteBufferSize:        bufferBytes,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+	return &Client{
+		http: &http.Client{Transport: t}, transport: t, daemon: o.Daemon,
+		timeout:  orDefault(o.Timeout, defaultTimeout),
+		maxReply: orDefault(o.MaxReplyBytes, defaultMaxReplyBytes),
+	}, nil
+}
+
+func orDefault[T comparable](v, def T) T {
+	var zero T
+	if v == zero {
+		return def
+	}
+	return v
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Do sends in as JSON, unless it is nil, and decodes a 2xx answer into out,
+// unless it is nil. Another status is returned as a *StatusError.
+func (c *Client) Do(ctx context.Context, method, url string, in, out any) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.timeout)
+		defer cancel()
+	}
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if c.daemon != "" {
+		req.Header.Set(platform.DaemonHeader, c.daemon)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return c.decode(resp, out)
+}
+
+// decode reads the whole body, because only then is the connection kept alive.
+func (c *Client) decode(resp *http.Response, out any) error {
+	if resp.StatusCode < 200 || resp.StatusCode > 299 {
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxDiscardBytes))
+		if err != nil {
+			return err
+		}
+		return &StatusError{Code: resp.StatusCode, Body: body}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxReply+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(body)) > c.maxReply {
+		return fmt.Errorf("answer exceeds %d bytes", c.maxReply)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(body, out)
+}
--- /dev/null
+++ b/internal/adapters/oldclient/oldclient.go
@@ -0,0 +1,67 @@
+// Package oldclient is the client of the old scheduler.
+package oldclient
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"catkinvalve/internal/adapters/jsonhttp"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/platform"
+	"catkinvalve/internal/ports"
+)
+
+// Client implements ports.OldSystem.
+type Client struct {
+	http *jsonhttp.Client
+	base string
+}
+
+var _ ports.OldSystem = (*Client)(nil)
+
+// New returns a client of the old system at an IP:PORT address.
+func New(c *jsonhttp.Client, addr string) *Client {
+	return &Client{http: c, base: "http://" + addr + "/v1/"}
+}
+
+// Run implements ports.OldSystem. It returns when the key has finished.
+func (c *Client) Run(ctx context.Context, key, service string, payload []byte) (ports.OldState, error) {
+	var out platform.RunReply
+	in := platform.RunRequest{Key: key, Service: service, Payload: payload}
+	if err := c.http.Do(ctx, http.MethodPost, c.base+"run", in, &out); err != nil {
+		return ports.OldState{}, wrap(err, "look the key up or submit it again; it runs once", "run key "+key)
+	}
+	return state(out), nil
+}
+
+// Lookup implements ports.OldSystem.
+func (c *Client) Lookup(ctx context.Context, key string) (ports.OldState, error) {
+	var out platform.RunReply
+	err := c.http.Do(ctx, http.MethodGet, c.base+"keys/"+url.PathEscape(key), nil, &out)
+	if jsonhttp.StatusOf(err) == http.StatusNotFound {
+		return ports.OldState{}, nil
+	}
+	if err != nil {
+		return ports.OldState{}, wrap(err, "try again when the old system is back", "look up key "+key)
+	}
+	return state(out), nil
+}
+
+// Reserve implements ports.OldSystem.
+func (c *Client) Reserve(ctx context.Context, revision uint64, slots int64) (uint64, error) {
+	var out platform.ReserveReply
+	in := platform.ReserveRequest{Revision: revision, Slots: slots}
+	if err := c.http.Do(ctx, http.MethodPut, c.base+"reserve", in, &out); err != nil {
+		return 0, wrap(err, "keep the last acknowledged reserve and send this one again", "reserve slots")
+	}
+	return out.Revision, nil
+}
+
+func state(r platform.RunReply) ports.OldState {
+	return ports.OldState{Known: true, Fate: r.State, OK: r.OK, Answer: r.Answer}
+}
+
+func wrap(err error, remedy, action string) error {
+	return fault.Wrap(err, fault.OldSystemUnavailable, remedy, "%s failed", action)
+}
--- /dev/null
+++ b/internal/adapters/workerclient/workerclient.go
@@ -0,0 +1,196 @@
+// Package workerclient is the client of the platform's workers.
+package workerclient
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"catkinvalve/internal/adapters/jsonhttp"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/platform"
+	"catkinvalve/internal/ports"
+)
+
+const (
+	remedyAcquire = "acquire the lease again, with a higher term if another daemon holds it"
+	remedyRepeat  = "repeat the same call; tasks and attempts that are known have no further effect"
+)
+
+// Dialer implements ports.WorkerDialer over one shared transport.
+type Dialer struct {
+	http *jsonhttp.Client
+}
+
+var _ ports.WorkerDialer = (*Dialer)(nil)
+
+// New returns a dialer.
+func New(c *jsonhttp.Client) *Dialer { return &Dialer{http: c} }
+
+// Worker implements ports.WorkerDialer.
+func (d *Dialer) Worker(addr string) ports.Worker {
+	return &Client{http: d.http, base: "http://" + addr + "/v1/"}
+}
+
+// Client implements ports.Worker.
+type Client struct {
+	http *jsonhttp.Client
+	base string
+	// info is kept because it changes only with the boot ID.
+	info atomic.Pointer[platform.WorkerInfo]
+}
+
+var _ ports.Worker = (*Client)(nil)
+
+// Acquire implements ports.Worker. When the worker refuses, the error has kind
+// lease_lost and its cause is a *ports.HeldError.
+func (c *Client) Acquire(ctx context.Context, lease ports.Lease, ttl, taskGrace time.Duration) (ports.Grant, error) {
+	in := platform.LeaseRequest{
+		Holder: lease.Holder, Term: lease.Term, TTLMS: ttl.Milliseconds(), TaskGraceMS: taskGrace.Milliseconds(),
+	}
+	var out platform.LeaseGrant
+	if err := c.http.Do(ctx, http.MethodPost, c.base+"lease", in, &out); err != nil {
+		return ports.Grant{}, wrapAcquire(err)
+	}
+	tasks, err := inventory(out.Tasks)
+	if err != nil {
+		return ports.Grant{}, wrap(err, "read the inventory")
+	}
+	info, err := c.infoOf(ctx, out.BootID)
+	if err != nil {
+		return ports.Grant{}, err
+	}
+	return ports.Grant{BootID: out.BootID, Capacity: info.Capacity, Rack: info.Rack, Tasks: tasks}, nil
+}
+
+// infoOf returns the description of the worker in one of its lifetimes.
+func (c *Client) infoOf(ctx context.Context, bootID string) (*platform.WorkerInfo, error) {
+	if info := c.info.Load(); info != nil && info.BootID == bootID {
+		return info, nil
+	}
+	var info platform.WorkerInfo
+	if err := c.http.Do(ctx, http.MethodGet, c.base+"worker", nil, &info); err != nil {
+		return nil, wrap(err, "read the worker's capacity")
+	}
+	if info.BootID != bootID {
+		return nil, wrap(errors.New("it restarted after the grant"), "read the worker's capacity")
+	}
+	c.info.Store(&info)
+	return &info, nil
+}
+
+func inventory(in []platform.TaskStatus) ([]model.RunningTask, error) {
+	out := make([]model.RunningTask, len(in))
+	for i, t := range in {
+		id, err := platform.ParseTaskID(t.ID)
+		if err != nil {
+			return nil, err
+		}
+		out[i] = model.RunningTask{
+			ID: id, Attempt: t.Attempt, Service: t.Service, Size: t.Size, State: t.State, OK: t.OK, Answer: t.Answer,
+		}
+	}
+	return out, nil
+}
+
+// Release implements ports.Worker.
+func (c *Client) Release(ctx context.Context, lease ports.Lease) error {
+	in := platform.LeaseRequest{Holder: lease.Holder, Term: lease.Term}
+	return wrap(c.http.Do(ctx, http.MethodPost, c.base+"lease/release", in, nil), "release the lease")
+}
+
+// Sync implements ports.Worker.
+func (c *Client) Sync(ctx context.Context, lease ports.Lease, ttl time.Duration, ack int64, wait time.Duration) (ports.SyncResult, error) {
+	in := platform.SyncRequest{
+		Holder: lease.Holder, Term: lease.Term, TTLMS: ttl.Milliseconds(), Ack: ack, WaitMS: wait.Milliseconds(),
+	}
+	var out platform.SyncReply
+	if err := c.http.Do(ctx, http.MethodPost, c.base+"sync", in, &out); err != nil {
+		return ports.SyncResult{}, wrap(err, "renew the lease")
+	}
+	res := ports.SyncResult{BootID: out.BootID}
+	for _, e := range out.Events {
+		id, err := platform.ParseTaskID(e.ID)
+		if err != nil {
+			return ports.SyncResult{}, wrap(err, "read the events")
+		}
+		res.Events = append(res.Events, ports.TaskEvent{
+			Seq: e.Seq, ID: id, Attempt: e.Attempt, State: e.State, OK: e.OK, Answer: e.Answer,
+		})
+	}
+	for _, u := range out.Usage {
+		id, err := platform.ParseTaskID(u.ID)
+		if err != nil {
+			return ports.SyncResult{}, wrap(err, "read the usage")
+		}
+		res.Usage = append(res.Usage, model.Usage{ID: id, Size: u.Size})
+	}
+	return res, nil
+}
+
+// Start implements ports.Worker.
+func (c *Client) Start(ctx context.Context, lease ports.Lease, tasks []ports.StartTask) ([]ports.StartRefusal, error) {
+	in := platform.StartRequest{Holder: lease.Holder, Term: lease.Term, Tasks: make([]platform.StartTask, len(tasks))}
+	for i, t := range tasks {
+		in.Tasks[i] = platform.StartTask{
+			ID: t.ID.String(), Attempt: t.Attempt, Key: t.ID.Key, Service: t.Service, Size: t.Size,
+			RunMS: ceilMS(t.RunTime), StartWithinMS: ceilMS(t.StartWithin), Payload: t.Payload,
+		}
+	}
+	var out platform.StartReply
+	if err := c.http.Do(ctx, http.MethodPost, c.base+"tasks", in, &out); err != nil {
+		return nil, wrap(err, "start tasks")
+	}
+	var refused []ports.StartRefusal
+	for _, r := range out.Refused {
+		id, err := platform.ParseTaskID(r.ID)
+		if err != nil {
+			return nil, wrap(err, "read the refusals")
+		}
+		refused = append(refused, ports.StartRefusal{ID: id, Reason: r.Reason})
+	}
+	return refused, nil
+}
+
+// ceilMS rounds up, because 0 has another meaning than a short time.
+func ceilMS(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
+
+// Stop implements ports.Worker.
+func (c *Client) Stop(ctx context.Context, lease ports.Lease, tasks []ports.StopTask) error {
+	in := platform.StopRequest{Holder: lease.Holder, Term: lease.Term, Tasks: make([]platform.StopTask, len(tasks))}
+	for i, t := range tasks {
+		in.Tasks[i] = platform.StopTask{ID: t.ID.String(), Attempt: t.Attempt, Mode: t.Mode}
+	}
+	return wrap(c.http.Do(ctx, http.MethodPost, c.base+"tasks/stop", in, nil), "stop tasks")
+}
+
+func wrapAcquire(err error) error {
+	var status *jsonhttp.StatusError
+	if errors.As(err, &status) && status.Code == http.StatusConflict {
+		var held platform.LeaseHeld
+		if e := json.Unmarshal(status.Body, &held); e != nil {
+			return wrap(e, "read the refusal of the lease")
+		}
+		cause := &ports.HeldError{
+			Lease:     ports.Lease{Holder: held.Holder, Term: held.Term},
+			Remaining: time.Duration(held.RemainingMS) * time.Millisecond,
+		}
+		return fault.Wrap(cause, fault.LeaseLost, remedyAcquire, "acquire the lease failed")
+	}
+	return wrap(err, "acquire the lease")
+}
+
+func wrap(err error, action string) error {
+	switch {
+	case err == nil:
+		return nil
+	case jsonhttp.StatusOf(err) == http.StatusConflict:
+		return fault.Wrap(err, fault.LeaseLost, remedyAcquire, "%s failed", action)
+	default:
+		return fault.Wrap(err, fault.WorkerUnavailable, remedyRepeat, "%s failed", action)
+	}
+}
--- /dev/null
+++ b/internal/standin/command.go
@@ -0,0 +1,151 @@
+// Package standin is the command line of the test stand-ins for the platform's
+// log, instance list, workers and old system.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/standin/harness"
+	"catkinvalve/internal/standin/listd"
+	"catkinvalve/internal/standin/logd"
+	"catkinvalve/internal/standin/oldd"
+	"catkinvalve/internal/standin/workerd"
+)
+
+// Ready is the JSON line on standard output that tells the real addresses.
+type Ready struct {
+	Kind   string `json:"kind"`
+	Listen string `json:"listen,omitempty"`
+	Admin  string `json:"admin"`
+	// Workers maps worker IDs to addresses.
+	Workers map[model.WorkerID]string `json:"workers,omitempty"`
+}
+
+type addresses struct{ listen, admin string }
+
+// Command returns the root command.
+func Command() *cobra.Command {
+	root := &cobra.Command{
+		Use: "standin", Short: "Test stand-ins for the platform's services", SilenceUsage: true,
+	}
+	root.AddCommand(logCommand(), instancesCommand(), workerCommand(), oldCommand())
+	return root
+}
+
+func command(use, short string, run func(cmd *cobra.Command, a addresses) error) *cobra.Command {
+	var a addresses
+	c := &cobra.Command{
+		Use: use, Short: short, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return run(cmd, a) },
+	}
+	c.Flags().StringVar(&a.listen, "listen", "127.0.0.1:0", "IP:PORT of the service; port 0 picks a free one")
+	c.Flags().StringVar(&a.admin, "admin", "127.0.0.1:0", "IP:PORT of the admin API; port 0 picks a free one")
+	return c
+}
+
+func logCommand() *cobra.Command {
+	var cfg logd.Config
+	c := command("log", "Append-only log", func(cmd *cobra.Command, a addresses) error {
+		l := logd.New(cfg)
+		return serve(cmd, "log", a, l.Handler(), l.Admin())
+	})
+	c.Flags().Float64Var(&cfg.Rate, "rate", 300, "appends a second over all streams")
+	c.Flags().IntVar(&cfg.Retention, "retention", 100000, "records kept in each stream; 0 keeps all")
+	return c
+}
+
+func instancesCommand() *cobra.Command {
+	var lag time.Duration
+	c := command("instances", "Lagging instance list", func(cmd *cobra.Command, a addresses) error {
+		l := listd.New(lag)
+		return serve(cmd, "instances", a, l.Handler(), l.Admin())
+	})
+	c.Flags().DurationVar(&lag, "lag", 0, "time until a change is visible")
+	return c
+}
+
+func oldCommand() *cobra.Command {
+	return command("old", "Old scheduler", func(cmd *cobra.Command, a addresses) error {
+		o := oldd.New()
+		defer o.Close()
+		return serve(cmd, "old", a, o.Handler(), o.Admin())
+	})
+}
+
+func workerCommand() *cobra.Command {
+	var cfg workerd.FleetConfig
+	c := command("worker", "One or many workers", func(cmd *cobra.Command, a addresses) error {
+		return runWorkers(cmd, a, cfg)
+	})
+	f := c.Flags()
+	f.StringVar(&cfg.ID, "id", "worker", "worker ID; with --count the prefix of the IDs")
+	f.StringVar((*string)(&cfg.DataCentre), "data-centre", "dc", "data centre")
+	f.StringVar(&cfg.Region, "region", "region", "region")
+	f.StringVar(&cfg.Rack, "rack", "rack", "rack; with --count the prefix of the racks")
+	f.IntVar(&cfg.RackSize, "rack-size", 8, "workers in a rack")
+	f.IntVar(&cfg.Count, "count", 1, "number of workers")
+	f.Int64Var(&cfg.Capacity.MilliCPU, "milli-cpu", 32000, "processor capacity in thousandths of a core")
+	f.Int64Var(&cfg.Capacity.MemMB, "mem-mb", 131072, "memory capacity in MiB")
+	f.Int64Var(&cfg.Capacity.Accel, "accel", 0, "number of accelerators")
+	f.Int64Var(&cfg.Capacity.Slots, "slots", 8, "number of task slots")
+	f.Int64Var(&cfg.Capacity.Conns, "conns", 64, "number of connections")
+	f.DurationVar(&cfg.UsageLag, "usage-lag", 2*time.Second, "age of usage measurements")
+	f.DurationVar(&cfg.UsagePeriod, "usage-period", 5*time.Second, "least time between measurements of a task")
+	f.DurationVar(&cfg.KeepFinished, "keep-finished", 10*time.Minute, "time to keep a finished task after its acknowledgement")
+	f.StringVar(&cfg.ListAdmin, "list-admin", "", "URL of the instance list's admin API to register with")
+	return c
+}
+
+func runWorkers(cmd *cobra.Command, a addresses, cfg workerd.FleetConfig) error {
+	cfg.Listen = a.listen
+	fleet, err := workerd.NewFleet(cmd.Context(), cfg)
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	admin, err := harness.Listen(a.admin, fleet.Admin())
+	if err != nil {
+		return err
+	}
+	defer admin.Close()
+	return untilSignal(cmd, Ready{Kind: "worker", Admin: admin.Addr(), Workers: fleet.Addrs()})
+}
+
+func serve(cmd *cobra.Command, kind string, a addresses, api, adminAPI http.Handler) error {
+	service, err := harness.Listen(a.listen, api)
+	if err != nil {
+		return err
+	}
+	defer service.Close()
+	admin, err := harness.Listen(a.admin, adminAPI)
+	if err != nil {
+		return err
+	}
+	defer admin.Close()
+	return untilSignal(cmd, Ready{Kind: kind, Listen: service.Addr(), Admin: admin.Addr()})
+}
+
+// untilSignal prints the ready line and waits for SIGTERM, SIGINT or the end of
+// the command's context.
+func untilSignal(cmd *cobra.Command, ready Ready) error {
+	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return wait(ctx, cmd.OutOrStdout(), ready)
+}
+
+func wait(ctx context.Context, out io.Writer, ready Ready) error {
+	if err := json.NewEncoder(out).Encode(ready); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
--- a/internal/standin/oldd/oldd.go
+++ b/internal/standin/oldd/oldd.go
@@ -4,6 +4,7 @@
 import (
 	"math"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -49,7 +50,7 @@
 func (o *Old) Handler() http.Handler {
 	r := httprouter.New()
 	r.POST("/v1/run", o.gate.Wrap(harness.Typed(o.run)))
-	r.GET("/v1/keys/:key", o.gate.Wrap(o.lookup))
+	r.GET("/v1/keys/*key", o.gate.Wrap(o.lookup))
 	r.PUT("/v1/reserve", o.gate.Wrap(harness.Typed(o.reserve)))
 	return r
 }
@@ -131,7 +132,8 @@
 func (o *Old) lookup(c *harness.Call) (int, any) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	r := o.keys[c.Params.ByName("key")]
+	// A catch-all parameter begins with the slash; keys may contain more of them.
+	r := o.keys[strings.TrimPrefix(c.Params.ByName("key"), "/")]
 	if r == nil {
 		return harness.Fail(fault.New(fault.NotFound, "submit the key with POST /v1/run", "the key was never seen"))
 	}
--- /dev/null
+++ b/internal/standin/workerd/fleet.go
@@ -0,0 +1,238 @@
+package workerd
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"catkinvalve/internal/adapters/jsonhttp"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/platform"
+	"catkinvalve/internal/ports"
+	"catkinvalve/internal/standin/harness"
+)
+
+// registerTimeout bounds the registration of one worker at its start.
+const registerTimeout = 5 * time.Second
+
+// ledger counts starts over all workers and lifetimes of a process.
+type ledger struct {
+	mu         sync.Mutex
+	starts     map[string]map[string]int // key, then task ID
+	running    map[string]int            // task ID
+	concurrent int64
+}
+
+func (l *ledger) started(key, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.starts[key] == nil {
+		l.starts[key] = map[string]int{}
+	}
+	l.starts[key][id]++
+	if l.running[id] > 0 {
+		l.concurrent++
+	}
+	l.running[id]++
+}
+
+func (l *ledger) ended(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.running[id]--; l.running[id] == 0 {
+		delete(l.running, id)
+	}
+}
+
+// FleetConfig describes the workers of a process.
+type FleetConfig struct {
+	Config
+	ID         string
+	DataCentre model.DataCentre
+	Region     string
+	// Rack is the rack of a single worker and the prefix of several ones.
+	Rack     string
+	RackSize int
+	Count    int
+	// Listen is the address of the first worker; the others use the ports after
+	// it, or free ones when it is 0.
+	Listen string
+	// ListAdmin is the URL of the instance list's admin port; empty registers nowhere.
+	ListAdmin string
+}
+
+// Fleet is a set of workers in one process.
+type Fleet struct {
+	ledger  *ledger
+	workers map[model.WorkerID]*Worker
+	servers []*harness.Server
+}
+
+// NewFleet starts the workers and registers them with the instance list.
+func NewFleet(ctx context.Context, cfg FleetConfig) (*Fleet, error) {
+	host, portText, err := net.SplitHostPort(cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return nil, fmt.Errorf("port %q is not a number", portText)
+	}
+	f := &Fleet{
+		ledger:  &ledger{starts: map[string]map[string]int{}, running: map[string]int{}},
+		workers: map[model.WorkerID]*Worker{},
+	}
+	client, err := jsonhttp.New(jsonhttp.Options{})
+	if err != nil {
+		return nil, err
+	}
+	defer client.Close()
+	for i := range max(1, cfg.Count) {
+		p := port
+		if port != 0 {
+			p += i
+		}
+		if err := f.add(ctx, client, cfg, i, net.JoinHostPort(host, strconv.Itoa(p))); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) add(ctx context.Context, client *jsonhttp.Client, cfg FleetConfig, i int, addr string) error {
+	info := platform.WorkerInfo{ID: model.WorkerID(cfg.ID), DataCentre: cfg.DataCentre, Rack: cfg.Rack}
+	if cfg.Count > 1 {
+		info.ID = model.WorkerID(fmt.Sprintf("%s-%d", cfg.ID, i))
+		info.Rack = fmt.Sprintf("%s-%d", cfg.Rack, i/max(1, cfg.RackSize))
+	}
+	w := newWorker(cfg.Config, info, f.ledger)
+	s, err := harness.Listen(addr, w.Handler())
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.stats.Addr = s.Addr()
+	w.mu.Unlock()
+	f.workers[info.ID] = w
+	f.servers = append(f.servers, s)
+	if cfg.ListAdmin == "" {
+		return nil
+	}
+	return register(ctx, client, cfg.ListAdmin, ports.Instance{
+		ID: string(info.ID), Kind: ports.KindWorker, Addr: s.Addr(), DataCentre: info.DataCentre,
+		Region: cfg.Region, Rack: info.Rack, State: ports.StateLive,
+	})
+}
+
+// register puts an instance into the instance list.
+func register(ctx context.Context, client *jsonhttp.Client, listAdmin string, in ports.Instance) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	target := listAdmin + "/admin/instances/" + url.PathEscape(in.ID)
+	if err := client.Do(ctx, http.MethodPut, target, in, nil); err != nil {
+		return fmt.Errorf("register %s with the instance list: %w", in.ID, err)
+	}
+	return nil
+}
+
+// Addr returns the address of a worker.
+func (f *Fleet) Addr(id model.WorkerID) string { return f.workers[id].snapshot().Addr }
+
+// Addrs returns the addresses of all workers.
+func (f *Fleet) Addrs() map[model.WorkerID]string {
+	out := map[model.WorkerID]string{}
+	for id := range f.workers {
+		out[id] = f.Addr(id)
+	}
+	return out
+}
+
+// Admin returns the admin API of all workers.
+func (f *Fleet) Admin() http.Handler {
+	return harness.Admin(f.Apply, func() any { return f.Stats() }, f.reset)
+}
+
+// Apply changes the faults of one worker or of all.
+func (f *Fleet) Apply(in platform.WorkerFault) error {
+	if in.Worker == "" {
+		for _, w := range f.workers {
+			if err := w.apply(in); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	w := f.workers[in.Worker]
+	if w == nil {
+		return fmt.Errorf("worker %q is not in this process", in.Worker)
+	}
+	return w.apply(in)
+}
+
+func (w *Worker) apply(in platform.WorkerFault) error {
+	if err := w.gate.Set(in.GateFault); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	set(&w.failAll, in.FailAll)
+	set(&w.duplicate, in.DuplicateEvents)
+	set(&w.reorder, in.ReorderEvents)
+	w.mu.Unlock()
+	if in.Crash {
+		w.crash()
+	}
+	return nil
+}
+
+func set(target, value *bool) {
+	if value != nil {
+		*target = *value
+	}
+}
+
+// Stats returns the counters of all workers.
+func (f *Fleet) Stats() platform.FleetStats {
+	out := platform.FleetStats{
+		Workers: map[model.WorkerID]platform.WorkerStats{}, StartsPerKey: map[string]map[string]int{},
+	}
+	for id, w := range f.workers {
+		out.Workers[id] = w.snapshot()
+	}
+	f.ledger.mu.Lock()
+	defer f.ledger.mu.Unlock()
+	for key, byTask := range f.ledger.starts {
+		out.StartsPerKey[key] = maps.Clone(byTask)
+	}
+	out.ConcurrentRuns = f.ledger.concurrent
+	return out
+}
+
+// reset ends all faults and zeroes the counters. Running tasks go on.
+func (f *Fleet) reset() {
+	for _, w := range f.workers {
+		w.resetStats()
+	}
+	f.ledger.mu.Lock()
+	defer f.ledger.mu.Unlock()
+	clear(f.ledger.starts)
+	f.ledger.concurrent = 0
+}
+
+// Close stops all workers.
+func (f *Fleet) Close() {
+	var wg sync.WaitGroup
+	for _, s := range f.servers {
+		wg.Go(s.Close)
+	}
+	wg.Wait()
+	for _, w := range f.workers {
+		w.close()
+	}
+}
--- /dev/null
+++ b/internal/standin/workerd/http.go
@@ -0,0 +1,113 @@
+package workerd
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standin/harness"
+)
+
+// maxSyncWait bounds long polls so that a lost client holds no connection.
+const maxSyncWait = time.Minute
+
+// Handler returns the worker API.
+func (w *Worker) Handler() http.Handler {
+	r := httprouter.New()
+	r.GET("/v1/worker", w.gate.Wrap(w.handleInfo))
+	r.POST("/v1/lease", w.gate.Wrap(harness.Typed(w.handleLease)))
+	r.POST("/v1/lease/release", w.gate.Wrap(harness.Typed(w.handleRelease)))
+	r.POST("/v1/sync", w.gate.Wrap(harness.Typed(w.handleSync)))
+	r.POST("/v1/tasks", w.gate.Wrap(harness.Typed(w.handleStart)))
+	r.POST("/v1/tasks/stop", w.gate.Wrap(harness.Typed(w.handleStop)))
+	return r
+}
+
+func leaseLost() (int, any) {
+	return harness.Fail(fault.New(fault.LeaseLost, "acquire the lease again", "the lease is not current"))
+}
+
+func malformed(message string) (int, any) {
+	return harness.Fail(fault.New(fault.Malformed, "send the documented JSON body", "%s", message))
+}
+
+func (w *Worker) handleInfo(*harness.Call) (int, any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return http.StatusOK, w.info
+}
+
+func (w *Worker) handleLease(_ *harness.Call, in platform.LeaseRequest) (int, any) {
+	if in.Holder == "" || in.TTLMS <= 0 {
+		return malformed("holder is empty or ttl_ms is not positive")
+	}
+	grant, held := w.acquire(in, time.Now())
+	if held != nil {
+		return http.StatusConflict, held
+	}
+	return http.StatusOK, grant
+}
+
+func (w *Worker) handleRelease(_ *harness.Call, in platform.LeaseRequest) (int, any) {
+	if !w.release(in, time.Now()) {
+		return leaseLost()
+	}
+	return http.StatusOK, struct{}{}
+}
+
+func (w *Worker) handleStart(c *harness.Call, in platform.StartRequest) (int, any) {
+	for _, t := range in.Tasks {
+		if t.ID == "" || t.Key == "" {
+			return malformed("a task lacks its id or key")
+		}
+	}
+	out, ok := w.start(in, c.Received, time.Now())
+	if !ok {
+		return leaseLost()
+	}
+	return http.StatusOK, out
+}
+
+func (w *Worker) handleStop(_ *harness.Call, in platform.StopRequest) (int, any) {
+	if !w.stop(in, time.Now()) {
+		return leaseLost()
+	}
+	return http.StatusOK, struct{}{}
+}
+
+// handleSync renews on arrival, then waits for events. It refuses when the
+// lease ended during the wait, which a crash does too.
+func (w *Worker) handleSync(c *harness.Call, in platform.SyncRequest) (int, any) {
+	if in.TTLMS <= 0 {
+		return malformed("ttl_ms is not positive")
+	}
+	ok, known := w.renew(in, time.Now())
+	if !ok {
+		return leaseLost()
+	}
+	if !known {
+		return malformed("ack is above the last event of this boot_id")
+	}
+	deadline := time.NewTimer(min(time.Duration(in.WaitMS)*time.Millisecond, maxSyncWait))
+	defer deadline.Stop()
+	for expired := in.WaitMS <= 0; ; {
+		out, changed, current := w.poll(in, time.Now())
+		if !current {
+			return leaseLost()
+		}
+		if expired || len(out.Events) > 0 {
+			out.Usage = w.measure(time.Now())
+			return http.StatusOK, out
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			expired = true
+		case <-c.Ctx.Done():
+			return harness.Abort, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/workerd/tasks.go
@@ -0,0 +1,261 @@
+package workerd
+
+import (
+	"slices"
+	"time"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/platform"
+	"catkinvalve/internal/ports"
+)
+
+// failDelay is the run time of tasks on a worker that fails all of them, and of
+// tasks that are told to fail without a run time.
+const failDelay = time.Millisecond
+
+// taskRef identifies a start. Another attempt of a task is another start.
+type taskRef struct {
+	id      string
+	attempt int
+}
+
+type task struct {
+	ref       taskRef
+	spec      platform.StartTask
+	directive platform.Directive
+	state     model.TaskState
+	answer    []byte
+	throttled bool
+	timer     *time.Timer
+	started   time.Time
+	stopped   time.Time
+	measured  time.Time // time of the last usage measurement returned
+	lastSeq   int64     // sequence of the final event
+	ackedAt   time.Time // when the final event was acknowledged
+}
+
+func (t *task) usage() model.Size {
+	u := t.spec.Size
+	if t.directive.UsageMilliCPU > 0 {
+		u.MilliCPU = t.directive.UsageMilliCPU
+	}
+	if t.directive.UsageMemMB > 0 {
+		u.MemMB = t.directive.UsageMemMB
+	}
+	if t.throttled {
+		u.MilliCPU /= 2
+	}
+	return u
+}
+
+// start starts the tasks, whether they fit or not. Known tasks are accepted
+// without effect.
+func (w *Worker) start(in platform.StartRequest, received, now time.Time) (platform.StartReply, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out platform.StartReply
+	if !w.checkLease(in.Holder, in.Term, now) {
+		return out, false
+	}
+	for _, spec := range in.Tasks {
+		ref := taskRef{spec.ID, spec.Attempt}
+		if w.tasks[ref] != nil {
+			continue
+		}
+		within := time.Duration(spec.StartWithinMS) * time.Millisecond
+		if within > 0 && now.Sub(received) > within {
+			w.stats.LateStarts++
+			out.Refused = append(out.Refused, platform.StartRefusal{ID: spec.ID, Reason: model.ReasonDeadline})
+			continue
+		}
+		w.run(ref, spec, now)
+	}
+	return out, true
+}
+
+// run starts one task and updates the counters. The caller holds mu.
+func (w *Worker) run(ref taskRef, spec platform.StartTask, now time.Time) {
+	for other := range w.running {
+		if other.id == ref.id {
+			w.stats.DoubleStarts++
+			break
+		}
+	}
+	t := &task{ref: ref, spec: spec, directive: platform.ParseDirective(spec.Payload), state: model.TaskRunning, started: now}
+	w.tasks[ref], w.running[ref] = t, t
+	w.inUse = w.inUse.Add(spec.Size)
+	w.stats.Starts++
+	w.stats.MaxInUse = maxSize(w.stats.MaxInUse, w.inUse)
+	if !w.inUse.Fits(w.info.Capacity) {
+		w.stats.Overloads++
+	}
+	w.ledger.started(spec.Key, spec.ID)
+	w.emit(t)
+
+	d := time.Duration(spec.RunMS) * time.Millisecond
+	if t.directive.SleepMS > 0 {
+		d = time.Duration(t.directive.SleepMS) * time.Millisecond
+	}
+	final := model.TaskDone
+	if t.directive.Fail || w.failAll {
+		final = model.TaskFailed
+	}
+	if w.failAll || (d == 0 && t.directive.Fail) {
+		d = failDelay
+	}
+	if d > 0 {
+		t.timer = time.AfterFunc(d, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.end(t, final, time.Now())
+		})
+	}
+}
+
+func maxSize(a, b model.Size) model.Size {
+	return model.Size{
+		MilliCPU: max(a.MilliCPU, b.MilliCPU), MemMB: max(a.MemMB, b.MemMB), Accel: max(a.Accel, b.Accel),
+		Slots: max(a.Slots, b.Slots), Conns: max(a.Conns, b.Conns),
+	}
+}
+
+// end finishes a running task and reports it. The caller holds mu.
+func (w *Worker) end(t *task, state model.TaskState, now time.Time) {
+	if t.state != model.TaskRunning {
+		return // Its timer fired while it was being stopped.
+	}
+	w.discard(t, state)
+	t.stopped = now
+	if state != model.TaskStopped {
+		t.answer = t.directive.AnswerFor(t.ref.id, t.spec.Payload)
+	}
+	w.ended = append(w.ended, t)
+	w.emit(t)
+	t.lastSeq = w.lastSeq
+}
+
+// discard frees what a running task holds. The caller holds mu.
+func (w *Worker) discard(t *task, state model.TaskState) {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	t.state = state
+	delete(w.running, t.ref)
+	w.inUse = w.inUse.Sub(t.spec.Size)
+	w.ledger.ended(t.ref.id)
+}
+
+// emit queues an event with the task's present state. The caller holds mu.
+func (w *Worker) emit(t *task) {
+	w.lastSeq++
+	w.events = append(w.events, platform.TaskEvent{
+		Seq: w.lastSeq, ID: t.ref.id, Attempt: t.ref.attempt, State: t.state,
+		OK: t.state == model.TaskDone, Answer: t.answer,
+	})
+	w.wake()
+}
+
+func (w *Worker) stop(in platform.StopRequest, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.checkLease(in.Holder, in.Term, now) {
+		return false
+	}
+	for _, s := range in.Tasks {
+		for ref, t := range w.running {
+			if ref.id != s.ID || (s.Attempt != 0 && ref.attempt != s.Attempt) {
+				continue
+			}
+			if s.Mode == ports.StopThrottle {
+				t.throttled = true
+				continue
+			}
+			w.end(t, model.TaskStopped, now)
+		}
+	}
+	return true
+}
+
+// renew renews the lease and drops events up to ack. It returns ok=false for a
+// lease that is not current, and known=false for an ack of an event that was
+// never sent: a holder that keeps its ack after a crash would miss events.
+func (w *Worker) renew(in platform.SyncRequest, now time.Time) (ok, known bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.checkLease(in.Holder, in.Term, now) {
+		return false, false
+	}
+	w.stats.Syncs++
+	w.lease.expires = now.Add(time.Duration(in.TTLMS) * time.Millisecond)
+	w.armGrace(now)
+	if in.Ack > w.lastSeq {
+		return true, false
+	}
+	n, _ := slices.BinarySearchFunc(w.events, in.Ack+1, func(e platform.TaskEvent, seq int64) int { return int(e.Seq - seq) })
+	w.events = slices.Delete(w.events, 0, n)
+	for _, t := range w.ended {
+		if t.ackedAt.IsZero() && t.lastSeq <= in.Ack {
+			t.ackedAt = now
+		}
+	}
+	w.prune(now)
+	return true, true
+}
+
+// prune drops finished tasks that were acknowledged long enough ago. The caller holds mu.
+func (w *Worker) prune(now time.Time) {
+	w.ended = slices.DeleteFunc(w.ended, func(t *task) bool {
+		old := !t.ackedAt.IsZero() && now.Sub(t.ackedAt) >= w.cfg.KeepFinished
+		if old {
+			delete(w.tasks, t.ref)
+		}
+		return old
+	})
+}
+
+// poll returns the events to report and a channel that the next change closes.
+// It returns false when the lease is no longer current.
+func (w *Worker) poll(in platform.SyncRequest, now time.Time) (platform.SyncReply, <-chan struct{}, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.checkLease(in.Holder, in.Term, now) {
+		return platform.SyncReply{}, nil, false
+	}
+	out := platform.SyncReply{BootID: w.info.BootID}
+	for _, e := range w.events {
+		if e.Seq <= in.Ack {
+			continue
+		}
+		out.Events = append(out.Events, e)
+		if w.duplicate {
+			out.Events = append(out.Events, e)
+		}
+	}
+	if w.reorder {
+		slices.Reverse(out.Events)
+	}
+	return out, w.changed, true
+}
+
+// measure returns the usage as it was UsageLag ago, so that tasks which ended
+// since are included and tasks which started since are not.
+func (w *Worker) measure(now time.Time) []platform.TaskUsage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := now.Add(-w.cfg.UsageLag)
+	var out []platform.TaskUsage
+	add := func(t *task) {
+		if t.started.After(at) || (!t.measured.IsZero() && now.Sub(t.measured) < w.cfg.UsagePeriod) {
+			return
+		}
+		t.measured = now
+		out = append(out, platform.TaskUsage{ID: t.ref.id, Size: t.usage()})
+	}
+	for _, t := range w.running {
+		add(t)
+	}
+	for i := len(w.ended) - 1; i >= 0 && w.ended[i].stopped.After(at); i-- {
+		add(w.ended[i])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/workerd/worker.go
@@ -0,0 +1,225 @@
+// Package workerd is a stand-in for the platform's workers. A worker grants
+// leases on its own clock, starts every task it is given and counts overloads
+// and double starts.
+package workerd
+
+import (
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standin/harness"
+)
+
+// bootCounter makes boot IDs unique within a process.
+var bootCounter atomic.Int64
+
+func newBootID() string {
+	return strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatInt(bootCounter.Add(1), 36)
+}
+
+// Config holds what all workers of a fleet share.
+type Config struct {
+	Capacity model.Size
+	// UsageLag is the age of usage measurements.
+	UsageLag time.Duration
+	// UsagePeriod is the least time between two measurements of a task.
+	UsagePeriod time.Duration
+	// KeepFinished is how long a finished task stays in the inventory after its
+	// event was acknowledged.
+	KeepFinished time.Duration
+}
+
+// lease is what the worker knows about its holder. The zero value means that no
+// lease was granted in this lifetime.
+type lease struct {
+	holder  string
+	term    uint64
+	expires time.Time
+	grace   time.Duration
+}
+
+func (l *lease) current(now time.Time) bool { return l.holder != "" && now.Before(l.expires) }
+
+func (l *lease) matches(holder string, term uint64, now time.Time) bool {
+	return l.current(now) && l.holder == holder && l.term == term
+}
+
+// Worker is one worker. Its state is lost in a crash, its counters are not.
+type Worker struct {
+	cfg    Config
+	gate   *harness.Gate
+	ledger *ledger
+
+	mu         sync.Mutex
+	info       platform.WorkerInfo
+	lease      lease
+	graceTimer *time.Timer
+	tasks      map[taskRef]*task
+	running    map[taskRef]*task
+	ended      []*task // finished ones in order of their end
+	inUse      model.Size
+	events     []platform.TaskEvent // not acknowledged, in order of Seq
+	lastSeq    int64
+	changed    chan struct{} // closed and replaced by each event, crash and grant
+	closed     bool
+
+	failAll   bool
+	duplicate bool
+	reorder   bool
+	stats     platform.WorkerStats
+}
+
+func newWorker(cfg Config, info platform.WorkerInfo, ledger *ledger) *Worker {
+	info.Capacity = cfg.Capacity
+	info.BootID = newBootID()
+	return &Worker{
+		cfg: cfg, info: info, ledger: ledger,
+		gate:  harness.NewGate(fault.WorkerUnavailable, "/v1/tasks"),
+		tasks: map[taskRef]*task{}, running: map[taskRef]*task{}, changed: make(chan struct{}),
+	}
+}
+
+// acquire grants the lease or returns who holds it.
+func (w *Worker) acquire(in platform.LeaseRequest, now time.Time) (platform.LeaseGrant, *platform.LeaseHeld) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	same := w.lease.holder == in.Holder
+	held := w.lease.current(now) && !same
+	lowTerm := w.lease.holder != "" && (in.Term < w.lease.term || (!same && in.Term == w.lease.term))
+	if held || lowTerm {
+		w.stats.LeaseRefused++
+		remaining := max(0, w.lease.expires.Sub(now))
+		return platform.LeaseGrant{}, &platform.LeaseHeld{
+			Holder: w.lease.holder, Term: w.lease.term, RemainingMS: ceilMS(remaining),
+		}
+	}
+	w.lease = lease{
+		holder: in.Holder, term: in.Term, grace: time.Duration(in.TaskGraceMS) * time.Millisecond,
+		expires: now.Add(time.Duration(in.TTLMS) * time.Millisecond),
+	}
+	for _, t := range w.running {
+		t.measured = time.Time{}
+	}
+	w.armGrace(now)
+	w.wake()
+	return platform.LeaseGrant{BootID: w.info.BootID, Term: in.Term, Tasks: w.inventory(now)}, nil
+}
+
+// ceilMS rounds up, so that a caller who waits this long finds the lease expired.
+func ceilMS(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+func (w *Worker) release(in platform.LeaseRequest, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.checkLease(in.Holder, in.Term, now) {
+		return false
+	}
+	w.lease.expires = now
+	w.armGrace(now)
+	w.wake()
+	return true
+}
+
+// checkLease counts a refusal. The caller holds mu.
+func (w *Worker) checkLease(holder string, term uint64, now time.Time) bool {
+	if w.lease.matches(holder, term, now) {
+		return true
+	}
+	w.stats.LeaseRefused++
+	return false
+}
+
+// armGrace schedules the end of the tasks for when the lease is not renewed.
+func (w *Worker) armGrace(now time.Time) {
+	if w.closed {
+		return
+	}
+	d := w.lease.expires.Add(w.lease.grace).Sub(now)
+	if w.graceTimer == nil {
+		w.graceTimer = time.AfterFunc(d, w.graceEnded)
+		return
+	}
+	w.graceTimer.Reset(d)
+}
+
+// graceEnded stops all tasks unless the lease was renewed while the timer fired.
+func (w *Worker) graceEnded() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if w.closed || now.Before(w.lease.expires.Add(w.lease.grace)) {
+		return
+	}
+	for _, t := range w.running {
+		w.end(t, model.TaskStopped, now)
+	}
+}
+
+// wake ends the waits of long polls. The caller holds mu.
+func (w *Worker) wake() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// inventory lists running tasks and finished ones that are still kept.
+func (w *Worker) inventory(now time.Time) []platform.TaskStatus {
+	w.prune(now)
+	out := make([]platform.TaskStatus, 0, len(w.tasks))
+	for ref, t := range w.tasks {
+		out = append(out, platform.TaskStatus{
+			ID: ref.id, Attempt: ref.attempt, Key: t.spec.Key, Service: t.spec.Service, Size: t.spec.Size,
+			State: t.state, OK: t.state == model.TaskDone, Answer: t.answer,
+		})
+	}
+	return out
+}
+
+// crash forgets everything that a restarted machine would not know.
+func (w *Worker) crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.running {
+		w.discard(t, model.TaskLost)
+	}
+	w.tasks, w.ended, w.events, w.lastSeq = map[taskRef]*task{}, nil, nil, 0
+	w.lease = lease{}
+	w.info.BootID = newBootID()
+	w.wake()
+}
+
+// close stops all timers.
+func (w *Worker) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	if w.graceTimer != nil {
+		w.graceTimer.Stop()
+	}
+	for _, t := range w.running {
+		w.discard(t, model.TaskLost)
+	}
+}
+
+func (w *Worker) snapshot() platform.WorkerStats {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := w.stats
+	out.BootID, out.Holder, out.Term = w.info.BootID, w.lease.holder, w.lease.term
+	out.Running, out.InUse, out.Capacity = len(w.running), w.inUse, w.info.Capacity
+	return out
+}
+
+func (w *Worker) resetStats() {
+	w.gate.Reset()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failAll, w.duplicate, w.reorder = false, false, false
+	w.stats = platform.WorkerStats{Addr: w.stats.Addr, MaxInUse: w.inUse}
+}
