--- /dev/null
+++ b/internal/standin/command_test.go
@@ -0,0 +1,85 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"syscall"
+	"testing"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/adapters/jsonhttp"
+	"catkinvalve/internal/adapters/listclient"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// run starts a subcommand and returns its ready line and a function that waits
+// for its end.
+func run(ctx context.Context, t *testing.T, args ...string) (Ready, func() error) {
+	t.Helper()
+	r, w := io.Pipe()
+	c := Command()
+	c.SetArgs(args)
+	c.SetOut(w)
+	done := make(chan error, 1)
+	go func() {
+		err := c.ExecuteContext(ctx)
+		_ = w.Close() // Pipes cannot fail to close.
+		done <- err
+	}()
+	line, err := bufio.NewReader(r).ReadBytes('\n')
+	assert.NilError(t, err)
+	var ready Ready
+	assert.NilError(t, json.Unmarshal(line, &ready))
+	return ready, func() error { return <-done }
+}
+
+// Guards against subcommands that do not start, register or answer stats, and
+// against goroutines left after their end.
+func TestSubcommands(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	client, err := jsonhttp.New(jsonhttp.Options{})
+	assert.NilError(t, err)
+	defer client.Close()
+	list, waitList := run(ctx, t, "instances")
+	waits := []func() error{waitList}
+	for _, args := range [][]string{
+		{"log", "--rate", "10", "--retention", "100"},
+		{"old"},
+		{"worker", "--id", "w", "--count", "10", "--rack", "k", "--data-centre", "dc-a", "--list-admin", "http://" + list.Admin},
+	} {
+		ready, wait := run(ctx, t, args...)
+		waits = append(waits, wait)
+		var stats map[string]any
+		assert.NilError(t, client.Do(ctx, "GET", "http://"+ready.Admin+"/admin/stats", nil, &stats))
+		if args[0] == "worker" {
+			assert.Equal(t, len(ready.Workers), 10)
+			var info platform.WorkerInfo
+			assert.NilError(t, client.Do(ctx, "GET", "http://"+ready.Workers["w-9"]+"/v1/worker", nil, &info))
+			assert.Equal(t, info.ID, model.WorkerID("w-9"))
+			assert.Equal(t, info.Rack, "k-1")
+		}
+	}
+	instances, err := listclient.New(client, list.Listen).Instances(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(instances), 10)
+	cancel()
+	for _, wait := range waits {
+		assert.NilError(t, wait())
+	}
+}
+
+// Guards against a stand-in that does not end on a signal.
+func TestSignalStops(t *testing.T) {
+	_, wait := run(t.Context(), t, "old")
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	assert.NilError(t, wait())
+}
--- a/internal/standin/harness/gate.go
+++ b/internal/standin/harness/gate.go
@@ -158,7 +158,9 @@
 }
 
 // Wrap returns h with the gate's faults applied. The partition is checked again
-// before the answer, because it may have begun during a long poll.
+// before the answer, because it may have begun during a long poll. A delayed
+// request is handled after the whole delay even if its caller has left, as it
+// would be by a slow service.
 func (g *Gate) Wrap(h Handler) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 		if isCut, drop := g.cut(r); isCut && !drop {
@@ -170,7 +172,9 @@
 		}
 		call := &Call{Ctx: r.Context(), Request: r, Params: p, Body: body, Received: time.Now()}
 		outage, delay := g.state()
-		Sleep(r.Context(), delay)
+		if !sleep(serverContext(r.Context()), delay) {
+			panic(http.ErrAbortHandler)
+		}
 		var status int
 		var reply any
 		if outage {
@@ -191,16 +195,18 @@
 	}
 }
 
-// Sleep waits for d or until ctx ends.
-func Sleep(ctx context.Context, d time.Duration) {
+// sleep waits for d and returns false if ctx ended before.
+func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
-		return
+		return true
 	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/internal/standin/harness/server.go
+++ b/internal/standin/harness/server.go
@@ -40,10 +40,11 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	base := context.WithValue(ctx, serverContextKey{}, ctx)
 	s := &Server{
 		http: &http.Server{
 			Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-			BaseContext: func(net.Listener) context.Context { return ctx },
+			BaseContext: func(net.Listener) context.Context { return base },
 		},
 		addr: ln.Addr().String(), cancel: cancel, done: make(chan struct{}),
 	}
@@ -56,6 +57,17 @@
 	return s, nil
 }
 
+// serverContextKey finds the server's context in a request's context, which
+// also ends when the caller leaves.
+type serverContextKey struct{}
+
+func serverContext(ctx context.Context) context.Context {
+	if server, ok := ctx.Value(serverContextKey{}).(context.Context); ok {
+		return server
+	}
+	return ctx
+}
+
 // Addr returns the real address.
 func (s *Server) Addr() string { return s.addr }
 
--- /dev/null
+++ b/internal/standin/oldd/oldd_test.go
@@ -0,0 +1,96 @@
+package oldd
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/adapters/jsonhttp"
+	"catkinvalve/internal/adapters/oldclient"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/platform"
+	"catkinvalve/internal/ports"
+	"catkinvalve/internal/standin/harness"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func ptr[T any](v T) *T { return &v }
+
+func newRig(t *testing.T) (*Old, ports.OldSystem) {
+	t.Helper()
+	o := New()
+	s, err := harness.Listen("127.0.0.1:0", o.Handler())
+	assert.NilError(t, err)
+	client, err := jsonhttp.New(jsonhttp.Options{})
+	assert.NilError(t, err)
+	t.Cleanup(func() { client.Close(); s.Close(); o.Close() })
+	return o, oldclient.New(client, s.Addr())
+}
+
+// Guards against a key that runs twice, whether repeated at once, later or
+// after a lost answer.
+func TestKeyRunsOnce(t *testing.T) {
+	o, c := newRig(t)
+	const key = "klang-a:order/17"
+	want := ports.OldState{Known: true, Fate: model.Done, OK: true, Answer: []byte("x")}
+	assert.NilError(t, o.gate.Set(platform.GateFault{LoseNextAnswers: ptr(1)}))
+	_, err := c.Run(t.Context(), key, "s", []byte(`{"answer":"x"}`))
+	assert.Equal(t, fault.KindOf(err), fault.OldSystemUnavailable)
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			got, err := c.Run(t.Context(), key, "s", []byte(`{"answer":"other"}`))
+			assert.Check(t, err)
+			assert.Check(t, string(got.Answer) == "x")
+		})
+	}
+	wg.Wait()
+	got, err := c.Lookup(t.Context(), key)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+	assert.Equal(t, o.Stats().RunsPerKey[key], 1)
+}
+
+// Guards against an unknown key that is taken for an error or for a known one.
+func TestLookup(t *testing.T) {
+	o, c := newRig(t)
+	got, err := c.Lookup(t.Context(), "never")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, ports.OldState{})
+	assert.NilError(t, o.gate.Set(platform.GateFault{Outage: ptr(true)}))
+	_, err = c.Lookup(t.Context(), "never")
+	assert.Equal(t, fault.KindOf(err), fault.OldSystemUnavailable)
+}
+
+// Guards against an acknowledged reserve while running work exceeds it.
+func TestReserve(t *testing.T) {
+	o, c := newRig(t)
+	done := make(chan error, 2)
+	for _, key := range []string{"a", "b"} {
+		go func() {
+			_, err := c.Run(t.Context(), key, "s", []byte(`{"sleep_ms":150}`))
+			done <- err
+		}()
+	}
+	for o.Stats().Running < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	reserve := func(revision uint64, slots int64, want uint64) {
+		t.Helper()
+		got, err := c.Reserve(t.Context(), revision, slots)
+		assert.NilError(t, err)
+		assert.Equal(t, got, want)
+	}
+	reserve(1, 2, 1)
+	reserve(2, 1, 1)
+	assert.NilError(t, <-done)
+	assert.NilError(t, <-done)
+	reserve(2, 1, 2)
+	reserve(1, 9, 2)
+	assert.Equal(t, o.Stats().Slots, int64(1), "an earlier revision changes nothing")
+}
