--- /dev/null
+++ b/internal/adapters/jsonhttp/jsonhttp_test.go
@@ -0,0 +1,81 @@
+package jsonhttp
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standin/harness"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func serve(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	s, err := harness.Listen("127.0.0.1:0", h)
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	return "http://" + s.Addr()
+}
+
+func newClient(t *testing.T, o Options) *Client {
+	t.Helper()
+	c, err := New(o)
+	assert.NilError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// Guards against requests that do not name their daemon or leave from another
+// address, which partitions of the stand-ins select by.
+func TestRequestIdentity(t *testing.T) {
+	var daemon, remote string
+	url := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		daemon, remote = r.Header.Get(platform.DaemonHeader), r.RemoteAddr
+		harness.WriteJSON(w, http.StatusOK, struct{}{})
+	})
+	c := newClient(t, Options{Daemon: "d1", LocalAddr: "127.0.0.7"})
+	assert.NilError(t, c.Do(t.Context(), http.MethodGet, url, nil, nil))
+	assert.Equal(t, daemon, "d1")
+	assert.Assert(t, strings.HasPrefix(remote, "127.0.0.7:"), remote)
+	_, err := New(Options{LocalAddr: "localhost"})
+	assert.Equal(t, fault.KindOf(err), fault.Malformed)
+}
+
+// Guards against answers that exhaust memory, calls that never end and statuses
+// that are taken for success.
+func TestLimits(t *testing.T) {
+	url := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/large":
+			harness.WriteJSON(w, http.StatusOK, strings.Repeat("x", 100))
+		case "/slow":
+			<-r.Context().Done()
+		case "/refused":
+			harness.WriteJSON(w, http.StatusConflict, fault.New(fault.LeaseLost, "", "not current"))
+		}
+	})
+	c := newClient(t, Options{MaxReplyBytes: 50, Timeout: 50 * time.Millisecond})
+	tests := []struct {
+		path   string
+		status int
+		want   string
+	}{
+		{"/large", 0, "exceeds 50 bytes"},
+		{"/slow", 0, context.DeadlineExceeded.Error()},
+		{"/refused", http.StatusConflict, "status 409: not current"},
+	}
+	for _, tt := range tests {
+		var out any
+		err := c.Do(context.Background(), http.MethodGet, url+tt.path, nil, &out)
+		assert.ErrorContains(t, err, tt.want)
+		assert.Equal(t, StatusOf(err), tt.status)
+	}
+}
