--- a/internal/adapters/jsonhttp/jsonhttp_test.go
+++ b/internal/adapters/jsonhttp/jsonhttp_test.go
@@ -62,7 +62,7 @@
 			harness.WriteJSON(w, http.StatusConflict, fault.New(fault.LeaseLost, "", "not current"))
 		}
 	})
-	c := newClient(t, Options{MaxReplyBytes: 50, Timeout: 50 * time.Millisecond})
+	c := newClient(t, Options{MaxReplyBytes: 50, Timeout: 500 * time.Millisecond})
 	tests := []struct {
 		path   string
 		status int
--- a/internal/standin/logd/logd_test.go
+++ b/internal/standin/logd/logd_test.go
@@ -84,7 +84,7 @@
 
 // Guards against an append over the rate that takes effect.
 func TestRateLimit(t *testing.T) {
-	l, c := newRig(t, Config{Rate: 1})
+	l, c := newRig(t, Config{Rate: 0.01})
 	appendAll(t, c, "0")
 	_, err := c.Append(t.Context(), "s", nil)
 	assert.Equal(t, fault.KindOf(err), fault.LogUnavailable)
@@ -114,7 +114,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			l, c := newRig(t, Config{Rate: 1e6})
 			assert.NilError(t, l.apply(platform.LogFault{GateFault: tt.fault}))
-			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 			defer cancel()
 			_, err := c.Append(ctx, "s", []byte("x"))
 			assert.Equal(t, fault.KindOf(err), fault.LogUnavailable)
--- a/internal/standin/oldd/oldd_test.go
+++ b/internal/standin/oldd/oldd_test.go
@@ -73,7 +73,7 @@
 	done := make(chan error, 2)
 	for _, key := range []string{"a", "b"} {
 		go func() {
-			_, err := c.Run(t.Context(), key, "s", []byte(`{"sleep_ms":150}`))
+			_, err := c.Run(t.Context(), key, "s", []byte(`{"sleep_ms":60000}`))
 			done <- err
 		}()
 	}
@@ -86,11 +86,21 @@
 		assert.NilError(t, err)
 		assert.Equal(t, got, want)
 	}
+	// Ends a run without waiting for its timer, so that the test does not
+	// depend on the machine's speed.
+	end := func(key string) {
+		o.mu.Lock()
+		r := o.keys[key]
+		o.mu.Unlock()
+		assert.Assert(t, r.timer.Stop())
+		o.finish(r)
+		assert.NilError(t, <-done)
+	}
 	reserve(1, 2, 1)
 	reserve(2, 1, 1)
-	assert.NilError(t, <-done)
-	assert.NilError(t, <-done)
+	end("a")
 	reserve(2, 1, 2)
 	reserve(1, 9, 2)
 	assert.Equal(t, o.Stats().Slots, int64(1), "an earlier revision changes nothing")
+	end("b")
 }
--- a/internal/standin/workerd/worker_test.go
+++ b/internal/standin/workerd/worker_test.go
@@ -295,16 +295,38 @@
 	r.await("any", model.TaskFailed)
 }
 
-// Guards against tasks that outlive the grace of a lease that nobody renews.
+// Guards against tasks that outlive the grace of a lease that nobody renews, or
+// that are stopped within it.
 func TestGraceStopsTasks(t *testing.T) {
-	r := newRig(t)
-	_, err := r.worker.Acquire(r.ctx(), a1, shortTTL, shortTTL)
-	assert.NilError(t, err)
-	r.start(startOf("k", 0, ""))
-	time.Sleep(4 * shortTTL)
-	g := r.acquire(ports.Lease{Holder: "b", Term: 2}, longTTL)
-	assert.Equal(t, len(g.Tasks), 1)
-	assert.Equal(t, g.Tasks[0].State, model.TaskStopped)
+	tests := []struct {
+		name  string
+		end   func(r *rig) error
+		least time.Duration
+	}{
+		{"released", func(r *rig) error { return r.worker.Release(r.ctx(), a1) }, shortTTL},
+		{"expired", func(r *rig) error {
+			_, err := r.worker.Acquire(r.ctx(), a1, shortTTL, shortTTL)
+			return err
+		}, 2 * shortTTL},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(t)
+			_, err := r.worker.Acquire(r.ctx(), a1, longTTL, shortTTL)
+			assert.NilError(t, err)
+			r.start(startOf("k", 0, ""))
+			begin := time.Now()
+			assert.NilError(t, tt.end(r))
+			for r.fleet.Stats().Workers["w"].Running > 0 {
+				assert.Assert(t, time.Since(begin) < pollTime, "the task still runs")
+				time.Sleep(time.Millisecond)
+			}
+			assert.Assert(t, time.Since(begin) >= tt.least, "the task was stopped within the grace")
+			g := r.acquire(ports.Lease{Holder: "b", Term: 2}, longTTL)
+			assert.Equal(t, len(g.Tasks), 1)
+			assert.Equal(t, g.Tasks[0].State, model.TaskStopped)
+		})
+	}
 }
 
 // Guards against a crash that keeps state or resets what the process counted.
@@ -391,7 +413,7 @@
 			r := newRig(t)
 			r.acquire(a1, longTTL)
 			r.apply(platform.WorkerFault{GateFault: platform.GateFault{Partition: &tt.partition}})
-			ctx, cancel := context.WithTimeout(r.ctx(), 200*time.Millisecond)
+			ctx, cancel := context.WithTimeout(r.ctx(), 500*time.Millisecond)
 			defer cancel()
 			_, err := r.worker.Start(ctx, a1, []ports.StartTask{startOf("k", 0, "")})
 			assert.Equal(t, fault.KindOf(err), fault.WorkerUnavailable)
