--- /dev/null
+++ b/internal/jsonc/decode.go
@@ -0,0 +1,151 @@
+package jsonc
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+// Decode stores the document in the struct that dst points to and reports
+// unknown fields, duplicate fields and wrong types. Fields that the file does
+// not state keep their value. Supported are structs, slices, strings, booleans,
+// integers and durations, which are written as strings such as "500ms".
+func (d *Document) Decode(dst any) {
+	if len(d.problems) > 0 {
+		return
+	}
+	d.value("", &d.root, reflect.ValueOf(dst).Elem())
+}
+
+func (d *Document) value(path string, v *hujson.Value, dst reflect.Value) {
+	d.positions[path] = v.StartOffset
+	switch {
+	case dst.Type() == durationType:
+		d.duration(path, v, dst)
+	case dst.Kind() == reflect.Struct:
+		d.object(path, v, dst)
+	case dst.Kind() == reflect.Slice:
+		d.array(path, v, dst)
+	default:
+		d.literal(path, v, dst)
+	}
+}
+
+func (d *Document) object(path string, v *hujson.Value, dst reflect.Value) {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.wrongType(path, v, "an object")
+		return
+	}
+	fields := fieldsByName(dst)
+	seen := map[string]bool{}
+	for i := range obj.Members {
+		m := &obj.Members[i]
+		name := m.Name.Value.(hujson.Literal).String()
+		field, known := fields[name]
+		switch {
+		case seen[name]:
+			d.report(m.Name.StartOffset, "keep one of the two", "field %q is stated twice", name)
+		case !known:
+			d.report(m.Name.StartOffset, "use one of "+strings.Join(slices.Sorted(maps.Keys(fields)), ", "), "unknown field %q", name)
+		default:
+			d.value(Field(path, name), &m.Value, field)
+		}
+		seen[name] = true
+	}
+}
+
+func (d *Document) array(path string, v *hujson.Value, dst reflect.Value) {
+	arr, ok := v.Value.(*hujson.Array)
+	if !ok {
+		d.wrongType(path, v, "a list")
+		return
+	}
+	dst.Set(reflect.MakeSlice(dst.Type(), len(arr.Elements), len(arr.Elements)))
+	for i := range arr.Elements {
+		d.value(Index(path, i), &arr.Elements[i], dst.Index(i))
+	}
+}
+
+func (d *Document) literal(path string, v *hujson.Value, dst reflect.Value) {
+	lit, _ := v.Value.(hujson.Literal)
+	kind := v.Value.Kind()
+	switch dst.Kind() {
+	case reflect.String:
+		if kind != '"' {
+			d.wrongType(path, v, "a string")
+			return
+		}
+		dst.SetString(lit.String())
+	case reflect.Bool:
+		if kind != 't' && kind != 'f' {
+			d.wrongType(path, v, "true or false")
+			return
+		}
+		dst.SetBool(kind == 't')
+	case reflect.Int, reflect.Int64:
+		n, err := strconv.ParseInt(string(lit), 10, 64)
+		if kind != '0' || err != nil {
+			d.wrongType(path, v, "a whole number of at most 64 bits")
+			return
+		}
+		dst.SetInt(n)
+	default:
+		panic("jsonc: unsupported type " + dst.Type().String())
+	}
+}
+
+func (d *Document) duration(path string, v *hujson.Value, dst reflect.Value) {
+	lit, _ := v.Value.(hujson.Literal)
+	duration, err := time.ParseDuration(lit.String())
+	if v.Value.Kind() != '"' || err != nil {
+		d.wrongType(path, v, `a duration in quotes such as "500ms" or "3s"`)
+		return
+	}
+	dst.SetInt(int64(duration))
+}
+
+func (d *Document) wrongType(path string, v *hujson.Value, want string) {
+	d.bad[path] = true
+	d.report(v.StartOffset, "write "+want, "%s is %s", describe(path), got(v))
+}
+
+func describe(path string) string {
+	if path == "" {
+		return "the document"
+	}
+	return path
+}
+
+func got(v *hujson.Value) string {
+	switch v.Value.Kind() {
+	case '{':
+		return "an object"
+	case '[':
+		return "a list"
+	}
+	const shown = 40 // bytes of a literal that fit into a message
+	text := string(v.Value.(hujson.Literal))
+	if len(text) > shown {
+		text = strings.ToValidUTF8(text[:shown], "") + "..."
+	}
+	return text
+}
+
+func fieldsByName(dst reflect.Value) map[string]reflect.Value {
+	fields := map[string]reflect.Value{}
+	for i := range dst.NumField() {
+		name, _, _ := strings.Cut(dst.Type().Field(i).Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			fields[name] = dst.Field(i)
+		}
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/jsonc/document.go
@@ -0,0 +1,208 @@
+package jsonc
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Limits of a document. Nesting is checked before the parser runs because the
+// parser is recursive and would exhaust the stack on hostile input.
+const (
+	MaxBytes   = 1 << 20 // 1 MiB
+	MaxNesting = 32      // open objects and arrays
+)
+
+// Document is a parsed file. It collects problems and knows the position of
+// each value by its path, such as "services[2].size.slots".
+type Document struct {
+	file      string
+	data      []byte
+	lines     []int // offsets of the lines
+	root      hujson.Value
+	positions map[string]int
+	bad       map[string]bool
+	problems  Problems
+}
+
+// Parse parses data. The document has problems when the syntax is wrong or a
+// limit is exceeded; it must not be decoded then.
+func Parse(file string, data []byte) *Document {
+	d := &Document{file: file, data: data, lines: lineOffsets(data), positions: map[string]int{"": 0}, bad: map[string]bool{}}
+	if len(data) > MaxBytes {
+		d.report(0, "split the content or remove what is not needed", "file has %d bytes, more than the limit of %d", len(data), MaxBytes)
+		return d
+	}
+	if offset := tooDeep(data); offset >= 0 {
+		d.report(offset, "flatten the structure", "objects and arrays are nested more than %d deep", MaxNesting)
+		return d
+	}
+	root, err := hujson.Parse(data)
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		// The parser demands a line break after a line comment at the end.
+		if r, retryErr := hujson.Parse(append(bytes.Clone(data), '\n')); retryErr == nil {
+			root, err = r, nil
+		}
+	}
+	if err != nil {
+		d.syntaxProblem(err)
+		return d
+	}
+	d.root = root
+	return d
+}
+
+// Problems returns all problems so far, sorted by position.
+func (d *Document) Problems() Problems { return sorted(d.problems) }
+
+// Report adds a problem at the value with the given path, or at the closest
+// enclosing value that exists. A path whose value has the wrong type is
+// skipped, because that is reported already.
+func (d *Document) Report(path, remedy, format string, args ...any) {
+	if d.Bad(path) {
+		return
+	}
+	for path != "" {
+		if _, ok := d.positions[path]; ok {
+			break
+		}
+		path = parent(path)
+	}
+	d.report(d.positions[path], remedy, format, args...)
+}
+
+// Has reports whether the file states a value for path.
+func (d *Document) Has(path string) bool {
+	_, ok := d.positions[path]
+	return ok
+}
+
+// Bad reports whether the value at path, or one that encloses it, could not be
+// decoded.
+func (d *Document) Bad(path string) bool {
+	for ; path != ""; path = parent(path) {
+		if d.bad[path] {
+			return true
+		}
+	}
+	return d.bad[""]
+}
+
+// BadWithin reports whether a value inside path could not be decoded.
+func (d *Document) BadWithin(path string) bool {
+	for p := range d.bad {
+		if p == "" || p == path || strings.HasPrefix(p, path+"[") || strings.HasPrefix(p, path+".") {
+			return true
+		}
+	}
+	return false
+}
+
+// CheckRange reports a problem at path when value is outside of low to high.
+func CheckRange[T int | int64](d *Document, path string, value, low, high T) {
+	if value < low || value > high {
+		d.Report(path, "use a number in this range", "%s is %d, outside of %d to %d", path, value, low, high)
+	}
+}
+
+func (d *Document) report(offset int, remedy, format string, args ...any) {
+	line, column := d.lineColumn(offset)
+	d.problems = append(d.problems, Problem{File: d.file, Line: line, Column: column, Fault: fmt.Sprintf(format, args...), Remedy: remedy})
+}
+
+func (d *Document) lineColumn(offset int) (line, column int) {
+	next, _ := slices.BinarySearch(d.lines, offset+1)
+	return next, offset - d.lines[next-1] + 1
+}
+
+func lineOffsets(data []byte) []int {
+	offsets := []int{0}
+	for i, c := range data {
+		if c == '\n' {
+			offsets = append(offsets, i+1)
+		}
+	}
+	return offsets
+}
+
+// parserPosition matches the position that the parser puts into its errors,
+// which it offers in no other form.
+var parserPosition = regexp.MustCompile(`^hujson: line (\d+), column (\d+): `)
+
+func (d *Document) syntaxProblem(err error) {
+	message, line, column := err.Error(), 1, 1
+	if m := parserPosition.FindStringSubmatch(message); m != nil {
+		line, _ = strconv.Atoi(m[1])
+		column, _ = strconv.Atoi(m[2])
+		message = message[len(m[0]):]
+	}
+	remedy := "correct the JSON syntax here or just before"
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		remedy = "close the open string, comment, object or array"
+	}
+	d.problems = append(d.problems, Problem{File: d.file, Line: line, Column: column, Fault: "syntax error: " + message, Remedy: remedy})
+}
+
+// tooDeep returns the offset at which nesting exceeds the limit, or -1. It
+// skips strings and comments.
+func tooDeep(data []byte) int {
+	depth := 0
+	for i := 0; i < len(data); i++ {
+		switch c := data[i]; {
+		case c == '"':
+			i = skipString(data, i)
+		case c == '/' && i+1 < len(data) && data[i+1] == '/':
+			i = skipUntil(data, i+2, "\n")
+		case c == '/' && i+1 < len(data) && data[i+1] == '*':
+			i = skipUntil(data, i+2, "*/")
+		case c == '{' || c == '[':
+			if depth++; depth > MaxNesting {
+				return i
+			}
+		case c == '}' || c == ']':
+			depth--
+		}
+	}
+	return -1
+}
+
+// skipString returns the offset of the quote that ends the string at i.
+func skipString(data []byte, i int) int {
+	for i++; i < len(data) && data[i] != '"'; i++ {
+		if data[i] == '\\' {
+			i++
+		}
+	}
+	return i
+}
+
+// skipUntil returns the offset of the last byte of the next end marker.
+func skipUntil(data []byte, from int, end string) int {
+	n := bytes.Index(data[from:], []byte(end))
+	if n < 0 {
+		return len(data)
+	}
+	return from + n + len(end) - 1
+}
+
+// Field returns the path of a field of the object at path.
+func Field(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// Index returns the path of an element of the array at path.
+func Index(path string, i int) string { return path + "[" + strconv.Itoa(i) + "]" }
+
+func parent(path string) string {
+	return path[:max(0, strings.LastIndexAny(path, ".["))]
+}
--- /dev/null
+++ b/internal/settings/validate.go
@@ -0,0 +1,224 @@
+package settings
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/jsonc"
+)
+
+// Upper limits; a larger value is taken for a mistake in the unit.
+const (
+	maxBytes       = 1 << 30   // 1 GiB, of a body and of a rate per second
+	maxHeaderBytes = 1 << 20   // 1 MiB
+	maxConnections = 1_000_000 // of one daemon
+	maxTiming      = 24 * time.Hour
+)
+
+var logLevels = []string{"error", "warn", "info", "debug"}
+
+// canonicalize writes addresses in one form and fills in those that follow
+// from others. It leaves what it can't parse to the checks.
+func canonicalize(s *Settings) {
+	for _, a := range addresses(s) {
+		if parsed, err := netip.ParseAddrPort(*a.value); err == nil {
+			*a.value = netip.AddrPortFrom(parsed.Addr().Unmap(), parsed.Port()).String()
+		}
+	}
+	if s.Addresses.AdvertisePeer == "" {
+		s.Addresses.AdvertisePeer = s.Addresses.PeerListen
+	}
+	s.LogLevel = strings.ToLower(s.LogLevel)
+}
+
+// address is an address setting and what is demanded of it.
+type address struct {
+	path     string
+	value    *string
+	optional bool
+	// anyIP allows an unspecified IP number such as 0.0.0.0.
+	anyIP bool
+	// anyPort allows port 0, which leaves the choice to the system.
+	anyPort bool
+}
+
+func addresses(s *Settings) []address {
+	list := []address{
+		{path: "addresses.caller_listen", value: &s.Addresses.CallerListen, anyIP: true, anyPort: true},
+		{path: "addresses.peer_listen", value: &s.Addresses.PeerListen, anyIP: true, anyPort: true},
+		// Optional because it follows from peer_listen, whose absence is reported.
+		// With port 0 the daemon advertises the port that the system chose.
+		{path: "addresses.advertise_peer", value: &s.Addresses.AdvertisePeer, optional: true,
+			anyPort: strings.HasSuffix(s.Addresses.PeerListen, ":0")},
+		{path: "platform.log", value: &s.Platform.Log},
+		{path: "platform.instances", value: &s.Platform.Instances},
+		{path: "platform.old", value: &s.Platform.Old, optional: true},
+	}
+	for i := range s.Seeds {
+		list = append(list, address{path: seedPath(i, "address"), value: &s.Seeds[i].Address})
+	}
+	return list
+}
+
+func seedPath(i int, field string) string { return jsonc.Field(jsonc.Index("seeds", i), field) }
+
+// checks lists all rules; each one is reported independently of the others.
+var checks = []func(s *Settings, doc *jsonc.Document){
+	checkIdentity,
+	checkDataCentres,
+	checkAddresses,
+	checkSeparateListeners,
+	checkSeedsUnique,
+	checkLimits,
+	checkTimings,
+	checkRenewal,
+	checkGrace,
+	checkHeartbeat,
+	checkShutdown,
+	checkLogLevel,
+	checkCrossRegionRate,
+}
+
+func validate(s *Settings, doc *jsonc.Document) {
+	for _, c := range checks {
+		c(s, doc)
+	}
+}
+
+func checkIdentity(s *Settings, doc *jsonc.Document) {
+	if s.DaemonID == "" {
+		doc.Report("daemon_id", "state a name that no other daemon of the cell has", "daemon_id is missing or empty")
+	}
+	if s.Region == "" {
+		doc.Report("region", "state the region of the data centre", "region is missing or empty")
+	}
+}
+
+func checkDataCentres(s *Settings, doc *jsonc.Document) {
+	checkDataCentre(doc, "data_centre", s.DataCentre)
+	for i, seed := range s.Seeds {
+		checkDataCentre(doc, seedPath(i, "data_centre"), seed.DataCentre)
+	}
+}
+
+func checkDataCentre(doc *jsonc.Document, path string, name model.DataCentre) {
+	if name == "" {
+		doc.Report(path, "state the data centre's name from the configuration text", "%s is missing or empty", path)
+	}
+	if strings.Contains(string(name), ":") {
+		doc.Report(path, "remove the colon; it ends the prefix of a key", "%s %q contains a colon", path, name)
+	}
+}
+
+func checkAddresses(s *Settings, doc *jsonc.Document) {
+	for _, a := range addresses(s) {
+		checkAddress(doc, a)
+	}
+}
+
+func checkAddress(doc *jsonc.Document, a address) {
+	const remedy = `write an IP number and port such as "10.1.2.3:7180"`
+	if *a.value == "" {
+		if !a.optional {
+			doc.Report(a.path, remedy, "%s is missing or empty", a.path)
+		}
+		return
+	}
+	parsed, err := netip.ParseAddrPort(*a.value)
+	switch {
+	case err != nil:
+		doc.Report(a.path, remedy, "%s %q is not an IP number with a port", a.path, *a.value)
+	case !a.anyPort && parsed.Port() == 0:
+		doc.Report(a.path, "state the port to connect to", "%s %q has port 0", a.path, *a.value)
+	case !a.anyIP && parsed.Addr().IsUnspecified():
+		doc.Report(a.path, "state an IP number that others can connect to", "%s %q can only be listened on", a.path, *a.value)
+	}
+}
+
+func checkSeparateListeners(s *Settings, doc *jsonc.Document) {
+	caller, err := netip.ParseAddrPort(s.Addresses.CallerListen)
+	if err == nil && caller.Port() != 0 && s.Addresses.CallerListen == s.Addresses.PeerListen {
+		doc.Report("addresses.peer_listen", "use another port", "caller_listen and peer_listen are both %s", s.Addresses.PeerListen)
+	}
+}
+
+func checkSeedsUnique(s *Settings, doc *jsonc.Document) {
+	seen := map[string]bool{}
+	for i, seed := range s.Seeds {
+		if seen[seed.Address] && seed.Address != "" {
+			doc.Report(seedPath(i, "address"), "remove one of them", "seed %s is listed twice", seed.Address)
+		}
+		seen[seed.Address] = true
+	}
+}
+
+func checkDuration(doc *jsonc.Document, path string, value, low time.Duration) {
+	if value < low || value > maxTiming {
+		doc.Report(path, "use a duration in this range", "%s is %s, outside of %s to %s", path, value, low, maxTiming)
+	}
+}
+
+func checkLimits(s *Settings, doc *jsonc.Document) {
+	jsonc.CheckRange(doc, "limits.body_bytes", s.Limits.BodyBytes, 1, maxBytes)
+	jsonc.CheckRange(doc, "limits.header_bytes", s.Limits.HeaderBytes, 1, maxHeaderBytes)
+	jsonc.CheckRange(doc, "limits.max_connections", s.Limits.MaxConnections, 1, maxConnections)
+	checkDuration(doc, "limits.header_read_timeout", s.Limits.HeaderReadTimeout, time.Millisecond)
+	checkDuration(doc, "limits.body_read_timeout", s.Limits.BodyReadTimeout, time.Millisecond)
+	checkDuration(doc, "limits.idle_timeout", s.Limits.IdleTimeout, time.Millisecond)
+	checkDuration(doc, "limits.max_wait", s.Limits.MaxWait, time.Millisecond)
+}
+
+func checkTimings(s *Settings, doc *jsonc.Document) {
+	checkDuration(doc, "timings.lease_ttl", s.Timings.LeaseTTL, 10*time.Millisecond)
+	checkDuration(doc, "timings.renew_interval", s.Timings.RenewInterval, time.Millisecond)
+	checkDuration(doc, "timings.task_grace", s.Timings.TaskGrace, time.Millisecond)
+	checkDuration(doc, "timings.heartbeat_interval", s.Timings.HeartbeatInterval, time.Millisecond)
+	checkDuration(doc, "timings.list_poll", s.Timings.ListPoll, time.Millisecond)
+	checkDuration(doc, "timings.log_poll", s.Timings.LogPoll, time.Millisecond)
+	checkDuration(doc, "timings.settle_time", s.Timings.SettleTime, 0)
+	checkDuration(doc, "timings.shutdown_timeout", s.Timings.ShutdownTimeout, time.Millisecond)
+}
+
+// One lost renewal must not cost a lease.
+func checkRenewal(s *Settings, doc *jsonc.Document) {
+	if s.Timings.RenewInterval > s.Timings.LeaseTTL/2 && !doc.BadWithin("timings") {
+		doc.Report("timings.renew_interval", "renew at least twice within lease_ttl",
+			"timings.renew_interval %s is more than half of timings.lease_ttl %s", s.Timings.RenewInterval, s.Timings.LeaseTTL)
+	}
+}
+
+// Running tasks must outlive a takeover, which can begin only after the TTL.
+func checkGrace(s *Settings, doc *jsonc.Document) {
+	if s.Timings.TaskGrace < s.Timings.LeaseTTL && !doc.BadWithin("timings") {
+		doc.Report("timings.task_grace", "raise it or lower lease_ttl",
+			"timings.task_grace %s is below timings.lease_ttl %s, so a takeover would stop running tasks", s.Timings.TaskGrace, s.Timings.LeaseTTL)
+	}
+}
+
+// A standby that notices a dead owner later than the leases expire delays the takeover.
+func checkHeartbeat(s *Settings, doc *jsonc.Document) {
+	if s.Timings.HeartbeatInterval > s.Timings.LeaseTTL/2 && !doc.BadWithin("timings") {
+		doc.Report("timings.heartbeat_interval", "send at least two heartbeats within lease_ttl",
+			"timings.heartbeat_interval %s is more than half of timings.lease_ttl %s", s.Timings.HeartbeatInterval, s.Timings.LeaseTTL)
+	}
+}
+
+func checkShutdown(s *Settings, doc *jsonc.Document) {
+	if s.Timings.SettleTime >= s.Timings.ShutdownTimeout && !doc.BadWithin("timings") {
+		doc.Report("timings.settle_time", "lower it or raise shutdown_timeout",
+			"timings.settle_time %s leaves no time of timings.shutdown_timeout %s for requests in flight", s.Timings.SettleTime, s.Timings.ShutdownTimeout)
+	}
+}
+
+func checkLogLevel(s *Settings, doc *jsonc.Document) {
+	if !slices.Contains(logLevels, s.LogLevel) {
+		doc.Report("log_level", "use one of "+strings.Join(logLevels, ", "), "unknown log_level %q", s.LogLevel)
+	}
+}
+
+func checkCrossRegionRate(s *Settings, doc *jsonc.Document) {
+	jsonc.CheckRange(doc, "cross_region_bytes_per_second", s.CrossRegionBytesPerSecond, 1, maxBytes)
+}
--- a/internal/text/config.go
+++ b/internal/text/config.go
@@ -83,7 +83,8 @@
 	// Instances is how many long-running instances of a service class are kept
 	// over all data centres.
 	Instances int `json:"instances"`
-	// Tasks is the default number of tasks of an all-at-once request.
+	// Tasks is the default number of tasks of an all-at-once request, and 1 for
+	// other classes.
 	Tasks     int      `json:"tasks"`
 	DependsOn []string `json:"depends_on"`
 	// NewPercent of the keys run on the new system, the rest on the old one.
@@ -108,3 +109,9 @@
 	}
 	return nil
 }
+
+// Values of Service.OnDeadline.
+const (
+	DeadlineContinue = "continue"
+	DeadlineStop     = "stop"
+)
--- /dev/null
+++ b/internal/text/dependencies.go
@@ -0,0 +1,118 @@
+package text
+
+import (
+	"strings"
+
+	"catkinvalve/internal/jsonc"
+)
+
+func dependencyPath(service, dependency int) string {
+	return jsonc.Index(servicePath(service, "depends_on"), dependency)
+}
+
+// serviceIndex maps names to the first service of that name. It keeps the
+// checks linear in the size of the text.
+func serviceIndex(cfg *Config) map[string]int {
+	index := make(map[string]int, len(cfg.Services))
+	for i, s := range cfg.Services {
+		if _, ok := index[s.Name]; !ok {
+			index[s.Name] = i
+		}
+	}
+	return index
+}
+
+func checkKnownDependencies(cfg *Config, doc *jsonc.Document) {
+	index := serviceIndex(cfg)
+	for i, s := range cfg.Services {
+		for j, name := range s.DependsOn {
+			if _, ok := index[name]; !ok {
+				doc.Report(dependencyPath(i, j), "correct the name or add the service", "service %q depends on the unknown service %q", s.Name, name)
+			}
+		}
+	}
+}
+
+func checkDependenciesUnique(cfg *Config, doc *jsonc.Document) {
+	for i, s := range cfg.Services {
+		seen := map[string]bool{}
+		for j, name := range s.DependsOn {
+			if seen[name] {
+				doc.Report(dependencyPath(i, j), "remove one of them", "service %q depends on %q twice", s.Name, name)
+			}
+			seen[name] = true
+		}
+	}
+}
+
+// cycleSearch is a depth-first search over the dependencies.
+type cycleSearch struct {
+	cfg   *Config
+	doc   *jsonc.Document
+	index map[string]int
+	done  []bool
+	path  []int
+	// depth is the place of a service in path.
+	depth map[int]int
+}
+
+// checkDependencyCycles reports each dependency that closes a cycle.
+func checkDependencyCycles(cfg *Config, doc *jsonc.Document) {
+	search := &cycleSearch{cfg: cfg, doc: doc, index: serviceIndex(cfg), done: make([]bool, len(cfg.Services)), depth: map[int]int{}}
+	for i := range cfg.Services {
+		search.visit(i)
+	}
+}
+
+func (c *cycleSearch) visit(i int) {
+	if c.done[i] {
+		return
+	}
+	c.depth[i] = len(c.path)
+	c.path = append(c.path, i)
+	for j, name := range c.cfg.Services[i].DependsOn {
+		next, ok := c.index[name]
+		if !ok {
+			continue
+		}
+		if start, ok := c.depth[next]; ok {
+			c.report(i, j, c.path[start:])
+			continue
+		}
+		c.visit(next)
+	}
+	c.path = c.path[:len(c.path)-1]
+	delete(c.depth, i)
+	c.done[i] = true
+}
+
+func (c *cycleSearch) report(service, dependency int, cycle []int) {
+	const shown = 10 // services of a long cycle that fit into a message
+	var names []string
+	for _, i := range cycle[:min(shown, len(cycle))] {
+		names = append(names, c.cfg.Services[i].Name)
+	}
+	if len(cycle) > shown {
+		names = append(names, "...")
+	}
+	names = append(names, c.cfg.Services[cycle[0]].Name)
+	c.doc.Report(dependencyPath(service, dependency), "remove one of these dependencies", "dependency cycle %s", strings.Join(names, " -> "))
+}
+
+// A key of a service that runs on the new system needs its dependencies there,
+// so a service may not be ahead of any of them.
+func checkDependencyShares(cfg *Config, doc *jsonc.Document) {
+	index := serviceIndex(cfg)
+	for i, s := range cfg.Services {
+		for _, name := range s.DependsOn {
+			j, ok := index[name]
+			if !ok {
+				continue
+			}
+			if on := cfg.Services[j]; s.NewPercent > on.NewPercent {
+				doc.Report(servicePath(i, "new_percent"), "lower it or raise the share of the dependency first",
+					"new_percent %d of service %q exceeds new_percent %d of %q, on which it depends", s.NewPercent, s.Name, on.NewPercent, on.Name)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/text/diff.go
@@ -0,0 +1,129 @@
+package text
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// ChangeKind tells what happened to an item or field.
+type ChangeKind string
+
+// Kinds of changes.
+const (
+	Added   ChangeKind = "added"
+	Removed ChangeKind = "removed"
+	Changed ChangeKind = "changed"
+	// ShareMoved is a change of a service's new_percent.
+	ShareMoved ChangeKind = "share_moved"
+)
+
+// Change is one difference between two texts.
+type Change struct {
+	Kind ChangeKind `json:"kind"`
+	// Item is "service NAME", "team NAME", "data centre NAME" or "cell".
+	Item string `json:"item"`
+	// Field, From and To are empty when a whole item was added or removed.
+	Field string `json:"field,omitempty"`
+	From  string `json:"from,omitempty"`
+	To    string `json:"to,omitempty"`
+}
+
+// String returns the change as one line.
+func (c Change) String() string {
+	switch c.Kind {
+	case Added, Removed:
+		return fmt.Sprintf("%s: %s", c.Item, c.Kind)
+	case ShareMoved:
+		return fmt.Sprintf("%s: share on the new system moves from %s%% to %s%%", c.Item, c.From, c.To)
+	}
+	return fmt.Sprintf("%s: %s changes from %s to %s", c.Item, c.Field, c.From, c.To)
+}
+
+// Diff returns the differences between two parsed texts: the cell first, then
+// data centres, services and teams by name. A nil text counts as empty.
+func Diff(old, new *Config) []Change {
+	before, after := itemsOf(old), itemsOf(new)
+	names := maps.Clone(before)
+	maps.Copy(names, after)
+	var changes []Change
+	for _, item := range slices.Sorted(maps.Keys(names)) {
+		changes = append(changes, diffItem(item, before[item], after[item])...)
+	}
+	return changes
+}
+
+// fields maps the path of a field within an item to its value as JSON.
+type fields map[string]string
+
+func diffItem(item string, before, after fields) []Change {
+	switch {
+	case before == nil:
+		return []Change{{Kind: Added, Item: item}}
+	case after == nil:
+		return []Change{{Kind: Removed, Item: item}}
+	}
+	names := maps.Clone(before)
+	maps.Copy(names, after)
+	var changes []Change
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		if before[name] == after[name] {
+			continue
+		}
+		kind := Changed
+		if name == "new_percent" {
+			kind = ShareMoved
+		}
+		changes = append(changes, Change{Kind: kind, Item: item, Field: name,
+			From: cmp.Or(before[name], "unset"), To: cmp.Or(after[name], "unset")})
+	}
+	return changes
+}
+
+func itemsOf(cfg *Config) map[string]fields {
+	items := map[string]fields{}
+	if cfg == nil {
+		return items
+	}
+	for _, dc := range cfg.DataCentres {
+		items["data centre "+string(dc.Name)] = fieldsOf(dc)
+	}
+	for _, t := range cfg.Teams {
+		items["team "+t.Name] = fieldsOf(t)
+	}
+	for _, s := range cfg.Services {
+		items["service "+s.Name] = fieldsOf(s)
+	}
+	cell := *cfg
+	cell.DataCentres, cell.Teams, cell.Services = nil, nil, nil
+	items["cell"] = fieldsOf(cell)
+	return items
+}
+
+// fieldsOf flattens the JSON form of an item, so that a field added to the text
+// later appears in differences without a change here.
+func fieldsOf(item any) fields {
+	data, err := json.Marshal(item)
+	if err != nil {
+		return fields{"": err.Error()}
+	}
+	out := fields{}
+	flatten(out, "", data)
+	return out
+}
+
+func flatten(out fields, path string, data json.RawMessage) {
+	var object map[string]json.RawMessage
+	if data[0] != '{' || json.Unmarshal(data, &object) != nil {
+		out[path] = string(data)
+		return
+	}
+	for name, value := range object {
+		if path != "" {
+			name = path + "." + name
+		}
+		flatten(out, name, value)
+	}
+}
--- /dev/null
+++ b/internal/text/parse.go
@@ -0,0 +1,122 @@
+package text
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/jsonc"
+)
+
+// Problem is one fault of a text.
+type Problem = jsonc.Problem
+
+// Problems is a list of faults, sorted by position.
+type Problems = jsonc.Problems
+
+// Defaults of fields that a text does not state.
+const (
+	DefaultWeighWaiting               = 50
+	DefaultWeighPacking               = 50
+	DefaultQueuePerTeam               = 10_000  // tasks
+	DefaultQueueTotal                 = 100_000 // tasks
+	DefaultInteractiveHeadroomPercent = 10
+	DefaultRackSpare                  = true
+	DefaultUrgentWaitMS               = 9_500 // bound on the start of urgent work, section 1 of the design page
+	DefaultDrainMS                    = 60_000
+	DefaultMaxAttempts                = 3
+	DefaultBudgetPercent              = 10
+	DefaultBackoffMS                  = 100
+	DefaultBackoffMaxMS               = 10_000
+	DefaultBorrow                     = true
+	DefaultSlots                      = 1
+	DefaultTasks                      = 1
+	DefaultNewPercent                 = 0 // a service stays on the old system until an operator moves it
+	DefaultOnDeadline                 = DeadlineContinue
+)
+
+// Parse parses, canonicalizes and validates a text. The name is used in the
+// problems. The configuration is nil when there is a problem.
+func Parse(name string, data []byte) (*Config, Problems) {
+	doc := jsonc.Parse(name, data)
+	cfg := &Config{}
+	if doc.Problems() == nil {
+		doc.Decode(cfg)
+		fillDefaults(cfg, doc)
+		validate(cfg, doc)
+	}
+	if ps := doc.Problems(); len(ps) > 0 {
+		return nil, ps
+	}
+	sortLists(cfg)
+	return cfg, nil
+}
+
+// Canonical returns the configuration as JSON without comments, with all
+// defaults and with sorted lists. Texts of equal meaning give equal bytes.
+func Canonical(cfg *Config) ([]byte, error) {
+	return json.MarshalIndent(cfg, "", "  ")
+}
+
+// setDefault sets a field that the text does not state.
+func setDefault[T any](doc *jsonc.Document, path string, field *T, value T) {
+	if !doc.Has(path) {
+		*field = value
+	}
+}
+
+func fillDefaults(cfg *Config, doc *jsonc.Document) {
+	setDefault(doc, "weigh.waiting", &cfg.Weigh.Waiting, DefaultWeighWaiting)
+	setDefault(doc, "weigh.packing", &cfg.Weigh.Packing, DefaultWeighPacking)
+	setDefault(doc, "limits.queue_per_team", &cfg.Limits.QueuePerTeam, DefaultQueuePerTeam)
+	setDefault(doc, "limits.queue_total", &cfg.Limits.QueueTotal, DefaultQueueTotal)
+	setDefault(doc, "limits.interactive_headroom_percent", &cfg.Limits.InteractiveHeadroomPercent, DefaultInteractiveHeadroomPercent)
+	setDefault(doc, "limits.rack_spare", &cfg.Limits.RackSpare, DefaultRackSpare)
+	setDefault(doc, "limits.urgent_wait_ms", &cfg.Limits.UrgentWaitMS, DefaultUrgentWaitMS)
+	setDefault(doc, "limits.drain_ms", &cfg.Limits.DrainMS, DefaultDrainMS)
+	setDefault(doc, "retry.max_attempts", &cfg.Retry.MaxAttempts, DefaultMaxAttempts)
+	setDefault(doc, "retry.budget_percent", &cfg.Retry.BudgetPercent, DefaultBudgetPercent)
+	setDefault(doc, "retry.backoff_ms", &cfg.Retry.BackoffMS, DefaultBackoffMS)
+	setDefault(doc, "retry.backoff_max_ms", &cfg.Retry.BackoffMaxMS, DefaultBackoffMaxMS)
+	for i := range cfg.Teams {
+		setDefault(doc, teamPath(i, "quota.borrow"), &cfg.Teams[i].Quota.Borrow, DefaultBorrow)
+	}
+	for i := range cfg.Services {
+		fillServiceDefaults(&cfg.Services[i], i, doc)
+	}
+}
+
+func fillServiceDefaults(s *Service, i int, doc *jsonc.Document) {
+	setDefault(doc, servicePath(i, "size.slots"), &s.Size.Slots, DefaultSlots)
+	setDefault(doc, servicePath(i, "new_percent"), &s.NewPercent, DefaultNewPercent)
+	setDefault(doc, servicePath(i, "on_deadline"), &s.OnDeadline, DefaultOnDeadline)
+	// The system restarts instances of class service by itself, so they are
+	// idempotent by nature. Other work is not unless its owners say so.
+	setDefault(doc, servicePath(i, "idempotent"), &s.Idempotent, s.Class == model.Service)
+	if s.Class != model.AllAtOnce {
+		setDefault(doc, servicePath(i, "tasks"), &s.Tasks, DefaultTasks)
+	}
+}
+
+func sortLists(cfg *Config) {
+	slices.SortFunc(cfg.DataCentres, func(a, b DataCentre) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(cfg.Teams, func(a, b Team) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(cfg.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	for i := range cfg.Services {
+		s := &cfg.Services[i]
+		slices.Sort(s.DependsOn)
+		// An absent list and an empty one mean the same, so they get one form.
+		s.DependsOn = append([]string{}, s.DependsOn...)
+	}
+	cfg.Teams = append([]Team{}, cfg.Teams...)
+	cfg.Services = append([]Service{}, cfg.Services...)
+}
+
+func dataCentrePath(i int, field string) string {
+	return jsonc.Field(jsonc.Index("data_centres", i), field)
+}
+func teamPath(i int, field string) string { return jsonc.Field(jsonc.Index("teams", i), field) }
+func servicePath(i int, field string) string {
+	return jsonc.Field(jsonc.Index("services", i), field)
+}
