Add the command-line tool and the API client

The client tries another server only where a repeat has no second effect. A refusal after a lost answer is reported as not known, because the earlier attempt may have taken effect.

--- /dev/null
+++ b/internal/api/client_test.go
@@ -0,0 +1,82 @@
+package api
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/fault"
+)
+
+// reply returns a server that counts calls; status 0 cuts the connection
+// after the call was read, which loses the answer.
+func reply(t *testing.T, status int, body string) (string, *atomic.Int32) {
+	var calls atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		if status == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	t.Cleanup(server.Close)
+	return server.URL, &calls
+}
+
+// closed returns the URL of a server that accepts no connections.
+func closed() string {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	return server.URL
+}
+
+// Guards against second effects, and against reporting a refusal as final when
+// an earlier attempt may have taken effect.
+func TestNextServer(t *testing.T) {
+	const done = `{"key": "k", "fate": "done", "ok": true}`
+	const overloaded = `{"kind": "overloaded", "message": "m", "remedy": "r"}`
+	lost, lostCalls := reply(t, 0, "")
+	good, goodCalls := reply(t, http.StatusOK, done)
+	full, _ := reply(t, http.StatusTooManyRequests, overloaded)
+	draining, _ := reply(t, http.StatusServiceUnavailable, `{"kind": "draining", "message": "m", "remedy": "r"}`)
+	proxy, _ := reply(t, http.StatusBadGateway, "bad gateway")
+	redirect, _ := reply(t, http.StatusTemporaryRedirect, "")
+	for _, c := range []struct {
+		name      string
+		servers   []string
+		key       string
+		want      fault.Kind
+		lost, got int32
+	}{
+		{"no connection", []string{closed(), good}, "", "", 0, 1},
+		{"no server", []string{closed(), closed()}, "k", Unreachable, 0, 0},
+		{"lost answer with key", []string{lost, good + "/"}, "k", "", 1, 1},
+		{"lost answer without key", []string{lost, good}, "", fault.FateUnknownYet, 1, 0},
+		{"lost answer, then refusal", []string{lost, full}, "k", fault.FateUnknownYet, 1, 0},
+		{"lost answer, then no connection", []string{lost, closed()}, "k", fault.FateUnknownYet, 1, 0},
+		{"refusal is final", []string{full, good}, "k", fault.Overloaded, 0, 0},
+		{"draining", []string{draining, good}, "k", "", 0, 1},
+		{"answer of a proxy", []string{proxy, closed()}, "k", fault.FateUnknownYet, 0, 0},
+		{"redirect", []string{redirect}, "k", fault.FateUnknownYet, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			lostCalls.Store(0)
+			goodCalls.Store(0)
+			client, err := NewClient(c.servers)
+			assert.NilError(t, err)
+			_, err = client.Submit(context.Background(), SubmitRequest{Key: c.key})
+			if c.want == "" {
+				assert.NilError(t, err)
+			} else {
+				assert.Equal(t, fault.KindOf(err), c.want, "%v", err)
+			}
+			assert.Equal(t, lostCalls.Load(), c.lost)
+			assert.Equal(t, goodCalls.Load(), c.got)
+		})
+	}
+}
--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,70 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"catkinvalve/internal/jsonc"
+	"catkinvalve/internal/settings"
+)
+
+// checkResult is the JSON output of check.
+type checkResult struct {
+	Valid    bool           `json:"valid"`
+	Problems jsonc.Problems `json:"problems"`
+}
+
+func newCheck(a *app) *cobra.Command {
+	var daemon bool
+	cmd := &cobra.Command{
+		Use:   "check FILE",
+		Short: "Report all faults of a configuration text; needs no server",
+		Long: "Check prints each fault as file:line:column: fault; remedy.\n" +
+			"The exit code is 0 for a valid file and 2 otherwise.",
+		Example:           "  catkinvalve check cell.jsonc\n  catkinvalve check --settings daemon.jsonc\n  catkinvalve check -o json cell.jsonc",
+		Args:              cobra.ExactArgs(1),
+		ValidArgsFunction: completeText,
+		RunE: func(_ *cobra.Command, args []string) error {
+			return a.check(args[0], daemon)
+		},
+	}
+	cmd.Flags().BoolVar(&daemon, "settings", false, "the file holds the settings of a daemon")
+	return cmd
+}
+
+func (a *app) check(name string, daemon bool) error {
+	var err error
+	if daemon {
+		err = checkSettings(name)
+	} else {
+		_, _, err = readText(name)
+	}
+	problems := jsonc.Problems{}
+	if err != nil && !errors.As(err, &problems) {
+		return err
+	}
+	if a.output == outputJSON {
+		if err := a.print(checkResult{Valid: len(problems) == 0, Problems: problems}, nil); err != nil {
+			return err
+		}
+	} else {
+		for _, p := range problems {
+			fmt.Fprintln(a.out, p)
+		}
+	}
+	if len(problems) > 0 {
+		return codeError(ExitUsage)
+	}
+	return nil
+}
+
+func checkSettings(name string) error {
+	data, err := readFile(name, jsonc.MaxBytes)
+	if err != nil {
+		return err
+	}
+	_, problems := settings.Parse(name, data)
+	return problems.Err()
+}
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,192 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sourcegraph/conc/panics"
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/api"
+	"catkinvalve/internal/jsonc"
+)
+
+const example = "../../examples/kerlann.jsonc"
+
+// run executes a command line against handler.
+func run(t *testing.T, handler http.HandlerFunc, args ...string) (code int, out, errOut string) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	var o, e bytes.Buffer
+	code = Execute(context.Background(), append([]string{"--server", server.URL}, args...), &o, &e)
+	return code, o.String(), e.String()
+}
+
+func answer(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}
+}
+
+func write(t *testing.T, content string) string {
+	name := filepath.Join(t.TempDir(), "input")
+	assert.NilError(t, os.WriteFile(name, []byte(content), 0o600))
+	return name
+}
+
+// Guards the exit codes, on which scripts rely.
+func TestExitCodes(t *testing.T) {
+	submit := []string{"submit", "--key", "k", "--service", "s"}
+	for _, c := range []struct {
+		name   string
+		status int
+		body   string
+		args   []string
+		want   int
+	}{
+		{"done", 200, `{"fate": "done", "ok": true}`, []string{"fate", "k"}, ExitOK},
+		{"failed", 200, `{"fate": "done", "ok": false}`, []string{"fate", "k"}, ExitFailed},
+		{"not run", 200, `{"fate": "not_run", "reason": "shed"}`, []string{"fate", "k"}, ExitRefused},
+		{"unknown", 200, `{"fate": "unknown"}`, []string{"fate", "k"}, ExitOutage},
+		{"accepted", 200, `{"fate": "queued"}`, submit, ExitOK},
+		{"still running", 200, `{"fate": "running"}`, append(submit, "--wait", "1ms"), ExitOutage},
+		{"overloaded", 429, `{"kind": "overloaded", "message": "m", "remedy": "r"}`, submit, ExitRefused},
+		{"malformed for the daemon", 400, `{"kind": "malformed", "message": "m", "remedy": "r"}`, submit, ExitRefused},
+		{"in doubt", 503, `{"kind": "fate_in_doubt", "message": "m", "remedy": "r"}`, submit, ExitOutage},
+		{"cancelled in time", 200, `{"fate": "not_run"}`, []string{"cancel", "k"}, ExitOK},
+		{"cancelled too late", 200, `{"fate": "done"}`, []string{"cancel", "k"}, ExitRefused},
+		{"not found", 404, `{"kind": "not_found", "message": "m", "remedy": "r"}`, []string{"explain", "k"}, ExitRefused},
+		{"drain", 200, `{"worker": "w", "running": 2}`, []string{"drain", "w"}, ExitOK},
+		{"status", 200, `{"data_centres": [{"data_centre": "a", "queues": [{"team": "t"}], "daemons": [{}], "workers": [{}]}]}`, []string{"status", "--workers"}, ExitOK},
+		{"history", 200, `{"entries": [{"revision": 3}]}`, []string{"history"}, ExitOK},
+		{"no server", 0, "", []string{"--server", "http://127.0.0.1:1", "status"}, ExitOutage},
+		{"publish won", 200, `{"accepted": true, "revision": 8}`, []string{"publish", "--base", "7", example}, ExitOK},
+		{"publish lost", 200, `{"accepted": false, "revision": 8}`, []string{"publish", "--base", "7", example}, ExitRefused},
+		{"publish in an outage", 503, `{"kind": "log_unavailable", "message": "m", "remedy": "r"}`, []string{"publish", "--base", "7", "--timeout", "50ms", example}, ExitOutage},
+		{"publish a faulty file", 200, ``, []string{"publish", write(t, "{}")}, ExitUsage},
+		{"check", 0, "", []string{"check", example}, ExitOK},
+		{"check settings", 0, "", []string{"check", "--settings", "../../examples/settings.jsonc"}, ExitOK},
+		{"check no file", 0, "", []string{"check", "missing"}, ExitUsage},
+		{"diff", 200, `{"revision": 0}`, []string{"diff", example}, ExitOK},
+		{"unknown command", 0, "", []string{"place"}, ExitUsage},
+		{"unknown flag", 0, "", []string{"status", "--fast"}, ExitUsage},
+		{"bad format", 0, "", []string{"version", "-o", "xml"}, ExitUsage},
+		{"bad server", 0, "", []string{"status", "--server", "localhost"}, ExitUsage},
+		{"submit nothing", 0, "", []string{"submit"}, ExitUsage},
+		{"bad size", 0, "", append(submit, "--milli-cpu", "5"), ExitUsage},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			// The later --server is added to the test server's; the first is tried alone.
+			var o, e bytes.Buffer
+			var code int
+			if c.name == "no server" {
+				code = Execute(context.Background(), c.args, &o, &e)
+			} else {
+				var out, errOut string
+				code, out, errOut = run(t, answer(max(c.status, 200), c.body), c.args...)
+				o.WriteString(out)
+				e.WriteString(errOut)
+			}
+			assert.Equal(t, code, c.want, "%s%s", o.String(), e.String())
+			assert.Assert(t, !strings.Contains(o.String()+e.String(), "goroutine"))
+		})
+	}
+}
+
+// Guards against a faulty text that is reported in part or in another form.
+func TestCheckPrintsEveryFault(t *testing.T) {
+	name := write(t, "{\"cell\": 1,\n \"data_centres\": [], \"x\": 2,\n \"weigh\": {\"waiting\": -1}, \"teams\": [{}],\n \"cell\": \"c\"}")
+	code, out, errOut := run(t, nil, "check", name)
+	assert.Equal(t, code, ExitUsage)
+	assert.Equal(t, errOut, "")
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	assert.Equal(t, len(lines), 6, out)
+	for i, position := range []string{":1:10: ", ":2:18: ", ":2:22: ", ":3:23: ", ":3:38: ", ":4:2: "} {
+		assert.Assert(t, strings.HasPrefix(lines[i], name+position) && strings.Contains(lines[i], "; "), lines[i])
+	}
+	_, out, _ = run(t, nil, "check", "-o", "json", name)
+	var result checkResult
+	assert.NilError(t, json.Unmarshal([]byte(out), &result))
+	assert.Equal(t, len(result.Problems), 6)
+}
+
+// Guards against a publication that a lost answer makes twice, and against
+// taking a later refusal for the verdict.
+func TestPublishRepeatsSameID(t *testing.T) {
+	var ids []string
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			answer(200, `{"revision": 7}`)(w, r)
+			return
+		}
+		var req api.PublishRequest
+		_ = json.NewDecoder(r.Body).Decode(&req)
+		ids = append(ids, req.PublishID)
+		switch len(ids) {
+		case 1:
+			panic(http.ErrAbortHandler)
+		case 2:
+			answer(429, `{"kind": "overloaded", "message": "m", "remedy": "r"}`)(w, r)
+		default:
+			answer(200, `{"publish_id": "`+req.PublishID+`", "accepted": true, "revision": 8}`)(w, r)
+		}
+	}
+	code, out, errOut := run(t, handler, "publish", example)
+	assert.Equal(t, code, ExitOK, errOut)
+	assert.Assert(t, strings.Contains(out, "accepted as revision 8"))
+	assert.DeepEqual(t, ids, []string{ids[0], ids[0], ids[0]})
+}
+
+// Guards against sending a part of a file that has a fault, and against
+// outcomes that are not in the order of the file.
+func TestSubmitFile(t *testing.T) {
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		var req api.SubmitRequest
+		_ = json.NewDecoder(r.Body).Decode(&req)
+		if req.Key == "b" {
+			answer(429, `{"kind": "overloaded", "message": "m", "remedy": "r"}`)(w, r)
+			return
+		}
+		answer(200, `{"key": "`+req.Key+`", "fate": "done", "ok": true}`)(w, r)
+	}
+	good := write(t, "{\"key\": \"a\", \"service\": \"s\"}\n\n{\"key\": \"b\", \"service\": \"s\"}\n{\"key\": \"c\", \"service\": \"s\"}\n")
+	code, out, _ := run(t, handler, "submit", "--file", good, "-o", "json")
+	assert.Equal(t, code, ExitRefused)
+	var results []submitResult
+	assert.NilError(t, json.Unmarshal([]byte(out), &results))
+	assert.Equal(t, results[0].Key+results[1].Key+results[2].Key, "abc")
+	assert.Equal(t, string(results[1].Error.Kind), "overloaded")
+
+	bad := write(t, "{\"key\": \"a\", \"service\": \"s\"}\n{\"key\": 1}\n{\"kee\": \"a\"}\n{\"key\": \"a\", \"service\": \"s\"}\n{} {}\n")
+	code, _, errOut := run(t, func(http.ResponseWriter, *http.Request) { t.Error("request was sent") }, "submit", "--file", bad)
+	assert.Equal(t, code, ExitUsage)
+	assert.Equal(t, strings.Count(errOut, bad+":"), 4, errOut)
+}
+
+// Guards against stack traces, which the text of a passed-on panic contains.
+func TestPanicPrintsNoStack(t *testing.T) {
+	var e bytes.Buffer
+	func() {
+		defer func() { printPanic(&e, recover()) }()
+		var catcher panics.Catcher
+		catcher.Try(func() { panic("defect") })
+		catcher.Repanic()
+	}()
+	assert.Equal(t, e.String(), "internal: defect; report this as a defect with the command line\n")
+}
+
+// Guards against faults of the published text that look like the operator's.
+func TestExitCodeOfPublishedFaults(t *testing.T) {
+	err := answered{errors.Join(jsonc.Problems{{Fault: "f"}})}
+	assert.Equal(t, exitCode(err), ExitRefused)
+}
--- /dev/null
+++ b/internal/cli/diff.go
@@ -0,0 +1,73 @@
+package cli
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/text"
+)
+
+// diffResult is the JSON output of diff.
+type diffResult struct {
+	// Revision is the published revision that the file was compared with, or 0.
+	Revision uint64        `json:"revision"`
+	Changes  []text.Change `json:"changes"`
+}
+
+func newDiff(a *app) *cobra.Command {
+	var against string
+	cmd := &cobra.Command{
+		Use:               "diff FILE",
+		Short:             "Show what a text changes against the published one",
+		Example:           "  catkinvalve diff cell.jsonc\n  catkinvalve diff --against old.jsonc cell.jsonc",
+		Args:              cobra.ExactArgs(1),
+		ValidArgsFunction: completeText,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return a.diff(cmd, args[0], against)
+		},
+	}
+	cmd.Flags().StringVar(&against, "against", "", "compare with this file instead of the published text; needs no server")
+	return cmd
+}
+
+func (a *app) diff(cmd *cobra.Command, name, against string) error {
+	_, after, err := readText(name)
+	if err != nil {
+		return err
+	}
+	before, revision, err := a.base(cmd, against)
+	if err != nil {
+		return err
+	}
+	result := diffResult{Revision: revision, Changes: text.Diff(before, after)}
+	if a.output == outputJSON {
+		return a.print(result, nil)
+	}
+	for _, change := range result.Changes {
+		fmt.Fprintln(a.out, change)
+	}
+	if len(result.Changes) == 0 {
+		fmt.Fprintln(a.out, "no changes")
+	}
+	return nil
+}
+
+// base returns the text to compare with.
+func (a *app) base(cmd *cobra.Command, against string) (*text.Config, uint64, error) {
+	if against != "" {
+		_, cfg, err := readText(against)
+		return cfg, 0, err
+	}
+	doc, err := ask(cmd, a.client.Config)
+	if err != nil || doc.Revision == 0 {
+		return nil, 0, err
+	}
+	cfg, problems := text.Parse(fmt.Sprintf("revision-%d", doc.Revision), []byte(doc.Text))
+	if len(problems) > 0 {
+		return nil, 0, answered{fault.Wrap(problems, fault.Malformed, "use the version of this tool that matches the daemons",
+			"published revision %d is not valid here", doc.Revision)}
+	}
+	return cfg, doc.Revision, nil
+}
--- /dev/null
+++ b/internal/cli/files.go
@@ -0,0 +1,45 @@
+package cli
+
+import (
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/jsonc"
+	"catkinvalve/internal/text"
+)
+
+// readFile reads a file up to a byte more than the limit, so that the parser
+// reports a file that is too large.
+func readFile(name string, limit int64) ([]byte, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Usage, "name a file that can be read", "cannot open the file")
+	}
+	defer f.Close()
+	data, err := io.ReadAll(io.LimitReader(f, limit+1))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Usage, "name a file that can be read", "cannot read %s", name)
+	}
+	return data, nil
+}
+
+// readText reads and validates a configuration text.
+func readText(name string) ([]byte, *text.Config, error) {
+	data, err := readFile(name, jsonc.MaxBytes)
+	if err != nil {
+		return nil, nil, err
+	}
+	cfg, problems := text.Parse(name, data)
+	return data, cfg, problems.Err()
+}
+
+// completeText completes the name of a configuration text.
+func completeText(_ *cobra.Command, args []string, _ string) ([]string, cobra.ShellCompDirective) {
+	if len(args) > 0 {
+		return nil, cobra.ShellCompDirectiveNoFileComp
+	}
+	return []string{"jsonc", "json", "hujson"}, cobra.ShellCompDirectiveFilterFileExt
+}
--- /dev/null
+++ b/internal/cli/output.go
@@ -0,0 +1,78 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Values of --output.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+// table is printed with aligned columns.
+type table struct {
+	header []string
+	rows   [][]string
+}
+
+func (t *table) add(cells ...any) {
+	row := make([]string, len(cells))
+	for i, c := range cells {
+		row[i] = oneLine(fmt.Sprint(c))
+	}
+	t.rows = append(t.rows, row)
+}
+
+// oneLine replaces control characters, which servers and callers may put into
+// names and which would break a table or a terminal.
+func oneLine(s string) string {
+	s = strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f {
+			return '?'
+		}
+		return r
+	}, s)
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// print prints v as JSON or as the table, as --output says.
+func (a *app) print(v any, t *table) error {
+	if a.output == outputJSON {
+		encoder := json.NewEncoder(a.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(v)
+	}
+	return t.print(a.out)
+}
+
+func (t *table) print(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(tw, strings.Join(t.header, "\t"))
+	for _, row := range t.rows {
+		fmt.Fprintln(tw, strings.Join(row, "\t"))
+	}
+	return tw.Flush()
+}
+
+func timeText(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return t.Format(time.RFC3339)
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/internal/cli/publish.go
@@ -0,0 +1,135 @@
+package cli
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"os/user"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"catkinvalve/internal/api"
+	"catkinvalve/internal/fault"
+)
+
+// publishPause is the time between two attempts of one publication.
+const publishPause = 500 * time.Millisecond
+
+type publishFlags struct {
+	base      uint64
+	publishID string
+	author    string
+	timeout   time.Duration
+}
+
+func newPublish(a *app) *cobra.Command {
+	var f publishFlags
+	cmd := &cobra.Command{
+		Use:   "publish FILE",
+		Short: "Publish a configuration text",
+		Long: "Publish offers a text as the successor of a base revision. It is refused when\n" +
+			"another revision was accepted since. Without --base the revision at the start\n" +
+			"of the command is the base; state --base when you edited an earlier one, and\n" +
+			"--base 0 for the first text of a cell.\n\n" +
+			"While the answer is lost or the log is unavailable, the command repeats the\n" +
+			"same publish_id, so that the text is accepted at most once. After the timeout\n" +
+			"it prints the publish_id, with which you can ask again.",
+		Example: "  catkinvalve publish cell.jsonc\n  catkinvalve publish --base 41 cell.jsonc\n" +
+			"  catkinvalve publish --base 41 --publish-id 5XQ7ZJ... cell.jsonc",
+		Args:              cobra.ExactArgs(1),
+		ValidArgsFunction: completeText,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return a.publish(cmd, args[0], f)
+		},
+	}
+	cmd.Flags().Uint64Var(&f.base, "base", 0, "revision that the text was edited from")
+	cmd.Flags().StringVar(&f.publishID, "publish-id", "", "repeat an earlier publication; needs its --base")
+	cmd.Flags().StringVar(&f.author, "author", "", "author for the history; default is the user's name")
+	cmd.Flags().DurationVar(&f.timeout, "timeout", 30*time.Second, "how long to repeat while the outcome is not known")
+	return cmd
+}
+
+func (a *app) publish(cmd *cobra.Command, name string, f publishFlags) error {
+	baseGiven := cmd.Flags().Changed("base")
+	if f.publishID != "" && !baseGiven {
+		return usage("--publish-id needs the --base of the earlier publication")
+	}
+	data, _, err := readText(name)
+	if err != nil {
+		return err
+	}
+	if !baseGiven {
+		doc, err := ask(cmd, a.client.Config)
+		// A failure is not taken for a cell without a text, which needs --base 0.
+		if err != nil {
+			return err
+		}
+		f.base = doc.Revision
+	}
+	req := api.PublishRequest{PublishID: f.publishID, Base: f.base, Text: string(data), Author: f.author}
+	if req.PublishID == "" {
+		req.PublishID = rand.Text()
+	}
+	if req.Author == "" {
+		req.Author = userName()
+	}
+	result, err := a.publishUntilKnown(cmd.Context(), req, f.timeout)
+	if err != nil {
+		return answered{err}
+	}
+	return a.printVerdict(result, f.base)
+}
+
+// publishUntilKnown repeats one publication until its verdict is known. The
+// error of a verdict that stays unknown names the publish_id.
+func (a *app) publishUntilKnown(ctx context.Context, req api.PublishRequest, timeout time.Duration) (api.PublishResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	sent := false // an earlier attempt may have been accepted
+	for {
+		result, err := a.client.Publish(ctx, req)
+		if err == nil || verdictKnown(err, sent) {
+			return result, err
+		}
+		kind := fault.KindOf(err)
+		sent = sent || kind == fault.FateUnknownYet || kind == fault.LogUnavailable
+		pause(ctx, publishPause)
+		if ctx.Err() != nil {
+			return result, fault.Wrap(err, fault.FateUnknownYet,
+				fmt.Sprintf("repeat with --base %d --publish-id %s to learn the verdict", req.Base, req.PublishID),
+				"the verdict on the publication is not known")
+		}
+	}
+}
+
+// verdictKnown reports whether err settles the publication. When an earlier
+// attempt may have been accepted, only a refusal in log order settles it.
+func verdictKnown(err error, sent bool) bool {
+	kind := fault.KindOf(err)
+	return kind == fault.PublishConflict || !outages[kind] && !sent
+}
+
+func (a *app) printVerdict(r api.PublishResult, base uint64) error {
+	t := &table{header: []string{"PUBLISH ID", "VERDICT"}}
+	if r.Accepted {
+		t.add(r.PublishID, fmt.Sprintf("accepted as revision %d", r.Revision))
+	} else {
+		t.add(r.PublishID, fmt.Sprintf("refused: based on revision %d, lost to revision %d; run diff, merge and publish again", base, r.Revision))
+	}
+	if err := a.print(r, t); err != nil {
+		return err
+	}
+	if !r.Accepted {
+		return codeError(ExitRefused)
+	}
+	return nil
+}
+
+func userName() string {
+	u, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return u.Username
+}
--- /dev/null
+++ b/internal/cli/root.go
@@ -0,0 +1,179 @@
+// Package cli is the command-line tool catkinvalve. Each command has a file.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/sourcegraph/conc/panics"
+	"github.com/spf13/cobra"
+
+	"catkinvalve/internal/api"
+	"catkinvalve/internal/fault"
+)
+
+// Exit codes.
+const (
+	ExitOK = 0
+	// ExitFailed means that a request ran without success or was cancelled, or
+	// that the tool has a defect.
+	ExitFailed = 1
+	// ExitUsage means a wrong command line or faults in an input file.
+	ExitUsage = 2
+	// ExitRefused means that the daemon refused or that a request did not run.
+	ExitRefused = 3
+	// ExitOutage means that no server answered, that a part is unavailable or
+	// that a fate is not known yet. Repeating the command later is safe.
+	ExitOutage = 4
+)
+
+// DefaultServer is used when neither --server nor the environment names one.
+const DefaultServer = "http://127.0.0.1:7180"
+
+// ServerVariable is the environment variable with the default of --server.
+const ServerVariable = "CATKINVALVE_SERVER"
+
+// codeError ends the command with an exit code. The text, if any, was printed.
+type codeError int
+
+func (e codeError) Error() string { return fmt.Sprintf("exit code %d", int(e)) }
+
+// answered marks an error that a daemon sent.
+type answered struct{ error }
+
+func (e answered) Unwrap() error { return e.error }
+
+// app holds what the commands share.
+type app struct {
+	servers []string
+	output  string
+	out     io.Writer
+	client  *api.Client
+}
+
+// Execute runs the command line and returns the exit code.
+func Execute(ctx context.Context, args []string, out, errOut io.Writer) (code int) {
+	defer func() {
+		if p := recover(); p != nil {
+			printPanic(errOut, p)
+			code = ExitFailed
+		}
+	}()
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(ctx)
+	printError(errOut, err)
+	return exitCode(err)
+}
+
+// printPanic prints the value of a panic. The text of one that the goroutine
+// pool passed on contains a stack trace, which operators can't use.
+func printPanic(w io.Writer, p any) {
+	if r, ok := p.(*panics.Recovered); ok {
+		p = r.Value
+	}
+	fmt.Fprintf(w, "internal: %v; report this as a defect with the command line\n", p)
+}
+
+func newRoot() *cobra.Command {
+	a := &app{}
+	root := &cobra.Command{
+		Use:           "catkinvalve",
+		Short:         "Operate the catkinvalve cluster scheduler",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Example:       "  catkinvalve check cell.jsonc\n  catkinvalve --server http://10.1.0.1:7180,http://10.1.0.2:7180 status",
+		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error {
+			return a.prepare(cmd)
+		},
+	}
+	root.PersistentFlags().StringSliceVar(&a.servers, "server", defaultServers(),
+		"server URLs, repeatable or separated by commas; default from $"+ServerVariable)
+	root.PersistentFlags().StringVarP(&a.output, "output", "o", outputTable, "output format: table or json")
+	cobra.CheckErr(root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputTable, outputJSON}, cobra.ShellCompDirectiveNoFileComp)))
+	root.SetFlagErrorFunc(func(cmd *cobra.Command, err error) error { return usage("%v", err) })
+	for _, command := range []func(*app) *cobra.Command{
+		newCheck, newDiff, newPublish, newHistory, newStatus, newSubmit, newFate, newCancel, newExplain, newDrain, newVersion,
+	} {
+		root.AddCommand(command(a))
+	}
+	return root
+}
+
+func defaultServers() []string {
+	if v := os.Getenv(ServerVariable); v != "" {
+		return strings.Split(v, ",")
+	}
+	return []string{DefaultServer}
+}
+
+func (a *app) prepare(cmd *cobra.Command) error {
+	if a.output != outputTable && a.output != outputJSON {
+		return usage("unknown output format %q", a.output)
+	}
+	a.out = cmd.OutOrStdout()
+	client, err := api.NewClient(a.servers)
+	a.client = client
+	return err
+}
+
+// usage returns an error about the command line.
+func usage(format string, args ...any) error {
+	return fault.New(fault.Usage, "see --help", format, args...)
+}
+
+// printError prints err as one line, or one line for each problem of a file.
+func printError(w io.Writer, err error) {
+	if _, ok := err.(codeError); ok || err == nil {
+		return
+	}
+	fmt.Fprintln(w, strings.TrimRight(err.Error(), "\n"))
+}
+
+// outages are the kinds after which the same command can succeed later.
+var outages = map[fault.Kind]bool{
+	api.Unreachable: true, fault.FateUnknownYet: true, fault.FateInDoubt: true, fault.HomeUnreachable: true,
+	fault.NoOwner: true, fault.NotReady: true, fault.Draining: true, fault.LogUnavailable: true,
+	fault.ListUnavailable: true, fault.WorkerUnavailable: true, fault.OldSystemUnavailable: true,
+}
+
+func exitCode(err error) int {
+	var code codeError
+	var daemon answered
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &code):
+		return int(code)
+	case outages[fault.KindOf(err)]:
+		return ExitOutage
+	case errors.As(err, &daemon):
+		return ExitRefused
+	}
+	// Other errors are about the command line or an input file.
+	return ExitUsage
+}
+
+// ask calls the server and marks its errors.
+func ask[T any](cmd *cobra.Command, f func(ctx context.Context) (T, error)) (T, error) {
+	v, err := f(cmd.Context())
+	if err != nil {
+		err = answered{err}
+	}
+	return v, err
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
