--- /dev/null
+++ b/internal/core/estimate/estimate.go
@@ -0,0 +1,104 @@
+// Package estimate corrects declared task sizes by what tasks of the same
+// service were measured to use. It does no I/O and is not safe for concurrent
+// use.
+package estimate
+
+import (
+	"math"
+
+	"catkinvalve/internal/core/model"
+)
+
+const (
+	// Quantile of used/declared that a task is planned with.
+	Quantile = 0.95
+	// FloorFactor and CeilingFactor bound the correction. Declared sizes were
+	// seen to be wrong by up to ten in both directions.
+	FloorFactor   = 0.1
+	CeilingFactor = 10.0
+	// TrustedDownSamples is how many samples it takes to trust a smaller size
+	// fully: with fewer than 20 the 95th percentile is only the maximum.
+	TrustedDownSamples = 20
+	// TrustedUpSamples is how many samples it takes to trust a larger size
+	// fully. It is smaller because planning too little overloads a worker,
+	// while planning too much only wastes room.
+	TrustedUpSamples = 4
+	// UndeclaredMilliCPU and UndeclaredMemMB stand for a declared size of 0
+	// once usage was measured; a factor of 0 could never be corrected.
+	UndeclaredMilliCPU = 100
+	UndeclaredMemMB    = 64
+)
+
+// corrected is the number of leading dimensions of a Size that are corrected:
+// processors, memory and accelerators. Slots and connections are counted, not
+// measured.
+const corrected = 3
+
+// Options configure an Estimator.
+type Options struct {
+	// MaxWorker bounds planned processors, memory and accelerators; a
+	// dimension that is 0 is not bounded.
+	MaxWorker model.Size
+}
+
+// Estimator keeps usage histograms of fixed size for each service.
+type Estimator struct {
+	opts     Options
+	services map[string]*[corrected]histogram
+}
+
+// New returns an estimator without samples.
+func New(o Options) *Estimator {
+	return &Estimator{opts: o, services: map[string]*[corrected]histogram{}}
+}
+
+// SetMaxWorker changes the bound on planned sizes.
+func (e *Estimator) SetMaxWorker(s model.Size) { e.opts.MaxWorker = s }
+
+// Observe adds one measurement of a task of a service. The peak use of a task
+// is the most useful sample.
+func (e *Estimator) Observe(service string, declared, used model.Size) {
+	h := e.services[service]
+	if h == nil {
+		h = new([corrected]histogram)
+		e.services[service] = h
+	}
+	dv, uv := base(declared), used.Vector()
+	for d := range h {
+		if dv[d] > 0 {
+			h[d].add(float64(max(uv[d], 0)) / float64(dv[d]))
+		}
+	}
+}
+
+// Forget drops the samples of a service that is no longer configured.
+func (e *Estimator) Forget(service string) { delete(e.services, service) }
+
+// Known reports whether a service has samples.
+func (e *Estimator) Known(service string) bool { return e.services[service] != nil }
+
+// Plan returns the size to reserve for a task of a service.
+func (e *Estimator) Plan(service string, declared model.Size) model.Size {
+	out, limit := declared.Vector(), e.opts.MaxWorker.Vector()
+	h, bases := e.services[service], base(declared)
+	for d := range corrected {
+		if h != nil && h[d].total > 0 && bases[d] > 0 {
+			out[d] = int64(math.Ceil(float64(bases[d]) * h[d].factor()))
+		}
+		if limit[d] > 0 {
+			out[d] = min(out[d], limit[d])
+		}
+	}
+	return model.Size{MilliCPU: out[0], MemMB: out[1], Accel: out[2], Slots: out[3], Conns: out[4]}
+}
+
+// base returns the declared size that factors refer to.
+func base(declared model.Size) [model.Dims]int64 {
+	if declared.MilliCPU <= 0 {
+		declared.MilliCPU = UndeclaredMilliCPU
+	}
+	if declared.MemMB <= 0 {
+		declared.MemMB = UndeclaredMemMB
+	}
+	return declared.Vector()
+}
--- /dev/null
+++ b/internal/core/placement/baseline/baseline.go
@@ -0,0 +1,111 @@
+// Package baseline holds simple placement policies that look at every worker.
+// Benchmarks and simulations compare the index of package placement with them.
+package baseline
+
+import (
+	"math/rand/v2"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/placement"
+)
+
+// Policy selects how a worker is chosen among those that fit.
+type Policy uint8
+
+// Policies.
+const (
+	// Random takes any worker that fits with equal probability.
+	Random Policy = iota
+	// FirstFit takes the first worker that fits, in order of insertion.
+	FirstFit
+	// LeastLoaded takes the worker with the smallest dominant used share.
+	LeastLoaded
+)
+
+// String returns the policy's name.
+func (p Policy) String() string {
+	return [...]string{"random", "first-fit", "least-loaded"}[p]
+}
+
+// Fleet is a list of workers with a policy. All workers are available, and
+// classes, services and racks are ignored.
+type Fleet struct {
+	policy  Policy
+	rng     *rand.Rand
+	workers []host
+	byID    map[model.WorkerID]int
+	tasks   map[model.TaskID]hold
+}
+
+type host struct {
+	id             model.WorkerID
+	capacity, used model.Size
+}
+
+type hold struct {
+	worker int
+	size   model.Size
+}
+
+// New returns an empty fleet. The seed fixes the choices of policy Random.
+func New(p Policy, seed uint64) *Fleet {
+	return &Fleet{policy: p, rng: rand.New(rand.NewPCG(seed, seed)),
+		byID: map[model.WorkerID]int{}, tasks: map[model.TaskID]hold{}}
+}
+
+// Upsert adds a worker or changes its capacity.
+func (f *Fleet) Upsert(w model.Worker) {
+	i, ok := f.byID[w.ID]
+	if !ok {
+		i = len(f.workers)
+		f.byID[w.ID] = i
+		f.workers = append(f.workers, host{id: w.ID})
+	}
+	f.workers[i].capacity = w.Capacity
+}
+
+// Place chooses a worker for a task and reserves nothing.
+func (f *Fleet) Place(n placement.Need) (model.WorkerID, bool) {
+	best, bestLoad, fitting := -1, 0.0, 0
+	for i := range f.workers {
+		w := &f.workers[i]
+		if !n.Size.Fits(w.capacity.Sub(w.used)) {
+			continue
+		}
+		switch fitting++; f.policy {
+		case FirstFit:
+			return w.id, true
+		case LeastLoaded:
+			if load := w.used.DominantShare(w.capacity); best < 0 || load < bestLoad {
+				best, bestLoad = i, load
+			}
+		default: // Reservoir sampling gives each fitting worker the same chance.
+			if f.rng.IntN(fitting) == 0 {
+				best = i
+			}
+		}
+	}
+	if best < 0 {
+		return "", false
+	}
+	return f.workers[best].id, true
+}
+
+// Reserve takes capacity of a known worker for a task.
+func (f *Fleet) Reserve(id model.WorkerID, t model.TaskID, n placement.Need) {
+	f.Release(t)
+	i, ok := f.byID[id]
+	if !ok {
+		return
+	}
+	f.workers[i].used = f.workers[i].used.Add(n.Size)
+	f.tasks[t] = hold{i, n.Size}
+}
+
+// Release returns a task's capacity to its worker.
+func (f *Fleet) Release(t model.TaskID) {
+	if h, ok := f.tasks[t]; ok {
+		f.workers[h.worker].used = f.workers[h.worker].used.Sub(h.size)
+		delete(f.tasks, t)
+	}
+}
--- /dev/null
+++ b/internal/core/placement/forest.go
@@ -0,0 +1,136 @@
+package placement
+
+// none is the index of no node.
+const none = int32(-1)
+
+// node is an element of a treap. It is ordered by key, then by its own index.
+type node struct {
+	left, right int32
+	priority    uint32
+	key         float64
+	// own is the element's vector; most is the largest value in each
+	// dimension over the element and its subtrees.
+	own, most vec
+}
+
+// forest is a set of treaps over elements numbered from 0; each element is in
+// at most one of them. All nodes are in one slice, so that inserting and
+// removing does not allocate. Priorities are a hash of the element's index:
+// the shape of a tree depends only on its content.
+type forest struct{ nodes []node }
+
+// grow makes room for elements 0 to n-1.
+func (f *forest) grow(n int) {
+	for i := len(f.nodes); i < n; i++ {
+		f.nodes = append(f.nodes, node{left: none, right: none, priority: mix(uint32(i))})
+	}
+}
+
+// mix is a bijective integer hash, so that no two elements share a priority.
+func mix(v uint32) uint32 {
+	v += 0x9e3779b9
+	v = (v ^ v>>16) * 0x85ebca6b
+	v = (v ^ v>>13) * 0xc2b2ae35
+	return v ^ v>>16
+}
+
+// insert adds element i to the tree and returns the new root.
+func (f *forest) insert(root, i int32, key float64, own vec) int32 {
+	n := &f.nodes[i]
+	n.key, n.own, n.most, n.left, n.right = key, own, own, none, none
+	return f.put(root, i)
+}
+
+func (f *forest) put(root, i int32) int32 {
+	if root == none {
+		return i
+	}
+	r, n := &f.nodes[root], &f.nodes[i]
+	if n.priority > r.priority {
+		n.left, n.right = f.split(root, i)
+		f.pull(i)
+		return i
+	}
+	if f.less(i, root) {
+		r.left = f.put(r.left, i)
+	} else {
+		r.right = f.put(r.right, i)
+	}
+	raise(&r.most, &n.own)
+	return root
+}
+
+// remove takes element i out of the tree that holds it and returns the root.
+func (f *forest) remove(root, i int32) int32 {
+	r := &f.nodes[root]
+	if root == i {
+		return f.merge(r.left, r.right)
+	}
+	if f.less(i, root) {
+		r.left = f.remove(r.left, i)
+	} else {
+		r.right = f.remove(r.right, i)
+	}
+	f.pull(root)
+	return root
+}
+
+// split divides the tree into the elements before and after i.
+func (f *forest) split(root, i int32) (int32, int32) {
+	if root == none {
+		return none, none
+	}
+	r := &f.nodes[root]
+	if f.less(root, i) {
+		l, rest := f.split(r.right, i)
+		r.right = l
+		f.pull(root)
+		return root, rest
+	}
+	rest, g := f.split(r.left, i)
+	r.left = g
+	f.pull(root)
+	return rest, root
+}
+
+func (f *forest) merge(a, b int32) int32 {
+	if a == none {
+		return b
+	}
+	if b == none {
+		return a
+	}
+	if f.nodes[a].priority > f.nodes[b].priority {
+		f.nodes[a].right = f.merge(f.nodes[a].right, b)
+		f.pull(a)
+		return a
+	}
+	f.nodes[b].left = f.merge(a, f.nodes[b].left)
+	f.pull(b)
+	return b
+}
+
+func (f *forest) less(a, b int32) bool {
+	ka, kb := f.nodes[a].key, f.nodes[b].key
+	return ka < kb || ka == kb && a < b
+}
+
+// pull recomputes most from the children.
+func (f *forest) pull(i int32) {
+	n := &f.nodes[i]
+	n.most = n.own
+	if n.left != none {
+		raise(&n.most, &f.nodes[n.left].most)
+	}
+	if n.right != none {
+		raise(&n.most, &f.nodes[n.right].most)
+	}
+}
+
+// most returns the largest value in each dimension over the tree.
+func (f *forest) most(root int32) vec {
+	if root == none {
+		return vec{}
+	}
+	return f.nodes[root].most
+}
--- /dev/null
+++ b/internal/core/placement/helpers_test.go
@@ -0,0 +1,43 @@
+package placement
+
+import (
+	"fmt"
+
+	"catkinvalve/internal/core/model"
+)
+
+// worker of the size that both users have today.
+var standard = model.Size{MilliCPU: 16000, MemMB: 32000, Slots: 8, Conns: 64}
+
+// fleet returns an index of n available standard workers, perRack to a rack.
+func fleet(o Options, n, perRack int) *Index {
+	x := New(o)
+	for i := range n {
+		add(x, fmt.Sprintf("w%d", i), fmt.Sprintf("r%d", i/perRack), standard)
+	}
+	return x
+}
+
+func add(x *Index, id, rack string, capacity model.Size) {
+	x.Upsert(model.Worker{ID: model.WorkerID(id), Rack: rack, Capacity: capacity})
+	x.SetState(model.WorkerID(id), Available)
+}
+
+func task(key string, i int) model.TaskID { return model.TaskID{Key: key, Index: i} }
+
+// slots is a need of n slots with a proportional part of a standard worker.
+func slots(c model.Class, n int64) Need {
+	return Need{Class: c, Service: "s", Size: model.Size{MilliCPU: 2000 * n, MemMB: 4000 * n, Slots: n, Conns: 8 * n}}
+}
+
+// fill places and reserves tasks until n are placed or one does not fit.
+func fill(x *Index, key string, need Need, n int) int {
+	for i := range n {
+		w, ok := x.Place(need)
+		if !ok {
+			return i
+		}
+		x.Reserve(w, task(key, i), need)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/placement/place.go
@@ -0,0 +1,95 @@
+package placement
+
+import (
+	"math"
+
+	"catkinvalve/internal/core/model"
+)
+
+const (
+	// placeCandidates is how many fitting workers are compared for one task.
+	// The order of the tree ranks them by load before the task; comparing a
+	// few corrects for workers of different capacity.
+	placeCandidates = 8
+	// targetShift is how far the weights move the target load of a class.
+	targetShift = 0.5
+)
+
+// Place chooses a worker for a task and reserves nothing. It finds a worker
+// whenever an available one fits and the class is within its limit of slots.
+func (x *Index) Place(n Need) (model.WorkerID, bool) {
+	n.Size = nonNegative(n.Size)
+	if !x.withinLimit(n, 1) {
+		return "", false
+	}
+	i := none
+	if n.Class == model.Service {
+		i = x.placeSpread(n)
+	} else {
+		i = x.placeByLoad(n)
+	}
+	if i == none {
+		return "", false
+	}
+	return x.workers[i].ID, true
+}
+
+// target returns the load up to which workers are filled first. Batch and gang
+// tasks go to the fullest worker that fits (1), interactive tasks to the least
+// loaded one (0); the weights move both towards the middle.
+func (o Options) target(c model.Class) float64 {
+	if c == model.Interactive {
+		return targetShift * max(o.tilt(), 0)
+	}
+	return 1 + targetShift*min(o.tilt(), 0)
+}
+
+// pass is a walk over one tree in one direction.
+type pass struct {
+	root int32
+	down bool
+}
+
+// passes returns the order in which workers are tried: from the target load
+// down, then from it up; workers with accelerators last.
+func (x *Index) passes() [4]pass {
+	return [4]pass{{x.plain, true}, {x.plain, false}, {x.accel, true}, {x.accel, false}}
+}
+
+func (x *Index) placeByLoad(n Need) int32 {
+	target := x.opts.target(n.Class)
+	var stack [cursorDepth]int32
+	c := cursor{f: &x.byLoad, need: n.Size.Vector(), stack: stack[:0]}
+	for _, p := range x.passes() {
+		c.start(p.root, p.down, target)
+		if i := x.bestOf(&c, n, target); i != none {
+			return i
+		}
+	}
+	return none
+}
+
+// bestOf returns the best of the cursor's next few workers, or none.
+func (x *Index) bestOf(c *cursor, n Need, target float64) int32 {
+	best, bestScore := none, math.Inf(1)
+	for range placeCandidates {
+		i := c.next()
+		if i == none {
+			break
+		}
+		w := &x.workers[i]
+		if s := score(w.used.Add(n.Size).DominantShare(w.Capacity), target); s < bestScore {
+			best, bestScore = i, s
+		}
+	}
+	return best
+}
+
+// score ranks a worker by its load after placement; lower is better. Loads up
+// to the target come first, the closest one best.
+func score(load, target float64) float64 {
+	if load <= target {
+		return target - load
+	}
+	return 1 + load - target
+}
--- /dev/null
+++ b/internal/core/placement/property_test.go
@@ -0,0 +1,265 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"catkinvalve/internal/core/model"
+)
+
+func drawNeed(t *rapid.T) Need {
+	return Need{
+		Class:   rapid.SampledFrom(model.Classes).Draw(t, "class"),
+		Service: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service"),
+		Size:    drawSize(t, 12),
+	}
+}
+
+func drawSize(t *rapid.T, most int64) model.Size {
+	n := rapid.Int64Range(0, most)
+	return model.Size{MilliCPU: n.Draw(t, "cpu"), MemMB: n.Draw(t, "mem"), Accel: n.Draw(t, "accel") / 6,
+		Slots: n.Draw(t, "slots"), Conns: n.Draw(t, "conns")}
+}
+
+func drawOptions(t *rapid.T) Options {
+	w := rapid.IntRange(0, 100)
+	return Options{WaitingWeight: w.Draw(t, "waiting"), PackingWeight: w.Draw(t, "packing"),
+		HeadroomPercent: rapid.IntRange(0, 40).Draw(t, "headroom"), RackSpare: rapid.Bool().Draw(t, "spare")}
+}
+
+// views copies all workers, for a linear scan.
+func views(x *Index) []WorkerView {
+	var out []WorkerView
+	x.Each(func(v WorkerView) bool { out = append(out, v); return true })
+	return out
+}
+
+// room counts by linear scan how many tasks of a need fit now, regardless of
+// the limits of classes.
+func room(x *Index, n Need) int64 {
+	sum, need := int64(0), n.Size.Vector()
+	for _, v := range views(x) {
+		if v.State == Available && !v.Overcommitted {
+			free := v.Free.Vector()
+			sum += copies(&need, &free)
+		}
+	}
+	return sum
+}
+
+// machine drives an index through random operations.
+type machine struct {
+	x    *Index
+	next int
+	live []model.TaskID
+}
+
+func (m *machine) id(t *rapid.T) model.WorkerID {
+	return model.WorkerID(fmt.Sprintf("w%d", rapid.IntRange(0, 11).Draw(t, "worker")))
+}
+
+func (m *machine) task(t *rapid.T) model.TaskID {
+	if len(m.live) == 0 {
+		t.Skip("no tasks")
+	}
+	return rapid.SampledFrom(m.live).Draw(t, "task")
+}
+
+func (m *machine) reserve(id model.WorkerID, n Need) {
+	m.next++
+	m.live = append(m.live, task("k", m.next))
+	m.x.Reserve(id, task("k", m.next), n)
+}
+
+func (m *machine) upsert(t *rapid.T) {
+	m.x.Upsert(model.Worker{ID: m.id(t), Capacity: drawSize(t, 40),
+		Rack: rapid.SampledFrom([]string{"", "r0", "r1", "r2"}).Draw(t, "rack")})
+}
+
+func (m *machine) state(t *rapid.T) {
+	// Mostly available, so that placements have something to choose from.
+	s := rapid.SampledFrom([]State{Available, Available, Available, NotLeased, Draining, Quarantined}).Draw(t, "state")
+	m.x.SetState(m.id(t), s)
+}
+
+func (m *machine) place(t *rapid.T) {
+	n := drawNeed(t)
+	id, ok := m.x.Place(n)
+	want := room(m.x, n) > 0 && m.x.withinLimit(n, 1)
+	assert.Equal(t, ok, want, "a fitting worker was missed, or one that does not fit was chosen")
+	if !ok {
+		return
+	}
+	before, _ := m.x.Worker(id)
+	assert.Assert(t, before.State == Available && !before.Overcommitted && n.Size.Fits(before.Free))
+	m.reserve(id, n)
+}
+
+func (m *machine) gang(t *rapid.T) {
+	n, tasks := drawNeed(t), rapid.IntRange(1, 12).Draw(t, "tasks")
+	ids, ok := m.x.PlaceGang(n, tasks)
+	assert.Equal(t, ok, room(m.x, n) >= int64(tasks) && m.x.withinLimit(n, tasks))
+	assert.Assert(t, len(ids) == 0 && !ok || len(ids) == tasks && ok)
+	for _, id := range ids {
+		m.reserve(id, n)
+	}
+	for _, id := range ids {
+		v, _ := m.x.Worker(id)
+		assert.Assert(t, !v.Overcommitted)
+	}
+}
+
+func (m *machine) inventory(t *rapid.T) { m.reserve(m.id(t), drawNeed(t)) }
+
+func (m *machine) release(t *rapid.T) {
+	id := m.task(t)
+	m.x.Release(id)
+	m.live = slices.DeleteFunc(m.live, func(o model.TaskID) bool { return o == id })
+}
+
+func (m *machine) remove(t *rapid.T) { m.x.Remove(m.id(t)) }
+
+func (m *machine) resize(t *rapid.T) {
+	over := map[model.WorkerID]bool{}
+	for _, v := range views(m.x) {
+		over[v.Worker.ID] = v.Overcommitted
+	}
+	m.x.Resize(m.task(t), drawSize(t, 12))
+	for _, v := range views(m.x) {
+		assert.Assert(t, !v.Overcommitted || over[v.Worker.ID], "resize exceeded the capacity")
+	}
+}
+
+// mostTasks on one worker keep both the index's search and the test's
+// exhaustive.
+const mostTasks = 11
+
+// preempt checks that victims make room and that no smaller set on any worker
+// would: with at most 12 workers and few tasks the search is exhaustive.
+func (m *machine) preempt(t *rapid.T) {
+	n := drawNeed(t)
+	even := func(t model.TaskID) bool { return t.Index%2 == 0 }
+	for _, v := range views(m.x) {
+		if v.Tasks > mostTasks {
+			t.Skip("too many subsets to try")
+		}
+	}
+	victims, id, ok := m.x.Preempt(n, even)
+	best := m.fewestVictims(n, even)
+	assert.Equal(t, ok, best >= 0)
+	if !ok {
+		return
+	}
+	assert.Equal(t, len(victims), best)
+	for _, v := range victims {
+		m.x.Release(v)
+		m.live = slices.DeleteFunc(m.live, func(o model.TaskID) bool { return o == v })
+	}
+	v, _ := m.x.Worker(id)
+	assert.Assert(t, n.Size.Fits(v.Free) && !v.Overcommitted && v.State == Available && m.x.withinLimit(n, 1))
+}
+
+// fewestVictims tries all subsets of preemptible tasks of each worker.
+func (m *machine) fewestVictims(n Need, preemptible func(model.TaskID) bool) int {
+	best := -1
+	if _, ok := m.x.Place(n); ok {
+		return 0
+	}
+	for i := range m.x.workers {
+		w := &m.x.workers[i]
+		var cand []model.Size
+		for _, r := range w.tasks {
+			if res := m.x.reservations[r]; res.need.Class == model.Batch && preemptible(res.task) {
+				cand = append(cand, res.need.Size)
+			}
+		}
+		if w.state != Available {
+			continue
+		}
+		for set := 1; set < 1<<len(cand); set++ {
+			size, count := model.Size{}, 0
+			for j, c := range cand {
+				if set>>j&1 == 1 {
+					size, count = size.Add(c), count+1
+				}
+			}
+			limited := n.Class != model.Interactive && n.Size.Slots-size.Slots > m.x.slotsLeft(n.Class)
+			if n.Size.Fits(w.free().Add(size)) && !limited && (best < 0 || count < best) {
+				best = count
+			}
+		}
+	}
+	return best
+}
+
+// check compares all sums with a recount.
+func (m *machine) check(t *rapid.T) {
+	got, want := m.x.Totals(), Totals{}
+	var most vec
+	for _, v := range views(m.x) {
+		want.Workers++
+		want.Capacity = want.Capacity.Add(v.Worker.Capacity)
+		used := model.Size{}
+		for _, id := range m.x.Tasks(v.Worker.ID) {
+			used = used.Add(m.x.reservations[m.x.byTask[id]].need.Size)
+		}
+		assert.Equal(t, v.Used, used)
+		if v.State != Available {
+			continue
+		}
+		want.Available = want.Available.Add(v.Worker.Capacity)
+		if free := v.Free.Vector(); !v.Overcommitted {
+			want.Free = want.Free.Add(v.Free)
+			raise(&most, &free)
+		}
+	}
+	want.LargestFree = sizeOf(most)
+	assert.Equal(t, got, want)
+}
+
+// Guards against overload, missed fits, partial gangs, excessive preemption
+// and sums that drift, under any sequence of operations.
+func TestIndexAgainstLinearScan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{x: New(drawOptions(t))}
+		for range 6 {
+			m.upsert(t)
+			m.state(t)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":      m.check,
+			"place": m.place, "gang": m.gang, "inventory": m.inventory, "release": m.release, "resize": m.resize,
+			"upsert": m.upsert, "state": m.state, "remove": m.remove, "preempt": m.preempt,
+			"options": func(t *rapid.T) { m.x.SetOptions(drawOptions(t)) },
+		})
+	})
+}
+
+// Guards against capacity that leaks when tasks come and go, and against
+// decisions that depend on history.
+func TestReleaseRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := fleet(drawOptions(t), rapid.IntRange(1, 40).Draw(t, "workers"), 8)
+		before, totals, probe := views(x), x.Totals(), drawNeed(t)
+		first, _ := x.Place(probe)
+		var tasks []model.TaskID
+		for i := range rapid.IntRange(0, 60).Draw(t, "tasks") {
+			n := drawNeed(t)
+			if id, ok := x.Place(n); ok {
+				x.Reserve(id, task("k", i), n)
+				tasks = append(tasks, task("k", i))
+			}
+		}
+		for _, id := range tasks {
+			x.Release(id)
+		}
+		assert.DeepEqual(t, views(x), before)
+		assert.Equal(t, x.Totals(), totals)
+		again, _ := x.Place(probe)
+		assert.Equal(t, again, first)
+	})
+}
