--- /dev/null
+++ b/internal/core/placement/bench_test.go
@@ -0,0 +1,214 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/placement"
+	"catkinvalve/internal/core/placement/baseline"
+)
+
+var fleetSizes = []int{50, 500, 5000, 15000}
+
+// placer is what the index and the baselines have in common.
+type placer interface {
+	Place(placement.Need) (model.WorkerID, bool)
+	Reserve(model.WorkerID, model.TaskID, placement.Need)
+	Release(model.TaskID)
+}
+
+// benchWorkers returns workers of three shapes, one in ten with accelerators.
+func benchWorkers(n int) []model.Worker {
+	shapes := []model.Size{
+		{MilliCPU: 32000, MemMB: 128000, Slots: 8, Conns: 64},
+		{MilliCPU: 16000, MemMB: 32000, Slots: 8, Conns: 64},
+		{MilliCPU: 64000, MemMB: 256000, Accel: 8, Slots: 16, Conns: 128},
+	}
+	out := make([]model.Worker, n)
+	for i := range out {
+		shape := shapes[i%2]
+		if i%10 == 9 {
+			shape = shapes[2]
+		}
+		out[i] = model.Worker{ID: model.WorkerID(fmt.Sprintf("w%05d", i)), Rack: fmt.Sprintf("r%d", i/8), Capacity: shape}
+	}
+	return out
+}
+
+func newIndex(workers []model.Worker) *placement.Index {
+	x := placement.New(placement.Options{WaitingWeight: 50, PackingWeight: 50, HeadroomPercent: 5})
+	for _, w := range workers {
+		x.Upsert(w)
+		x.SetState(w.ID, placement.Available)
+	}
+	return x
+}
+
+func newFleet(p baseline.Policy, workers []model.Worker) *baseline.Fleet {
+	f := baseline.New(p, 1)
+	for _, w := range workers {
+		f.Upsert(w)
+	}
+	return f
+}
+
+// benchNeed draws tasks of all classes that place one by one: 30% interactive,
+// 20% services, 50% batch, one in ten with accelerators.
+func benchNeed(rng *rand.Rand) placement.Need {
+	classes := []model.Class{model.Interactive, model.Interactive, model.Interactive, model.Service, model.Service,
+		model.Batch, model.Batch, model.Batch, model.Batch, model.Batch}
+	n := placement.Need{Class: classes[rng.IntN(len(classes))], Service: fmt.Sprintf("s%d", rng.IntN(50))}
+	n.Size = model.Size{MilliCPU: 500 + 500*rng.Int64N(10), MemMB: 1000 + 1000*rng.Int64N(12), Slots: 1, Conns: rng.Int64N(12)}
+	if rng.IntN(10) == 0 {
+		n.Size.Accel = 1 + rng.Int64N(2)
+	}
+	return n
+}
+
+// load is a placer with running tasks that are replaced one after another.
+type load struct {
+	p     placer
+	rng   *rand.Rand
+	tasks []model.TaskID
+	needs []placement.Need
+	next  int
+}
+
+// newLoad fills the placer until the first placements fail (full), or to about
+// 60% of the slots.
+func newLoad(p placer, workers int, full bool) *load {
+	l := &load{p: p, rng: rand.New(rand.NewPCG(1, 1))}
+	for range 1024 {
+		l.needs = append(l.needs, benchNeed(l.rng))
+	}
+	target := workers * 8 * 6 / 10
+	if full {
+		target = workers * 16
+	}
+	for range target {
+		l.place(l.needs[l.rng.IntN(len(l.needs))])
+	}
+	return l
+}
+
+func (l *load) place(n placement.Need) {
+	if id, ok := l.p.Place(n); ok {
+		l.next++
+		t := model.TaskID{Key: "k", Index: l.next}
+		l.p.Reserve(id, t, n)
+		l.tasks = append(l.tasks, t)
+	}
+}
+
+// replace ends one random task, so that the fleet keeps its load.
+func (l *load) replace() {
+	i := l.rng.IntN(len(l.tasks))
+	l.p.Release(l.tasks[i])
+	l.tasks[i] = l.tasks[len(l.tasks)-1]
+	l.tasks = l.tasks[:len(l.tasks)-1]
+}
+
+// measure times f for each need and reports quantiles over single calls.
+func measure(b *testing.B, l *load, f func(placement.Need)) {
+	h := hdrhistogram.New(1, int64(10*time.Second), 3)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		start := time.Now()
+		f(l.needs[i%len(l.needs)])
+		_ = h.RecordValue(int64(time.Since(start)))
+	}
+	b.ReportMetric(float64(h.ValueAtQuantile(50)), "p50-ns")
+	b.ReportMetric(float64(h.ValueAtQuantile(99)), "p99-ns")
+}
+
+// BenchmarkPlace measures the decision alone.
+func BenchmarkPlace(b *testing.B) {
+	for _, full := range []bool{false, true} {
+		for _, n := range fleetSizes {
+			b.Run(fmt.Sprintf("full=%t/workers=%d", full, n), func(b *testing.B) {
+				l := newLoad(newIndex(benchWorkers(n)), n, full)
+				measure(b, l, func(n placement.Need) { l.p.Place(n) })
+			})
+		}
+	}
+}
+
+// BenchmarkCycle measures a decision with its reservation and the release of
+// another task.
+func BenchmarkCycle(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			l := newLoad(newIndex(benchWorkers(n)), n, true)
+			measure(b, l, func(n placement.Need) { l.replace(); l.place(n) })
+		})
+	}
+}
+
+// BenchmarkBaseline measures the decision of the simple policies.
+func BenchmarkBaseline(b *testing.B) {
+	for _, p := range []baseline.Policy{baseline.Random, baseline.FirstFit, baseline.LeastLoaded} {
+		for _, n := range fleetSizes {
+			b.Run(fmt.Sprintf("%s/workers=%d", p, n), func(b *testing.B) {
+				l := newLoad(newFleet(p, benchWorkers(n)), n, true)
+				measure(b, l, func(n placement.Need) { l.p.Place(n) })
+			})
+		}
+	}
+}
+
+// BenchmarkSlowPaths measures gangs and preemption on a full fleet.
+func BenchmarkSlowPaths(b *testing.B) {
+	for _, n := range fleetSizes {
+		x := newIndex(benchWorkers(n))
+		l := newLoad(x, n, true)
+		b.Run(fmt.Sprintf("gang16/workers=%d", n), func(b *testing.B) {
+			measure(b, l, func(n placement.Need) { n.Class = model.AllAtOnce; x.PlaceGang(n, 16) })
+		})
+		b.Run(fmt.Sprintf("preempt/workers=%d", n), func(b *testing.B) {
+			all := func(model.TaskID) bool { return true }
+			measure(b, l, func(n placement.Need) { n.Class = model.Interactive; x.Preempt(n, all) })
+		})
+	}
+}
+
+// BenchmarkPacking reports how many large tasks still fit after mixed batch
+// tasks took half of the slots.
+func BenchmarkPacking(b *testing.B) {
+	workers := benchWorkers(500)
+	for name, create := range map[string]func() placer{
+		"index":        func() placer { return newIndex(workers) },
+		"random":       func() placer { return newFleet(baseline.Random, workers) },
+		"first-fit":    func() placer { return newFleet(baseline.FirstFit, workers) },
+		"least-loaded": func() placer { return newFleet(baseline.LeastLoaded, workers) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			var mixed, large float64
+			for b.Loop() {
+				mixed, large = packing(create(), workers)
+			}
+			b.ReportMetric(mixed, "tasks")
+			b.ReportMetric(large, "large-tasks")
+		})
+	}
+}
+
+// packing fills half of the fleet's slots with mixed batch tasks, and returns
+// their number and how many tasks as large as a small worker fit afterwards.
+func packing(p placer, workers []model.Worker) (float64, float64) {
+	l := &load{p: p, rng: rand.New(rand.NewPCG(2, 2))}
+	for len(l.tasks) < 4*len(workers) {
+		n := benchNeed(l.rng)
+		n.Class = model.Batch
+		l.place(n)
+	}
+	mixed := len(l.tasks)
+	for range len(workers) {
+		l.place(placement.Need{Class: model.Batch, Size: model.Size{MilliCPU: 14000, MemMB: 28000, Slots: 2}})
+	}
+	return float64(mixed), float64(len(l.tasks) - mixed)
+}
--- a/internal/core/placement/cursor.go
+++ b/internal/core/placement/cursor.go
@@ -1,7 +1,7 @@
 package placement
 
-// cursorDepth is the stack that a cursor gets without an allocation. Treaps of
-// 15,000 elements are about 35 deep; a deeper one spills to the heap.
+// cursorDepth is the part of a cursor's stack that needs no allocation. A treap
+// of 15,000 elements is about 35 deep; what exceeds it spills to the heap.
 const cursorDepth = 64
 
 // cursor walks the elements of a tree that fit a need, in key order. Subtrees
@@ -11,21 +11,22 @@
 	need  vec
 	down  bool
 	bound float64
-	stack []int32
+	stack [cursorDepth]int32
+	depth int
+	spill []int32
 }
 
 // start positions the cursor on a tree. Going down it visits keys up to bound,
 // from the largest; going up it visits keys above bound, from the smallest.
 func (c *cursor) start(root int32, down bool, bound float64) {
-	c.down, c.bound, c.stack = down, bound, c.stack[:0]
+	c.down, c.bound, c.depth, c.spill = down, bound, 0, nil
 	c.push(root)
 }
 
 // next returns the next fitting element, or none.
 func (c *cursor) next() int32 {
-	for len(c.stack) > 0 {
-		i := c.stack[len(c.stack)-1]
-		c.stack = c.stack[:len(c.stack)-1]
+	for c.depth > 0 {
+		i := c.pop()
 		n := &c.f.nodes[i]
 		if c.down {
 			c.push(n.left)
@@ -51,7 +52,7 @@
 		case !c.down && n.key <= c.bound:
 			i = n.right
 		default:
-			c.stack = append(c.stack, i)
+			c.remember(i)
 			if c.down {
 				i = n.right
 			} else {
@@ -60,3 +61,23 @@
 		}
 	}
 }
+
+func (c *cursor) remember(i int32) {
+	if c.depth < cursorDepth {
+		c.stack[c.depth] = i
+	} else {
+		c.spill = append(c.spill, i)
+	}
+	c.depth++
+}
+
+func (c *cursor) pop() int32 {
+	c.depth--
+	if c.depth < cursorDepth {
+		return c.stack[c.depth]
+	}
+	last := len(c.spill) - 1
+	i := c.spill[last]
+	c.spill = c.spill[:last]
+	return i
+}
--- a/internal/core/placement/gang.go
+++ b/internal/core/placement/gang.go
@@ -11,8 +11,7 @@
 		return nil, false
 	}
 	out := make([]model.WorkerID, 0, tasks)
-	var stack [cursorDepth]int32
-	c := cursor{f: &x.byLoad, need: n.Size.Vector(), stack: stack[:0]}
+	c := cursor{f: &x.byLoad, need: n.Size.Vector()}
 	for _, p := range x.passes() {
 		c.start(p.root, p.down, x.opts.target(n.Class))
 		for i := c.next(); i != none; i = c.next() {
--- a/internal/core/placement/place.go
+++ b/internal/core/placement/place.go
@@ -58,8 +58,7 @@
 
 func (x *Index) placeByLoad(n Need) int32 {
 	target := x.opts.target(n.Class)
-	var stack [cursorDepth]int32
-	c := cursor{f: &x.byLoad, need: n.Size.Vector(), stack: stack[:0]}
+	c := cursor{f: &x.byLoad, need: n.Size.Vector()}
 	for _, p := range x.passes() {
 		c.start(p.root, p.down, target)
 		if i := x.bestOf(&c, n, target); i != none {
--- a/internal/core/placement/place_test.go
+++ b/internal/core/placement/place_test.go
@@ -238,3 +238,16 @@
 	assert.Equal(t, x.Totals(), Totals{})
 	assert.Equal(t, len(x.rackByKey)+len(x.shapes)+len(x.byTask), 0)
 }
+
+// Guards against a service that waits because the emptiest rack has enough of
+// each dimension, but on different workers.
+func TestServiceSkipsRackWithoutSingleFit(t *testing.T) {
+	x := New(balanced)
+	add(x, "cpu", "r0", model.Size{MilliCPU: 9000, MemMB: 10, Slots: 8})
+	add(x, "mem", "r0", model.Size{MilliCPU: 10, MemMB: 9000, Slots: 8})
+	add(x, "both", "r1", model.Size{MilliCPU: 9000, MemMB: 9000, Slots: 8})
+	x.Reserve("both", task("k", 0), Need{Class: model.Batch, Size: model.Size{Slots: 4}})
+	got, ok := x.Place(Need{Class: model.Service, Size: model.Size{MilliCPU: 5000, MemMB: 5000, Slots: 1}})
+	assert.Assert(t, ok)
+	assert.Equal(t, got, model.WorkerID("both"))
+}
--- a/internal/core/placement/property_test.go
+++ b/internal/core/placement/property_test.go
@@ -263,3 +263,27 @@
 		assert.Equal(t, again, first)
 	})
 }
+
+// Guards against a walk from the target load that misses workers or visits
+// them twice: a gang must find exactly the room that a linear scan finds.
+func TestGangFindsAllRoomAtAnyTarget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := New(Options{WaitingWeight: rapid.IntRange(0, 20).Draw(t, "waiting") * 5,
+			PackingWeight: rapid.IntRange(0, 20).Draw(t, "packing") * 5})
+		for i := range 40 {
+			id := model.WorkerID(fmt.Sprintf("w%02d", i))
+			add(x, string(id), "r", model.Size{Slots: 40, Accel: int64(i % 2)})
+			x.Reserve(id, task("k", i), Need{Class: model.Batch, Size: model.Size{Slots: int64(i)}})
+		}
+		n := Need{Class: rapid.SampledFrom(model.Classes).Draw(t, "class"), Size: model.Size{Slots: 1}}
+		_, ok := x.PlaceGang(n, int(room(x, n)))
+		assert.Assert(t, ok)
+		ids, _ := x.PlaceGang(n, 100)
+		for i, id := range ids {
+			x.Reserve(id, task("gang", i), n)
+		}
+		for _, v := range views(x) {
+			assert.Assert(t, !v.Overcommitted)
+		}
+	})
+}
--- a/internal/core/placement/spread.go
+++ b/internal/core/placement/spread.go
@@ -13,10 +13,9 @@
 // placeSpread chooses the least loaded of the racks with the fewest tasks of
 // the same service, and in it the worker with the fewest of them.
 func (x *Index) placeSpread(n Need) int32 {
-	var outer, inner [cursorDepth]int32
 	need := n.Size.Vector()
-	racks := cursor{f: &x.rackLoad, need: need, stack: outer[:0]}
-	workers := cursor{f: &x.byRack, need: need, stack: inner[:0]}
+	racks := cursor{f: &x.rackLoad, need: need}
+	workers := cursor{f: &x.byRack, need: need}
 	best, fewest := none, math.MaxInt
 	racks.start(x.rackRoot, false, -1)
 	for seen := 0; seen < spreadRacks && fewest > 0; {
