--- /dev/null
+++ b/internal/core/placement/cursor.go
@@ -0,0 +1,83 @@
+package placement
+
+// cursorDepth is the part of a cursor's stack that needs no allocation. A treap
+// of 15,000 elements is about 35 deep; what exceeds it spills to the heap.
+const cursorDepth = 64
+
+// cursor walks the elements of a tree that fit a need, in key order. Subtrees
+// whose largest free values are below the need in any dimension are skipped.
+type cursor struct {
+	f     *forest
+	need  vec
+	down  bool
+	bound float64
+	stack [cursorDepth]int32
+	depth int
+	spill []int32
+}
+
+// start positions the cursor on a tree. Going down it visits keys up to bound,
+// from the largest; going up it visits keys above bound, from the smallest.
+func (c *cursor) start(root int32, down bool, bound float64) {
+	c.down, c.bound, c.depth, c.spill = down, bound, 0, nil
+	c.push(root)
+}
+
+// next returns the next fitting element, or none.
+func (c *cursor) next() int32 {
+	for c.depth > 0 {
+		i := c.pop()
+		n := &c.f.nodes[i]
+		if c.down {
+			c.push(n.left)
+		} else {
+			c.push(n.right)
+		}
+		if fits(&c.need, &n.own) {
+			return i
+		}
+	}
+	return none
+}
+
+// push descends to the next element in order and remembers the way back.
+func (c *cursor) push(i int32) {
+	for i != none {
+		n := &c.f.nodes[i]
+		switch {
+		case !fits(&c.need, &n.most):
+			return
+		case c.down && n.key > c.bound:
+			i = n.left
+		case !c.down && n.key <= c.bound:
+			i = n.right
+		default:
+			c.remember(i)
+			if c.down {
+				i = n.right
+			} else {
+				i = n.left
+			}
+		}
+	}
+}
+
+func (c *cursor) remember(i int32) {
+	if c.depth < cursorDepth {
+		c.stack[c.depth] = i
+	} else {
+		c.spill = append(c.spill, i)
+	}
+	c.depth++
+}
+
+func (c *cursor) pop() int32 {
+	c.depth--
+	if c.depth < cursorDepth {
+		return c.stack[c.depth]
+	}
+	last := len(c.spill) - 1
+	i := c.spill[last]
+	c.spill = c.spill[:last]
+	return i
+}
