--- /dev/null
+++ b/internal/core/queue/bench_test.go
@@ -0,0 +1,75 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// fill returns a queue with n waiting items of 110 teams, 4 classes and 8 sizes.
+func fill(n int) *Queue {
+	c := Config{PerTeamClass: n, Total: n, Urgent: 5 * time.Second, AgeStep: time.Minute, Quotas: map[string]Quota{}}
+	for i := range 110 {
+		c.Quotas[fmt.Sprint("team", i)] = quota(1000, true)
+	}
+	q := New(c)
+	for i := range n {
+		q.Admit(t0, task(fmt.Sprint("key", i/4), fmt.Sprint("team", i/32%110), model.Classes[i%4], index(i%4),
+			slots(int64(i/4%8)+1), deadline(at(float64(1000+i%977)))))
+	}
+	return q
+}
+
+func BenchmarkRemove10000Of100000(b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		q := fill(100_000)
+		b.StartTimer()
+		for i := range 2_500 {
+			q.Remove(fmt.Sprint("key", i*10))
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/10_000, "ns/item")
+}
+
+func BenchmarkNextNoRoom100000(b *testing.B) {
+	q := fill(100_000)
+	offers := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Next(at(1), func(Item) Verdict { offers++; return NoRoom })
+	}
+	b.ReportMetric(float64(offers)/float64(b.N), "offers/op")
+}
+
+func BenchmarkNextStop100000(b *testing.B) {
+	q := fill(100_000)
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Next(at(1), func(Item) Verdict { return Stop })
+	}
+}
+
+func BenchmarkRemoveTaskAndAdmit100000(b *testing.B) {
+	q := fill(100_000)
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		key := fmt.Sprint("key", i%25_000)
+		q.RemoveTask(key, 0)
+		q.Admit(t0, task(key, "team7", model.Batch))
+	}
+}
+
+func BenchmarkPlaceAll100000(b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		q := fill(100_000)
+		b.StartTimer()
+		q.Next(at(1), func(Item) Verdict { return Placed })
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/100_000, "ns/item")
+}
--- /dev/null
+++ b/internal/core/queue/cycle.go
@@ -0,0 +1,268 @@
+package queue
+
+import (
+	"time"
+)
+
+// maxShapes bounds the shapes of one team and class that a cycle looks at.
+// Callers choose sizes freely, so without a bound a cycle could visit every
+// item. Beyond it a team delays only its own work of the same class.
+const maxShapes = 32
+
+// Tiers of offers, first to last.
+const (
+	tierUrgent   = iota // interactive work that waited half of its bound
+	tierWithin          // starts within the team's quota
+	tierBorrowed        // starts on borrowed quota
+)
+
+// overdue is the rank of work that ageing raised above the most urgent class.
+// There the oldest item goes first whatever its team's share, because a team
+// with long-running work could otherwise lose to others without end.
+const overdue = -1
+
+// order is the place of an offer within a cycle.
+type order struct {
+	tier, rank int
+	share      float64
+	enqueued   time.Time
+	seq        uint64
+}
+
+func (a order) before(b order) bool {
+	switch {
+	case a.tier != b.tier:
+		return a.tier < b.tier
+	case a.rank != b.rank:
+		return a.rank < b.rank
+	case a.share != b.share:
+		return a.share < b.share
+	}
+	if c := a.enqueued.Compare(b.enqueued); c != 0 {
+		return c < 0
+	}
+	return a.seq < b.seq
+}
+
+// cursor walks over the shapes of one group during a cycle. Each group keeps
+// its cursor, because a new one for each cycle would be the main allocation.
+type cursor struct {
+	group *group
+	// seen counts the shapes that were withheld or moved to over.
+	seen int
+	// over holds shapes that can start on borrowed quota only.
+	over     indexed[*shape]
+	withheld []*shape
+	skipped  []*node
+	// shape is the present candidate, at place.
+	shape *shape
+	place order
+	pos   int
+}
+
+type cycle struct {
+	queue   *Queue
+	now     time.Time
+	cursors indexed[*cursor]
+	all     []*cursor
+}
+
+// Next offers ready items in policy order until nothing more can start or try
+// returns Stop. During the cycle, try may call every method but Next; items
+// that it adds are offered in a later cycle.
+//
+// Order: urgent items first, oldest first. Then what starts within its team's
+// quota: by class raised by ageing, then by the team's share, then first in
+// first out. Then, in the same order, what starts on borrowed quota, so that a
+// team borrows only what no team under its quota waits for. A team without
+// Borrow never exceeds its quota, not even by urgent work.
+func (q *Queue) Next(now time.Time, try func(Item) Verdict) {
+	if q.cycling {
+		return
+	}
+	q.promote(now)
+	c := &q.cycle
+	c.begin(now)
+	defer c.end()
+	for cur := c.best(); cur != nil; cur = c.best() {
+		if !c.offer(cur, try) {
+			return
+		}
+	}
+}
+
+func newCycle(q *Queue) cycle {
+	return cycle{queue: q, cursors: indexed[*cursor]{
+		less: func(a, b *cursor) bool { return a.place.before(b.place) },
+		pos:  func(cur *cursor) *int { return &cur.pos },
+	}}
+}
+
+func (c *cycle) begin(now time.Time) {
+	c.now, c.queue.cycling = now, true
+	for _, g := range c.queue.groups {
+		c.all = append(c.all, &g.cursor)
+		if c.find(&g.cursor) {
+			c.cursors.push(&g.cursor)
+		}
+	}
+}
+
+// best returns the cursor of the first offer, or nil. Places change only for
+// the worse during a cycle, so it is enough to look again at the first one.
+func (c *cycle) best() *cursor {
+	for c.cursors.len() > 0 {
+		cur := c.cursors.top()
+		before := cur.place
+		switch {
+		case !c.find(cur):
+			c.cursors.remove(cur)
+		case before.before(cur.place):
+			c.cursors.fix(cur)
+		default:
+			return cur
+		}
+	}
+	return nil
+}
+
+// find sets the cursor's candidate and reports whether there is one.
+func (c *cycle) find(cur *cursor) bool {
+	for cur.seen < maxShapes && cur.group.heads.len() > 0 {
+		s := cur.group.heads.top()
+		n := s.fifo.top()
+		switch tier := c.tier(cur.group, s); {
+		case n.expired(c.now):
+			cur.skip(n)
+		case tier < tierBorrowed:
+			c.choose(cur, s, tier)
+			return true
+		case cur.group.team.quota.Borrow:
+			cur.seen++
+			s.moveTo(&cur.over)
+		default:
+			cur.withhold(s)
+		}
+	}
+	return c.findOver(cur)
+}
+
+// findOver chooses among the shapes that need borrowed quota.
+func (c *cycle) findOver(cur *cursor) bool {
+	for cur.over.len() > 0 {
+		s := cur.over.top()
+		if n := s.fifo.top(); n.expired(c.now) {
+			cur.skip(n)
+			continue
+		}
+		c.choose(cur, s, tierBorrowed)
+		return true
+	}
+	return false
+}
+
+func (c *cycle) tier(g *group, s *shape) int {
+	within := g.team.within(s.need)
+	if (within || g.team.quota.Borrow) && c.urgent(g, s.fifo.top()) {
+		return tierUrgent
+	}
+	if within {
+		return tierWithin
+	}
+	return tierBorrowed
+}
+
+func (c *cycle) urgent(g *group, n *node) bool {
+	bound := c.queue.config.Urgent
+	return bound > 0 && g.rank == 0 && c.now.Sub(n.item.Enqueued) >= bound/2
+}
+
+func (c *cycle) choose(cur *cursor, s *shape, tier int) {
+	n := s.fifo.top()
+	cur.shape = s
+	cur.place = order{tier: tier, enqueued: n.item.Enqueued, seq: n.seq}
+	if tier == tierUrgent {
+		return
+	}
+	cur.place.rank = c.rank(cur.group, n)
+	if cur.place.rank != overdue {
+		cur.place.share = cur.group.team.share()
+	}
+}
+
+// rank returns the class rank raised by ageing.
+func (c *cycle) rank(g *group, n *node) int {
+	step, waited := c.queue.config.AgeStep, c.now.Sub(n.item.Enqueued)
+	if step <= 0 || waited < step {
+		return g.rank
+	}
+	return max(overdue, g.rank-int(min(waited/step, time.Duration(g.rank+1))))
+}
+
+// offer asks try about the cursor's candidate and reports whether to go on.
+func (c *cycle) offer(cur *cursor, try func(Item) Verdict) bool {
+	s := cur.shape
+	n := s.fifo.top()
+	switch try(n.item) {
+	case Placed:
+		if n.group != nil {
+			c.queue.drop(n)
+		}
+		c.queue.Charge(n.item.Team, n.item.Need())
+	case NoRoom:
+		cur.withhold(s)
+	case Skip:
+		cur.skip(n)
+	default:
+		return false
+	}
+	return true
+}
+
+// withhold keeps a shape from being offered until the cycle ends.
+func (cur *cursor) withhold(s *shape) {
+	cur.seen++
+	s.moveTo(nil)
+	cur.withheld = append(cur.withheld, s)
+}
+
+// skip keeps one item from being offered until the cycle ends.
+func (cur *cursor) skip(n *node) {
+	if n.group == nil {
+		return // removed by try
+	}
+	cur.group.unready(n)
+	cur.skipped = append(cur.skipped, n)
+}
+
+// end makes everything that still waits available to the next cycle.
+func (c *cycle) end() {
+	for c.cursors.len() > 0 {
+		c.cursors.remove(c.cursors.items[c.cursors.len()-1])
+	}
+	for _, cur := range c.all {
+		cur.restore()
+	}
+	clear(c.all)
+	c.all, c.queue.cycling = c.all[:0], false
+}
+
+func (cur *cursor) restore() {
+	for cur.over.len() > 0 {
+		cur.over.top().moveTo(&cur.group.heads)
+	}
+	for _, s := range cur.withheld {
+		if s.fifo.len() > 0 {
+			s.moveTo(&cur.group.heads)
+		}
+	}
+	for _, n := range cur.skipped {
+		if n.group != nil {
+			cur.group.ready(n)
+		}
+	}
+	clear(cur.withheld)
+	clear(cur.skipped)
+	cur.withheld, cur.skipped = cur.withheld[:0], cur.skipped[:0]
+	cur.seen, cur.shape = 0, nil
+}
--- /dev/null
+++ b/internal/core/queue/heap.go
@@ -0,0 +1,83 @@
+package queue
+
+// indexed is a binary heap whose elements know their position, so that any
+// element can be removed in O(log n).
+type indexed[T any] struct {
+	items []T
+	less  func(a, b T) bool
+	// pos points to the element's position plus one; zero means absent.
+	pos func(T) *int
+}
+
+func (h *indexed[T]) len() int { return len(h.items) }
+
+// top returns the first element; the heap must not be empty.
+func (h *indexed[T]) top() T { return h.items[0] }
+
+func (h *indexed[T]) push(v T) {
+	h.items = append(h.items, v)
+	*h.pos(v) = len(h.items)
+	h.up(len(h.items) - 1)
+}
+
+// remove takes v out; it does nothing when v is absent.
+func (h *indexed[T]) remove(v T) {
+	i := *h.pos(v) - 1
+	if i < 0 {
+		return
+	}
+	last := len(h.items) - 1
+	h.swap(i, last)
+	var zero T
+	h.items[last] = zero
+	h.items = h.items[:last]
+	*h.pos(v) = 0
+	if i < last {
+		h.fixAt(i)
+	}
+}
+
+// fix restores the order after the rank of v changed.
+func (h *indexed[T]) fix(v T) { h.fixAt(*h.pos(v) - 1) }
+
+func (h *indexed[T]) fixAt(i int) {
+	if !h.down(i) {
+		h.up(i)
+	}
+}
+
+func (h *indexed[T]) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !h.less(h.items[i], h.items[parent]) {
+			return
+		}
+		h.swap(i, parent)
+		i = parent
+	}
+}
+
+func (h *indexed[T]) down(i int) (moved bool) {
+	for {
+		child := 2*i + 1
+		if child >= len(h.items) {
+			return moved
+		}
+		if right := child + 1; right < len(h.items) && h.less(h.items[right], h.items[child]) {
+			child = right
+		}
+		if !h.less(h.items[child], h.items[i]) {
+			return moved
+		}
+		h.swap(i, child)
+		i, moved = child, true
+	}
+}
+
+func (h *indexed[T]) swap(i, j int) {
+	if i == j {
+		return
+	}
+	h.items[i], h.items[j] = h.items[j], h.items[i]
+	*h.pos(h.items[i]), *h.pos(h.items[j]) = i+1, j+1
+}
--- /dev/null
+++ b/internal/core/queue/property_test.go
@@ -0,0 +1,242 @@
+package queue
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"catkinvalve/internal/core/model"
+)
+
+// reference is a plain list that searches all items for each answer.
+type reference struct {
+	config Config
+	used   map[string]model.Size
+	items  []Item // in the order of insertion
+}
+
+func (r *reference) remove(match func(Item) bool) int {
+	before := len(r.items)
+	r.items = slices.DeleteFunc(r.items, match)
+	return before - len(r.items)
+}
+
+func (r *reference) within(it Item) bool {
+	used, quota := r.used[it.Team].Add(it.Need()), r.config.Quotas[it.Team]
+	return used.MilliCPU <= quota.MilliCPU && used.Slots <= quota.Slots
+}
+
+// place returns where the policy puts an item; ok is false when it may not start.
+func (r *reference) place(now time.Time, it Item, position int) (o order, ok bool) {
+	quota, waited := r.config.Quotas[it.Team], now.Sub(it.Enqueued)
+	within := r.within(it)
+	ok = (within || quota.Borrow) && !it.NotBefore.After(now) && (it.Deadline.IsZero() || !it.Deadline.Before(now))
+	o = order{tier: tierBorrowed, enqueued: it.Enqueued, seq: uint64(position)}
+	if it.Class == model.Interactive && waited >= r.config.Urgent/2 {
+		o.tier = tierUrgent
+		return o, ok
+	}
+	if within {
+		o.tier = tierWithin
+	}
+	o.rank = max(overdue, it.Class.Rank()-int(waited/r.config.AgeStep))
+	if o.rank != overdue {
+		o.share = max(float64(r.used[it.Team].MilliCPU)/float64(quota.MilliCPU), float64(r.used[it.Team].Slots)/float64(quota.Slots))
+	}
+	return o, ok
+}
+
+// first returns the item to offer among those that withheld lets pass.
+func (r *reference) first(now time.Time, withheld func(Item) bool) (best Item, found bool) {
+	var place order
+	for i, it := range r.items {
+		if o, ok := r.place(now, it, i); ok && !withheld(it) && (!found || o.before(place)) {
+			best, place, found = it, o, true
+		}
+	}
+	return best, found
+}
+
+// drawItem draws a task of one of 12 requests, one for each team and class.
+func drawItem(t *rapid.T, now time.Time) Item {
+	i := rapid.IntRange(0, 11).Draw(t, "request")
+	it := task(fmt.Sprint("k", i), []string{"a", "b", "hard"}[i%3], model.Classes[i/3],
+		index(rapid.IntRange(0, 5).Draw(t, "index")), slots(rapid.Int64Range(1, 3).Draw(t, "slots")))
+	it.Tasks = rapid.IntRange(0, 2).Draw(t, "tasks")
+	if rapid.Bool().Draw(t, "has deadline") {
+		it.Deadline = now.Add(time.Duration(rapid.IntRange(-1, 9).Draw(t, "deadline")) * time.Second)
+	}
+	if rapid.IntRange(0, 3).Draw(t, "delayed") == 0 {
+		it.NotBefore = now.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "not before")) * time.Second)
+	}
+	return it
+}
+
+// Any sequence of calls must keep the bounds, the exact policy order and the
+// quotas, compared with the reference.
+func TestQueueMatchesReference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := build(bounds(4, 9), func(c *Config) { c.AgeStep = 3 * time.Second })
+		r := &reference{config: q.config, used: map[string]model.Size{}}
+		now := t0
+		same := func(it Item) func(Item) bool {
+			return func(o Item) bool { return o.Key == it.Key && o.Index == it.Index }
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				assert.Equal(t, q.Len(), len(r.items))
+				for team, used := range r.used {
+					if !r.config.Quotas[team].Borrow {
+						assert.Assert(t, used.Slots <= r.config.Quotas[team].Slots, "%s is over its quota", team)
+					}
+				}
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"admit": func(t *rapid.T) { checkAdmit(t, q, r, now, drawItem(t, now)) },
+			"requeue": func(t *rapid.T) {
+				it := drawItem(t, now)
+				it.Enqueued = now.Add(-time.Duration(rapid.IntRange(0, 9).Draw(t, "waited")) * time.Second)
+				q.Requeue(now, it)
+				r.remove(same(it))
+				r.items = append(r.items, it)
+			},
+			"remove": func(t *rapid.T) {
+				key := drawItem(t, now).Key
+				assert.Equal(t, q.Remove(key), r.remove(func(o Item) bool { return o.Key == key }))
+			},
+			"remove task": func(t *rapid.T) {
+				it := drawItem(t, now)
+				assert.Equal(t, q.RemoveTask(it.Key, it.Index), r.remove(same(it)) == 1)
+			},
+			"expire": func(t *rapid.T) {
+				late := func(it Item) bool { return !it.Deadline.IsZero() && it.Deadline.Before(now) }
+				assert.Equal(t, len(q.Expired(now)), r.remove(late))
+			},
+			"refund": func(t *rapid.T) {
+				team := rapid.SampledFrom([]string{"a", "b", "hard"}).Draw(t, "team")
+				q.Refund(team, r.used[team])
+				delete(r.used, team)
+			},
+			"next": func(t *rapid.T) { checkNext(t, q, r, now) },
+		})
+	})
+}
+
+func checkAdmit(t *rapid.T, q *Queue, r *reference, now time.Time, it Item) {
+	it.Enqueued = now
+	waits, alike, worst := false, 1, 0
+	for _, o := range r.items {
+		waits = waits || o.Key == it.Key && o.Index == it.Index
+		worst = max(worst, o.Class.Rank())
+		if o.Key == it.Key {
+			alike++
+		}
+	}
+	shed, refused := q.Admit(now, it)
+	if len(shed) > 0 {
+		assert.Equal(t, shed[0].Class.Rank(), worst, "less urgent work was kept")
+		assert.Assert(t, worst > it.Class.Rank(), "work as urgent as the new item was shed")
+	}
+	for _, s := range shed {
+		assert.Equal(t, r.remove(func(o Item) bool { return o.Key == s.Key && o.Index == s.Index }), 1)
+	}
+	switch {
+	case refused == model.ReasonQueueFull:
+		assert.Assert(t, alike > r.config.PerTeamClass || worst <= it.Class.Rank() && len(r.items) >= r.config.Total)
+	case refused == "" && !waits:
+		r.items = append(r.items, it)
+		assert.Assert(t, alike <= r.config.PerTeamClass && len(r.items) <= r.config.Total)
+	}
+}
+
+// checkNext answers offers at random and compares each with the reference.
+func checkNext(t *rapid.T, q *Queue, r *reference, now time.Time) {
+	type shaped struct {
+		groupID
+		shapeID
+	}
+	of := func(it Item) shaped {
+		return shaped{groupID{it.Team, it.Class}, shapeID{it.Size, max(it.Tasks, 1)}}
+	}
+	blocked, skipped := map[shaped]bool{}, map[model.TaskID]bool{}
+	withheld := func(it Item) bool {
+		return blocked[of(it)] || skipped[model.TaskID{Key: it.Key, Index: it.Index}]
+	}
+	stopped := false
+	q.Next(now, func(it Item) Verdict {
+		want, found := r.first(now, withheld)
+		assert.Assert(t, found, "offered %v, the reference nothing", it)
+		assert.DeepEqual(t, it, want)
+		v := rapid.SampledFrom([]Verdict{Placed, Placed, NoRoom, Skip, Stop}).Draw(t, "verdict")
+		switch v {
+		case Placed:
+			r.remove(func(o Item) bool { return o.Key == it.Key && o.Index == it.Index })
+			r.used[it.Team] = r.used[it.Team].Add(it.Need())
+		case NoRoom:
+			blocked[of(it)] = true
+		case Skip:
+			skipped[model.TaskID{Key: it.Key, Index: it.Index}] = true
+		default:
+			stopped = true
+		}
+		return v
+	})
+	if _, more := r.first(now, withheld); !stopped {
+		assert.Assert(t, !more, "the cycle ended early")
+	}
+}
+
+// A team with a large share must start its batch work although other teams
+// submit more work than there is room for. Interactive work arrives at less
+// than the capacity, since its own bound goes before ageing.
+func TestNothingStarves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := build(bounds(100_000, 100_000), func(c *Config) { c.AgeStep = 10 * time.Second })
+		q.Charge("a", model.Size{Slots: rapid.Int64Range(0, 9).Draw(t, "used")})
+		ahead := rapid.IntRange(0, 20).Draw(t, "ahead")
+		for i := range ahead {
+			q.Admit(t0, task(fmt.Sprint("ahead", i), "b", rapid.SampledFrom(model.Classes).Draw(t, "class")))
+		}
+		q.Admit(t0, task("victim", "a", model.Batch))
+		limit := 40 + ahead + 2
+		for second := 1; second <= limit; second++ {
+			now := at(float64(second))
+			for i := range rapid.IntRange(0, 3).Draw(t, "arrivals") {
+				q.Admit(now, task(fmt.Sprint(second, "/", i), "b", rapid.SampledFrom(model.Classes[min(i, 1):]).Draw(t, "class")))
+			}
+			for _, key := range offered(q, now, 2) {
+				if key == "victim" {
+					return
+				}
+				q.Refund("b", task("", "", "").Size)
+			}
+		}
+		t.Fatalf("batch work waits longer than %d s", limit)
+	})
+}
+
+// An urgent item must start within half of its bound plus the backlog of older
+// urgent items, whatever else waits and whatever its team already uses.
+func TestUrgentWaitIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := build(bounds(100_000, 100_000))
+		q.Charge("a", model.Size{Slots: rapid.Int64Range(0, 20).Draw(t, "used")})
+		for i := range rapid.IntRange(0, 50).Draw(t, "backlog") {
+			q.Admit(t0, task(fmt.Sprint("old", i), "b", rapid.SampledFrom(model.Classes[1:]).Draw(t, "class")))
+		}
+		q.Admit(at(100), task("urgent", "a", model.Interactive))
+		for second := 100; second <= 102; second++ {
+			if slices.Contains(offered(q, at(float64(second)), 1), "urgent") {
+				return
+			}
+			q.Refund("b", task("", "", "").Size)
+		}
+		t.Fatal("urgent work waits longer than half of its bound")
+	})
+}
--- /dev/null
+++ b/internal/core/queue/queue_test.go
@@ -0,0 +1,276 @@
+package queue
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+func at(seconds float64) time.Time { return t0.Add(time.Duration(seconds * float64(time.Second))) }
+
+// task builds an item of one slot; the options change it.
+func task(key, team string, class model.Class, options ...func(*Item)) Item {
+	it := Item{Key: key, Team: team, Class: class, Size: model.Size{MilliCPU: 1000, Slots: 1}, Tasks: 1}
+	for _, o := range options {
+		o(&it)
+	}
+	return it
+}
+
+func index(i int) func(*Item)           { return func(it *Item) { it.Index = i } }
+func slots(n int64) func(*Item)         { return func(it *Item) { it.Size.Slots = n } }
+func deadline(t time.Time) func(*Item)  { return func(it *Item) { it.Deadline = t } }
+func notBefore(t time.Time) func(*Item) { return func(it *Item) { it.NotBefore = t } }
+func quota(slots int64, borrow bool) Quota {
+	return Quota{MilliCPU: slots * 1000, Slots: slots, Borrow: borrow}
+}
+
+// build returns a queue with ample bounds and the teams a, b (10 slots, may
+// borrow) and hard (2 slots, may not).
+func build(options ...func(*Config)) *Queue {
+	c := Config{PerTeamClass: 1000, Total: 10000, Urgent: 4 * time.Second, AgeStep: time.Minute,
+		Quotas: map[string]Quota{"a": quota(10, true), "b": quota(10, true), "hard": quota(2, false)}}
+	for _, o := range options {
+		o(&c)
+	}
+	return New(c)
+}
+
+func bounds(perTeamClass, total int) func(*Config) {
+	return func(c *Config) { c.PerTeamClass, c.Total = perTeamClass, total }
+}
+
+func admit(t *testing.T, q *Queue, now time.Time, items ...Item) {
+	t.Helper()
+	for _, it := range items {
+		_, refused := q.Admit(now, it)
+		assert.Equal(t, refused, model.Reason(""), "item %v", it)
+	}
+}
+
+// offered runs a cycle with room for n tasks and returns the keys placed.
+func offered(q *Queue, now time.Time, room int) []string {
+	keys := []string{}
+	q.Next(now, func(it Item) Verdict {
+		if len(keys) == room {
+			return Stop
+		}
+		keys = append(keys, it.Key)
+		return Placed
+	})
+	return keys
+}
+
+// Guards the policy order against changes: each case names the rule it covers.
+func TestOrder(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		fill func(q *Queue)
+		at   float64
+		want []string
+	}{
+		{"class", func(q *Queue) {
+			admit(t, q, t0, task("batch", "a", model.Batch), task("gang", "a", model.AllAtOnce),
+				task("service", "a", model.Service), task("inter", "a", model.Interactive))
+		}, 0, []string{"inter", "service", "gang", "batch"}},
+		{"first in first out over shapes", func(q *Queue) {
+			admit(t, q, t0, task("1", "a", model.Batch))
+			admit(t, q, at(1), task("2", "a", model.Batch, slots(2)))
+			admit(t, q, at(2), task("3", "a", model.Batch))
+		}, 3, []string{"1", "2", "3"}},
+		{"least share of the quota", func(q *Queue) {
+			q.Charge("a", model.Size{Slots: 4})
+			admit(t, q, t0, task("a1", "a", model.Batch), task("b1", "b", model.Batch))
+		}, 0, []string{"b1", "a1"}},
+		{"share moves with each start", func(q *Queue) {
+			admit(t, q, t0, task("a1", "a", model.Batch), task("a2", "a", model.Batch), task("b1", "b", model.Batch))
+		}, 0, []string{"a1", "b1", "a2"}},
+		{"dominant dimension", func(q *Queue) {
+			q.Charge("a", model.Size{MilliCPU: 100, Slots: 5})
+			q.Charge("b", model.Size{MilliCPU: 4000, Slots: 0})
+			admit(t, q, t0, task("a1", "a", model.Batch), task("b1", "b", model.Batch))
+		}, 0, []string{"b1", "a1"}},
+		{"within quota before borrowed, whatever the class", func(q *Queue) {
+			q.Charge("a", model.Size{Slots: 10})
+			admit(t, q, t0, task("over", "a", model.Service), task("under", "b", model.Batch))
+		}, 0, []string{"under", "over"}},
+		{"a smaller item still fits the quota", func(q *Queue) {
+			q.Charge("a", model.Size{Slots: 8})
+			admit(t, q, t0, task("big", "a", model.Batch, slots(3)), task("small", "a", model.Batch))
+		}, 0, []string{"small", "big"}},
+		{"no borrowing without permission", func(q *Queue) {
+			admit(t, q, t0, task("1", "hard", model.Batch), task("2", "hard", model.Batch), task("3", "hard", model.Batch))
+		}, 0, []string{"1", "2"}},
+		{"team without a quota borrows last", func(q *Queue) {
+			admit(t, q, t0, task("stranger", "s", model.Interactive), task("a1", "a", model.Batch))
+		}, 1, []string{"a1", "stranger"}},
+		{"urgent before all, on borrowed quota too", func(q *Queue) {
+			q.Charge("a", model.Size{Slots: 10})
+			admit(t, q, t0, task("waited", "a", model.Interactive))
+			admit(t, q, at(1), task("fresh", "b", model.Interactive))
+		}, 2, []string{"waited", "fresh"}},
+		{"no urgency before half of the bound", func(q *Queue) {
+			q.Charge("a", model.Size{Slots: 10})
+			admit(t, q, t0, task("waited", "a", model.Interactive))
+			admit(t, q, at(1), task("fresh", "b", model.Interactive))
+		}, 1.9, []string{"fresh", "waited"}},
+		{"ageing raises a class", func(q *Queue) {
+			admit(t, q, t0, task("old", "a", model.Batch))
+			admit(t, q, at(119), task("gang", "a", model.AllAtOnce), task("service", "a", model.Service))
+		}, 121, []string{"old", "service", "gang"}},
+		{"overdue work ignores shares", func(q *Queue) {
+			q.Charge("a", model.Size{Slots: 9})
+			admit(t, q, t0, task("old", "a", model.Batch))
+			admit(t, q, at(239), task("new", "b", model.Interactive))
+		}, 240, []string{"old", "new"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := build()
+			c.fill(q)
+			assert.DeepEqual(t, offered(q, at(c.at), 100), c.want)
+		})
+	}
+}
+
+// Guards the bounds and what is shed for whom.
+func TestAdmission(t *testing.T) {
+	q := build(bounds(2, 4))
+	admit(t, q, t0, task("b1", "a", model.Batch), task("b2", "a", model.Batch), task("b3", "b", model.Batch, index(0)))
+	_, refused := q.Admit(t0, task("b4", "a", model.Batch))
+	assert.Equal(t, refused, model.ReasonQueueFull, "the team's own bound")
+	admit(t, q, t0, task("b3", "b", model.Batch, index(1)), task("b1", "a", model.Batch))
+	assert.Equal(t, q.Len(), 4, "a second admission of an item adds nothing")
+
+	_, refused = q.Admit(t0, task("c", "c", model.Batch))
+	assert.Equal(t, refused, model.ReasonQueueFull, "no more urgent than what waits")
+	shed, refused := q.Admit(t0, task("i", "b", model.Interactive))
+	assert.Equal(t, refused, model.Reason(""))
+	assert.Equal(t, len(shed), 1)
+	assert.Equal(t, shed[0].Key, "b2", "newest of the longest queue")
+	shed, _ = q.Admit(t0, task("j", "b", model.Interactive))
+	assert.Equal(t, len(shed), 2, "all waiting tasks of the request")
+	assert.Equal(t, shed[0].Key, "b3")
+	assert.Equal(t, q.Len(), 3)
+
+	_, refused = q.Admit(t0, task("h", "hard", model.Batch, slots(3)))
+	assert.Equal(t, refused, model.ReasonQuota, "can never fit a quota without borrowing")
+	_, refused = q.Admit(at(2), task("late", "a", model.Batch, deadline(at(1))))
+	assert.Equal(t, refused, model.ReasonDeadline)
+}
+
+// A full queue must not lose work that was admitted before, and a retry must
+// neither lose its place nor start before its backoff ends.
+func TestRequeue(t *testing.T) {
+	q := build(bounds(1, 1))
+	admit(t, q, at(1), task("new", "a", model.Batch))
+	it := task("old", "a", model.Batch, notBefore(at(5)))
+	it.Enqueued = t0
+	q.Requeue(at(2), it)
+	q.Requeue(at(2), it)
+	assert.Equal(t, q.Len(), 2)
+	assert.Equal(t, q.NextReady(), at(5))
+	assert.DeepEqual(t, offered(q, at(4), 0), []string{})
+	assert.DeepEqual(t, offered(q, at(5), 9), []string{"old", "new"})
+}
+
+// Nothing may start past its deadline, also when Expired was not called first.
+func TestDeadlines(t *testing.T) {
+	q := build()
+	admit(t, q, t0, task("1", "a", model.Batch, deadline(at(1))), task("2", "a", model.Batch, deadline(at(2))),
+		task("never", "a", model.Batch))
+	assert.Equal(t, q.NextDeadline(), at(1))
+	assert.Equal(t, len(q.Expired(at(1))), 0, "a start at the deadline is in time")
+	assert.DeepEqual(t, offered(q, at(1.5), 9), []string{"2", "never"})
+	expired := q.Expired(at(1.5))
+	assert.Equal(t, len(expired), 1)
+	assert.Equal(t, expired[0].Key, "1")
+	assert.Equal(t, q.Len(), 0)
+	assert.Assert(t, q.NextDeadline().IsZero())
+}
+
+// A cycle must withhold by shape, and withheld and skipped items must return.
+func TestVerdicts(t *testing.T) {
+	q := build()
+	admit(t, q, t0, task("1", "a", model.Batch), task("2", "a", model.Batch), task("big", "a", model.Batch, slots(2)),
+		task("b", "b", model.Batch))
+	for _, c := range []struct {
+		verdicts map[string]Verdict
+		want     []string
+	}{
+		{map[string]Verdict{"1": NoRoom, "big": NoRoom, "b": NoRoom}, []string{"1", "b", "big"}},
+		{map[string]Verdict{"1": Skip, "2": NoRoom, "big": Skip, "b": Skip}, []string{"1", "2", "b", "big"}},
+		{map[string]Verdict{"1": Stop}, []string{"1"}},
+	} {
+		var seen []string
+		q.Next(t0, func(it Item) Verdict {
+			seen = append(seen, it.Key)
+			return c.verdicts[it.Key]
+		})
+		slices.Sort(seen)
+		assert.DeepEqual(t, seen, c.want)
+		assert.Equal(t, q.Len(), 4)
+	}
+}
+
+// Preemption inside a cycle puts work back; the cycle must end all the same.
+func TestChangesDuringCycle(t *testing.T) {
+	q := build()
+	admit(t, q, t0, task("1", "a", model.Batch), task("2", "a", model.Batch), task("3", "a", model.Batch))
+	var seen []string
+	q.Next(t0, func(it Item) Verdict {
+		seen = append(seen, it.Key)
+		q.Requeue(t0, task("again"+it.Key, "a", model.Batch))
+		q.Remove("2")
+		q.Next(t0, func(Item) Verdict { panic("nested cycle") })
+		return Placed
+	})
+	assert.DeepEqual(t, seen, []string{"1", "3"})
+	assert.Equal(t, q.NextReady(), t0)
+	assert.DeepEqual(t, offered(q, t0, 9), []string{"again1", "again3"})
+}
+
+// Usage must return to nothing, or a team would stay over its quota for ever.
+func TestUsage(t *testing.T) {
+	q := build()
+	gang := task("g", "hard", model.AllAtOnce)
+	gang.Tasks = 2
+	admit(t, q, t0, gang)
+	assert.DeepEqual(t, offered(q, t0, 9), []string{"g"})
+	assert.Assert(t, !q.Borrowed("hard"))
+	q.Charge("hard", model.Size{Slots: 1})
+	assert.Assert(t, q.Borrowed("hard"))
+	q.Configure(Config{Quotas: map[string]Quota{"hard": quota(3, false)}})
+	assert.Assert(t, !q.Borrowed("hard"))
+	q.Refund("hard", model.Size{MilliCPU: 2000, Slots: 3})
+	assert.Equal(t, len(q.teams), 0, "idle teams take no memory")
+}
+
+// Guards the figures that status and explanations show.
+func TestReport(t *testing.T) {
+	q := build()
+	admit(t, q, t0, task("1", "b", model.Batch, notBefore(at(9))))
+	admit(t, q, at(1), task("2", "b", model.Batch), task("3", "b", model.Interactive), task("4", "a", model.Batch))
+	assert.DeepEqual(t, q.Waiting(), []Waiting{{"a", model.Batch, 1, at(1)}, {"b", model.Interactive, 1, at(1)},
+		{"b", model.Batch, 2, t0}})
+	assert.Equal(t, q.OldestOf(model.Batch, at(3)), 3*time.Second)
+	assert.Equal(t, q.OldestOf(model.Service, at(3)), time.Duration(0))
+}
+
+// Callers choose sizes freely; a cycle must not visit every item when each has
+// a shape of its own.
+func TestManyShapesAreBounded(t *testing.T) {
+	q := build()
+	for i := range 500 {
+		admit(t, q, t0, task(fmt.Sprint(i), "a", model.Batch, slots(int64(i%7)+1), func(it *Item) { it.Size.MemMB = int64(i) }))
+	}
+	visits := 0
+	q.Next(t0, func(Item) Verdict { visits++; return NoRoom })
+	assert.Assert(t, visits <= maxShapes, "%d visits", visits)
+}
