--- /dev/null
+++ b/internal/telemetry/logger.go
@@ -0,0 +1,34 @@
+// Package telemetry provides the logger, the metrics registry and the
+// histograms of catkinvalve's processes.
+package telemetry
+
+import (
+	"io"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"catkinvalve/internal/fault"
+)
+
+// NewLogger returns a logger that writes one JSON object per line to w, each
+// with the daemon's id and data centre. Level is one of logrus's level names.
+func NewLogger(w io.Writer, level, daemon, dataCentre string) (*logrus.Entry, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Malformed, "use one of error, warning, info, debug", "log level %q is not known", level)
+	}
+	logger := logrus.New()
+	logger.SetOutput(w)
+	logger.SetLevel(parsed)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return logger.WithFields(logrus.Fields{"daemon": daemon, "data_centre": dataCentre}), nil
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	logger.SetLevel(logrus.PanicLevel)
+	return logrus.NewEntry(logger)
+}
