Add HTTP server for the caller API

All input is bounded and checked before it reaches the daemon. encoding/json accepts repeated and differently spelled names, so names are checked first.

--- /dev/null
+++ b/internal/adapters/httpapi/decode.go
@@ -0,0 +1,97 @@
+package httpapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+	"unicode/utf8"
+
+	"catkinvalve/internal/fault"
+)
+
+// maxDepth bounds the nesting of a body; the deepest valid one has depth 2.
+const maxDepth = 16
+
+// decodeStrict decodes exactly one JSON object into target, which points to a
+// struct. It refuses unknown, repeated and differently spelled field names,
+// invalid UTF-8 and trailing data, and names the place of the error.
+// encoding/json accepts repeated names and other cases on its own.
+func decodeStrict(body []byte, target any) error {
+	if !utf8.Valid(body) {
+		return malformed(body, invalidOffset(body), "invalid UTF-8")
+	}
+	if err := checkNames(body, fieldNames(reflect.TypeOf(target).Elem())); err != nil {
+		return err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return decodeFault(body, decoder.InputOffset(), err)
+	}
+	return nil
+}
+
+func invalidOffset(body []byte) int64 {
+	offset := 0
+	for offset < len(body) {
+		r, size := utf8.DecodeRune(body[offset:])
+		if r == utf8.RuneError && size == 1 {
+			break
+		}
+		offset += size
+	}
+	return int64(offset)
+}
+
+// decodeFault turns an error of encoding/json into one with a place.
+func decodeFault(body []byte, offset int64, err error) error {
+	var syntax *json.SyntaxError
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		return malformed(body, syntax.Offset, syntax.Error())
+	case errors.As(err, &wrongType):
+		return malformed(body, wrongType.Offset, fmt.Sprintf("field %q cannot hold a JSON %s", wrongType.Field, wrongType.Value))
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return malformed(body, int64(len(body)), "the JSON object is not complete")
+	default:
+		return malformed(body, offset, strings.TrimPrefix(err.Error(), "json: "))
+	}
+}
+
+// malformed names the line and column of a byte offset.
+func malformed(body []byte, offset int64, what string) error {
+	before := body[:min(max(offset, 0), int64(len(body)))]
+	line := 1 + bytes.Count(before, []byte("\n"))
+	column := 1 + len(before) - (bytes.LastIndexByte(before, '\n') + 1)
+	return fault.New(fault.Malformed, "correct the body; the fields are listed in the API documentation",
+		"line %d column %d: %s", line, column, what)
+}
+
+// fieldNames returns the JSON names of a struct and of the structs in it. A
+// name at the wrong level is found by DisallowUnknownFields.
+func fieldNames(t reflect.Type) map[string]bool {
+	names := map[string]bool{}
+	for i := range t.NumField() {
+		field := t.Field(i)
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		if name == "" || name == "-" {
+			continue
+		}
+		names[name] = true
+		inner := field.Type
+		if inner.Kind() == reflect.Pointer {
+			inner = inner.Elem()
+		}
+		if inner.Kind() == reflect.Struct {
+			for name := range fieldNames(inner) {
+				names[name] = true
+			}
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/adapters/httpapi/listener.go
@@ -0,0 +1,85 @@
+package httpapi
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"catkinvalve/internal/fault"
+)
+
+// refusalTimeout bounds the write of a refusal in the accept loop. The answer
+// fits into an empty send buffer, so the write does not wait in practice.
+const refusalTimeout = 100 * time.Millisecond
+
+// limitedListener accepts at most limit connections at a time. It answers
+// further ones with overloaded and closes them without reading, so the answer
+// may be lost when the caller is still sending.
+type limitedListener struct {
+	net.Listener
+	limit   int64
+	open    atomic.Int64
+	refused metrics.Counter
+	answer  []byte
+}
+
+func newLimitedListener(inner net.Listener, limit int, refused metrics.Counter) *limitedListener {
+	return &limitedListener{Listener: inner, limit: int64(limit), refused: refused, answer: refusalAnswer(limit)}
+}
+
+func refusalAnswer(limit int) []byte {
+	e := fault.New(fault.Overloaded, "retry later or through another daemon; nothing was read from this connection",
+		"the daemon has %d open connections, its limit", limit)
+	body := errorBody(e)
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n",
+		e.HTTPStatus(), http.StatusText(e.HTTPStatus()), len(body))
+	return append([]byte(head), body...)
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.limit {
+			return &countedConn{Conn: conn, release: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
+		}
+		l.open.Add(-1)
+		l.refuse(conn)
+	}
+}
+
+func (l *limitedListener) refuse(conn net.Conn) {
+	l.refused.Inc(1)
+	_ = conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = conn.Write(l.answer)
+	_ = conn.Close()
+}
+
+// countedConn gives its place in the listener back when it is closed.
+type countedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
+
+// CloseWrite lets net/http finish an answer before it closes a connection
+// whose body it did not read.
+func (c *countedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/adapters/httpapi/middleware.go
@@ -0,0 +1,124 @@
+package httpapi
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/sirupsen/logrus"
+
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/telemetry"
+)
+
+const (
+	requestIDHeader = "X-Request-ID"
+	// maxRequestIDBytes bounds what a caller can put into each log line.
+	maxRequestIDBytes = 100
+)
+
+type requestIDKey struct{}
+
+// RequestID returns the X-Request-ID of the call that ctx belongs to.
+func RequestID(ctx context.Context) string {
+	id, _ := ctx.Value(requestIDKey{}).(string)
+	return id
+}
+
+// requestID returns the caller's id if it is usable, else a new one.
+func requestID(header http.Header) string {
+	given := header.Get(requestIDHeader)
+	if validRequestID(given) {
+		return given
+	}
+	var random [8]byte
+	_, _ = rand.Read(random[:])
+	return hex.EncodeToString(random[:])
+}
+
+func validRequestID(id string) bool {
+	if id == "" || len(id) > maxRequestIDBytes {
+		return false
+	}
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// statusWriter remembers the status for the log and whether an answer began.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// handle wraps a handler with deadlines, request id, log, latency and recovery
+// from panics.
+func (s *Server) handle(route string, next httprouter.Handle) httprouter.Handle {
+	latency := s.opts.Histograms.Latency(route)
+	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+		start := time.Now()
+		id := requestID(r.Header)
+		w.Header().Set(requestIDHeader, id)
+		r = r.WithContext(context.WithValue(r.Context(), requestIDKey{}, id))
+		s.setDeadlines(w, r)
+		sw := &statusWriter{ResponseWriter: w}
+		defer func() {
+			s.recovered(sw, id, recover())
+			telemetry.ObserveSince(latency, start)
+			s.logCall(sw.status, logrus.Fields{"request_id": id, "route": route, "micros": time.Since(start).Microseconds()})
+		}()
+		next(sw, r, params)
+	}
+}
+
+// setDeadlines clears the write deadline of the previous call on the
+// connection and limits the time for reading a body, also one that no handler
+// reads: the server discards it before it reuses the connection.
+func (s *Server) setDeadlines(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Time{})
+	if r.ContentLength != 0 {
+		_ = control.SetReadDeadline(time.Now().Add(s.opts.BodyTimeout))
+	}
+}
+
+// recovered turns a panic into an answer of kind internal. The stack goes only
+// to the log. A panic after the answer began aborts the connection.
+func (s *Server) recovered(w *statusWriter, id string, cause any) {
+	if cause == nil {
+		return
+	}
+	s.panics.Inc(1)
+	s.log.WithFields(logrus.Fields{"request_id": id, "panic": cause, "stack": string(debug.Stack())}).Error("panic in a handler")
+	if w.status != 0 {
+		panic(http.ErrAbortHandler)
+	}
+	s.writeError(w, fault.New(fault.Internal, "report this as a defect with the request id and the daemon's log",
+		"the call %s failed inside the daemon", id))
+}
+
+func (s *Server) logCall(status int, fields logrus.Fields) {
+	level := logrus.DebugLevel
+	if status >= http.StatusInternalServerError {
+		level = logrus.WarnLevel
+	}
+	if s.log.Logger.IsLevelEnabled(level) {
+		s.log.WithFields(fields).WithField("status", status).Log(level, "call")
+	}
+}
--- /dev/null
+++ b/internal/adapters/httpapi/routes.go
@@ -0,0 +1,170 @@
+package httpapi
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"catkinvalve/internal/api"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/telemetry"
+)
+
+// routes returns the handler of all paths. Paths are matched exactly, without
+// redirects.
+func (s *Server) routes() http.Handler {
+	router := httprouter.New()
+	router.RedirectTrailingSlash = false
+	router.RedirectFixedPath = false
+	router.HandleMethodNotAllowed = false
+	router.HandleOPTIONS = false
+	add := func(method, path, route string, h httprouter.Handle) { router.Handle(method, path, s.handle(route, h)) }
+	add(http.MethodPost, "/v1/requests", "submit", s.submit)
+	add(http.MethodGet, "/v1/requests/:key", "fate", s.fate)
+	add(http.MethodPost, "/v1/requests/:key/cancel", "cancel", s.cancel)
+	add(http.MethodGet, "/v1/requests/:key/explain", "explain", s.explain)
+	add(http.MethodGet, "/v1/status", "status", read(s, s.service.Status))
+	add(http.MethodGet, "/v1/config", "config", read(s, s.service.Config))
+	add(http.MethodPost, "/v1/config", "publish", s.publish)
+	add(http.MethodGet, "/v1/config/history", "history", read(s, s.service.History))
+	add(http.MethodPost, "/v1/workers/:id/drain", "drain", s.drain)
+	add(http.MethodGet, "/healthz", "healthz", s.probe(s.service.Healthy))
+	add(http.MethodGet, "/readyz", "readyz", s.probe(s.service.Ready))
+	add(http.MethodGet, "/metrics", "metrics", s.metrics)
+	unknown := s.handle("unknown", s.unknownRoute)
+	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { unknown(w, r, nil) })
+	return router
+}
+
+func (s *Server) unknownRoute(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	s.writeError(w, fault.New(fault.NotFound, "see the API documentation for paths and methods",
+		"no route for %s %s", r.Method, clip(r.URL.Path)))
+}
+
+func (s *Server) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	status, err := s.doSubmit(w, r)
+	s.writeStatus(w, http.StatusAccepted, status, err)
+}
+
+func (s *Server) doSubmit(w http.ResponseWriter, r *http.Request) (api.RequestStatus, error) {
+	body, err := s.readBody(w, r)
+	if err != nil {
+		return api.RequestStatus{}, err
+	}
+	request, err := decodeSubmit(body)
+	if err != nil {
+		return api.RequestStatus{}, err
+	}
+	ctx, wait, done, err := s.startWait(r.Context(), waitOf(request.WaitMS))
+	if err != nil {
+		return api.RequestStatus{}, err
+	}
+	defer done()
+	request.WaitMS = wait.Milliseconds()
+	status, err := s.service.Submit(ctx, request)
+	return status, timeoutFault(err, request.Key)
+}
+
+// decodeSubmit decodes and validates the body of a submission.
+func decodeSubmit(body []byte) (api.SubmitRequest, error) {
+	var request api.SubmitRequest
+	if err := decodeStrict(body, &request); err != nil {
+		return api.SubmitRequest{}, err
+	}
+	return request, checkSubmit(&request)
+}
+
+func (s *Server) fate(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	status, err := s.doFate(w, r, params.ByName("key"))
+	s.writeStatus(w, http.StatusOK, status, err)
+}
+
+func (s *Server) doFate(w http.ResponseWriter, r *http.Request, key string) (api.RequestStatus, error) {
+	wait, err := queryWait(r.URL.RawQuery)
+	if err == nil {
+		err = checkKeyCall(w, r, key)
+	}
+	if err != nil {
+		return api.RequestStatus{}, err
+	}
+	ctx, wait, done, err := s.startWait(r.Context(), wait)
+	if err != nil {
+		return api.RequestStatus{}, err
+	}
+	defer done()
+	status, err := s.service.Fate(ctx, key, wait)
+	return status, timeoutFault(err, key)
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	status, err := keyCall(s, w, r, params.ByName("key"), s.service.Cancel)
+	s.writeStatus(w, http.StatusAccepted, status, err)
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	explanation, err := keyCall(s, w, r, params.ByName("key"), s.service.Explain)
+	writeResult(s, w, explanation, err)
+}
+
+func (s *Server) publish(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	result, err := s.doPublish(w, r)
+	writeResult(s, w, result, err)
+}
+
+func (s *Server) doPublish(w http.ResponseWriter, r *http.Request) (api.PublishResult, error) {
+	body, err := s.readBody(w, r)
+	if err != nil {
+		return api.PublishResult{}, err
+	}
+	var publication api.PublishRequest
+	if err := decodeStrict(body, &publication); err != nil {
+		return api.PublishResult{}, err
+	}
+	if err := checkPublish(&publication); err != nil {
+		return api.PublishResult{}, err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), s.opts.CallTimeout)
+	defer cancel()
+	result, err := s.service.Publish(ctx, publication)
+	if err == nil && !result.Accepted {
+		err = fault.New(fault.PublishConflict, "edit the text of that revision and publish it with a new publish_id",
+			"publication %s lost to revision %d", publication.PublishID, result.Revision)
+	}
+	return result, timeoutFault(err, "")
+}
+
+func (s *Server) drain(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	result, err := s.doDrain(w, r, params.ByName("id"))
+	writeResult(s, w, result, err)
+}
+
+func (s *Server) doDrain(w http.ResponseWriter, r *http.Request, worker string) (api.DrainResult, error) {
+	if err := checkKeyCall(w, r, worker); err != nil {
+		return api.DrainResult{}, err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), s.opts.CallTimeout)
+	defer cancel()
+	result, err := s.service.Drain(ctx, worker)
+	return result, timeoutFault(err, "")
+}
+
+func (s *Server) probe(check func() error) httprouter.Handle {
+	return func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		if err := check(); err != nil {
+			s.writeJSON(w, http.StatusServiceUnavailable, fault.From(err))
+			return
+		}
+		s.writeBody(w, http.StatusOK, []byte("{\"status\":\"ok\"}\n"))
+	}
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	var buf bytes.Buffer
+	if err := telemetry.WriteJSON(&buf, s.opts.Registry); err != nil {
+		s.writeError(w, err)
+		return
+	}
+	s.writeBody(w, http.StatusOK, buf.Bytes())
+}
--- /dev/null
+++ b/internal/adapters/httpapi/wait.go
@@ -0,0 +1,28 @@
+package httpapi
+
+import (
+	"context"
+	"time"
+
+	"catkinvalve/internal/fault"
+)
+
+// startWait caps wait and takes one of the places for waiting calls. The
+// returned context ends after the wait and the call timeout; done gives the
+// place back.
+func (s *Server) startWait(ctx context.Context, wait time.Duration) (_ context.Context, capped time.Duration, done func(), err error) {
+	capped = min(wait, s.opts.MaxWait)
+	ctx, cancel := context.WithTimeout(ctx, capped+s.opts.CallTimeout)
+	if capped == 0 {
+		return ctx, 0, cancel, nil
+	}
+	select {
+	case s.waiting <- struct{}{}:
+	default:
+		cancel()
+		s.waitRefused.Inc(1)
+		return nil, 0, nil, fault.New(fault.Overloaded, "call without a wait or retry later; this call had no effect",
+			"%d calls are waiting, the limit of this daemon", s.opts.MaxWaiting)
+	}
+	return ctx, capped, func() { <-s.waiting; cancel() }, nil
+}
