--- /dev/null
+++ b/internal/peerpb/bounds.go
@@ -0,0 +1,86 @@
+package peerpb
+
+import (
+	"net/http"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/limits"
+)
+
+// Values that decoded messages may carry. An unknown fate must not pass,
+// because every fate but queued and running counts as final.
+var (
+	fates = setOf(model.Queued, model.Running, model.Done, model.NotRun, model.Cancelled, model.Unknown)
+	sides = setOf(model.NewSide, model.OldSide)
+	// An empty class may belong to a record that was recovered from a worker alone.
+	classes    = setOf(model.Interactive, model.Service, model.AllAtOnce, model.Batch, "")
+	taskStates = setOf(model.TaskQueued, model.TaskStarting, model.TaskRunning, model.TaskStopping,
+		model.TaskDone, model.TaskFailed, model.TaskStopped, model.TaskLost)
+)
+
+func setOf[T comparable](values ...T) map[T]bool {
+	set := make(map[T]bool, len(values))
+	for _, v := range values {
+		set[v] = true
+	}
+	return set
+}
+
+// knownKind reports whether this version defines the kind. Every kind but
+// internal has a status of its own.
+func knownKind(kind fault.Kind) bool {
+	return kind == fault.Internal || (&fault.Error{Kind: kind}).HTTPStatus() != http.StatusInternalServerError
+}
+
+func outOfBounds(field string) error {
+	return fault.New(fault.Malformed, "check that all daemons run compatible versions",
+		"field %s of a peer's message is out of bounds", field)
+}
+
+func checkRequest(p *Request) error {
+	switch {
+	case !limits.ValidKey(p.GetKey()):
+		return outOfBounds("key")
+	case !limits.ValidName(p.GetService()):
+		return outOfBounds("service")
+	case !limits.ValidName(p.GetTeam()):
+		return outOfBounds("team")
+	case !classes[model.Class(p.GetClass())]:
+		return outOfBounds("class")
+	case p.GetTasks() < 0 || p.GetTasks() > limits.MaxTasks:
+		return outOfBounds("tasks")
+	case p.GetRunMs() < 0 || p.GetRunMs() > limits.MaxRunTime.Milliseconds():
+		return outOfBounds("run_ms")
+	case !limits.ValidUnixMilli(p.GetDeadlineMs()):
+		return outOfBounds("deadline_ms")
+	case !limits.ValidUnixMilli(p.GetIssuedAtMs()):
+		return outOfBounds("issued_at_ms")
+	}
+	return nil
+}
+
+func checkRecord(p *Record) error {
+	switch {
+	case !sides[model.Side(p.GetSide())]:
+		return outOfBounds("side")
+	case !fates[model.Fate(p.GetFate())]:
+		return outOfBounds("fate")
+	case !limits.ValidName(p.GetReason()):
+		return outOfBounds("reason")
+	case !limits.ValidName(p.GetDelegatedTo()):
+		return outOfBounds("delegated_to")
+	case len(p.GetTasks()) > limits.MaxTasks:
+		return outOfBounds("tasks")
+	case !limits.ValidUnixMilli(p.GetAcceptedMs()):
+		return outOfBounds("accepted_ms")
+	case !limits.ValidUnixMilli(p.GetStartedMs()):
+		return outOfBounds("started_ms")
+	case !limits.ValidUnixMilli(p.GetEndedMs()):
+		return outOfBounds("ended_ms")
+	}
+	return nil
+}
+
+// clip shortens text of a peer for messages.
+func clip(text string) string { return text[:min(len(text), limits.MaxNameBytes)] }
