Add drpc client and server between daemons

Control and payload calls have connections of their own. Errors of calls of which no byte was written are told apart from those that may have taken effect.

--- /dev/null
+++ b/internal/adapters/peerrpc/client.go
@@ -0,0 +1,125 @@
+package peerrpc
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
+
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/peerpb"
+	"catkinvalve/internal/telemetry"
+)
+
+var errBlocked = errors.New("the link is cut by fault injection")
+
+// Client calls other daemons. It connects when a call needs a connection. Its
+// errors are *fault.Error; NothingSent tells whether a call can have had an
+// effect. A fault in a response is returned as the error.
+type Client struct {
+	opts    Options
+	control *pool
+	payload *pool
+	limiter *regionLimiter
+	dropped metrics.Counter
+}
+
+// NewClient returns a client. Close releases its connections.
+func NewClient(opts Options) *Client {
+	opts = opts.withDefaults()
+	return &Client{
+		opts:    opts,
+		control: newPool(control, opts.ControlConns, opts),
+		payload: newPool(payload, opts.PayloadConns, opts),
+		limiter: newRegionLimiter(opts.Self.Region, opts.PayloadBytesPerSecond, opts.MessageBytes),
+		dropped: telemetry.Counter(opts.Registry, "peer.client.dropped_answers"),
+	}
+}
+
+// Close closes idle connections and refuses further calls. Calls in flight
+// finish and close their connections.
+func (c *Client) Close() error { return errors.Join(c.control.close(), c.payload.close()) }
+
+// callSpec describes one call for invoke.
+type callSpec struct {
+	to   Target
+	kind kind
+	wait time.Duration
+	in   proto.Message
+	// key is the key that the response must carry; empty if it carries none.
+	key string
+}
+
+type keyed interface{ GetKey() string }
+
+type faulty interface{ GetFault() *peerpb.Fault }
+
+// invoke makes one call within the limits. It is generic over the response.
+func invoke[Out proto.Message](ctx context.Context, c *Client, spec callSpec, call func(context.Context, peerpb.DRPCPeerClient) (Out, error)) (Out, error) {
+	var none Out
+	ctx, cancel := context.WithTimeout(ctx, spec.wait+c.opts.CallTimeout)
+	defer cancel()
+	if err := c.admit(ctx, spec); err != nil {
+		return none, err
+	}
+	p := c.pool(spec.kind)
+	conn, err := p.take(ctx, spec.to)
+	if err != nil {
+		return none, err
+	}
+	deadline, _ := ctx.Deadline()
+	out, err := call(withMetadata(ctx, c.opts.Self, time.Until(deadline)), peerpb.NewDRPCPeerClient(conn))
+	remote := decodeFault(err)
+	wrote := conn.tracked.wrote.Load()
+	p.put(spec.to, conn, err != nil && remote == nil)
+	switch {
+	case remote != nil:
+		return none, remote
+	case err != nil && !wrote:
+		return none, unreachable(err, spec.to)
+	case err != nil:
+		return none, maybeSent(err, spec.to)
+	}
+	return out, c.check(spec, out)
+}
+
+func (c *Client) pool(k kind) *pool {
+	if k == control {
+		return c.control
+	}
+	return c.payload
+}
+
+// admit applies the checks that come before anything is sent.
+func (c *Client) admit(ctx context.Context, spec callSpec) error {
+	if c.opts.Blocked(spec.to.ID) {
+		return unreachable(errBlocked, spec.to)
+	}
+	size := proto.Size(spec.in)
+	if size > c.opts.MessageBytes {
+		return unsent(errors.New("message too large"), fault.TooLarge, "send a smaller request; nothing was sent",
+			"the message to daemon %s has %d bytes, the limit is %d", spec.to.ID, size, c.opts.MessageBytes)
+	}
+	if spec.kind == control {
+		return nil
+	}
+	if err := c.limiter.wait(ctx, spec.to.Region, size); err != nil {
+		return unsent(err, fault.Overloaded, "retry later; nothing was sent",
+			"the payload rate to region %s is exhausted", spec.to.Region)
+	}
+	return nil
+}
+
+// check matches a response to its call and returns the fault in it.
+func (c *Client) check(spec callSpec, out proto.Message) error {
+	if k, ok := out.(keyed); ok && spec.key != "" && k.GetKey() != spec.key {
+		c.dropped.Inc(1)
+		return maybeSent(errors.New("the answer belongs to another key"), spec.to)
+	}
+	if f, ok := out.(faulty); ok && f.GetFault() != nil {
+		return peerpb.FaultFromProto(f.GetFault())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/adapters/peerrpc/errors.go
@@ -0,0 +1,75 @@
+package peerrpc
+
+import (
+	"encoding/json"
+	"errors"
+
+	"storj.io/drpc/drpcerr"
+
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/peerpb"
+)
+
+// faultCode marks a drpc error whose text is a fault in JSON.
+const faultCode = 1000
+
+// unsentError marks errors of calls of which no byte was written.
+type unsentError struct{ cause error }
+
+// Error implements the error interface.
+func (e *unsentError) Error() string { return "nothing was sent: " + e.cause.Error() }
+
+// Unwrap returns the underlying error.
+func (e *unsentError) Unwrap() error { return e.cause }
+
+// NothingSent reports whether err is the error of a call of which no byte was
+// written, so that the call cannot have taken effect. Any other error may
+// belong to a call that took effect, unless its kind says otherwise.
+func NothingSent(err error) bool {
+	var e *unsentError
+	return errors.As(err, &e)
+}
+
+func unsent(cause error, kind fault.Kind, remedy, format string, args ...any) error {
+	return fault.Wrap(&unsentError{cause}, kind, remedy, format, args...)
+}
+
+func unreachable(cause error, to Target) error {
+	return unsent(cause, fault.HomeUnreachable, "check the daemon and the link to it, or retry later; nothing was sent",
+		"daemon %s at %s cannot be reached", to.ID, to.Addr)
+}
+
+func maybeSent(cause error, to Target) error {
+	return fault.Wrap(cause, fault.FateUnknownYet, "ask for the fate of the key later, through any daemon",
+		"daemon %s at %s did not answer; the call may have taken effect", to.ID, to.Addr)
+}
+
+// remoteError carries a fault to the caller. drpc sends its text and code.
+type remoteError struct{ text string }
+
+// Error implements the error interface.
+func (e *remoteError) Error() string { return e.text }
+
+// Code is read by drpcerr.Code.
+func (e *remoteError) Code() uint64 { return faultCode }
+
+// encodeFault prepares a handler's error for drpc.
+func encodeFault(err error) error {
+	text, jsonErr := json.Marshal(fault.From(err))
+	if jsonErr != nil {
+		return err
+	}
+	return &remoteError{text: string(text)}
+}
+
+// decodeFault returns the fault of a peer's handler, or nil when err is not one.
+func decodeFault(err error) *fault.Error {
+	if drpcerr.Code(err) != faultCode {
+		return nil
+	}
+	var e fault.Error
+	if json.Unmarshal([]byte(err.Error()), &e) != nil {
+		return nil
+	}
+	return peerpb.FaultFromProto(peerpb.FaultToProto(&e))
+}
--- /dev/null
+++ b/internal/adapters/peerrpc/guard.go
@@ -0,0 +1,124 @@
+package peerrpc
+
+import (
+	"context"
+	"errors"
+	"runtime/debug"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
+
+	"catkinvalve/internal/fault"
+)
+
+var errNoConn = errors.New("the call has no connection")
+
+// guard is the outermost handler of a connection's calls.
+type guard struct {
+	server *Server
+	next   drpc.Handler
+}
+
+// HandleRPC implements drpc.Handler. A call of a blocked daemon closes the
+// connection without an answer, as a cut link would.
+func (g *guard) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	conn, err := connOf(stream.Context())
+	if err != nil {
+		return encodeFault(err)
+	}
+	caller, _ := readMetadata(stream.Context(), 0)
+	if g.server.opts.Blocked(caller.ID) {
+		g.server.cut.Inc(1)
+		return conn.Close()
+	}
+	if g.server.draining.Load() {
+		return encodeFault(fault.New(fault.Draining, "use another daemon; the call had no effect", "the daemon is shutting down"))
+	}
+	conn.begin(g.server.opts.CallTimeout)
+	defer conn.end()
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = g.server.recovered(rpc, cause)
+		}
+	}()
+	return g.next.HandleRPC(stream, rpc)
+}
+
+func connOf(ctx context.Context) (*serverConn, error) {
+	transport, _ := drpcctx.Transport(ctx)
+	conn, ok := transport.(*serverConn)
+	if !ok {
+		return nil, errNoConn
+	}
+	return conn, nil
+}
+
+// recovered logs a panic of a handler and returns what the caller is told.
+func (s *Server) recovered(rpc string, cause any) error {
+	s.panics.Inc(1)
+	s.opts.Log.WithFields(logrus.Fields{"rpc": rpc, "panic": cause, "stack": string(debug.Stack())}).Error("panic in a peer call")
+	return encodeFault(fault.New(fault.Internal, "report this as a defect with the daemon's log", "the peer call failed inside the daemon"))
+}
+
+// handleCall runs one handler with its deadline and limits its answer.
+func handleCall[In, Out proto.Message](streamCtx context.Context, s *Server, k kind, wait time.Duration, in In, handler func(context.Context, In) (Out, error)) (Out, error) {
+	var none Out
+	conn, err := connOf(streamCtx)
+	if err != nil {
+		return none, encodeFault(err)
+	}
+	conn.received()
+	caller, timeout := readMetadata(streamCtx, s.opts.CallTimeout+wait)
+	ctx, cancel := handlerContext(streamCtx, caller, timeout)
+	defer cancel()
+	if size := proto.Size(in); size > s.opts.MessageBytes {
+		return none, encodeFault(tooLarge("message", size, s.opts.MessageBytes))
+	}
+	out, err := handler(ctx, in)
+	if err != nil {
+		return none, encodeFault(endedFault(err))
+	}
+	size := proto.Size(out)
+	if size > s.opts.MessageBytes {
+		return none, encodeFault(tooLarge("answer", size, s.opts.MessageBytes))
+	}
+	if k == payload {
+		if err := s.limiter.wait(ctx, caller.Region, size); err != nil {
+			return none, encodeFault(rateExhausted(err, caller.Region))
+		}
+	}
+	return out, nil
+}
+
+// handlerContext returns a context that ends with the stream or the timeout.
+// It does not inherit the stream's values, because drpc would copy the caller's
+// metadata into the calls that a handler makes.
+func handlerContext(streamCtx context.Context, caller Caller, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.WithValue(context.Background(), callerKey{}, caller), timeout)
+	stop := context.AfterFunc(streamCtx, cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
+// endedFault gives a handler's context error a kind. The handler may have had
+// an effect before its time ended.
+func endedFault(err error) error {
+	var typed *fault.Error
+	if errors.As(err, &typed) || !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return fault.Wrap(err, fault.FateUnknownYet, "ask for the fate of the key later, through any daemon", "the peer call did not end in time")
+}
+
+func tooLarge(what string, size, limit int) error {
+	return fault.New(fault.TooLarge, "ask for less at a time or send smaller requests", "the %s has %d bytes, the limit is %d", what, size, limit)
+}
+
+// rateExhausted is the error of an answer that cannot be sent in time. The
+// call did take effect.
+func rateExhausted(cause error, region string) error {
+	return fault.Wrap(cause, fault.FateUnknownYet, "ask for the fate of the key later, through any daemon",
+		"the answer exceeds the payload rate to region %s", region)
+}
--- /dev/null
+++ b/internal/adapters/peerrpc/server.go
@@ -0,0 +1,166 @@
+package peerrpc
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"catkinvalve/internal/peerpb"
+	"catkinvalve/internal/telemetry"
+)
+
+const (
+	// closeGrace is the time between an answer and the close of its connection
+	// in a graceful stop. Within it the caller completes the call; a reset
+	// before that would make the answer look lost.
+	closeGrace = 50 * time.Millisecond
+	// stopPoll is how often a graceful stop looks for idle connections.
+	stopPoll = 10 * time.Millisecond
+	// acceptBackoff is the pause after a failed accept, such as for want of
+	// file descriptors.
+	acceptBackoff = 50 * time.Millisecond
+)
+
+// Server serves the calls of other daemons on one listener.
+type Server struct {
+	opts     Options
+	drpc     *drpcserver.Server
+	limiter  *regionLimiter
+	refused  metrics.Counter
+	cut      metrics.Counter
+	panics   metrics.Counter
+	draining atomic.Bool
+	serving  conc.WaitGroup
+	listener net.Listener
+
+	mu    sync.Mutex
+	conns map[*serverConn]struct{}
+}
+
+// NewServer returns a server that calls handler. Errors of the handler should
+// be *fault.Error; the caller gets any other error as kind internal.
+func NewServer(handler peerpb.DRPCPeerServer, opts Options) (*Server, error) {
+	opts = opts.withDefaults()
+	s := &Server{
+		opts:    opts,
+		limiter: newRegionLimiter(opts.Self.Region, opts.PayloadBytesPerSecond, opts.MessageBytes),
+		refused: telemetry.Counter(opts.Registry, "peer.server.connections.refused"),
+		cut:     telemetry.Counter(opts.Registry, "peer.server.blocked"),
+		panics:  telemetry.Counter(opts.Registry, "peer.server.panics"),
+		conns:   map[*serverConn]struct{}{},
+	}
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, &methods{server: s, handler: handler}); err != nil {
+		return nil, err
+	}
+	manager := managerOptions(opts)
+	manager.InactivityTimeout = opts.IdleTimeout
+	s.drpc = drpcserver.NewWithOptions(&guard{server: s, next: mux}, drpcserver.Options{Manager: manager})
+	telemetry.Gauge(opts.Registry, "peer.server.connections", func() int64 { return int64(s.open()) })
+	return s, nil
+}
+
+// Start serves connections of l until Shutdown. It returns at once and must be
+// called once, before Shutdown.
+func (s *Server) Start(l net.Listener) {
+	s.listener = l
+	s.serving.Go(s.accept)
+}
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		switch {
+		case err == nil:
+			s.admit(conn)
+		case errors.Is(err, net.ErrClosed):
+			return
+		default:
+			s.opts.Log.WithError(err).Warn("cannot accept a peer connection")
+			time.Sleep(acceptBackoff)
+		}
+	}
+}
+
+// admit serves a connection, or closes it when there are too many.
+func (s *Server) admit(conn net.Conn) {
+	c := newServerConn(conn, s.opts.WriteTimeout)
+	s.mu.Lock()
+	full := len(s.conns) >= s.opts.MaxConns
+	if !full {
+		s.conns[c] = struct{}{}
+	}
+	s.mu.Unlock()
+	if full {
+		s.refused.Inc(1)
+		_ = conn.Close()
+		return
+	}
+	s.serving.Go(func() { s.serve(c) })
+}
+
+func (s *Server) serve(c *serverConn) {
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	if err := s.drpc.ServeOne(context.Background(), c); err != nil {
+		s.opts.Log.WithError(err).WithField("peer", c.RemoteAddr().String()).Debug("peer connection ended")
+	}
+}
+
+func (s *Server) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Shutdown stops accepting, refuses new calls with kind draining, waits for
+// the calls in flight and closes all connections. When ctx ends first it closes
+// the remaining connections and returns the error of ctx.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.draining.Store(true)
+	_ = s.listener.Close()
+	err := s.closeIdle(ctx)
+	s.each(func(c *serverConn) { _ = c.Close() })
+	s.serving.Wait()
+	return err
+}
+
+// closeIdle closes connections as they become idle, until none is left.
+func (s *Server) closeIdle(ctx context.Context) error {
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for {
+		s.each(func(c *serverConn) { c.closeIfIdle(closeGrace) })
+		if s.open() == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) each(visit func(*serverConn)) {
+	s.mu.Lock()
+	conns := make([]*serverConn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		visit(c)
+	}
+}
