--- a/internal/adapters/jsonhttp/jsonhttp.go
+++ b/internal/adapters/jsonhttp/jsonhttp.go
@@ -78,6 +78,13 @@
 	return 0
 }
 
+// NotSent reports whether err is a failed dial, so that no byte of the request
+// reached the server.
+func NotSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // New returns a client. Close releases its connections.
 func New(o Options) (*Client, error) {
 	dialer := &net.Dialer{Timeout: orDefault(o.DialTimeout, defaultDialTimeout)}
--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -45,15 +45,17 @@
 	// dataCentres lists the data centres of the text.
 	dataCentres []model.DataCentre
 
-	index   *placement.Index
-	queue   *queue.Queue
-	sizes   *estimate.Estimator
-	budget  *retry.Budget
-	backoff *retry.Backoff
-	health  *retry.Health
-	shares  *split.History
-	entries map[string]*entry
-	workers map[model.WorkerID]*workerState
+	index         *placement.Index
+	queue         *queue.Queue
+	sizes         *estimate.Estimator
+	budget        *retry.Budget
+	backoff       retry.Backoff
+	random        *rand.Rand
+	budgetPercent int
+	health        *retry.Health
+	shares        *split.History
+	entries       map[string]*entry
+	workers       map[model.WorkerID]*workerState
 	// grants holds leases granted before Serve; their inventories are merged
 	// after the records of the peers and the journal.
 	grants []Grant
@@ -123,6 +125,9 @@
 	contact  time.Time
 	leaving  bool
 	leavedAt time.Time
+	// probing is set while the one task that may bring the worker back from
+	// quarantine runs.
+	probing bool
 	// drained is set once the drain deadline stopped its tasks.
 	drained bool
 }
@@ -151,10 +156,10 @@
 		index:    placement.New(placement.Options{}),
 		queue:    queue.New(queue.Config{}),
 		sizes:    estimate.New(estimate.Options{}),
-		budget:   retry.NewBudget(retry.BudgetOptions{}),
-		backoff:  retry.NewBackoff(retry.BackoffOptions{}, rand.New(rand.NewPCG(cfg.Seed, 1))),
-		health:   retry.NewHealth(retry.HealthOptions{}),
-		shares:   split.NewHistory(split.Options{}),
+		budget:   retry.NewBudget(retry.BudgetConfig{}),
+		random:   rand.New(rand.NewPCG(cfg.Seed, 1)),
+		health:   retry.NewHealth(retry.HealthConfig{}),
+		shares:   split.NewHistory(),
 		entries:  map[string]*entry{},
 		workers:  map[model.WorkerID]*workerState{},
 		homeTerm: map[model.DataCentre]uint64{},
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -70,9 +70,10 @@
 	if ev.State == model.TaskDone && ev.OK {
 		c.stat.Finished++
 		c.health.Succeeded(now, t.Worker)
+		c.endProbe(now, t.Worker)
 		t.State, t.Answer = model.TaskDone, ev.Answer
 		if e.standing && !e.rec.CancelRequested {
-			c.requeue(now, e, ev.ID.Index, c.backoff.Delay(1))
+			c.requeue(now, e, ev.ID.Index, c.backoff.Delay(1, c.random))
 			return
 		}
 		c.settleIfEnded(now, e)
@@ -80,6 +81,7 @@
 	}
 	c.stat.Failed++
 	c.health.Failed(now, t.Worker, e.rec.Request.Key)
+	c.endProbe(now, t.Worker)
 	c.updateHealth(now)
 	t.State, t.Answer = model.TaskFailed, ev.Answer
 	if c.mayRetry(now, e, t.Attempt) {
@@ -104,19 +106,19 @@
 	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
 		return false
 	}
-	return c.budget.Withdraw(now, r.Team)
+	return c.budget.Allow(r.Team)
 }
 
 func (c *Core) retry(now time.Time, e *entry, index int) {
 	c.stat.Retried++
-	c.requeue(now, e, index, c.backoff.Delay(e.rec.Tasks[index].Attempt))
+	c.requeue(now, e, index, c.backoff.Delay(e.rec.Tasks[index].Attempt, c.random))
 	c.changed(e)
 }
 
 func (c *Core) taskStopped(now time.Time, e *entry, index int) {
 	c.markRunning(now, e)
 	again := e.tasks[index].requeue
-	e.tasks[index].requeue = false
+	c.endProbe(now, e.rec.Tasks[index].Worker)
 	c.release(e, index)
 	e.rec.Tasks[index].State = model.TaskStopped
 	if !e.rec.CancelRequested && (again || e.standing) {
@@ -142,6 +144,7 @@
 }
 
 func (c *Core) notStarted(now time.Time, e *entry, index int) {
+	c.endProbe(now, e.rec.Tasks[index].Worker)
 	c.release(e, index)
 	t := &e.rec.Tasks[index]
 	t.State, t.Worker = model.TaskQueued, ""
@@ -228,6 +231,7 @@
 		return
 	}
 	c.queue.Remove(e.rec.Request.Key)
+	c.health.ForgetKey(e.rec.Request.Key)
 	e.rec.Fate, e.rec.Reason, e.rec.Ended = f, reason, now
 	e.rec.Request.Payload = nil
 	c.changed(e)
--- a/internal/core/scheduler/schedule.go
+++ b/internal/core/scheduler/schedule.go
@@ -119,6 +119,19 @@
 	e.tasks[index].began = now
 	e.tasks[index].startAt = e.rec.Version + 1
 	c.index.Reserve(w, model.TaskID{Key: e.rec.Request.Key, Index: index}, n)
+	if c.health.State(now, w) == retry.Probing && c.health.StartProbe(now, w) {
+		c.workers[w].probing = true
+		c.setState(now, w)
+	}
+}
+
+// endProbe lets the worker take another task after the probe's outcome is known.
+func (c *Core) endProbe(now time.Time, id model.WorkerID) {
+	if w := c.workers[id]; w != nil && w.probing {
+		w.probing = false
+		c.health.EndProbe(id)
+		c.setState(now, id)
+	}
 }
 
 // placed publishes the new assignment to the standbys.
@@ -243,7 +256,7 @@
 		state = placement.NotLeased
 	case w.leaving:
 		state = placement.Draining
-	case c.health.State(now, id) == retry.Quarantined:
+	case c.health.State(now, id) == retry.Quarantined, w.probing:
 		state = placement.Quarantined
 	}
 	c.index.SetState(id, state)
--- a/internal/core/scheduler/services.go
+++ b/internal/core/scheduler/services.go
@@ -8,6 +8,7 @@
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/placement"
 	"catkinvalve/internal/core/queue"
+	"catkinvalve/internal/core/retry"
 	"catkinvalve/internal/core/split"
 	"catkinvalve/internal/text"
 )
@@ -27,8 +28,17 @@
 		HeadroomPercent: t.Limits.InteractiveHeadroomPercent, RackSpare: t.Limits.RackSpare,
 	})
 	c.queue.Configure(queueConfig(t))
+	shares := make(map[string]int, len(t.Services))
 	for i := range t.Services {
-		c.shares.Observe(revision, t.Services[i].Name, t.Services[i].NewPercent)
+		shares[t.Services[i].Name] = t.Services[i].NewPercent
+	}
+	c.shares.Add(revision, shares)
+	c.backoff = retry.Backoff{
+		Base: time.Duration(t.Retry.BackoffMS) * time.Millisecond, Max: time.Duration(t.Retry.BackoffMaxMS) * time.Millisecond,
+	}
+	if t.Retry.BudgetPercent != c.budgetPercent {
+		c.budgetPercent = t.Retry.BudgetPercent
+		c.budget = retry.NewBudget(retry.BudgetConfig{Percent: c.budgetPercent})
 	}
 	for id, w := range c.workers {
 		c.index.Upsert(c.usable(w.worker))
--- a/internal/core/scheduler/view.go
+++ b/internal/core/scheduler/view.go
@@ -8,6 +8,7 @@
 
 	"catkinvalve/internal/core/membership"
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/placement"
 	"catkinvalve/internal/core/queue"
 	"catkinvalve/internal/core/retry"
 	"catkinvalve/internal/fault"
@@ -111,7 +112,7 @@
 	for id, w := range c.workers {
 		v := WorkerView{Worker: w.worker, State: c.stateName(now, w), Tasks: len(c.index.Tasks(id))}
 		if iv, ok := c.index.Worker(id); ok {
-			v.Planned = iv.Planned
+			v.Planned = iv.Used
 		}
 		out = append(out, v)
 	}
@@ -135,14 +136,36 @@
 func (c *Core) Waiting() []queue.Waiting { return c.queue.Waiting() }
 
 // Running returns the number of tasks that hold a worker.
-func (c *Core) Running() int { return c.index.Totals().Tasks }
+func (c *Core) Running() int {
+	n := 0
+	c.index.Each(func(v placement.WorkerView) bool { n += v.Tasks; return true })
+	return n
+}
 
 // Load returns the summary for other data centres.
 func (c *Core) Load(now time.Time) membership.Load {
 	t := c.index.Totals()
 	return membership.Load{
 		Free: t.Free, Capacity: t.Capacity, LargestFree: t.LargestFree, Workers: t.Workers,
-		Queued: int64(c.queue.Len()), Running: int64(t.Tasks),
+		Queued: int64(c.queue.Len()), Running: int64(c.Running()),
 		BatchWait: c.queue.OldestOf(model.Batch, now), InteractiveWait: c.queue.OldestOf(model.Interactive, now),
 	}
 }
+
+// WaitReasons explains what the oldest waiting request of a team and class lacks.
+func (c *Core) WaitReasons(w queue.Waiting) model.Counts {
+	var oldest *entry
+	for _, e := range c.entries {
+		r := &e.rec.Request
+		if e.rec.Fate != model.Queued || r.Team != w.Team || r.Class != w.Class {
+			continue
+		}
+		if oldest == nil || e.rec.Accepted.Before(oldest.rec.Accepted) {
+			oldest = e
+		}
+	}
+	if oldest == nil {
+		return nil
+	}
+	return c.waitReasons(oldest)
+}
--- /dev/null
+++ b/internal/daemon/command/command.go
@@ -0,0 +1,119 @@
+// Package command is the command line of catkinvalved: it reads the settings,
+// connects the adapters and runs the daemon until a signal.
+package command
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/spf13/cobra"
+
+	"catkinvalve/internal/adapters/jsonhttp"
+	"catkinvalve/internal/adapters/listclient"
+	"catkinvalve/internal/adapters/logclient"
+	"catkinvalve/internal/adapters/oldclient"
+	"catkinvalve/internal/adapters/workerclient"
+	"catkinvalve/internal/daemon"
+	"catkinvalve/internal/ports"
+	"catkinvalve/internal/settings"
+	"catkinvalve/internal/telemetry"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+// memoryLimitBytes is the soft limit of the Go heap. It keeps the process below
+// the 32 MB that it may use for control.
+const memoryLimitBytes = 24 << 20
+
+// Main runs the program and returns its exit code.
+func Main() int {
+	var path string
+	var check bool
+	code := exitOK
+	cmd := &cobra.Command{
+		Use:           "catkinvalved",
+		Short:         "Entry daemon of the catkinvalve cluster scheduler",
+		Example:       "  catkinvalved --settings /etc/catkinvalve/settings.jsonc\n  catkinvalved --settings settings.jsonc --check",
+		Args:          cobra.NoArgs,
+		SilenceErrors: true, SilenceUsage: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			set, ok := load(path)
+			if !ok {
+				code = exitSettings
+				return nil
+			}
+			if check {
+				return nil
+			}
+			return run(cmd.Context(), *set)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", "", "settings file in JSON with comments (required)")
+	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
+	_ = cmd.MarkFlagRequired("settings")
+	if err := cmd.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "catkinvalved:", err)
+		return exitFailure
+	}
+	return code
+}
+
+// load reads the settings and prints every fault at once.
+func load(path string) (*settings.Settings, bool) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "catkinvalved: cannot read the settings: %v; pass an existing file with --settings\n", err)
+		return nil, false
+	}
+	set, problems := settings.Parse(path, data)
+	for _, p := range problems {
+		fmt.Fprintln(os.Stderr, p)
+	}
+	return set, len(problems) == 0
+}
+
+func run(ctx context.Context, set settings.Settings) error {
+	debug.SetMemoryLimit(memoryLimitBytes)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	log, err := telemetry.NewLogger(os.Stderr, set.LogLevel, set.DaemonID, string(set.DataCentre))
+	if err != nil {
+		return err
+	}
+	client, err := jsonhttp.New(jsonhttp.Options{Daemon: set.DaemonID})
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	var old ports.OldSystem
+	if set.Platform.Old != "" {
+		old = oldclient.New(client, set.Platform.Old)
+	}
+	d, err := daemon.New(set, daemon.Deps{
+		Log: logclient.New(client, set.Platform.Log), List: listclient.New(client, set.Platform.Instances),
+		Workers: workerclient.New(client), Old: old, Logger: log, Registry: metrics.NewRegistry(),
+	})
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", set.Addresses.CallerListen)
+	if err != nil {
+		return fmt.Errorf("cannot listen for callers: %w; free the address or change addresses.caller_listen", err)
+	}
+	peers, err := net.Listen("tcp", set.Addresses.PeerListen)
+	if err != nil {
+		return fmt.Errorf("cannot listen for peers: %w; free the address or change addresses.peer_listen", err)
+	}
+	return d.Run(ctx, callers, peers)
+}
--- a/internal/daemon/delegator.go
+++ b/internal/daemon/delegator.go
@@ -72,7 +72,7 @@
 	}
 	switch fault.KindOf(err) {
 	case fault.Overloaded, fault.CanNeverRun, fault.UnknownService, fault.DeadlineExceeded, fault.NoOwner:
-		return !isTransport(err)
+		return true
 	}
 	return false
 }
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -64,8 +64,8 @@
 	draining  bool
 	resigned  bool
 	startedAt time.Time
-	mateList  []membership.Peer
 	lastLoad  time.Time
+	load      membership.Load
 	histogram *telemetry.Histograms
 }
 
@@ -254,7 +254,10 @@
 	}
 	if l.core.Serving() {
 		s.term = l.election.Term()
-		s.load = l.core.Load(now)
+		if now.Sub(l.lastLoad) >= l.set.Timings.HeartbeatInterval {
+			l.lastLoad, l.load = now, l.core.Load(now)
+		}
+		s.load = l.load
 		s.openHomes = l.core.OpenHomes()
 		s.inDoubt = l.core.InDoubt()
 	}
@@ -337,5 +340,5 @@
 	if !rec.Started.IsZero() {
 		wait = rec.Started.Sub(rec.Accepted)
 	}
-	l.histogram.Waiting(rec.Request.Team, string(rec.Request.Class)).Update(wait.Microseconds())
+	l.histogram.Waiting(rec.Request.Team, rec.Request.Class).Update(wait.Microseconds())
 }
--- a/internal/daemon/oldsystem.go
+++ b/internal/daemon/oldsystem.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/scheduler"
-	"catkinvalve/internal/fault"
 	"catkinvalve/internal/ports"
 )
 
@@ -59,7 +59,7 @@
 					return
 				}
 			}
-			sent = sent || err == nil || !ports.NothingSent(err)
+			sent = sent || err == nil || !jsonhttp.NotSent(err)
 			if !sent {
 				sleep(ctx, oldRetry)
 				o.d.control(oldReportMsg{scheduler.OldReport{Key: r.Key, NotSent: true}})
@@ -92,7 +92,3 @@
 		o.d.control(oldLookupMsg{key: key, known: err == nil && st.Known, unavailable: err != nil})
 	})
 }
-
-func errOldMissing() *fault.Error {
-	return fault.New(fault.OldSystemUnavailable, "set platform.old in the settings", "no old system is configured")
-}
--- a/internal/daemon/route.go
+++ b/internal/daemon/route.go
@@ -100,7 +100,7 @@
 
 func (d *Daemon) try(ctx context.Context, home model.DataCentre, c call) (model.Record, error) {
 	s := d.state.Load()
-	if home == d.set.DataCentre && s.role != 0 {
+	if home == d.set.DataCentre && s.serving {
 		a := c.local(ctx)
 		if a.fault != nil {
 			return model.Record{}, a.fault
@@ -134,13 +134,7 @@
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	resp, err := c.remote(ctx, target(p))
-	switch {
-	case err == nil:
-	case peerrpc.NothingSent(err):
-		return model.Record{}, fault.Wrap(err, fault.HomeUnreachable, "retry later", "daemon %s did not answer", p.ID)
-	case fault.KindOf(err) == fault.Internal, isTransport(err):
-		return model.Record{}, fault.Wrap(err, fault.FateUnknownYet, "ask for the fate of the key", "daemon %s did not answer a sent call", p.ID)
-	default:
+	if err != nil {
 		return model.Record{}, err
 	}
 	rec, err := peerpb.RecordFromProto(resp.Record)
@@ -225,9 +219,9 @@
 }
 
 // ask sends a message to the owner loop and waits for its answer.
-func (d *Daemon) ask(ctx context.Context, make1 func(chan answer) message) answer {
+func (d *Daemon) ask(ctx context.Context, build func(chan answer) message) answer {
 	reply := make(chan answer, 1)
-	if !d.requests.TryPush(make1(reply)) {
+	if !d.requests.TryPush(build(reply)) {
 		return answer{fault: errOverloaded()}
 	}
 	select {
@@ -240,7 +234,15 @@
 
 // Cancel implements the caller API.
 func (d *Daemon) Cancel(ctx context.Context, key string) (api.RequestStatus, error) {
-	rec, err := d.route(ctx, call{
+	rec, err := d.route(ctx, d.cancelCall(key))
+	if err != nil {
+		return api.RequestStatus{}, err
+	}
+	return d.statusOf(&rec), nil
+}
+
+func (d *Daemon) cancelCall(key string) call {
+	return call{
 		key: key,
 		local: func(ctx context.Context) answer {
 			return d.ask(ctx, func(reply chan answer) message { return cancelMsg{key: key, reply: reply} })
@@ -248,11 +250,24 @@
 		remote: func(ctx context.Context, to peerrpc.Target) (*peerpb.RecordResponse, error) {
 			return d.peers.Cancel(ctx, to, &peerpb.CancelRequest{Key: key})
 		},
-	})
-	if err != nil {
-		return api.RequestStatus{}, err
 	}
-	return d.statusOf(&rec), nil
+}
+
+// delegateCall passes a delegated request to the owner of this data centre.
+func (d *Daemon) delegateCall(home model.DataCentre, term uint64, req model.Request) call {
+	return call{
+		key: req.Key,
+		local: func(ctx context.Context) answer {
+			return d.ask(ctx, func(reply chan answer) message {
+				return submitMsg{req: req, home: home, term: term, reply: reply}
+			})
+		},
+		remote: func(ctx context.Context, to peerrpc.Target) (*peerpb.RecordResponse, error) {
+			return d.peers.Delegate(ctx, to, &peerpb.DelegateRequest{
+				Home: string(home), HomeTerm: term, Request: peerpb.RequestToProto(&req),
+			})
+		},
+	}
 }
 
 // requestOf converts a submission. The fingerprint covers what a repeated
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -76,7 +76,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
 		err := fn(callCtx, target(p))
 		cancel()
-		if err == nil || !(peerrpc.NothingSent(err) || isTransport(err) || retryable(err)) {
+		if err == nil || !(peerrpc.NothingSent(err) || retryable(err)) {
 			return err
 		}
 		last = fault.Wrap(err, fault.HomeUnreachable, "retry later", "data centre %s did not answer", dc)
@@ -160,7 +160,7 @@
 		})
 	}
 	for _, q := range l.core.Waiting() {
-		out.Queues = append(out.Queues, api.QueueStatus{Team: q.Team, Class: q.Class, Waiting: q.Tasks, Reasons: l.core.WaitReasons(q)})
+		out.Queues = append(out.Queues, api.QueueStatus{Team: q.Team, Class: q.Class, Waiting: q.Items, Reasons: l.core.WaitReasons(q)})
 	}
 }
 
