--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,8 @@
 	PeerListen   string `json:"peer_listen"`
 	// AdvertisePeer is where peers connect to; it defaults to PeerListen.
 	AdvertisePeer string `json:"advertise_peer"`
+	// FaultListen serves fault injection for tests. Leave it out in production.
+	FaultListen string `json:"fault_listen"`
 }
 
 // Platform holds the addresses of external systems as IP:port.
--- /dev/null
+++ b/internal/testbed/process.go
@@ -0,0 +1,128 @@
+// Package testbed starts the stand-ins and daemons as separate processes on
+// loopback, and injects faults into them. The demo, the scenarios, the soak
+// runs and the bench use it. It models nothing: everything runs for real.
+package testbed
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"catkinvalve/internal/standin"
+)
+
+// startTimeout bounds the start of one process on a busy machine.
+const startTimeout = 20 * time.Second
+
+// Process is one running program.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// startProcess runs a program of bin. Its standard error goes to a log file.
+func startProcess(bin, dir, name, program string, args ...string) (*Process, io.Reader, error) {
+	logFile, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer logFile.Close()
+	cmd := exec.Command(filepath.Join(bin, program), args...)
+	cmd.Stderr = logFile
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, nil, err
+	}
+	// The process dies with the test even if that is killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, nil, fmt.Errorf("start %s: %w; run make build first", program, err)
+	}
+	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
+	return p, out, nil
+}
+
+// reap waits for the process in the background. It must run after standard
+// output was read as far as needed.
+func (p *Process) reap(rest io.Reader) {
+	go func() {
+		_, _ = io.Copy(io.Discard, rest)
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+}
+
+// startStandin runs a stand-in and waits until it prints its addresses.
+func startStandin(bin, dir, name string, args ...string) (*Process, standin.Ready, error) {
+	var ready standin.Ready
+	p, out, err := startProcess(bin, dir, name, "standin", args...)
+	if err != nil {
+		return nil, ready, err
+	}
+	reader := bufio.NewReader(out)
+	lines := make(chan error, 1)
+	go func() { lines <- json.NewDecoder(reader).Decode(&ready) }()
+	select {
+	case err = <-lines:
+	case <-time.After(startTimeout):
+		err = errors.New("no ready line in time")
+	}
+	p.reap(reader)
+	if err != nil {
+		_ = p.Kill()
+		return nil, ready, fmt.Errorf("stand-in %s: %w; see %s", name, err, filepath.Join(dir, name+".log"))
+	}
+	return p, ready, nil
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Alive reports whether the process has not ended.
+func (p *Process) Alive() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Kill ends the process at once and waits for it.
+func (p *Process) Kill() error {
+	if !p.Alive() {
+		return nil
+	}
+	_ = p.Signal(syscall.SIGKILL)
+	<-p.done
+	return nil
+}
+
+// Terminate asks the process to stop and waits up to limit. It returns the
+// error of a process that ended with another code than 0.
+func (p *Process) Terminate(limit time.Duration) error {
+	if !p.Alive() {
+		return p.err
+	}
+	_ = p.Signal(syscall.SIGCONT)
+	_ = p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(limit):
+		_ = p.Kill()
+		return fmt.Errorf("%s did not stop within %s", p.Name, limit)
+	}
+}
+
+// PID returns the process ID.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
