--- /dev/null
+++ b/internal/core/retry/budget.go
@@ -0,0 +1,68 @@
+// Package retry bounds what the system does again by itself: a budget for
+// retries, the delay before them, and the health of workers that fail tasks.
+// It does no I/O and takes time and randomness as arguments.
+package retry
+
+// costPercent is the price of one retry in budget credits. A first attempt
+// earns Percent credits, so that the arithmetic stays in integers.
+const costPercent = 100
+
+// BudgetConfig sets the size of budgets.
+type BudgetConfig struct {
+	// Percent of the admitted first attempts may be retried.
+	Percent int
+	// Burst is the number of retries that a new name starts with, and the most
+	// that a name can save up.
+	Burst int
+	// Names bounds the names with a budget of their own. Further names share one
+	// budget: evicting a name would give it a new burst on its return.
+	Names int
+}
+
+// Budget bounds retries per name (a team or a worker). For each name, retries
+// never exceed Burst + Percent of the admitted first attempts.
+type Budget struct {
+	config BudgetConfig
+	credit map[string]int
+	shared int
+}
+
+// NewBudget returns a budget without names.
+func NewBudget(c BudgetConfig) *Budget {
+	return &Budget{config: c, credit: map[string]int{}, shared: c.Burst * costPercent}
+}
+
+// Admitted counts a first attempt that was admitted. Refused requests must not
+// be counted, or an overload would raise the number of retries.
+func (b *Budget) Admitted(name string) { b.add(name, b.config.Percent) }
+
+// Allow takes one retry from the budget and reports whether it was there.
+func (b *Budget) Allow(name string) bool {
+	if b.of(name) < costPercent {
+		return false
+	}
+	b.add(name, -costPercent)
+	return true
+}
+
+// Forget frees the place of a name that is gone.
+func (b *Budget) Forget(name string) { delete(b.credit, name) }
+
+func (b *Budget) of(name string) int {
+	if credit, ok := b.credit[name]; ok {
+		return credit
+	}
+	if len(b.credit) < b.config.Names {
+		return b.config.Burst * costPercent
+	}
+	return b.shared
+}
+
+func (b *Budget) add(name string, credit int) {
+	sum := min(b.of(name)+credit, b.config.Burst*costPercent)
+	if _, ok := b.credit[name]; ok || len(b.credit) < b.config.Names {
+		b.credit[name] = sum
+	} else {
+		b.shared = sum
+	}
+}
