--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -32,6 +32,9 @@
 	return &Budget{config: c, credit: map[string]int{}, shared: c.Burst * costPercent}
 }
 
+// Configure replaces the limits. Saved credit above a smaller burst is lost.
+func (b *Budget) Configure(c BudgetConfig) { b.config = c }
+
 // Admitted counts a first attempt that was admitted. Refused requests must not
 // be counted, or an overload would raise the number of retries.
 func (b *Budget) Admitted(name string) { b.add(name, b.config.Percent) }
@@ -48,14 +51,16 @@
 // Forget frees the place of a name that is gone.
 func (b *Budget) Forget(name string) { delete(b.credit, name) }
 
+// of returns the credit of a name, cut to the present burst.
 func (b *Budget) of(name string) int {
+	most := b.config.Burst * costPercent
 	if credit, ok := b.credit[name]; ok {
-		return credit
+		return min(credit, most)
 	}
 	if len(b.credit) < b.config.Names {
-		return b.config.Burst * costPercent
+		return most
 	}
-	return b.shared
+	return min(b.shared, most)
 }
 
 func (b *Budget) add(name string, credit int) {
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -112,6 +112,12 @@
 	assert.Equal(t, len(h.Changed(t0)), 0)
 	h.ForgetKey("bad0")
 	assert.Assert(t, !h.Parked("bad0"))
+	// The place of a forgotten key must not evict its successor early.
+	for range 3 {
+		h.Failed(t0, "y", "bad0")
+	}
+	fail(h, t0, "z", "other", 96)
+	assert.Assert(t, h.Parked("bad0") && !h.Parked("bad1"))
 }
 
 // Workers that fail everything must not excuse each other for ever.
@@ -159,3 +165,12 @@
 		}
 	})
 }
+
+// A published smaller burst must also bind names that saved up more.
+func TestBudgetConfigure(t *testing.T) {
+	b := NewBudget(BudgetConfig{Percent: 10, Burst: 5, Names: 2})
+	b.Admitted("a")
+	b.Configure(BudgetConfig{Percent: 10, Burst: 1, Names: 2})
+	assert.Assert(t, b.Allow("a"))
+	assert.Assert(t, !b.Allow("a"))
+}
--- a/internal/core/split/split_test.go
+++ b/internal/core/split/split_test.go
@@ -75,3 +75,14 @@
 	h.Trim(9)
 	assert.Equal(t, len(h.services), 0)
 }
+
+// Joining spans to bound memory must keep shares that are still retained.
+func TestJoinedSpansStayInBand(t *testing.T) {
+	h := NewHistory()
+	h.Add(0, map[string]int{"s": 90})
+	for i := range 3 * maxSpans {
+		h.Add(uint64(i+1), map[string]int{"s": 10 + i%2})
+	}
+	low, high := h.Band("s")
+	assert.Assert(t, low == 10 && high == 90, "band %d to %d", low, high)
+}
