--- a/internal/standin/workerd/worker_test.go
+++ b/internal/standin/workerd/worker_test.go
@@ -397,6 +397,29 @@
 	assert.Equal(t, len(at(2*time.Second)), 1)
 }
 
+// Guards against finished tasks that leave the inventory before a successor
+// could learn of them.
+func TestFinishedTasksAreKept(t *testing.T) {
+	w := newWorker(Config{KeepFinished: time.Minute}, platform.WorkerInfo{},
+		&ledger{starts: map[string]map[string]int{}, running: map[string]int{}})
+	defer w.close()
+	now := time.Now()
+	lease := platform.LeaseRequest{Holder: "a", Term: 1, TTLMS: 1e9, TaskGraceMS: 1e9}
+	w.acquire(lease, now)
+	w.start(platform.StartRequest{Holder: "a", Term: 1, Tasks: []platform.StartTask{{ID: "k/0", Attempt: 1, Key: "k"}}}, now, now)
+	w.stop(platform.StopRequest{Holder: "a", Term: 1, Tasks: []platform.StopTask{{ID: "k/0", Mode: ports.StopNow}}}, now)
+	kept := func(after time.Duration) int {
+		grant, held := w.acquire(lease, now.Add(after))
+		assert.Assert(t, held == nil)
+		return len(grant.Tasks)
+	}
+	assert.Equal(t, kept(time.Hour), 1, "not acknowledged")
+	ok, known := w.renew(platform.SyncRequest{Holder: "a", Term: 1, TTLMS: 1e9, Ack: 2}, now.Add(time.Hour))
+	assert.Assert(t, ok && known)
+	assert.Equal(t, kept(time.Hour+59*time.Second), 1, "acknowledged less than KeepFinished ago")
+	assert.Equal(t, kept(time.Hour+time.Minute), 0)
+}
+
 // Guards against partitions that let a request through or lose its effect.
 func TestPartition(t *testing.T) {
 	tests := []struct {
