--- a/internal/adapters/jsonhttp/jsonhttp.go
+++ b/internal/adapters/jsonhttp/jsonhttp.go
@@ -22,12 +22,13 @@
 	defaultDialTimeout   = 2 * time.Second
 	defaultConnsPerHost  = 16
 	defaultMaxReplyBytes = 32 << 20
-	// maxIdlePerHost covers one long poll and the usual calls beside it.
-	maxIdlePerHost = 4
+	// maxIdlePerHost covers one long poll and one call beside it. A daemon keeps
+	// these connections to each of several hundred workers within its memory bound.
+	maxIdlePerHost = 2
 	// idleTimeout is longer than any sync period, so that syncs reuse connections.
 	idleTimeout = 90 * time.Second
-	// bufferBytes is enough for a sync in one read or write; many connections are kept.
-	bufferBytes     = 4 << 10
+	// bufferBytes is enough for a usual sync in one read or write; many connections are kept.
+	bufferBytes     = 2 << 10
 	maxHeaderBytes  = 16 << 10
 	maxDiscardBytes = 64 << 10
 )
@@ -139,6 +140,7 @@
 	if in != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
+	req.Header.Set("User-Agent", "") // Not sent, which makes each sync smaller.
 	if c.daemon != "" {
 		req.Header.Set(platform.DaemonHeader, c.daemon)
 	}
