--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	$(GO) build -o bin/ ./cmd/...
 
 demo: build
-	./scripts/demo.sh
+	./bin/demo
 
 # Fuzz targets run on their committed seed corpus as part of the tests.
 test: build
--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -100,9 +100,16 @@
 	if set.Platform.Old != "" {
 		old = oldclient.New(client, set.Platform.Old)
 	}
+	var faults *daemon.LinkFaults
+	if set.Addresses.FaultListen != "" {
+		if faults, err = serveFaults(set.Addresses.FaultListen); err != nil {
+			return err
+		}
+		log.Warn("fault injection is enabled; do not use addresses.fault_listen in production")
+	}
 	d, err := daemon.New(set, daemon.Deps{
 		Log: logclient.New(client, set.Platform.Log), List: listclient.New(client, set.Platform.Instances),
-		Workers: workerclient.New(client), Old: old, Logger: log, Registry: metrics.NewRegistry(),
+		Workers: workerclient.New(client), Old: old, Faults: faults, Logger: log, Registry: metrics.NewRegistry(),
 	})
 	if err != nil {
 		return err
@@ -117,3 +124,13 @@
 	}
 	return d.Run(ctx, callers, peers)
 }
+
+func serveFaults(addr string) (*daemon.LinkFaults, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("cannot listen for fault injection: %w; remove addresses.fault_listen", err)
+	}
+	faults := &daemon.LinkFaults{}
+	go func() { _ = faults.Serve(l) }()
+	return faults, nil
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,8 +37,8 @@
 	Old ports.OldSystem
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
-	// Blocked cuts the link to a daemon, for tests.
-	Blocked func(daemonID string) bool
+	// Faults cuts links to other daemons in tests; nil cuts none.
+	Faults *LinkFaults
 
 	Logger   *logrus.Entry
 	Registry metrics.Registry
@@ -121,11 +121,15 @@
 	opts := peerrpc.Options{
 		Self:                  peerrpc.Caller{ID: d.set.DaemonID, Region: d.set.Region},
 		PayloadBytesPerSecond: int(d.set.CrossRegionBytesPerSecond),
-		Blocked:               deps.Blocked, Registry: deps.Registry, Log: deps.Logger,
+		Registry:              deps.Registry, Log: deps.Logger,
+	}
+	serverOpts := opts
+	if deps.Faults != nil {
+		opts.Blocked, serverOpts.Blocked = deps.Faults.Out, deps.Faults.In
 	}
 	d.peers = peerrpc.NewClient(opts)
 	var err error
-	if d.peerSrv, err = peerrpc.NewServer(&peerService{d: d}, opts); err != nil {
+	if d.peerSrv, err = peerrpc.NewServer(&peerService{d: d}, serverOpts); err != nil {
 		return err
 	}
 	d.httpSrv = httpapi.New(d, httpapi.Options{
--- a/internal/daemon/recovery.go
+++ b/internal/daemon/recovery.go
@@ -18,7 +18,7 @@
 	// records. It is below a lease TTL, so that takeover stays within 4 s.
 	recoveryTimeout = 800 * time.Millisecond
 	// lateRetry is how often missing sources are asked again after that.
-	lateRetry = 2 * time.Second
+	lateRetry = time.Second
 	fetchPage = 256
 )
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -53,6 +53,7 @@
 		// With port 0 the daemon advertises the port that the system chose.
 		{path: "addresses.advertise_peer", value: &s.Addresses.AdvertisePeer, optional: true,
 			anyPort: strings.HasSuffix(s.Addresses.PeerListen, ":0")},
+		{path: "addresses.fault_listen", value: &s.Addresses.FaultListen, optional: true},
 		{path: "platform.log", value: &s.Platform.Log},
 		{path: "platform.instances", value: &s.Platform.Instances},
 		{path: "platform.old", value: &s.Platform.Old, optional: true},
--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -285,6 +285,15 @@
 
 // Owner returns the daemon that owns a data centre as its daemons report it.
 func (c *Cluster) Owner(ctx context.Context, dc string) (string, bool) {
+	st, ok := c.Status(ctx, dc)
+	return st.Owner, ok && st.Owner != ""
+}
+
+// Status returns the state of a data centre as its owner reports it, or else as
+// any of its daemons does.
+func (c *Cluster) Status(ctx context.Context, dc string) (api.DataCentreStatus, bool) {
+	var seen api.DataCentreStatus
+	found := false
 	for _, id := range c.Order {
 		d := c.Daemons[id]
 		if d.DataCentre != dc || d.Process == nil || !d.Alive() {
@@ -301,12 +310,15 @@
 			continue
 		}
 		for _, st := range s.DataCentres {
-			if string(st.DataCentre) == dc && st.Owner != "" {
-				return st.Owner, true
+			if string(st.DataCentre) == dc && st.Reachable {
+				seen, found = st, true
 			}
 		}
+		if seen.Owner != "" {
+			return seen, true
+		}
 	}
-	return "", false
+	return seen, found
 }
 
 // WaitFor polls a condition until it holds or limit has passed.
@@ -325,10 +337,13 @@
 	return nil
 }
 
-// WaitOwners waits until every data centre has an owner.
+// WaitOwners waits until every data centre has an owner with a complete memory.
 func (c *Cluster) WaitOwners(ctx context.Context, limit time.Duration) error {
 	for _, dc := range c.Opts.DCs {
-		if err := WaitFor(ctx, limit, "owner of "+dc.Name, func() bool { _, ok := c.Owner(ctx, dc.Name); return ok }); err != nil {
+		if err := WaitFor(ctx, limit, "owner of "+dc.Name, func() bool {
+			st, _ := c.Status(ctx, dc.Name)
+			return st.Owner != "" && !st.InDoubt
+		}); err != nil {
 			return err
 		}
 	}
