--- a/internal/adapters/peerrpc/peerrpc_test.go
+++ b/internal/adapters/peerrpc/peerrpc_test.go
@@ -183,8 +183,7 @@
 	assert.NilError(t, fate(c, near, key))
 }
 
-// Guards against connections beyond the limit, idle ones that stay, and
-// callers that start a call and send no message.
+// Guards against connections beyond the limit and idle ones that stay.
 func TestServerLimits(t *testing.T) {
 	s, to := startPeer(t, &fakePeer{}, Options{MaxConns: 1, IdleTimeout: 100 * time.Millisecond})
 	for _, limited := range []bool{false, true} {
