--- a/internal/adapters/httpapi/body.go
+++ b/internal/adapters/httpapi/body.go
@@ -7,12 +7,12 @@
 	"net/http"
 	"os"
 	"strings"
-	"time"
 
 	"catkinvalve/internal/fault"
 )
 
-// readBody reads a JSON body within the limits of size and time.
+// readBody reads a JSON body within the limits of size and time. net/http
+// clears the read deadline at the end of the body, so a wait may outlast it.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	if err := checkContentType(r.Header); err != nil {
 		return nil, err
@@ -26,9 +26,6 @@
 		w.Header().Set("Connection", "close")
 		return nil, s.bodyError(err)
 	}
-	// A wait may outlast the body's deadline, and the server reads on to notice
-	// that the caller closed the connection.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
