Carry boot ID and cancellation in replicated records; default idempotent from the service

A record without the worker's boot ID let a new owner take a worker restart for a start that was never accepted.

--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -199,7 +199,11 @@
 	case e.rec.Started.IsZero():
 		c.settle(now, e, model.NotRun, e.reasonOr(model.ReasonCancelled))
 	case stopped > 0:
-		c.settle(now, e, model.Cancelled, e.reasonOr(""))
+		reason := e.rec.Reason
+		if reason == model.ReasonCancelled {
+			reason = ""
+		}
+		c.settle(now, e, model.Cancelled, reason)
 	default:
 		e.rec.OK = failed == 0
 		c.settle(now, e, model.Done, "")
--- a/internal/daemon/route.go
+++ b/internal/daemon/route.go
@@ -60,7 +60,6 @@
 	ctx, cancel := context.WithTimeout(ctx, routePatience)
 	defer cancel()
 	maybeSent := false
-	last := error(fault.New(fault.NoOwner, "retry with the same key", "data centre %s has no known owner", home))
 	for {
 		rec, err := d.try(ctx, home, c)
 		if err == nil {
@@ -70,10 +69,9 @@
 			return model.Record{}, err
 		}
 		maybeSent = maybeSent || fault.KindOf(err) == fault.FateUnknownYet
-		last = err
 		sleep(ctx, routePause)
 		if ctx.Err() != nil {
-			return model.Record{}, routeFailure(home, c.key, maybeSent, last)
+			return model.Record{}, routeFailure(home, c.key, maybeSent, err)
 		}
 	}
 }
@@ -146,7 +144,7 @@
 
 // Submit implements the caller API.
 func (d *Daemon) Submit(ctx context.Context, r api.SubmitRequest) (api.RequestStatus, error) {
-	req := requestOf(r)
+	req := d.requestOf(r)
 	rec, err := d.route(ctx, d.submitCall(req))
 	if err != nil {
 		return api.RequestStatus{}, err
@@ -272,7 +270,7 @@
 
 // requestOf converts a submission. The fingerprint covers what a repeated
 // submission must repeat; waiting and issue time may differ.
-func requestOf(r api.SubmitRequest) model.Request {
+func (d *Daemon) requestOf(r api.SubmitRequest) model.Request {
 	req := model.Request{
 		Key: r.Key, Service: r.Service, Team: r.Team, Tasks: r.Tasks,
 		RunTime: time.Duration(r.RunMS) * time.Millisecond, Payload: r.Payload,
@@ -289,6 +287,10 @@
 	req.Fingerprint = fingerprint(r)
 	if r.Idempotent != nil {
 		req.Idempotent = *r.Idempotent
+	} else if cfg, _ := d.config.inForce(); cfg != nil {
+		if s := cfg.Service(r.Service); s != nil {
+			req.Idempotent = s.Idempotent
+		}
 	}
 	return req
 }
--- a/internal/peerpb/convert.go
+++ b/internal/peerpb/convert.go
@@ -80,6 +80,7 @@
 		Attempt: int32(t.Attempt),
 		Planned: SizeToProto(t.Planned),
 		Answer:  t.Answer,
+		Boot:    t.Boot,
 	}
 }
 
@@ -91,6 +92,8 @@
 		return model.TaskRecord{}, outOfBounds("state")
 	case !limits.ValidName(p.GetWorker()):
 		return model.TaskRecord{}, outOfBounds("worker")
+	case !limits.ValidName(p.GetBoot()):
+		return model.TaskRecord{}, outOfBounds("boot")
 	case p.GetAttempt() < 0 || p.GetAttempt() > maxAttempts:
 		return model.TaskRecord{}, outOfBounds("attempt")
 	}
@@ -104,6 +107,7 @@
 		Attempt: int(p.GetAttempt()),
 		Planned: planned,
 		Answer:  bytesOf(p.GetAnswer()),
+		Boot:    p.GetBoot(),
 	}, nil
 }
 
@@ -122,6 +126,8 @@
 		StartedMs:   millis(r.Started),
 		EndedMs:     millis(r.Ended),
 		DelegatedTo: string(r.DelegatedTo),
+
+		CancelRequested: r.CancelRequested,
 	}
 	for i := range r.Tasks {
 		p.Tasks = append(p.Tasks, TaskRecordToProto(&r.Tasks[i]))
@@ -156,6 +162,8 @@
 		Started:     timeOf(p.GetStartedMs()),
 		Ended:       timeOf(p.GetEndedMs()),
 		DelegatedTo: model.DataCentre(p.GetDelegatedTo()),
+
+		CancelRequested: p.GetCancelRequested(),
 	}, nil
 }
 
