--- a/internal/core/placement/attach.go
+++ b/internal/core/placement/attach.go
@@ -32,7 +32,8 @@
 	load := w.used.DominantShare(w.Capacity)
 	if w.open {
 		own := free.Vector()
-		*x.loadRoot(w) = x.byLoad.insert(*x.loadRoot(w), i, load, own)
+		*x.loadRoot(w) = x.byLoad.insert(*x.loadRoot(w), i, loadKey(load, &own), own)
+		x.misses.opened(&own)
 		r := &x.racks[w.rack]
 		r.root = x.byRack.insert(r.root, i, load+accelPenalty(w.Capacity), own)
 	}
--- a/internal/core/placement/gang.go
+++ b/internal/core/placement/gang.go
@@ -13,7 +13,7 @@
 	out := make([]model.WorkerID, 0, tasks)
 	c := cursor{f: &x.byLoad, need: n.Size.Vector()}
 	for _, p := range x.passes() {
-		c.start(p.root, p.down, x.opts.target(n.Class))
+		c.start(p.root, p.down, levelBound(x.opts.target(n.Class)))
 		for i := c.next(); i != none; i = c.next() {
 			fit := copies(&c.need, &x.byLoad.nodes[i].own)
 			for ; fit > 0 && len(out) < tasks; fit-- {
--- a/internal/core/placement/index.go
+++ b/internal/core/placement/index.go
@@ -51,7 +51,7 @@
 	rackByKey map[string]int32
 	rackSlots []int32 // unused positions in racks
 
-	// byLoad orders open workers by dominant used share. Workers with
+	// byLoad orders open workers by dominant used share in steps. Workers with
 	// accelerators have a tree of their own, so that tasks without
 	// accelerators use them last.
 	byLoad       forest
@@ -67,6 +67,7 @@
 	reclaimRoot int32
 
 	totals Totals
+	misses misses
 	// shapes counts workers by capacity.
 	shapes map[model.Size]int
 	limits limits
--- a/internal/core/placement/place.go
+++ b/internal/core/placement/place.go
@@ -8,8 +8,9 @@
 
 const (
 	// placeCandidates is how many fitting workers are compared for one task.
-	// The order of the tree ranks them by load before the task; comparing a
-	// few corrects for workers of different capacity.
+	// The order of the tree ranks them by level of load before the task;
+	// comparing a few corrects for the width of a level and for workers of
+	// different capacity.
 	placeCandidates = 8
 	// targetShift is how far the weights move the target load of a class.
 	targetShift = 0.5
@@ -19,7 +20,8 @@
 // whenever an available one fits and the class is within its limit of slots.
 func (x *Index) Place(n Need) (model.WorkerID, bool) {
 	n.Size = nonNegative(n.Size)
-	if !x.withinLimit(n, 1) {
+	need := n.Size.Vector()
+	if !x.withinLimit(n, 1) || x.misses.hit(&need) {
 		return "", false
 	}
 	i := none
@@ -29,6 +31,7 @@
 		i = x.placeByLoad(n)
 	}
 	if i == none {
+		x.misses.add(&need)
 		return "", false
 	}
 	return x.workers[i].ID, true
@@ -60,7 +63,7 @@
 	target := x.opts.target(n.Class)
 	c := cursor{f: &x.byLoad, need: n.Size.Vector()}
 	for _, p := range x.passes() {
-		c.start(p.root, p.down, target)
+		c.start(p.root, p.down, levelBound(target))
 		if i := x.bestOf(&c, n, target); i != none {
 			return i
 		}
