Carry recent shares and the old system's reserve with each revision

The share history of a process is replaced by a band kept beside the revision in the log. Its property test covers the same cases (bounded memory, recent shares in the band) and found that a service which leaves the text and returns lost its earlier share; the time of removal is kept now. The old system's reserve of slots shrinks only after it acknowledged the revision.

--- a/internal/core/confirm/reader.go
+++ b/internal/core/confirm/reader.go
@@ -6,6 +6,8 @@
 import (
 	"encoding/json"
 	"time"
+
+	"catkinvalve/internal/core/split"
 )
 
 // maxVerdicts bounds the publications whose verdict is remembered. A publisher
@@ -46,6 +48,16 @@
 	// AcceptedAt is the log's time of the accepted record.
 	AcceptedAt time.Time `json:"accepted_at"`
 	Verdicts   []Verdict `json:"verdicts"`
+	// Carried is what the revision knows of earlier ones.
+	Carried split.Carried `json:"carried"`
+}
+
+// Rules judge and digest texts. They have to give the same results on every daemon.
+type Rules struct {
+	// Validate refuses texts that must not come into force.
+	Validate func(text string) error
+	// Carry derives what the accepted text has to know of earlier revisions.
+	Carry func(before split.Carried, at time.Time, text string) split.Carried
 }
 
 // Reader follows the configuration stream. It is not safe for concurrent use.
@@ -61,7 +73,7 @@
 	snapshotAt time.Time
 	// sinceSnapshot counts the publications after the last snapshot record.
 	sinceSnapshot int
-	validate      func(text string) error
+	rules         Rules
 }
 
 type unconfirmed struct {
@@ -78,11 +90,8 @@
 // regardless of time, for logs that limit retention by count.
 const snapshotEvery = 64
 
-// NewReader returns a reader without an anchor. validate refuses texts that
-// must not come into force; it has to give the same result on every daemon.
-func NewReader(validate func(text string) error) *Reader {
-	return &Reader{validate: validate}
-}
+// NewReader returns a reader without an anchor.
+func NewReader(rules Rules) *Reader { return &Reader{rules: rules} }
 
 // Anchored reports whether the reader knows the accepted revision. A reader is
 // anchored at the start of an untruncated stream, by a snapshot or by a peer.
@@ -176,10 +185,11 @@
 		return false
 	}
 	v := Verdict{ID: p.ID, Author: p.Author, Time: at, Revision: r.state.Revision}
-	if p.Base == r.state.Revision && r.validate(p.Text) == nil {
+	if p.Base == r.state.Revision && r.rules.Validate(p.Text) == nil {
 		v.Accepted = true
 		v.Revision = r.state.Revision + 1
 		r.state.Revision, r.state.Text, r.state.AcceptedAt = v.Revision, p.Text, at
+		r.state.Carried = r.rules.Carry(r.state.Carried, at, p.Text)
 	}
 	r.state.Verdicts = append(r.state.Verdicts, v)
 	if n := len(r.state.Verdicts); n > maxVerdicts {
--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -53,9 +53,11 @@
 	random        *rand.Rand
 	budgetPercent int
 	health        *retry.Health
-	shares        *split.History
-	entries       map[string]*entry
-	workers       map[model.WorkerID]*workerState
+	carried       split.Carried
+	// oldSlots are the slots on each worker that belong to the old system.
+	oldSlots int64
+	entries  map[string]*entry
+	workers  map[model.WorkerID]*workerState
 	// grants holds leases granted before Serve; their inventories are merged
 	// after the records of the peers and the journal.
 	grants []Grant
@@ -159,7 +161,6 @@
 		budget:   retry.NewBudget(retry.BudgetConfig{}),
 		random:   rand.New(rand.NewPCG(cfg.Seed, 1)),
 		health:   retry.NewHealth(retry.HealthConfig{}),
-		shares:   split.NewHistory(),
 		entries:  map[string]*entry{},
 		workers:  map[model.WorkerID]*workerState{},
 		homeTerm: map[model.DataCentre]uint64{},
--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -105,7 +105,7 @@
 		return
 	case e.rec.DelegatedTo != "":
 		return
-	case e.untouched() && c.shares.NeedsLookup(e.rec.Request.Key, e.rec.Request.Service):
+	case e.untouched() && c.carried.NeedsLookup(now, e.rec.Request.Key, e.rec.Request.Service):
 		e.lookup = true
 		c.out.OldLookups = append(c.out.OldLookups, e.rec.Request.Key)
 		return
--- a/internal/core/scheduler/services.go
+++ b/internal/core/scheduler/services.go
@@ -16,9 +16,13 @@
 // standingPrefix marks keys of service instances that the text asks for.
 const standingPrefix = "instance."
 
-// SetText puts a configuration revision in force.
-func (c *Core) SetText(now time.Time, revision uint64, t *text.Config) {
-	c.text = t
+// SetText puts a configuration revision in force. The old system's reserve
+// shrinks only once it acknowledged that it has vacated the slots.
+func (c *Core) SetText(now time.Time, t *text.Config, carried split.Carried) {
+	c.text, c.carried = t, carried
+	if slots := int64(carried.Reserve.Highest); slots > c.oldSlots {
+		c.oldSlots = slots
+	}
 	c.dataCentres = c.dataCentres[:0]
 	for _, dc := range t.DataCentres {
 		c.dataCentres = append(c.dataCentres, dc.Name)
@@ -28,11 +32,6 @@
 		HeadroomPercent: t.Limits.InteractiveHeadroomPercent, RackSpare: t.Limits.RackSpare,
 	})
 	c.queue.Configure(queueConfig(t))
-	shares := make(map[string]int, len(t.Services))
-	for i := range t.Services {
-		shares[t.Services[i].Name] = t.Services[i].NewPercent
-	}
-	c.shares.Add(revision, shares)
 	c.backoff = retry.Backoff{
 		Base: time.Duration(t.Retry.BackoffMS) * time.Millisecond, Max: time.Duration(t.Retry.BackoffMaxMS) * time.Millisecond,
 	}
@@ -50,6 +49,20 @@
 	c.dirty = true
 }
 
+// ReserveAcknowledged lowers the old system's reserve after its acknowledgement
+// of the text in force.
+func (c *Core) ReserveAcknowledged(now time.Time, slots int64) {
+	if slots != c.text.Old.SlotsPerWorker || slots == c.oldSlots {
+		return
+	}
+	c.oldSlots = slots
+	for id, w := range c.workers {
+		c.index.Upsert(c.usable(w.worker))
+		c.setState(now, id)
+	}
+	c.dirty = true
+}
+
 func queueConfig(t *text.Config) queue.Config {
 	quotas := make(map[string]queue.Quota, len(t.Teams))
 	for _, team := range t.Teams {
--- a/internal/core/scheduler/submit.go
+++ b/internal/core/scheduler/submit.go
@@ -42,7 +42,7 @@
 	}
 	e := c.newEntry(now, r)
 	e.rec.Side = split.Side(r.Key, r.Service, c.newPercent(r.Service))
-	if c.shares.NeedsLookup(r.Key, r.Service) {
+	if c.carried.NeedsLookup(now, r.Key, r.Service) {
 		return c.lookupFirst(e)
 	}
 	if err := c.enter(now, e); err != nil {
--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -50,7 +50,7 @@
 
 // usable takes the slots of the old system off a shared worker's capacity.
 func (c *Core) usable(w model.Worker) model.Worker {
-	w.Capacity.Slots = max(0, w.Capacity.Slots-c.text.Old.SlotsPerWorker)
+	w.Capacity.Slots = max(0, w.Capacity.Slots-c.oldSlots)
 	return w
 }
 
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -10,6 +10,7 @@
 	"catkinvalve/internal/adapters/peerrpc"
 	"catkinvalve/internal/api"
 	"catkinvalve/internal/core/confirm"
+	"catkinvalve/internal/core/split"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/peerpb"
 	"catkinvalve/internal/text"
@@ -36,7 +37,7 @@
 }
 
 func newConfigStore() *configStore {
-	return &configStore{reader: confirm.NewReader(validateText), changed: make(chan struct{})}
+	return &configStore{reader: confirm.NewReader(confirm.Rules{Validate: validateText, Carry: carry}), changed: make(chan struct{})}
 }
 
 func validateText(s string) error {
@@ -46,6 +47,19 @@
 	return nil
 }
 
+// carry digests an accepted text for later revisions.
+func carry(before split.Carried, at time.Time, s string) split.Carried {
+	cfg, problems := text.Parse("published text", []byte(s))
+	if len(problems) > 0 {
+		return before
+	}
+	shares := make(map[string]int, len(cfg.Services))
+	for i := range cfg.Services {
+		shares[cfg.Services[i].Name] = cfg.Services[i].NewPercent
+	}
+	return before.Next(at, shares, int(cfg.Old.SlotsPerWorker))
+}
+
 // inForce returns the configuration in force, or nil.
 func (c *configStore) inForce() (*text.Config, uint64) {
 	c.mu.Lock()
@@ -99,7 +113,9 @@
 // applyConfig updates the store and tells the owner loop of a new revision.
 func (d *Daemon) applyConfig(fn func(*confirm.Reader)) {
 	if cfg, revision, changed := d.config.update(fn); changed {
-		d.control(configMsg{revision, cfg})
+		s, _ := d.config.state()
+		d.control(configMsg{revision, cfg, s.Carried})
+		d.old.reserve(revision, cfg.Old.SlotsPerWorker)
 	}
 }
 
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -7,6 +7,7 @@
 	"catkinvalve/internal/core/membership"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/core/split"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/peerpb"
 	"catkinvalve/internal/ports"
@@ -199,6 +200,7 @@
 type configMsg struct {
 	revision uint64
 	cfg      *text.Config
+	carried  split.Carried
 }
 
 func (m configMsg) handle(l *loop, now time.Time) {
@@ -206,7 +208,7 @@
 		return
 	}
 	l.revision = m.revision
-	l.core.SetText(now, m.revision, m.cfg)
+	l.core.SetText(now, m.cfg, m.carried)
 	l.log.WithField("revision", m.revision).Info("configuration in force")
 }
 
@@ -335,6 +337,11 @@
 	l.core.OldLookedUp(now, m.key, m.known, m.unavailable)
 }
 
+// reserveMsg reports that the old system uses at most slots on each worker.
+type reserveMsg struct{ slots int64 }
+
+func (m reserveMsg) handle(l *loop, now time.Time) { l.core.ReserveAcknowledged(now, m.slots) }
+
 // delegateMsg brings the state of a delegated request.
 type delegateMsg struct{ report scheduler.DelegateReport }
 
--- a/internal/daemon/oldsystem.go
+++ b/internal/daemon/oldsystem.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"catkinvalve/internal/adapters/jsonhttp"
@@ -26,6 +27,8 @@
 	d     *Daemon
 	sys   ports.OldSystem
 	slots chan struct{}
+	// wanted is the latest revision whose reserve the old system has to take.
+	wanted atomic.Uint64
 }
 
 func newOldForwarder(d *Daemon, sys ports.OldSystem) *oldForwarder {
@@ -76,6 +79,29 @@
 	return o.sys.Run(ctx, r.Key, r.Service, r.Payload)
 }
 
+// reserve tells the old system how many slots it may use on each worker and
+// reports its acknowledgement. A later revision replaces an unanswered one.
+func (o *oldForwarder) reserve(revision uint64, slots int64) {
+	o.wanted.Store(revision)
+	if o.sys == nil {
+		return
+	}
+	o.d.group.Go(func() {
+		for o.d.ctx.Err() == nil && o.wanted.Load() == revision {
+			ctx, cancel := context.WithTimeout(o.d.ctx, oldAskTimeout)
+			acked, err := o.sys.Reserve(ctx, revision, slots)
+			cancel()
+			if err == nil && acked >= revision {
+				if acked == revision {
+					o.d.control(reserveMsg{slots})
+				}
+				return
+			}
+			sleep(o.d.ctx, oldRetry)
+		}
+	})
+}
+
 func (o *oldForwarder) lookup(key string) {
 	o.do(func(ctx context.Context) {
 		if o.sys == nil {
