--- a/internal/core/split/split_test.go
+++ b/internal/core/split/split_test.go
@@ -47,15 +47,18 @@
 			revision := map[string]int{}
 			if share >= 0 {
 				revision["s"] = share
-				changes = append(changes, change{at, share})
 			}
+			changes = append(changes, change{at, share})
 			c = c.Next(at, revision, 0)
 			assert.Assert(t, len(c.Services) <= 1)
 		}
 		lowest, highest := 101, -1
 		for i, ch := range changes {
-			// A share counts until the next one replaced it.
+			// A share counts until the next revision replaced or removed it.
 			last := i == len(changes)-1
+			if ch.share < 0 {
+				continue
+			}
 			if last || at.Sub(changes[i+1].at) <= Retention {
 				lowest, highest = min(lowest, ch.share), max(highest, ch.share)
 			}
