Configure the retry budget and worker health of the scheduler

The core built both with zero limits. A budget with a burst of 0 never allows a retry, a request counts as parked after its first failure, and a quarantine of length 0 ends at once. So no failed or lost idempotent task ever ran again and no failing worker was set aside. The text's budget percentage was read, which made the fault look like one of the text; the burst of 0 caps it.

Before: TestFailedTaskIsRetried ends after one attempt, and TestFailingWorkerIsQuarantinedAndProbed sees the sixth task start. Both pass now. The burst covers the tasks of a rack. A new percentage keeps saved credit.

--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -45,15 +45,14 @@
 	// dataCentres lists the data centres of the text.
 	dataCentres []model.DataCentre
 
-	index         *placement.Index
-	queue         *queue.Queue
-	sizes         *estimate.Estimator
-	budget        *retry.Budget
-	backoff       retry.Backoff
-	random        *rand.Rand
-	budgetPercent int
-	health        *retry.Health
-	carried       split.Carried
+	index   *placement.Index
+	queue   *queue.Queue
+	sizes   *estimate.Estimator
+	budget  *retry.Budget
+	backoff retry.Backoff
+	random  *rand.Rand
+	health  *retry.Health
+	carried split.Carried
 	// oldSlots are the slots on each worker that belong to the old system.
 	oldSlots int64
 	entries  map[string]*entry
@@ -158,9 +157,9 @@
 		index:    placement.New(placement.Options{}),
 		queue:    queue.New(queue.Config{}),
 		sizes:    estimate.New(estimate.Options{}),
-		budget:   retry.NewBudget(retry.BudgetConfig{}),
+		budget:   retry.NewBudget(budgetConfig(0)),
 		random:   rand.New(rand.NewPCG(cfg.Seed, 1)),
-		health:   retry.NewHealth(retry.HealthConfig{}),
+		health:   retry.NewHealth(healthConfig),
 		entries:  map[string]*entry{},
 		workers:  map[model.WorkerID]*workerState{},
 		homeTerm: map[model.DataCentre]uint64{},
--- /dev/null
+++ b/internal/core/scheduler/helpers_test.go
@@ -0,0 +1,279 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/split"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/text"
+)
+
+const (
+	dcHome  = model.DataCentre("dc-a")
+	dcOther = model.DataCentre("dc-b")
+)
+
+var (
+	epoch   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	oneSlot = model.Size{MilliCPU: 1000, MemMB: 1000, Slots: 1}
+)
+
+// testConfig returns the fixed configuration of the cores under test.
+func testConfig(dc model.DataCentre) Config {
+	return Config{DataCentre: dc, Region: "r", LeaseTTL: 3 * time.Second, TaskGrace: 30 * time.Second, Seed: 1}
+}
+
+// testText returns a text with one service for each kind of work.
+func testText() *text.Config {
+	service := func(name string, class model.Class, idempotent bool, tasks, instances int) text.Service {
+		return text.Service{
+			Name: name, Team: "team", Class: class, Size: oneSlot, Idempotent: idempotent, Tasks: tasks,
+			Instances: instances, NewPercent: 100, RunMS: 1000,
+		}
+	}
+	return &text.Config{
+		DataCentres: []text.DataCentre{{Name: dcHome, Region: "r"}, {Name: dcOther, Region: "r"}},
+		Limits:      text.Limits{QueuePerTeam: 100, QueueTotal: 100, DrainMS: 1000},
+		Retry:       text.Retry{MaxAttempts: 3, BudgetPercent: 100, BackoffMS: 10, BackoffMaxMS: 100},
+		Teams:       []text.Team{{Name: "team", Quota: text.Quota{MilliCPU: 1 << 30, Slots: 1 << 20, Borrow: true}}},
+		Services: []text.Service{
+			service("batch", model.Batch, true, 1, 0), service("once", model.Batch, false, 1, 0),
+			service("gang", model.AllAtOnce, true, 2, 0), service("quick", model.Interactive, true, 1, 0),
+			service("web", model.Service, true, 1, 0),
+		},
+	}
+}
+
+// bench drives one core: it hands every record to the core as replicated and
+// collects the other actions. Tests report what workers do.
+type bench struct {
+	t    testing.TB
+	c    *Core
+	now  time.Time
+	text *text.Config
+	// carried is what the next revision knows of earlier ones.
+	carried split.Carried
+	// slow keeps the standbys from acknowledging records.
+	slow bool
+
+	starts      map[model.WorkerID][]Start
+	stops       map[model.WorkerID][]Stop
+	replicas    map[string]model.Record
+	settled     map[string]int
+	delegations []Delegation
+	cancels     []Delegation
+	oldRuns     []OldRun
+	lookups     []string
+}
+
+// newBench returns an owner with the given workers, each of two slots.
+func newBench(t testing.TB, workers ...model.WorkerID) *bench {
+	t.Helper()
+	b := newStandby(t, workers...)
+	b.serve(1)
+	for _, w := range workers {
+		b.grant(w, "boot")
+	}
+	return b
+}
+
+func newStandby(t testing.TB, workers ...model.WorkerID) *bench {
+	t.Helper()
+	b := &bench{t: t, c: New(testConfig(dcHome)), now: epoch, text: testText(), replicas: map[string]model.Record{}}
+	b.reset()
+	b.publish(func(*text.Config) {})
+	b.list(workers...)
+	return b
+}
+
+func (b *bench) reset() {
+	b.starts, b.stops = map[model.WorkerID][]Start{}, map[model.WorkerID][]Stop{}
+	b.settled = map[string]int{}
+	b.delegations, b.cancels, b.oldRuns, b.lookups = nil, nil, nil, nil
+}
+
+// publish puts a changed copy of the text in force.
+func (b *bench) publish(change func(*text.Config)) {
+	next := *b.text
+	next.Services = append([]text.Service(nil), b.text.Services...)
+	change(&next)
+	b.text = &next
+	shares := map[string]int{}
+	for _, s := range next.Services {
+		shares[s.Name] = s.NewPercent
+	}
+	b.carried = b.carried.Next(b.now, shares, int(next.Old.SlotsPerWorker))
+	b.c.SetText(b.now, b.text, b.carried)
+	b.run()
+}
+
+func (b *bench) list(workers ...model.WorkerID) {
+	var listed []ListedWorker
+	for _, w := range workers {
+		listed = append(listed, ListedWorker{Worker: model.Worker{ID: w, DataCentre: dcHome, Rack: "rack-" + string(w), Capacity: oneSlot.Times(2)}})
+	}
+	b.c.SetListed(b.now, listed)
+	b.run()
+}
+
+func (b *bench) serve(term uint64) {
+	b.c.Serve(b.now, Recovery{Term: term, SyncedPeer: true, JournalRead: true})
+	b.run()
+}
+
+func (b *bench) grant(w model.WorkerID, boot string, tasks ...model.RunningTask) {
+	b.c.WorkerGranted(b.now, Grant{Worker: w, BootID: boot, Capacity: oneSlot.Times(2), Rack: "rack-" + string(w), Tasks: tasks})
+	b.run()
+}
+
+// run handles actions until there is none.
+func (b *bench) run() {
+	for range 100 {
+		b.c.Schedule(b.now)
+		a := b.c.Take()
+		if a.Empty() {
+			return
+		}
+		b.collect(a)
+	}
+	b.t.Fatal("the core never stops producing actions")
+}
+
+func (b *bench) collect(a Actions) {
+	for w, s := range a.Starts {
+		b.starts[w] = append(b.starts[w], s...)
+	}
+	for w, s := range a.Stops {
+		b.stops[w] = append(b.stops[w], s...)
+	}
+	for _, key := range a.Settled {
+		b.settled[key]++
+	}
+	b.delegations = append(b.delegations, a.Delegations...)
+	b.cancels = append(b.cancels, a.DelegateCancels...)
+	b.oldRuns = append(b.oldRuns, a.OldRuns...)
+	b.lookups = append(b.lookups, a.OldLookups...)
+	if b.slow {
+		return
+	}
+	for _, r := range a.Replicate {
+		b.replicas[r.Request.Key] = r
+		b.c.Replicated(r.Request.Key, r.Version)
+	}
+}
+
+// tick passes time and runs what it brings.
+func (b *bench) tick(d time.Duration) {
+	b.now = b.now.Add(d)
+	b.c.Tick(b.now)
+	b.run()
+}
+
+func (b *bench) request(key, service string) model.Request {
+	return model.Request{Key: key, Service: service, Idempotent: b.text.Service(service).Idempotent, Payload: []byte("p"), Fingerprint: 1}
+}
+
+func (b *bench) submit(key, service string) {
+	b.t.Helper()
+	_, err := b.c.Submit(b.now, b.request(key, service))
+	assert.Assert(b.t, err == nil, "%v", err)
+	b.run()
+}
+
+func (b *bench) cancel(key string) {
+	b.t.Helper()
+	_, err := b.c.Cancel(b.now, key)
+	assert.NilError(b.t, err)
+	b.run()
+}
+
+// report sends a worker's event about the current attempt of a task.
+func (b *bench) report(key string, index int, state model.TaskState) {
+	b.t.Helper()
+	rec := b.record(key).Tasks[index]
+	b.c.TaskReported(b.now, rec.Worker, TaskEvent{
+		ID: model.TaskID{Key: key, Index: index}, Attempt: rec.Attempt, State: state, OK: state == model.TaskDone,
+	})
+	b.run()
+}
+
+// refuse reports that the worker did not start the current attempt.
+func (b *bench) refuse(key string, index int) {
+	rec := b.record(key).Tasks[index]
+	b.c.NotStarted(b.now, rec.Worker, model.TaskID{Key: key, Index: index}, rec.Attempt)
+	b.run()
+}
+
+// record returns the owner's own record, ahead of what callers see.
+func (b *bench) record(key string) model.Record {
+	b.t.Helper()
+	e := b.c.entries[key]
+	assert.Assert(b.t, e != nil, "no record of %s", key)
+	return e.rec
+}
+
+// inventory is a worker's entry for the current attempt of a task.
+func (b *bench) inventory(key string, index int, state model.TaskState) model.RunningTask {
+	rec := b.record(key)
+	return model.RunningTask{
+		ID: model.TaskID{Key: key, Index: index}, Attempt: rec.Tasks[index].Attempt,
+		Service: rec.Request.Service, Size: oneSlot, State: state, OK: state == model.TaskDone,
+	}
+}
+
+func (b *bench) wantFate(key string, want model.Fate) {
+	b.t.Helper()
+	rec, err := b.c.Fate(key)
+	assert.Assert(b.t, err == nil, "%v", err)
+	assert.Equal(b.t, rec.Fate, want, "reason %q, tasks %+v", rec.Reason, rec.Tasks)
+}
+
+func (b *bench) wantTask(key string, index int, want model.TaskState) {
+	b.t.Helper()
+	assert.Equal(b.t, b.record(key).Tasks[index].State, want)
+}
+
+// countStarts returns how often tasks of a key were sent to workers.
+func (b *bench) countStarts(key string) int {
+	n := 0
+	for _, starts := range b.starts {
+		for _, s := range starts {
+			if s.ID.Key == key {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// wantIdle checks that nothing is reserved, charged or queued any more.
+func (b *bench) wantIdle() {
+	b.t.Helper()
+	for _, w := range b.c.Workers(b.now) {
+		assert.Equal(b.t, w.Planned, model.Size{}, "worker %s", w.Worker.ID)
+	}
+	assert.Equal(b.t, len(b.c.Waiting()), 0)
+	assert.Assert(b.t, !b.c.queueCharged("team"), "the team's quota is charged for nothing")
+}
+
+// wantFault checks the kind of a refusal.
+func wantFault(t testing.TB, err *fault.Error, kind fault.Kind) {
+	t.Helper()
+	assert.Assert(t, err != nil, "no fault, want %s", kind)
+	assert.Equal(t, err.Kind, kind)
+}
+
+// queueCharged reports whether a team's quota is in use. A quota of nothing
+// counts as borrowed as soon as anything is charged.
+func (c *Core) queueCharged(team string) bool {
+	old := c.text
+	defer c.queue.Configure(queueConfig(old))
+	none := *old
+	none.Teams = []text.Team{{Name: team, Quota: text.Quota{Borrow: true}}}
+	c.queue.Configure(queueConfig(&none))
+	return c.queue.Borrowed(team)
+}
--- a/internal/core/scheduler/services.go
+++ b/internal/core/scheduler/services.go
@@ -35,10 +35,7 @@
 	c.backoff = retry.Backoff{
 		Base: time.Duration(t.Retry.BackoffMS) * time.Millisecond, Max: time.Duration(t.Retry.BackoffMaxMS) * time.Millisecond,
 	}
-	if t.Retry.BudgetPercent != c.budgetPercent {
-		c.budgetPercent = t.Retry.BudgetPercent
-		c.budget = retry.NewBudget(retry.BudgetConfig{Percent: c.budgetPercent})
-	}
+	c.budget.Configure(budgetConfig(t.Retry.BudgetPercent))
 	for id, w := range c.workers {
 		c.index.Upsert(c.usable(w.worker))
 		c.setState(now, id)
