Reset worker states and delegations when the owner steps down

StepDown kept the placement state of each worker, so in a second term the owner placed work on workers that had not granted a lease in it. It also kept the mark that a delegation was handed to the daemon, whose follower ends with the term, so the request was never followed again and never got a final fate.

Before: TestNoStartWithoutLeaseInSecondTerm sees a start without a lease, and TestDelegationIsFollowedInSecondTerm no delegation. Recovery from replicas was ruled out: a fresh core with the same records behaves correctly.

--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/placement"
 	"catkinvalve/internal/fault"
 )
 
@@ -158,6 +159,11 @@
 	c.BeginCampaign()
 	for id, w := range c.workers {
 		w.leased = false
+		if w.probing {
+			w.probing = false
+			c.health.EndProbe(id)
+		}
+		c.index.SetState(id, placement.NotLeased)
 		for _, t := range c.index.Tasks(id) {
 			c.index.Release(t)
 		}
@@ -169,7 +175,7 @@
 			}
 		}
 		e.tasks = make([]taskRuntime, len(e.rec.Tasks))
-		e.preempting, e.lookup = false, false
+		e.preempting, e.lookup, e.delegated = false, false, false
 		c.queue.Remove(e.rec.Request.Key)
 	}
 }
--- /dev/null
+++ b/internal/core/scheduler/takeover_test.go
@@ -0,0 +1,56 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/membership"
+	"catkinvalve/internal/core/model"
+)
+
+// successor returns an owner of the next term with the replicated records.
+func (b *bench) successor(workers ...model.WorkerID) *bench {
+	b.t.Helper()
+	s := newStandby(b.t, workers...)
+	s.now = b.now
+	for _, r := range b.replicas {
+		s.c.Restore(s.now, r)
+	}
+	return s
+}
+
+// Guards against starts on workers whose lease the owner does not hold in its
+// second term.
+func TestNoStartWithoutLeaseInSecondTerm(t *testing.T) {
+	b := newBench(t, "w1")
+	b.c.StepDown()
+	b.serve(3)
+	b.submit("dc-a:k", "batch")
+	b.wantTask("dc-a:k", 0, model.TaskQueued)
+	assert.Equal(t, b.countStarts("dc-a:k"), 0)
+	b.grant("w1", "boot")
+	assert.Equal(t, b.countStarts("dc-a:k"), 1)
+}
+
+// Guards against a delegated request that its home forgets to follow when it
+// becomes owner again.
+func TestDelegationIsFollowedInSecondTerm(t *testing.T) {
+	b := delegated(t)
+	b.c.StepDown()
+	b.reset()
+	b.serve(3)
+	assert.Equal(t, len(b.delegations), 1)
+}
+
+// delegated returns an owner without workers that delegated dc-a:k.
+func delegated(t *testing.T) *bench {
+	b := newBench(t)
+	b.submit("dc-a:k", "quick")
+	b.now = b.now.Add(time.Second)
+	b.c.SetRemote(b.now, dcOther, "r", membership.Load{Free: oneSlot.Times(4), LargestFree: oneSlot.Times(4), Workers: 1})
+	b.tick(0)
+	assert.Equal(t, len(b.delegations), 1)
+	return b
+}
