Treat a final fate that no standby confirmed as open after a step-down

An owner that settled a request but lost its term before the standbys had the record kept the fate as if it were told. Two faults followed. In its next term the fate stayed hidden, because nothing replicated it again, so no caller ever learned it. And since a final fate outweighs any other record, an unconfirmed "not run" replaced the record of a successor that had started the request.

Such a fate now yields to a record of a higher term, is not handed to other daemons, and is replicated again when its owner serves without a newer record.

A wrong order in Record.Newer was ruled out: for fates that callers were told the final one must win.

--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -192,11 +192,15 @@
 // BeginCampaign drops inventories of earlier campaigns.
 func (c *Core) BeginCampaign() { c.grants, c.early = nil, nil }
 
-// AllRecords returns copies of all records, for standbys and successors.
+// AllRecords returns copies of all records, for standbys and successors. After
+// stepping down it leaves out final fates that no standby confirmed: a
+// successor may have decided otherwise, and no caller was told.
 func (c *Core) AllRecords() []model.Record {
 	out := make([]model.Record, 0, len(c.entries))
 	for _, e := range c.entries {
-		out = append(out, copyRecord(&e.rec))
+		if c.serving || !e.unconfirmed() {
+			out = append(out, copyRecord(&e.rec))
+		}
 	}
 	return out
 }
--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -45,7 +45,7 @@
 	if e == nil {
 		e = &entry{rec: rec}
 		c.entries[rec.Request.Key] = e
-	} else if !rec.Newer(&e.rec) {
+	} else if !rec.Newer(&e.rec) && !(e.unconfirmed() && rec.Term > e.rec.Term) {
 		return
 	}
 	payload := e.rec.Request.Payload
@@ -54,12 +54,16 @@
 		e.rec.Request.Payload = payload
 	}
 	e.tasks = make([]taskRuntime, len(e.rec.Tasks))
-	e.acked = e.rec.Version
+	e.acked, e.settleAt = e.rec.Version, 0
 	if rec.Fate.Terminal() {
 		e.settleAt = rec.Version
 	}
 }
 
+// unconfirmed reports whether the final fate may be missing at the standbys. No
+// caller was told it, so another owner may have decided otherwise.
+func (e *entry) unconfirmed() bool { return e.rec.Fate.Terminal() && e.acked < e.settleAt }
+
 // Serve makes the core the owner's. All records and inventories that can be
 // had are in place; what they leave open puts the data centre in doubt.
 func (c *Core) Serve(now time.Time, r Recovery) {
@@ -93,6 +97,11 @@
 func (c *Core) resume(now time.Time, e *entry) {
 	if e.rec.Fate.Terminal() {
 		c.settled = append(c.settled, settledKey{e.rec.Request.Key, e.rec.Ended})
+		if e.unconfirmed() {
+			c.changed(e)
+			e.settleAt = e.rec.Version
+			c.journal(e)
+		}
 		return
 	}
 	if home := c.Home(e.rec.Request.Key); home != c.cfg.DataCentre {
--- a/internal/core/scheduler/submit.go
+++ b/internal/core/scheduler/submit.go
@@ -224,7 +224,7 @@
 // yet: a successor might decide otherwise.
 func (c *Core) view(e *entry) model.Record {
 	r := copyRecord(&e.rec)
-	if r.Fate.Terminal() && e.acked < e.settleAt {
+	if e.unconfirmed() {
 		r.Fate, r.OK, r.Reason, r.Answer = model.Queued, false, "", nil
 		if !r.Started.IsZero() {
 			r.Fate = model.Running
