Run stopped idempotent tasks again unless a caller cancelled them

Whether a stop meant "place the task again" was known only to the owner that sent it. After a takeover the stop of a preempted or drained task ended its request as cancelled, although nobody cancelled it. The same fate was told when a worker stopped its tasks by itself because no owner renewed the lease.

The request decides now: without a cancellation an idempotent task is placed again, and a non-idempotent one that was stopped makes the fate unknown. The volatile mark is gone. Replicating it was ruled out: a worker that stops tasks by itself has no mark to replicate.

Before: TestPreemptedTaskSurvivesTakeover finds the task stopped, TestStopWithoutRequestIsUnknown the fate cancelled.

--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -114,8 +114,6 @@
 	startAt uint64
 	charged model.Size
 	began   time.Time
-	// requeue is set when a stop is meant to place the task again.
-	requeue bool
 }
 
 type workerState struct {
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -115,16 +115,23 @@
 	c.changed(e)
 }
 
+// taskStopped handles a stop that the worker confirmed. Without a cancellation
+// it was a preemption or a drain, possibly of an earlier owner, or the worker
+// stopped the task because no owner renewed its lease.
 func (c *Core) taskStopped(now time.Time, e *entry, index int) {
 	c.markRunning(now, e)
-	again := e.tasks[index].requeue
+	again := e.standing || e.rec.Request.Idempotent
 	c.endProbe(now, e.rec.Tasks[index].Worker)
 	c.release(e, index)
 	e.rec.Tasks[index].State = model.TaskStopped
-	if !e.rec.CancelRequested && (again || e.standing) {
+	switch {
+	case e.rec.CancelRequested:
+	case again:
 		c.requeue(now, e, index, 0)
 		c.changed(e)
 		return
+	default:
+		e.rec.Tasks[index].State = model.TaskLost
 	}
 	c.settleIfEnded(now, e)
 }
@@ -298,9 +305,8 @@
 	for i := range e.rec.Tasks {
 		t := &e.rec.Tasks[i]
 		if t.State.HoldsWorker() && e.tasks[i].startAt == 0 && t.State != model.TaskStopping {
-			c.stopTask(e, i, StopNow, false)
+			c.stopTask(e, i, StopNow)
 		}
-		e.tasks[i].requeue = false
 	}
 	c.dropWaiting(now, e, model.ReasonCancelled)
 }
--- a/internal/core/scheduler/schedule.go
+++ b/internal/core/scheduler/schedule.go
@@ -178,7 +178,7 @@
 	e.preempting = true
 	for _, id := range victims {
 		c.stat.Preempted++
-		c.stopTask(c.entries[id.Key], id.Index, StopCheckpoint, true)
+		c.stopTask(c.entries[id.Key], id.Index, StopCheckpoint)
 	}
 }
 
@@ -190,10 +190,9 @@
 }
 
 // stopTask asks the worker to end a running task.
-func (c *Core) stopTask(e *entry, index int, mode StopMode, requeue bool) {
+func (c *Core) stopTask(e *entry, index int, mode StopMode) {
 	t := &e.rec.Tasks[index]
 	t.State = model.TaskStopping
-	e.tasks[index].requeue = requeue
 	c.out.stop(t.Worker, Stop{ID: model.TaskID{Key: e.rec.Request.Key, Index: index}, Attempt: t.Attempt, Mode: mode})
 }
 
@@ -205,7 +204,7 @@
 		c.queue.Refund(e.rec.Request.Team, rt.charged)
 		rt.charged = model.Size{}
 	}
-	rt.startAt, rt.requeue = 0, false
+	rt.startAt = 0
 	c.dirty = true
 }
 
@@ -219,7 +218,7 @@
 		for i := range e.rec.Tasks {
 			if e.rec.Tasks[i].State.HoldsWorker() {
 				if e.rec.Tasks[i].State != model.TaskStopping {
-					c.stopTask(e, i, StopCheckpoint, true)
+					c.stopTask(e, i, StopCheckpoint)
 				}
 				return
 			}
--- /dev/null
+++ b/internal/core/scheduler/stopped_test.go
@@ -0,0 +1,34 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+)
+
+// Guards against a preempted request that the successor reports as cancelled,
+// although nobody cancelled it.
+func TestPreemptedTaskSurvivesTakeover(t *testing.T) {
+	b := newBench(t, "w1")
+	b.submit("dc-a:k", "batch")
+	b.report("dc-a:k", 0, model.TaskRunning)
+	s := b.successor("w1")
+	s.grant("w1", "boot", b.inventory("dc-a:k", 0, model.TaskStopped))
+	s.serve(2)
+	s.tick(time.Second)
+	s.wantTask("dc-a:k", 0, model.TaskStarting)
+}
+
+// Guards against calling a non-idempotent request cancelled when its worker
+// stopped it by itself because no owner renewed the lease.
+func TestStopWithoutRequestIsUnknown(t *testing.T) {
+	b := newBench(t, "w1")
+	b.submit("dc-a:k", "once")
+	b.report("dc-a:k", 0, model.TaskRunning)
+	b.report("dc-a:k", 0, model.TaskStopped)
+	b.wantFate("dc-a:k", model.Unknown)
+	assert.Equal(t, b.countStarts("dc-a:k"), 1)
+}
--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -94,7 +94,7 @@
 		return
 	}
 	if e.rec.Tasks[id.Index].State == model.TaskRunning && (e.rec.Request.Idempotent || e.standing) {
-		c.stopTask(e, id.Index, StopCheckpoint, true)
+		c.stopTask(e, id.Index, StopCheckpoint)
 	}
 }
 
@@ -173,7 +173,7 @@
 	}
 	c.taskStarted(now, e, t.ID.Index)
 	if e.rec.CancelRequested || stopping {
-		c.stopTask(e, t.ID.Index, StopNow, e.tasks[t.ID.Index].requeue)
+		c.stopTask(e, t.ID.Index, StopNow)
 	}
 }
 
