Start a gang again only as a whole, and only if that is safe

When a task of a gang has to run again, the others are stopped first and the last confirmed stop put the gang back into the queue. If the last task instead finished, failed or lost its worker, nothing put it back, and the request never got a fate. Tasks were also stopped one after another. And a non-idempotent gang restarted tasks that had run when one start was refused.

Any end of the last task now continues the gang. A non-idempotent gang of which something ran ends as unknown.

Before: TestGangRestartsAsAWhole/done finds the gang queued nowhere; the two tests added last fail with a second start and with one stop instead of three.

--- /dev/null
+++ b/internal/core/scheduler/gang_test.go
@@ -0,0 +1,95 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/text"
+)
+
+func runningGang(t *testing.T) *bench {
+	b := newBench(t, "w1", "w2")
+	b.submit("dc-a:g", "gang")
+	b.report("dc-a:g", 0, model.TaskRunning)
+	b.report("dc-a:g", 1, model.TaskRunning)
+	return b
+}
+
+// Guards against a gang that runs on with a part of its tasks, or never again,
+// after one task failed: whatever the others do, the gang starts as a whole.
+func TestGangRestartsAsAWhole(t *testing.T) {
+	for _, end := range []model.TaskState{model.TaskStopped, model.TaskDone, model.TaskFailed} {
+		t.Run(string(end), func(t *testing.T) {
+			b := runningGang(t)
+			b.report("dc-a:g", 0, model.TaskFailed)
+			b.wantTask("dc-a:g", 1, model.TaskStopping)
+			b.report("dc-a:g", 1, end)
+			b.tick(time.Second)
+			b.wantTask("dc-a:g", 0, model.TaskStarting)
+			b.wantTask("dc-a:g", 1, model.TaskStarting)
+			b.report("dc-a:g", 0, model.TaskDone)
+			b.report("dc-a:g", 1, model.TaskDone)
+			b.wantFate("dc-a:g", model.Done)
+			b.wantIdle()
+		})
+	}
+}
+
+// Guards against a gang that waits for ever for a task whose worker is lost
+// while the gang is being stopped.
+func TestGangLosesWorkerWhileStopping(t *testing.T) {
+	b := runningGang(t)
+	b.report("dc-a:g", 0, model.TaskFailed)
+	w := b.record("dc-a:g").Tasks[1].Worker
+	b.grant(w, "boot-2")
+	b.tick(time.Second)
+	b.wantTask("dc-a:g", 0, model.TaskStarting)
+	b.wantTask("dc-a:g", 1, model.TaskStarting)
+}
+
+// Guards against starting a non-idempotent task twice because another task of
+// its gang was refused, and against a gang that then never ends.
+func TestNonIdempotentGangDoesNotRestart(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		ran  bool
+		want model.Fate
+	}{{"one task ran", true, model.Unknown}, {"nothing ran", false, model.Done}} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBench(t, "w1", "w2")
+			b.publish(func(c *text.Config) { c.Services[2].Idempotent = false })
+			b.submit("dc-a:g", "gang")
+			b.refuse("dc-a:g", 0)
+			b.wantTask("dc-a:g", 1, model.TaskStopping)
+			if tc.ran {
+				b.report("dc-a:g", 1, model.TaskRunning)
+				b.report("dc-a:g", 1, model.TaskStopped)
+			} else {
+				b.refuse("dc-a:g", 1)
+				b.report("dc-a:g", 0, model.TaskDone)
+				b.report("dc-a:g", 1, model.TaskDone)
+			}
+			b.tick(time.Second)
+			b.wantFate("dc-a:g", tc.want)
+			b.wantIdle()
+		})
+	}
+}
+
+// Guards against stopping the tasks of a large gang one after another.
+func TestGangStopsAllTasksAtOnce(t *testing.T) {
+	b := newBench(t, "w1", "w2")
+	r := b.request("dc-a:g", "gang")
+	r.Tasks = 4
+	_, err := b.c.Submit(b.now, r)
+	assert.Assert(t, err == nil, "%v", err)
+	b.run()
+	for i := range r.Tasks {
+		b.report("dc-a:g", i, model.TaskRunning)
+	}
+	b.report("dc-a:g", 0, model.TaskFailed)
+	assert.Equal(t, len(b.stops["w1"])+len(b.stops["w2"]), 3)
+}
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -177,12 +177,13 @@
 	c.settleIfEnded(now, e)
 }
 
-// settleIfEnded gives the request its final fate once all tasks have ended.
+// settleIfEnded gives the request its final fate once all tasks have ended. A
+// gang with a task that has to run again goes back to the queue instead.
 func (c *Core) settleIfEnded(now time.Time, e *entry) {
 	if e.rec.Fate.Terminal() {
 		return
 	}
-	var done, failed, lost, stopped, size int
+	var done, failed, lost, stopped, waiting, held, size int
 	for i := range e.rec.Tasks {
 		t := &e.rec.Tasks[i]
 		switch t.State {
@@ -194,11 +195,23 @@
 			lost++
 		case model.TaskStopped:
 			stopped++
+		case model.TaskQueued:
+			waiting++
 		default:
-			return
+			held++
 		}
 		size += len(t.Answer)
 	}
+	if waiting > 0 && held == 0 && e.rec.Request.Class == model.AllAtOnce {
+		c.requeue(now, e, 0, 0)
+		if !e.rec.Fate.Terminal() {
+			c.changed(e)
+		}
+		return
+	}
+	if waiting+held > 0 {
+		return
+	}
 	e.rec.Answer = joinAnswers(e.rec.Tasks, size)
 	switch {
 	case lost > 0:
--- a/internal/core/scheduler/schedule.go
+++ b/internal/core/scheduler/schedule.go
@@ -209,23 +209,15 @@
 }
 
 // requeue puts a task that has to run again back into the queue. A gang goes
-// back as a whole, once none of its tasks holds a worker.
+// back as a whole.
 func (c *Core) requeue(now time.Time, e *entry, index int, wait time.Duration) {
 	e.rec.Tasks[index].State = model.TaskQueued
 	e.rec.Tasks[index].Worker = ""
 	if e.rec.Request.Class == model.AllAtOnce {
-		index = 0
-		for i := range e.rec.Tasks {
-			if e.rec.Tasks[i].State.HoldsWorker() {
-				if e.rec.Tasks[i].State != model.TaskStopping {
-					c.stopTask(e, i, StopCheckpoint)
-				}
-				return
-			}
-		}
-		for i := range e.rec.Tasks {
-			e.rec.Tasks[i].State = model.TaskQueued
+		if !c.gatherGang(now, e) {
+			return
 		}
+		index = 0
 	}
 	it := c.item(now, e, index)
 	it.Enqueued = e.rec.Accepted
@@ -236,6 +228,36 @@
 	c.dirty = true
 }
 
+// gatherGang prepares a gang to start again and reports whether it can. It
+// first stops all tasks that hold a worker; the gang goes back to the queue
+// with the last of them. A non-idempotent gang of which something ran ends.
+func (c *Core) gatherGang(now time.Time, e *entry) bool {
+	held := false
+	for i := range e.rec.Tasks {
+		if state := e.rec.Tasks[i].State; state.HoldsWorker() {
+			held = true
+			if state != model.TaskStopping {
+				c.stopTask(e, i, StopCheckpoint)
+			}
+		}
+	}
+	if held {
+		return false
+	}
+	again := e.rec.Request.Idempotent || e.rec.Started.IsZero()
+	for i := range e.rec.Tasks {
+		if t := &e.rec.Tasks[i]; again {
+			t.State, t.Worker, t.Answer = model.TaskQueued, "", nil
+		} else if t.State == model.TaskQueued {
+			t.State = model.TaskLost
+		}
+	}
+	if !again {
+		c.settleIfEnded(now, e)
+	}
+	return again
+}
+
 // updateHealth moves workers in and out of quarantine.
 func (c *Core) updateHealth(now time.Time) {
 	for _, w := range c.health.Changed(now) {
