Keep a reservation of its own for each leftover attempt

A worker may still run an attempt that the record gave up, for instance when it comes back after the task was placed elsewhere. The leftover was reserved under the task's own ID. That moved the reservation of the running attempt off its worker, which could then be given more than it holds, and nothing released it when the leftover ended, because its report counts as stale.

Before: TestLeftoverKeepsReservationOfLaterAttempt sees the second worker as free, TestLeftoverReleasesItsCapacity finds a slot taken for ever. The index was ruled out: moving a reserved task is what it documents.

--- /dev/null
+++ b/internal/core/scheduler/leftover.go
@@ -0,0 +1,44 @@
+package scheduler
+
+import (
+	"strconv"
+	"strings"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/placement"
+)
+
+// leftoverMark separates the parts of a leftover's key. Keys of requests have
+// no spaces.
+const leftoverMark = " "
+
+// leftoverID names the reservation of an attempt that was given up but still
+// runs. It differs from the task's own ID, because a later attempt may hold
+// another worker at the same time.
+func leftoverID(w model.WorkerID, id model.TaskID, attempt int) model.TaskID {
+	id.Key += leftoverMark + string(w) + leftoverMark + strconv.Itoa(attempt)
+	return id
+}
+
+// stopLeftover stops an attempt that the record no longer refers to. It holds
+// capacity of its worker until the worker reports its end.
+func (c *Core) stopLeftover(e *entry, w model.WorkerID, t model.RunningTask) {
+	need := placement.Need{Class: e.rec.Request.Class, Service: t.Service, Size: t.Size}
+	c.index.Reserve(w, leftoverID(w, t.ID, t.Attempt), need)
+	c.out.stop(w, Stop{ID: t.ID, Attempt: t.Attempt, Mode: StopNow})
+}
+
+func (c *Core) releaseLeftover(w model.WorkerID, id model.TaskID, attempt int) {
+	c.index.Release(leftoverID(w, id, attempt))
+	c.dirty = true
+}
+
+// forgetLeftovers drops the leftovers of a worker before its inventory tells
+// which of them still run.
+func (c *Core) forgetLeftovers(w model.WorkerID) {
+	for _, id := range c.index.Tasks(w) {
+		if strings.Contains(id.Key, leftoverMark) {
+			c.index.Release(id)
+		}
+	}
+}
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -22,6 +22,9 @@
 		c.early = append(c.early, earlyReport{w, ev})
 		return
 	}
+	if ev.State.Final() {
+		c.releaseLeftover(w, ev.ID, ev.Attempt)
+	}
 	e := c.entries[ev.ID.Key]
 	if e == nil || ev.ID.Index < 0 || ev.ID.Index >= len(e.rec.Tasks) {
 		c.stat.StaleAnswers++
--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -128,6 +128,7 @@
 		w.worker.Rack = g.Rack
 	}
 	c.index.Upsert(c.usable(w.worker))
+	c.forgetLeftovers(g.Worker)
 	listed := make(map[model.TaskID]bool, len(g.Tasks))
 	for _, t := range g.Tasks {
 		listed[t.ID] = true
@@ -152,9 +153,7 @@
 	rec := &e.rec.Tasks[t.ID.Index]
 	if rec.Attempt > t.Attempt || rec.State.Final() || e.rec.Fate.Terminal() {
 		if !t.State.Final() {
-			// A leftover of an attempt that was given up holds real capacity.
-			c.index.Reserve(w, t.ID, placement.Need{Class: e.rec.Request.Class, Service: t.Service, Size: t.Size})
-			c.out.stop(w, Stop{ID: t.ID, Attempt: t.Attempt, Mode: StopNow})
+			c.stopLeftover(e, w, t)
 		}
 		return
 	}
