Start service instances again that the text dropped and asks for again

An instance that the text no longer asks for is cancelled, and its record stays for the retention. The record's presence then kept the same instance from being started when the text asked for it again. A final fate never changes, so the instance comes back under the next generation of its key.

Before: TestInstancesFollowText finds one instance instead of two after 4, 2, 4.

--- a/internal/core/scheduler/services.go
+++ b/internal/core/scheduler/services.go
@@ -85,6 +85,7 @@
 			if !mine {
 				continue
 			}
+			key = c.liveKey(key)
 			wanted[key] = true
 			if c.entries[key] == nil {
 				c.startInstance(now, s, key)
@@ -110,6 +111,21 @@
 	return key, dc == c.cfg.DataCentre && split.Side(key, s.Name, s.NewPercent) == model.NewSide
 }
 
+// liveKey returns the key under which an instance runs or can start. A final
+// fate never changes, so an instance that is asked for again after it was
+// cancelled gets the next generation of its key.
+func (c *Core) liveKey(key string) string {
+	for generation := 1; ; generation++ {
+		next := key
+		if generation > 1 {
+			next = fmt.Sprintf("%s~%d", key, generation)
+		}
+		if e := c.entries[next]; e == nil || (!e.rec.Fate.Terminal() && !e.rec.CancelRequested) {
+			return next
+		}
+	}
+}
+
 func (c *Core) isStanding(key string) bool {
 	return strings.HasPrefix(key, string(c.cfg.DataCentre)+":"+standingPrefix)
 }
--- /dev/null
+++ b/internal/core/scheduler/services_test.go
@@ -0,0 +1,83 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/text"
+)
+
+// instances returns the number of standing instances that run or start.
+func (b *bench) instances() int {
+	n := 0
+	for _, e := range b.c.entries {
+		if e.standing && e.rec.Tasks[0].State.HoldsWorker() && e.rec.Tasks[0].State != model.TaskStopping {
+			n++
+		}
+	}
+	return n
+}
+
+// scale publishes a number of instances for the whole cell; dc-a runs each second one.
+func (b *bench) scale(instances int) {
+	b.publish(func(c *text.Config) { c.Services[4].Instances = instances })
+	for key, e := range b.c.entries {
+		if e.standing && e.rec.Tasks[0].State == model.TaskStopping {
+			b.report(key, 0, model.TaskStopped)
+		}
+	}
+}
+
+// Guards against instances that stay stopped after the text asks for them
+// again, or run on after it does not.
+func TestInstancesFollowText(t *testing.T) {
+	b := newBench(t, "w1", "w2")
+	for _, n := range []int{4, 2, 4, 0, 2, 0} {
+		b.scale(n)
+		b.tick(time.Second)
+		assert.Equal(t, b.instances(), n/2, "with %d instances in the cell", n)
+	}
+	b.wantIdle()
+}
+
+// Guards against an instance that ends or fails and is not started again.
+func TestInstanceStartsAgainWhenItEnds(t *testing.T) {
+	for _, end := range []model.TaskState{model.TaskDone, model.TaskFailed, model.TaskStopped} {
+		t.Run(string(end), func(t *testing.T) {
+			b := newBench(t, "w1")
+			b.scale(1)
+			assert.Equal(t, b.instances(), 1)
+			for key := range b.c.entries {
+				b.report(key, 0, model.TaskRunning)
+				b.report(key, 0, end)
+			}
+			b.tick(time.Second)
+			assert.Equal(t, b.instances(), 1)
+		})
+	}
+}
+
+// Guards against a second copy of each instance after a takeover.
+func TestInstancesSurviveTakeover(t *testing.T) {
+	b := newBench(t, "w1")
+	b.scale(2)
+	b.scale(0)
+	b.scale(2)
+	assert.Equal(t, b.instances(), 1)
+	s := b.successor("w1")
+	s.publish(func(c *text.Config) { c.Services[4].Instances = 2 })
+	var running []model.RunningTask
+	for key, e := range b.c.entries {
+		if e.rec.Tasks[0].State.HoldsWorker() {
+			running = append(running, b.inventory(key, 0, model.TaskRunning))
+		}
+	}
+	s.grant("w1", "boot", running...)
+	s.serve(2)
+	assert.Equal(t, s.instances(), 1)
+	assert.Equal(t, len(s.starts), 0)
+	assert.Equal(t, len(s.stops), 0)
+}
