Tell "not run" of the old side only when the old system cannot have run it

A successor resumed a request of the old side as never sent. If it was then cancelled, or nothing could be sent until its deadline, callers were told "not run" although the earlier owner may have sent it. The same happened to a key in the band of a changed share that was cancelled while the old system was being asked, or whose lookup failed until the deadline.

After a takeover the old system is asked about a cancelled key, and its answer decides. Without an answer the fate is unknown at the deadline.

Replicating each send was ruled out: it delays every request of the old side.

--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -194,6 +194,11 @@
 	Fingerprint uint64 `json:"fingerprint"`
 }
 
+// Overdue reports whether the request may not start any more at now.
+func (r *Request) Overdue(now time.Time) bool {
+	return !r.Deadline.IsZero() && !now.Before(r.Deadline)
+}
+
 // TaskState is the state of one task.
 type TaskState string
 
--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -102,6 +102,9 @@
 	delegated bool
 	// lookup is set while the old system is asked for the key.
 	lookup bool
+	// maybeOld is set when an earlier owner may have sent the request to the
+	// old system.
+	maybeOld bool
 	// standing marks an instance that the text asks for.
 	standing bool
 	waitedAt time.Time
--- a/internal/core/scheduler/old.go
+++ b/internal/core/scheduler/old.go
@@ -11,10 +11,9 @@
 // lookupFirst asks the old system about a key that a change of share may have
 // moved. The caller sees the request as queued meanwhile.
 func (c *Core) lookupFirst(e *entry) (model.Record, *fault.Error) {
-	e.lookup = true
 	c.stat.Admitted++
 	c.changed(e)
-	c.out.OldLookups = append(c.out.OldLookups, e.rec.Request.Key)
+	c.askOld(e)
 	return c.view(e), nil
 }
 
@@ -28,28 +27,34 @@
 	e.lookup = false
 	switch {
 	case e.rec.Fate.Terminal():
-	case e.rec.CancelRequested:
-		c.settle(now, e, model.NotRun, model.ReasonCancelled)
 	case unavailable:
 		c.retryLookup(now, e)
 	case known:
 		e.rec.Side = model.OldSide
 		c.sendOld(e)
 		c.changed(e)
+	case e.rec.CancelRequested:
+		c.settle(now, e, model.NotRun, model.ReasonCancelled)
 	default:
 		e.rec.Side = split.Side(key, e.rec.Request.Service, c.newPercent(e.rec.Request.Service))
 		c.enterLate(now, e)
 	}
 }
 
+// askOld asks the old system whether it knows the key.
+func (c *Core) askOld(e *entry) {
+	e.lookup = true
+	c.out.OldLookups = append(c.out.OldLookups, e.rec.Request.Key)
+}
+
+// retryLookup asks again until the deadline. The old system may have run the
+// key, so nobody can say that it did not run.
 func (c *Core) retryLookup(now time.Time, e *entry) {
-	r := &e.rec.Request
-	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
-		c.settle(now, e, model.NotRun, model.ReasonDeadline)
+	if e.rec.Request.Overdue(now) {
+		c.settle(now, e, model.Unknown, model.ReasonOldUnavailable)
 		return
 	}
-	e.lookup = true
-	c.out.OldLookups = append(c.out.OldLookups, r.Key)
+	c.askOld(e)
 }
 
 // enterLate queues a request after the lookup. A refusal becomes its fate.
@@ -77,7 +82,7 @@
 }
 
 func (c *Core) runOld(e *entry) {
-	if e.rec.Tasks[0].State != model.TaskQueued {
+	if e.rec.Tasks[0].State != model.TaskQueued || e.lookup {
 		return
 	}
 	r := &e.rec.Request
@@ -118,22 +123,27 @@
 // retryOld sends the request again until its deadline. The old system runs a
 // key once, so a repeated send is safe.
 func (c *Core) retryOld(now time.Time, e *entry) {
-	r := &e.rec.Request
-	if !r.Deadline.IsZero() && !now.Before(r.Deadline) && e.rec.Started.IsZero() {
+	switch {
+	case e.rec.Started.IsZero() && e.rec.Request.Overdue(now) && e.maybeOld:
+		c.settle(now, e, model.Unknown, model.ReasonOldUnavailable)
+	case e.rec.Started.IsZero() && e.rec.Request.Overdue(now):
 		c.settle(now, e, model.NotRun, model.ReasonOldUnavailable)
-		return
-	}
-	if e.rec.CancelRequested {
-		c.settle(now, e, model.NotRun, model.ReasonCancelled)
-		return
+	case e.rec.CancelRequested:
+		c.cancelOld(now, e)
+	default:
+		c.runOld(e)
 	}
-	c.runOld(e)
 }
 
 // cancelOld withdraws a request that did not reach the old system yet. The old
-// system cannot cancel, so a sent request runs to its end.
+// system cannot cancel, so a sent request runs to its end. After a takeover the
+// old system has to tell whether it has the request.
 func (c *Core) cancelOld(now time.Time, e *entry) {
-	if e.rec.Tasks[0].State == model.TaskQueued {
+	switch {
+	case e.rec.Tasks[0].State != model.TaskQueued || e.lookup:
+	case e.maybeOld:
+		c.askOld(e)
+	default:
 		c.settle(now, e, model.NotRun, model.ReasonCancelled)
 	}
 }
--- /dev/null
+++ b/internal/core/scheduler/oldside_test.go
@@ -0,0 +1,142 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/split"
+	"catkinvalve/internal/text"
+)
+
+// onOldSide returns an owner whose request dc-a:k was sent to the old system.
+func onOldSide(t *testing.T) *bench {
+	b := newStandby(t)
+	b.carried = split.Carried{}
+	b.publish(func(c *text.Config) { c.Services[1].NewPercent = 0 })
+	b.serve(1)
+	r := b.request("dc-a:k", "once")
+	r.Deadline = b.now.Add(time.Minute)
+	_, err := b.c.Submit(b.now, r)
+	assert.Assert(t, err == nil, "%v", err)
+	b.run()
+	assert.Equal(t, len(b.oldRuns), 1)
+	return b
+}
+
+// Guards against telling "not run" after a takeover for a request that the
+// earlier owner may have sent to the old system.
+func TestOldSideTakeoverIsNotToldNotRun(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		act  func(*bench)
+	}{
+		{"cancelled before the next send", func(s *bench) { s.cancel("dc-a:k") }},
+		{"nothing sent until the deadline", func(s *bench) {
+			s.tick(2 * time.Minute)
+			s.c.OldReported(s.now, OldReport{Key: "dc-a:k", NotSent: true})
+		}},
+		{"cancelled, then nothing sent", func(s *bench) {
+			s.cancel("dc-a:k")
+			s.c.OldReported(s.now, OldReport{Key: "dc-a:k", NotSent: true})
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := onOldSide(t).successor()
+			s.c.Serve(s.now, Recovery{Term: 2, SyncedPeer: true, JournalRead: true})
+			tc.act(s)
+			s.run()
+			rec := s.record("dc-a:k")
+			assert.Assert(t, rec.Fate != model.NotRun, "fate %s, reason %s", rec.Fate, rec.Reason)
+			if !rec.Fate.Terminal() {
+				s.c.OldReported(s.now, OldReport{Key: "dc-a:k", Fate: model.Done, OK: true})
+				s.run()
+				s.wantFate("dc-a:k", model.Done)
+			}
+		})
+	}
+}
+
+// lookedUp returns an owner that asks the old system about dc-a:k, because the
+// share of its service grew from 0 to 100.
+func lookedUp(t *testing.T) *bench {
+	b := newStandby(t, "w1")
+	b.carried = split.Carried{}
+	b.publish(func(c *text.Config) { c.Services[1].NewPercent = 0 })
+	b.publish(func(c *text.Config) { c.Services[1].NewPercent = 100 })
+	b.serve(1)
+	b.grant("w1", "boot")
+	r := b.request("dc-a:k", "once")
+	r.Deadline = b.now.Add(time.Minute)
+	_, err := b.c.Submit(b.now, r)
+	assert.Assert(t, err == nil, "%v", err)
+	b.run()
+	assert.DeepEqual(t, b.lookups, []string{"dc-a:k"})
+	return b
+}
+
+// Guards against running a key on both sides after a change of share, and
+// against telling "not run" for a key that the old system may have run.
+func TestKeyInBandFollowsOldSystem(t *testing.T) {
+	answer := func(known, unavailable bool) func(*bench) {
+		return func(b *bench) { b.c.OldLookedUp(b.now, "dc-a:k", known, unavailable) }
+	}
+	cancel := func(b *bench) { b.cancel("dc-a:k") }
+	late := func(b *bench) { b.tick(2 * time.Minute) }
+	takeover := func(b *bench) {
+		s := b.successor("w1")
+		s.text, s.carried = b.text, b.carried
+		s.publish(func(*text.Config) {})
+		s.grant("w1", "boot")
+		s.serve(2)
+		assert.DeepEqual(b.t, s.lookups, []string{"dc-a:k"})
+		*b = *s
+	}
+	for _, tc := range []struct {
+		name   string
+		steps  []func(*bench)
+		want   model.Fate
+		onOld  int
+		starts int
+	}{
+		{"known", []func(*bench){answer(true, false)}, model.Queued, 1, 0},
+		{"not known", []func(*bench){answer(false, false)}, model.Queued, 0, 1},
+		{"no answer yet", []func(*bench){answer(false, true)}, model.Queued, 0, 0},
+		{"no answer until the deadline", []func(*bench){late, answer(false, true)}, model.Unknown, 0, 0},
+		{"cancelled, known", []func(*bench){cancel, answer(true, false)}, model.Queued, 1, 0},
+		{"cancelled, not known", []func(*bench){cancel, answer(false, false)}, model.NotRun, 0, 0},
+		{"cancelled, no answer yet", []func(*bench){cancel, answer(false, true)}, model.Queued, 0, 0},
+		{"takeover, known", []func(*bench){takeover, answer(true, false)}, model.Queued, 1, 0},
+		{"takeover, not known", []func(*bench){takeover, answer(false, false)}, model.Queued, 0, 1},
+		{"cancelled, takeover, known", []func(*bench){cancel, takeover, answer(true, false)}, model.Queued, 1, 0},
+		{"cancelled, takeover, not known", []func(*bench){cancel, takeover, answer(false, false)}, model.NotRun, 0, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := lookedUp(t)
+			b.t = t
+			for _, step := range tc.steps {
+				step(b)
+				b.run()
+			}
+			b.wantFate("dc-a:k", tc.want)
+			assert.Equal(t, len(b.oldRuns), tc.onOld)
+			assert.Equal(t, b.countStarts("dc-a:k"), tc.starts)
+		})
+	}
+}
+
+// Guards against sending a cancelled request to the old system after a takeover.
+func TestCancelledOldSideIsAskedNotRun(t *testing.T) {
+	b := onOldSide(t)
+	b.cancel("dc-a:k")
+	b.replicas["dc-a:k"] = b.record("dc-a:k")
+	s := b.successor()
+	s.serve(2)
+	assert.Equal(t, len(s.oldRuns), 0)
+	assert.DeepEqual(t, s.lookups, []string{"dc-a:k"})
+	s.c.OldLookedUp(s.now, "dc-a:k", false, false)
+	s.run()
+	s.wantFate("dc-a:k", model.NotRun)
+}
--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -111,13 +111,15 @@
 	c.changed(e)
 	switch {
 	case e.rec.Side == model.OldSide:
-		e.rec.Tasks[0].State = model.TaskQueued
+		e.rec.Tasks[0].State, e.maybeOld = model.TaskQueued, true
+		if e.rec.CancelRequested {
+			c.askOld(e)
+		}
 		return
 	case e.rec.DelegatedTo != "":
 		return
 	case e.untouched() && c.carried.NeedsLookup(now, e.rec.Request.Key, e.rec.Request.Service):
-		e.lookup = true
-		c.out.OldLookups = append(c.out.OldLookups, e.rec.Request.Key)
+		c.askOld(e)
 		return
 	}
 	gangQueued := false
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -310,6 +310,11 @@
 		return
 	}
 	e.rec.CancelRequested = true
+	if e.lookup {
+		// The old system may have run the key; its answer decides.
+		c.changed(e)
+		return
+	}
 	if e.rec.Side == model.OldSide {
 		c.cancelOld(now, e)
 		return
