Replicate cancellations; withdraw delegations that were not sent

A cancellation of a running request changed only the owner's memory. When the owner died before the worker got the stop, the successor let the request run to its end. A request cancelled between the decision to delegate it and the send was sent nevertheless, and its cancellation could arrive first and miss it.

After a takeover the delegation counts as sent, because an earlier owner may have sent it.

--- /dev/null
+++ b/internal/core/scheduler/cancel_test.go
@@ -0,0 +1,118 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+)
+
+// Guards against wrong fates of cancelled requests in each state of their task:
+// what was never sent is not_run, and the worker's word decides about the rest.
+func TestCancelInEachState(t *testing.T) {
+	running := func(b *bench) { b.report("dc-a:k", 0, model.TaskRunning) }
+	end := func(state model.TaskState) func(*bench) {
+		return func(b *bench) { b.report("dc-a:k", 0, state) }
+	}
+	nothing := func(*bench) {}
+	for _, tc := range []struct {
+		name          string
+		workers       []model.WorkerID
+		before, after func(*bench)
+		want          model.Fate
+		stops         int
+	}{
+		{"queued", nil, nothing, nothing, model.NotRun, 0},
+		{"starting, refused", []model.WorkerID{"w1"}, nothing, func(b *bench) { b.refuse("dc-a:k", 0) }, model.NotRun, 1},
+		{"starting, ran", []model.WorkerID{"w1"}, nothing, end(model.TaskDone), model.Done, 1},
+		{"running, stopped", []model.WorkerID{"w1"}, running, end(model.TaskStopped), model.Cancelled, 1},
+		{"running, finished first", []model.WorkerID{"w1"}, running, end(model.TaskDone), model.Done, 1},
+		{"running, failed first", []model.WorkerID{"w1"}, running, end(model.TaskFailed), model.Done, 1},
+		{"running, worker restarted", []model.WorkerID{"w1"}, running, func(b *bench) { b.grant("w1", "boot-2") }, model.Unknown, 1},
+		{"stopping, no answer", []model.WorkerID{"w1"}, running, nothing, model.Running, 1},
+		{"done", []model.WorkerID{"w1"}, end(model.TaskDone), nothing, model.Done, 0},
+	} {
+		for _, service := range []string{"batch", "once"} {
+			t.Run(tc.name+"/"+service, func(t *testing.T) {
+				b := newBench(t, tc.workers...)
+				b.submit("dc-a:k", service)
+				tc.before(b)
+				b.cancel("dc-a:k")
+				b.cancel("dc-a:k")
+				tc.after(b)
+				b.tick(time.Second)
+				b.wantFate("dc-a:k", tc.want)
+				assert.Equal(t, len(b.stops["w1"]), tc.stops)
+				assert.Assert(t, b.countStarts("dc-a:k") <= 1)
+				if tc.want.Terminal() {
+					b.wantIdle()
+				}
+			})
+		}
+	}
+}
+
+// Guards against sending a start after the request was told not_run: the
+// cancellation arrives while the start waits for the standbys.
+func TestCancelBeforeReplication(t *testing.T) {
+	b := newBench(t, "w1")
+	b.slow = true
+	b.submit("dc-a:k", "once")
+	b.wantTask("dc-a:k", 0, model.TaskStarting)
+	b.cancel("dc-a:k")
+	b.c.Replicated("dc-a:k", b.record("dc-a:k").Version)
+	b.run()
+	b.wantFate("dc-a:k", model.NotRun)
+	assert.Equal(t, b.countStarts("dc-a:k"), 0)
+	b.wantIdle()
+}
+
+// Guards against a cancellation that is forgotten with its owner.
+func TestCancellationSurvivesTakeover(t *testing.T) {
+	b := newBench(t, "w1")
+	b.submit("dc-a:k", "batch")
+	b.report("dc-a:k", 0, model.TaskRunning)
+	b.cancel("dc-a:k")
+	s := b.successor("w1")
+	s.grant("w1", "boot", b.inventory("dc-a:k", 0, model.TaskRunning))
+	s.serve(2)
+	assert.Equal(t, len(s.stops["w1"]), 1)
+	s.report("dc-a:k", 0, model.TaskStopped)
+	s.wantFate("dc-a:k", model.Cancelled)
+	s.wantIdle()
+}
+
+// Guards against delegating a request that was cancelled before the delegation
+// was sent.
+func TestCancelBeforeDelegation(t *testing.T) {
+	b := waitingForDelegation(t)
+	b.slow = true
+	b.tick(0)
+	assert.Equal(t, b.record("dc-a:k").DelegatedTo, dcOther)
+	b.cancel("dc-a:k")
+	b.c.Replicated("dc-a:k", b.record("dc-a:k").Version)
+	b.run()
+	b.wantFate("dc-a:k", model.NotRun)
+	assert.Equal(t, len(b.delegations)+len(b.cancels), 0)
+	b.wantIdle()
+}
+
+// Guards against calling a request not_run that an earlier owner delegated.
+func TestCancelAfterTakeoverOfDelegation(t *testing.T) {
+	s := delegated(t).successor()
+	s.slow = true
+	s.serve(2)
+	s.cancel("dc-a:k")
+	assert.Assert(t, !s.record("dc-a:k").Fate.Terminal())
+	assert.Equal(t, len(s.cancels), 1)
+	s.slow = false
+	s.c.Replicated("dc-a:k", s.record("dc-a:k").Version)
+	s.run()
+	assert.Equal(t, len(s.delegations), 1)
+	s.c.DelegateReported(s.now, DelegateReport{Key: "dc-a:k", Record: &model.Record{Fate: model.Cancelled, Tasks: []model.TaskRecord{{}}}})
+	s.run()
+	s.wantFate("dc-a:k", model.Cancelled)
+	s.wantIdle()
+}
--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -113,7 +113,7 @@
 // taskRuntime is the owner's volatile state of one task.
 type taskRuntime struct {
 	// startAt is the record version that must be replicated before the start
-	// is sent; 0 when no start is pending.
+	// or the delegation is sent; 0 when none is pending.
 	startAt uint64
 	charged model.Size
 	began   time.Time
--- a/internal/core/scheduler/delegate.go
+++ b/internal/core/scheduler/delegate.go
@@ -58,7 +58,7 @@
 	to := c.remote[dc]
 	to.free = to.free.Sub(it.Size)
 	e.rec.DelegatedTo = dc
-	e.tasks[it.Index].charged = it.Size
+	e.tasks[it.Index].charged, e.tasks[it.Index].startAt = it.Size, e.rec.Version+1
 	c.stat.DelegatedOut++
 	c.changed(e)
 	return true
@@ -106,7 +106,7 @@
 	if e.delegated {
 		return
 	}
-	e.delegated = true
+	e.delegated, e.tasks[0].startAt = true, 0
 	r := e.rec.Request
 	if r.IssuedAt.IsZero() || e.waitedAt.After(r.IssuedAt) {
 		// The receiver has never seen the request before this time.
@@ -164,7 +164,10 @@
 }
 
 func (c *Core) cancelDelegated(now time.Time, e *entry) {
-	c.changed(e)
+	if e.tasks[0].startAt != 0 {
+		c.takeBack(now, e)
+		return
+	}
 	c.out.DelegateCancels = append(c.out.DelegateCancels, Delegation{To: e.rec.DelegatedTo, Request: e.rec.Request})
 }
 
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -310,19 +310,23 @@
 		return
 	}
 	e.rec.CancelRequested = true
-	if e.lookup {
+	switch {
+	case e.lookup:
 		// The old system may have run the key; its answer decides.
-		c.changed(e)
-		return
-	}
-	if e.rec.Side == model.OldSide {
+	case e.rec.Side == model.OldSide:
 		c.cancelOld(now, e)
-		return
-	}
-	if e.rec.DelegatedTo != "" {
+	case e.rec.DelegatedTo != "":
 		c.cancelDelegated(now, e)
-		return
+	default:
+		c.cancelTasks(now, e)
+	}
+	if !e.rec.Fate.Terminal() {
+		c.changed(e)
 	}
+}
+
+// cancelTasks stops what may have started and drops the rest.
+func (c *Core) cancelTasks(now time.Time, e *entry) {
 	for i := range e.rec.Tasks {
 		t := &e.rec.Tasks[i]
 		if t.State.HoldsWorker() && e.tasks[i].startAt == 0 && t.State != model.TaskStopping {
--- a/internal/core/scheduler/takeover_test.go
+++ b/internal/core/scheduler/takeover_test.go
@@ -44,12 +44,19 @@
 	assert.Equal(t, len(b.delegations), 1)
 }
 
-// delegated returns an owner without workers that delegated dc-a:k.
-func delegated(t *testing.T) *bench {
+// waitingForDelegation returns an owner without workers whose request dc-a:k
+// leaves for another data centre at the next tick.
+func waitingForDelegation(t *testing.T) *bench {
 	b := newBench(t)
 	b.submit("dc-a:k", "quick")
 	b.now = b.now.Add(time.Second)
 	b.c.SetRemote(b.now, dcOther, "r", membership.Load{Free: oneSlot.Times(4), LargestFree: oneSlot.Times(4), Workers: 1})
+	return b
+}
+
+// delegated returns an owner that delegated dc-a:k.
+func delegated(t *testing.T) *bench {
+	b := waitingForDelegation(t)
 	b.tick(0)
 	assert.Equal(t, len(b.delegations), 1)
 	return b
