Keep an operator's drain when the instance list shows the worker as live

Drain marked the worker as leaving, and the next instance list, read once a second, cleared the mark. The operator's request now outlives lists.

Before: TestDrainOutlivesInstanceList sees a start after the next list.

--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -127,6 +127,8 @@
 	contact  time.Time
 	leaving  bool
 	leavedAt time.Time
+	// asked is set when an operator asked for the drain, whatever the list says.
+	asked bool
 	// probing is set while the one task that may bring the worker back from
 	// quarantine runs.
 	probing bool
--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -43,8 +43,8 @@
 		c.index.Upsert(c.usable(l.Worker))
 		c.setState(now, l.Worker.ID)
 	}
-	if l.Leaving != w.leaving {
-		c.setLeaving(now, w, l.Leaving)
+	if leaving := l.Leaving || w.asked; leaving != w.leaving {
+		c.setLeaving(now, w, leaving)
 	}
 }
 
@@ -66,6 +66,7 @@
 	if w == nil {
 		return 0, false
 	}
+	w.asked = true
 	if !w.leaving {
 		c.setLeaving(now, w, true)
 	}
