Compare inventories by attempt when looking for lost starts

A worker's inventory also lists finished attempts. The check for tasks that the inventory lacks compared tasks without their attempt, so an earlier attempt hid that the start of a later one was lost, and the task stayed starting for ever.

Before: TestInventoryWithOlderAttemptOnly stays at attempt 2.

--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -130,9 +130,9 @@
 	}
 	c.index.Upsert(c.usable(w.worker))
 	c.forgetLeftovers(g.Worker)
-	listed := make(map[model.TaskID]bool, len(g.Tasks))
+	listed := make(map[attemptID]bool, len(g.Tasks))
 	for _, t := range g.Tasks {
-		listed[t.ID] = true
+		listed[attemptID{t.ID, t.Attempt}] = true
 		c.adopt(now, g.Worker, t)
 	}
 	c.reconcileMissing(now, g.Worker, listed)
@@ -202,14 +202,21 @@
 	return e
 }
 
+// attemptID identifies an attempt of a task. An inventory also lists finished
+// attempts, which say nothing about a later one.
+type attemptID struct {
+	task    model.TaskID
+	attempt int
+}
+
 // reconcileMissing handles tasks that the records place on a worker whose
-// inventory does not list them.
-func (c *Core) reconcileMissing(now time.Time, w model.WorkerID, listed map[model.TaskID]bool) {
+// inventory does not list their present attempt.
+func (c *Core) reconcileMissing(now time.Time, w model.WorkerID, listed map[attemptID]bool) {
 	for _, id := range c.assigned(w) {
 		e := c.entries[id.Key]
 		t := &e.rec.Tasks[id.Index]
 		switch {
-		case listed[id]:
+		case listed[attemptID{id, t.Attempt}]:
 		case t.State == model.TaskStarting && e.tasks[id.Index].startAt != 0:
 			// Not sent yet; it goes out under the new lease.
 		default:
