Return the quota of an attempt that a newer one in an inventory replaces

Adopting a newer attempt from another worker's inventory charged the team again without returning the charge of the attempt that the record had.

--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -162,6 +162,7 @@
 	stopping := rec.State == model.TaskStopping
 	rec.Worker, rec.Attempt = w, t.Attempt
 	if !known {
+		c.release(e, t.ID.Index)
 		rec.State, rec.Planned = model.TaskStarting, t.Size
 		c.queue.RemoveTask(t.ID.Key, t.ID.Index)
 		c.reserveAdopted(now, e, w, t)
