Call a cancelled request not_run only if no attempt at home ran

A request that ran at home, was preempted and delegated, and whose delegation was refused after a cancellation was settled as not_run without a look at its earlier attempts.

Before: TestCancelOfRefusedDelegationThatRan gets not_run instead of cancelled.

--- a/internal/core/scheduler/cancel_test.go
+++ b/internal/core/scheduler/cancel_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"catkinvalve/internal/core/membership"
 	"catkinvalve/internal/core/model"
 )
 
@@ -116,3 +117,22 @@
 	s.wantFate("dc-a:k", model.Cancelled)
 	s.wantIdle()
 }
+
+// Guards against calling a request not_run that ran at home, was preempted, and
+// was then refused by another data centre.
+func TestCancelOfRefusedDelegationThatRan(t *testing.T) {
+	b := newBench(t, "w1")
+	b.submit("dc-a:k", "batch")
+	b.report("dc-a:k", 0, model.TaskRunning)
+	b.c.Drain(b.now, "w1")
+	b.tick(time.Second)
+	b.now = b.now.Add(time.Second)
+	b.c.SetRemote(b.now, dcOther, "r", membership.Load{Free: oneSlot.Times(4), LargestFree: oneSlot.Times(4), Workers: 1})
+	b.report("dc-a:k", 0, model.TaskStopped)
+	assert.Equal(t, len(b.delegations), 1)
+	b.cancel("dc-a:k")
+	b.c.DelegateReported(b.now, DelegateReport{Key: "dc-a:k", NotRun: true})
+	b.run()
+	b.wantFate("dc-a:k", model.Cancelled)
+	b.wantIdle()
+}
--- a/internal/core/scheduler/delegate.go
+++ b/internal/core/scheduler/delegate.go
@@ -156,7 +156,9 @@
 	e.rec.DelegatedTo, e.delegated = "", false
 	c.release(e, 0)
 	if e.rec.CancelRequested {
-		c.settle(now, e, model.NotRun, model.ReasonCancelled)
+		// An earlier attempt at home may have run.
+		e.rec.Tasks[0].State = model.TaskStopped
+		c.settleIfEnded(now, e)
 		return
 	}
 	c.requeue(now, e, 0, 0)
