Hold restored requests back while the data centre is in doubt

Without a synced peer a new owner may only have an old copy of a record. In doubt it refused unknown keys, but started restored ones whose copy says queued, although the lost owner may have started them on a worker that has not granted its lease yet. A non-idempotent request could run twice, and one whose deadline passed or that was cancelled was told not_run.

Restored requests now wait like retries of unknown keys do: until the doubt ends, or the task grace for idempotent ones. Those that end before are unknown.

--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -107,6 +107,9 @@
 	maybeOld bool
 	// standing marks an instance that the text asks for.
 	standing bool
+	// restored marks a record of an earlier owner; it may be out of date while
+	// the data centre is in doubt.
+	restored bool
 	waitedAt time.Time
 }
 
--- /dev/null
+++ b/internal/core/scheduler/doubt_test.go
@@ -0,0 +1,127 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/fault"
+)
+
+// graceTime is how long tasks of an unreachable worker may run on.
+const graceTime = 36 * time.Second
+
+// inDoubt returns an owner that has no synced peer. Its worker w1 has not
+// granted a lease yet, w2 has. The record of dc-a:k says queued.
+func inDoubt(t *testing.T, service string, deadline time.Duration) *bench {
+	b := newBench(t)
+	r := b.request("dc-a:k", service)
+	if deadline > 0 {
+		r.Deadline = b.now.Add(deadline)
+	}
+	_, err := b.c.Submit(b.now, r)
+	assert.Assert(t, err == nil, "%v", err)
+	b.run()
+	s := b.successor("w1", "w2")
+	s.grant("w2", "boot")
+	s.c.Serve(s.now, Recovery{Term: 2, JournalRead: true})
+	s.run()
+	assert.Assert(t, s.c.InDoubt())
+	return s
+}
+
+// Guards against starting a request again from a record that is older than its
+// last state: the lost owner may have started it on a worker that is silent.
+func TestRestoredRequestWaitsInDoubt(t *testing.T) {
+	listed := func(state model.TaskState) []model.RunningTask {
+		return []model.RunningTask{{
+			ID: model.TaskID{Key: "dc-a:k"}, Attempt: 1, Service: "once", Size: oneSlot, State: state, OK: true,
+		}}
+	}
+	for _, tc := range []struct {
+		name, service string
+		deadline      time.Duration
+		act           func(*bench)
+		want          model.Fate
+		starts        int
+	}{
+		{"nothing new", "once", 0, func(b *bench) { b.tick(time.Second) }, model.Queued, 0},
+		{"after the grace", "once", 0, func(b *bench) { b.tick(graceTime) }, model.Queued, 0},
+		{"after the grace, idempotent", "batch", 0, func(b *bench) { b.tick(graceTime) }, model.Queued, 1},
+		{"the worker has nothing", "once", 0, func(b *bench) { b.grant("w1", "boot") }, model.Queued, 1},
+		{"the worker runs it", "once", 0, func(b *bench) { b.grant("w1", "boot", listed(model.TaskRunning)...) }, model.Running, 0},
+		{"the worker ran it", "once", 0, func(b *bench) { b.grant("w1", "boot", listed(model.TaskDone)...) }, model.Done, 0},
+		{"the worker left", "once", 0, func(b *bench) { b.list("w2"); b.tick(0) }, model.Queued, 1},
+		{"deadline", "once", time.Second, func(b *bench) { b.tick(2 * time.Second) }, model.Unknown, 0},
+		{"cancelled", "once", 0, func(b *bench) { b.cancel("dc-a:k") }, model.Unknown, 0},
+		{"worker, then cancelled", "gang", 0, func(b *bench) { b.grant("w1", "boot-2"); b.cancel("dc-a:k") }, model.Queued, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := inDoubt(t, tc.service, tc.deadline)
+			tc.act(b)
+			b.wantFate("dc-a:k", tc.want)
+			assert.Equal(t, b.countStarts("dc-a:k"), tc.starts)
+		})
+	}
+}
+
+// Guards against accepting a key that may have run before the loss, against
+// refusing new ones, and against a doubt that never ends.
+func TestDoubtBeginsAndEnds(t *testing.T) {
+	b := inDoubt(t, "once", 0)
+	began := b.now
+	submit := func(key, service string, issued time.Time) *fault.Error {
+		r := b.request(key, service)
+		r.IssuedAt = issued
+		_, err := b.c.Submit(b.now, r)
+		b.run()
+		return err
+	}
+	wantFault(t, submit("dc-a:1", "once", time.Time{}), fault.FateInDoubt)
+	wantFault(t, submit("dc-a:1", "once", began), fault.FateInDoubt)
+	wantFault(t, submit("dc-a:2", "batch", time.Time{}), fault.FateInDoubt)
+	assert.Assert(t, submit("dc-a:3", "once", began.Add(time.Second)) == nil)
+	_, err := b.c.Fate("dc-a:1")
+	wantFault(t, err, fault.FateInDoubt)
+	b.tick(graceTime)
+	wantFault(t, submit("dc-a:1", "once", time.Time{}), fault.FateInDoubt)
+	assert.Assert(t, submit("dc-a:2", "batch", time.Time{}) == nil)
+	b.grant("w1", "boot")
+	assert.Assert(t, !b.c.InDoubt())
+	assert.Assert(t, submit("dc-a:1", "once", time.Time{}) == nil)
+	_, err = b.c.Fate("dc-a:4")
+	wantFault(t, err, fault.NotFound)
+}
+
+// Guards against ending the doubt while one source of records is missing.
+func TestDoubtNeedsEverySource(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		recovery Recovery
+		answer   func(*bench)
+	}{
+		{"journal", Recovery{Term: 1}, func(b *bench) { b.c.JournalRead(b.now) }},
+		{"other data centre", Recovery{Term: 1, JournalRead: true, Unasked: []model.DataCentre{dcOther}}, func(b *bench) { b.c.HomeAnswered(b.now, dcOther) }},
+		{"worker", Recovery{Term: 1, JournalRead: true}, func(b *bench) { b.grant("w1", "boot") }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newStandby(t, "w1")
+			if tc.name != "worker" {
+				b.grant("w1", "boot")
+			}
+			b.c.Serve(b.now, tc.recovery)
+			b.tick(time.Second)
+			assert.Assert(t, b.c.InDoubt())
+			tc.answer(b)
+			assert.Assert(t, !b.c.InDoubt())
+		})
+	}
+	t.Run("retention", func(t *testing.T) {
+		b := newStandby(t, "w1")
+		b.c.Serve(b.now, Recovery{Term: 1})
+		b.tick(DefaultRetention + time.Second)
+		assert.Assert(t, !b.c.InDoubt())
+	})
+}
--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -107,7 +107,7 @@
 	if home := c.Home(e.rec.Request.Key); home != c.cfg.DataCentre {
 		e.home = home
 	}
-	e.standing = c.isStanding(e.rec.Request.Key)
+	e.standing, e.restored = c.isStanding(e.rec.Request.Key), true
 	c.changed(e)
 	switch {
 	case e.rec.Side == model.OldSide:
@@ -249,6 +249,23 @@
 	return false
 }
 
+// mayHaveStarted reports whether a request that waits by its record may have
+// been started by an earlier owner whose last records are lost.
+func (c *Core) mayHaveStarted(e *entry) bool { return c.doubt != nil && e.restored }
+
+// held reports whether a restored request has to wait for the sources that are
+// still missing. A forgotten attempt of an idempotent one has ended after the
+// task grace.
+func (c *Core) held(now time.Time, e *entry) bool {
+	return c.mayHaveStarted(e) && !(e.rec.Request.Idempotent && c.doubt.graceOver(now, c.cfg))
+}
+
+// graceOver reports whether workers that no owner leased since the takeover
+// have stopped their tasks.
+func (d *doubt) graceOver(now time.Time, cfg Config) bool {
+	return now.Sub(d.since) > cfg.LeaseTTL+cfg.TaskGrace+lostMargin
+}
+
 // checkDoubt refuses a new key that may have run before the data centre lost
 // its records. Requests issued after the loss cannot have.
 func (c *Core) checkDoubt(now time.Time, r model.Request) *fault.Error {
@@ -256,7 +273,7 @@
 	if d == nil || (!r.IssuedAt.IsZero() && r.IssuedAt.After(d.since)) {
 		return nil
 	}
-	if r.Idempotent && now.Sub(d.since) > c.cfg.LeaseTTL+c.cfg.TaskGrace+lostMargin {
+	if r.Idempotent && d.graceOver(now, c.cfg) {
 		return nil
 	}
 	return fault.New(fault.FateInDoubt,
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -217,7 +217,7 @@
 	}
 	e.rec.Answer = joinAnswers(e.rec.Tasks, size)
 	switch {
-	case lost > 0:
+	case lost > 0, e.rec.Started.IsZero() && c.mayHaveStarted(e):
 		c.settle(now, e, model.Unknown, model.ReasonWorkerLost)
 	case e.rec.Started.IsZero():
 		c.settle(now, e, model.NotRun, e.reasonOr(model.ReasonCancelled))
--- a/internal/core/scheduler/schedule.go
+++ b/internal/core/scheduler/schedule.go
@@ -32,7 +32,7 @@
 
 func (c *Core) try(now time.Time, it queue.Item) queue.Verdict {
 	e := c.entries[it.Key]
-	if e == nil || e.rec.Fate.Terminal() || e.rec.DelegatedTo != "" {
+	if e == nil || e.rec.Fate.Terminal() || e.rec.DelegatedTo != "" || c.held(now, e) {
 		return queue.Skip
 	}
 	if it.Class == model.AllAtOnce {
