Let a recovered delegation correct an older record of the home

A new owner whose copy of a record is older than the delegation ignored the other data centre's answer about it and started the request at home as well.

Before: TestRecoveredDelegationIsNotStartedAtHome sees a start at home.

--- a/internal/core/scheduler/delegate.go
+++ b/internal/core/scheduler/delegate.go
@@ -165,6 +165,13 @@
 	c.changed(e)
 }
 
+// waitsAtHome reports whether a record of an earlier owner says that its single
+// task waits at home.
+func (c *Core) waitsAtHome(e *entry) bool {
+	return (e.restored || !c.serving) && e.rec.Side == model.NewSide && e.rec.DelegatedTo == "" && !e.lookup &&
+		len(e.rec.Tasks) == 1 && e.rec.Tasks[0].State == model.TaskQueued
+}
+
 func (c *Core) cancelDelegated(now time.Time, e *entry) {
 	if e.tasks[0].startAt != 0 {
 		c.takeBack(now, e)
@@ -210,9 +217,17 @@
 	return out, nil
 }
 
-// RestoreDelegated adds a request that another data centre runs for this one.
+// RestoreDelegated adds a request that another data centre runs for this one. A
+// record that does not know of the delegation yet learns of it.
 func (c *Core) RestoreDelegated(dc model.DataCentre, rec model.Record) {
-	if c.entries[rec.Request.Key] != nil {
+	if e := c.entries[rec.Request.Key]; e != nil {
+		if rec.Fate != model.NotRun && c.waitsAtHome(e) {
+			e.rec.DelegatedTo = dc
+			c.queue.Remove(rec.Request.Key)
+			if c.serving {
+				c.changed(e)
+			}
+		}
 		return
 	}
 	e := &entry{rec: copyRecord(&rec), tasks: make([]taskRuntime, len(rec.Tasks))}
--- /dev/null
+++ b/internal/core/scheduler/delegate_test.go
@@ -0,0 +1,102 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/fault"
+)
+
+// Guards against a delegated request that runs at home as well, is lost, or
+// gets a fate that the other data centre did not report.
+func TestDelegatedRequestFollowsReports(t *testing.T) {
+	record := func(f model.Fate) DelegateReport {
+		return DelegateReport{Key: "dc-a:k", Record: &model.Record{Fate: f, OK: f == model.Done, Tasks: []model.TaskRecord{{}}}}
+	}
+	for _, tc := range []struct {
+		name    string
+		reports []DelegateReport
+		cancel  bool
+		want    model.Fate
+		home    bool // waits at home again
+	}{
+		{"queued there", []DelegateReport{record(model.Queued)}, false, model.Queued, false},
+		{"running there", []DelegateReport{record(model.Running)}, false, model.Running, false},
+		{"done there", []DelegateReport{record(model.Running), record(model.Done)}, false, model.Done, false},
+		{"unknown there", []DelegateReport{record(model.Unknown)}, false, model.Unknown, false},
+		{"refused", []DelegateReport{{Key: "dc-a:k", NotRun: true}}, false, model.Queued, true},
+		{"accepted, then shed there", []DelegateReport{record(model.Queued), record(model.NotRun)}, false, model.Queued, true},
+		{"answer was lost", []DelegateReport{{Key: "dc-a:k"}}, false, model.Queued, false},
+		{"cancelled, stopped there", []DelegateReport{record(model.Running), record(model.Cancelled)}, true, model.Cancelled, false},
+		{"cancelled, refused", []DelegateReport{{Key: "dc-a:k", NotRun: true}}, true, model.NotRun, false},
+		{"cancelled, finished first", []DelegateReport{record(model.Done)}, true, model.Done, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := delegated(t)
+			if tc.cancel {
+				b.cancel("dc-a:k")
+				assert.Equal(t, len(b.cancels), 1)
+			}
+			for _, r := range tc.reports {
+				b.c.DelegateReported(b.now, r)
+				b.run()
+			}
+			b.wantFate("dc-a:k", tc.want)
+			assert.Equal(t, b.record("dc-a:k").DelegatedTo == "", tc.home || tc.want == model.NotRun)
+			assert.Equal(t, len(b.c.Waiting()) == 1, tc.home)
+			if tc.want.Terminal() {
+				b.wantIdle()
+			}
+		})
+	}
+}
+
+// Guards against starting a request at home while another data centre runs it:
+// the new owner's copy of the record is older than the delegation.
+func TestRecoveredDelegationIsNotStartedAtHome(t *testing.T) {
+	remote := model.Record{
+		Request: model.Request{Key: "dc-a:k", Service: "once", Class: model.Batch, Size: oneSlot, Tasks: 1}, Side: model.NewSide,
+		Fate: model.Running, Tasks: []model.TaskRecord{{State: model.TaskRunning, Worker: "x", Attempt: 1}},
+	}
+	for _, late := range []bool{false, true} {
+		b := newBench(t)
+		b.submit("dc-a:k", "once")
+		s := b.successor("w1")
+		s.grant("w1", "boot")
+		if !late {
+			s.c.RestoreDelegated(dcOther, remote)
+		}
+		s.c.Serve(s.now, Recovery{Term: 2, JournalRead: true, Unasked: []model.DataCentre{dcOther}})
+		s.run()
+		if late {
+			s.c.RestoreDelegated(dcOther, remote)
+		}
+		s.c.HomeAnswered(s.now, dcOther)
+		s.tick(time.Second)
+		assert.Equal(t, s.countStarts("dc-a:k"), 0)
+		assert.Equal(t, len(s.delegations), 1, "the new owner must follow the request")
+		s.c.DelegateReported(s.now, DelegateReport{Key: "dc-a:k", Record: &model.Record{Fate: model.Done, Tasks: []model.TaskRecord{{}}}})
+		s.run()
+		s.wantFate("dc-a:k", model.Done)
+		s.wantIdle()
+	}
+}
+
+// Guards against a delegation of an owner that lost its term.
+func TestDelegationOfOldTermIsRefused(t *testing.T) {
+	b := newBench(t, "w1")
+	r := b.request("dc-b:k", "once")
+	_, err := b.c.SubmitDelegated(b.now, dcOther, 5, r)
+	assert.Assert(t, err == nil, "%v", err)
+	b.run()
+	records, err := b.c.RecoverHome(dcOther, 6)
+	assert.Assert(t, err == nil, "%v", err)
+	assert.Equal(t, len(records), 1)
+	r.Key = "dc-b:2"
+	_, err = b.c.SubmitDelegated(b.now, dcOther, 5, r)
+	wantFault(t, err, fault.StaleTerm)
+	assert.Equal(t, b.countStarts("dc-b:2"), 0)
+}
