Let a request preempt again when others took the room

A request that had tasks stopped to make room could not do so again until it was placed. When other work or a leftover took the room, it waited for a task to end by itself, whatever its urgency. It may now preempt again after 3 s, which leaves urgent work two tries within its 9.5 s.

Before: TestPreemptionIsRepeatedWhenRoomWasTaken sees one stop in a minute.

--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -96,8 +96,9 @@
 	// settleAt is the version after which the final fate may be told.
 	settleAt uint64
 	tasks    []taskRuntime
-	// preempting is set while victims are stopped to make room.
-	preempting bool
+	// preempted is when tasks were last stopped to make room; zero once the
+	// request was placed.
+	preempted time.Time
 	// delegated is set once the delegation was handed to the daemon.
 	delegated bool
 	// lookup is set while the old system is asked for the key.
--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -186,7 +186,7 @@
 			}
 		}
 		e.tasks = make([]taskRuntime, len(e.rec.Tasks))
-		e.preempting, e.lookup, e.delegated = false, false, false
+		e.preempted, e.lookup, e.delegated = time.Time{}, false, false
 		c.queue.Remove(e.rec.Request.Key)
 	}
 }
--- a/internal/core/scheduler/schedule.go
+++ b/internal/core/scheduler/schedule.go
@@ -136,7 +136,7 @@
 
 // placed publishes the new assignment to the standbys.
 func (c *Core) placed(e *entry) {
-	e.preempting = false
+	e.preempted = time.Time{}
 	c.changed(e)
 }
 
@@ -166,16 +166,20 @@
 	}
 }
 
+// preemptPause is the wait for the room of stopped tasks before more are
+// stopped. Urgent work has to start within 9.5 s even if others take the room.
+const preemptPause = 3 * time.Second
+
 // preempt stops batch tasks by checkpoint to make room for urgent work.
 func (c *Core) preempt(now time.Time, e *entry, n placement.Need) {
-	if e.preempting || n.Class == model.Batch {
+	if now.Sub(e.preempted) < preemptPause || n.Class == model.Batch {
 		return
 	}
 	victims, _, ok := c.index.Preempt(n, c.preemptible)
 	if !ok {
 		return
 	}
-	e.preempting = true
+	e.preempted = now
 	for _, id := range victims {
 		c.stat.Preempted++
 		c.stopTask(c.entries[id.Key], id.Index, StopCheckpoint)
