Refuse jobs that fit no worker when capacities become known later

A job that was accepted before every worker had shown its capacity was never checked again. If it fits no worker it waited for ever without a reason.

Before: the last case of TestJobThatFitsNoWorker stays queued.

--- /dev/null
+++ b/internal/core/scheduler/admit_test.go
@@ -0,0 +1,114 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/text"
+)
+
+// Guards against shedding more urgent or running work, and against a shed
+// request that is started later.
+func TestShedRequestIsNotRun(t *testing.T) {
+	b := newBench(t)
+	b.publish(func(c *text.Config) { c.Limits.QueueTotal = 2 })
+	b.submit("dc-a:1", "once")
+	b.submit("dc-a:2", "once")
+	_, err := b.c.Submit(b.now, b.request("dc-a:3", "once"))
+	wantFault(t, err, fault.Overloaded)
+	b.submit("dc-a:q", "quick")
+	b.wantFate("dc-a:1", model.Queued)
+	b.wantFate("dc-a:2", model.NotRun)
+	assert.Equal(t, b.record("dc-a:2").Reason, model.ReasonShed)
+	b.list("w1")
+	b.grant("w1", "boot")
+	assert.Equal(t, b.countStarts("dc-a:2"), 0)
+	_, err = b.c.Fate("dc-a:3")
+	wantFault(t, err, fault.NotFound)
+}
+
+// Guards against forgetting a non-idempotent key when the record table is full:
+// a late retry would run it again.
+func TestFullRecordTable(t *testing.T) {
+	b := newBench(t, "w1")
+	b.c.cfg.MaxRecords = 10
+	finish := func(key, service string) *fault.Error {
+		_, err := b.c.Submit(b.now, b.request(key, service))
+		if err != nil {
+			return err
+		}
+		b.run()
+		b.report(key, 0, model.TaskDone)
+		return nil
+	}
+	for i := range 10 {
+		service := map[bool]string{true: "once", false: "batch"}[i%2 == 0]
+		assert.Assert(t, finish(fmt.Sprintf("dc-a:%d", i), service) == nil)
+	}
+	b.tick(2 * sweepInterval)
+	assert.Assert(t, finish("dc-a:10", "once") == nil, "a record of an idempotent request must give way")
+	for i := 11; i < 20; i++ {
+		b.tick(2 * sweepInterval)
+		if err := finish(fmt.Sprintf("dc-a:%d", i), "once"); err != nil {
+			wantFault(t, err, fault.Overloaded)
+			break
+		}
+	}
+	for i := 0; i < 10; i += 2 {
+		b.wantFate(fmt.Sprintf("dc-a:%d", i), model.Done)
+	}
+	b.tick(2 * sweepInterval)
+	wantFault(t, finish("dc-a:late", "once"), fault.Overloaded)
+	b.tick(DefaultRetention + time.Second)
+	assert.Assert(t, finish("dc-a:late", "once") == nil, "records past the retention must give way")
+}
+
+// Guards against a job that waits for ever for a worker that does not exist.
+func TestJobThatFitsNoWorker(t *testing.T) {
+	large := func(b *bench, tasks int, size model.Size) *fault.Error {
+		r := b.request("dc-a:k", "gang")
+		r.Tasks, r.Size = tasks, size
+		_, err := b.c.Submit(b.now, r)
+		b.run()
+		return err
+	}
+	t.Run("task larger than every worker", func(t *testing.T) {
+		wantFault(t, large(newBench(t, "w1"), 2, oneSlot.Times(3)), fault.CanNeverRun)
+	})
+	t.Run("gang larger than the data centre", func(t *testing.T) {
+		wantFault(t, large(newBench(t, "w1"), 3, oneSlot), fault.CanNeverRun)
+	})
+	t.Run("larger than what is free", func(t *testing.T) {
+		b := newBench(t, "w1")
+		b.submit("dc-a:b", "once")
+		assert.Assert(t, large(b, 2, oneSlot) == nil)
+		b.wantFate("dc-a:k", model.Queued)
+	})
+	t.Run("accepted before the workers were known", func(t *testing.T) {
+		b := newStandby(t, "w1")
+		b.serve(1)
+		assert.Assert(t, large(b, 3, oneSlot) == nil)
+		b.grant("w1", "boot")
+		b.tick(time.Second)
+		b.wantFate("dc-a:k", model.NotRun)
+		assert.Equal(t, b.record("dc-a:k").Reason, model.ReasonNeverFits)
+	})
+}
+
+// Guards against a second request under a used key, and against a repeated
+// submission that starts something.
+func TestRepeatedKey(t *testing.T) {
+	b := newBench(t, "w1")
+	b.submit("dc-a:k", "once")
+	b.submit("dc-a:k", "once")
+	assert.Equal(t, b.countStarts("dc-a:k"), 1)
+	r := b.request("dc-a:k", "once")
+	r.Fingerprint = 2
+	_, err := b.c.Submit(b.now, r)
+	wantFault(t, err, fault.KeyConflict)
+}
--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -31,7 +31,7 @@
 		}
 	}
 	c.health.SetWorkers(len(c.workers))
-	c.updateCapacityKnown()
+	c.updateCapacityKnown(now)
 	c.refreshDoubt(now)
 }
 
@@ -137,7 +137,7 @@
 	}
 	c.reconcileMissing(now, g.Worker, listed)
 	c.setState(now, g.Worker)
-	c.updateCapacityKnown()
+	c.updateCapacityKnown(now)
 	c.refreshDoubt(now)
 }
 
@@ -239,13 +239,32 @@
 
 // updateCapacityKnown notes whether every listed worker has shown its capacity.
 // Until then nothing can be said to fit no worker.
-func (c *Core) updateCapacityKnown() {
+func (c *Core) updateCapacityKnown(now time.Time) {
+	before := c.capacityKnown
 	c.capacityKnown = len(c.workers) > 0
 	for _, w := range c.workers {
 		if w.bootID == "" {
 			c.capacityKnown = false
 		}
 	}
+	if c.capacityKnown && !before && c.serving {
+		c.refuseUnfit(now)
+	}
+}
+
+// refuseUnfit ends requests that were accepted before all capacities were
+// known and that fit no worker.
+func (c *Core) refuseUnfit(now time.Time) {
+	for _, e := range c.entries {
+		if e.rec.Fate != model.Queued || e.rec.Side != model.NewSide || e.rec.DelegatedTo != "" ||
+			e.lookup || e.standing || !e.untouched() || c.mayHaveStarted(e) {
+			continue
+		}
+		r := &e.rec.Request
+		if _, never := c.index.NeverFits(c.need(r), gangTasks(r)); never {
+			c.settle(now, e, model.NotRun, model.ReasonNeverFits)
+		}
+	}
 }
 
 // assigned returns the tasks that the records place on a worker.
