Stop running tasks at their deadline when the service asks for it

The text's on_deadline was parsed and checked but never used: running tasks of a service that asks to be stopped ran on past the deadline.

Before: TestOnDeadlineStopStopsRunningTask sees no stop. The requests to stop are kept in a heap, since a tick must not visit all records.

--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -65,9 +65,11 @@
 	// capacityKnown is true when every listed worker has granted a lease once.
 	capacityKnown bool
 	settled       []settledKey
-	lastSweep     time.Time
-	homeTerm      map[model.DataCentre]uint64
-	remote        map[model.DataCentre]*remoteLoad
+	// due holds running requests that are stopped at their deadline.
+	due       dueKeys
+	lastSweep time.Time
+	homeTerm  map[model.DataCentre]uint64
+	remote    map[model.DataCentre]*remoteLoad
 
 	serving bool
 	term    uint64
--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -166,7 +166,7 @@
 // StepDown stops all deciding. The records stay as a replica.
 func (c *Core) StepDown() {
 	c.serving, c.doubt = false, nil
-	c.out = Actions{}
+	c.out, c.due = Actions{}, nil
 	c.BeginCampaign()
 	for id, w := range c.workers {
 		w.leased = false
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -53,6 +53,7 @@
 	if t := &e.rec.Tasks[index]; t.State == model.TaskStarting {
 		t.State = model.TaskRunning
 		e.tasks[index].began = now
+		c.watchDeadline(e)
 	}
 	c.markRunning(now, e)
 }
@@ -128,7 +129,7 @@
 	c.release(e, index)
 	e.rec.Tasks[index].State = model.TaskStopped
 	switch {
-	case e.rec.CancelRequested:
+	case e.ended():
 	case again:
 		c.requeue(now, e, index, 0)
 		c.changed(e)
