Replicate the end of a task while others of its request still run

The end of a task reached the standbys only with the fate of the whole request. After a takeover the record still said starting. Workers forget finished tasks 10 minutes after the acknowledgement, so the inventory no longer listed it, and the task was started again, also when it was not idempotent.

Before: TestEndedTaskOfRunningRequestSurvivesTakeover sees a second start.

--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -78,6 +78,7 @@
 		t.State, t.Answer = model.TaskDone, ev.Answer
 		if e.standing && !e.rec.CancelRequested {
 			c.requeue(now, e, ev.ID.Index, c.backoff.Delay(1, c.random))
+			c.changed(e)
 			return
 		}
 		c.settleIfEnded(now, e)
@@ -214,6 +215,8 @@
 		return
 	}
 	if waiting+held > 0 {
+		// Workers forget ended tasks after a while, so the standbys have to know.
+		c.changed(e)
 		return
 	}
 	e.rec.Answer = joinAnswers(e.rec.Tasks, size)
--- a/internal/core/scheduler/takeover_test.go
+++ b/internal/core/scheduler/takeover_test.go
@@ -61,3 +61,24 @@
 	assert.Equal(t, len(b.delegations), 1)
 	return b
 }
+
+// Guards against running a finished task again after a takeover, when its
+// worker has forgotten it and other tasks of the request still run.
+func TestEndedTaskOfRunningRequestSurvivesTakeover(t *testing.T) {
+	for _, end := range []model.TaskState{model.TaskDone, model.TaskFailed, model.TaskStopped} {
+		b := newBench(t, "w1")
+		r := b.request("dc-a:k", "once")
+		r.Tasks = 2
+		_, err := b.c.Submit(b.now, r)
+		assert.Assert(t, err == nil, "%v", err)
+		b.run()
+		b.report("dc-a:k", 0, model.TaskRunning)
+		b.report("dc-a:k", 1, model.TaskRunning)
+		b.report("dc-a:k", 0, end)
+		s := b.successor("w1")
+		s.grant("w1", "boot", b.inventory("dc-a:k", 1, model.TaskRunning))
+		s.serve(2)
+		s.tick(time.Second)
+		assert.Equal(t, s.countStarts("dc-a:k"), 0, "after %s", end)
+	}
+}
