Do not call a restored request cancelled while the data centre is in doubt

A restored request with an earlier attempt was called cancelled when it ended while waiting in doubt. The lost owner may have sent its next attempt, which could start after the fate was told. Its waiting tasks count as lost now.

Before: TestLateAttemptInDoubtIsUnknown gets cancelled.

--- a/internal/core/scheduler/doubt_test.go
+++ b/internal/core/scheduler/doubt_test.go
@@ -125,3 +125,20 @@
 		assert.Assert(t, !b.c.InDoubt())
 	})
 }
+
+// Guards against calling a restored request cancelled, although the lost owner
+// may just have started its next attempt on a worker that is silent.
+func TestLateAttemptInDoubtIsUnknown(t *testing.T) {
+	b := newBench(t, "w1")
+	r := b.request("dc-a:k", "batch")
+	r.Deadline = b.now.Add(5 * time.Second)
+	_, err := b.c.Submit(b.now, r)
+	assert.Assert(t, err == nil, "%v", err)
+	b.run()
+	b.report("dc-a:k", 0, model.TaskRunning)
+	b.report("dc-a:k", 0, model.TaskFailed)
+	s := b.successor("w1")
+	s.c.Serve(s.now, Recovery{Term: 2, JournalRead: true})
+	s.tick(6 * time.Second)
+	s.wantFate("dc-a:k", model.Unknown)
+}
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -221,7 +221,7 @@
 	}
 	e.rec.Answer = joinAnswers(e.rec.Tasks, size)
 	switch {
-	case lost > 0, e.rec.Started.IsZero() && c.mayHaveStarted(e):
+	case lost > 0:
 		c.settle(now, e, model.Unknown, model.ReasonWorkerLost)
 	case e.rec.Started.IsZero():
 		c.settle(now, e, model.NotRun, e.reasonOr(model.ReasonCancelled))
@@ -288,7 +288,10 @@
 		if pending {
 			c.release(e, i)
 		}
-		if pending || t.State == model.TaskQueued {
+		switch {
+		case t.State == model.TaskQueued && c.mayHaveStarted(e):
+			t.State = model.TaskLost
+		case pending, t.State == model.TaskQueued:
 			t.State = model.TaskStopped
 		}
 	}
