--- a/internal/core/scheduler/admit_test.go
+++ b/internal/core/scheduler/admit_test.go
@@ -15,7 +15,7 @@
 // Guards against shedding more urgent or running work, and against a shed
 // request that is started later.
 func TestShedRequestIsNotRun(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	b.publish(func(c *text.Config) { c.Limits.QueueTotal = 2 })
 	b.submit("dc-a:1", "once")
 	b.submit("dc-a:2", "once")
@@ -35,7 +35,7 @@
 // Guards against forgetting a non-idempotent key when the record table is full:
 // a late retry would run it again.
 func TestFullRecordTable(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.c.cfg.MaxRecords = 10
 	finish := func(key, service string) *fault.Error {
 		_, err := b.c.Submit(b.now, b.request(key, service))
@@ -70,7 +70,7 @@
 
 // Guards against a job that waits for ever for a worker that does not exist.
 func TestJobThatFitsNoWorker(t *testing.T) {
-	large := func(b *bench, tasks int, size model.Size) *fault.Error {
+	large := func(b *fixture, tasks int, size model.Size) *fault.Error {
 		r := b.request("dc-a:k", "gang")
 		r.Tasks, r.Size = tasks, size
 		_, err := b.c.Submit(b.now, r)
@@ -78,13 +78,13 @@
 		return err
 	}
 	t.Run("task larger than every worker", func(t *testing.T) {
-		wantFault(t, large(newBench(t, "w1"), 2, oneSlot.Times(3)), fault.CanNeverRun)
+		wantFault(t, large(newFixture(t, "w1"), 2, oneSlot.Times(3)), fault.CanNeverRun)
 	})
 	t.Run("gang larger than the data centre", func(t *testing.T) {
-		wantFault(t, large(newBench(t, "w1"), 3, oneSlot), fault.CanNeverRun)
+		wantFault(t, large(newFixture(t, "w1"), 3, oneSlot), fault.CanNeverRun)
 	})
 	t.Run("larger than what is free", func(t *testing.T) {
-		b := newBench(t, "w1")
+		b := newFixture(t, "w1")
 		b.submit("dc-a:b", "once")
 		assert.Assert(t, large(b, 2, oneSlot) == nil)
 		b.wantFate("dc-a:k", model.Queued)
@@ -103,7 +103,7 @@
 // Guards against a second request under a used key, and against a repeated
 // submission that starts something.
 func TestRepeatedKey(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.submit("dc-a:k", "once")
 	b.submit("dc-a:k", "once")
 	assert.Equal(t, b.countStarts("dc-a:k"), 1)
--- a/internal/core/scheduler/cancel_test.go
+++ b/internal/core/scheduler/cancel_test.go
@@ -13,31 +13,31 @@
 // Guards against wrong fates of cancelled requests in each state of their task:
 // what was never sent is not_run, and the worker's word decides about the rest.
 func TestCancelInEachState(t *testing.T) {
-	running := func(b *bench) { b.report("dc-a:k", 0, model.TaskRunning) }
-	end := func(state model.TaskState) func(*bench) {
-		return func(b *bench) { b.report("dc-a:k", 0, state) }
+	running := func(b *fixture) { b.report("dc-a:k", 0, model.TaskRunning) }
+	end := func(state model.TaskState) func(*fixture) {
+		return func(b *fixture) { b.report("dc-a:k", 0, state) }
 	}
-	nothing := func(*bench) {}
+	nothing := func(*fixture) {}
 	for _, tc := range []struct {
 		name          string
 		workers       []model.WorkerID
-		before, after func(*bench)
+		before, after func(*fixture)
 		want          model.Fate
 		stops         int
 	}{
 		{"queued", nil, nothing, nothing, model.NotRun, 0},
-		{"starting, refused", []model.WorkerID{"w1"}, nothing, func(b *bench) { b.refuse("dc-a:k", 0) }, model.NotRun, 1},
+		{"starting, refused", []model.WorkerID{"w1"}, nothing, func(b *fixture) { b.refuse("dc-a:k", 0) }, model.NotRun, 1},
 		{"starting, ran", []model.WorkerID{"w1"}, nothing, end(model.TaskDone), model.Done, 1},
 		{"running, stopped", []model.WorkerID{"w1"}, running, end(model.TaskStopped), model.Cancelled, 1},
 		{"running, finished first", []model.WorkerID{"w1"}, running, end(model.TaskDone), model.Done, 1},
 		{"running, failed first", []model.WorkerID{"w1"}, running, end(model.TaskFailed), model.Done, 1},
-		{"running, worker restarted", []model.WorkerID{"w1"}, running, func(b *bench) { b.grant("w1", "boot-2") }, model.Unknown, 1},
+		{"running, worker restarted", []model.WorkerID{"w1"}, running, func(b *fixture) { b.grant("w1", "boot-2") }, model.Unknown, 1},
 		{"stopping, no answer", []model.WorkerID{"w1"}, running, nothing, model.Running, 1},
 		{"done", []model.WorkerID{"w1"}, end(model.TaskDone), nothing, model.Done, 0},
 	} {
 		for _, service := range []string{"batch", "once"} {
 			t.Run(tc.name+"/"+service, func(t *testing.T) {
-				b := newBench(t, tc.workers...)
+				b := newFixture(t, tc.workers...)
 				b.submit("dc-a:k", service)
 				tc.before(b)
 				b.cancel("dc-a:k")
@@ -58,7 +58,7 @@
 // Guards against sending a start after the request was told not_run: the
 // cancellation arrives while the start waits for the standbys.
 func TestCancelBeforeReplication(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.slow = true
 	b.submit("dc-a:k", "once")
 	b.wantTask("dc-a:k", 0, model.TaskStarting)
@@ -72,7 +72,7 @@
 
 // Guards against a cancellation that is forgotten with its owner.
 func TestCancellationSurvivesTakeover(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.submit("dc-a:k", "batch")
 	b.report("dc-a:k", 0, model.TaskRunning)
 	b.cancel("dc-a:k")
@@ -121,7 +121,7 @@
 // Guards against calling a request not_run that ran at home, was preempted, and
 // was then refused by another data centre.
 func TestCancelOfRefusedDelegationThatRan(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.submit("dc-a:k", "batch")
 	b.report("dc-a:k", 0, model.TaskRunning)
 	b.c.Drain(b.now, "w1")
--- a/internal/core/scheduler/deadline_test.go
+++ b/internal/core/scheduler/deadline_test.go
@@ -17,20 +17,20 @@
 	for _, tc := range []struct {
 		name    string
 		workers []model.WorkerID
-		before  func(*bench)
+		before  func(*fixture)
 		want    model.Fate
 		after   model.Fate // once the task is reported done
 	}{
-		{"queued", nil, func(*bench) {}, model.NotRun, ""},
-		{"starting", []model.WorkerID{"w1"}, func(*bench) {}, model.Queued, model.Done},
-		{"starting, then refused", []model.WorkerID{"w1"}, func(b *bench) {
+		{"queued", nil, func(*fixture) {}, model.NotRun, ""},
+		{"starting", []model.WorkerID{"w1"}, func(*fixture) {}, model.Queued, model.Done},
+		{"starting, then refused", []model.WorkerID{"w1"}, func(b *fixture) {
 			b.now = b.now.Add(2 * time.Second)
 			b.refuse("dc-a:k", 0)
 		}, model.NotRun, ""},
-		{"running", []model.WorkerID{"w1"}, func(b *bench) { b.report("dc-a:k", 0, model.TaskRunning) }, model.Running, model.Done},
+		{"running", []model.WorkerID{"w1"}, func(b *fixture) { b.report("dc-a:k", 0, model.TaskRunning) }, model.Running, model.Done},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			b := newBench(t, tc.workers...)
+			b := newFixture(t, tc.workers...)
 			r := b.request("dc-a:k", "once")
 			r.Deadline = b.now.Add(time.Second)
 			_, err := b.c.Submit(b.now, r)
@@ -51,7 +51,7 @@
 
 // Guards against accepting work whose deadline has passed.
 func TestPassedDeadlineIsRefused(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	r := b.request("dc-a:k", "once")
 	r.Deadline = b.now
 	_, err := b.c.Submit(b.now, r)
@@ -61,7 +61,7 @@
 // Guards against a service that asks to be stopped at the deadline and runs on.
 func TestOnDeadlineStopStopsRunningTask(t *testing.T) {
 	for _, mode := range []string{text.DeadlineContinue, text.DeadlineStop} {
-		b := newBench(t, "w1")
+		b := newFixture(t, "w1")
 		b.publish(func(c *text.Config) { c.Services[1].OnDeadline = mode })
 		r := b.request("dc-a:k", "once")
 		r.Deadline = b.now.Add(time.Second)
--- a/internal/core/scheduler/delegate_test.go
+++ b/internal/core/scheduler/delegate_test.go
@@ -62,7 +62,7 @@
 		Fate: model.Running, Tasks: []model.TaskRecord{{State: model.TaskRunning, Worker: "x", Attempt: 1}},
 	}
 	for _, late := range []bool{false, true} {
-		b := newBench(t)
+		b := newFixture(t)
 		b.submit("dc-a:k", "once")
 		s := b.successor("w1")
 		s.grant("w1", "boot")
@@ -87,7 +87,7 @@
 
 // Guards against a delegation of an owner that lost its term.
 func TestDelegationOfOldTermIsRefused(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	r := b.request("dc-b:k", "once")
 	_, err := b.c.SubmitDelegated(b.now, dcOther, 5, r)
 	assert.Assert(t, err == nil, "%v", err)
--- a/internal/core/scheduler/doubt_test.go
+++ b/internal/core/scheduler/doubt_test.go
@@ -15,8 +15,8 @@
 
 // inDoubt returns an owner that has no synced peer. Its worker w1 has not
 // granted a lease yet, w2 has. The record of dc-a:k says queued.
-func inDoubt(t *testing.T, service string, deadline time.Duration) *bench {
-	b := newBench(t)
+func inDoubt(t *testing.T, service string, deadline time.Duration) *fixture {
+	b := newFixture(t)
 	r := b.request("dc-a:k", service)
 	if deadline > 0 {
 		r.Deadline = b.now.Add(deadline)
@@ -43,20 +43,20 @@
 	for _, tc := range []struct {
 		name, service string
 		deadline      time.Duration
-		act           func(*bench)
+		act           func(*fixture)
 		want          model.Fate
 		starts        int
 	}{
-		{"nothing new", "once", 0, func(b *bench) { b.tick(time.Second) }, model.Queued, 0},
-		{"after the grace", "once", 0, func(b *bench) { b.tick(graceTime) }, model.Queued, 0},
-		{"after the grace, idempotent", "batch", 0, func(b *bench) { b.tick(graceTime) }, model.Queued, 1},
-		{"the worker has nothing", "once", 0, func(b *bench) { b.grant("w1", "boot") }, model.Queued, 1},
-		{"the worker runs it", "once", 0, func(b *bench) { b.grant("w1", "boot", listed(model.TaskRunning)...) }, model.Running, 0},
-		{"the worker ran it", "once", 0, func(b *bench) { b.grant("w1", "boot", listed(model.TaskDone)...) }, model.Done, 0},
-		{"the worker left", "once", 0, func(b *bench) { b.list("w2"); b.tick(0) }, model.Queued, 1},
-		{"deadline", "once", time.Second, func(b *bench) { b.tick(2 * time.Second) }, model.Unknown, 0},
-		{"cancelled", "once", 0, func(b *bench) { b.cancel("dc-a:k") }, model.Unknown, 0},
-		{"worker, then cancelled", "gang", 0, func(b *bench) { b.grant("w1", "boot-2"); b.cancel("dc-a:k") }, model.Queued, 2},
+		{"nothing new", "once", 0, func(b *fixture) { b.tick(time.Second) }, model.Queued, 0},
+		{"after the grace", "once", 0, func(b *fixture) { b.tick(graceTime) }, model.Queued, 0},
+		{"after the grace, idempotent", "batch", 0, func(b *fixture) { b.tick(graceTime) }, model.Queued, 1},
+		{"the worker has nothing", "once", 0, func(b *fixture) { b.grant("w1", "boot") }, model.Queued, 1},
+		{"the worker runs it", "once", 0, func(b *fixture) { b.grant("w1", "boot", listed(model.TaskRunning)...) }, model.Running, 0},
+		{"the worker ran it", "once", 0, func(b *fixture) { b.grant("w1", "boot", listed(model.TaskDone)...) }, model.Done, 0},
+		{"the worker left", "once", 0, func(b *fixture) { b.list("w2"); b.tick(0) }, model.Queued, 1},
+		{"deadline", "once", time.Second, func(b *fixture) { b.tick(2 * time.Second) }, model.Unknown, 0},
+		{"cancelled", "once", 0, func(b *fixture) { b.cancel("dc-a:k") }, model.Unknown, 0},
+		{"worker, then cancelled", "gang", 0, func(b *fixture) { b.grant("w1", "boot-2"); b.cancel("dc-a:k") }, model.Queued, 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			b := inDoubt(t, tc.service, tc.deadline)
@@ -100,11 +100,11 @@
 	for _, tc := range []struct {
 		name     string
 		recovery Recovery
-		answer   func(*bench)
+		answer   func(*fixture)
 	}{
-		{"journal", Recovery{Term: 1}, func(b *bench) { b.c.JournalRead(b.now) }},
-		{"other data centre", Recovery{Term: 1, JournalRead: true, Unasked: []model.DataCentre{dcOther}}, func(b *bench) { b.c.HomeAnswered(b.now, dcOther) }},
-		{"worker", Recovery{Term: 1, JournalRead: true}, func(b *bench) { b.grant("w1", "boot") }},
+		{"journal", Recovery{Term: 1}, func(b *fixture) { b.c.JournalRead(b.now) }},
+		{"other data centre", Recovery{Term: 1, JournalRead: true, Unasked: []model.DataCentre{dcOther}}, func(b *fixture) { b.c.HomeAnswered(b.now, dcOther) }},
+		{"worker", Recovery{Term: 1, JournalRead: true}, func(b *fixture) { b.grant("w1", "boot") }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			b := newStandby(t, "w1")
@@ -129,7 +129,7 @@
 // Guards against calling a restored request cancelled, although the lost owner
 // may just have started its next attempt on a worker that is silent.
 func TestLateAttemptInDoubtIsUnknown(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	r := b.request("dc-a:k", "batch")
 	r.Deadline = b.now.Add(5 * time.Second)
 	_, err := b.c.Submit(b.now, r)
--- a/internal/core/scheduler/drain_test.go
+++ b/internal/core/scheduler/drain_test.go
@@ -12,7 +12,7 @@
 // Guards against a drain that ends with the next instance list, which still
 // shows the worker as live.
 func TestDrainOutlivesInstanceList(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	running, found := b.c.Drain(b.now, "w1")
 	assert.Assert(t, found && running == 0)
 	b.list("w1")
@@ -23,7 +23,7 @@
 // Guards against cutting tasks before the drain time, starting a non-idempotent
 // task a second time, and new work on a leaving worker.
 func TestDrainMovesIdempotentTasks(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	for _, service := range []string{"batch", "once"} {
 		b.submit("dc-a:"+service, service)
 		b.report("dc-a:"+service, 0, model.TaskRunning)
--- a/internal/core/scheduler/gang_test.go
+++ b/internal/core/scheduler/gang_test.go
@@ -10,8 +10,8 @@
 	"catkinvalve/internal/text"
 )
 
-func runningGang(t *testing.T) *bench {
-	b := newBench(t, "w1", "w2")
+func runningGang(t *testing.T) *fixture {
+	b := newFixture(t, "w1", "w2")
 	b.submit("dc-a:g", "gang")
 	b.report("dc-a:g", 0, model.TaskRunning)
 	b.report("dc-a:g", 1, model.TaskRunning)
@@ -59,7 +59,7 @@
 		want model.Fate
 	}{{"one task ran", true, model.Unknown}, {"nothing ran", false, model.Done}} {
 		t.Run(tc.name, func(t *testing.T) {
-			b := newBench(t, "w1", "w2")
+			b := newFixture(t, "w1", "w2")
 			b.publish(func(c *text.Config) { c.Services[2].Idempotent = false })
 			b.submit("dc-a:g", "gang")
 			b.refuse("dc-a:g", 0)
@@ -81,7 +81,7 @@
 
 // Guards against stopping the tasks of a large gang one after another.
 func TestGangStopsAllTasksAtOnce(t *testing.T) {
-	b := newBench(t, "w1", "w2")
+	b := newFixture(t, "w1", "w2")
 	r := b.request("dc-a:g", "gang")
 	r.Tasks = 4
 	_, err := b.c.Submit(b.now, r)
--- a/internal/core/scheduler/helpers_test.go
+++ b/internal/core/scheduler/helpers_test.go
@@ -48,9 +48,9 @@
 	}
 }
 
-// bench drives one core: it hands every record to the core as replicated and
+// fixture drives one core: it hands every record to the core as replicated and
 // collects the other actions. Tests report what workers do.
-type bench struct {
+type fixture struct {
 	t    testing.TB
 	c    *Core
 	now  time.Time
@@ -70,8 +70,8 @@
 	lookups     []string
 }
 
-// newBench returns an owner with the given workers, each of two slots.
-func newBench(t testing.TB, workers ...model.WorkerID) *bench {
+// newFixture returns an owner with the given workers, each of two slots.
+func newFixture(t testing.TB, workers ...model.WorkerID) *fixture {
 	t.Helper()
 	b := newStandby(t, workers...)
 	b.serve(1)
@@ -81,23 +81,23 @@
 	return b
 }
 
-func newStandby(t testing.TB, workers ...model.WorkerID) *bench {
+func newStandby(t testing.TB, workers ...model.WorkerID) *fixture {
 	t.Helper()
-	b := &bench{t: t, c: New(testConfig(dcHome)), now: epoch, text: testText(), replicas: map[string]model.Record{}}
+	b := &fixture{t: t, c: New(testConfig(dcHome)), now: epoch, text: testText(), replicas: map[string]model.Record{}}
 	b.reset()
 	b.publish(func(*text.Config) {})
 	b.list(workers...)
 	return b
 }
 
-func (b *bench) reset() {
+func (b *fixture) reset() {
 	b.starts, b.stops = map[model.WorkerID][]Start{}, map[model.WorkerID][]Stop{}
 	b.settled = map[string]int{}
 	b.delegations, b.cancels, b.oldRuns, b.lookups = nil, nil, nil, nil
 }
 
 // publish puts a changed copy of the text in force.
-func (b *bench) publish(change func(*text.Config)) {
+func (b *fixture) publish(change func(*text.Config)) {
 	next := *b.text
 	next.Services = append([]text.Service(nil), b.text.Services...)
 	change(&next)
@@ -111,7 +111,7 @@
 	b.run()
 }
 
-func (b *bench) list(workers ...model.WorkerID) {
+func (b *fixture) list(workers ...model.WorkerID) {
 	var listed []ListedWorker
 	for _, w := range workers {
 		listed = append(listed, ListedWorker{Worker: model.Worker{ID: w, DataCentre: dcHome, Rack: "rack-" + string(w), Capacity: oneSlot.Times(2)}})
@@ -120,18 +120,18 @@
 	b.run()
 }
 
-func (b *bench) serve(term uint64) {
+func (b *fixture) serve(term uint64) {
 	b.c.Serve(b.now, Recovery{Term: term, SyncedPeer: true, JournalRead: true})
 	b.run()
 }
 
-func (b *bench) grant(w model.WorkerID, boot string, tasks ...model.RunningTask) {
+func (b *fixture) grant(w model.WorkerID, boot string, tasks ...model.RunningTask) {
 	b.c.WorkerGranted(b.now, Grant{Worker: w, BootID: boot, Capacity: oneSlot.Times(2), Rack: "rack-" + string(w), Tasks: tasks})
 	b.run()
 }
 
 // run handles actions until there is none.
-func (b *bench) run() {
+func (b *fixture) run() {
 	for range 100 {
 		b.c.Schedule(b.now)
 		a := b.c.Take()
@@ -143,7 +143,7 @@
 	b.t.Fatal("the core never stops producing actions")
 }
 
-func (b *bench) collect(a Actions) {
+func (b *fixture) collect(a Actions) {
 	for w, s := range a.Starts {
 		b.starts[w] = append(b.starts[w], s...)
 	}
@@ -167,24 +167,24 @@
 }
 
 // tick passes time and runs what it brings.
-func (b *bench) tick(d time.Duration) {
+func (b *fixture) tick(d time.Duration) {
 	b.now = b.now.Add(d)
 	b.c.Tick(b.now)
 	b.run()
 }
 
-func (b *bench) request(key, service string) model.Request {
+func (b *fixture) request(key, service string) model.Request {
 	return model.Request{Key: key, Service: service, Idempotent: b.text.Service(service).Idempotent, Payload: []byte("p"), Fingerprint: 1}
 }
 
-func (b *bench) submit(key, service string) {
+func (b *fixture) submit(key, service string) {
 	b.t.Helper()
 	_, err := b.c.Submit(b.now, b.request(key, service))
 	assert.Assert(b.t, err == nil, "%v", err)
 	b.run()
 }
 
-func (b *bench) cancel(key string) {
+func (b *fixture) cancel(key string) {
 	b.t.Helper()
 	_, err := b.c.Cancel(b.now, key)
 	assert.NilError(b.t, err)
@@ -192,7 +192,7 @@
 }
 
 // report sends a worker's event about the current attempt of a task.
-func (b *bench) report(key string, index int, state model.TaskState) {
+func (b *fixture) report(key string, index int, state model.TaskState) {
 	b.t.Helper()
 	rec := b.record(key).Tasks[index]
 	b.c.TaskReported(b.now, rec.Worker, TaskEvent{
@@ -202,14 +202,14 @@
 }
 
 // refuse reports that the worker did not start the current attempt.
-func (b *bench) refuse(key string, index int) {
+func (b *fixture) refuse(key string, index int) {
 	rec := b.record(key).Tasks[index]
 	b.c.NotStarted(b.now, rec.Worker, model.TaskID{Key: key, Index: index}, rec.Attempt)
 	b.run()
 }
 
 // record returns the owner's own record, ahead of what callers see.
-func (b *bench) record(key string) model.Record {
+func (b *fixture) record(key string) model.Record {
 	b.t.Helper()
 	e := b.c.entries[key]
 	assert.Assert(b.t, e != nil, "no record of %s", key)
@@ -217,7 +217,7 @@
 }
 
 // inventory is a worker's entry for the current attempt of a task.
-func (b *bench) inventory(key string, index int, state model.TaskState) model.RunningTask {
+func (b *fixture) inventory(key string, index int, state model.TaskState) model.RunningTask {
 	rec := b.record(key)
 	return model.RunningTask{
 		ID: model.TaskID{Key: key, Index: index}, Attempt: rec.Tasks[index].Attempt,
@@ -225,20 +225,20 @@
 	}
 }
 
-func (b *bench) wantFate(key string, want model.Fate) {
+func (b *fixture) wantFate(key string, want model.Fate) {
 	b.t.Helper()
 	rec, err := b.c.Fate(key)
 	assert.Assert(b.t, err == nil, "%v", err)
 	assert.Equal(b.t, rec.Fate, want, "reason %q, tasks %+v", rec.Reason, rec.Tasks)
 }
 
-func (b *bench) wantTask(key string, index int, want model.TaskState) {
+func (b *fixture) wantTask(key string, index int, want model.TaskState) {
 	b.t.Helper()
 	assert.Equal(b.t, b.record(key).Tasks[index].State, want)
 }
 
 // countStarts returns how often tasks of a key were sent to workers.
-func (b *bench) countStarts(key string) int {
+func (b *fixture) countStarts(key string) int {
 	n := 0
 	for _, starts := range b.starts {
 		for _, s := range starts {
@@ -251,7 +251,7 @@
 }
 
 // wantIdle checks that nothing is reserved, charged or queued any more.
-func (b *bench) wantIdle() {
+func (b *fixture) wantIdle() {
 	b.t.Helper()
 	for _, w := range b.c.Workers(b.now) {
 		assert.Equal(b.t, w.Planned, model.Size{}, "worker %s", w.Worker.ID)
--- a/internal/core/scheduler/inventory_test.go
+++ b/internal/core/scheduler/inventory_test.go
@@ -12,7 +12,7 @@
 // Guards against a start that was lost and is never sent again, because the
 // worker's inventory still lists an earlier attempt of the same task.
 func TestInventoryWithOlderAttemptOnly(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.submit("dc-a:k", "batch")
 	b.report("dc-a:k", 0, model.TaskRunning)
 	older := b.inventory("dc-a:k", 0, model.TaskFailed)
@@ -48,7 +48,7 @@
 		{"stopped by itself, idempotent", "batch", "boot", true, model.TaskStopped, model.Running, 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			b := newBench(t, "w1")
+			b := newFixture(t, "w1")
 			b.submit("dc-a:k", tc.service)
 			if tc.running {
 				b.report("dc-a:k", 0, model.TaskRunning)
@@ -74,7 +74,7 @@
 // later attempt that is taken for a leftover.
 func TestInventoryAheadOfRecords(t *testing.T) {
 	t.Run("unknown key", func(t *testing.T) {
-		b := newBench(t, "w1")
+		b := newFixture(t, "w1")
 		b.grant("w1", "boot", model.RunningTask{
 			ID: model.TaskID{Key: "dc-a:k"}, Attempt: 1, Service: "once", Size: oneSlot, State: model.TaskRunning,
 		})
@@ -86,7 +86,7 @@
 		b.wantIdle()
 	})
 	t.Run("newer attempt", func(t *testing.T) {
-		b := newBench(t, "w1", "w2")
+		b := newFixture(t, "w1", "w2")
 		b.submit("dc-a:k", "batch")
 		other := map[model.WorkerID]model.WorkerID{"w1": "w2", "w2": "w1"}[b.record("dc-a:k").Tasks[0].Worker]
 		newer := b.inventory("dc-a:k", 0, model.TaskRunning)
--- a/internal/core/scheduler/leftover_test.go
+++ b/internal/core/scheduler/leftover_test.go
@@ -12,7 +12,7 @@
 // Guards against capacity that stays reserved for a leftover of a finished
 // request after its worker stopped it.
 func TestLeftoverReleasesItsCapacity(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.submit("dc-a:k", "batch")
 	b.report("dc-a:k", 0, model.TaskDone)
 	left := b.inventory("dc-a:k", 0, model.TaskRunning)
@@ -26,7 +26,7 @@
 // Guards against a leftover of an earlier attempt that moves the reservation of
 // the running attempt off its worker, which then gets too much work.
 func TestLeftoverKeepsReservationOfLaterAttempt(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.submit("dc-a:k", "batch")
 	left := b.inventory("dc-a:k", 0, model.TaskRunning)
 	b.c.WorkerUnreachable(b.now, "w1")
--- /dev/null
+++ b/internal/core/scheduler/model_test.go
@@ -0,0 +1,36 @@
+package scheduler
+
+import (
+	"flag"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// modelSeeds make runs repeatable; -rapid.seed runs another one.
+var modelSeeds = []string{"3", "7", "12", "17767", "6773052"}
+
+// Guards against everything that section 1 of the design promises about
+// requests, under takeovers, lost messages and crashes in any order.
+func TestOwnersKeepPromises(t *testing.T) {
+	seed := flag.Lookup("rapid.seed")
+	if seed.Value.String() != seed.DefValue {
+		rapid.Check(t, checkOwners)
+		return
+	}
+	for _, s := range modelSeeds {
+		t.Run("seed "+s, func(t *testing.T) {
+			assert.NilError(t, flag.Set("rapid.seed", s))
+			defer func() { assert.NilError(t, flag.Set("rapid.seed", seed.DefValue)) }()
+			rapid.Check(t, checkOwners)
+		})
+	}
+}
+
+func checkOwners(t *rapid.T) {
+	s := newSim(t)
+	t.Repeat(s.actions())
+	s.settle()
+	s.checkIdle()
+}
--- a/internal/core/scheduler/oldside_test.go
+++ b/internal/core/scheduler/oldside_test.go
@@ -12,7 +12,7 @@
 )
 
 // onOldSide returns an owner whose request dc-a:k was sent to the old system.
-func onOldSide(t *testing.T) *bench {
+func onOldSide(t *testing.T) *fixture {
 	b := newStandby(t)
 	b.carried = split.Carried{}
 	b.publish(func(c *text.Config) { c.Services[1].NewPercent = 0 })
@@ -31,14 +31,14 @@
 func TestOldSideTakeoverIsNotToldNotRun(t *testing.T) {
 	for _, tc := range []struct {
 		name string
-		act  func(*bench)
+		act  func(*fixture)
 	}{
-		{"cancelled before the next send", func(s *bench) { s.cancel("dc-a:k") }},
-		{"nothing sent until the deadline", func(s *bench) {
+		{"cancelled before the next send", func(s *fixture) { s.cancel("dc-a:k") }},
+		{"nothing sent until the deadline", func(s *fixture) {
 			s.tick(2 * time.Minute)
 			s.c.OldReported(s.now, OldReport{Key: "dc-a:k", NotSent: true})
 		}},
-		{"cancelled, then nothing sent", func(s *bench) {
+		{"cancelled, then nothing sent", func(s *fixture) {
 			s.cancel("dc-a:k")
 			s.c.OldReported(s.now, OldReport{Key: "dc-a:k", NotSent: true})
 		}},
@@ -61,7 +61,7 @@
 
 // lookedUp returns an owner that asks the old system about dc-a:k, because the
 // share of its service grew from 0 to 100.
-func lookedUp(t *testing.T) *bench {
+func lookedUp(t *testing.T) *fixture {
 	b := newStandby(t, "w1")
 	b.carried = split.Carried{}
 	b.publish(func(c *text.Config) { c.Services[1].NewPercent = 0 })
@@ -80,12 +80,12 @@
 // Guards against running a key on both sides after a change of share, and
 // against telling "not run" for a key that the old system may have run.
 func TestKeyInBandFollowsOldSystem(t *testing.T) {
-	answer := func(known, unavailable bool) func(*bench) {
-		return func(b *bench) { b.c.OldLookedUp(b.now, "dc-a:k", known, unavailable) }
+	answer := func(known, unavailable bool) func(*fixture) {
+		return func(b *fixture) { b.c.OldLookedUp(b.now, "dc-a:k", known, unavailable) }
 	}
-	cancel := func(b *bench) { b.cancel("dc-a:k") }
-	late := func(b *bench) { b.tick(2 * time.Minute) }
-	takeover := func(b *bench) {
+	cancel := func(b *fixture) { b.cancel("dc-a:k") }
+	late := func(b *fixture) { b.tick(2 * time.Minute) }
+	takeover := func(b *fixture) {
 		s := b.successor("w1")
 		s.text, s.carried = b.text, b.carried
 		s.publish(func(*text.Config) {})
@@ -96,22 +96,22 @@
 	}
 	for _, tc := range []struct {
 		name   string
-		steps  []func(*bench)
+		steps  []func(*fixture)
 		want   model.Fate
 		onOld  int
 		starts int
 	}{
-		{"known", []func(*bench){answer(true, false)}, model.Queued, 1, 0},
-		{"not known", []func(*bench){answer(false, false)}, model.Queued, 0, 1},
-		{"no answer yet", []func(*bench){answer(false, true)}, model.Queued, 0, 0},
-		{"no answer until the deadline", []func(*bench){late, answer(false, true)}, model.Unknown, 0, 0},
-		{"cancelled, known", []func(*bench){cancel, answer(true, false)}, model.Queued, 1, 0},
-		{"cancelled, not known", []func(*bench){cancel, answer(false, false)}, model.NotRun, 0, 0},
-		{"cancelled, no answer yet", []func(*bench){cancel, answer(false, true)}, model.Queued, 0, 0},
-		{"takeover, known", []func(*bench){takeover, answer(true, false)}, model.Queued, 1, 0},
-		{"takeover, not known", []func(*bench){takeover, answer(false, false)}, model.Queued, 0, 1},
-		{"cancelled, takeover, known", []func(*bench){cancel, takeover, answer(true, false)}, model.Queued, 1, 0},
-		{"cancelled, takeover, not known", []func(*bench){cancel, takeover, answer(false, false)}, model.NotRun, 0, 0},
+		{"known", []func(*fixture){answer(true, false)}, model.Queued, 1, 0},
+		{"not known", []func(*fixture){answer(false, false)}, model.Queued, 0, 1},
+		{"no answer yet", []func(*fixture){answer(false, true)}, model.Queued, 0, 0},
+		{"no answer until the deadline", []func(*fixture){late, answer(false, true)}, model.Unknown, 0, 0},
+		{"cancelled, known", []func(*fixture){cancel, answer(true, false)}, model.Queued, 1, 0},
+		{"cancelled, not known", []func(*fixture){cancel, answer(false, false)}, model.NotRun, 0, 0},
+		{"cancelled, no answer yet", []func(*fixture){cancel, answer(false, true)}, model.Queued, 0, 0},
+		{"takeover, known", []func(*fixture){takeover, answer(true, false)}, model.Queued, 1, 0},
+		{"takeover, not known", []func(*fixture){takeover, answer(false, false)}, model.Queued, 0, 1},
+		{"cancelled, takeover, known", []func(*fixture){cancel, takeover, answer(true, false)}, model.Queued, 1, 0},
+		{"cancelled, takeover, not known", []func(*fixture){cancel, takeover, answer(false, false)}, model.NotRun, 0, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			b := lookedUp(t)
--- a/internal/core/scheduler/preempt_test.go
+++ b/internal/core/scheduler/preempt_test.go
@@ -12,7 +12,7 @@
 // Guards against preempting what must not be, and against a preempted task that
 // is not placed again.
 func TestPreemptionByCheckpoint(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.submit("dc-a:b", "batch")
 	b.submit("dc-a:o", "once")
 	b.report("dc-a:b", 0, model.TaskRunning)
@@ -37,7 +37,7 @@
 // Guards against a request that preempts once and then waits for ever, because
 // others took the room or the victim finished on a worker that left.
 func TestPreemptionIsRepeatedWhenRoomWasTaken(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	for _, key := range []string{"dc-a:1", "dc-a:2"} {
 		b.submit(key, "batch")
 		b.report(key, 0, model.TaskRunning)
--- a/internal/core/scheduler/retry_test.go
+++ b/internal/core/scheduler/retry_test.go
@@ -14,7 +14,7 @@
 // Guards against an idempotent task that fails for good at its first failure,
 // and against attempts without end.
 func TestFailedTaskIsRetried(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.submit("dc-a:k", "batch")
 	for attempt := 1; attempt <= 3; attempt++ {
 		b.wantTask("dc-a:k", 0, model.TaskStarting)
@@ -31,7 +31,7 @@
 
 // Guards against retries beyond the budget of a team.
 func TestRetriesStayWithinBudget(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.publish(func(c *text.Config) { c.Retry.BudgetPercent = 10 })
 	const requests = 3 * retryBurst
 	for i := range requests {
@@ -52,7 +52,7 @@
 // Guards against a worker that fails everything and attracts work because it
 // is always empty, and against one that never comes back.
 func TestFailingWorkerIsQuarantinedAndProbed(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	for i := range 5 {
 		key := fmt.Sprintf("dc-a:%d", i)
 		b.submit(key, "once")
--- a/internal/core/scheduler/services_test.go
+++ b/internal/core/scheduler/services_test.go
@@ -11,7 +11,7 @@
 )
 
 // instances returns the number of standing instances that run or start.
-func (b *bench) instances() int {
+func (b *fixture) instances() int {
 	n := 0
 	for _, e := range b.c.entries {
 		if e.standing && e.rec.Tasks[0].State.HoldsWorker() && e.rec.Tasks[0].State != model.TaskStopping {
@@ -22,7 +22,7 @@
 }
 
 // scale publishes a number of instances for the whole cell; dc-a runs each second one.
-func (b *bench) scale(instances int) {
+func (b *fixture) scale(instances int) {
 	b.publish(func(c *text.Config) { c.Services[4].Instances = instances })
 	for key, e := range b.c.entries {
 		if e.standing && e.rec.Tasks[0].State == model.TaskStopping {
@@ -34,7 +34,7 @@
 // Guards against instances that stay stopped after the text asks for them
 // again, or run on after it does not.
 func TestInstancesFollowText(t *testing.T) {
-	b := newBench(t, "w1", "w2")
+	b := newFixture(t, "w1", "w2")
 	for _, n := range []int{4, 2, 4, 0, 2, 0} {
 		b.scale(n)
 		b.tick(time.Second)
@@ -47,7 +47,7 @@
 func TestInstanceStartsAgainWhenItEnds(t *testing.T) {
 	for _, end := range []model.TaskState{model.TaskDone, model.TaskFailed, model.TaskStopped} {
 		t.Run(string(end), func(t *testing.T) {
-			b := newBench(t, "w1")
+			b := newFixture(t, "w1")
 			b.scale(1)
 			assert.Equal(t, b.instances(), 1)
 			for key := range b.c.entries {
@@ -62,7 +62,7 @@
 
 // Guards against a second copy of each instance after a takeover.
 func TestInstancesSurviveTakeover(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.scale(2)
 	b.scale(0)
 	b.scale(2)
--- /dev/null
+++ b/internal/core/scheduler/sim_check_test.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"catkinvalve/internal/core/model"
+)
+
+// noteStart checks what must hold when a task starts anywhere.
+func (s *sim) noteStart(id model.TaskID) {
+	for _, w := range s.workers {
+		for _, a := range w.running() {
+			if a.id == id {
+				s.t.Fatalf("%s starts while attempt %d runs on %s", id, a.attempt, w.id)
+			}
+		}
+	}
+	s.begun[id]++
+	if !s.idempotent(id.Key) && s.begun[id] > 1 {
+		s.t.Fatalf("the non-idempotent %s started %d times", id, s.begun[id])
+	}
+	if f := s.told[id.Key]; f != "" && f != model.Unknown {
+		s.t.Fatalf("%s starts after its fate %s was told", id, s.told[id.Key])
+	}
+}
+
+func (s *sim) idempotent(key string) bool {
+	return s.requests[key].Idempotent || s.lost[key].Idempotent
+}
+
+// check holds after every step.
+func (s *sim) check() {
+	for _, w := range s.workers {
+		if n := len(w.running()); n > simSlots {
+			s.t.Fatalf("%s runs %d tasks on %d slots", w.id, n, simSlots)
+		}
+	}
+	c := s.core()
+	if c == nil {
+		return
+	}
+	for _, v := range c.Workers(s.now) {
+		// Old copies of records may contradict each other until the worker shows
+		// its inventory; it gets no start before.
+		if v.State != "not_leased" && !v.Planned.Fits(oneSlot.Times(simSlots)) {
+			s.t.Fatalf("%s has %+v reserved for %v", v.Worker.ID, v.Planned, c.index.Tasks(v.Worker.ID))
+		}
+	}
+	for key := range s.requests {
+		s.checkFate(key)
+	}
+}
+
+func (s *sim) checkFate(key string) {
+	rec, err := s.core().Fate(key)
+	if _, ok := s.lost[key]; err != nil && ok && s.told[key] == "" {
+		delete(s.requests, key)
+		return
+	}
+	if err != nil {
+		s.t.Fatalf("the record of %s is lost: %v", key, err)
+	}
+	if before := s.told[key]; before != "" && rec.Fate != before {
+		s.t.Fatalf("the fate of %s changed from %s to %s", key, before, rec.Fate)
+	}
+	if !rec.Fate.Terminal() {
+		return
+	}
+	if s.told[key] == "" && rec.Fate == model.NotRun {
+		for id, n := range s.begun {
+			if id.Key == key && n > 0 {
+				s.t.Fatalf("%s was told not_run and started", key)
+			}
+		}
+	}
+	s.told[key] = rec.Fate
+}
+
+// checkIdle looks for leaks when everything has ended.
+func (s *sim) checkIdle() {
+	c := s.core()
+	for _, v := range c.Workers(s.now) {
+		if v.Planned != (model.Size{}) {
+			s.t.Fatalf("%s still has %+v reserved", v.Worker.ID, v.Planned)
+		}
+	}
+	if len(c.Waiting()) > 0 {
+		s.t.Fatalf("the queue is not empty: %+v", c.Waiting())
+	}
+	if c.queueCharged("team") {
+		s.t.Fatal("the team's quota is charged for nothing")
+	}
+}
--- /dev/null
+++ b/internal/core/scheduler/sim_steps_test.go
@@ -0,0 +1,224 @@
+package scheduler
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"catkinvalve/internal/core/membership"
+	"catkinvalve/internal/core/model"
+)
+
+func (s *sim) pick(label string) *simWorker {
+	return s.workers[rapid.IntRange(0, simWorkers-1).Draw(s.t, label)]
+}
+
+func (s *sim) someKey(label string) string {
+	keys := slices.Sorted(maps.Keys(s.requests))
+	if len(keys) == 0 {
+		s.t.Skip("no request")
+	}
+	return rapid.SampledFrom(keys).Draw(s.t, label)
+}
+
+func (s *sim) submit() {
+	s.next++
+	service := rapid.SampledFrom([]string{"batch", "once", "gang", "quick"}).Draw(s.t, "service")
+	r := model.Request{Key: fmt.Sprintf("dc-a:%d", s.next), Service: service, Idempotent: service != "once", Fingerprint: 1, Payload: []byte("p")}
+	if service != "gang" {
+		r.Tasks = rapid.IntRange(1, 2).Draw(s.t, "tasks")
+	}
+	if rapid.Bool().Draw(s.t, "with a deadline") {
+		r.Deadline = s.now.Add(time.Duration(rapid.IntRange(1, 60).Draw(s.t, "deadline")) * time.Second)
+	}
+	if _, err := s.core().Submit(s.now, r); err == nil {
+		s.requests[r.Key] = r
+	}
+}
+
+// deliver hands the first batch on its way to its worker. The answer may be
+// lost, and then the start may arrive a second time.
+func (s *sim) deliver() {
+	if len(s.flying) == 0 {
+		s.t.Skip("nothing on its way")
+	}
+	i := rapid.IntRange(0, len(s.flying)-1).Draw(s.t, "start")
+	f := s.flying[i]
+	s.flying = slices.Delete(s.flying, i, i+1)
+	current := f.term == s.term && f.worker.term == s.term
+	if rapid.Bool().Draw(s.t, "answer is lost") {
+		s.startOn(f)
+		f.lost = true
+		s.flying = append(s.flying, f)
+		return
+	}
+	switch {
+	case s.startOn(f):
+	case current && !f.lost && !f.worker.silent && f.worker.boot == f.boot:
+		s.core().NotStarted(s.now, f.worker.id, f.start.ID, f.start.Attempt)
+	}
+}
+
+func (s *sim) report() {
+	w := s.pick("worker")
+	if len(w.events) == 0 || w.term != s.term || w.silent {
+		s.t.Skip("no event")
+	}
+	ev := w.events[0]
+	if !rapid.Bool().Draw(s.t, "reported twice") {
+		w.events = w.events[1:]
+	}
+	s.core().TaskReported(s.now, w.id, ev)
+}
+
+func (s *sim) finish() {
+	w := s.pick("worker")
+	running := w.running()
+	if len(running) == 0 {
+		s.t.Skip("nothing runs")
+	}
+	t := w.tasks[rapid.SampledFrom(running).Draw(s.t, "task")]
+	s.end(w, t, rapid.SampledFrom([]model.TaskState{model.TaskDone, model.TaskDone, model.TaskFailed}).Draw(s.t, "end"))
+}
+
+// crash restarts a worker: its tasks end and it forgets them. The owner learns
+// it with the next grant.
+//
+// A worker that restarts while the records have no second copy takes the only
+// trace of its tasks with it; the design does not cover that.
+func (s *sim) crash(w *simWorker) {
+	if !s.standbyUp || s.core().InDoubt() {
+		s.t.Skip("records have no second copy")
+	}
+	w.boot++
+	w.term, w.events = 0, nil
+	w.tasks = map[simAttempt]*model.RunningTask{}
+	s.core().WorkerUnreachable(s.now, w.id)
+}
+
+// pass lets time pass. Leases are renewed meanwhile unless the worker is silent.
+func (s *sim) pass(d time.Duration) {
+	s.now = s.now.Add(d)
+	for _, w := range s.workers {
+		if w.term == s.term && !w.silent {
+			w.until = s.now.Add(simGrace)
+			s.core().WorkerRenewed(s.now, w.id)
+			continue
+		}
+		if s.now.After(w.until) {
+			for _, a := range w.running() {
+				s.end(w, w.tasks[a], model.TaskStopped)
+			}
+		}
+	}
+	s.core().Tick(s.now)
+}
+
+// retryLost submits a request again whose record was lost.
+func (s *sim) retryLost() {
+	keys := slices.Sorted(maps.Keys(s.lost))
+	if len(keys) == 0 {
+		s.t.Skip("nothing lost")
+	}
+	r := s.lost[rapid.SampledFrom(keys).Draw(s.t, "key")]
+	_, known := s.core().Fate(r.Key)
+	if _, err := s.core().Submit(s.now, r); err != nil {
+		return
+	}
+	s.requests[r.Key] = r
+	if known != nil && r.Idempotent {
+		// The new record tells only what happened to this submission.
+		maps.DeleteFunc(s.begun, func(id model.TaskID, _ int) bool { return id.Key == r.Key })
+	}
+}
+
+func (s *sim) remoteStep() {
+	for _, key := range slices.Sorted(maps.Keys(s.remote)) {
+		s.reportRemote(key, rapid.Bool().Draw(s.t, "runs elsewhere"))
+	}
+}
+
+// reportRemote reports the state of a delegated request, which may run before.
+func (s *sim) reportRemote(key string, run bool) {
+	r := s.remote[key]
+	if run && !r.Fate.Terminal() {
+		r.Fate, r.OK = model.Done, true
+		s.begun[model.TaskID{Key: key}]++
+	}
+	copied := *r
+	s.core().DelegateReported(s.now, DelegateReport{Key: key, Record: &copied})
+	if r.Fate == model.NotRun {
+		delete(s.remote, key)
+	}
+}
+
+// actions are the random steps.
+func (s *sim) actions() map[string]func(*rapid.T) {
+	step := func(fn func()) func(*rapid.T) {
+		return func(*rapid.T) { fn(); s.run() }
+	}
+	return map[string]func(*rapid.T){
+		"submit":  step(s.submit),
+		"submit2": step(s.submit),
+		"again": step(func() {
+			if _, err := s.core().Submit(s.now, s.requests[s.someKey("key")]); err != nil {
+				s.t.Fatalf("a repeated submission was refused: %v", err)
+			}
+		}),
+		"cancel": step(func() {
+			if _, err := s.core().Cancel(s.now, s.someKey("key")); err != nil {
+				s.t.Fatal(err)
+			}
+		}),
+		"deliver":  step(s.deliver),
+		"deliver2": step(s.deliver),
+		"report":   step(s.report),
+		"report2":  step(s.report),
+		"finish":   step(s.finish),
+		"remote": step(func() {
+			load := membership.Load{Free: oneSlot.Times(2), LargestFree: oneSlot.Times(2), Workers: 1}
+			s.core().SetRemote(s.now, dcOther, "r", load)
+			s.remoteStep()
+		}),
+		"crash": step(func() { s.crash(s.pick("worker")) }),
+		"unreachable": step(func() {
+			w := s.pick("worker")
+			w.silent = true
+			s.core().WorkerUnreachable(s.now, w.id)
+		}),
+		"grant": step(func() { s.term++; s.regrant() }),
+		"takeover": step(func() {
+			s.takeOver(1 - s.owner)
+		}),
+		"lose owner":   step(s.loseOwner),
+		"retry lost":   step(s.retryLost),
+		"standby away": step(func() { s.standbyUp = false }),
+		"standby back": step(func() {
+			s.standbyUp = true
+			s.sync()
+		}),
+		"long wait":   step(func() { s.pass(20 * time.Second) }),
+		"again owner": step(func() { s.takeOver(s.owner) }),
+		"drain":       step(func() { s.core().Drain(s.now, s.workers[0].id) }),
+		"tick":        step(func() { s.pass(time.Duration(rapid.IntRange(1, 3000).Draw(s.t, "ms")) * time.Millisecond) }),
+		"":            func(*rapid.T) { s.check() },
+	}
+}
+
+// regrant renews one worker's lease with a higher term, as an agent does after
+// a lost lease. The owner's own term stays.
+func (s *sim) regrant() {
+	s.term--
+	w := s.pick("worker")
+	s.dropFlights(w)
+	s.grant(w)
+}
+
+// dropFlights models the higher term of the new lease: starts under the earlier
+// one are refused.
+func (s *sim) dropFlights(w *simWorker) {
+	s.flying = slices.DeleteFunc(s.flying, func(f simStart) bool { return f.worker == w })
+}
--- /dev/null
+++ b/internal/core/scheduler/sim_test.go
@@ -0,0 +1,285 @@
+package scheduler
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/split"
+)
+
+// The model runs two daemons of one data centre that own it in turn, workers
+// that obey the lease rule, an old system and a second data centre. Random
+// steps lose messages and crash workers; the invariants are checked after each.
+
+const (
+	simSlots   = 2
+	simWorkers = 3
+	// simGrace is the lease TTL and the task grace of testConfig.
+	simGrace = 33 * time.Second
+	leaseTTL = 3 * time.Second
+)
+
+// simStart is a batch on its way to a worker.
+type simStart struct {
+	worker *simWorker
+	term   uint64
+	start  Start
+	boot   int
+	lost   bool // the answer was lost; a copy may still arrive
+}
+
+// sim is the whole model.
+type sim struct {
+	t       *rapid.T
+	now     time.Time
+	cores   [2]*Core
+	owner   int // index of the serving core, or -1
+	term    uint64
+	workers []*simWorker
+	flying  []simStart
+	// standbyUp is false while the standby misses records.
+	standbyUp bool
+	// journal holds what reached the log.
+	journal []model.Record
+	// lost holds requests whose record may be lost with the last owner.
+	lost map[string]model.Request
+	// begun counts starts of each task of a non-idempotent request.
+	begun map[model.TaskID]int
+	// told is the final fate that callers saw.
+	told     map[string]model.Fate
+	requests map[string]model.Request
+	old      map[string]bool
+	remote   map[string]*model.Record
+	next     int
+}
+
+func newSim(t *rapid.T) *sim {
+	s := &sim{
+		t: t, now: epoch, owner: -1, standbyUp: true, begun: map[model.TaskID]int{}, told: map[string]model.Fate{},
+		requests: map[string]model.Request{}, lost: map[string]model.Request{}, old: map[string]bool{}, remote: map[string]*model.Record{},
+	}
+	for i := range simWorkers {
+		s.workers = append(s.workers, &simWorker{id: model.WorkerID(fmt.Sprintf("w%d", i)), tasks: map[simAttempt]*model.RunningTask{}})
+	}
+	for i := range s.cores {
+		s.cores[i] = s.newCore()
+	}
+	s.takeOver(0)
+	return s
+}
+
+// newCore returns a standby that has read the text and the instance list. Some
+// keys belong to the old system.
+func (s *sim) newCore() *Core {
+	c, cfg, shares := New(testConfig(dcHome)), testText(), map[string]int{}
+	for i := range cfg.Services {
+		cfg.Services[i].NewPercent = 80
+		shares[cfg.Services[i].Name] = 80
+	}
+	c.SetText(s.now, cfg, split.Carried{}.Next(s.now, shares, 0))
+	c.SetListed(s.now, s.listed())
+	return c
+}
+
+func (s *sim) listed() []ListedWorker {
+	var out []ListedWorker
+	for _, w := range s.workers {
+		out = append(out, ListedWorker{Worker: model.Worker{ID: w.id, DataCentre: dcHome, Rack: string(w.id), Capacity: oneSlot.Times(simSlots)}})
+	}
+	return out
+}
+
+func (s *sim) core() *Core {
+	if s.owner < 0 {
+		return nil
+	}
+	return s.cores[s.owner]
+}
+
+// takeOver makes a core the owner of the next term. The other core steps down
+// and hands over its records.
+func (s *sim) takeOver(next int) {
+	complete := true
+	if c := s.core(); c != nil {
+		complete = !c.InDoubt()
+		c.StepDown()
+	}
+	for _, r := range s.cores[1-next].AllRecords() {
+		s.cores[next].Restore(s.now, r)
+	}
+	s.serve(next, complete)
+	s.standbyUp = true
+	s.sync()
+}
+
+// loseOwner ends the owner's process. The standby takes over with the records
+// that it has, the log and the workers; some records may be lost.
+func (s *sim) loseOwner() {
+	next := 1 - s.owner
+	complete := s.standbyUp && !s.core().InDoubt()
+	s.cores[s.owner] = s.newCore()
+	if !s.standbyUp {
+		maps.Copy(s.lost, s.requests)
+		for _, r := range s.journal {
+			s.cores[next].Restore(s.now, r)
+		}
+	}
+	s.serve(next, complete)
+	s.standbyUp = true
+	s.sync()
+}
+
+// sync gives the standby all records of the owner.
+func (s *sim) sync() {
+	for _, r := range s.core().AllRecords() {
+		s.cores[1-s.owner].Restore(s.now, r)
+	}
+}
+
+func (s *sim) serve(next int, synced bool) {
+	s.term++
+	s.owner = next
+	c := s.core()
+	c.BeginCampaign()
+	late := rapid.IntRange(0, simWorkers).Draw(s.t, "workers that grant late")
+	for _, w := range s.workers[late:] {
+		s.grant(w)
+	}
+	if !synced {
+		for _, key := range slices.Sorted(maps.Keys(s.remote)) {
+			c.RestoreDelegated(dcOther, *s.remote[key])
+		}
+	}
+	c.Serve(s.now, Recovery{Term: s.term, SyncedPeer: synced, JournalRead: true})
+	s.run()
+}
+
+// grant gives the worker's lease to the owner of the present term.
+func (s *sim) grant(w *simWorker) {
+	w.term, w.silent, w.until = s.term, false, s.now.Add(simGrace)
+	w.events = nil // the inventory has their outcome
+	s.core().WorkerGranted(s.now, Grant{
+		Worker: w.id, BootID: w.bootID(), Capacity: oneSlot.Times(simSlots), Rack: string(w.id), Tasks: w.inventory(),
+	})
+	s.run()
+}
+
+// run executes the owner's actions.
+func (s *sim) run() {
+	c := s.core()
+	if c == nil {
+		return
+	}
+	for range 200 {
+		c.Schedule(s.now)
+		a := c.Take()
+		if a.Empty() {
+			return
+		}
+		s.execute(c, a)
+	}
+	s.t.Fatal("the core never stops producing actions")
+}
+
+func (s *sim) execute(c *Core, a Actions) {
+	for _, w := range s.workers {
+		for _, start := range a.Starts[w.id] {
+			s.flying = append(s.flying, simStart{worker: w, term: s.term, start: start, boot: w.boot})
+		}
+		for _, stop := range a.Stops[w.id] {
+			s.stop(w, stop)
+		}
+	}
+	for _, r := range a.Replicate {
+		if s.standbyUp {
+			s.cores[1-s.owner].Restore(s.now, r)
+		}
+		c.Replicated(r.Request.Key, r.Version)
+	}
+	for _, r := range a.Journal {
+		// The owner appends once a second and may die before. Final fates that
+		// a caller was told within that second are kept here for simplicity.
+		if r.Fate.Terminal() || rapid.Bool().Draw(s.t, "a start reaches the log") {
+			s.journal = append(s.journal, r)
+		}
+	}
+	for _, r := range a.OldRuns {
+		s.runOld(c, r)
+	}
+	for _, key := range a.OldLookups {
+		c.OldLookedUp(s.now, key, s.old[key], false)
+	}
+	for _, d := range a.Delegations {
+		s.delegate(d)
+	}
+	for _, d := range a.DelegateCancels {
+		if r := s.remote[d.Request.Key]; r != nil && !r.Fate.Terminal() {
+			r.Fate = model.Cancelled
+		}
+	}
+}
+
+func (s *sim) runOld(c *Core, r OldRun) {
+	s.old[r.Key] = true
+	s.begun[model.TaskID{Key: r.Key}]++
+	c.OldReported(s.now, OldReport{Key: r.Key, Fate: model.Done, OK: true})
+}
+
+func (s *sim) delegate(d Delegation) {
+	if s.remote[d.Request.Key] != nil {
+		return
+	}
+	rec := &model.Record{Request: d.Request, Fate: model.Queued, Ended: s.now, Tasks: []model.TaskRecord{{State: model.TaskQueued}}}
+	if rapid.Bool().Draw(s.t, "the other data centre refuses") {
+		rec.Fate, rec.Reason = model.NotRun, model.ReasonShed
+	}
+	s.remote[d.Request.Key] = rec
+}
+
+// settle ends all faults and lets everything run out.
+func (s *sim) settle() {
+	for _, w := range s.workers {
+		s.dropFlights(w)
+		s.grant(w)
+	}
+	for range 400 {
+		for _, f := range s.flying {
+			s.startOn(f)
+		}
+		s.flying = nil
+		s.finishAll()
+		s.pass(time.Second)
+		s.run()
+		s.check()
+		if len(s.told) == len(s.requests) && len(s.flying) == 0 {
+			return
+		}
+	}
+	for key := range s.requests {
+		if s.told[key] == "" {
+			s.t.Fatalf("%s has no final fate: %+v\nwaiting: %+v\nworkers: %+v",
+				key, s.core().entries[key].rec, s.core().Waiting(), s.core().Workers(s.now))
+		}
+	}
+}
+
+// finishAll ends what runs and delivers all reports.
+func (s *sim) finishAll() {
+	for _, w := range s.workers {
+		for _, a := range w.running() {
+			s.end(w, w.tasks[a], model.TaskDone)
+		}
+		for _, ev := range w.events {
+			s.core().TaskReported(s.now, w.id, ev)
+		}
+		w.events = nil
+	}
+	for _, key := range slices.Sorted(maps.Keys(s.remote)) {
+		s.reportRemote(key, true)
+	}
+}
--- /dev/null
+++ b/internal/core/scheduler/sim_worker_test.go
@@ -0,0 +1,87 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// simWorker is a worker with the lease rule: it refuses starts of another term
+// and starts everything else, whether it fits or not.
+type simWorker struct {
+	id     model.WorkerID
+	boot   int
+	term   uint64
+	tasks  map[simAttempt]*model.RunningTask
+	events []TaskEvent // not delivered yet
+	// silent is set while the owner cannot renew the lease, and until is when
+	// the worker then stops its tasks.
+	silent bool
+	until  time.Time
+}
+
+type simAttempt struct {
+	id      model.TaskID
+	attempt int
+}
+
+func (w *simWorker) bootID() string { return fmt.Sprintf("%s-%d", w.id, w.boot) }
+
+func (w *simWorker) running() []simAttempt {
+	var out []simAttempt
+	for a, t := range w.tasks {
+		if !t.State.Final() {
+			out = append(out, a)
+		}
+	}
+	slices.SortFunc(out, func(a, b simAttempt) int {
+		return cmp.Or(cmp.Compare(a.id.Key, b.id.Key), a.id.Index-b.id.Index, a.attempt-b.attempt)
+	})
+	return out
+}
+
+func (w *simWorker) inventory() []model.RunningTask {
+	var out []model.RunningTask
+	for _, t := range w.tasks {
+		out = append(out, *t)
+	}
+	slices.SortFunc(out, func(a, b model.RunningTask) int {
+		return cmp.Or(cmp.Compare(a.ID.Key, b.ID.Key), a.ID.Index-b.ID.Index, a.Attempt-b.Attempt)
+	})
+	return out
+}
+
+func (s *sim) stop(w *simWorker, stop Stop) {
+	if w.term != s.term || w.silent || stop.Mode == StopThrottle {
+		return
+	}
+	if t := w.tasks[simAttempt{stop.ID, stop.Attempt}]; t != nil && !t.State.Final() {
+		s.end(w, t, model.TaskStopped)
+	}
+}
+
+func (s *sim) end(w *simWorker, t *model.RunningTask, state model.TaskState) {
+	t.State, t.OK = state, state == model.TaskDone
+	w.events = append(w.events, TaskEvent{ID: t.ID, Attempt: t.Attempt, State: state, OK: t.OK})
+}
+
+// startOn is the worker's side of a start. It reports whether it was accepted.
+func (s *sim) startOn(f simStart) bool {
+	w := f.worker
+	if w.term != f.term || w.boot != f.boot || s.now.After(w.until.Add(-simGrace+leaseTTL)) {
+		return false
+	}
+	at := simAttempt{f.start.ID, f.start.Attempt}
+	if w.tasks[at] != nil {
+		return true
+	}
+	s.noteStart(f.start.ID)
+	w.tasks[at] = &model.RunningTask{
+		ID: f.start.ID, Attempt: f.start.Attempt, Service: f.start.Service, Size: f.start.Size, State: model.TaskRunning,
+	}
+	w.events = append(w.events, TaskEvent{ID: f.start.ID, Attempt: f.start.Attempt, State: model.TaskRunning})
+	return true
+}
--- a/internal/core/scheduler/stopped_test.go
+++ b/internal/core/scheduler/stopped_test.go
@@ -12,7 +12,7 @@
 // Guards against a preempted request that the successor reports as cancelled,
 // although nobody cancelled it.
 func TestPreemptedTaskSurvivesTakeover(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.submit("dc-a:k", "batch")
 	b.report("dc-a:k", 0, model.TaskRunning)
 	s := b.successor("w1")
@@ -25,7 +25,7 @@
 // Guards against calling a non-idempotent request cancelled when its worker
 // stopped it by itself because no owner renewed the lease.
 func TestStopWithoutRequestIsUnknown(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.submit("dc-a:k", "once")
 	b.report("dc-a:k", 0, model.TaskRunning)
 	b.report("dc-a:k", 0, model.TaskStopped)
--- a/internal/core/scheduler/takeover_test.go
+++ b/internal/core/scheduler/takeover_test.go
@@ -11,7 +11,7 @@
 )
 
 // successor returns an owner of the next term with the replicated records.
-func (b *bench) successor(workers ...model.WorkerID) *bench {
+func (b *fixture) successor(workers ...model.WorkerID) *fixture {
 	b.t.Helper()
 	s := newStandby(b.t, workers...)
 	s.now = b.now
@@ -24,7 +24,7 @@
 // Guards against starts on workers whose lease the owner does not hold in its
 // second term.
 func TestNoStartWithoutLeaseInSecondTerm(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.c.StepDown()
 	b.serve(3)
 	b.submit("dc-a:k", "batch")
@@ -46,8 +46,8 @@
 
 // waitingForDelegation returns an owner without workers whose request dc-a:k
 // leaves for another data centre at the next tick.
-func waitingForDelegation(t *testing.T) *bench {
-	b := newBench(t)
+func waitingForDelegation(t *testing.T) *fixture {
+	b := newFixture(t)
 	b.submit("dc-a:k", "quick")
 	b.now = b.now.Add(time.Second)
 	b.c.SetRemote(b.now, dcOther, "r", membership.Load{Free: oneSlot.Times(4), LargestFree: oneSlot.Times(4), Workers: 1})
@@ -55,7 +55,7 @@
 }
 
 // delegated returns an owner that delegated dc-a:k.
-func delegated(t *testing.T) *bench {
+func delegated(t *testing.T) *fixture {
 	b := waitingForDelegation(t)
 	b.tick(0)
 	assert.Equal(t, len(b.delegations), 1)
@@ -66,7 +66,7 @@
 // worker has forgotten it and other tasks of the request still run.
 func TestEndedTaskOfRunningRequestSurvivesTakeover(t *testing.T) {
 	for _, end := range []model.TaskState{model.TaskDone, model.TaskFailed, model.TaskStopped} {
-		b := newBench(t, "w1")
+		b := newFixture(t, "w1")
 		r := b.request("dc-a:k", "once")
 		r.Tasks = 2
 		_, err := b.c.Submit(b.now, r)
--- a/internal/core/scheduler/unreplicated_test.go
+++ b/internal/core/scheduler/unreplicated_test.go
@@ -11,7 +11,7 @@
 // Guards against a final fate that no caller ever learns, because it was not
 // replicated before the owner stepped down and served again.
 func TestUnreplicatedFateIsToldInSecondTerm(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.submit("dc-a:k", "batch")
 	b.slow = true
 	b.report("dc-a:k", 0, model.TaskDone)
@@ -26,7 +26,7 @@
 // Guards against telling "not run" from a fate that was never replicated, after
 // another owner started the request.
 func TestUnreplicatedFateYieldsToSuccessor(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	b.submit("dc-a:k", "once")
 	b.slow = true
 	b.cancel("dc-a:k")
@@ -49,7 +49,7 @@
 
 // As above, while the other owner's start has no final fate yet.
 func TestUnreplicatedFateYieldsToRunningSuccessor(t *testing.T) {
-	b := newBench(t, "w1")
+	b := newFixture(t, "w1")
 	b.submit("dc-a:a", "batch")
 	b.submit("dc-a:b", "batch")
 	b.submit("dc-a:k", "once")
@@ -73,7 +73,7 @@
 // Guards against handing such a fate to a third owner, for which a final fate
 // outweighs the running record of the second one.
 func TestUnreplicatedFateIsNotHandedOn(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	b.submit("dc-a:k", "once")
 	b.slow = true
 	b.cancel("dc-a:k")
