Never campaign twice with the same term

A daemon that lost its ownership and saw no higher term meanwhile campaigned with its former term again. Workers grant that to the same holder. Starts that were sent before the loss match the new lease, so one may arrive after the inventory said that the task is not there, and the task runs twice.

Found by TestOneOwnerAtATime. Before: it reports "daemon 0 serves with term 1 after term 1". The workers' rule was ruled out as the place: the same holder may ask again when the answer to its first request was lost.

--- a/internal/core/election/election.go
+++ b/internal/core/election/election.go
@@ -92,7 +92,9 @@
 	if !in.Ready || in.Draining || !in.Candidate || in.Now.Before(e.holdOff) {
 		return None
 	}
-	e.role, e.since, e.term = Campaigning, in.Now, in.MaxTerm+1
+	// A term of its own must not return either: starts that were sent under it
+	// may still be on their way to a worker.
+	e.role, e.since, e.term = Campaigning, in.Now, max(in.MaxTerm, e.term)+1
 	return StartCampaign
 }
 
--- /dev/null
+++ b/internal/core/election/election_test.go
@@ -0,0 +1,113 @@
+package election
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const ttl = 3 * time.Second
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// input returns what a lone ready daemon sees after some time.
+func input(after time.Duration) Input {
+	return Input{Now: epoch.Add(after), Ready: true, Candidate: true}
+}
+
+// inRole returns an election that was driven to a role with term 1.
+func inRole(t *testing.T, role Role) *Election {
+	t.Helper()
+	e := New(ttl)
+	in := input(0)
+	if role >= Campaigning {
+		assert.Equal(t, e.Tick(in), StartCampaign)
+	}
+	in.Majority, in.MaxTerm = true, 1
+	if role >= Recovering {
+		assert.Equal(t, e.Tick(in), StartRecovery)
+	}
+	in.Recovered, in.All = true, true
+	if role >= Owner {
+		assert.Equal(t, e.Tick(in), StartServing)
+	}
+	assert.Equal(t, e.Role(), role)
+	return e
+}
+
+// Guards against deciding without the majority of the leases, against an owner
+// that ignores its successor, and against campaigns that never end.
+func TestTick(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		role Role
+		at   time.Duration
+		set  func(*Input)
+		step Step
+		want Role
+		term uint64
+	}{
+		{"not ready", Standby, 0, func(in *Input) { in.Ready = false }, None, Standby, 0},
+		{"draining", Standby, 0, func(in *Input) { in.Draining = true }, None, Standby, 0},
+		{"another candidate", Standby, 0, func(in *Input) { in.Candidate = false }, None, Standby, 0},
+		{"term above all seen", Standby, 0, func(in *Input) { in.MaxTerm = 7 }, StartCampaign, Campaigning, 8},
+		{"campaign waits", Campaigning, time.Second, func(in *Input) { in.MaxTerm = 1 }, None, Campaigning, 1},
+		{"campaign is outbid", Campaigning, time.Second, func(in *Input) { in.MaxTerm = 4 }, StartCampaign, Campaigning, 5},
+		{"campaign sees an owner", Campaigning, time.Second, func(in *Input) { in.OtherOwner = 1 }, StepDown, Standby, 1},
+		{"campaign ends", Campaigning, 7 * time.Second, func(*Input) {}, StepDown, Standby, 1},
+		{"majority", Campaigning, time.Second, func(in *Input) { in.Majority = true }, StartRecovery, Recovering, 1},
+		{"recovery waits for records", Recovering, time.Second, func(in *Input) { in.Majority, in.All = true, true }, None, Recovering, 1},
+		{"recovery waits for workers", Recovering, time.Second, func(in *Input) { in.Majority, in.Recovered = true, true }, None, Recovering, 1},
+		{"recovery gives workers up", Recovering, 5 * time.Second, func(in *Input) { in.Majority, in.Recovered = true, true }, StartServing, Owner, 1},
+		{"recovery loses the majority", Recovering, time.Second, func(in *Input) { in.Recovered = true }, StepDown, Standby, 1},
+		{"recovery is drained", Recovering, time.Second, func(in *Input) { in.Majority, in.Draining = true, true }, StepDown, Standby, 1},
+		{"owner stays", Owner, time.Hour, func(in *Input) { in.Majority = true }, None, Owner, 1},
+		{"draining owner serves until it resigns", Owner, time.Hour, func(in *Input) { in.Majority, in.Draining = true, true }, None, Owner, 1},
+		{"owner loses the majority", Owner, time.Hour, func(*Input) {}, StepDown, Standby, 1},
+		{"owner sees a lower term", Owner, time.Hour, func(in *Input) { in.Majority, in.OtherOwner = true, 1 }, None, Owner, 1},
+		{"owner sees its successor", Owner, time.Hour, func(in *Input) { in.Majority, in.OtherOwner = true, 2 }, StepDown, Standby, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e := inRole(t, tc.role)
+			in := input(tc.at)
+			tc.set(&in)
+			assert.Equal(t, e.Tick(in), tc.step)
+			assert.Equal(t, e.Role(), tc.want)
+			assert.Equal(t, e.Term(), tc.term)
+		})
+	}
+}
+
+// Guards against a daemon that takes the ownership back at once after it gave
+// it up, or after a campaign that nobody could win.
+func TestHoldOff(t *testing.T) {
+	e := inRole(t, Owner)
+	e.Resign(epoch)
+	assert.Equal(t, e.Tick(input(ttl-1)), None)
+	assert.Equal(t, e.Tick(input(ttl)), StartCampaign)
+	e = inRole(t, Campaigning)
+	assert.Equal(t, e.Tick(input(2*ttl+1)), StepDown)
+	assert.Equal(t, e.Tick(input(2*ttl+2)), None)
+	assert.Equal(t, e.Tick(input(3*ttl)), StartCampaign)
+}
+
+// Guards against role names that a log reader cannot tell apart.
+func TestRoleNames(t *testing.T) {
+	seen := map[string]bool{}
+	for r := Standby; r <= Owner; r++ {
+		assert.Assert(t, r.String() != "" && !seen[r.String()])
+		seen[r.String()] = true
+	}
+}
+
+// Guards against an owner that comes back with its former term: a worker would
+// accept starts that were sent before it lost the ownership.
+func TestTermIsNotUsedTwice(t *testing.T) {
+	for _, role := range []Role{Campaigning, Recovering, Owner} {
+		e := inRole(t, role)
+		assert.Equal(t, e.Tick(input(time.Hour)), StepDown)
+		assert.Equal(t, e.Tick(input(2*time.Hour)), StartCampaign)
+		assert.Equal(t, e.Term(), uint64(2), "after %s", role)
+	}
+}
--- /dev/null
+++ b/internal/core/election/owners_test.go
@@ -0,0 +1,206 @@
+package election
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"catkinvalve/internal/core/lease"
+	"catkinvalve/internal/core/model"
+)
+
+// grantor is a worker that grants its lease on its own clock, which may run a
+// little faster or slower than the daemons'.
+type grantor struct {
+	id      model.WorkerID
+	rate    float64 // clock ticks for each tick of real time
+	holder  int
+	term    uint64
+	expires time.Time // on the worker's clock
+}
+
+func (g *grantor) clock(now time.Time) time.Time {
+	return epoch.Add(time.Duration(float64(now.Sub(epoch)) * g.rate))
+}
+
+// acquire grants or renews the lease and returns the term in force.
+func (g *grantor) acquire(now time.Time, holder int, term uint64) (uint64, bool) {
+	at := g.clock(now)
+	same := g.holder == holder
+	if (at.Before(g.expires) && !same) || term < g.term || (!same && term == g.term) {
+		return g.term, false
+	}
+	g.holder, g.term, g.expires = holder, term, at.Add(ttl)
+	return term, true
+}
+
+func (g *grantor) renew(now time.Time, holder int, term uint64) bool {
+	at := g.clock(now)
+	if g.holder != holder || g.term != term || !at.Before(g.expires) {
+		return false
+	}
+	g.expires = at.Add(ttl)
+	return true
+}
+
+// message is a call on its way to a worker, or its answer on the way back.
+type message struct {
+	daemon  int
+	worker  *grantor
+	term    uint64
+	sentAt  time.Time
+	renewal bool
+	// answered, granted and inForce are set once the worker has handled it.
+	answered, granted bool
+	inForce           uint64
+}
+
+// daemon holds leases and runs the election as the owner loop does.
+type daemon struct {
+	election *Election
+	leases   *lease.Table
+	maxTerm  uint64
+}
+
+// fleet is two daemons, their workers and the messages between them.
+type fleet struct {
+	t        *rapid.T
+	now      time.Time
+	daemons  [2]*daemon
+	workers  []*grantor
+	messages []message
+	// served is the highest term that an owner served with.
+	served uint64
+}
+
+func newFleet(t *rapid.T) *fleet {
+	f := &fleet{t: t, now: epoch}
+	var ids []model.WorkerID
+	for i := range rapid.IntRange(1, 5).Draw(t, "workers") {
+		id := model.WorkerID(fmt.Sprint("w", i))
+		ids = append(ids, id)
+		rate := float64(rapid.IntRange(95, 105).Draw(t, "clock rate in percent")) / 100
+		f.workers = append(f.workers, &grantor{id: id, rate: rate, holder: -1})
+	}
+	for i := range f.daemons {
+		f.daemons[i] = &daemon{election: New(ttl), leases: lease.New(ttl)}
+		f.daemons[i].leases.SetListed(ids)
+	}
+	return f
+}
+
+func (f *fleet) send(i int, renewal bool) {
+	for _, w := range f.workers {
+		f.messages = append(f.messages, message{
+			daemon: i, worker: w, term: f.daemons[i].election.Term(), sentAt: f.now, renewal: renewal,
+		})
+	}
+}
+
+// tick runs a daemon's election once. A daemon that is not ticked is paused.
+func (f *fleet) tick() {
+	i := rapid.IntRange(0, 1).Draw(f.t, "daemon")
+	d := f.daemons[i]
+	d.leases.Expired(f.now)
+	switch d.election.Tick(Input{
+		Now: f.now, Ready: true, Candidate: true, MaxTerm: d.maxTerm,
+		Majority: d.leases.Majority(f.now), All: d.leases.All(f.now), Recovered: true,
+	}) {
+	case StartCampaign:
+		d.leases.Clear()
+		f.send(i, false)
+	case StartServing:
+		if d.election.Term() <= f.served {
+			f.t.Fatalf("daemon %d serves with term %d after term %d", i, d.election.Term(), f.served)
+		}
+		f.served = d.election.Term()
+	case StepDown:
+		d.leases.Clear()
+	}
+}
+
+func (f *fleet) renew() {
+	i := rapid.IntRange(0, 1).Draw(f.t, "daemon")
+	if f.daemons[i].election.Role() != Standby {
+		f.send(i, true)
+	}
+}
+
+// move brings a message to its worker or its answer back. Others overtake it.
+func (f *fleet) move() {
+	if len(f.messages) == 0 {
+		f.t.Skip("no message")
+	}
+	n := rapid.IntRange(0, len(f.messages)-1).Draw(f.t, "message")
+	m := f.messages[n]
+	if !m.answered {
+		m.answered, m.inForce = true, m.term
+		if m.renewal {
+			m.granted = m.worker.renew(f.now, m.daemon, m.term)
+		} else {
+			m.inForce, m.granted = m.worker.acquire(f.now, m.daemon, m.term)
+		}
+		f.messages[n] = m
+		return
+	}
+	f.messages = append(f.messages[:n], f.messages[n+1:]...)
+	d := f.daemons[m.daemon]
+	switch {
+	case !m.granted && !m.renewal:
+		d.maxTerm = max(d.maxTerm, m.inForce)
+	case !m.granted:
+		d.leases.Lost(m.worker.id, m.term)
+	case m.renewal:
+		d.leases.Renewed(m.worker.id, m.term, m.sentAt)
+	case d.election.Role() != Standby && m.term >= d.election.Term():
+		d.leases.Granted(m.worker.id, m.term, m.sentAt)
+	}
+}
+
+// check holds at every moment, whether the daemons look at their clocks or not.
+func (f *fleet) check() {
+	if f.daemons[0].leases.Majority(f.now) && f.daemons[1].leases.Majority(f.now) {
+		f.t.Fatal("both daemons hold the majority")
+	}
+}
+
+// Guards against two owners at a time, and against an owner whose term a
+// replica or a worker has already refused.
+func TestOneOwnerAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		step := func(fn func()) func(*rapid.T) { return func(*rapid.T) { fn() } }
+		t.Repeat(map[string]func(*rapid.T){
+			"tick": step(f.tick), "tick2": step(f.tick), "renew": step(f.renew),
+			"move": step(f.move), "move2": step(f.move), "move3": step(f.move),
+			"wait": step(func() {
+				f.now = f.now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+			}),
+			"": step(f.check),
+		})
+	})
+}
+
+// Guards against a model in which nobody ever becomes owner and the test above
+// shows nothing.
+func TestFleetElectsOwners(t *testing.T) {
+	owners := 0
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		for range 100 {
+			f.tick()
+			for len(f.messages) > 0 {
+				f.move()
+			}
+			f.now = f.now.Add(20 * time.Millisecond)
+		}
+		if f.served > 0 {
+			owners++
+		}
+	})
+	if owners < 10 {
+		t.Fatalf("an owner in %d runs only", owners)
+	}
+}
