--- /dev/null
+++ b/internal/core/lease/table_test.go
@@ -0,0 +1,118 @@
+package lease
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"catkinvalve/internal/core/model"
+)
+
+const ttl = 3 * time.Second
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// table returns a table with n listed workers.
+func table(n int) (*Table, []model.WorkerID) {
+	t, ids := New(ttl), []model.WorkerID(nil)
+	for i := range n {
+		ids = append(ids, model.WorkerID(fmt.Sprint("w", i)))
+	}
+	t.SetListed(ids)
+	return t, ids
+}
+
+// Guards against using a lease longer than its TTL less the margin, counted
+// from when the request was sent and not from when the answer came.
+func TestLeaseEndsBeforeTTL(t *testing.T) {
+	l, _ := table(1)
+	l.Granted("w0", 1, epoch)
+	last := epoch.Add(ttl - ttl/10)
+	assert.Assert(t, l.Held(last.Add(-1), "w0"))
+	assert.Assert(t, !l.Held(last, "w0"))
+	l.Renewed("w0", 1, epoch.Add(time.Second))
+	assert.Assert(t, l.Held(last, "w0"))
+	assert.Assert(t, !l.Held(last.Add(time.Second), "w0"))
+}
+
+// Guards against answers of another term or out of order that extend a lease.
+func TestLateAnswers(t *testing.T) {
+	l, _ := table(1)
+	l.Granted("w0", 2, epoch.Add(time.Second))
+	l.Renewed("w0", 1, epoch.Add(time.Hour))
+	l.Renewed("w0", 2, epoch)
+	end := epoch.Add(time.Second + l.Validity())
+	assert.Assert(t, l.Held(end.Add(-1), "w0") && !l.Held(end, "w0"))
+	assert.Assert(t, !l.Lost("w0", 1), "a refusal of an earlier term")
+	assert.Assert(t, l.Held(epoch, "w0"))
+	assert.Assert(t, l.Lost("w0", 2))
+	l.Renewed("w0", 2, epoch.Add(time.Second))
+	assert.Assert(t, !l.Held(epoch, "w0"), "a renewal that arrives after the refusal")
+}
+
+// Guards against counting workers that are not listed, and against a majority
+// of nothing.
+func TestMajority(t *testing.T) {
+	for _, tc := range []struct {
+		listed, held  int
+		majority, all bool
+	}{{0, 0, false, false}, {1, 0, false, false}, {1, 1, true, true}, {2, 1, false, false}, {3, 2, true, false}, {4, 2, false, false}, {4, 4, true, true}} {
+		l, ids := table(tc.listed)
+		for _, id := range ids[:tc.held] {
+			l.Granted(id, 1, epoch)
+		}
+		l.Granted("unlisted", 1, epoch)
+		assert.Equal(t, l.Majority(epoch), tc.majority, "%+v", tc)
+		assert.Equal(t, l.All(epoch), tc.all, "%+v", tc)
+		assert.Equal(t, l.HeldCount(epoch), tc.held, "%+v", tc)
+	}
+}
+
+// Guards against a majority that survives workers leaving the list, and against
+// leases that come back with a worker.
+func TestListChanges(t *testing.T) {
+	l, ids := table(3)
+	for _, id := range ids {
+		l.Granted(id, 1, epoch)
+	}
+	l.SetListed(ids[:1])
+	l.SetListed(ids)
+	assert.Equal(t, l.Listed(), 3)
+	assert.Equal(t, l.HeldCount(epoch), 1)
+	assert.Assert(t, !l.Majority(epoch))
+	l.Drop(ids[0])
+	assert.Equal(t, l.HeldCount(epoch), 0)
+	l.Granted(ids[0], 2, epoch)
+	l.Clear()
+	assert.Equal(t, l.HeldCount(epoch), 0)
+}
+
+// Guards against expiries that are reported twice, never, or for held leases.
+func TestExpiredReportsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, ids := table(4)
+		now, held := epoch, map[model.WorkerID]time.Time{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			id := rapid.SampledFrom(ids).Draw(t, "worker")
+			if rapid.Bool().Draw(t, "grant") {
+				l.Granted(id, 1, now)
+				held[id] = now
+			}
+			expired := l.Expired(now)
+			for id, at := range held {
+				over := now.Sub(at) >= l.Validity()
+				assert.Equal(t, slices.Contains(expired, id), over)
+				assert.Equal(t, l.Held(now, id), !over)
+				if over {
+					delete(held, id)
+				}
+			}
+			assert.Equal(t, len(l.Expired(now)), 0)
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/membership/membership_test.go
@@ -0,0 +1,165 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"catkinvalve/internal/core/model"
+)
+
+const suspect = 1500 * time.Millisecond
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against a key that is at home in two places or none, depending on the
+// order of the text or on how the key looks.
+func TestHome(t *testing.T) {
+	dcs := []model.DataCentre{"klang-a", "klang-b", "penang-a"}
+	for _, tc := range []struct {
+		name, key string
+		want      model.DataCentre // "" means by hash
+	}{
+		{"prefix", "klang-b:order-17", "klang-b"},
+		{"prefix only", "penang-a:", "penang-a"},
+		{"first colon counts", "klang-a:klang-b:1", "klang-a"},
+		{"unknown prefix", "breizh-a:1", ""},
+		{"part of a name", "klang:1", ""},
+		{"no prefix", "order-17", ""},
+		{"name without a colon", "klang-a", ""},
+		{"empty", "", ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := Home(tc.key, dcs)
+			reversed := slices.Clone(dcs)
+			slices.Reverse(reversed)
+			assert.Equal(t, Home(tc.key, reversed), got)
+			assert.Assert(t, slices.Contains(dcs, got))
+			if tc.want != "" {
+				assert.Equal(t, got, tc.want)
+			}
+		})
+	}
+	assert.Equal(t, Home("klang-a:1", nil), model.DataCentre(""))
+}
+
+// Guards against moving keys between old data centres when one is added, and
+// against a skewed assignment.
+func TestHomeMovesOnlyToNewDataCentre(t *testing.T) {
+	var dcs []model.DataCentre
+	for i := range 7 {
+		dcs = append(dcs, model.DataCentre(fmt.Sprint("dc-", i)))
+	}
+	counts := map[model.DataCentre]int{}
+	for i := range 7000 {
+		key := fmt.Sprint("key-", i)
+		before, after := Home(key, dcs[:6]), Home(key, dcs)
+		assert.Assert(t, before == after || after == dcs[6], "%s moved from %s to %s", key, before, after)
+		counts[after]++
+	}
+	for dc, n := range counts {
+		assert.Assert(t, n > 800 && n < 1200, "%s is the home of %d of 7000 keys", dc, n)
+	}
+}
+
+func peer(id string, dc model.DataCentre, term uint64) Peer {
+	return Peer{ID: id, DataCentre: dc, Term: term, Ready: true}
+}
+
+// Guards against data centres without a candidate, and against campaigns
+// against a living owner.
+func TestCandidate(t *testing.T) {
+	with := func(p Peer, set func(*Peer)) Peer {
+		set(&p)
+		return p
+	}
+	for _, tc := range []struct {
+		name  string
+		peers []Peer
+		after time.Duration
+		want  bool
+	}{
+		{"alone", nil, 0, true},
+		{"lower ID", []Peer{peer("a", "dc", 0)}, 0, false},
+		{"higher ID", []Peer{peer("z", "dc", 0)}, 0, true},
+		{"lower ID is not ready", []Peer{with(peer("a", "dc", 0), func(p *Peer) { p.Ready = false })}, 0, true},
+		{"lower ID is draining", []Peer{with(peer("a", "dc", 0), func(p *Peer) { p.Draining = true })}, 0, true},
+		{"lower ID is dead", []Peer{peer("a", "dc", 0)}, suspect, true},
+		{"living owner", []Peer{peer("z", "dc", 3)}, suspect - 1, false},
+		{"draining owner", []Peer{with(peer("z", "dc", 3), func(p *Peer) { p.Draining = true })}, 0, false},
+		{"dead owner", []Peer{peer("z", "dc", 3)}, suspect, true},
+		{"owner elsewhere", []Peer{peer("a", "other", 3)}, 0, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table := NewTable(peer("m", "dc", 0), suspect)
+			for _, p := range tc.peers {
+				table.Seen(epoch, p)
+			}
+			assert.Equal(t, table.Candidate(epoch.Add(tc.after)), tc.want)
+		})
+	}
+}
+
+// Guards against a data centre in which no daemon, or more than one, is the
+// candidate while all of them see the same peers.
+func TestOneCandidateAmongEqualViews(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var daemons []Peer
+		for i := range rapid.IntRange(1, 4).Draw(t, "daemons") {
+			p := peer(fmt.Sprint("d", i), "dc", 0)
+			p.Ready = i == 0 || rapid.Bool().Draw(t, "ready")
+			daemons = append(daemons, p)
+		}
+		candidates := 0
+		for _, self := range daemons {
+			table := NewTable(self, suspect)
+			for _, p := range daemons {
+				table.Seen(epoch, p)
+			}
+			if self.Ready && table.Candidate(epoch) {
+				candidates++
+			}
+		}
+		assert.Equal(t, candidates, 1)
+	})
+}
+
+// Guards against a term that falls, or that counts another data centre's.
+func TestMaxTerm(t *testing.T) {
+	table := NewTable(peer("m", "dc", 0), suspect)
+	for _, step := range []struct {
+		p    Peer
+		want uint64
+	}{{peer("a", "dc", 4), 4}, {peer("b", "other", 9), 4}, {peer("a", "dc", 0), 4}, {peer("m", "dc", 7), 4}, {peer("c", "dc", 5), 5}} {
+		table.Seen(epoch, step.p)
+		assert.Equal(t, table.MaxTerm(), step.want)
+	}
+	table.SawTerm(8)
+	table.SawTerm(6)
+	assert.Equal(t, table.MaxTerm(), uint64(8))
+	table.Forget("a")
+	assert.Equal(t, len(table.Peers()), 2)
+}
+
+// Guards against following a former owner, a dead one, or oneself.
+func TestOwnerAndMates(t *testing.T) {
+	table := NewTable(peer("m", "dc", 0), suspect)
+	table.Seen(epoch, peer("m", "dc", 9))
+	table.Seen(epoch, peer("a", "dc", 2))
+	table.Seen(epoch.Add(suspect), peer("b", "dc", 1))
+	table.Seen(epoch, peer("x", "other", 1))
+	owner, ok := table.Owner(epoch, "dc")
+	assert.Assert(t, ok && owner.ID == "a")
+	owner, ok = table.Owner(epoch.Add(suspect), "dc")
+	assert.Assert(t, ok && owner.ID == "b", "the owner with the higher term is dead")
+	assert.Equal(t, len(table.Mates(epoch.Add(suspect))), 1)
+	_, ok = table.Owner(epoch.Add(2*suspect), "other")
+	assert.Assert(t, ok, "heartbeats of other data centres are rarer")
+	_, ok = table.Owner(epoch.Add(remoteSuspectFactor*suspect), "other")
+	assert.Assert(t, !ok)
+	assert.Assert(t, !table.Alive(epoch, "unknown"))
+}
