Send a start only under the lease for which it was decided

A worker's agent sent queued starts under whatever lease it held by then. When a lease was lost and taken again while a batch waited, the inventory of the new lease lacked the task, the scheduler placed it again, and the agent then sent the first start as well. The task ran twice, also a non-idempotent one.

Each batch now carries the lease term that the owner loop knew. A start of an earlier lease goes back as not started, which is true, since it was not sent.

Before: the agent passed no term with a batch and sent it under the lease held by then.

--- a/internal/core/lease/table.go
+++ b/internal/core/lease/table.go
@@ -86,6 +86,14 @@
 	return e != nil && now.Sub(e.sentAt) < t.Validity()
 }
 
+// Term returns the term of the lease on a worker; 0 when there is none.
+func (t *Table) Term(id model.WorkerID) uint64 {
+	if e := t.leases[id]; e != nil {
+		return e.term
+	}
+	return 0
+}
+
 // HeldCount returns the number of leases that are valid at now.
 func (t *Table) HeldCount(now time.Time) int {
 	n := 0
--- a/internal/core/lease/table_test.go
+++ b/internal/core/lease/table_test.go
@@ -42,7 +42,9 @@
 // Guards against answers of another term or out of order that extend a lease.
 func TestLateAnswers(t *testing.T) {
 	l, _ := table(1)
+	assert.Equal(t, l.Term("w0"), uint64(0))
 	l.Granted("w0", 2, epoch.Add(time.Second))
+	assert.Equal(t, l.Term("w0"), uint64(2))
 	l.Renewed("w0", 1, epoch.Add(time.Hour))
 	l.Renewed("w0", 2, epoch)
 	end := epoch.Add(time.Second + l.Validity())
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -24,6 +24,9 @@
 
 // agentBatch is a batch of starts or stops for one worker.
 type agentBatch struct {
+	// term is the lease term for which the starts were decided. Under a later
+	// one they must not be sent: its inventory has said that they are not there.
+	term   uint64
 	starts []scheduler.Start
 	stops  []scheduler.Stop
 }
@@ -228,35 +231,42 @@
 		case <-ctx.Done():
 			return
 		case b := <-a.queue:
-			a.sendBatch(ctx, a.gather(b))
+			for next := &b; next != nil; {
+				var joined agentBatch
+				joined, next = a.gather(*next)
+				a.sendBatch(ctx, joined)
+			}
 		}
 	}
 }
 
-// gather joins queued batches of the same kind into one call.
-func (a *agent) gather(b agentBatch) agentBatch {
+// gather joins queued batches of the same lease into one call. It returns the
+// first batch that it took and that does not belong to the call.
+func (a *agent) gather(b agentBatch) (joined agentBatch, rest *agentBatch) {
 	for len(b.starts) > 0 && len(b.stops) == 0 && len(b.starts) < maxBatch {
 		select {
 		case next := <-a.queue:
+			if len(next.starts) > 0 && next.term != b.term {
+				return b, &next
+			}
 			b.starts = append(b.starts, next.starts...)
 			b.stops = next.stops
 		default:
-			return b
+			return b, nil
 		}
 	}
-	return b
+	return b, nil
 }
 
 func (a *agent) sendBatch(ctx context.Context, b agentBatch) {
 	term := a.held.Load()
-	if term == 0 {
+	switch {
+	case term == 0 || term != b.term:
 		a.refuse(b.starts)
-		return
-	}
-	if len(b.starts) > 0 {
+	case len(b.starts) > 0:
 		a.sendStarts(ctx, term, b.starts)
 	}
-	if len(b.stops) > 0 {
+	if term != 0 && len(b.stops) > 0 {
 		a.sendStops(ctx, term, b.stops)
 	}
 }
--- /dev/null
+++ b/internal/daemon/helpers_test.go
@@ -0,0 +1,213 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/ports"
+	"catkinvalve/internal/settings"
+	"catkinvalve/internal/telemetry"
+)
+
+// Guards against goroutines that outlive their daemon.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const testPatience = 5 * time.Second
+
+// fakeLog is a log whose answers can be lost before or after the append.
+type fakeLog struct {
+	mu       sync.Mutex
+	records  map[string][]ports.LogRecord
+	down     bool // appends and reads fail without an effect
+	lostAcks bool // appends take effect and their answer is lost
+}
+
+func newFakeLog() *fakeLog { return &fakeLog{records: map[string][]ports.LogRecord{}} }
+
+func (l *fakeLog) Append(_ context.Context, stream string, data []byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	unavailable := fault.New(fault.LogUnavailable, "retry", "the log does not answer")
+	if l.down {
+		return 0, unavailable
+	}
+	offset := int64(len(l.records[stream]))
+	l.records[stream] = append(l.records[stream], ports.LogRecord{Offset: offset, Time: time.Now(), Data: data})
+	if l.lostAcks {
+		return 0, unavailable
+	}
+	return offset, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (ports.LogPage, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return ports.LogPage{}, fault.New(fault.LogUnavailable, "retry", "the log does not answer")
+	}
+	all := l.records[stream]
+	page := ports.LogPage{Next: from}
+	for _, r := range all[min(int(from), len(all)):min(int(from)+limit, len(all))] {
+		page.Records = append(page.Records, r)
+		page.Next = r.Offset + 1
+	}
+	return page, nil
+}
+
+func (l *fakeLog) set(down, lostAcks bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down, l.lostAcks = down, lostAcks
+}
+
+func (l *fakeLog) appends(stream string) []ports.LogRecord {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]ports.LogRecord(nil), l.records[stream]...)
+}
+
+// fakeList returns an empty instance list.
+type fakeList struct{}
+
+func (fakeList) Instances(context.Context) ([]ports.Instance, error) { return nil, nil }
+
+// fakeWorker is a worker whose answers a test decides.
+type fakeWorker struct {
+	mu    sync.Mutex
+	start func(ports.Lease, []ports.StartTask) ([]ports.StartRefusal, error)
+	// leaseErr is what Sync returns.
+	leaseErr error
+	calls    []startCall
+	stops    []ports.StopTask
+	leases   []ports.Lease
+}
+
+type startCall struct {
+	lease ports.Lease
+	tasks []ports.StartTask
+}
+
+func (w *fakeWorker) Worker(string) ports.Worker { return w }
+
+func (w *fakeWorker) Acquire(_ context.Context, l ports.Lease, _, _ time.Duration) (ports.Grant, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leases = append(w.leases, l)
+	return ports.Grant{BootID: "boot"}, nil
+}
+
+func (w *fakeWorker) Release(context.Context, ports.Lease) error { return nil }
+
+func (w *fakeWorker) Sync(ctx context.Context, _ ports.Lease, _ time.Duration, _ int64, _ time.Duration) (ports.SyncResult, error) {
+	w.mu.Lock()
+	err := w.leaseErr
+	w.mu.Unlock()
+	sleep(ctx, 10*time.Millisecond)
+	return ports.SyncResult{BootID: "boot"}, err
+}
+
+func (w *fakeWorker) Start(_ context.Context, l ports.Lease, tasks []ports.StartTask) ([]ports.StartRefusal, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls = append(w.calls, startCall{l, append([]ports.StartTask(nil), tasks...)})
+	if w.start == nil {
+		return nil, nil
+	}
+	return w.start(l, tasks)
+}
+
+func (w *fakeWorker) Stop(_ context.Context, _ ports.Lease, tasks []ports.StopTask) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stops = append(w.stops, tasks...)
+	return nil
+}
+
+func (w *fakeWorker) startCalls() []startCall {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]startCall(nil), w.calls...)
+}
+
+// testDaemon is a daemon whose duties a test runs one by one.
+type testDaemon struct {
+	*Daemon
+	t      *testing.T
+	log    *fakeLog
+	worker *fakeWorker
+}
+
+func newTestDaemon(t *testing.T) *testDaemon {
+	t.Helper()
+	set := settings.Default()
+	set.DaemonID, set.DataCentre, set.Region = "d1", "dc-a", "r"
+	set.Timings.LogPoll, set.Timings.RenewInterval = 20*time.Millisecond, 50*time.Millisecond
+	td := &testDaemon{t: t, log: newFakeLog(), worker: &fakeWorker{}}
+	var err error
+	td.Daemon, err = New(set, Deps{
+		Log: td.log, List: fakeList{}, Workers: td.worker, Logger: telemetry.Discard(), Registry: metrics.NewRegistry(),
+	})
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		td.cancel()
+		td.group.Wait()
+		assert.NilError(t, td.peers.Close())
+	})
+	return td
+}
+
+// nextMessage waits for the next message to the owner loop of type M.
+func nextMessage[M message](td *testDaemon) M {
+	td.t.Helper()
+	end := time.After(testPatience)
+	for {
+		select {
+		case m := <-td.controls.C():
+			if out, ok := m.(M); ok {
+				return out
+			}
+		case <-end:
+			td.t.Fatalf("no %T within %s", *new(M), testPatience)
+		}
+	}
+}
+
+// noMessage checks that no message of type M arrives for a while.
+func noMessage[M message](td *testDaemon) {
+	td.t.Helper()
+	end := time.After(300 * time.Millisecond)
+	for {
+		select {
+		case m := <-td.controls.C():
+			if _, ok := m.(M); ok {
+				td.t.Fatalf("unexpected %T", m)
+			}
+		case <-end:
+			return
+		}
+	}
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testPatience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatalf("not within %s: %s", testPatience, what)
+}
+
+func startOf(key string) scheduler.Start {
+	return scheduler.Start{ID: model.TaskID{Key: key}, Attempt: 1, Service: "s", Size: model.Size{Slots: 1}}
+}
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -295,7 +295,7 @@
 func (l *loop) sendToWorkers(a scheduler.Actions) {
 	for w, starts := range a.Starts {
 		if ag := l.agents[w]; ag != nil {
-			ag.send(agentBatch{starts: starts})
+			ag.send(agentBatch{term: l.leases.Term(w), starts: starts})
 		}
 	}
 	for w, stops := range a.Stops {
