Ignore confirmations of records after a step-down

The replicator confirms a batch also when a standby refused it for its stale term. The refusal makes the owner step down first, but the confirmation carries the same term and was applied. A final fate that no standby has then counted as told and could outweigh the record of the successor.

TestFormerOwnerGetsNoConfirmation guards against that; found by reading.

--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -223,8 +223,14 @@
 	version uint64
 }
 
+// counts reports whether the confirmation is for the present ownership. After a
+// step-down the term is still the same, and the batch may have been refused.
+func (m replicatedMsg) counts(l *loop) bool {
+	return m.term == l.election.Term() && l.core.Serving()
+}
+
 func (m replicatedMsg) handle(l *loop, _ time.Time) {
-	if m.term != l.election.Term() {
+	if !m.counts(l) {
 		return
 	}
 	for _, a := range m.acks {
