--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -76,10 +76,18 @@
 	for _, key := range j.order {
 		rec := j.pending[key]
 		b, err := json.Marshal(rec)
+		if err == nil && len(b)+2 > journalBytes {
+			if !rec.Fate.Terminal() {
+				j.d.metrics.journalDropped.Inc(1)
+				keys = append(keys, rec)
+				continue
+			}
+			b, err = json.Marshal(fateOnly(rec))
+		}
 		if err != nil || len(data)+len(b)+2 > journalBytes {
 			break
 		}
-		if len(keys) > 0 {
+		if len(data) > 1 {
 			data = append(data, ',')
 		}
 		data = append(data, b...)
@@ -88,6 +96,14 @@
 	return keys, append(data, ']')
 }
 
+// fateOnly shortens an ended record whose tasks do not fit into one append. A
+// record of that size that has not ended is left out: without its tasks a
+// reader could not continue it. Both would otherwise block the journal.
+func fateOnly(rec model.Record) model.Record {
+	rec.Tasks = []model.TaskRecord{{State: model.TaskStopped}}
+	return rec
+}
+
 // done removes what was appended, unless it changed meanwhile.
 func (j *journal) done(records []model.Record) {
 	j.mu.Lock()
