Treat a delegation of an earlier owner as sent

After a takeover the new owner follows a delegated request anew. When its first call failed with nothing sent, it reported the request as not run and the core started it at home, although the other data centre may run it since the earlier owner delegated it.

Found by reading. TestDelegationIsFollowedInSecondTerm now checks that the delegation says so.

--- a/internal/core/scheduler/actions.go
+++ b/internal/core/scheduler/actions.go
@@ -46,6 +46,8 @@
 type Delegation struct {
 	To      model.DataCentre
 	Request model.Request
+	// MaybeSent is set when an earlier owner may have sent it already.
+	MaybeSent bool
 }
 
 // Actions is what the daemon has to do after events were handled. The records
--- a/internal/core/scheduler/delegate.go
+++ b/internal/core/scheduler/delegate.go
@@ -106,13 +106,14 @@
 	if e.delegated {
 		return
 	}
+	maybeSent := e.tasks[0].startAt == 0
 	e.delegated, e.tasks[0].startAt = true, 0
 	r := e.rec.Request
 	if r.IssuedAt.IsZero() || e.waitedAt.After(r.IssuedAt) {
 		// The receiver has never seen the request before this time.
 		r.IssuedAt = e.waitedAt
 	}
-	c.out.Delegations = append(c.out.Delegations, Delegation{To: e.rec.DelegatedTo, Request: r})
+	c.out.Delegations = append(c.out.Delegations, Delegation{To: e.rec.DelegatedTo, Request: r, MaybeSent: maybeSent})
 }
 
 // DelegateReport is the outcome of a delegation or its current state.
--- a/internal/core/scheduler/takeover_test.go
+++ b/internal/core/scheduler/takeover_test.go
@@ -42,6 +42,8 @@
 	b.reset()
 	b.serve(3)
 	assert.Equal(t, len(b.delegations), 1)
+	// Otherwise a failed first call of the new follower would pass for a refusal.
+	assert.Assert(t, b.delegations[0].MaybeSent)
 }
 
 // waitingForDelegation returns an owner without workers whose request dc-a:k
@@ -59,6 +61,7 @@
 	b := waitingForDelegation(t)
 	b.tick(0)
 	assert.Equal(t, len(b.delegations), 1)
+	assert.Assert(t, !b.delegations[0].MaybeSent)
 	return b
 }
 
--- a/internal/daemon/delegator.go
+++ b/internal/daemon/delegator.go
@@ -43,7 +43,7 @@
 }
 
 func (g *delegator) follow(ctx context.Context, del scheduler.Delegation) {
-	sent := false
+	sent := del.MaybeSent
 	for ctx.Err() == nil && g.d.state.Load().serving {
 		rec, err := g.delegate(ctx, del)
 		switch {
