Keep the data centre in doubt when its owner changes

An owner in doubt counted its records as complete when it served again or when a successor asked for them, and the doubt ended with the change of owner. A key whose record was lost could then run a second time.

Found by the model test of the scheduler. A standby that copied an owner in doubt still counts as complete in its own campaign; that remains open.

--- /dev/null
+++ b/internal/daemon/doubt_test.go
@@ -0,0 +1,27 @@
+package daemon
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/scheduler"
+)
+
+// Guards against a successor that takes the records of an owner in doubt for
+// complete, so that a lost key could run a second time.
+func TestRecordsInDoubtAreNotComplete(t *testing.T) {
+	for _, peer := range []bool{false, true} {
+		td := newTestDaemon(t)
+		l := td.newLoop()
+		l.recovery = scheduler.Recovery{Term: 1, SyncedPeer: peer}
+		l.startServing(td.now())
+		for _, term := range []uint64{0, 2} {
+			reply := make(chan fenceReply, 1)
+			fenceMsg{term: term, reply: reply}.handle(l, td.now())
+			assert.Equal(t, (<-reply).synced, peer || term == 0, "term %d", term)
+		}
+		l.stepDown()
+		assert.Equal(t, l.synced, peer, "the own records in the next campaign")
+	}
+}
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -127,6 +127,7 @@
 	}
 	l.advance(now)
 	l.core.Tick(now)
+	l.synced = l.synced || (l.core.Serving() && !l.core.InDoubt())
 	l.publishState(now)
 }
 
@@ -209,7 +210,7 @@
 		a.mayRaiseTerm()
 	}
 	l.core.Serve(now, l.recovery)
-	l.synced = true
+	l.synced = !l.core.InDoubt()
 }
 
 func (l *loop) stepDown() {
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -367,7 +367,9 @@
 }
 
 func (m fenceMsg) handle(l *loop, _ time.Time) {
-	synced := l.synced || l.core.Serving()
+	// A standby may copy an owner in doubt, but a successor must not take its
+	// records for complete.
+	synced := l.synced || (m.term == 0 && l.core.Serving())
 	if m.term > l.fence && !l.core.Serving() {
 		l.obey(m.term)
 	}
