--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -17,6 +17,7 @@
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/platform"
 	"catkinvalve/internal/ports"
+	"catkinvalve/internal/settings"
 	"catkinvalve/internal/standin"
 )
 
@@ -172,6 +173,11 @@
 
 func (c *Cluster) writeSettings(d *Daemon) error {
 	timings := map[string]string{"settle_time": "200ms"}
+	if ttl := c.Opts.LeaseTTL; ttl > 0 && ttl < settings.DefaultLeaseTTL {
+		// The settings demand at least two of each within a lease TTL.
+		timings["renew_interval"] = min(ttl/3, settings.DefaultRenewInterval).String()
+		timings["heartbeat_interval"] = min(ttl/4, settings.DefaultHeartbeatInterval).String()
+	}
 	for name, v := range map[string]time.Duration{"lease_ttl": c.Opts.LeaseTTL, "task_grace": c.Opts.TaskGrace, "settle_time": c.Opts.SettleTime} {
 		if v > 0 {
 			timings[name] = v.String()
--- /dev/null
+++ b/test/scenarios/checks_test.go
@@ -0,0 +1,130 @@
+package scenarios
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/platform"
+	"catkinvalve/internal/testbed"
+)
+
+// counters are the counts of all stand-ins that run requests.
+type counters struct {
+	fleets map[string]platform.FleetStats
+	old    platform.OldStats
+}
+
+func readCounters(ctx context.Context, c *testbed.Cluster) (counters, error) {
+	out := counters{fleets: map[string]platform.FleetStats{}}
+	for dc := range c.Workers {
+		s, err := c.WorkerStats(ctx, dc)
+		if err != nil {
+			return out, err
+		}
+		out.fleets[dc] = s
+	}
+	var err error
+	out.old, err = c.OldStats(ctx)
+	return out, err
+}
+
+// overloads rejects workers that were given more than their capacity.
+func (c counters) overloads() []string {
+	var out []string
+	for _, f := range c.fleets {
+		for id, w := range f.Workers {
+			if w.Overloads > 0 || !w.MaxInUse.Fits(w.Capacity) {
+				out = append(out, fmt.Sprintf("worker %s was overloaded by %d starts: used up to %+v of %+v", id, w.Overloads, w.MaxInUse, w.Capacity))
+			}
+		}
+	}
+	return out
+}
+
+// doubles rejects tasks that ran twice at the same time on workers of one data
+// centre, or at any time in two data centres.
+func (c counters) doubles() []string {
+	var out []string
+	places := map[string][]string{}
+	for dc, f := range c.fleets {
+		if f.ConcurrentRuns > 0 {
+			out = append(out, fmt.Sprintf("workers of %s counted %d starts of a task that ran", dc, f.ConcurrentRuns))
+		}
+		for id, w := range f.Workers {
+			if w.DoubleStarts > 0 {
+				out = append(out, fmt.Sprintf("worker %s counted %d starts of a task that it ran", id, w.DoubleStarts))
+			}
+		}
+		for key := range f.StartsPerKey {
+			places[key] = append(places[key], dc)
+		}
+	}
+	for key := range c.old.RunsPerKey {
+		places[key] = append(places[key], "the old system")
+	}
+	for key, at := range places {
+		if len(at) > 1 {
+			slices.Sort(at)
+			out = append(out, fmt.Sprintf("key %s ran in %s", key, strings.Join(at, " and ")))
+		}
+	}
+	return out
+}
+
+// runs returns the most starts of any task of a key, over all data centres and
+// the old system.
+func (c counters) runs(key string) int {
+	byTask := map[string]int{}
+	for _, f := range c.fleets {
+		for task, n := range f.StartsPerKey[key] {
+			byTask[task] += n
+		}
+	}
+	most := 0
+	for _, n := range byTask {
+		most = max(most, n)
+	}
+	return most + c.old.RunsPerKey[key]
+}
+
+// moreThanOnce rejects a key of which a task was started twice.
+func (c counters) moreThanOnce(key string) []string {
+	if n := c.runs(key); n > 1 {
+		return []string{fmt.Sprintf("key %s was started %d times", key, n)}
+	}
+	return nil
+}
+
+// falseFates rejects fates that the stand-ins' counters contradict.
+func (c counters) falseFates(keys map[string]told) []string {
+	var out []string
+	for key, t := range keys {
+		n, final := c.runs(key), t.final()
+		if t.notRun() && n > 0 {
+			out = append(out, fmt.Sprintf("callers of %s were told that it did not run (%v), but it was started %d times", key, t.reasons, n))
+		}
+		if (t.fates[model.Done] || t.fates[model.Cancelled]) && n == 0 {
+			out = append(out, fmt.Sprintf("callers of %s were told %q, but it was never started", key, final))
+		}
+		if len(final) > 1 {
+			out = append(out, fmt.Sprintf("callers of %s were told different final fates: %q", key, final))
+		}
+	}
+	return out
+}
+
+// foreignAnswers rejects answers that are not the complete answer to the key.
+func foreignAnswers(keys map[string]told) []string {
+	var out []string
+	for key, t := range keys {
+		for a := range t.answers {
+			if !slices.Contains(t.expectedAnswers(), a) {
+				out = append(out, fmt.Sprintf("a caller of %s got the answer %q, want one of %q", key, a, t.expectedAnswers()))
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/test/scenarios/commands_test.go
@@ -0,0 +1,148 @@
+package scenarios
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/testbed"
+)
+
+type command = func(ts *testscript.TestScript, neg bool, args []string)
+
+func commands() map[string]command {
+	return map[string]command{
+		"cluster": cmdCluster, "publish": cmdPublish, "wait-revision": cmdWaitRevision, "wait-owner": cmdWaitOwner,
+		"submit": cmdSubmit, "load": cmdLoad, "progress": cmdProgress, "fate": cmdFate, "wait-fate": cmdWaitFate,
+		"cancel": cmdCancel, "told": cmdTold,
+		"kill-daemon": cmdKill, "pause": cmdPause, "resume": cmdResume, "restart": cmdRestart, "replace-all": cmdReplaceAll,
+		"stop-daemon": cmdStop, "join": cmdJoin, "cut": cmdCut, "cut-oneway": cmdCutOneWay, "heal": cmdHeal,
+		"log": cmdLog, "worker": cmdWorker, "list": cmdList, "old": cmdOld, "drain": cmdDrain,
+		"no-overload":  check(func(w *world, c counters, _ []string) []string { return c.overloads() }),
+		"no-double":    check(func(w *world, c counters, _ []string) []string { return c.doubles() }),
+		"fates-true":   check(func(w *world, c counters, _ []string) []string { return c.falseFates(w.callers.snapshot()) }),
+		"answers-own":  check(func(w *world, _ counters, _ []string) []string { return foreignAnswers(w.callers.snapshot()) }),
+		"never-revert": check(func(w *world, _ counters, _ []string) []string { return w.sampler.problems() }),
+		"runs-at-most-once": check(func(w *world, c counters, args []string) []string {
+			return w.checkAtMostOnce(c, args)
+		}),
+		"ran": check(checkRan), "no-new-starts-on": cmdNoNewStarts, "wait-start": cmdWaitStart,
+		"terms-refused": check(checkTermsRefused),
+	}
+}
+
+// check makes a command of a checker of the stand-ins' counters.
+func check(fn func(w *world, c counters, args []string) []string) command {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		w := worldOf(ts)
+		c, err := readCounters(w.ctx, w.cluster)
+		ts.Check(err)
+		if problems := fn(w, c, args); len(problems) > 0 {
+			ts.Fatalf("%s", strings.Join(problems, "\n"))
+		}
+	}
+}
+
+// checkAtMostOnce checks the given keys, or all that are not idempotent.
+func (w *world) checkAtMostOnce(c counters, keys []string) []string {
+	if len(keys) == 0 {
+		for key, t := range w.callers.snapshot() {
+			if !t.idempotent {
+				keys = append(keys, key)
+			}
+		}
+	}
+	var out []string
+	for _, key := range keys {
+		out = append(out, c.moreThanOnce(key)...)
+	}
+	return out
+}
+
+// checkRan wants an exact number of starts, so that a check of "at most once"
+// is not satisfied by doing nothing: ran KEY N.
+func checkRan(_ *world, c counters, args []string) []string {
+	if len(args) != 2 {
+		return []string{"usage: ran KEY N"}
+	}
+	if n := c.runs(args[0]); strconv.Itoa(n) != args[1] {
+		return []string{fmt.Sprintf("key %s was started %d times, want %s", args[0], n, args[1])}
+	}
+	return nil
+}
+
+// checkTermsRefused wants the workers of a data centre to have refused a
+// command of a lapsed lease, so that the scenario is known to have provoked one.
+func checkTermsRefused(_ *world, c counters, args []string) []string {
+	var n int64
+	for _, s := range c.fleets[args[0]].Workers {
+		n += s.LeaseRefused
+	}
+	if n == 0 {
+		return []string{"no worker of " + args[0] + " refused a lapsed lease"}
+	}
+	return nil
+}
+
+// cmdWaitStart waits until a key runs at a worker: wait-start KEY.
+func cmdWaitStart(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	ts.Check(testbed.WaitFor(w.ctx, waitLimit, "start of "+args[0], func() bool {
+		c, err := readCounters(w.ctx, w.cluster)
+		return err == nil && c.runs(args[0]) > 0
+	}))
+}
+
+// cmdNoNewStarts checks that a leaving worker gets nothing new once a time has
+// passed since the list showed it: no-new-starts-on WORKER after DURATION.
+// It needs a load, and waits until the load made progress elsewhere.
+func cmdNoNewStarts(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	if len(args) != 3 {
+		ts.Fatalf("usage: no-new-starts-on WORKER after DURATION")
+	}
+	left, ok := w.leftAt[args[0]]
+	d, err := time.ParseDuration(args[2])
+	ts.Check(err)
+	if !ok {
+		ts.Fatalf("worker %s is not leaving", args[0])
+	}
+	ts.Check(testbed.WaitFor(w.ctx, waitLimit, "end of the bound", func() bool { return time.Since(left) > d }))
+	before, others := w.startsOn(ts, args[0])
+	ts.Check(testbed.WaitFor(w.ctx, waitLimit, "20 starts on other workers", func() bool {
+		_, now := w.startsOn(ts, args[0])
+		return now >= others+20
+	}))
+	if now, _ := w.startsOn(ts, args[0]); now != before {
+		ts.Fatalf("worker %s got %d starts later than %s after the list showed it as leaving", args[0], now-before, d)
+	}
+}
+
+// startsOn counts the starts on a worker and on the others of its data centre.
+func (w *world) startsOn(ts *testscript.TestScript, worker string) (on, others int64) {
+	c, err := readCounters(w.ctx, w.cluster)
+	ts.Check(err)
+	for _, f := range c.fleets {
+		if _, here := f.Workers[model.WorkerID(worker)]; !here {
+			continue
+		}
+		for id, s := range f.Workers {
+			if string(id) == worker {
+				on = s.Starts
+			} else {
+				others += s.Starts
+			}
+		}
+	}
+	return on, others
+}
+
+func atoi(ts *testscript.TestScript, s string) int {
+	n, err := strconv.Atoi(s)
+	ts.Check(err)
+	return n
+}
--- /dev/null
+++ b/test/scenarios/faults_test.go
@@ -0,0 +1,450 @@
+package scenarios
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"catkinvalve/internal/api"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/daemon"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/platform"
+	"catkinvalve/internal/ports"
+	"catkinvalve/internal/testbed"
+)
+
+// stopLimit is above the daemon's shutdown timeout of 30 s.
+const stopLimit = 35 * time.Second
+
+// named stores the daemon that a command acted on in $DAEMON.
+func named(ts *testscript.TestScript, args []string) string {
+	id := worldOf(ts).daemonArg(ts, args)
+	ts.Setenv("DAEMON", id)
+	ts.Logf("daemon %s", id)
+	return id
+}
+
+// cmdKill ends a daemon with SIGKILL: kill-daemon owner DC |
+// standby DC | all DC | ID.
+func cmdKill(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	if len(args) == 2 && args[0] == "all" {
+		for _, id := range w.daemonsOf(args[1]) {
+			ts.Check(w.cluster.Daemons[id].Kill())
+		}
+		return
+	}
+	ts.Check(w.cluster.Daemons[named(ts, args)].Kill())
+}
+
+// cmdPause stops a daemon's process with SIGSTOP: pause owner DC | ID.
+func cmdPause(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	id := named(ts, args)
+	w.sampler.setPaused(id, true)
+	ts.Check(w.cluster.Daemons[id].Signal(syscall.SIGSTOP))
+}
+
+// cmdResume lets a paused daemon go on: resume ID.
+func cmdResume(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	ts.Check(w.cluster.Daemons[args[0]].Signal(syscall.SIGCONT))
+	w.sampler.setPaused(args[0], false)
+}
+
+// cmdRestart starts a daemon that was killed: restart ID...
+func cmdRestart(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	for _, id := range args {
+		ts.Check(w.cluster.Daemons[id].Kill())
+		ts.Check(w.change(func() error { return w.cluster.Restart(id) }))
+	}
+	ts.Check(w.cuts.apply(w))
+}
+
+// cmdReplaceAll kills all daemons of a data centre at once and starts new ones
+// with other IDs and nothing kept: replace-all DC.
+func cmdReplaceAll(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	old := w.daemonsOf(args[0])
+	for _, id := range old {
+		ts.Check(w.cluster.Daemons[id].Kill())
+		ts.Check(w.cluster.RemoveInstance(w.ctx, id))
+	}
+	w.generation++
+	for i := range old {
+		ts.Check(w.join(args[0], fmt.Sprintf("%s-r%d-%d", args[0], w.generation, i)))
+	}
+	ts.Check(w.change(func() error {
+		for _, id := range old {
+			delete(w.cluster.Daemons, id)
+			w.cluster.Order = slices.DeleteFunc(w.cluster.Order, func(o string) bool { return o == id })
+		}
+		return nil
+	}))
+	ts.Check(w.cuts.apply(w))
+}
+
+// cmdJoin adds a daemon to a data centre: join DC ID.
+func cmdJoin(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	ts.Check(w.join(args[0], args[1]))
+	ts.Check(w.cuts.apply(w))
+}
+
+func (w *world) join(dc, id string) error {
+	i := slices.IndexFunc(w.dcs, func(d testbed.DC) bool { return d.Name == dc })
+	if i < 0 {
+		return fmt.Errorf("there is no data centre %q", dc)
+	}
+	return w.change(func() error { return w.cluster.AddDaemon(w.ctx, w.dcs[i], id) })
+}
+
+// cmdStop ends a daemon gracefully and wants exit code 0: stop-daemon
+// owner DC | ID.
+func cmdStop(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	ts.Check(w.cluster.Daemons[named(ts, args)].Terminate(stopLimit))
+}
+
+// cmdLog injects a fault into the log: log outage on|off, log slow DURATION,
+// log truncate STREAM, log lose-answer N.
+func cmdLog(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	f := platform.LogFault{}
+	if args[0] == "truncate" {
+		st, err := w.cluster.LogStats(w.ctx)
+		ts.Check(err)
+		f.Truncate = &platform.Truncate{Stream: args[1], Before: st.Streams[args[1]].Next}
+	} else {
+		f.GateFault = gateFault(ts, args)
+	}
+	ts.Check(w.cluster.Fault(w.ctx, w.cluster.Log.Admin, f))
+}
+
+func gateFault(ts *testscript.TestScript, args []string) platform.GateFault {
+	var f platform.GateFault
+	if len(args) != 2 {
+		ts.Fatalf("want outage on|off, slow DURATION or lose-answer N, have %q", args)
+	}
+	switch args[0] {
+	case "outage":
+		on := args[1] == "on"
+		f.Outage = &on
+	case "slow":
+		d, err := time.ParseDuration(args[1])
+		ts.Check(err)
+		ms := d.Milliseconds()
+		f.DelayMS = &ms
+	case "lose-answer":
+		n := atoi(ts, args[1])
+		f.LoseNextAnswers = &n
+	default:
+		ts.Fatalf("unknown fault %q", args[0])
+	}
+	return f
+}
+
+// cmdOld injects a fault into the old system: old outage|slow|lose-answer ARG.
+func cmdOld(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	ts.Check(w.cluster.Fault(w.ctx, w.cluster.Old.Admin, platform.OldFault{GateFault: gateFault(ts, args)}))
+}
+
+// cmdWorker injects a fault into one worker or all of a data centre:
+// worker WORKER|DC fail-all|duplicate|reorder on|off, crash, leave, or a fault
+// of gateFault.
+func cmdWorker(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	dc, worker := w.workerArg(ts, args[0])
+	f := platform.WorkerFault{Worker: worker}
+	on := len(args) > 2 && args[2] == "on"
+	switch args[1] {
+	case "fail-all":
+		f.FailAll = &on
+	case "duplicate":
+		f.DuplicateEvents = &on
+	case "reorder":
+		f.ReorderEvents = &on
+	case "crash":
+		f.Crash = true
+	case "leave":
+		w.leave(ts, args[0])
+		return
+	default:
+		f.GateFault = gateFault(ts, args[1:])
+	}
+	ts.Check(w.cluster.Fault(w.ctx, w.cluster.Workers[dc].Admin, f))
+}
+
+// workerArg returns the data centre and, unless it names the data centre, the worker.
+func (w *world) workerArg(ts *testscript.TestScript, name string) (string, model.WorkerID) {
+	for _, dc := range w.dcs {
+		if name == dc.Name {
+			return name, ""
+		}
+		for i := range dc.Workers {
+			if id := fmt.Sprintf("%s-w-%d", dc.Name, i); id == name {
+				return dc.Name, model.WorkerID(id)
+			}
+		}
+	}
+	ts.Fatalf("there is no worker %q", name)
+	return "", ""
+}
+
+// leave marks a worker as leaving and waits until the lagging list shows it.
+func (w *world) leave(ts *testscript.TestScript, id string) {
+	inst, ok := w.listed(ts, id)
+	if !ok {
+		ts.Fatalf("worker %s is not listed", id)
+	}
+	inst.State = ports.StateLeaving
+	ts.Check(w.cluster.SetInstance(w.ctx, inst))
+	ts.Check(testbed.WaitFor(w.ctx, waitLimit, "list shows "+id+" as leaving", func() bool {
+		now, ok := w.listed(ts, id)
+		return ok && now.State == ports.StateLeaving
+	}))
+	w.leftAt[id] = time.Now()
+}
+
+func (w *world) listed(ts *testscript.TestScript, id string) (ports.Instance, bool) {
+	var list platform.InstancesReply
+	ts.Check(w.cluster.Admin(w.ctx, "GET", w.cluster.List.Listen, "/v1/instances", nil, &list))
+	i := slices.IndexFunc(list.Instances, func(in ports.Instance) bool { return in.ID == id })
+	if i < 0 {
+		return ports.Instance{}, false
+	}
+	return list.Instances[i], true
+}
+
+// cmdList injects a fault into the instance list: list lag DURATION, or a fault
+// of gateFault.
+func cmdList(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	f := platform.ListFault{}
+	if args[0] == "lag" {
+		d, err := time.ParseDuration(args[1])
+		ts.Check(err)
+		ms := d.Milliseconds()
+		f.LagMS = &ms
+	} else {
+		f.GateFault = gateFault(ts, args)
+	}
+	ts.Check(w.cluster.Fault(w.ctx, w.cluster.List.Admin, f))
+}
+
+// cmdDrain drains a worker through the API: drain WORKER.
+func cmdDrain(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	cl, err := w.cluster.Client()
+	ts.Check(err)
+	_, err = cl.Drain(w.ctx, args[0])
+	ts.Check(err)
+	w.leftAt[args[0]] = time.Now()
+}
+
+// cuts are the links that are cut at present.
+type cuts struct {
+	// links lists pairs of data centres; the first cannot call the second.
+	links [][2]string
+	// log and list hold data centres that are cut off from them.
+	log, list []string
+}
+
+// cmdCut cuts links until heal: cut DC DC|log|list..., cut-oneway FROM TO.
+func cmdCut(ts *testscript.TestScript, neg bool, args []string) { cut(ts, neg, args, false) }
+
+func cmdCutOneWay(ts *testscript.TestScript, neg bool, args []string) { cut(ts, neg, args, true) }
+
+func cut(ts *testscript.TestScript, _ bool, args []string, oneWay bool) {
+	w := worldOf(ts)
+	if len(args) < 2 {
+		ts.Fatalf("usage: cut DC DC|log|list...")
+	}
+	for _, to := range args[1:] {
+		switch to {
+		case "log":
+			w.cuts.log = append(w.cuts.log, args[0])
+		case "list":
+			w.cuts.list = append(w.cuts.list, args[0])
+		default:
+			w.cuts.links = append(w.cuts.links, [2]string{args[0], to})
+			if !oneWay {
+				w.cuts.links = append(w.cuts.links, [2]string{to, args[0]})
+			}
+		}
+	}
+	ts.Check(w.cuts.apply(w))
+}
+
+// cmdHeal ends all cuts.
+func cmdHeal(ts *testscript.TestScript, _ bool, _ []string) {
+	w := worldOf(ts)
+	w.cuts = cuts{}
+	ts.Check(w.cuts.apply(w))
+}
+
+// apply sets the cuts of all running daemons and stand-ins. Both ends of a link
+// drop its calls.
+func (c cuts) apply(w *world) error {
+	for _, id := range w.running("all") {
+		d := w.cluster.Daemons[id]
+		f := daemon.LinkFault{}
+		for _, l := range c.links {
+			if l[0] == d.DataCentre {
+				f.BlockOut = append(f.BlockOut, w.daemonsOf(l[1])...)
+			}
+			if l[1] == d.DataCentre {
+				f.BlockIn = append(f.BlockIn, w.daemonsOf(l[0])...)
+			}
+		}
+		// A daemon that was just started may not listen yet.
+		var last error
+		if err := testbed.WaitFor(w.ctx, waitLimit, "fault port of "+id, func() bool {
+			last = w.cluster.Fault(w.ctx, d.Fault, f)
+			return last == nil
+		}); err != nil {
+			return fmt.Errorf("%w: %w", err, last)
+		}
+	}
+	for addr, dcs := range map[string][]string{w.cluster.Log.Admin: c.log, w.cluster.List.Admin: c.list} {
+		p := platform.Partition{}
+		for _, dc := range dcs {
+			p.Daemons = append(p.Daemons, w.daemonsOf(dc)...)
+		}
+		if err := w.cluster.Fault(w.ctx, addr, platform.GateFault{Partition: &p}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cmdWaitOwner waits until a data centre has an owner: wait-owner DC [-not ID]
+// [-doubt]. Without -doubt its memory must be complete.
+func cmdWaitOwner(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	f := options("wait-owner")
+	not, doubt := f.String("not", "", ""), f.Bool("doubt", false, "")
+	dc := parse(ts, f, args)[0]
+	ts.Check(testbed.WaitFor(w.ctx, waitLimit, "owner of "+dc, func() bool {
+		st, _ := w.cluster.Status(w.ctx, dc)
+		return st.Owner != "" && st.Owner != *not && (*doubt || !st.InDoubt)
+	}))
+}
+
+// inEffectWithin is the bound of docs/design.md, section 1, promise 8.
+const inEffectWithin = 19 * time.Second
+
+// cmdWaitRevision waits until all running daemons have a revision in effect, at
+// most 19 s after the last accepted publication, heal or join:
+// wait-revision N [DAEMONS].
+func cmdWaitRevision(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	want, words := uint64(atoi(ts, args[0])), "all"
+	if len(args) > 1 {
+		words = args[1]
+	}
+	begin := time.Now()
+	ts.Check(testbed.WaitFor(w.ctx, inEffectWithin, "revision "+args[0]+" at "+words, func() bool {
+		last := w.sampler.latest()
+		for _, id := range w.running(words) {
+			if last[id].revision < want {
+				return false
+			}
+		}
+		return true
+	}))
+	ts.Logf("revision %d is in effect at %s after %s", want, words, time.Since(begin).Round(10*time.Millisecond))
+}
+
+// cmdPublish publishes a text: publish [options]. The want is accepted, lost or
+// the kind of an error.
+func cmdPublish(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	f := options("publish")
+	share, base := f.Int("share", w.share, ""), f.Int("base", -1, "")
+	id, via, want := f.String("id", "", ""), f.String("via", "all", ""), f.String("want", "accepted", "")
+	racers := f.Int("racers", 1, "")
+	parse(ts, f, args)
+	w.share = *share
+	if *base < 0 {
+		*base = int(w.highest())
+	}
+	if *id == "" {
+		*id = "publish-" + strconv.FormatInt(time.Now().UnixNano(), 36)
+	}
+	results := make(chan string, *racers)
+	for i := range *racers {
+		req := api.PublishRequest{PublishID: *id, Base: uint64(*base), Author: "operator"}
+		if *racers > 1 {
+			req.PublishID = fmt.Sprintf("%s-%d", *id, i)
+		}
+		req.Text = w.text(req.PublishID)
+		daemons := w.running(*via)
+		go func() { results <- w.publish(daemons[i%len(daemons)], req) }()
+	}
+	var got []string
+	for range *racers {
+		got = append(got, <-results)
+	}
+	won := len(slices.DeleteFunc(slices.Clone(got), func(s string) bool { return s != "accepted" }))
+	lost := len(slices.DeleteFunc(slices.Clone(got), func(s string) bool { return s != "lost" }))
+	ok := *racers == 1 && got[0] == *want || *racers > 1 && won == 1 && lost == *racers-1
+	if !ok {
+		ts.Fatalf("%d publications on revision %d: %q, want %s", *racers, *base, got, *want)
+	}
+	ts.Logf("publications on revision %d: %q", *base, got)
+}
+
+// highest is the highest revision that any daemon had in effect.
+func (w *world) highest() uint64 {
+	var r uint64
+	for _, s := range w.sampler.latest() {
+		r = max(r, s.revision)
+	}
+	return r
+}
+
+// publish repeats a publication with the same ID until its verdict is known or
+// the log is unavailable.
+func (w *world) publish(id string, req api.PublishRequest) string {
+	cl, err := w.client(id)
+	if err != nil {
+		return err.Error()
+	}
+	var word string
+	err = testbed.WaitFor(w.ctx, waitLimit, "verdict on "+req.PublishID, func() bool {
+		res, err := cl.Publish(w.ctx, req)
+		switch kind := fault.KindOf(err); {
+		case err == nil && res.Accepted:
+			word = "accepted"
+		case err == nil:
+			word = "lost"
+		case kind == fault.PublishConflict:
+			word = "lost"
+		case kind == fault.FateUnknownYet || kind == fault.NotReady:
+			return false
+		default:
+			word = string(kind)
+		}
+		return true
+	})
+	if err != nil {
+		return err.Error()
+	}
+	return word
+}
+
+// outcomeWord is the fate, or the kind of the error.
+func outcomeWord(f model.Fate, err error) string {
+	if err != nil {
+		return string(fault.KindOf(err))
+	}
+	return string(f)
+}
--- /dev/null
+++ b/test/scenarios/main_test.go
@@ -0,0 +1,57 @@
+package scenarios
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// maxParallel bounds the scenarios that run at the same time. Each has about a
+// dozen processes; more of them delay one another past the short lease TTL.
+const maxParallel = 4
+
+var (
+	// programs is the directory of the built programs.
+	programs string
+	slots    = make(chan struct{}, maxParallel)
+)
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "catkinvalve-scenarios-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	args := []string{"build", "-o", dir + string(filepath.Separator)}
+	if raceEnabled {
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, "catkinvalve/cmd/catkinvalved", "catkinvalve/cmd/standin")...)
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the programs: %v\n%s", err, out)
+		return 1
+	}
+	programs = dir
+	return m.Run()
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata", Setup: setup, Cmds: commands()})
+}
+
+// setup takes one of the places of scenarios that run at the same time.
+func setup(env *testscript.Env) error {
+	slots <- struct{}{}
+	env.Defer(func() { <-slots })
+	w := newWorld()
+	env.Values[worldKey{}] = w
+	env.Defer(func() { w.close(env.T()) })
+	return nil
+}
--- /dev/null
+++ b/test/scenarios/requests_test.go
@@ -0,0 +1,168 @@
+package scenarios
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/testbed"
+)
+
+// cmdSubmit sends a request: submit [options] KEY. It waits for the final fate
+// unless -bg or -once is given.
+func cmdSubmit(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	f := options("submit")
+	service, via := f.String("service", "plan", ""), f.String("via", "all", "")
+	run, deadline := f.Duration("run", 300*time.Millisecond, ""), f.Duration("deadline", 0, "")
+	tasks := f.Int("tasks", 1, "")
+	bg, once := f.Bool("bg", false, ""), f.Bool("once", false, "")
+	for _, key := range parse(ts, f, args) {
+		req := request(key, *service, run.Milliseconds(), *tasks, *deadline)
+		// A repeated key is the same request of the same caller.
+		if t, ok := w.callers.snapshot()[key]; ok {
+			req = t.req
+		}
+		if len(w.daemonsOf(*via)) == 0 {
+			ts.Fatalf("no daemon is named %q", *via)
+		}
+		if *bg {
+			w.group.Go(func() { _ = w.submit(req, *service != "slot", *via, waitLimit, *once) })
+			continue
+		}
+		ts.Check(w.submit(req, *service != "slot", *via, waitLimit, *once))
+	}
+}
+
+// cmdLoad starts a load or ends one and waits for its callers:
+// load start NAME DC[,DC] [options], load stop NAME.
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	if len(args) < 2 {
+		ts.Fatalf("usage: load start NAME DCS [options] | load stop NAME")
+	}
+	name := args[1]
+	if args[0] == "stop" {
+		ts.Check(w.stopLoad(name))
+		return
+	}
+	f := options("load")
+	via := f.String("via", "all", "")
+	every, run := f.Duration("every", 100*time.Millisecond, ""), f.Duration("run", 400*time.Millisecond, "")
+	parse(ts, f, args[3:])
+	w.loads[name] = w.startLoad(name, strings.Split(args[2], ","), *via, *every, run.Milliseconds())
+	ts.Check(testbed.WaitFor(w.ctx, waitLimit, "first answers to load "+name, func() bool { return w.doneCount(name) > 0 }))
+}
+
+func (w *world) stopLoad(name string) error {
+	l := w.loads[name]
+	if l == nil {
+		return errors.New("no load is named " + name)
+	}
+	l.cancel()
+	<-l.done
+	return errors.Join(l.errs...)
+}
+
+// doneCount counts the requests of a load that callers know to be done.
+func (w *world) doneCount(name string) int {
+	n := 0
+	for key, t := range w.callers.snapshot() {
+		if strings.Contains(key, ":"+name+"-") && t.fates[model.Done] {
+			n++
+		}
+	}
+	return n
+}
+
+// cmdProgress waits until N more requests of a load are done: progress NAME N.
+func cmdProgress(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	if len(args) != 2 {
+		ts.Fatalf("usage: progress NAME N")
+	}
+	before, n := w.doneCount(args[0]), atoi(ts, args[1])
+	ts.Check(testbed.WaitFor(w.ctx, waitLimit, args[1]+" more done requests of "+args[0], func() bool {
+		return w.doneCount(args[0]) >= before+n
+	}))
+}
+
+// cmdFate asks for a fate once and compares it: fate KEY WANT[|WANT] [via].
+// The words of WANT are fates and kinds of errors.
+func cmdFate(ts *testscript.TestScript, _ bool, args []string) { fate(ts, args, time.Nanosecond) }
+
+// cmdWaitFate asks until the fate is the wanted one: wait-fate KEY WANT [via].
+func cmdWaitFate(ts *testscript.TestScript, _ bool, args []string) { fate(ts, args, waitLimit) }
+
+func fate(ts *testscript.TestScript, args []string, limit time.Duration) {
+	w := worldOf(ts)
+	if len(args) < 2 {
+		ts.Fatalf("usage: KEY WANT [via]")
+	}
+	via := "all"
+	if len(args) > 2 {
+		via = args[2]
+	}
+	cl, err := w.cluster.Client(w.daemonsOf(via)...)
+	ts.Check(err)
+	var seen string
+	err = testbed.WaitFor(w.ctx, limit, "fate "+args[1]+" of "+args[0], func() bool {
+		st, err := cl.Fate(w.ctx, args[0])
+		if t := w.callers.get(args[0]); t != nil && err == nil {
+			w.callers.learn(t, st, err, false)
+		}
+		seen = outcomeWord(st.Fate, err)
+		return slices.Contains(strings.Split(args[1], "|"), seen)
+	})
+	if err != nil {
+		ts.Fatalf("%v; the last answer was %s", err, seen)
+	}
+}
+
+// cmdCancel cancels a request and waits until a daemon took the cancellation:
+// cancel KEY [via].
+func cmdCancel(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	via := "all"
+	if len(args) > 1 {
+		via = args[1]
+	}
+	cl, err := w.cluster.Client(w.daemonsOf(via)...)
+	ts.Check(err)
+	var last error
+	err = testbed.WaitFor(w.ctx, waitLimit, "cancellation of "+args[0], func() bool {
+		_, last = cl.Cancel(w.ctx, args[0])
+		return last == nil
+	})
+	ts.Check(errors.Join(err, last))
+}
+
+// cmdTold checks what callers of a key were told: told KEY WORD[|WORD], with
+// fates, reasons and kinds of errors as words. It waits for callers in the
+// background.
+func cmdTold(ts *testscript.TestScript, neg bool, args []string) {
+	w := worldOf(ts)
+	if len(args) != 2 {
+		ts.Fatalf("usage: told KEY WORD[|WORD]")
+	}
+	ts.Check(testbed.WaitFor(w.ctx, waitLimit+callWait, "callers of "+args[0], func() bool {
+		t, ok := w.callers.snapshot()[args[0]]
+		return ok && t.busy == 0 && t.attempts > 0
+	}))
+	t := w.callers.snapshot()[args[0]]
+	words := []string{}
+	for f := range t.fates {
+		words = append(words, string(f))
+	}
+	for r := range t.reasons {
+		words = append(words, r)
+	}
+	found := slices.ContainsFunc(strings.Split(args[1], "|"), func(want string) bool { return slices.Contains(words, want) })
+	if found == neg {
+		ts.Fatalf("callers of %s were told %q, want %s (negated: %t)", args[0], words, args[1], neg)
+	}
+}
--- /dev/null
+++ b/test/scenarios/sampler_test.go
@@ -0,0 +1,129 @@
+package scenarios
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"time"
+
+	"catkinvalve/internal/testbed"
+)
+
+// samplePeriod is far below the log poll of 500 ms, so that a revision that is
+// in effect only between two polls is seen.
+const samplePeriod = 100 * time.Millisecond
+
+// sample is the configuration that one process of a daemon had in effect.
+type sample struct {
+	daemon   string
+	pid      int
+	revision uint64
+	text     string
+}
+
+// sampler reads every daemon's configuration during a whole scenario.
+type sampler struct {
+	world   *world
+	mu      sync.Mutex
+	stopped map[string]bool
+	history revisions
+}
+
+func newSampler(w *world) *sampler {
+	return &sampler{world: w, stopped: map[string]bool{}, history: newRevisions()}
+}
+
+func (s *sampler) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.sampleAll(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(samplePeriod):
+		}
+	}
+}
+
+// targets copies what the sampler needs, because the script changes the cluster.
+func (s *sampler) targets() map[string]*testbed.Process {
+	out := map[string]*testbed.Process{}
+	for _, id := range s.world.running("all") {
+		s.world.mu.RLock()
+		out[id] = s.world.cluster.Daemons[id].Process
+		s.world.mu.RUnlock()
+	}
+	return out
+}
+
+func (s *sampler) sampleAll(ctx context.Context) {
+	var wg sync.WaitGroup
+	for id, p := range s.targets() {
+		wg.Go(func() {
+			cl, err := s.world.client(id)
+			if err != nil {
+				return
+			}
+			callCtx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			doc, err := cl.Config(callCtx)
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.history.add(sample{daemon: id, pid: p.PID(), revision: doc.Revision, text: doc.Text})
+		})
+	}
+	wg.Wait()
+}
+
+func (s *sampler) setPaused(id string, paused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped[id] = paused
+}
+
+func (s *sampler) paused(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopped[id]
+}
+
+// latest returns the last sampled revision of each process of the daemons.
+func (s *sampler) latest() map[string]sample {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.history.last)
+}
+
+func (s *sampler) problems() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.history.problems...)
+}
+
+// revisions checks that no process goes back to a lower revision and that a
+// revision has the same text everywhere.
+type revisions struct {
+	last     map[string]sample
+	texts    map[uint64]string
+	problems []string
+}
+
+func newRevisions() revisions {
+	return revisions{last: map[string]sample{}, texts: map[uint64]string{}}
+}
+
+func (r *revisions) add(s sample) {
+	if prev, ok := r.last[s.daemon]; ok && prev.pid == s.pid && s.revision < prev.revision {
+		r.problems = append(r.problems, fmt.Sprintf("%s went from revision %d back to %d", s.daemon, prev.revision, s.revision))
+	}
+	r.last[s.daemon] = s
+	if s.revision == 0 {
+		return
+	}
+	if text, ok := r.texts[s.revision]; ok && text != s.text {
+		r.problems = append(r.problems, fmt.Sprintf("%s has another text for revision %d than a daemon before", s.daemon, s.revision))
+	}
+	r.texts[s.revision] = s.text
+}
--- /dev/null
+++ b/test/scenarios/world_test.go
@@ -0,0 +1,226 @@
+package scenarios
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"catkinvalve/internal/api"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/testbed"
+)
+
+// waitLimit bounds every wait that has no bound of its own from the design. It
+// is long because the machine may be busy.
+const waitLimit = 40 * time.Second
+
+type worldKey struct{}
+
+// world is the state of one scenario.
+type world struct {
+	// mu guards the cluster's daemons, which the script changes while callers
+	// and the sampler use them.
+	mu      sync.RWMutex
+	ctx     context.Context
+	cancel  context.CancelFunc
+	dir     string
+	cluster *testbed.Cluster
+	dcs     []testbed.DC
+	share   int
+	callers *callers
+	sampler *sampler
+	cuts    cuts
+	// leftAt is when the list first showed a worker as leaving.
+	leftAt map[string]time.Time
+	loads  map[string]*load
+	group  sync.WaitGroup
+
+	generation int
+}
+
+func newWorld() *world {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &world{ctx: ctx, cancel: cancel, callers: newCallers(), leftAt: map[string]time.Time{}, loads: map[string]*load{}}
+}
+
+func worldOf(ts *testscript.TestScript) *world { return ts.Value(worldKey{}).(*world) }
+
+// close stops everything and rejects a program that panicked or raced.
+func (w *world) close(t testscript.T) {
+	w.cancel()
+	w.group.Wait()
+	if w.cluster == nil {
+		return
+	}
+	if err := w.cluster.Stop(); err != nil {
+		t.Log("stop the cluster:", err)
+	}
+	defects := programDefects(w.dir)
+	if keep := os.Getenv("SCENARIO_LOGS"); keep == "" {
+		_ = os.RemoveAll(w.dir)
+	}
+	if len(defects) > 0 {
+		t.Fatal(strings.Join(defects, "\n"))
+	}
+}
+
+// programDefects finds panics and data races in the logs of the programs.
+func programDefects(dir string) []string {
+	var out []string
+	files, _ := filepath.Glob(filepath.Join(dir, "*.log"))
+	for _, name := range files {
+		data, _ := os.ReadFile(name)
+		for _, mark := range []string{"panic:", "WARNING: DATA RACE", "fatal error:"} {
+			if i := strings.Index(string(data), mark); i >= 0 {
+				out = append(out, fmt.Sprintf("%s: %.3000s", filepath.Base(name), data[i:]))
+			}
+		}
+	}
+	return out
+}
+
+// options is a flag set for the arguments of a command.
+func options(name string) *flag.FlagSet {
+	f := flag.NewFlagSet(name, flag.ContinueOnError)
+	f.SetOutput(io.Discard)
+	return f
+}
+
+func parse(ts *testscript.TestScript, f *flag.FlagSet, args []string) []string {
+	ts.Check(f.Parse(args))
+	return f.Args()
+}
+
+// cmdCluster starts a cluster: cluster [options].
+func cmdCluster(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	f := options("cluster")
+	names := f.String("dcs", "klang-a,klang-b,penang-a", "")
+	workers, daemons := f.Int("workers", 3, ""), f.Int("daemons", 2, "")
+	ttl, grace := f.Duration("ttl", 1500*time.Millisecond, ""), f.Duration("grace", 5*time.Second, "")
+	lag, settle := f.Duration("lag", 0, ""), f.Duration("settle", 500*time.Millisecond, "")
+	share := f.Int("share", 100, "")
+	parse(ts, f, args)
+	for name := range strings.SplitSeq(*names, ",") {
+		region, _, _ := strings.Cut(name, "-")
+		w.dcs = append(w.dcs, testbed.DC{Name: name, Region: region, Workers: *workers, Daemons: *daemons})
+	}
+	ts.Check(w.makeDir(ts.Name()))
+	c, err := testbed.Start(w.ctx, testbed.Options{
+		Bin: programs, Dir: w.dir, DCs: w.dcs, LeaseTTL: *ttl, TaskGrace: *grace, SettleTime: *settle, ListLag: *lag,
+		Capacity: model.Size{MilliCPU: 4000, MemMB: 4096, Slots: 4, Conns: 16},
+	})
+	ts.Check(err)
+	w.cluster, w.share = c, *share
+	w.sampler = newSampler(w)
+	w.group.Go(func() { w.sampler.run(w.ctx) })
+	_, err = c.Publish(w.ctx, w.text("first"))
+	ts.Check(err)
+	ts.Check(c.WaitOwners(w.ctx, waitLimit))
+}
+
+func (w *world) makeDir(name string) error {
+	if keep := os.Getenv("SCENARIO_LOGS"); keep != "" {
+		w.dir = filepath.Join(keep, name)
+		return os.MkdirAll(w.dir, 0o700)
+	}
+	var err error
+	w.dir, err = os.MkdirTemp("", "scenario-")
+	return err
+}
+
+// text returns a configuration text with the present share of the new system.
+func (w *world) text(note string) string {
+	var dcs []string
+	for _, dc := range w.dcs {
+		dcs = append(dcs, fmt.Sprintf(`{"name": %q, "region": %q}`, dc.Name, dc.Region))
+	}
+	const size = `"size": {"milli_cpu": 1000, "mem_mb": 256}, "run_ms": 300, "new_percent": %d}`
+	size1 := fmt.Sprintf(size, w.share)
+	return fmt.Sprintf(`// %s
+{"cell": "scenario", "data_centres": [%s],
+ "teams": [{"name": "t", "quota": {"milli_cpu": 12000, "slots": 12}}],
+ "services": [
+  {"name": "plan", "team": "t", "class": "batch", "idempotent": true, %s,
+  {"name": "slot", "team": "t", "class": "interactive", "idempotent": false, %s,
+  {"name": "routes", "team": "t", "class": "all_at_once", "tasks": 3, "idempotent": true, %s]}
+`, note, strings.Join(dcs, ", "), size1, size1, size1)
+}
+
+// change runs fn, which adds, replaces or restarts daemons.
+func (w *world) change(fn func() error) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return fn()
+}
+
+// client returns a client of one daemon.
+func (w *world) client(id string) (*api.Client, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.cluster.Client(id)
+}
+
+// daemonsOf lists the daemons that comma-separated words name: an ID, a data
+// centre or "all".
+func (w *world) daemonsOf(words string) []string {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	var out []string
+	for word := range strings.SplitSeq(words, ",") {
+		for _, id := range w.cluster.Order {
+			if word == "all" || word == id || word == w.cluster.Daemons[id].DataCentre {
+				out = append(out, id)
+			}
+		}
+	}
+	return out
+}
+
+// running lists the named daemons that have neither ended nor are paused.
+func (w *world) running(words string) []string {
+	var out []string
+	for _, id := range w.daemonsOf(words) {
+		w.mu.RLock()
+		alive := w.cluster.Daemons[id].Alive()
+		w.mu.RUnlock()
+		if alive && !w.sampler.paused(id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// daemonArg reads "owner DC", "standby DC" or an ID.
+func (w *world) daemonArg(ts *testscript.TestScript, args []string) string {
+	if len(args) == 1 && len(w.daemonsOf(args[0])) == 1 {
+		return args[0]
+	}
+	if len(args) != 2 {
+		ts.Fatalf("want a daemon, owner DC or standby DC, have %q", args)
+	}
+	var owner string
+	ts.Check(testbed.WaitFor(w.ctx, waitLimit, "owner of "+args[1], func() bool {
+		var ok bool
+		owner, ok = w.cluster.Owner(w.ctx, args[1])
+		return ok
+	}))
+	if args[0] == "owner" {
+		return owner
+	}
+	for _, id := range w.running(args[1]) {
+		if id != owner {
+			return id
+		}
+	}
+	ts.Fatalf("%s has no standby", args[1])
+	return ""
+}
