Do not read the results of a status query that timed out

A caller that left early (2 s) made localStatus, localExplain and localDrain return what the owner loop still wrote. The race detector reported it at status.go:135 and :140 in the scenario capacity while an owner was paused. Ruled out: the loop's own state, which only its goroutine touches. RecoverHome already returns nothing after an error.

--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -15,7 +15,8 @@
 	"catkinvalve/internal/peerpb"
 )
 
-// query runs fn on the owner loop.
+// query runs fn on the owner loop. After an error fn may still run later, so
+// the caller must not read what it writes.
 func (d *Daemon) query(ctx context.Context, fn func(l *loop, now time.Time)) error {
 	done := make(chan struct{})
 	if !d.requests.TryPush(queryMsg{fn, done}) {
@@ -35,7 +36,7 @@
 	var x scheduler.Explanation
 	var failed *fault.Error
 	if err := d.query(ctx, func(l *loop, _ time.Time) { x, failed = l.core.Explain(key) }); err != nil {
-		return x, err
+		return scheduler.Explanation{}, err
 	}
 	if failed != nil {
 		return x, failed
@@ -90,7 +91,10 @@
 		serving = l.core.Serving()
 		running, found = l.core.Drain(now, model.WorkerID(worker))
 	})
-	if err == nil && !serving {
+	if err != nil {
+		return 0, false, err
+	}
+	if !serving {
 		err = fault.New(fault.NoOwner, "retry at another daemon", "this daemon does not own data centre %s", d.set.DataCentre)
 	}
 	return running, found, err
@@ -131,8 +135,10 @@
 // localStatus reports this data centre as this daemon sees it.
 func (d *Daemon) localStatus(ctx context.Context) (api.DataCentreStatus, error) {
 	out := api.DataCentreStatus{DataCentre: d.set.DataCentre, Region: d.set.Region, Reachable: true}
-	err := d.query(ctx, func(l *loop, now time.Time) { l.report(&out, now) })
-	return out, err
+	if err := d.query(ctx, func(l *loop, now time.Time) { l.report(&out, now) }); err != nil {
+		return api.DataCentreStatus{}, err
+	}
+	return out, nil
 }
 
 func (l *loop) report(out *api.DataCentreStatus, now time.Time) {
