--- a/test/scenarios/checks_test.go
+++ b/test/scenarios/checks_test.go
@@ -6,7 +6,9 @@
 	"slices"
 	"strings"
 
+	"catkinvalve/internal/api"
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/fault"
 	"catkinvalve/internal/platform"
 	"catkinvalve/internal/testbed"
 )
@@ -128,3 +130,17 @@
 	}
 	return out
 }
+
+// lostAnswers rejects requests whose key contains part and whose callers saw a
+// call end without an answer.
+func lostAnswers(keys map[string]told, part string) []string {
+	var out []string
+	for key, t := range keys {
+		for _, kind := range []fault.Kind{fault.FateUnknownYet, fault.Internal, api.Unreachable} {
+			if strings.Contains(key, part) && t.reasons[string(kind)] {
+				out = append(out, fmt.Sprintf("a caller of %s got no answer (%s)", key, kind))
+			}
+		}
+	}
+	return out
+}
--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -30,6 +30,9 @@
 		"runs-at-most-once": check(func(w *world, c counters, args []string) []string {
 			return w.checkAtMostOnce(c, args)
 		}),
+		"no-lost-answers": check(func(w *world, _ counters, args []string) []string {
+			return lostAnswers(w.callers.snapshot(), args[0])
+		}),
 		"ran": check(checkRan), "no-new-starts-on": cmdNoNewStarts, "wait-start": cmdWaitStart,
 		"terms-refused": check(checkTermsRefused),
 	}
--- a/test/scenarios/requests_test.go
+++ b/test/scenarios/requests_test.go
@@ -21,7 +21,9 @@
 	run, deadline := f.Duration("run", 300*time.Millisecond, ""), f.Duration("deadline", 0, "")
 	tasks := f.Int("tasks", 1, "")
 	bg, once := f.Bool("bg", false, ""), f.Bool("once", false, "")
-	for _, key := range parse(ts, f, args) {
+	keys := parse(ts, f, args)
+	*via = w.via(ts, *via)
+	for _, key := range keys {
 		req := request(key, *service, run.Milliseconds(), *tasks, *deadline)
 		// A repeated key is the same request of the same caller.
 		if t, ok := w.callers.snapshot()[key]; ok {
--- a/test/scenarios/world_test.go
+++ b/test/scenarios/world_test.go
@@ -185,6 +185,14 @@
 	return out
 }
 
+// via replaces owner@DC and standby@DC by the daemons that they are now.
+func (w *world) via(ts *testscript.TestScript, words string) string {
+	if role, dc, ok := strings.Cut(words, "@"); ok {
+		return w.daemonArg(ts, []string{role, dc})
+	}
+	return words
+}
+
 // running lists the named daemons that have neither ended nor are paused.
 func (w *world) running(words string) []string {
 	var out []string
