--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -63,6 +63,16 @@
 	return Size{s.MilliCPU - o.MilliCPU, s.MemMB - o.MemMB, s.Accel - o.Accel, s.Slots - o.Slots, s.Conns - o.Conns}
 }
 
+// Max returns the larger of s and o in each dimension.
+func (s Size) Max(o Size) Size {
+	return Size{max(s.MilliCPU, o.MilliCPU), max(s.MemMB, o.MemMB), max(s.Accel, o.Accel), max(s.Slots, o.Slots), max(s.Conns, o.Conns)}
+}
+
+// Min returns the smaller of s and o in each dimension.
+func (s Size) Min(o Size) Size {
+	return Size{min(s.MilliCPU, o.MilliCPU), min(s.MemMB, o.MemMB), min(s.Accel, o.Accel), min(s.Slots, o.Slots), min(s.Conns, o.Conns)}
+}
+
 // Times returns s multiplied by n.
 func (s Size) Times(n int64) Size {
 	return Size{s.MilliCPU * n, s.MemMB * n, s.Accel * n, s.Slots * n, s.Conns * n}
--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -65,10 +65,12 @@
 	early []earlyReport
 	// capacityKnown is true when every listed worker has granted a lease once.
 	capacityKnown bool
-	settled       []settledKey
-	lastSweep     time.Time
-	homeTerm      map[model.DataCentre]uint64
-	remote        map[model.DataCentre]*remoteLoad
+	// largest is the largest capacity of any worker in each dimension.
+	largest   model.Size
+	settled   []settledKey
+	lastSweep time.Time
+	homeTerm  map[model.DataCentre]uint64
+	remote    map[model.DataCentre]*remoteLoad
 
 	serving bool
 	term    uint64
@@ -76,6 +78,9 @@
 	// dirty is set when something changed that may let a waiting task start.
 	dirty bool
 	// holds protects the estimated start of the oldest waiting gang.
+	// stops lists running requests that end at their deadline.
+	stops deadlineHeap
+	// hold keeps smaller work from delaying the oldest waiting gang.
 	hold gangHold
 	out  Actions
 	stat Counters
@@ -97,8 +102,12 @@
 	// settleAt is the version after which the final fate may be told.
 	settleAt uint64
 	tasks    []taskRuntime
-	// preempting is set while victims are stopped to make room.
-	preempting bool
+	// preemptAgain is when victims may be chosen again; it gives those that are
+	// being stopped time to make room.
+	preemptAgain time.Time
+	// restarting is set while a gang waits for its tasks to stop, so that it can
+	// go back into the queue as a whole.
+	restarting bool
 	// delegated is set once the delegation was handed to the daemon.
 	delegated bool
 	// lookup is set while the old system is asked for the key.
@@ -115,6 +124,9 @@
 	startAt uint64
 	charged model.Size
 	began   time.Time
+	// failures counts the attempts that ended badly. Preemption, draining and
+	// refused starts do not count.
+	failures int
 	// requeue is set when a stop is meant to place the task again.
 	requeue bool
 }
--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -121,6 +121,7 @@
 			c.resumeAssigned(now, e, i)
 		}
 	}
+	c.settleIfEnded(now, e)
 }
 
 // untouched reports whether no task was ever assigned to a worker.
@@ -169,7 +170,7 @@
 			}
 		}
 		e.tasks = make([]taskRuntime, len(e.rec.Tasks))
-		e.preempting, e.lookup = false, false
+		e.preemptAgain, e.lookup, e.restarting = time.Time{}, false, false
 		c.queue.Remove(e.rec.Request.Key)
 	}
 }
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -50,6 +50,7 @@
 	if t := &e.rec.Tasks[index]; t.State == model.TaskStarting {
 		t.State = model.TaskRunning
 		e.tasks[index].began = now
+		c.stopAtDeadline(e)
 	}
 	c.markRunning(now, e)
 }
@@ -72,6 +73,10 @@
 		c.health.Succeeded(now, t.Worker)
 		c.endProbe(now, t.Worker)
 		t.State, t.Answer = model.TaskDone, ev.Answer
+		if e.restarting && !e.rec.CancelRequested {
+			c.restartGang(now, e, 0)
+			return
+		}
 		if e.standing && !e.rec.CancelRequested {
 			c.requeue(now, e, ev.ID.Index, c.backoff.Delay(1, c.random))
 			return
@@ -84,15 +89,18 @@
 	c.endProbe(now, t.Worker)
 	c.updateHealth(now)
 	t.State, t.Answer = model.TaskFailed, ev.Answer
-	if c.mayRetry(now, e, t.Attempt) {
+	e.tasks[ev.ID.Index].failures++
+	if c.mayRetry(now, e, e.tasks[ev.ID.Index].failures) && (e.standing || c.budget.Allow(e.rec.Request.Team)) {
 		c.retry(now, e, ev.ID.Index)
 		return
 	}
 	c.settleIfEnded(now, e)
 }
 
-// mayRetry reports whether a task that ended badly may run again.
-func (c *Core) mayRetry(now time.Time, e *entry, attempts int) bool {
+// mayRetry reports whether a task that ended badly may run again. Work lost
+// with its worker is not charged to the retry budget: a rack's failure must not
+// use it up, and no load can cause it.
+func (c *Core) mayRetry(now time.Time, e *entry, failures int) bool {
 	r := &e.rec.Request
 	if e.rec.CancelRequested || e.rec.Fate.Terminal() {
 		return false
@@ -100,18 +108,18 @@
 	if e.standing {
 		return true
 	}
-	if !r.Idempotent || attempts >= max(c.text.Retry.MaxAttempts, 1) || c.health.Parked(r.Key) {
+	if !r.Idempotent || failures >= max(c.text.Retry.MaxAttempts, 1) || c.health.Parked(r.Key) {
 		return false
 	}
 	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
 		return false
 	}
-	return c.budget.Allow(r.Team)
+	return true
 }
 
 func (c *Core) retry(now time.Time, e *entry, index int) {
 	c.stat.Retried++
-	c.requeue(now, e, index, c.backoff.Delay(e.rec.Tasks[index].Attempt, c.random))
+	c.requeue(now, e, index, c.backoff.Delay(e.tasks[index].failures, c.random))
 	c.changed(e)
 }
 
@@ -121,6 +129,11 @@
 	c.endProbe(now, e.rec.Tasks[index].Worker)
 	c.release(e, index)
 	e.rec.Tasks[index].State = model.TaskStopped
+	if e.restarting && !e.rec.CancelRequested {
+		c.restartGang(now, e, 0)
+		c.changed(e)
+		return
+	}
 	if !e.rec.CancelRequested && (again || e.standing) {
 		c.requeue(now, e, index, 0)
 		c.changed(e)
@@ -163,7 +176,8 @@
 	c.release(e, index)
 	t := &e.rec.Tasks[index]
 	t.State = model.TaskLost
-	if c.mayRetry(now, e, t.Attempt) {
+	e.tasks[index].failures++
+	if c.mayRetry(now, e, e.tasks[index].failures) {
 		c.retry(now, e, index)
 		return
 	}
--- a/internal/core/scheduler/schedule.go
+++ b/internal/core/scheduler/schedule.go
@@ -17,7 +17,18 @@
 }
 
 func (c *Core) need(r *model.Request) placement.Need {
-	return placement.Need{Class: r.Class, Service: r.Service, Size: c.sizes.Plan(r.Service, r.Size)}
+	return placement.Need{Class: r.Class, Service: r.Service, Size: c.planned(r)}
+}
+
+// planned returns the size to reserve for a task. An estimate must not turn a
+// request that fits a worker into one that never does; a request that is
+// declared too large is not cut down to fit.
+func (c *Core) planned(r *model.Request) model.Size {
+	p := c.sizes.Plan(r.Service, r.Size)
+	if r.Size.Fits(c.largest) {
+		p = p.Min(c.largest)
+	}
+	return p
 }
 
 // Schedule places what can start now. It is cheap when nothing changed.
@@ -136,7 +147,7 @@
 
 // placed publishes the new assignment to the standbys.
 func (c *Core) placed(e *entry) {
-	e.preempting = false
+	e.preemptAgain = time.Time{}
 	c.changed(e)
 }
 
@@ -166,16 +177,19 @@
 	}
 }
 
+// preemptWait covers a stop and the report about it.
+const preemptWait = 2 * time.Second
+
 // preempt stops batch tasks by checkpoint to make room for urgent work.
 func (c *Core) preempt(now time.Time, e *entry, n placement.Need) {
-	if e.preempting || n.Class == model.Batch {
+	if now.Before(e.preemptAgain) || n.Class == model.Batch {
 		return
 	}
 	victims, _, ok := c.index.Preempt(n, c.preemptible)
 	if !ok {
 		return
 	}
-	e.preempting = true
+	e.preemptAgain = now.Add(preemptWait)
 	for _, id := range victims {
 		c.stat.Preempted++
 		c.stopTask(c.entries[id.Key], id.Index, StopCheckpoint, true)
@@ -215,19 +229,40 @@
 	e.rec.Tasks[index].State = model.TaskQueued
 	e.rec.Tasks[index].Worker = ""
 	if e.rec.Request.Class == model.AllAtOnce {
-		index = 0
-		for i := range e.rec.Tasks {
-			if e.rec.Tasks[i].State.HoldsWorker() {
-				if e.rec.Tasks[i].State != model.TaskStopping {
-					c.stopTask(e, i, StopCheckpoint, true)
-				}
-				return
+		e.restarting = true
+		c.restartGang(now, e, wait)
+		return
+	}
+	c.enqueueAgain(now, e, index, wait)
+}
+
+// restartGang stops what still runs of a gang and puts it back into the queue
+// once nothing of it holds a worker.
+func (c *Core) restartGang(now time.Time, e *entry, wait time.Duration) {
+	holding := false
+	for i := range e.rec.Tasks {
+		switch t := &e.rec.Tasks[i]; {
+		case t.State == model.TaskStarting && e.tasks[i].startAt != 0:
+			c.release(e, i)
+			t.State, t.Worker = model.TaskQueued, ""
+		case t.State.HoldsWorker():
+			holding = true
+			if t.State != model.TaskStopping {
+				c.stopTask(e, i, StopCheckpoint, true)
 			}
 		}
-		for i := range e.rec.Tasks {
-			e.rec.Tasks[i].State = model.TaskQueued
-		}
 	}
+	if holding {
+		return
+	}
+	e.restarting = false
+	for i := range e.rec.Tasks {
+		e.rec.Tasks[i].State, e.rec.Tasks[i].Answer = model.TaskQueued, nil
+	}
+	c.enqueueAgain(now, e, 0, wait)
+}
+
+func (c *Core) enqueueAgain(now time.Time, e *entry, index int, wait time.Duration) {
 	it := c.item(now, e, index)
 	it.Enqueued = e.rec.Accepted
 	if wait > 0 {
--- a/internal/core/scheduler/submit.go
+++ b/internal/core/scheduler/submit.go
@@ -184,7 +184,7 @@
 	r := &e.rec.Request
 	return queue.Item{
 		Key: r.Key, Index: index, Team: r.Team, Class: r.Class,
-		Size: c.sizes.Plan(r.Service, r.Size), Tasks: gangTasks(r),
+		Size: c.planned(r), Tasks: gangTasks(r),
 		Deadline: r.Deadline, Enqueued: now,
 	}
 }
--- a/internal/core/scheduler/tick.go
+++ b/internal/core/scheduler/tick.go
@@ -17,6 +17,7 @@
 			c.dropWaiting(now, e, model.ReasonDeadline)
 		}
 	}
+	c.stopOverdue(now)
 	c.expireWorkers(now)
 	c.drainWorkers(now)
 	c.updateHealth(now)
--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -233,11 +233,14 @@
 // Until then nothing can be said to fit no worker.
 func (c *Core) updateCapacityKnown() {
 	c.capacityKnown = len(c.workers) > 0
+	var largest model.Size
 	for _, w := range c.workers {
 		if w.bootID == "" {
 			c.capacityKnown = false
 		}
+		largest = largest.Max(w.worker.Capacity)
 	}
+	c.largest = largest
 }
 
 // assigned returns the tasks that the records place on a worker.
@@ -322,7 +325,7 @@
 	if t.State != model.TaskRunning {
 		return
 	}
-	planned := c.sizes.Plan(e.rec.Request.Service, e.rec.Request.Size)
+	planned := c.planned(&e.rec.Request)
 	if planned == t.Planned {
 		return
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,7 +129,7 @@
 	}
 	d.peers = peerrpc.NewClient(opts)
 	var err error
-	if d.peerSrv, err = peerrpc.NewServer(&peerService{d: d}, serverOpts); err != nil {
+	if d.peerSrv, err = peerrpc.NewServer(&peerService{d: d, snapshots: map[string]fenceReply{}}, serverOpts); err != nil {
 		return err
 	}
 	d.httpSrv = httpapi.New(d, httpapi.Options{
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
+	"catkinvalve/internal/adapters/peerrpc"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/peerpb"
@@ -16,6 +18,11 @@
 type peerService struct {
 	peerpb.DRPCPeerUnimplementedServer
 	d *Daemon
+
+	mu sync.Mutex
+	// snapshots holds the records that callers are paging through. Later changes
+	// reach them as replicated records.
+	snapshots map[string]fenceReply
 }
 
 // Heartbeat records the sender and answers with the own state.
@@ -105,31 +112,55 @@
 
 // FetchRecords pages through all records in order of key.
 func (s *peerService) FetchRecords(ctx context.Context, r *peerpb.FetchRecordsRequest) (*peerpb.FetchRecordsResponse, error) {
-	reply := make(chan fenceReply, 1)
-	s.d.control(fenceMsg{term: r.Term, reply: reply})
-	select {
-	case f := <-reply:
-		resp := page(f.records, r.After, int(r.Limit))
-		resp.Term, resp.Synced = f.term, f.synced
-		return resp, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	caller := peerrpc.CallerOf(ctx).ID
+	f, ok := s.snapshot(caller)
+	if !ok || r.After == "" {
+		reply := make(chan fenceReply, 1)
+		s.d.control(fenceMsg{term: r.Term, reply: reply})
+		select {
+		case f = <-reply:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		sortRecords(f.records)
 	}
+	resp := page(f.records, r.After, int(r.Limit))
+	resp.Term, resp.Synced = f.term, f.synced
+	s.keepSnapshot(caller, f, resp.More)
+	return resp, nil
 }
 
-// page returns up to limit records after a key in order of key.
-func page(records []model.Record, after string, limit int) *peerpb.FetchRecordsResponse {
+func (s *peerService) snapshot(caller string) (fenceReply, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, ok := s.snapshots[caller]
+	return f, ok
+}
+
+func (s *peerService) keepSnapshot(caller string, f fenceReply, more bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !more {
+		delete(s.snapshots, caller)
+		return
+	}
+	s.snapshots[caller] = f
+}
+
+func sortRecords(records []model.Record) {
 	slices.SortFunc(records, func(a, b model.Record) int { return strings.Compare(a.Request.Key, b.Request.Key) })
-	resp := &peerpb.FetchRecordsResponse{}
-	for i := range records {
-		if records[i].Request.Key <= after {
-			continue
-		}
-		if len(resp.Records) >= max(limit, 1) {
-			resp.More = true
-			break
-		}
-		resp.Records = append(resp.Records, peerpb.RecordToProto(&records[i]))
+}
+
+// page returns up to limit records after a key of records in order of key.
+func page(records []model.Record, after string, limit int) *peerpb.FetchRecordsResponse {
+	first, _ := slices.BinarySearchFunc(records, after+"\x00", func(r model.Record, key string) int {
+		return strings.Compare(r.Request.Key, key)
+	})
+	rest := records[first:]
+	n := min(len(rest), max(limit, 1))
+	resp := &peerpb.FetchRecordsResponse{More: len(rest) > n}
+	for i := range rest[:n] {
+		resp.Records = append(resp.Records, peerpb.RecordToProto(&rest[i]))
 	}
 	return resp
 }
@@ -173,6 +204,7 @@
 	if failed != nil {
 		return &peerpb.FetchRecordsResponse{Fault: peerpb.FaultToProto(failed)}, nil
 	}
+	sortRecords(records)
 	return page(records, r.After, int(r.Limit)), nil
 }
 
