--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/placement"
 	"catkinvalve/internal/fault"
 )
 
@@ -159,6 +160,11 @@
 	c.BeginCampaign()
 	for id, w := range c.workers {
 		w.leased = false
+		if w.probing {
+			w.probing = false
+			c.health.EndProbe(id)
+		}
+		c.index.SetState(id, placement.NotLeased)
 		for _, t := range c.index.Tasks(id) {
 			c.index.Release(t)
 		}
@@ -170,7 +176,7 @@
 			}
 		}
 		e.tasks = make([]taskRuntime, len(e.rec.Tasks))
-		e.preemptAgain, e.lookup, e.restarting = time.Time{}, false, false
+		e.preemptAgain, e.lookup, e.restarting, e.delegated = time.Time{}, false, false, false
 		c.queue.Remove(e.rec.Request.Key)
 	}
 }
