Look up keys at their earlier home after the set of data centres changed

Cause: a key without a prefix changes its home when a data centre is added, so a retry could run a second time at the new home. The revision carries the earlier sets for the retention; a new home is used only after the earlier one, with the new revision in force, does not know the key. Ruled out: forwarding by the earlier home, because it cannot tell a retry from a first submission.

--- a/internal/core/confirm/reader_test.go
+++ b/internal/core/confirm/reader_test.go
@@ -28,7 +28,7 @@
 var accept = Rules{
 	Validate: func(string) error { return nil },
 	Carry: func(before split.Carried, at time.Time, text string) split.Carried {
-		return before.Next(at, map[string]int{"s": len(text)}, 0)
+		return before.Next(at, split.Revision{NewPercent: map[string]int{"s": len(text)}})
 	},
 }
 
--- a/internal/core/scheduler/delegate.go
+++ b/internal/core/scheduler/delegate.go
@@ -179,7 +179,7 @@
 			"term %d of home %s is older than %d", term, home, c.homeTerm[home])
 	}
 	c.homeTerm[home] = term
-	rec, err := c.Submit(now, r)
+	rec, err := c.submit(now, r, true)
 	if err == nil {
 		if e := c.entries[r.Key]; e.home == "" {
 			e.home = home
--- a/internal/core/scheduler/helpers_test.go
+++ b/internal/core/scheduler/helpers_test.go
@@ -106,7 +106,7 @@
 	for _, s := range next.Services {
 		shares[s.Name] = s.NewPercent
 	}
-	b.carried = b.carried.Next(b.now, shares, int(next.Old.SlotsPerWorker))
+	b.carried = b.carried.Next(b.now, split.Revision{NewPercent: shares, Reserve: int(next.Old.SlotsPerWorker)})
 	b.c.SetText(b.now, b.text, b.carried)
 	b.run()
 }
--- a/internal/core/scheduler/submit.go
+++ b/internal/core/scheduler/submit.go
@@ -19,12 +19,20 @@
 // Submit accepts a request of a caller, or joins it to the record that the key
 // already has. A returned fault means that this submission started nothing.
 func (c *Core) Submit(now time.Time, r model.Request) (model.Record, *fault.Error) {
+	return c.submit(now, r, false)
+}
+
+func (c *Core) submit(now time.Time, r model.Request, delegated bool) (model.Record, *fault.Error) {
 	if !c.serving {
 		return model.Record{}, c.errNoOwner()
 	}
 	if e := c.entries[r.Key]; e != nil {
 		return c.join(e, r)
 	}
+	if home := c.Home(r.Key); !delegated && home != c.cfg.DataCentre {
+		return model.Record{}, c.refuse(fault.New(fault.NoOwner, "retry with the same key; the set of data centres has changed",
+			"the home of %q is %s, not %s", r.Key, home, c.cfg.DataCentre))
+	}
 	if err := c.complete(&r); err != nil {
 		return model.Record{}, c.refuse(err)
 	}
--- a/internal/core/split/carried.go
+++ b/internal/core/split/carried.go
@@ -1,6 +1,11 @@
 package split
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
 
 // Retention is how long a share counts as recent. It equals the retention of
 // key records: an older key is not remembered by anybody.
@@ -12,6 +17,23 @@
 	Services map[string]Band `json:"services,omitempty"`
 	// Reserve is the old system's reserve of slots on each worker.
 	Reserve Band `json:"reserve"`
+	// DataCentres is the set of data centres, and Earlier what it was before.
+	DataCentres []model.DataCentre `json:"data_centres,omitempty"`
+	Earlier     []EarlierSet       `json:"earlier,omitempty"`
+}
+
+// EarlierSet is a set of data centres that was replaced at a time. A key
+// without a prefix may have had another home under it.
+type EarlierSet struct {
+	DataCentres []model.DataCentre `json:"data_centres"`
+	Until       time.Time          `json:"until"`
+}
+
+// Revision is what a text contributes to what later ones carry.
+type Revision struct {
+	NewPercent  map[string]int
+	Reserve     int
+	DataCentres []model.DataCentre
 }
 
 // Band holds a value and the range that it had recently.
@@ -44,13 +66,16 @@
 // Next returns what the revision accepted at a time carries. A service that is
 // not in the revision keeps its band until the retention has passed, because it
 // may come back with another share.
-func (c Carried) Next(at time.Time, newPercent map[string]int, reserve int) Carried {
-	out := Carried{Services: make(map[string]Band, len(newPercent)), Reserve: c.Reserve.next(at, reserve)}
-	for service, percent := range newPercent {
+func (c Carried) Next(at time.Time, r Revision) Carried {
+	out := Carried{
+		Services: make(map[string]Band, len(r.NewPercent)), Reserve: c.Reserve.next(at, r.Reserve),
+		DataCentres: r.DataCentres, Earlier: c.earlier(at, r.DataCentres),
+	}
+	for service, percent := range r.NewPercent {
 		out.Services[service] = c.Services[service].next(at, percent)
 	}
 	for service, band := range c.Services {
-		if _, ok := newPercent[service]; ok {
+		if _, ok := r.NewPercent[service]; ok {
 			continue
 		}
 		if band.Removed.IsZero() {
@@ -63,6 +88,32 @@
 	return out
 }
 
+// earlier returns the recent sets of data centres before the given one.
+func (c Carried) earlier(at time.Time, now []model.DataCentre) []EarlierSet {
+	var out []EarlierSet
+	for _, s := range c.Earlier {
+		if at.Sub(s.Until) <= Retention {
+			out = append(out, s)
+		}
+	}
+	if len(c.DataCentres) > 0 && !slices.Equal(c.DataCentres, now) {
+		out = append(out, EarlierSet{c.DataCentres, at})
+	}
+	return out
+}
+
+// EarlierHomes returns the data centres other than home that were the home of
+// a key recently. homeOf computes the home under a set of data centres.
+func (c Carried) EarlierHomes(now time.Time, home model.DataCentre, homeOf func([]model.DataCentre) model.DataCentre) []model.DataCentre {
+	var out []model.DataCentre
+	for _, s := range c.Earlier {
+		if h := homeOf(s.DataCentres); now.Sub(s.Until) <= Retention && h != home && !slices.Contains(out, h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // NeedsLookup reports whether a key without a record may be known to either
 // side, because the share crossed its hash recently. The old system is then
 // asked first.
--- a/internal/core/split/split_test.go
+++ b/internal/core/split/split_test.go
@@ -49,7 +49,7 @@
 				revision["s"] = share
 			}
 			changes = append(changes, change{at, share})
-			c = c.Next(at, revision, 0)
+			c = c.Next(at, Revision{NewPercent: revision, Reserve: 0})
 			assert.Assert(t, len(c.Services) <= 1)
 		}
 		lowest, highest := 101, -1
@@ -78,7 +78,7 @@
 
 // A daemon that starts from a snapshot must know earlier shares.
 func TestCarriedSurvivesEncoding(t *testing.T) {
-	c := Carried{}.Next(start, map[string]int{"s": 0}, 2).Next(start.Add(time.Hour), map[string]int{"s": 100}, 1)
+	c := Carried{}.Next(start, Revision{NewPercent: map[string]int{"s": 0}, Reserve: 2}).Next(start.Add(time.Hour), Revision{NewPercent: map[string]int{"s": 100}, Reserve: 1})
 	data, err := json.Marshal(c)
 	assert.NilError(t, err)
 	var back Carried
@@ -89,12 +89,24 @@
 
 // Lookups at the old system must end once no key of the earlier share can be remembered.
 func TestCarriedBandCollapses(t *testing.T) {
-	c := Carried{}.Next(start, map[string]int{"s": 0}, 0).Next(start.Add(time.Hour), map[string]int{"s": 100}, 0)
+	c := Carried{}.Next(start, Revision{NewPercent: map[string]int{"s": 0}, Reserve: 0}).Next(start.Add(time.Hour), Revision{NewPercent: map[string]int{"s": 100}, Reserve: 0})
 	late := start.Add(time.Hour + Retention + time.Minute)
 	assert.Assert(t, !c.NeedsLookup(late, "key", "s"))
-	c = c.Next(late, map[string]int{"s": 100}, 0)
+	c = c.Next(late, Revision{NewPercent: map[string]int{"s": 100}, Reserve: 0})
 	assert.Equal(t, c.Services["s"].Lowest, 100)
-	c = c.Next(late.Add(time.Minute), nil, 0)
-	c = c.Next(late.Add(2*Retention), nil, 0)
+	c = c.Next(late.Add(time.Minute), Revision{NewPercent: nil, Reserve: 0})
+	c = c.Next(late.Add(2*Retention), Revision{NewPercent: nil, Reserve: 0})
 	assert.Equal(t, len(c.Services), 0)
 }
+
+// A key without a prefix may have run at its home under an earlier set of data centres.
+func TestEarlierHomesAreKnownForTheRetention(t *testing.T) {
+	two, three := []model.DataCentre{"a", "b"}, []model.DataCentre{"a", "b", "c"}
+	c := Carried{}.Next(start, Revision{DataCentres: two}).Next(start.Add(time.Hour), Revision{DataCentres: three})
+	last := func(set []model.DataCentre) model.DataCentre { return set[len(set)-1] }
+	assert.DeepEqual(t, c.EarlierHomes(start.Add(2*time.Hour), "c", last), []model.DataCentre{"b"})
+	assert.Equal(t, len(c.EarlierHomes(start.Add(2*time.Hour), "b", last)), 0)
+	assert.Equal(t, len(c.EarlierHomes(start.Add(26*time.Hour), "c", last)), 0)
+	c = c.Next(start.Add(40*time.Hour), Revision{DataCentres: three})
+	assert.Equal(t, len(c.Earlier), 0)
+}
--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -32,9 +32,9 @@
 	exitSettings = 2
 )
 
-// memoryLimitBytes is the soft limit of the Go heap. It keeps the process below
-// the 32 MB that it may use for control.
-const memoryLimitBytes = 24 << 20
+// gcPercent lets the heap grow by half between collections. The daemon keeps
+// little state, and 32 MB for control matter more than collector time.
+const gcPercent = 50
 
 // Main runs the program and returns its exit code.
 func Main() int {
@@ -84,7 +84,7 @@
 }
 
 func run(ctx context.Context, set settings.Settings) error {
-	debug.SetMemoryLimit(memoryLimitBytes)
+	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log, err := telemetry.NewLogger(os.Stderr, set.LogLevel, set.DaemonID, string(set.DataCentre))
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -10,6 +10,7 @@
 	"catkinvalve/internal/adapters/peerrpc"
 	"catkinvalve/internal/api"
 	"catkinvalve/internal/core/confirm"
+	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/split"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/peerpb"
@@ -57,7 +58,16 @@
 	for i := range cfg.Services {
 		shares[cfg.Services[i].Name] = cfg.Services[i].NewPercent
 	}
-	return before.Next(at, shares, int(cfg.Old.SlotsPerWorker))
+	return before.Next(at, split.Revision{NewPercent: shares, Reserve: int(cfg.Old.SlotsPerWorker), DataCentres: names(cfg)})
+}
+
+// names lists the data centres of a text.
+func names(cfg *text.Config) []model.DataCentre {
+	out := make([]model.DataCentre, len(cfg.DataCentres))
+	for i := range cfg.DataCentres {
+		out[i] = cfg.DataCentres[i].Name
+	}
+	return out
 }
 
 // inForce returns the configuration in force, or nil.
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -220,6 +220,8 @@
 	}
 	l.core.StepDown()
 	l.d.replicator.reset()
+	// A successor may have changed records by now.
+	l.synced = false
 	l.recovered = false
 	l.releaseWaiters()
 }
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -57,12 +57,18 @@
 
 // fateMsg asks for the fate of a key.
 type fateMsg struct {
-	key   string
-	wait  bool
-	reply chan answer
+	key  string
+	wait bool
+	// minRevision makes the daemon refuse to answer with an older text in force.
+	minRevision uint64
+	reply       chan answer
 }
 
 func (m fateMsg) handle(l *loop, _ time.Time) {
+	if l.revision < m.minRevision {
+		m.reply <- answer{fault: fault.New(fault.NoOwner, "retry with the same key", "revision %d is not in force here yet", m.minRevision)}
+		return
+	}
 	rec, err := l.core.Fate(m.key)
 	l.reply(m.key, m.wait, rec, err, m.reply)
 }
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -72,6 +72,9 @@
 
 // Fate handles a question about a key of this data centre.
 func (s *peerService) Fate(ctx context.Context, r *peerpb.FateRequest) (*peerpb.RecordResponse, error) {
+	if r.MinRevision > 0 {
+		return s.onward(ctx, s.d.earlierFateCall(r.Key, r.MinRevision))
+	}
 	wait := min(time.Duration(r.WaitMs)*time.Millisecond, longPoll)
 	return s.onward(ctx, s.d.fateCall(r.Key, wait))
 }
--- a/internal/daemon/route.go
+++ b/internal/daemon/route.go
@@ -43,11 +43,7 @@
 	if cfg == nil {
 		return "", fault.New(fault.NotReady, "retry at another daemon, or publish a configuration", "no configuration is in force at this daemon")
 	}
-	dcs := make([]model.DataCentre, len(cfg.DataCentres))
-	for i := range cfg.DataCentres {
-		dcs[i] = cfg.DataCentres[i].Name
-	}
-	return membership.Home(key, dcs), nil
+	return membership.Home(key, names(cfg)), nil
 }
 
 // route finds the owner of the key's home and repeats the call by key until it
@@ -57,6 +53,10 @@
 	if err != nil {
 		return model.Record{}, err
 	}
+	return d.routeTo(ctx, home, c)
+}
+
+func (d *Daemon) routeTo(ctx context.Context, home model.DataCentre, c call) (model.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, routePatience)
 	defer cancel()
 	maybeSent := false
@@ -145,6 +145,11 @@
 // Submit implements the caller API.
 func (d *Daemon) Submit(ctx context.Context, r api.SubmitRequest) (api.RequestStatus, error) {
 	req := d.requestOf(r)
+	if rec, found, err := d.atEarlierHome(ctx, req.Key); err != nil {
+		return api.RequestStatus{}, err
+	} else if found {
+		return d.statusOf(&rec), nil
+	}
 	rec, err := d.route(ctx, d.submitCall(req))
 	if err != nil {
 		return api.RequestStatus{}, err
@@ -155,6 +160,44 @@
 	return d.statusOf(&rec), nil
 }
 
+// atEarlierHome looks for a record at the data centres that were the key's home
+// before a recent change of the set of data centres. Such a home answers with
+// the new set in force, after which it accepts the key no more.
+func (d *Daemon) atEarlierHome(ctx context.Context, key string) (model.Record, bool, error) {
+	s, _ := d.config.state()
+	if len(s.Carried.Earlier) == 0 {
+		return model.Record{}, false, nil
+	}
+	home, err := d.home(key)
+	if err != nil {
+		return model.Record{}, false, err
+	}
+	homeOf := func(set []model.DataCentre) model.DataCentre { return membership.Home(key, set) }
+	for _, dc := range s.Carried.EarlierHomes(d.now(), home, homeOf) {
+		rec, err := d.routeTo(ctx, dc, d.earlierFateCall(key, s.Revision))
+		switch {
+		case err == nil:
+			return rec, true, nil
+		case fault.KindOf(err) != fault.NotFound:
+			return model.Record{}, false, fault.Wrap(err, fault.FateInDoubt, "retry later with the same key, or use a key with a data centre prefix",
+				"data centre %s, the earlier home of %q, cannot tell whether it ran", dc, key)
+		}
+	}
+	return model.Record{}, false, nil
+}
+
+func (d *Daemon) earlierFateCall(key string, revision uint64) call {
+	return call{
+		key: key,
+		local: func(ctx context.Context) answer {
+			return d.ask(ctx, func(reply chan answer) message { return fateMsg{key: key, minRevision: revision, reply: reply} })
+		},
+		remote: func(ctx context.Context, to peerrpc.Target) (*peerpb.RecordResponse, error) {
+			return d.peers.Fate(ctx, to, &peerpb.FateRequest{Key: key, MinRevision: revision})
+		},
+	}
+}
+
 func (d *Daemon) submitCall(req model.Request) call {
 	return call{
 		key: req.Key,
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -121,11 +121,7 @@
 	if cfg == nil {
 		return []model.DataCentre{d.set.DataCentre}
 	}
-	var out []model.DataCentre
-	for _, dc := range cfg.DataCentres {
-		out = append(out, dc.Name)
-	}
-	return out
+	return names(cfg)
 }
 
 // localStatus reports this data centre as this daemon sees it.
