--- a/internal/core/placement/order.go
+++ b/internal/core/placement/order.go
@@ -17,10 +17,12 @@
 	signatureBits = 6
 )
 
-// loadKey orders workers by level of load, then by similarity of free.
+// loadKey orders workers by level of load, then by similarity of free, those
+// with most left first: a walk towards lower loads meets small rests first, so
+// that batch tasks leave large workers whole.
 func loadKey(load float64, free *vec) float64 {
 	const scale = 1 << (signatureBits * model.Dims)
-	return math.Floor(load*loadLevels) + float64(signature(free))/scale
+	return math.Floor(load*loadLevels) + float64(scale-1-signature(free))/scale
 }
 
 // levelBound is the largest key of workers whose level is at most that of load.
