Keep leftovers apart from live attempts; bound the cost of start estimates

Cause: the index knows a task by key and number, so reserving an earlier attempt found in an inventory moved the live attempt's reservation to another worker, whose freed room could then be given away twice. The estimate of a gang's start visits all tasks and ran in every step.

--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -30,6 +30,10 @@
 	t := &e.rec.Tasks[ev.ID.Index]
 	if t.Worker != w || t.Attempt != ev.Attempt || t.State.Final() || t.State == model.TaskQueued {
 		c.stat.StaleAnswers++
+		if ev.State.Final() {
+			c.index.Release(leftoverID(ev.ID, ev.Attempt))
+			c.dirty = true
+		}
 		return
 	}
 	c.applyReport(now, e, ev)
--- a/internal/core/scheduler/schedule.go
+++ b/internal/core/scheduler/schedule.go
@@ -13,6 +13,7 @@
 type gangHold struct {
 	key     string
 	start   time.Time
+	expires time.Time
 	workers map[model.WorkerID]bool
 }
 
@@ -37,7 +38,9 @@
 		return
 	}
 	c.dirty = false
-	c.hold = gangHold{}
+	if now.After(c.hold.expires) {
+		c.hold = gangHold{}
+	}
 	c.queue.Next(now, func(it queue.Item) queue.Verdict { return c.try(now, it) })
 }
 
@@ -76,10 +79,17 @@
 	for i, w := range workers {
 		c.assign(now, e, i, w, n)
 	}
+	if c.hold.key == it.Key {
+		c.hold = gangHold{}
+	}
 	c.placed(e)
 	return queue.Placed
 }
 
+// holdInterval is how long an estimate is used. The estimate visits all tasks of
+// the data centre, so it must not be made in every step.
+const holdInterval = 200 * time.Millisecond
+
 // holdFor records when the gang can start, so that backfill does not delay it.
 func (c *Core) holdFor(now time.Time, e *entry, n placement.Need, tasks int) {
 	if c.hold.key != "" {
@@ -89,7 +99,9 @@
 	if !ok {
 		return
 	}
-	c.hold = gangHold{key: e.rec.Request.Key, start: start, workers: make(map[model.WorkerID]bool, len(workers))}
+	c.hold = gangHold{
+		key: e.rec.Request.Key, start: start, expires: now.Add(holdInterval), workers: make(map[model.WorkerID]bool, len(workers)),
+	}
 	for _, w := range workers {
 		c.hold.workers[w] = true
 	}
--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"strconv"
 	"time"
 
 	"catkinvalve/internal/core/model"
@@ -152,8 +153,9 @@
 	rec := &e.rec.Tasks[t.ID.Index]
 	if rec.Attempt > t.Attempt || rec.State.Final() || e.rec.Fate.Terminal() {
 		if !t.State.Final() {
-			// A leftover of an attempt that was given up holds real capacity.
-			c.index.Reserve(w, t.ID, placement.Need{Class: e.rec.Request.Class, Service: t.Service, Size: t.Size})
+			// A leftover of an attempt that was given up holds real capacity until
+			// the worker reports its end.
+			c.index.Reserve(w, leftoverID(t.ID, t.Attempt), placement.Need{Class: e.rec.Request.Class, Service: t.Service, Size: t.Size})
 			c.out.stop(w, Stop{ID: t.ID, Attempt: t.Attempt, Mode: StopNow})
 		}
 		return
@@ -177,6 +179,12 @@
 	}
 }
 
+// leftoverID names the reservation of an earlier attempt, apart from that of
+// the attempt that the record refers to.
+func leftoverID(id model.TaskID, attempt int) model.TaskID {
+	return model.TaskID{Key: "leftover/" + strconv.Itoa(attempt) + "/" + id.Key, Index: id.Index}
+}
+
 func (c *Core) reserveAdopted(now time.Time, e *entry, w model.WorkerID, t model.RunningTask) {
 	c.index.Reserve(w, t.ID, placement.Need{Class: e.rec.Request.Class, Service: t.Service, Size: t.Size})
 	rt := &e.tasks[t.ID.Index]
