--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -104,9 +104,6 @@
 	// preemptAgain is when victims may be chosen again; it gives those that are
 	// being stopped time to make room.
 	preemptAgain time.Time
-	// restarting is set while a gang waits for its tasks to stop, so that it can
-	// go back into the queue as a whole.
-	restarting bool
 	// delegated is set once the delegation was handed to the daemon.
 	delegated bool
 	// lookup is set while the old system is asked for the key.
@@ -126,8 +123,6 @@
 	// failures counts the attempts that ended badly. Preemption, draining and
 	// refused starts do not count.
 	failures int
-	// requeue is set when a stop is meant to place the task again.
-	requeue bool
 }
 
 type workerState struct {
@@ -204,11 +199,15 @@
 // BeginCampaign drops inventories of earlier campaigns.
 func (c *Core) BeginCampaign() { c.grants, c.early = nil, nil }
 
-// AllRecords returns copies of all records, for standbys and successors.
+// AllRecords returns copies of all records, for standbys and successors. After
+// stepping down it leaves out final fates that no standby confirmed: a
+// successor may have decided otherwise, and no caller was told.
 func (c *Core) AllRecords() []model.Record {
 	out := make([]model.Record, 0, len(c.entries))
 	for _, e := range c.entries {
-		out = append(out, copyRecord(&e.rec))
+		if c.serving || !e.unconfirmed() {
+			out = append(out, copyRecord(&e.rec))
+		}
 	}
 	return out
 }
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -22,6 +22,9 @@
 		c.early = append(c.early, earlyReport{w, ev})
 		return
 	}
+	if ev.State.Final() {
+		c.releaseLeftover(w, ev.ID, ev.Attempt)
+	}
 	e := c.entries[ev.ID.Key]
 	if e == nil || ev.ID.Index < 0 || ev.ID.Index >= len(e.rec.Tasks) {
 		c.stat.StaleAnswers++
@@ -30,10 +33,6 @@
 	t := &e.rec.Tasks[ev.ID.Index]
 	if t.Worker != w || t.Attempt != ev.Attempt || t.State.Final() || t.State == model.TaskQueued {
 		c.stat.StaleAnswers++
-		if ev.State.Final() {
-			c.index.Release(leftoverID(ev.ID, ev.Attempt))
-			c.dirty = true
-		}
 		return
 	}
 	c.applyReport(now, e, ev)
@@ -77,10 +76,6 @@
 		c.health.Succeeded(now, t.Worker)
 		c.endProbe(now, t.Worker)
 		t.State, t.Answer = model.TaskDone, ev.Answer
-		if e.restarting && !e.rec.CancelRequested {
-			c.restartGang(now, e, 0)
-			return
-		}
 		if e.standing && !e.rec.CancelRequested {
 			c.requeue(now, e, ev.ID.Index, c.backoff.Delay(1, c.random))
 			return
@@ -127,21 +122,23 @@
 	c.changed(e)
 }
 
+// taskStopped handles a stop that the worker confirmed. Without a cancellation
+// it was a preemption or a drain, possibly of an earlier owner, or the worker
+// stopped the task because no owner renewed its lease.
 func (c *Core) taskStopped(now time.Time, e *entry, index int) {
 	c.markRunning(now, e)
-	again := e.tasks[index].requeue
+	again := e.standing || e.rec.Request.Idempotent
 	c.endProbe(now, e.rec.Tasks[index].Worker)
 	c.release(e, index)
 	e.rec.Tasks[index].State = model.TaskStopped
-	if e.restarting && !e.rec.CancelRequested {
-		c.restartGang(now, e, 0)
-		c.changed(e)
-		return
-	}
-	if !e.rec.CancelRequested && (again || e.standing) {
+	switch {
+	case e.rec.CancelRequested:
+	case again:
 		c.requeue(now, e, index, 0)
 		c.changed(e)
 		return
+	default:
+		e.rec.Tasks[index].State = model.TaskLost
 	}
 	c.settleIfEnded(now, e)
 }
@@ -188,12 +185,13 @@
 	c.settleIfEnded(now, e)
 }
 
-// settleIfEnded gives the request its final fate once all tasks have ended.
+// settleIfEnded gives the request its final fate once all tasks have ended. A
+// gang with a task that has to run again goes back to the queue instead.
 func (c *Core) settleIfEnded(now time.Time, e *entry) {
 	if e.rec.Fate.Terminal() {
 		return
 	}
-	var done, failed, lost, stopped, size int
+	var done, failed, lost, stopped, waiting, held, size int
 	for i := range e.rec.Tasks {
 		t := &e.rec.Tasks[i]
 		switch t.State {
@@ -205,11 +203,23 @@
 			lost++
 		case model.TaskStopped:
 			stopped++
+		case model.TaskQueued:
+			waiting++
 		default:
-			return
+			held++
 		}
 		size += len(t.Answer)
 	}
+	if waiting > 0 && held == 0 && e.rec.Request.Class == model.AllAtOnce {
+		c.requeue(now, e, 0, 0)
+		if !e.rec.Fate.Terminal() {
+			c.changed(e)
+		}
+		return
+	}
+	if waiting+held > 0 {
+		return
+	}
 	e.rec.Answer = joinAnswers(e.rec.Tasks, size)
 	switch {
 	case lost > 0:
@@ -316,9 +326,8 @@
 	for i := range e.rec.Tasks {
 		t := &e.rec.Tasks[i]
 		if t.State.HoldsWorker() && e.tasks[i].startAt == 0 && t.State != model.TaskStopping {
-			c.stopTask(e, i, StopNow, false)
+			c.stopTask(e, i, StopNow)
 		}
-		e.tasks[i].requeue = false
 	}
 	c.dropWaiting(now, e, model.ReasonCancelled)
 }
--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"strconv"
 	"time"
 
 	"catkinvalve/internal/core/model"
@@ -95,7 +94,7 @@
 		return
 	}
 	if e.rec.Tasks[id.Index].State == model.TaskRunning && (e.rec.Request.Idempotent || e.standing) {
-		c.stopTask(e, id.Index, StopCheckpoint, true)
+		c.stopTask(e, id.Index, StopCheckpoint)
 	}
 }
 
@@ -129,6 +128,7 @@
 		w.worker.Rack = g.Rack
 	}
 	c.index.Upsert(c.usable(w.worker))
+	c.forgetLeftovers(g.Worker)
 	listed := make(map[model.TaskID]bool, len(g.Tasks))
 	for _, t := range g.Tasks {
 		listed[t.ID] = true
@@ -153,10 +153,7 @@
 	rec := &e.rec.Tasks[t.ID.Index]
 	if rec.Attempt > t.Attempt || rec.State.Final() || e.rec.Fate.Terminal() {
 		if !t.State.Final() {
-			// A leftover of an attempt that was given up holds real capacity until
-			// the worker reports its end.
-			c.index.Reserve(w, leftoverID(t.ID, t.Attempt), placement.Need{Class: e.rec.Request.Class, Service: t.Service, Size: t.Size})
-			c.out.stop(w, Stop{ID: t.ID, Attempt: t.Attempt, Mode: StopNow})
+			c.stopLeftover(e, w, t)
 		}
 		return
 	}
@@ -175,16 +172,10 @@
 	}
 	c.taskStarted(now, e, t.ID.Index)
 	if e.rec.CancelRequested || stopping {
-		c.stopTask(e, t.ID.Index, StopNow, e.tasks[t.ID.Index].requeue)
+		c.stopTask(e, t.ID.Index, StopNow)
 	}
 }
 
-// leftoverID names the reservation of an earlier attempt, apart from that of
-// the attempt that the record refers to.
-func leftoverID(id model.TaskID, attempt int) model.TaskID {
-	return model.TaskID{Key: "leftover/" + strconv.Itoa(attempt) + "/" + id.Key, Index: id.Index}
-}
-
 func (c *Core) reserveAdopted(now time.Time, e *entry, w model.WorkerID, t model.RunningTask) {
 	c.index.Reserve(w, t.ID, placement.Need{Class: e.rec.Request.Class, Service: t.Service, Size: t.Size})
 	rt := &e.tasks[t.ID.Index]
