--- /dev/null
+++ b/internal/daemon/ownerloop_bench_test.go
@@ -0,0 +1,125 @@
+package daemon
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/core/split"
+	"catkinvalve/internal/ring"
+	"catkinvalve/internal/text"
+)
+
+// benchCore returns an owner with workers of 8 slots, so that every request of
+// the benchmark finds room.
+func benchCore(workers int) *scheduler.Core {
+	now := time.Now()
+	c := scheduler.New(scheduler.Config{DataCentre: "a", LeaseTTL: time.Second, TaskGrace: time.Second})
+	c.SetText(now, &text.Config{
+		DataCentres: []text.DataCentre{{Name: "a"}},
+		Limits:      text.Limits{QueuePerTeam: 1 << 20, QueueTotal: 1 << 20},
+		Teams:       []text.Team{{Name: "t", Quota: text.Quota{MilliCPU: 1 << 40, Slots: 1 << 40, Borrow: true}}},
+		Services:    []text.Service{{Name: "s", Team: "t", Class: model.Interactive, Size: model.Size{MilliCPU: 1, MemMB: 1, Slots: 1}, NewPercent: 100}},
+	}, split.Carried{})
+	var listed []scheduler.ListedWorker
+	for i := range workers {
+		listed = append(listed, scheduler.ListedWorker{Worker: model.Worker{ID: model.WorkerID(fmt.Sprint("w", i)), Rack: fmt.Sprint("r", i/8)}})
+	}
+	c.SetListed(now, listed)
+	for _, l := range listed {
+		c.WorkerGranted(now, scheduler.Grant{Worker: l.Worker.ID, BootID: "b", Capacity: model.Size{MilliCPU: 32000, MemMB: 131072, Slots: 8, Conns: 64}})
+	}
+	c.Serve(now, scheduler.Recovery{Term: 1, SyncedPeer: true})
+	return c
+}
+
+// handleOne takes a request through acceptance. finishAll places it and ends
+// everything that was started.
+func handleOne(c *scheduler.Core, now time.Time, key string) {
+	_, _ = c.Submit(now, model.Request{Key: key, Service: "s"})
+}
+
+func finishAll(c *scheduler.Core, now time.Time) {
+	c.Schedule(now)
+	for a := c.Take(); !a.Empty(); a = c.Take() {
+		for i := range a.Replicate {
+			c.Replicated(a.Replicate[i].Request.Key, a.Replicate[i].Version)
+		}
+		for w, starts := range a.Starts {
+			for _, s := range starts {
+				c.TaskReported(now, w, scheduler.TaskEvent{ID: s.ID, Attempt: s.Attempt, State: model.TaskDone, OK: true})
+			}
+		}
+	}
+}
+
+const benchCallers = 10
+
+// BenchmarkOwnerLoop handles requests of concurrent callers on one goroutine
+// that takes them in batches, as the daemon does.
+func BenchmarkOwnerLoop(b *testing.B) {
+	for _, workers := range []int{50, 556} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			c := benchCore(workers)
+			r := ring.New[string]("bench", requestRingSize, metrics.NewRegistry())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				var batch []string
+				for n := 0; n < b.N; {
+					batch = append(batch[:0], <-r.C())
+					batch = r.DrainInto(batch, loopBatch)
+					now := time.Now()
+					for _, key := range batch {
+						handleOne(c, now, key)
+					}
+					finishAll(c, now)
+					n += len(batch)
+				}
+			}()
+			b.ResetTimer()
+			produce(b, func(key string) { _ = r.Push(b.Context(), key) })
+			<-done
+		})
+	}
+}
+
+// BenchmarkSharedMutex lets the callers use the core in turn under a mutex.
+func BenchmarkSharedMutex(b *testing.B) {
+	for _, workers := range []int{50, 556} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			c := benchCore(workers)
+			var mu sync.Mutex
+			b.ResetTimer()
+			produce(b, func(key string) {
+				mu.Lock()
+				defer mu.Unlock()
+				now := time.Now()
+				handleOne(c, now, key)
+				finishAll(c, now)
+			})
+		})
+	}
+}
+
+// produce calls fn b.N times from concurrent callers with distinct keys.
+func produce(b *testing.B, fn func(key string)) {
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	for range benchCallers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := next.Add(1); i <= int64(b.N); i = next.Add(1) {
+				fn(fmt.Sprintf("a:%d", i))
+			}
+		}()
+	}
+	wg.Wait()
+}
