--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -119,7 +119,7 @@
 // taskRuntime is the owner's volatile state of one task.
 type taskRuntime struct {
 	// startAt is the record version that must be replicated before the start
-	// is sent; 0 when no start is pending.
+	// or the delegation is sent; 0 when none is pending.
 	startAt uint64
 	charged model.Size
 	began   time.Time
@@ -136,6 +136,8 @@
 	contact  time.Time
 	leaving  bool
 	leavedAt time.Time
+	// asked is set when an operator asked for the drain, whatever the list says.
+	asked bool
 	// probing is set while the one task that may bring the worker back from
 	// quarantine runs.
 	probing bool
