--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,83 @@
+package bench
+
+import (
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+)
+
+const examples = "../../examples"
+
+// TestQuickParts guards against a benchmark that no longer runs: the parts that
+// need no processes must give figures and no start past capacity.
+func TestQuickParts(t *testing.T) {
+	for _, part := range []string{PartWaiting, PartPacking} {
+		t.Run(part, func(t *testing.T) {
+			r, err := Run(t.Context(), Options{Examples: examples, Only: part, Quick: true, Seed: 1}, io.Discard)
+			assert.NilError(t, err)
+			assert.Assert(t, len(r.Waiting)+len(r.Packing) > 0)
+			assert.Assert(t, len(r.Targets) > 0)
+		})
+	}
+}
+
+// TestUnknownPart guards against a misspelled part that measures nothing and passes.
+func TestUnknownPart(t *testing.T) {
+	_, err := Run(t.Context(), Options{Only: "wating"}, io.Discard)
+	assert.ErrorContains(t, err, "not known")
+}
+
+// TestEqualSeedsGiveEqualRuns guards against figures that cannot be repeated.
+func TestEqualSeedsGiveEqualRuns(t *testing.T) {
+	for kind := range systemKinds {
+		var runs [2]WaitingRun
+		for i := range runs {
+			var err error
+			runs[i], err = runWaiting(Options{Examples: examples, Quick: true, Seed: 3}, &users[0], scenarios[5], kind)
+			assert.NilError(t, err)
+			runs[i].WallSeconds = 0
+		}
+		assert.DeepEqual(t, runs[0], runs[1])
+	}
+}
+
+// overcommitting is a scheduler that starts everything on one worker.
+type overcommitting struct {
+	waiting []start
+}
+
+func (o *overcommitting) name() string { return policyName }
+func (o *overcommitting) submit(_ time.Time, j *job) bool {
+	o.waiting = append(o.waiting, start{"w00", model.TaskID{Key: j.req.Key}, 1, j.req.Size})
+	return true
+}
+func (o *overcommitting) cancel(time.Time, *job)                         {}
+func (o *overcommitting) ended(time.Time, start, bool)                   {}
+func (o *overcommitting) stopped(time.Time, start)                       {}
+func (o *overcommitting) usage(time.Time, model.WorkerID, []model.Usage) {}
+func (o *overcommitting) planned(s start) model.Size                     { return s.size }
+func (o *overcommitting) tick(time.Time)                                 {}
+func (o *overcommitting) take(time.Time) (starts []start, stops []stop) {
+	starts, o.waiting = o.waiting, nil
+	return starts, nil
+}
+
+// TestPastCapacityFailsTheRun guards against a check that cannot fail: a
+// scheduler that overcommits a worker must be counted and must fail the run.
+func TestPastCapacityFailsTheRun(t *testing.T) {
+	u := &users[0]
+	cfg, err := u.loadText(examples)
+	assert.NilError(t, err)
+	jobs := u.workload(cfg, scenarios[0], 10*time.Second, 1)
+	res := newSimulation(&overcommitting{}, jobs, u.workers(), 0, 10*time.Second, 1).run()
+	assert.Assert(t, res.pastCapacity > 0)
+	r := &Report{Waiting: []WaitingRun{{System: policyName, Starts: res.starts, PastCapacity: res.pastCapacity}}}
+	assert.Assert(t, errors.Is(r.checkCapacity(), ErrPastCapacity))
+	r.judge()
+	assert.Equal(t, r.Targets[0].Pass, false)
+}
--- /dev/null
+++ b/internal/bench/control.go
@@ -0,0 +1,5 @@
+package bench
+
+import "context"
+
+func measureControl(context.Context, Options) ([]Figure, error) { return nil, nil }
--- /dev/null
+++ b/internal/bench/packing.go
@@ -0,0 +1,249 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/placement"
+	"catkinvalve/internal/core/placement/baseline"
+	"catkinvalve/internal/text"
+)
+
+// Kinds of packing trials.
+const (
+	packMixed    = "mixed batch"
+	packReserves = "mixed batch, text's reserves"
+	packChurn    = "batch under churn"
+	packRetrains = "retrains after rebuilds"
+)
+
+const (
+	packSeeds = 20
+	// churnRounds is the number of task ends of a churn trial per worker.
+	churnRounds = 40
+	// rebuilds is the number of rebuilds that hold workers when the retrains come.
+	rebuilds = 50
+	// retrainTasks is the number of tasks of one retrain.
+	retrainTasks = 8
+)
+
+// PackingRun is the mean of a packing trial over several seeds.
+type PackingRun struct {
+	User   string `json:"user"`
+	Trial  string `json:"trial"`
+	System string `json:"system"`
+	// CPU and Memory are the shares in use when the first task no longer fits;
+	// under churn the mean shares.
+	CPU    float64 `json:"cpu"`
+	Memory float64 `json:"memory"`
+	Tasks  float64 `json:"tasks"`
+	// Workers is the number of workers; LowerBound is the sum of sizes over the
+	// worker size by the tightest dimension.
+	Workers    float64 `json:"workers"`
+	LowerBound float64 `json:"lower_bound"`
+}
+
+// placer is what the index and the baselines have in common.
+type placer interface {
+	Place(placement.Need) (model.WorkerID, bool)
+	Reserve(model.WorkerID, model.TaskID, placement.Need)
+	Release(model.TaskID)
+}
+
+// fill is a placer with what runs on it.
+type fill struct {
+	p     placer
+	rng   *rand.Rand
+	next  int
+	tasks []model.TaskID
+	sizes []model.Size
+	used  model.Size
+}
+
+func (f *fill) place(n placement.Need) bool {
+	w, ok := f.p.Place(n)
+	if ok {
+		f.next++
+		id := model.TaskID{Key: "k", Index: f.next}
+		f.p.Reserve(w, id, n)
+		f.tasks, f.sizes, f.used = append(f.tasks, id), append(f.sizes, n.Size), f.used.Add(n.Size)
+	}
+	return ok
+}
+
+// endOne ends a random task.
+func (f *fill) endOne() {
+	i, last := f.rng.IntN(len(f.tasks)), len(f.tasks)-1
+	f.p.Release(f.tasks[i])
+	f.used = f.used.Sub(f.sizes[i])
+	f.tasks[i], f.sizes[i] = f.tasks[last], f.sizes[last]
+	f.tasks, f.sizes = f.tasks[:last], f.sizes[:last]
+}
+
+func measurePacking(o Options) ([]PackingRun, error) {
+	var out []PackingRun
+	seeds := packSeeds
+	if o.Quick {
+		seeds = 2
+	}
+	for i := range users {
+		u := &users[i]
+		cfg, err := u.loadText(o.Examples)
+		if err != nil {
+			return nil, err
+		}
+		trials := []string{packMixed, packReserves, packChurn}
+		if cfg.Service("full-retrain") != nil {
+			trials = append(trials, packRetrains)
+		}
+		for _, trial := range trials {
+			for kind := range systemKinds {
+				out = append(out, u.meanPacking(cfg, trial, kind, seeds, o.Seed))
+			}
+		}
+	}
+	return out, nil
+}
+
+func (u *user) meanPacking(cfg *text.Config, trial string, kind, seeds int, seed uint64) PackingRun {
+	sum := PackingRun{User: u.name, Trial: trial, System: systemNames[kind]}
+	for s := range seeds {
+		f := &fill{p: u.placer(cfg, trial, kind, seed+uint64(s)), rng: rand.New(rand.NewPCG(seed+uint64(s), 3))}
+		r := u.pack(cfg, trial, f)
+		sum.CPU += r.CPU / float64(seeds)
+		sum.Memory += r.Memory / float64(seeds)
+		sum.Tasks += r.Tasks / float64(seeds)
+		sum.LowerBound += r.LowerBound / float64(seeds)
+	}
+	sum.Workers = workerCount
+	return sum
+}
+
+// placer returns the index without reserves, so that all systems may use all
+// slots, unless the trial is about the reserves.
+func (u *user) placer(cfg *text.Config, trial string, kind int, seed uint64) placer {
+	if kind > 0 {
+		f := baseline.New(baseline.Policy(kind-1), seed)
+		for _, w := range u.workers() {
+			f.Upsert(w)
+		}
+		return f
+	}
+	opts := placement.Options{WaitingWeight: cfg.Weigh.Waiting, PackingWeight: cfg.Weigh.Packing}
+	if trial == packReserves {
+		opts.HeadroomPercent, opts.RackSpare = cfg.Limits.InteractiveHeadroomPercent, cfg.Limits.RackSpare
+	}
+	x := placement.New(opts)
+	for _, w := range u.workers() {
+		x.Upsert(w)
+		x.SetState(w.ID, placement.Available)
+	}
+	return x
+}
+
+func (u *user) pack(cfg *text.Config, trial string, f *fill) PackingRun {
+	switch trial {
+	case packChurn:
+		return u.packChurn(cfg, f)
+	case packRetrains:
+		return u.packRetrains(cfg, f)
+	}
+	for f.place(u.batchNeed(cfg, f.rng)) {
+	}
+	return u.packed(f)
+}
+
+// packed describes the present fill.
+func (u *user) packed(f *fill) PackingRun {
+	total := u.capacity.Times(workerCount)
+	return PackingRun{
+		CPU: float64(f.used.MilliCPU) / float64(total.MilliCPU), Memory: float64(f.used.MemMB) / float64(total.MemMB),
+		Tasks: float64(len(f.tasks)), LowerBound: f.used.DominantShare(u.capacity),
+	}
+}
+
+// packChurn keeps a backlog of tasks in order of arrival: a task that does not
+// fit blocks those behind it until enough others ended.
+func (u *user) packChurn(cfg *text.Config, f *fill) PackingRun {
+	var sum PackingRun
+	need, rounds := u.batchNeed(cfg, f.rng), churnRounds*workerCount
+	for range rounds {
+		for f.place(need) {
+			need = u.batchNeed(cfg, f.rng)
+		}
+		r := u.packed(f)
+		sum.CPU += r.CPU / float64(rounds)
+		sum.Memory += r.Memory / float64(rounds)
+		sum.Tasks += r.Tasks / float64(rounds)
+		sum.LowerBound += r.LowerBound / float64(rounds)
+		f.endOne()
+	}
+	return sum
+}
+
+// packRetrains counts the retrains that start, all tasks at once, while
+// rebuilds hold a part of the workers.
+func (u *user) packRetrains(cfg *text.Config, f *fill) PackingRun {
+	rebuild, retrain := cfg.Service("patch-rebuild"), cfg.Service("full-retrain")
+	for range rebuilds {
+		f.place(placement.Need{Class: rebuild.Class, Service: rebuild.Name, Size: rebuild.Size})
+	}
+	need := placement.Need{Class: retrain.Class, Service: retrain.Name, Size: retrain.Size}
+	for f.placeGang(need, retrainTasks) {
+	}
+	return u.packed(f)
+}
+
+// placeGang places all tasks of a gang or none.
+func (f *fill) placeGang(n placement.Need, tasks int) bool {
+	before := len(f.tasks)
+	for range tasks {
+		if f.place(n) {
+			continue
+		}
+		for len(f.tasks) > before {
+			last := len(f.tasks) - 1
+			f.p.Release(f.tasks[last])
+			f.used = f.used.Sub(f.sizes[last])
+			f.tasks, f.sizes = f.tasks[:last], f.sizes[:last]
+		}
+		return false
+	}
+	return true
+}
+
+// batchNeed draws a batch task of the user's services with a size between a
+// half and twice the text's, independently by dimension, so that shapes differ.
+func (u *user) batchNeed(cfg *text.Config, rng *rand.Rand) placement.Need {
+	var batch []*text.Service
+	for i := range cfg.Services {
+		if s := &cfg.Services[i]; s.Class == model.Batch {
+			batch = append(batch, s)
+		}
+	}
+	s := batch[rng.IntN(len(batch))]
+	size := s.Size
+	size.MilliCPU = min(scaled(size.MilliCPU, 0.5+1.5*rng.Float64()), u.capacity.MilliCPU)
+	size.MemMB = min(scaled(size.MemMB, 0.5+1.5*rng.Float64()), u.capacity.MemMB)
+	return placement.Need{Class: s.Class, Service: s.Name, Size: size}
+}
+
+func (r *Report) printPacking(t io.Writer) {
+	fmt.Fprintln(t, "USER\tTRIAL\tSYSTEM\tCPU %\tMEMORY %\tTASKS\tWORKERS\tLOWER BOUND")
+	for _, p := range r.Packing {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%.1f\t%.1f\t%.1f\t%.0f\t%.1f\n", p.User, p.Trial, p.System, 100*p.CPU, 100*p.Memory, p.Tasks, p.Workers, p.LowerBound)
+	}
+}
+
+// packed returns the packing efficiency of a trial: the lower bound over the
+// workers in use.
+func (r *Report) packed(user, trial, system string) (float64, bool) {
+	for _, p := range r.Packing {
+		if p.User == user && p.Trial == trial && p.System == system {
+			return p.LowerBound / p.Workers, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/bench/policy.go
@@ -0,0 +1,119 @@
+package bench
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/text"
+)
+
+const (
+	policyName = "catkinvalve"
+	// bootID is that of all fake workers; they never restart.
+	bootID = "boot"
+	// maxRecords keeps the record table from limiting a run.
+	maxRecords = 4_000_000
+)
+
+// policy drives the scheduler core as a daemon without standbys does.
+type policy struct {
+	core *scheduler.Core
+}
+
+func newPolicy(now time.Time, cfg *text.Config, workers []model.Worker) *policy {
+	c := scheduler.New(scheduler.Config{
+		DataCentre: benchDC, Region: "klang", LeaseTTL: 3 * time.Second, TaskGrace: 30 * time.Second,
+		MaxRecords: maxRecords, Seed: 1,
+	})
+	c.SetText(now, 1, cfg)
+	listed := make([]scheduler.ListedWorker, len(workers))
+	for i, w := range workers {
+		listed[i].Worker = w
+	}
+	c.SetListed(now, listed)
+	c.Serve(now, scheduler.Recovery{Term: 1, SyncedPeer: true, JournalRead: true})
+	for _, w := range workers {
+		c.WorkerGranted(now, scheduler.Grant{Worker: w.ID, BootID: bootID, Capacity: w.Capacity, Rack: w.Rack})
+	}
+	return &policy{core: c}
+}
+
+func (p *policy) name() string { return policyName }
+
+func (p *policy) submit(now time.Time, j *job) bool {
+	if j.standing {
+		return true // The text asks for it.
+	}
+	_, err := p.core.Submit(now, j.req)
+	return err == nil
+}
+
+func (p *policy) cancel(now time.Time, j *job) { _, _ = p.core.Cancel(now, j.req.Key) }
+
+func (p *policy) ended(now time.Time, s start, ok bool) {
+	state := model.TaskDone
+	if !ok {
+		state = model.TaskFailed
+	}
+	p.core.TaskReported(now, s.worker, scheduler.TaskEvent{ID: s.id, Attempt: s.attempt, State: state, OK: ok})
+}
+
+func (p *policy) stopped(now time.Time, s start) {
+	p.core.TaskReported(now, s.worker, scheduler.TaskEvent{ID: s.id, Attempt: s.attempt, State: model.TaskStopped})
+}
+
+func (p *policy) usage(now time.Time, w model.WorkerID, u []model.Usage) {
+	p.core.UsageReported(now, w, u)
+}
+
+func (p *policy) planned(s start) model.Size {
+	if rec, err := p.core.Fate(s.id.Key); err == nil && s.id.Index < len(rec.Tasks) {
+		return rec.Tasks[s.id.Index].Planned
+	}
+	return s.size
+}
+
+func (p *policy) tick(now time.Time) { p.core.Tick(now) }
+
+// take runs the core until it has nothing more to do. Records count as
+// replicated at once.
+func (p *policy) take(now time.Time) ([]start, []stop) {
+	var starts []start
+	var stops []stop
+	for {
+		p.core.Schedule(now)
+		a := p.core.Take()
+		if a.Empty() {
+			return starts, stops
+		}
+		for _, rec := range a.Replicate {
+			p.core.Replicated(rec.Request.Key, rec.Version)
+		}
+		for w, list := range a.Starts {
+			for _, s := range list {
+				starts = append(starts, start{w, s.ID, s.Attempt, s.Size})
+				p.core.TaskReported(now, w, scheduler.TaskEvent{ID: s.ID, Attempt: s.Attempt, State: model.TaskRunning})
+			}
+		}
+		for w, list := range a.Stops {
+			for _, s := range list {
+				if s.Mode != scheduler.StopThrottle {
+					stops = append(stops, stop{w, s.ID, s.Attempt, s.Mode == scheduler.StopCheckpoint})
+				}
+			}
+		}
+		// The maps above have no order; equal seeds must give equal runs.
+		slices.SortFunc(starts, func(a, b start) int { return compareTasks(a.id, b.id) })
+		slices.SortFunc(stops, func(a, b stop) int { return compareTasks(a.id, b.id) })
+	}
+}
+
+func compareTasks(a, b model.TaskID) int {
+	if c := strings.Compare(a.Key, b.Key); c != 0 {
+		return c
+	}
+	return a.Index - b.Index
+}
--- /dev/null
+++ b/internal/bench/slopes.go
@@ -0,0 +1,3 @@
+package bench
+
+func measureSlopes(Options) ([]Figure, error) { return nil, nil }
