--- a/internal/adapters/peerrpc/conn.go
+++ b/internal/adapters/peerrpc/conn.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
@@ -15,6 +16,17 @@
 	net.Conn
 	writeTimeout time.Duration
 	wrote        atomic.Bool
+	// sent and received count bytes on client connections; nil counts nothing.
+	sent, received metrics.Counter
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.received != nil {
+		c.received.Inc(int64(n))
+	}
+	return n, err
 }
 
 // Write implements net.Conn. The flag is set first, so that a write that fails
@@ -24,7 +36,11 @@
 	if err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if c.sent != nil {
+		c.sent.Inc(int64(n))
+	}
+	return n, err
 }
 
 // clientConn is a drpc connection that carries one call at a time.
@@ -33,8 +49,8 @@
 	tracked *trackedConn
 }
 
-func newClientConn(conn net.Conn, opts Options) *clientConn {
-	tracked := &trackedConn{Conn: conn, writeTimeout: opts.WriteTimeout}
+func newClientConn(conn net.Conn, b bytesCounters, opts Options) *clientConn {
+	tracked := &trackedConn{Conn: conn, writeTimeout: opts.WriteTimeout, sent: b.sent, received: b.received}
 	options := drpcconn.Options{Manager: managerOptions(opts)}
 	return &clientConn{Conn: drpcconn.NewWithOptions(tracked, options), tracked: tracked}
 }
--- a/internal/adapters/peerrpc/pool.go
+++ b/internal/adapters/peerrpc/pool.go
@@ -30,6 +30,9 @@
 	size int
 	idle *drpcpool.Pool[string, *clientConn]
 	full metrics.Counter
+	// near and far count the bytes on connections within the own region and to
+	// other regions. Only clients count, so that no byte counts twice.
+	near, far bytesCounters
 
 	mu     sync.Mutex
 	closed bool
@@ -50,6 +53,8 @@
 		size: size,
 		idle: drpcpool.New[string, *clientConn](drpcpool.Options{Expiration: opts.IdleTimeout / 2, KeyCapacity: size}),
 		full: telemetry.Counter(opts.Registry, "peer.client."+string(k)+".full"),
+		near: newBytesCounters(opts.Registry, k, "same_region"),
+		far:  newBytesCounters(opts.Registry, k, "cross_region"),
 
 		places: map[string]*places{},
 	}
@@ -71,7 +76,22 @@
 		p.release(to.Addr)
 		return nil, unreachable(err, to)
 	}
-	return newClientConn(conn, p.opts), nil
+	return newClientConn(conn, p.bytes(to), p.opts), nil
+}
+
+// bytesCounters count what the connections of one pool carry.
+type bytesCounters struct{ sent, received metrics.Counter }
+
+func newBytesCounters(r metrics.Registry, k kind, scope string) bytesCounters {
+	name := "peer.client." + string(k) + "." + scope
+	return bytesCounters{sent: telemetry.Counter(r, name+".sent_bytes"), received: telemetry.Counter(r, name+".received_bytes")}
+}
+
+func (p *pool) bytes(to Target) bytesCounters {
+	if to.Region == p.opts.Self.Region {
+		return p.near
+	}
+	return p.far
 }
 
 // put gives the connection back; a broken one is closed.
