--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/placement"
 	"catkinvalve/internal/fault"
 )
 
@@ -105,7 +106,7 @@
 		return
 	case e.rec.DelegatedTo != "":
 		return
-	case e.untouched() && c.shares.NeedsLookup(e.rec.Request.Key, e.rec.Request.Service):
+	case e.untouched() && c.carried.NeedsLookup(now, e.rec.Request.Key, e.rec.Request.Service):
 		e.lookup = true
 		c.out.OldLookups = append(c.out.OldLookups, e.rec.Request.Key)
 		return
@@ -121,6 +122,7 @@
 			c.resumeAssigned(now, e, i)
 		}
 	}
+	c.settleIfEnded(now, e)
 }
 
 // untouched reports whether no task was ever assigned to a worker.
@@ -158,6 +160,11 @@
 	c.BeginCampaign()
 	for id, w := range c.workers {
 		w.leased = false
+		if w.probing {
+			w.probing = false
+			c.health.EndProbe(id)
+		}
+		c.index.SetState(id, placement.NotLeased)
 		for _, t := range c.index.Tasks(id) {
 			c.index.Release(t)
 		}
@@ -169,7 +176,7 @@
 			}
 		}
 		e.tasks = make([]taskRuntime, len(e.rec.Tasks))
-		e.preempting, e.lookup = false, false
+		e.preemptAgain, e.lookup, e.restarting, e.delegated = time.Time{}, false, false, false
 		c.queue.Remove(e.rec.Request.Key)
 	}
 }
--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"strconv"
 	"time"
 
 	"catkinvalve/internal/core/model"
@@ -50,7 +51,7 @@
 
 // usable takes the slots of the old system off a shared worker's capacity.
 func (c *Core) usable(w model.Worker) model.Worker {
-	w.Capacity.Slots = max(0, w.Capacity.Slots-c.text.Old.SlotsPerWorker)
+	w.Capacity.Slots = max(0, w.Capacity.Slots-c.oldSlots)
 	return w
 }
 
@@ -152,8 +153,9 @@
 	rec := &e.rec.Tasks[t.ID.Index]
 	if rec.Attempt > t.Attempt || rec.State.Final() || e.rec.Fate.Terminal() {
 		if !t.State.Final() {
-			// A leftover of an attempt that was given up holds real capacity.
-			c.index.Reserve(w, t.ID, placement.Need{Class: e.rec.Request.Class, Service: t.Service, Size: t.Size})
+			// A leftover of an attempt that was given up holds real capacity until
+			// the worker reports its end.
+			c.index.Reserve(w, leftoverID(t.ID, t.Attempt), placement.Need{Class: e.rec.Request.Class, Service: t.Service, Size: t.Size})
 			c.out.stop(w, Stop{ID: t.ID, Attempt: t.Attempt, Mode: StopNow})
 		}
 		return
@@ -177,6 +179,12 @@
 	}
 }
 
+// leftoverID names the reservation of an earlier attempt, apart from that of
+// the attempt that the record refers to.
+func leftoverID(id model.TaskID, attempt int) model.TaskID {
+	return model.TaskID{Key: "leftover/" + strconv.Itoa(attempt) + "/" + id.Key, Index: id.Index}
+}
+
 func (c *Core) reserveAdopted(now time.Time, e *entry, w model.WorkerID, t model.RunningTask) {
 	c.index.Reserve(w, t.ID, placement.Need{Class: e.rec.Request.Class, Service: t.Service, Size: t.Size})
 	rt := &e.tasks[t.ID.Index]
@@ -233,11 +241,14 @@
 // Until then nothing can be said to fit no worker.
 func (c *Core) updateCapacityKnown() {
 	c.capacityKnown = len(c.workers) > 0
+	var largest model.Size
 	for _, w := range c.workers {
 		if w.bootID == "" {
 			c.capacityKnown = false
 		}
+		largest = largest.Max(w.worker.Capacity)
 	}
+	c.largest = largest
 }
 
 // assigned returns the tasks that the records place on a worker.
@@ -322,7 +333,7 @@
 	if t.State != model.TaskRunning {
 		return
 	}
-	planned := c.sizes.Plan(e.rec.Request.Service, e.rec.Request.Size)
+	planned := c.planned(&e.rec.Request)
 	if planned == t.Planned {
 		return
 	}
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -7,6 +7,7 @@
 	"catkinvalve/internal/core/membership"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/core/split"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/peerpb"
 	"catkinvalve/internal/ports"
@@ -56,12 +57,18 @@
 
 // fateMsg asks for the fate of a key.
 type fateMsg struct {
-	key   string
-	wait  bool
-	reply chan answer
+	key  string
+	wait bool
+	// minRevision makes the daemon refuse to answer with an older text in force.
+	minRevision uint64
+	reply       chan answer
 }
 
 func (m fateMsg) handle(l *loop, _ time.Time) {
+	if l.revision < m.minRevision {
+		m.reply <- answer{fault: fault.New(fault.NoOwner, "retry with the same key", "revision %d is not in force here yet", m.minRevision)}
+		return
+	}
 	rec, err := l.core.Fate(m.key)
 	l.reply(m.key, m.wait, rec, err, m.reply)
 }
@@ -199,6 +206,7 @@
 type configMsg struct {
 	revision uint64
 	cfg      *text.Config
+	carried  split.Carried
 }
 
 func (m configMsg) handle(l *loop, now time.Time) {
@@ -206,7 +214,7 @@
 		return
 	}
 	l.revision = m.revision
-	l.core.SetText(now, m.revision, m.cfg)
+	l.core.SetText(now, m.cfg, m.carried)
 	l.log.WithField("revision", m.revision).Info("configuration in force")
 }
 
@@ -335,6 +343,11 @@
 	l.core.OldLookedUp(now, m.key, m.known, m.unavailable)
 }
 
+// reserveMsg reports that the old system uses at most slots on each worker.
+type reserveMsg struct{ slots int64 }
+
+func (m reserveMsg) handle(l *loop, now time.Time) { l.core.ReserveAcknowledged(now, m.slots) }
+
 // delegateMsg brings the state of a delegated request.
 type delegateMsg struct{ report scheduler.DelegateReport }
 
