--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -7,6 +7,7 @@
 
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/core/split"
 	"catkinvalve/internal/text"
 )
 
@@ -28,7 +29,7 @@
 		DataCentre: benchDC, Region: "klang", LeaseTTL: 3 * time.Second, TaskGrace: 30 * time.Second,
 		MaxRecords: maxRecords, Seed: 1,
 	})
-	c.SetText(now, 1, cfg)
+	c.SetText(now, cfg, split.Carried{})
 	listed := make([]scheduler.ListedWorker, len(workers))
 	for i, w := range workers {
 		listed[i].Worker = w
