Bound the memory of records on owners and standbys

Cause: a standby never dropped records, answers were kept for 24 hours without a bound, and payloads of waiting requests were bounded by count only (1 MiB each). Answers over 8 MiB in total now give way oldest first and are marked as dropped; requests whose payloads exceed 16 MiB in total are refused as overloaded; standbys apply the same retention as the owner.

--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -40,12 +40,14 @@
 	Reason  model.Reason `json:"reason,omitempty"`
 	// Answer is the payload that the worker returned; for several tasks it is
 	// the concatenation in task order.
-	Answer     []byte           `json:"answer,omitempty"`
-	Home       model.DataCentre `json:"home"`
-	AcceptedAt time.Time        `json:"accepted_at"`
-	StartedAt  *time.Time       `json:"started_at,omitempty"`
-	EndedAt    *time.Time       `json:"ended_at,omitempty"`
-	Tasks      []TaskStatus     `json:"tasks,omitempty"`
+	Answer []byte `json:"answer,omitempty"`
+	// AnswerDropped is set when the daemons no longer keep the answer.
+	AnswerDropped bool             `json:"answer_dropped,omitempty"`
+	Home          model.DataCentre `json:"home"`
+	AcceptedAt    time.Time        `json:"accepted_at"`
+	StartedAt     *time.Time       `json:"started_at,omitempty"`
+	EndedAt       *time.Time       `json:"ended_at,omitempty"`
+	Tasks         []TaskStatus     `json:"tasks,omitempty"`
 }
 
 // TaskStatus is the state of one task of a request.
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -249,13 +249,15 @@
 
 // Record is everything the home data centre knows about a key.
 type Record struct {
-	Request Request      `json:"request"`
-	Side    Side         `json:"side"`
-	Fate    Fate         `json:"fate"`
-	OK      bool         `json:"ok"`
-	Reason  Reason       `json:"reason,omitempty"`
-	Answer  []byte       `json:"answer,omitempty"`
-	Tasks   []TaskRecord `json:"tasks"`
+	Request Request `json:"request"`
+	Side    Side    `json:"side"`
+	Fate    Fate    `json:"fate"`
+	OK      bool    `json:"ok"`
+	Reason  Reason  `json:"reason,omitempty"`
+	Answer  []byte  `json:"answer,omitempty"`
+	// AnswerDropped is set once the answer gave way to later ones.
+	AnswerDropped bool         `json:"answer_dropped,omitempty"`
+	Tasks         []TaskRecord `json:"tasks"`
 	// Term is the owner's term in which the record last changed.
 	Term uint64 `json:"term"`
 	// Version grows with each change of the record within all terms.
--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -65,11 +65,10 @@
 	// capacityKnown is true when every listed worker has granted a lease once.
 	capacityKnown bool
 	// largest is the largest capacity of any worker in each dimension.
-	largest   model.Size
-	settled   []settledKey
-	lastSweep time.Time
-	homeTerm  map[model.DataCentre]uint64
-	remote    map[model.DataCentre]*remoteLoad
+	largest  model.Size
+	mem      memory
+	homeTerm map[model.DataCentre]uint64
+	remote   map[model.DataCentre]*remoteLoad
 
 	serving bool
 	term    uint64
--- a/internal/core/scheduler/delegate.go
+++ b/internal/core/scheduler/delegate.go
@@ -219,7 +219,7 @@
 	for i := range e.rec.Tasks {
 		e.rec.Tasks[i].Worker = ""
 	}
-	c.entries[rec.Request.Key] = e
+	c.keep(e)
 	if c.serving && !rec.Fate.Terminal() {
 		c.changed(e)
 	}
--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -37,26 +37,52 @@
 	if c.serving {
 		if e == nil {
 			e = &entry{rec: copyRecord(&rec), tasks: make([]taskRuntime, len(rec.Tasks))}
-			c.entries[rec.Request.Key] = e
+			c.keep(e)
 			c.resume(now, e)
 		}
 		return
 	}
 	if e == nil {
-		e = &entry{rec: rec}
-		c.entries[rec.Request.Key] = e
+		e = &entry{rec: copyRecord(&rec), tasks: make([]taskRuntime, len(rec.Tasks))}
+		c.keep(e)
 	} else if !rec.Newer(&e.rec) && !(e.unconfirmed() && rec.Term > e.rec.Term) {
 		return
 	}
+	c.replace(e, rec)
+	e.tasks = make([]taskRuntime, len(e.rec.Tasks))
+	e.acked, e.settleAt = e.rec.Version, 0
+	if rec.Fate.Terminal() {
+		e.settleAt = rec.Version
+	}
+}
+
+// keep adds a record from elsewhere to the table.
+func (c *Core) keep(e *entry) {
+	c.entries[e.rec.Request.Key] = e
+	c.takePayload(e)
+	if e.rec.Fate.Terminal() {
+		c.noteSettled(e, e.rec.Ended)
+	}
+}
+
+// replace takes over a newer version of a record. Versions from the journal
+// lack the payload.
+func (c *Core) replace(e *entry, rec model.Record) {
 	payload := e.rec.Request.Payload
+	wasTerminal := e.rec.Fate.Terminal()
+	c.forgetAnswer(e)
+	c.dropPayload(e)
 	e.rec = copyRecord(&rec)
 	if e.rec.Request.Payload == nil && !rec.Fate.Terminal() {
 		e.rec.Request.Payload = payload
 	}
-	e.tasks = make([]taskRuntime, len(e.rec.Tasks))
-	e.acked, e.settleAt = e.rec.Version, 0
-	if rec.Fate.Terminal() {
-		e.settleAt = rec.Version
+	c.takePayload(e)
+	switch {
+	case !rec.Fate.Terminal():
+	case wasTerminal:
+		c.mem.answerBytes += len(e.rec.Answer)
+	default:
+		c.noteSettled(e, rec.Ended)
 	}
 }
 
@@ -96,7 +122,6 @@
 // resume continues a restored request.
 func (c *Core) resume(now time.Time, e *entry) {
 	if e.rec.Fate.Terminal() {
-		c.settled = append(c.settled, settledKey{e.rec.Request.Key, e.rec.Ended})
 		if e.unconfirmed() {
 			c.changed(e)
 			e.settleAt = e.rec.Version
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -265,11 +265,10 @@
 	c.queue.Remove(e.rec.Request.Key)
 	c.health.ForgetKey(e.rec.Request.Key)
 	e.rec.Fate, e.rec.Reason, e.rec.Ended = f, reason, now
-	e.rec.Request.Payload = nil
 	c.changed(e)
 	e.settleAt = e.rec.Version
 	c.journal(e)
-	c.settled = append(c.settled, settledKey{e.rec.Request.Key, now})
+	c.noteSettled(e, now)
 	if e.standing {
 		c.dirty = true
 	}
--- a/internal/core/scheduler/submit.go
+++ b/internal/core/scheduler/submit.go
@@ -43,10 +43,8 @@
 		return model.Record{}, c.refuse(fault.New(fault.DeadlineExceeded,
 			"submit again with a later deadline", "the deadline of %q has passed", r.Key))
 	}
-	if !c.makeRoom(now) {
-		return model.Record{}, c.refuse(fault.New(fault.Overloaded,
-			"retry later with backoff; raise the record limit if this persists",
-			"the table of %d key records is full", c.cfg.MaxRecords))
+	if err := c.checkRoom(now, &r); err != nil {
+		return model.Record{}, c.refuse(err)
 	}
 	e := c.newEntry(now, r)
 	e.rec.Side = split.Side(r.Key, r.Service, c.newPercent(r.Service))
@@ -54,6 +52,7 @@
 		return c.lookupFirst(e)
 	}
 	if err := c.enter(now, e); err != nil {
+		c.dropPayload(e)
 		delete(c.entries, r.Key)
 		return model.Record{}, c.refuse(err)
 	}
@@ -129,6 +128,7 @@
 	}
 	e.tasks = make([]taskRuntime, r.Tasks)
 	c.entries[r.Key] = e
+	c.takePayload(e)
 	return e
 }
 
--- a/internal/daemon/route.go
+++ b/internal/daemon/route.go
@@ -355,7 +355,7 @@
 	home, _ := d.home(rec.Request.Key)
 	s := api.RequestStatus{
 		Key: rec.Request.Key, Service: rec.Request.Service, Team: rec.Request.Team, Class: rec.Request.Class,
-		Side: rec.Side, Fate: rec.Fate, OK: rec.OK, Reason: rec.Reason, Answer: rec.Answer, Home: home, AcceptedAt: rec.Accepted,
+		Side: rec.Side, Fate: rec.Fate, OK: rec.OK, Reason: rec.Reason, Answer: rec.Answer, AnswerDropped: rec.AnswerDropped, Home: home, AcceptedAt: rec.Accepted,
 	}
 	if !rec.Started.IsZero() {
 		s.StartedAt = &rec.Started
--- a/internal/peerpb/convert.go
+++ b/internal/peerpb/convert.go
@@ -128,6 +128,7 @@
 		DelegatedTo: string(r.DelegatedTo),
 
 		CancelRequested: r.CancelRequested,
+		AnswerDropped:   r.AnswerDropped,
 	}
 	for i := range r.Tasks {
 		p.Tasks = append(p.Tasks, TaskRecordToProto(&r.Tasks[i]))
@@ -164,6 +165,7 @@
 		DelegatedTo: model.DataCentre(p.GetDelegatedTo()),
 
 		CancelRequested: p.GetCancelRequested(),
+		AnswerDropped:   p.GetAnswerDropped(),
 	}, nil
 }
 
