--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -87,7 +87,10 @@
 // Counters counts decisions since the process started.
 type Counters struct {
 	Admitted, Refused, Started, Finished, Failed, Retried, Preempted int64
-	StaleAnswers, DelegatedOut, DelegatedIn, RecordsDropped          int64
+	// Lost counts tasks whose worker is gone, NotStarted starts that a worker
+	// surely did not accept, and StaleAnswers reports of attempts given up.
+	Lost, NotStarted, StaleAnswers            int64
+	DelegatedOut, DelegatedIn, RecordsDropped int64
 }
 
 // entry is a key record with what the owner needs besides.
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -158,6 +158,7 @@
 }
 
 func (c *Core) notStarted(now time.Time, e *entry, index int) {
+	c.stat.NotStarted++
 	c.endProbe(now, e.rec.Tasks[index].Worker)
 	c.release(e, index)
 	t := &e.rec.Tasks[index]
@@ -173,6 +174,7 @@
 
 // taskLost handles a task whose worker is gone.
 func (c *Core) taskLost(now time.Time, e *entry, index int) {
+	c.stat.Lost++
 	c.markRunning(now, e)
 	c.release(e, index)
 	t := &e.rec.Tasks[index]
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -108,6 +108,7 @@
 		controls: ring.New[message]("control", controlRingSize, deps.Registry),
 	}
 	d.state.Store(&state{})
+	d.exportState()
 	d.journal, d.replicator, d.delegator = newJournal(d), newReplicator(d), newDelegator(d)
 	d.old = newOldForwarder(d, deps.Old)
 	if err := d.newServers(deps); err != nil {
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -252,7 +252,7 @@
 	s := &state{
 		role: l.election.Role(), revision: l.revision, ready: l.ready() && (l.synced || l.core.Serving()),
 		draining: l.draining, peers: l.members.Peers(), mates: l.members.Mates(now), synced: l.synced,
-		serving: l.core.Serving(), at: now,
+		serving: l.core.Serving(), at: now, counters: l.core.Counters(), records: l.core.Records(),
 	}
 	if l.core.Serving() {
 		s.term = l.election.Term()
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -6,6 +6,7 @@
 	"catkinvalve/internal/core/election"
 	"catkinvalve/internal/core/membership"
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/scheduler"
 )
 
 // state is a copy of the owner loop's view for the other goroutines. It is
@@ -24,6 +25,8 @@
 	peers     []membership.Peer
 	mates     []membership.Peer
 	load      membership.Load
+	counters  scheduler.Counters
+	records   int
 }
 
 func (s *state) aliveMate(id string) bool {
