--- /dev/null
+++ b/internal/history/config.go
@@ -0,0 +1,108 @@
+package history
+
+import (
+	"maps"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"catkinvalve/internal/fault"
+)
+
+// ConfigOp is a publication or a reading of the configuration.
+type ConfigOp struct {
+	// Reader is the daemon process that was read; empty for publications. A
+	// restarted daemon keeps nothing and counts as another reader.
+	Reader       string
+	Call, Return time.Duration
+	// PublishID, Base and Text describe a publication; Text is also the text read.
+	PublishID string
+	Base      uint64
+	Text      string
+	Accepted  bool
+	// Revision is the one accepted or read.
+	Revision uint64
+	// Err is the kind of the error of an unanswered or refused call.
+	Err fault.Kind
+}
+
+// configState is a register of accepted texts.
+type configState struct {
+	revision uint64
+	texts    map[uint64]string
+	verdicts map[string]bool
+	seen     map[string]uint64
+}
+
+func (s configState) clone() configState {
+	return configState{s.revision, maps.Clone(s.texts), maps.Clone(s.verdicts), maps.Clone(s.seen)}
+}
+
+func (s configState) equal(o configState) bool {
+	return s.revision == o.revision && maps.Equal(s.texts, o.texts) &&
+		maps.Equal(s.verdicts, o.verdicts) && maps.Equal(s.seen, o.seen)
+}
+
+// configModel describes a compare-and-set register whose readers may lag but
+// never go back. An unanswered publication may or may not have taken effect.
+var configModel = porcupine.NondeterministicModel{
+	Init: func() []any {
+		return []any{configState{texts: map[uint64]string{}, verdicts: map[string]bool{}, seen: map[string]uint64{}}}
+	},
+	Step:  func(state, in, _ any) []any { return state.(configState).step(in.(ConfigOp)) },
+	Equal: func(a, b any) bool { return a.(configState).equal(b.(configState)) },
+}
+
+func (s configState) step(o ConfigOp) []any {
+	if o.Reader != "" {
+		return s.read(o)
+	}
+	next, accepted := s.publish(o)
+	if o.Err != "" {
+		return []any{s, next}
+	}
+	if accepted != o.Accepted {
+		return nil
+	}
+	if accepted && next.texts[o.Revision] != o.Text {
+		return nil
+	}
+	return []any{next}
+}
+
+// publish applies the accept rule: a publish_id keeps its first verdict, and
+// only a publication on the current revision is accepted.
+func (s configState) publish(o ConfigOp) (configState, bool) {
+	if v, ok := s.verdicts[o.PublishID]; ok {
+		return s, v
+	}
+	next := s.clone()
+	accepted := o.Base == s.revision
+	next.verdicts[o.PublishID] = accepted
+	if accepted {
+		next.revision++
+		next.texts[next.revision] = o.Text
+	}
+	return next, accepted
+}
+
+func (s configState) read(o ConfigOp) []any {
+	if o.Err != "" {
+		return []any{s}
+	}
+	if o.Revision < s.seen[o.Reader] || o.Revision > s.revision || s.texts[o.Revision] != o.Text {
+		return nil
+	}
+	next := s.clone()
+	next.seen[o.Reader] = o.Revision
+	return []any{next}
+}
+
+// CheckConfig checks all operations on the configuration.
+func CheckConfig(ops []ConfigOp) error {
+	var list []porcupine.Operation
+	for i, o := range ops {
+		list = append(list, operation(i, o, o.Call, o.Return))
+	}
+	return verdict(configModel.ToModel(), list)
+}
--- /dev/null
+++ b/internal/history/history.go
@@ -0,0 +1,137 @@
+// Package history records concurrent calls and what the workers and the old
+// system saw of them, and checks the records against models of the promises:
+// at most one effect of a key, fates that never change, a configuration
+// register, and answers that belong to their own request.
+package history
+
+import (
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/fault"
+)
+
+// Kind is the kind of a recorded operation on a key.
+type Kind string
+
+// Kinds of operations on a key.
+const (
+	Submit  Kind = "submit"
+	AskFate Kind = "fate"
+	Cancel  Kind = "cancel"
+	// Start is a start that a worker or the old system counted.
+	Start Kind = "start"
+)
+
+// Pending is the return time of an operation that may still take effect,
+// because its answer was lost.
+const Pending = time.Duration(math.MaxInt64)
+
+// Outcome is what a caller learned from a call.
+type Outcome struct {
+	Fate   model.Fate
+	OK     bool
+	Answer []byte
+	// Err is the kind of the error; empty when the call was answered.
+	Err fault.Kind
+}
+
+// Op is one operation on a key.
+type Op struct {
+	Key    string
+	Kind   Kind
+	Daemon string
+	// Call and Return are times since the recorder was made.
+	Call, Return time.Duration
+	// NonIdempotent keys have at most one start.
+	NonIdempotent bool
+	// Payload and Tasks are those of the submitted request.
+	Payload []byte
+	Tasks   int
+	Outcome Outcome
+}
+
+// String describes the operation in a report.
+func (o Op) String() string {
+	end := "pending"
+	if o.Return != Pending {
+		end = o.Return.Round(time.Millisecond).String()
+	}
+	result := string(o.Outcome.Fate)
+	if o.Outcome.Err != "" {
+		result = string(o.Outcome.Err)
+	}
+	return fmt.Sprintf("%s-%s %s %s %s", o.Call.Round(time.Millisecond), end, o.Kind, o.Daemon, result)
+}
+
+// Recorder collects operations of concurrent callers.
+type Recorder struct {
+	start  time.Time
+	mu     sync.Mutex
+	keys   map[string][]Op
+	config []ConfigOp
+}
+
+// NewRecorder returns an empty recorder.
+func NewRecorder() *Recorder {
+	return &Recorder{start: time.Now(), keys: map[string][]Op{}}
+}
+
+// Now returns the time since the recorder was made.
+func (r *Recorder) Now() time.Duration { return time.Since(r.start) }
+
+// Add records an operation on a key.
+func (r *Recorder) Add(o Op) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.keys[o.Key] = append(r.keys[o.Key], o)
+}
+
+// AddConfig records an operation on the configuration.
+func (r *Recorder) AddConfig(o ConfigOp) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.config = append(r.config, o)
+}
+
+// Keys returns a copy of the operations by key.
+func (r *Recorder) Keys() map[string][]Op {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string][]Op, len(r.keys))
+	for k, ops := range r.keys {
+		out[k] = append([]Op(nil), ops...)
+	}
+	return out
+}
+
+// Config returns a copy of the operations on the configuration.
+func (r *Recorder) Config() []ConfigOp {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]ConfigOp(nil), r.config...)
+}
+
+// checkLimit bounds the search for one history. A history that is not decided
+// in time counts as a violation, so that no check passes by giving up.
+const checkLimit = 20 * time.Second
+
+// verdict returns an error unless the history satisfies the model.
+func verdict(m porcupine.Model, ops []porcupine.Operation) error {
+	switch porcupine.CheckOperationsTimeout(m, ops, checkLimit) {
+	case porcupine.Ok:
+		return nil
+	case porcupine.Unknown:
+		return fmt.Errorf("not decided within %s", checkLimit)
+	}
+	return fmt.Errorf("no order of the %d operations satisfies the model", len(ops))
+}
+
+func operation(i int, in any, call, ret time.Duration) porcupine.Operation {
+	return porcupine.Operation{ClientId: i, Input: in, Output: in, Call: int64(call), Return: int64(ret)}
+}
