--- a/internal/history/config.go
+++ b/internal/history/config.go
@@ -1,7 +1,9 @@
 package history
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -101,8 +103,36 @@
 // CheckConfig checks all operations on the configuration.
 func CheckConfig(ops []ConfigOp) error {
 	var list []porcupine.Operation
-	for i, o := range ops {
+	for i, o := range join(ops) {
 		list = append(list, operation(i, o, o.Call, o.Return))
 	}
 	return verdict(configModel.ToModel(), list)
 }
+
+// join makes one operation of the unanswered attempts of a publication and the
+// first answered one. The first append decides the verdict of a publish_id, so
+// it lies between the first call and the first answer.
+func join(ops []ConfigOp) []ConfigOp {
+	ops = append([]ConfigOp(nil), ops...)
+	slices.SortStableFunc(ops, func(a, b ConfigOp) int { return cmp.Compare(a.Call, b.Call) })
+	var out []ConfigOp
+	open := map[string]int{}
+	for _, o := range ops {
+		i, waiting := open[o.PublishID]
+		switch {
+		case o.Reader != "":
+			out = append(out, o)
+		case !waiting:
+			if o.Err != "" {
+				o.Return = Pending
+				open[o.PublishID] = len(out)
+			}
+			out = append(out, o)
+		case o.Err == "":
+			o.Call = out[i].Call
+			out[i] = o
+			delete(open, o.PublishID)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/loadgen/plan.go
@@ -0,0 +1,108 @@
+// Package loadgen sends requests to a running cell at a stated rate and
+// measures how long they take to be accepted, to start and to complete.
+package loadgen
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"catkinvalve/internal/api"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/platform"
+	"catkinvalve/internal/text"
+)
+
+// Share is the weight of a service in the mix.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Arrival is one request of the plan.
+type Arrival struct {
+	// At is the time since the start of the run.
+	At      time.Duration
+	Request api.SubmitRequest
+}
+
+// Plan produces the arrivals of a run. The same options and text give the same
+// arrivals.
+type Plan struct {
+	opts  Options
+	cfg   *text.Config
+	mix   []Share
+	total int
+	rng   *rand.Rand
+	at    time.Duration
+	n     int
+}
+
+// NewPlan returns a plan for the services of a configuration text. Without a
+// mix all services other than those of class service get the same weight.
+func NewPlan(o Options, cfg *text.Config) (*Plan, error) {
+	p := &Plan{opts: o, cfg: cfg, mix: o.Mix, rng: rand.New(rand.NewPCG(o.Seed, 1))}
+	if len(p.mix) == 0 {
+		for _, s := range cfg.Services {
+			if s.Class != model.Service {
+				p.mix = append(p.mix, Share{s.Name, 1})
+			}
+		}
+	}
+	for _, m := range p.mix {
+		if cfg.Service(m.Service) == nil {
+			return nil, fmt.Errorf("service %q is not in the configuration text", m.Service)
+		}
+		if m.Weight < 0 {
+			return nil, fmt.Errorf("the weight of %q is negative", m.Service)
+		}
+		p.total += m.Weight
+	}
+	if p.total == 0 {
+		return nil, fmt.Errorf("the mix has no service with a weight")
+	}
+	return p, nil
+}
+
+// Next returns the next arrival, or false at the end of the count or duration.
+func (p *Plan) Next() (Arrival, bool) {
+	p.at += time.Duration(p.rng.ExpFloat64() / p.opts.Rate * float64(time.Second))
+	if (p.opts.Count > 0 && p.n >= p.opts.Count) || p.at >= p.opts.Duration {
+		return Arrival{}, false
+	}
+	p.n++
+	return Arrival{At: p.at, Request: p.request()}, true
+}
+
+func (p *Plan) request() api.SubmitRequest {
+	s := p.cfg.Service(p.pick())
+	r := api.SubmitRequest{Key: p.key(), Service: s.Name}
+	if p.opts.RunMS > 0 {
+		r.RunMS = p.opts.RunMS
+	}
+	r.Payload = fmt.Appendf(nil, `{"sleep_ms":%d,"answer":%q}`, p.opts.RunMS, "answer to "+r.Key)
+	return r
+}
+
+func (p *Plan) pick() string {
+	n := p.rng.IntN(p.total)
+	for _, m := range p.mix {
+		if n -= m.Weight; n < 0 {
+			return m.Service
+		}
+	}
+	return p.mix[len(p.mix)-1].Service
+}
+
+// key spreads keys over all data centres; every fourth has no prefix.
+func (p *Plan) key() string {
+	id := p.opts.KeyPrefix + strconv.Itoa(p.n)
+	if n := p.rng.IntN(4); n > 0 && len(p.cfg.DataCentres) > 0 {
+		return string(p.cfg.DataCentres[p.rng.IntN(len(p.cfg.DataCentres))].Name) + ":" + id
+	}
+	return id
+}
+
+// directed reports whether the stand-ins answer the payload as planned.
+func directed(r api.SubmitRequest) string { return platform.ParseDirective(r.Payload).Answer }
--- /dev/null
+++ b/internal/loadgen/run.go
@@ -0,0 +1,197 @@
+package loadgen
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"catkinvalve/internal/api"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/text"
+)
+
+// runner is one run of the load generator.
+type runner struct {
+	opts    Options
+	clients []*api.Client
+	out     *collector
+	start   time.Time
+}
+
+// Run sends the planned requests and follows each to its fate.
+func Run(ctx context.Context, o Options) (Result, error) {
+	if err := o.check(); err != nil {
+		return Result{}, err
+	}
+	r := &runner{opts: o, out: newCollector(o)}
+	if err := r.connect(); err != nil {
+		return Result{}, err
+	}
+	doc, err := r.clients[0].Config(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	cfg, problems := text.Parse("published text", []byte(doc.Text))
+	if cfg == nil {
+		return Result{}, fmt.Errorf("the cell has no valid configuration text: %v", problems)
+	}
+	plan, err := NewPlan(o, cfg)
+	if err != nil {
+		return Result{}, err
+	}
+	r.drive(ctx, plan)
+	return r.out.finish(time.Since(r.start)), ctx.Err()
+}
+
+// connect makes one client for each server that falls back to the others, so
+// that the load is spread evenly.
+func (r *runner) connect() error {
+	for i := range r.opts.Servers {
+		c, err := api.NewClient(slices.Concat(r.opts.Servers[i:], r.opts.Servers[:i]))
+		if err != nil {
+			return err
+		}
+		r.clients = append(r.clients, c)
+	}
+	return nil
+}
+
+// drive starts each request at its planned time, whether earlier ones have
+// finished or not.
+func (r *runner) drive(ctx context.Context, plan *Plan) {
+	workers := pool.New().WithMaxGoroutines(r.opts.Connections)
+	defer workers.Wait()
+	r.start = time.Now()
+	for n := 0; ; n++ {
+		a, ok := plan.Next()
+		if !ok || !sleepUntil(ctx, r.start.Add(a.At)) {
+			return
+		}
+		r.out.result.Planned++
+		workers.Go(func() { r.follow(ctx, n, a) })
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// follow submits a request and repeats it by key until its fate is final.
+func (r *runner) follow(ctx context.Context, n int, a Arrival) {
+	planned := r.start.Add(a.At)
+	ctx, cancel := context.WithTimeout(ctx, time.Until(planned)+r.opts.FateTimeout)
+	defer cancel()
+	issued := time.Now()
+	a.Request.IssuedAt = &issued
+	var accepted time.Duration
+	for try := 0; ; try++ {
+		st, err := r.clients[(n+try)%len(r.clients)].Submit(ctx, a.Request)
+		if err == nil && accepted == 0 {
+			accepted = time.Since(planned)
+		}
+		switch {
+		case err == nil && st.Fate.Terminal():
+			r.out.finished(a.Request, st, accepted, time.Since(planned))
+			return
+		case err != nil:
+			r.out.failed(fault.KindOf(err))
+			if final(err) && accepted == 0 {
+				r.out.refused(fault.KindOf(err))
+				return
+			}
+			sleepUntil(ctx, time.Now().Add(retryPause))
+		}
+		if ctx.Err() != nil {
+			r.out.unfinished()
+			return
+		}
+		a.Request.WaitMS = waitMS
+	}
+}
+
+// final reports whether an error says that the request was not accepted and
+// that the same call would be refused again.
+func final(err error) bool {
+	switch fault.KindOf(err) {
+	case fault.Overloaded, fault.CanNeverRun, fault.UnknownService, fault.Malformed, fault.KeyConflict, fault.TooLarge, fault.DeadlineExceeded:
+		return true
+	}
+	return false
+}
+
+func (c *collector) finished(r api.SubmitRequest, st api.RequestStatus, accepted, completed time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.group(group{st.Class, st.Team})
+	record(d.acceptance, accepted)
+	record(d.completion, completed)
+	if st.StartedAt != nil {
+		record(d.waiting, st.StartedAt.Sub(st.AcceptedAt))
+	}
+	c.result.Completed++
+	c.result.Fates[st.Fate]++
+	if st.Fate == model.Done && !belongs(r, st) {
+		c.result.WrongAnswers++
+	}
+}
+
+// belongs reports whether an answer is the one that the payload asked for, once
+// for each task. The old system runs a request as one task.
+func belongs(r api.SubmitRequest, st api.RequestStatus) bool {
+	n := max(1, len(st.Tasks))
+	if st.Side == model.OldSide {
+		n = 1
+	}
+	return bytes.Equal(st.Answer, bytes.Repeat([]byte(directed(r)), n))
+}
+
+func (c *collector) failed(kind fault.Kind) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.result.Errors[kind]++
+}
+
+func (c *collector) refused(kind fault.Kind) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.result.Refused[kind]++
+}
+
+func (c *collector) unfinished() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.result.Unfinished++
+}
+
+func (c *collector) finish(took time.Duration) Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.result.Seconds = took.Seconds()
+	for g, d := range c.groups {
+		c.result.Rows = append(c.result.Rows, Row{
+			Class: g.class, Team: g.team,
+			Acceptance: quantiles(d.acceptance), Waiting: quantiles(d.waiting), Completion: quantiles(d.completion),
+		})
+	}
+	slices.SortFunc(c.result.Rows, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Class.Rank(), b.Class.Rank()), cmp.Compare(a.Team, b.Team))
+	})
+	return c.result
+}
