--- /dev/null
+++ b/internal/soak/load.go
@@ -0,0 +1,201 @@
+package soak
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"catkinvalve/internal/api"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/history"
+)
+
+const (
+	// maxKeys is the number of keys under way at most. Arrivals beyond it wait.
+	maxKeys    = 1000
+	waitMS     = 1500
+	retryPause = 150 * time.Millisecond
+)
+
+// load drives the requests of a run.
+type load struct {
+	cell *cell
+	rec  *history.Recorder
+
+	mu       sync.Mutex
+	requests map[string]request
+	finals   map[string]api.RequestStatus
+	// ended holds keys whose submission was refused for good.
+	ended  map[string]fault.Kind
+	errors map[fault.Kind]int
+}
+
+func newLoad(c *cell, rec *history.Recorder) *load {
+	return &load{cell: c, rec: rec, requests: map[string]request{}, finals: map[string]api.RequestStatus{},
+		ended: map[string]fault.Kind{}, errors: map[fault.Kind]int{}}
+}
+
+// run submits requests for the given time and follows each of them to its fate
+// or to the end of ctx.
+func (l *load) run(ctx context.Context, start time.Time, length time.Duration, p *planner) {
+	workers := pool.New().WithMaxGoroutines(maxKeys)
+	defer workers.Wait()
+	for {
+		r := p.next()
+		if r.at >= length || !sleep(ctx, time.Until(start.Add(r.at))) || time.Since(start) > length {
+			return
+		}
+		l.mu.Lock()
+		l.requests[r.req.Key] = r
+		l.mu.Unlock()
+		workers.Go(func() { l.key(ctx, r) })
+	}
+}
+
+// key runs all callers of one request.
+func (l *load) key(ctx context.Context, r request) {
+	issued := time.Now()
+	r.req.IssuedAt = &issued
+	if r.startWithin > 0 {
+		deadline := issued.Add(r.startWithin)
+		r.req.Deadline = &deadline
+	}
+	var wg sync.WaitGroup
+	for _, order := range r.callers {
+		wg.Go(func() { l.caller(ctx, r, order) })
+	}
+	if r.cancelAfter > 0 && sleep(ctx, r.cancelAfter) {
+		l.cancel(ctx, r)
+	}
+	wg.Wait()
+}
+
+// caller submits the key through one daemon after another until it has a final
+// fate or an answer that repeating does not change.
+func (l *load) caller(ctx context.Context, r request, order []int) {
+	for i := 0; ctx.Err() == nil; i++ {
+		out, st := l.submit(ctx, r, order[i%len(order)])
+		switch {
+		case out.Fate.Terminal():
+			l.final(st)
+			return
+		case lasting(out.Err):
+			l.refused(r.req.Key, out.Err)
+			return
+		case out.Err != "":
+			sleep(ctx, retryPause)
+		}
+		r.req.WaitMS = waitMS
+	}
+}
+
+// lasting reports whether a refusal will be repeated.
+func lasting(k fault.Kind) bool {
+	switch k {
+	case fault.DeadlineExceeded, fault.CanNeverRun, fault.UnknownService, fault.Malformed, fault.KeyConflict:
+		return true
+	}
+	return false
+}
+
+func (l *load) submit(ctx context.Context, r request, daemon int) (history.Outcome, api.RequestStatus) {
+	wait := time.Duration(r.req.WaitMS) * time.Millisecond
+	return l.call(ctx, r, history.Submit, daemon, wait, func(ctx context.Context, cl *api.Client) (api.RequestStatus, error) {
+		return cl.Submit(ctx, r.req)
+	})
+}
+
+func (l *load) ask(ctx context.Context, r request, daemon int) (history.Outcome, api.RequestStatus) {
+	return l.call(ctx, r, history.AskFate, daemon, 0, func(ctx context.Context, cl *api.Client) (api.RequestStatus, error) {
+		return cl.Fate(ctx, r.req.Key)
+	})
+}
+
+func (l *load) cancel(ctx context.Context, r request) {
+	daemon := r.callers[0][len(r.callers[0])-1]
+	l.call(ctx, r, history.Cancel, daemon, 0, func(ctx context.Context, cl *api.Client) (api.RequestStatus, error) {
+		return cl.Cancel(ctx, r.req.Key)
+	})
+}
+
+// call makes one call and records it.
+func (l *load) call(ctx context.Context, r request, kind history.Kind, daemon int, wait time.Duration,
+	do func(context.Context, *api.Client) (api.RequestStatus, error)) (history.Outcome, api.RequestStatus) {
+	op := history.Op{
+		Key: r.req.Key, Kind: kind, Daemon: l.cell.ids[daemon], Call: l.rec.Now(),
+		NonIdempotent: r.nonIdempotent, Payload: r.req.Payload, Tasks: r.tasks,
+	}
+	callCtx, cancel := shortly(ctx, wait)
+	defer cancel()
+	st, err := do(callCtx, l.cell.clients[daemon])
+	op.Return = l.rec.Now()
+	if err != nil {
+		op.Outcome.Err = fault.KindOf(err)
+		l.failed(op.Outcome.Err)
+		if op.Outcome.Err == fault.FateUnknownYet || op.Outcome.Err == fault.Internal {
+			op.Return = history.Pending
+		}
+	} else {
+		op.Outcome = history.Outcome{Fate: st.Fate, OK: st.OK, Answer: st.Answer}
+	}
+	l.rec.Add(op)
+	return op.Outcome, st
+}
+
+func (l *load) failed(k fault.Kind) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.errors[k]++
+}
+
+func (l *load) final(st api.RequestStatus) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.finals[st.Key]; !ok {
+		l.finals[st.Key] = st
+	}
+}
+
+func (l *load) refused(key string, k fault.Kind) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended[key] = k
+}
+
+// collect asks for the fate of every key once more through two daemons, now
+// that all faults have ended. A key that is not known any more is submitted
+// again, as its caller would do.
+func (l *load) collect(ctx context.Context) {
+	l.mu.Lock()
+	var all []request
+	for _, r := range l.requests {
+		all = append(all, r)
+	}
+	l.mu.Unlock()
+	workers := pool.New().WithMaxGoroutines(64)
+	defer workers.Wait()
+	for _, r := range all {
+		workers.Go(func() {
+			for _, daemon := range r.callers[0][:2] {
+				l.settle(ctx, r, daemon)
+			}
+		})
+	}
+}
+
+// settle asks one daemon until it tells a final fate or that the key is unknown.
+func (l *load) settle(ctx context.Context, r request, daemon int) {
+	for ctx.Err() == nil {
+		out, st := l.ask(ctx, r, daemon)
+		if out.Fate.Terminal() {
+			l.final(st)
+			return
+		}
+		if out.Err == fault.NotFound {
+			return
+		}
+		sleep(ctx, retryPause)
+	}
+}
--- /dev/null
+++ b/internal/soak/publish.go
@@ -0,0 +1,116 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"catkinvalve/internal/api"
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/history"
+)
+
+const (
+	publishPause = 200 * time.Millisecond
+	racers       = 3
+)
+
+// publisher publishes texts and records every attempt.
+type publisher struct {
+	cell *cell
+	rec  *history.Recorder
+	n    atomic.Int64
+	// wg counts publications that have no verdict yet. They are repeated until
+	// the log answers.
+	wg sync.WaitGroup
+	// undecided counts publications without a verdict at the end.
+	undecided, accepted, refused atomic.Int64
+}
+
+// shares are the values that changes of share and races choose from.
+var shares = []int{20, 50, 80, 100}
+
+// race publishes texts on one base through different daemons at once.
+func (p *publisher) race(ctx context.Context, n int) error {
+	base, err := p.base(ctx)
+	if err != nil {
+		return err
+	}
+	for i := range racers {
+		p.start(ctx, (n+i)%len(p.cell.ids), base, configText(shares[(n+i)%len(shares)], shares[i]))
+	}
+	return nil
+}
+
+// change publishes other shares of the new system.
+func (p *publisher) change(ctx context.Context, n int) error {
+	base, err := p.base(ctx)
+	if err != nil {
+		return err
+	}
+	p.start(ctx, n%len(p.cell.ids), base, configText(shares[n%len(shares)], shares[(n/2)%len(shares)]))
+	return nil
+}
+
+// base returns the revision at the first daemon that answers.
+func (p *publisher) base(ctx context.Context) (uint64, error) {
+	var last error
+	for range 20 {
+		for _, cl := range p.cell.clients {
+			callCtx, cancel := context.WithTimeout(ctx, callLimit)
+			doc, err := cl.Config(callCtx)
+			cancel()
+			if err == nil && doc.Revision > 0 {
+				return doc.Revision, nil
+			}
+			last = err
+		}
+		if !sleep(ctx, publishPause) {
+			break
+		}
+	}
+	return 0, fmt.Errorf("no daemon tells its revision: %w", last)
+}
+
+func (p *publisher) start(ctx context.Context, daemon int, base uint64, text string) {
+	id := fmt.Sprintf("soak-%d", p.n.Add(1))
+	p.wg.Go(func() {
+		_ = p.publish(ctx, daemon, api.PublishRequest{PublishID: id, Base: base, Text: text, Author: "soak"})
+	})
+}
+
+// publish repeats a publication through one daemon after another until it has
+// a verdict.
+func (p *publisher) publish(ctx context.Context, daemon int, req api.PublishRequest) error {
+	for i := 0; ; i++ {
+		cl := p.cell.clients[(daemon+i)%len(p.cell.clients)]
+		op := history.ConfigOp{Call: p.rec.Now(), PublishID: req.PublishID, Base: req.Base, Text: req.Text}
+		callCtx, cancel := shortly(ctx, callLimit)
+		res, err := cl.Publish(callCtx, req)
+		cancel()
+		op.Return = p.rec.Now()
+		op.Accepted, op.Revision = res.Accepted, res.Revision
+		if err != nil {
+			op.Err = fault.KindOf(err)
+		}
+		p.rec.AddConfig(op)
+		if err == nil {
+			p.count(res.Accepted)
+			return nil
+		}
+		if !sleep(ctx, publishPause) {
+			p.undecided.Add(1)
+			return err
+		}
+	}
+}
+
+func (p *publisher) count(accepted bool) {
+	if accepted {
+		p.accepted.Add(1)
+	} else {
+		p.refused.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/soak/schedule.go
@@ -0,0 +1,213 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// Kinds of faults. Kill, Pause and Replace act on daemons of a data centre.
+const (
+	Kill          Kind = "kill"
+	Pause         Kind = "pause"
+	Cut           Kind = "cut"
+	CutOneWay     Kind = "cut_one_way"
+	LogOutage     Kind = "log_outage"
+	LogSlow       Kind = "log_slow"
+	LogLost       Kind = "log_lost_answers"
+	CutLog        Kind = "cut_from_log"
+	CutList       Kind = "cut_from_list"
+	ListLag       Kind = "list_lag"
+	WorkerLost    Kind = "worker_lost_answers"
+	WorkerCrash   Kind = "worker_crash"
+	WorkerFails   Kind = "worker_fails_all"
+	WorkerRepeats Kind = "duplicated_events"
+	WorkerReorder Kind = "reordered_events"
+	Drain         Kind = "drain"
+	Replace       Kind = "replace_all_daemons"
+	PublishRace   Kind = "publish_race"
+	ShareChange   Kind = "share_change"
+)
+
+// required kinds occur in every run that allows them.
+var required = []Kind{Kill, Pause, Cut, LogOutage, Drain, PublishRace}
+
+var allKinds = append(slices.Clone(required), CutOneWay, LogSlow, LogLost, CutLog, CutList, ListLag,
+	WorkerLost, WorkerCrash, WorkerFails, WorkerRepeats, WorkerReorder, Replace, ShareChange)
+
+// Fault is one entry of a schedule.
+type Fault struct {
+	At, For time.Duration
+	Kind    Kind
+	// DC is the data centre concerned, Other the far end of a cut.
+	DC, Other string
+	// Worker is the worker concerned.
+	Worker string
+	// N selects a daemon, or is a number of lost answers.
+	N int
+}
+
+// String describes the fault in the printed schedule.
+func (f Fault) String() string {
+	s := fmt.Sprintf("%6.2f s for %4.2f s  %-20s", f.At.Seconds(), f.For.Seconds(), f.Kind)
+	switch f.Kind {
+	case Cut, CutOneWay:
+		return s + " " + f.DC + " to " + f.Other
+	case LogOutage, LogSlow, ListLag, PublishRace, ShareChange, LogLost:
+		return s
+	case WorkerCrash, WorkerFails, Drain:
+		return s + " " + f.Worker
+	case Kill, Pause, CutLog, CutList:
+		return fmt.Sprintf("%s %s, %s", s, f.DC, role(f))
+	}
+	return s + " " + f.DC
+}
+
+// ofOwner reports whether the fault is aimed at the owner rather than a
+// standby. Owners matter more, so two of three hit them.
+func ofOwner(f Fault) bool { return f.N%3 != 0 }
+
+func role(f Fault) string {
+	if ofOwner(f) {
+		return "owner"
+	}
+	return "standby"
+}
+
+const (
+	firstFault = 1500 * time.Millisecond
+	// faultEvery is the mean distance of faults. They last seconds, so several
+	// overlap.
+	faultEvery = 2 * time.Second
+	// conflictMargin separates faults that must not act together.
+	conflictMargin = time.Second
+	// journalMargin is the time in which a record may be in the memory of the
+	// daemons only: the journal appends once a second.
+	journalMargin = 3 * time.Second
+)
+
+// NewSchedule returns the faults of a run in order of time. It depends on the
+// arguments only.
+func NewSchedule(seed uint64, length time.Duration, kinds []Kind) []Fault {
+	if kinds == nil {
+		kinds = allKinds
+	}
+	rng := rand.New(rand.NewPCG(seed, 2))
+	var out []Fault
+	order := deal(rng, kinds, max(len(kinds), int(length/faultEvery)))
+	if n := int((length - firstFault) / (700 * time.Millisecond)); len(order) > n {
+		order = order[:max(n, 0)]
+	}
+	step := (length - firstFault) / time.Duration(max(len(order), 1))
+	for i, k := range order {
+		at := firstFault + time.Duration(i)*step + rand64(rng, step/2)
+		if f, ok := place(rng, k, at, length, out); ok {
+			out = append(out, f)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return out
+}
+
+// deal repeats shuffled rounds of all kinds. The required ones come first in
+// the first round, so that short runs have them.
+func deal(rng *rand.Rand, kinds []Kind, n int) []Kind {
+	var out []Kind
+	for len(out) < n {
+		round := slices.Clone(kinds)
+		rng.Shuffle(len(round), func(i, j int) { round[i], round[j] = round[j], round[i] })
+		if len(out) == 0 {
+			slices.SortStableFunc(round, func(a, b Kind) int { return cmp.Compare(rank(a), rank(b)) })
+		}
+		out = append(out, round...)
+	}
+	return out[:n]
+}
+
+func rank(k Kind) int {
+	if slices.Contains(required, k) {
+		return 0
+	}
+	return 1
+}
+
+func rand64(rng *rand.Rand, d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return time.Duration(rng.Int64N(int64(d)))
+}
+
+// place finds a time and a target at which the fault conflicts with no other.
+func place(rng *rand.Rand, k Kind, at, length time.Duration, others []Fault) (Fault, bool) {
+	for range 40 {
+		f := draw(rng, k, at)
+		if !slices.ContainsFunc(others, func(o Fault) bool { return conflict(f, o) || conflict(o, f) }) {
+			return f, true
+		}
+		if at += 300 * time.Millisecond; at >= length {
+			at = firstFault + rand64(rng, length-firstFault)
+		}
+	}
+	return Fault{}, false
+}
+
+func draw(rng *rand.Rand, k Kind, at time.Duration) Fault {
+	i := rng.IntN(len(shape))
+	f := Fault{At: at, Kind: k, DC: shape[i].Name, N: 1 + rng.IntN(6)}
+	f.Other = shape[(i+1+rng.IntN(len(shape)-1))%len(shape)].Name
+	f.Worker = fmt.Sprintf("%s-w-%d", f.DC, rng.IntN(shape[i].Workers))
+	f.For = time.Second + rand64(rng, 3*time.Second)
+	switch k {
+	case Pause:
+		f.For = leaseTTL + time.Second + rand64(rng, 2*time.Second)
+	case Replace:
+		f.For = 100*time.Millisecond + rand64(rng, 500*time.Millisecond)
+	case WorkerCrash, PublishRace, ShareChange:
+		f.For = 0
+	case LogOutage, Drain:
+		f.For += time.Second
+	}
+	return f
+}
+
+// conflict reports whether two faults must not act together. Faults of one
+// setting would end each other. Kill, pause and replacement keep one daemon of a
+// data centre, unless the replacement means both. A replacement together with
+// the loss of the journal or of a worker loses all three layers of records
+// (section 5 of the design page), after which a repeated start is allowed.
+func conflict(f, o Fault) bool {
+	if f.Kind == Replace && (losesJournal(o.Kind) || (o.Kind == WorkerCrash && o.DC == f.DC)) {
+		return overlap(f, o, journalMargin)
+	}
+	if daemonFault(f.Kind) && daemonFault(o.Kind) {
+		return f.DC == o.DC && overlap(f, o, leaseTTL+conflictMargin)
+	}
+	if f.Kind != o.Kind {
+		return false
+	}
+	switch f.Kind {
+	case Drain, WorkerFails:
+		return f.Worker == o.Worker && overlap(f, o, conflictMargin)
+	case LogOutage, LogSlow, ListLag, LogLost:
+		return overlap(f, o, conflictMargin)
+	case WorkerLost, WorkerRepeats, WorkerReorder:
+		return f.DC == o.DC && overlap(f, o, conflictMargin)
+	}
+	return false
+}
+
+func losesJournal(k Kind) bool {
+	return k == LogOutage || k == LogSlow || k == CutLog || k == LogLost
+}
+
+func daemonFault(k Kind) bool { return k == Kill || k == Pause || k == Replace }
+
+func overlap(f, o Fault, margin time.Duration) bool {
+	return f.At < o.At+o.For+margin && o.At < f.At+f.For+margin
+}
--- /dev/null
+++ b/internal/soak/watch.go
@@ -0,0 +1,142 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"catkinvalve/internal/history"
+	"catkinvalve/internal/platform"
+)
+
+const (
+	statsEvery = 700 * time.Millisecond
+	readEvery  = 500 * time.Millisecond
+)
+
+// watcher records what the stand-ins count and what the daemons tell of the
+// configuration.
+type watcher struct {
+	cell *cell
+	rec  *history.Recorder
+	load *load
+
+	// Written by one goroutine each, read after both have ended.
+	starts map[string]map[string]int // key, then task or "old"
+	fleets map[string]platform.FleetStats
+	since  time.Duration
+}
+
+func newWatcher(c *cell, rec *history.Recorder, l *load) *watcher {
+	return &watcher{cell: c, rec: rec, load: l, starts: map[string]map[string]int{}, fleets: map[string]platform.FleetStats{}}
+}
+
+// run polls until ctx ends.
+func (w *watcher) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for sleep(ctx, statsEvery) {
+			_ = w.poll(ctx) // The last reading must succeed; see check.
+		}
+	})
+	for i := range w.cell.ids {
+		wg.Go(func() {
+			for sleep(ctx, readEvery) {
+				w.read(ctx, i)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// poll reads all counters of starts. A start that is new was made after the
+// previous reading began.
+func (w *watcher) poll(ctx context.Context) error {
+	call := w.rec.Now()
+	seen := map[string]map[string]int{}
+	for _, dc := range shape {
+		s, err := w.cell.tb.WorkerStats(ctx, dc.Name)
+		if err != nil {
+			return err
+		}
+		w.fleets[dc.Name] = s
+		for key, tasks := range s.StartsPerKey {
+			for id, n := range tasks {
+				count(seen, key, id, n)
+			}
+		}
+	}
+	old, err := w.cell.tb.OldStats(ctx)
+	if err != nil {
+		return err
+	}
+	for key, n := range old.RunsPerKey {
+		count(seen, key, "old", n)
+	}
+	w.note(seen)
+	w.since = call
+	return nil
+}
+
+func count(m map[string]map[string]int, key, id string, n int) {
+	if m[key] == nil {
+		m[key] = map[string]int{}
+	}
+	m[key][id] += n
+}
+
+// note records the starts that were not seen before.
+func (w *watcher) note(seen map[string]map[string]int) {
+	now := w.rec.Now()
+	for key, tasks := range seen {
+		r, known := w.load.request(key)
+		for id, n := range tasks {
+			for range n - w.starts[key][id] {
+				if known {
+					w.rec.Add(history.Op{Key: key, Kind: history.Start, Daemon: id, Call: w.since, Return: now, NonIdempotent: r.nonIdempotent})
+				}
+			}
+		}
+	}
+	w.starts = seen
+}
+
+func (l *load) request(key string) (request, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.requests[key]
+	return r, ok
+}
+
+// read records the configuration that one daemon has. An answer that may come
+// from either of two processes of a daemon is left out.
+func (w *watcher) read(ctx context.Context, i int) {
+	id := w.cell.ids[i]
+	life := w.cell.life(id)
+	op := history.ConfigOp{Reader: fmt.Sprintf("%s#%d", id, life), Call: w.rec.Now()}
+	callCtx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	doc, err := w.cell.clients[i].Config(callCtx)
+	op.Return = w.rec.Now()
+	if err != nil || w.cell.life(id) != life {
+		return
+	}
+	op.Revision, op.Text = doc.Revision, doc.Text
+	w.rec.AddConfig(op)
+}
+
+// inEffect reports whether every daemon has the same revision.
+func (w *watcher) inEffect(ctx context.Context) bool {
+	revisions := map[uint64]bool{}
+	for _, cl := range w.cell.clients {
+		callCtx, cancel := context.WithTimeout(ctx, callLimit)
+		doc, err := cl.Config(callCtx)
+		cancel()
+		if err != nil {
+			return false
+		}
+		revisions[doc.Revision] = true
+	}
+	return len(revisions) == 1
+}
