--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -65,8 +65,10 @@
 	// capacityKnown is true when every listed worker has granted a lease once.
 	capacityKnown bool
 	// largest is the largest capacity of any worker in each dimension.
-	largest  model.Size
-	mem      memory
+	largest model.Size
+	mem     memory
+	// due holds running requests that are stopped at their deadline.
+	due      dueKeys
 	homeTerm map[model.DataCentre]uint64
 	remote   map[model.DataCentre]*remoteLoad
 
@@ -76,8 +78,6 @@
 	// dirty is set when something changed that may let a waiting task start.
 	dirty bool
 	// holds protects the estimated start of the oldest waiting gang.
-	// stops lists running requests that end at their deadline.
-	stops deadlineHeap
 	// hold keeps smaller work from delaying the oldest waiting gang.
 	hold gangHold
 	out  Actions
@@ -103,9 +103,9 @@
 	// settleAt is the version after which the final fate may be told.
 	settleAt uint64
 	tasks    []taskRuntime
-	// preemptAgain is when victims may be chosen again; it gives those that are
-	// being stopped time to make room.
-	preemptAgain time.Time
+	// preempted is when tasks were last stopped to make room; zero once the
+	// request was placed.
+	preempted time.Time
 	// delegated is set once the delegation was handed to the daemon.
 	delegated bool
 	// lookup is set while the old system is asked for the key.
@@ -115,6 +115,9 @@
 	maybeOld bool
 	// standing marks an instance that the text asks for.
 	standing bool
+	// restored marks a record of an earlier owner; it may be out of date while
+	// the data centre is in doubt.
+	restored bool
 	waitedAt time.Time
 }
 
--- a/internal/core/scheduler/schedule.go
+++ b/internal/core/scheduler/schedule.go
@@ -46,7 +46,7 @@
 
 func (c *Core) try(now time.Time, it queue.Item) queue.Verdict {
 	e := c.entries[it.Key]
-	if e == nil || e.rec.Fate.Terminal() || e.rec.DelegatedTo != "" {
+	if e == nil || e.rec.Fate.Terminal() || e.rec.DelegatedTo != "" || c.held(now, e) {
 		return queue.Skip
 	}
 	if it.Class == model.AllAtOnce {
@@ -159,7 +159,7 @@
 
 // placed publishes the new assignment to the standbys.
 func (c *Core) placed(e *entry) {
-	e.preemptAgain = time.Time{}
+	e.preempted = time.Time{}
 	c.changed(e)
 }
 
@@ -189,19 +189,20 @@
 	}
 }
 
-// preemptWait covers a stop and the report about it.
-const preemptWait = 2 * time.Second
+// preemptPause is the wait for the room of stopped tasks before more are
+// stopped. Urgent work has to start within 9.5 s even if others take the room.
+const preemptPause = 3 * time.Second
 
 // preempt stops batch tasks by checkpoint to make room for urgent work.
 func (c *Core) preempt(now time.Time, e *entry, n placement.Need) {
-	if now.Before(e.preemptAgain) || n.Class == model.Batch {
+	if now.Sub(e.preempted) < preemptPause || n.Class == model.Batch {
 		return
 	}
 	victims, _, ok := c.index.Preempt(n, c.preemptible)
 	if !ok {
 		return
 	}
-	e.preemptAgain = now.Add(preemptWait)
+	e.preempted = now
 	for _, id := range victims {
 		c.stat.Preempted++
 		c.stopTask(c.entries[id.Key], id.Index, StopCheckpoint)
