--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -1,3 +1,244 @@
 package bench
 
-func measureSlopes(Options) ([]Figure, error) { return nil, nil }
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"google.golang.org/protobuf/proto"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/placement"
+	"catkinvalve/internal/peerpb"
+	"catkinvalve/internal/text"
+)
+
+const (
+	slopeLoad   = 0.6
+	placeRounds = 100_000
+	// allocLoops repeats the count of allocations, because the runtime itself
+	// allocates now and then and a decision that allocates does so in each loop.
+	allocLoops  = 3
+	startRounds = 5_000
+	tickRounds  = 100
+	// memoryRecords is the number of records whose memory is measured.
+	memoryRecords = 20_000
+	memoryWorkers = 15_000
+)
+
+var fleetSizes = []int{50, 500, 5000, 15000}
+
+// measureSlopes measures the cost of single operations by number of workers.
+func measureSlopes(o Options) ([]Figure, error) {
+	u := &users[0]
+	cfg, err := u.loadText(o.Examples)
+	if err != nil {
+		return nil, err
+	}
+	m := &slopes{user: u, cfg: cfg, quick: o.Quick, seed: o.Seed}
+	for _, n := range fleetSizes {
+		if o.Quick && n > 500 {
+			continue
+		}
+		m.placement(n)
+		m.core(n)
+	}
+	m.record()
+	m.memory()
+	return append(m.out, measureWorkerCalls(o)...), nil
+}
+
+type slopes struct {
+	user  *user
+	cfg   *text.Config
+	quick bool
+	seed  uint64
+	out   []Figure
+}
+
+func (m *slopes) add(name string, value float64, unit, note string) {
+	m.out = append(m.out, Figure{name, value, unit, note})
+}
+
+func (m *slopes) rounds(n int) int {
+	if m.quick {
+		return n / 20
+	}
+	return n
+}
+
+func (m *slopes) workers(n int) []model.Worker {
+	out := make([]model.Worker, n)
+	for i := range out {
+		out[i] = model.Worker{
+			ID: model.WorkerID(fmt.Sprintf("w%05d", i)), DataCentre: benchDC,
+			Rack: fmt.Sprintf("r%d", i/rackSize), Capacity: m.user.capacity,
+		}
+	}
+	return out
+}
+
+// placement measures the decision alone on an index with tasks on 60% of the slots.
+func (m *slopes) placement(n int) {
+	x := placement.New(placement.Options{WaitingWeight: m.cfg.Weigh.Waiting, PackingWeight: m.cfg.Weigh.Packing})
+	for _, w := range m.workers(n) {
+		x.Upsert(w)
+		x.SetState(w.ID, placement.Available)
+	}
+	f := &fill{p: x, rng: rand.New(rand.NewPCG(m.seed, 5))}
+	for range int(slopeLoad * float64(n) * float64(m.user.capacity.Slots)) {
+		f.place(m.need(f.rng))
+	}
+	needs := make([]placement.Need, 1024)
+	for i := range needs {
+		needs[i] = m.need(f.rng)
+	}
+	h := hdrhistogram.New(1, int64(time.Second), 3)
+	rounds := m.rounds(placeRounds)
+	_, mean := measureLoop(rounds, func(i int) {
+		begun := time.Now()
+		x.Place(needs[i%len(needs)])
+		_ = h.RecordValue(int64(time.Since(begun)))
+	})
+	m.add(fmt.Sprintf("place.mean@%d", n), micros(mean), "us", "with the clock reads of the quantiles")
+	m.add(fmt.Sprintf("place.p99@%d", n), float64(h.ValueAtQuantile(99))/1000, "us", "")
+	allocs := math.Inf(1)
+	for range allocLoops {
+		a, _ := measureLoop(rounds, func(i int) { x.Place(needs[i%len(needs)]) })
+		allocs = min(allocs, a)
+	}
+	m.add(fmt.Sprintf("place.allocs@%d", n), allocs, "allocations", "least of 3 loops")
+}
+
+// need draws a task: 30% interactive, 20% services, 50% batch.
+func (m *slopes) need(rng *rand.Rand) placement.Need {
+	names := []string{"slot-confirmation", "rider-directory", "fill-plan", "carton-manifest", "daily-report"}
+	weights := []int{30, 20, 20, 20, 10}
+	pick, i := rng.IntN(100), 0
+	for pick >= weights[i] {
+		pick -= weights[i]
+		i++
+	}
+	s := m.cfg.Service(names[i])
+	return placement.Need{Class: s.Class, Service: s.Name, Size: s.Size}
+}
+
+// measureLoop returns allocations and time for each round.
+func measureLoop(rounds int, do func(i int)) (float64, time.Duration) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	begun := time.Now()
+	for i := range rounds {
+		do(i)
+	}
+	spent := time.Since(begun)
+	runtime.ReadMemStats(&after)
+	return float64(after.Mallocs-before.Mallocs) / float64(rounds), spent / time.Duration(rounds)
+}
+
+func micros(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1000 }
+
+// core measures the owner's state machine with running tasks on its workers.
+func (m *slopes) core(n int) {
+	p := newPolicy(epoch, m.cfg, m.workers(n))
+	now := epoch
+	p.take(now)
+	m.fillCore(p, now, int(slopeLoad*float64(n)*float64(m.user.capacity.Slots)))
+	s := m.cfg.Service("slot-confirmation")
+	allocs, mean := measureLoop(m.rounds(startRounds), func(i int) {
+		m.cycle(p, now, s, fmt.Sprintf("%s:cycle-%d-%d", benchDC, n, i))
+	})
+	m.add(fmt.Sprintf("start.core@%d", n), micros(mean), "us", "submit, place, replicate, start, end and settle in the owner loop")
+	m.add(fmt.Sprintf("start.allocs@%d", n), allocs, "allocations", "")
+	ids := m.workers(n)
+	_, mean = measureLoop(m.rounds(placeRounds), func(i int) { p.core.WorkerRenewed(now, ids[i%n].ID) })
+	m.add(fmt.Sprintf("sync.core@%d", n), micros(mean), "us", "a renewal without events in the owner loop")
+	_, mean = measureLoop(m.rounds(tickRounds), func(int) { p.core.Tick(now) })
+	m.add(fmt.Sprintf("tick.core@%d", n), micros(mean), "us", "")
+	_, mean = measureLoop(m.rounds(tickRounds), func(int) { p.core.Load(now) })
+	m.add(fmt.Sprintf("heartbeat.load@%d", n), micros(mean), "us", "the owner's load summary")
+}
+
+// fillCore starts batch tasks until n run or none starts any more.
+func (m *slopes) fillCore(p *policy, now time.Time, n int) {
+	s := m.cfg.Service("carton-manifest")
+	for i := range n {
+		p.submit(now, &job{req: m.request(s, fmt.Sprintf("%s:fill-%d", benchDC, i))})
+		if starts, _ := p.take(now); len(starts) == 0 {
+			p.cancel(now, &job{req: model.Request{Key: fmt.Sprintf("%s:fill-%d", benchDC, i)}})
+			p.take(now)
+			return
+		}
+	}
+}
+
+func (m *slopes) request(s *text.Service, key string) model.Request {
+	return model.Request{Key: key, Service: s.Name, Team: s.Team, Class: s.Class, Size: s.Size, Tasks: 1, Idempotent: true,
+		RunTime: time.Duration(s.RunMS) * time.Millisecond, Payload: make([]byte, 200)}
+}
+
+// cycle takes one request from submission to its final fate.
+func (m *slopes) cycle(p *policy, now time.Time, s *text.Service, key string) {
+	p.submit(now, &job{req: m.request(s, key)})
+	starts, _ := p.take(now)
+	for _, st := range starts {
+		p.ended(now, st, true)
+	}
+	p.take(now)
+}
+
+// record measures what a standby gets for one change of a record.
+func (m *slopes) record() {
+	r := m.request(m.cfg.Service("slot-confirmation"), benchDC+":order-123456")
+	rec := model.Record{Request: r, Side: model.NewSide, Fate: model.Running, Term: 3, Version: 4, Accepted: epoch, Started: epoch,
+		Tasks: []model.TaskRecord{{State: model.TaskRunning, Worker: "klang-a-w17", Attempt: 1, Boot: "0123456789abcdef", Planned: r.Size}}}
+	var data []byte
+	allocs, mean := measureLoop(m.rounds(placeRounds), func(int) { data, _ = proto.Marshal(peerpb.RecordToProto(&rec)) })
+	m.add("record.encode", micros(mean), "us", "payload of 200 bytes")
+	m.add("record.encode.allocs", allocs, "allocations", "")
+	m.add("record.bytes", float64(len(data)), "bytes", "payload of 200 bytes")
+	_, mean = measureLoop(m.rounds(placeRounds), func(int) {
+		var p peerpb.Record
+		if proto.Unmarshal(data, &p) == nil {
+			_, _ = peerpb.RecordFromProto(&p)
+		}
+	})
+	m.add("record.decode", micros(mean), "us", "on the standby")
+	load := &peerpb.Load{Free: peerpb.SizeToProto(r.Size), Capacity: peerpb.SizeToProto(r.Size), LargestFree: peerpb.SizeToProto(r.Size), Workers: 50, Queued: 100, Running: 200}
+	beat := &peerpb.HeartbeatRequest{Daemon: "klang-a-1", Incarnation: "0123456789abcdef", DataCentre: "klang-a", Region: "klang", PeerAddr: "10.1.0.1:7181", Revision: 12, Term: 3, Ready: true, Load: load}
+	_, mean = measureLoop(m.rounds(placeRounds), func(int) { data, _ = proto.Marshal(beat) })
+	m.add("heartbeat.encode", micros(mean), "us", "")
+	m.add("heartbeat.bytes", float64(len(data)), "bytes", "an owner's, without framing")
+}
+
+// memory measures the heap of records and workers in the owner.
+func (m *slopes) memory() {
+	records, workers := m.rounds(memoryRecords), m.rounds(memoryWorkers)
+	p := newPolicy(epoch, m.cfg, m.user.workers())
+	p.take(epoch)
+	s := m.cfg.Service("slot-confirmation")
+	before := heapBytes()
+	for i := range records {
+		m.cycle(p, epoch, s, fmt.Sprintf("%s:order-%d", benchDC, i))
+	}
+	m.add("memory.record", (heapBytes()-before)/float64(records), "bytes", "a settled record in the owner, payload dropped")
+	runtime.KeepAlive(p)
+	list := m.workers(workers)
+	before = heapBytes()
+	q := newPolicy(epoch, m.cfg, list)
+	m.add("memory.worker", (heapBytes()-before)/float64(workers), "bytes", "in the owner's core, without its agent")
+	runtime.KeepAlive(q)
+}
+
+// heapBytes returns the live heap.
+func heapBytes() float64 {
+	var s runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&s)
+	return float64(s.HeapAlloc)
+}
