--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -56,10 +56,11 @@
 		if o.Only != "" && o.Only != part {
 			continue
 		}
-		if err := r.runPart(ctx, part, o); err != nil {
+		err := r.runPart(ctx, part, o)
+		r.print(part, out)
+		if err != nil {
 			return r, fmt.Errorf("%s: %w", part, err)
 		}
-		r.print(part, out)
 	}
 	r.judge()
 	r.printTargets(out)
--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -1,5 +1,253 @@
 package bench
 
-import "context"
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"time"
 
-func measureControl(context.Context, Options) ([]Figure, error) { return nil, nil }
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/testbed"
+)
+
+const (
+	idleTime      = 20 * time.Second
+	loadTime      = 20 * time.Second
+	lowRate       = 20.0  // submissions a second
+	loadRate      = 200.0 // submissions a second
+	publications  = 5
+	takeovers     = 5
+	ownerWait     = 30 * time.Second
+	settleTime    = 3 * time.Second
+	controlBudget = 4 * time.Minute
+)
+
+// controlDCs are the users' three data centres with 50 workers and 7 daemons.
+var controlDCs = []testbed.DC{
+	{Name: "klang-a", Region: "klang", Workers: 17, Daemons: 2},
+	{Name: "klang-b", Region: "klang", Workers: 17, Daemons: 2},
+	{Name: "penang-a", Region: "penang", Workers: 16, Daemons: 3},
+}
+
+// controlRun measures a cluster of real processes.
+type controlRun struct {
+	c     *testbed.Cluster
+	text  string
+	quick bool
+	out   []Figure
+}
+
+func measureControl(ctx context.Context, o Options) (_ []Figure, err error) {
+	dir, err := os.MkdirTemp("", "bench-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	ctx, cancel := context.WithTimeout(ctx, controlBudget)
+	defer cancel()
+	c, err := testbed.Start(ctx, testbed.Options{Bin: o.Bin, Dir: dir, DCs: controlDCs, Capacity: users[0].capacity, LogLevel: "warn"})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = c.Stop() }()
+	m := &controlRun{c: c, quick: o.Quick}
+	if err := m.prepare(ctx, o.Examples); err != nil {
+		return nil, err
+	}
+	for _, step := range []func(context.Context) error{m.idle, m.underLoad, m.publish, m.takeover, m.overloads} {
+		if err := step(ctx); err != nil {
+			return m.out, err
+		}
+	}
+	return m.out, nil
+}
+
+var (
+	newPercent = regexp.MustCompile(`"new_percent": \d+`)
+	oldSlots   = regexp.MustCompile(`"slots_per_worker": \d+`)
+)
+
+// prepare publishes the user's text with everything on the new system.
+func (m *controlRun) prepare(ctx context.Context, examples string) error {
+	data, err := os.ReadFile(filepath.Join(examples, users[0].example))
+	if err != nil {
+		return err
+	}
+	m.text = newPercent.ReplaceAllString(string(data), `"new_percent": 100`)
+	m.text = oldSlots.ReplaceAllString(m.text, `"slots_per_worker": 0`)
+	if _, err := m.c.Publish(ctx, m.text); err != nil {
+		return err
+	}
+	if err := m.c.WaitOwners(ctx, ownerWait); err != nil {
+		return err
+	}
+	return pause(ctx, m.short(settleTime))
+}
+
+func (m *controlRun) short(d time.Duration) time.Duration {
+	if m.quick {
+		return d / 10
+	}
+	return d
+}
+
+func (m *controlRun) add(name string, value float64, unit, note string) {
+	m.out = append(m.out, Figure{name, value, unit, note})
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+func (m *controlRun) idle(ctx context.Context) error {
+	w, err := m.window(ctx, func() error { return pause(ctx, m.short(idleTime)) })
+	if err != nil {
+		return err
+	}
+	m.report("idle", w, "no requests; 6 service instances run")
+	return nil
+}
+
+// underLoad runs a low and a ten times higher rate of starts for equal times.
+func (m *controlRun) underLoad(ctx context.Context) error {
+	for _, l := range []struct {
+		name string
+		rate float64
+	}{{"low", lowRate}, {"load", loadRate}} {
+		var sent, refused int64
+		w, err := m.window(ctx, func() (err error) {
+			sent, refused, err = m.submitAll(ctx, l.name, l.rate)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		note := fmt.Sprintf("%.0f requests of 100 ms accepted a second over all data centres, %d refused", float64(sent)/w.seconds, refused)
+		m.report(l.name, w, note)
+		m.add("control.starts."+l.name, float64(w.starts)/w.seconds, "starts/s", "")
+	}
+	return nil
+}
+
+// publish measures the time from the publication until every daemon has the
+// revision in effect.
+func (m *controlRun) publish(ctx context.Context) error {
+	var times []time.Duration
+	for i := range m.repeats(publications) {
+		begun := time.Now()
+		res, err := m.c.Publish(ctx, fmt.Sprintf("%s\n// publication %d\n", m.text, i))
+		if err != nil {
+			return err
+		}
+		if err := testbed.WaitFor(ctx, ownerWait, "revision at all daemons", func() bool { return m.everywhere(ctx, res.Revision) }); err != nil {
+			return err
+		}
+		times = append(times, time.Since(begun))
+	}
+	m.addTimes("control.publish", times, "from the call until in effect at all 7 daemons, polled every 30 ms")
+	return nil
+}
+
+func (m *controlRun) repeats(n int) int {
+	if m.quick {
+		return 1
+	}
+	return n
+}
+
+func (m *controlRun) everywhere(ctx context.Context, revision uint64) bool {
+	for _, id := range m.c.Order {
+		cl, err := m.c.Client(id)
+		if err != nil {
+			return false
+		}
+		if doc, err := cl.Config(ctx); err != nil || doc.Revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *controlRun) addTimes(name string, times []time.Duration, note string) {
+	var sum, longest time.Duration
+	for _, t := range times {
+		sum, longest = sum+t, max(longest, t)
+	}
+	m.add(name+".mean", (sum / time.Duration(len(times))).Seconds(), "s", fmt.Sprintf("%d runs; %s", len(times), note))
+	m.add(name+".longest", longest.Seconds(), "s", "")
+}
+
+// takeover kills the owner of a data centre and waits for the next one.
+func (m *controlRun) takeover(ctx context.Context) error {
+	const dc = "penang-a"
+	var times []time.Duration
+	for range m.repeats(takeovers) {
+		owner, ok := m.c.Owner(ctx, dc)
+		if !ok {
+			return fmt.Errorf("data centre %s has no owner", dc)
+		}
+		begun := time.Now()
+		if err := m.c.Daemons[owner].Kill(); err != nil {
+			return err
+		}
+		if err := testbed.WaitFor(ctx, ownerWait, "new owner of "+dc, func() bool {
+			st, ok := m.c.Status(ctx, dc)
+			return ok && st.Owner != "" && st.Owner != owner && !st.InDoubt
+		}); err != nil {
+			return err
+		}
+		times = append(times, time.Since(begun))
+		if err := m.c.Restart(owner); err != nil {
+			return err
+		}
+		if err := testbed.WaitFor(ctx, ownerWait, "restart of "+owner, func() bool { return m.ready(ctx, dc, owner) }); err != nil {
+			return err
+		}
+	}
+	m.addTimes("control.takeover", times, "from the kill of the owner until its successor serves with a complete memory")
+	return nil
+}
+
+func (m *controlRun) ready(ctx context.Context, dc, id string) bool {
+	st, ok := m.c.Status(ctx, dc)
+	if !ok {
+		return false
+	}
+	for _, d := range st.Daemons {
+		if d.ID == id {
+			return d.Ready && d.Reachable
+		}
+	}
+	return false
+}
+
+// overloads fails the run when a worker counted a start past its capacity.
+func (m *controlRun) overloads(ctx context.Context) error {
+	var over, double int64
+	for _, dc := range m.c.Opts.DCs {
+		s, err := m.c.WorkerStats(ctx, dc.Name)
+		if err != nil {
+			return err
+		}
+		for _, w := range s.Workers {
+			over += w.Overloads
+			double += w.DoubleStarts
+		}
+	}
+	m.add("control.past_capacity", float64(over), "starts", "counted by the workers")
+	m.add("control.double_starts", float64(double), "starts", "counted by the workers")
+	if over > 0 {
+		return fmt.Errorf("%w: the workers counted %d", ErrPastCapacity, over)
+	}
+	return nil
+}
+
+// loadSize is so small that slots alone bound the rate of starts.
+var loadSize = model.Size{MilliCPU: 100, MemMB: 64, Slots: 1}
--- /dev/null
+++ b/internal/bench/processes.go
@@ -0,0 +1,168 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"catkinvalve/internal/testbed"
+)
+
+// clockTicks is the unit of processor times in /proc, a second's USER_HZ.
+const clockTicks = 100
+
+// usage is what a daemon has used so far.
+type usage struct {
+	ticks      int64
+	residentMB float64
+	// crossRegion and sameRegion are bytes in both directions on the
+	// connections that the daemon opened.
+	crossRegion, sameRegion int64
+}
+
+// window is what the cluster used in a time.
+type window struct {
+	seconds float64
+	// cpu is percent of a core by daemon, resident megabytes at the end.
+	cpu, resident           map[string]float64
+	crossRegion, sameRegion float64
+	appends, appendedBytes  float64
+	starts                  int64
+	owners                  map[string]bool
+}
+
+// window measures the daemons and the log while run lasts.
+func (m *controlRun) window(ctx context.Context, run func() error) (window, error) {
+	before, appends, logBytes, starts, err := m.snapshot(ctx)
+	if err != nil {
+		return window{}, err
+	}
+	begun := time.Now()
+	if err := run(); err != nil {
+		return window{}, err
+	}
+	w := window{seconds: time.Since(begun).Seconds(), cpu: map[string]float64{}, resident: map[string]float64{}, owners: map[string]bool{}}
+	after, appendsAfter, bytesAfter, startsAfter, err := m.snapshot(ctx)
+	if err != nil {
+		return window{}, err
+	}
+	for id, a := range after {
+		b := before[id]
+		w.cpu[id] = 100 * float64(a.ticks-b.ticks) / clockTicks / w.seconds
+		w.resident[id] = a.residentMB
+		w.crossRegion += float64(a.crossRegion-b.crossRegion) / w.seconds
+		w.sameRegion += float64(a.sameRegion-b.sameRegion) / w.seconds
+	}
+	w.appends, w.appendedBytes = float64(appendsAfter-appends)/w.seconds, float64(bytesAfter-logBytes)/w.seconds
+	w.starts = startsAfter - starts
+	for _, dc := range m.c.Opts.DCs {
+		if id, ok := m.c.Owner(ctx, dc.Name); ok {
+			w.owners[id] = true
+		}
+	}
+	return w, nil
+}
+
+func (m *controlRun) snapshot(ctx context.Context) (map[string]usage, int64, int64, int64, error) {
+	out := map[string]usage{}
+	for _, id := range m.c.Order {
+		u, err := m.usageOf(ctx, m.c.Daemons[id])
+		if err != nil {
+			return nil, 0, 0, 0, fmt.Errorf("daemon %s: %w", id, err)
+		}
+		out[id] = u
+	}
+	var starts int64
+	for _, dc := range m.c.Opts.DCs {
+		s, err := m.c.WorkerStats(ctx, dc.Name)
+		if err != nil {
+			return nil, 0, 0, 0, err
+		}
+		for _, w := range s.Workers {
+			starts += w.Starts
+		}
+	}
+	log, err := m.c.LogStats(ctx)
+	return out, log.Appends, log.AppendedBytes, starts, err
+}
+
+func (m *controlRun) usageOf(ctx context.Context, d *testbed.Daemon) (usage, error) {
+	var all map[string]map[string]any
+	if err := m.c.Admin(ctx, "GET", d.Callers, "/metrics", nil, &all); err != nil {
+		return usage{}, err
+	}
+	u := usage{crossRegion: scopeBytes(all, "cross_region"), sameRegion: scopeBytes(all, "same_region")}
+	var err error
+	if u.ticks, err = processorTicks(d.PID()); err != nil {
+		return u, err
+	}
+	u.residentMB, err = residentMB(d.PID())
+	return u, err
+}
+
+func scopeBytes(all map[string]map[string]any, scope string) int64 {
+	var sum int64
+	for _, kind := range []string{"control", "payload"} {
+		for _, direction := range []string{"sent_bytes", "received_bytes"} {
+			n, _ := all["peer.client."+kind+"."+scope+"."+direction]["count"].(float64)
+			sum += int64(n)
+		}
+	}
+	return sum
+}
+
+// processorTicks returns the user and system time of a process.
+func processorTicks(pid int) (int64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	// The fields after the name, which may contain spaces.
+	_, rest, ok := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	if !ok || len(fields) < 13 {
+		return 0, errors.New("unknown format of /proc stat")
+	}
+	user, err1 := strconv.ParseInt(fields[11], 10, 64)
+	system, err2 := strconv.ParseInt(fields[12], 10, 64)
+	return user + system, errors.Join(err1, err2)
+}
+
+func residentMB(pid int) (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range bytes.Lines(data) {
+		if f := strings.Fields(string(line)); len(f) > 1 && f[0] == "VmRSS:" {
+			kb, err := strconv.ParseFloat(f[1], 64)
+			return kb / 1024, err
+		}
+	}
+	return 0, errors.New("no VmRSS in /proc status")
+}
+
+// report adds the figures of a window.
+func (m *controlRun) report(name string, w window, note string) {
+	m.add("control.cross_region_bytes."+name, w.crossRegion, "bytes/s", "peer calls between regions, both directions, all daemons; "+note)
+	m.add("control.same_region_bytes."+name, w.sameRegion, "bytes/s", "")
+	m.add("control.appends."+name, w.appends, "appends/s", "all streams")
+	m.add("control.appended_bytes."+name, w.appendedBytes, "bytes/s", "")
+	var cpu, rss float64
+	for _, id := range sortedKeys(w.cpu) {
+		role := "standby"
+		if w.owners[id] {
+			role = "owner"
+		}
+		m.add("control.cpu."+id+"."+name, w.cpu[id], "% of a core", role)
+		m.add("control.rss."+id+"."+name, w.resident[id], "MB", role)
+		cpu, rss = max(cpu, w.cpu[id]), max(rss, w.resident[id])
+	}
+	m.add("control.cpu_max."+name, cpu, "% of a core", "")
+	m.add("control.rss_max."+name, rss, "MB", "")
+}
--- a/internal/bench/targets.go
+++ b/internal/bench/targets.go
@@ -25,7 +25,7 @@
 	placeMicros   = 100.0
 	linkBytes     = 30e6 / 8 * 0.01 // 1% of 30 Mbit/s, a second
 	idleCPU       = 1.1             // percent of a core
-	residentMB    = 32.0
+	residentLimit = 32.0
 	placeGrowth   = 30.0 // from 50 to 15,000 workers; linear would be 300
 	appendGrowth  = 1.2  // with ten times the starts
 	placeWorkers  = 5000
@@ -105,7 +105,7 @@
 	}
 	r.atMost("control.cross_region_bytes.idle", linkBytes)
 	r.atMost("control.cross_region_bytes.load", linkBytes)
-	r.atMost("control.rss_max.idle", residentMB)
+	r.atMost("control.rss_max.idle", residentLimit)
 	r.atMost("control.cpu_max.idle", idleCPU)
 	low, ok := r.figure("control.appends.low")
 	if high, found := r.figure("control.appends.load"); ok && found {
