--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -65,11 +65,10 @@
 	// capacityKnown is true when every listed worker has granted a lease once.
 	capacityKnown bool
 	// largest is the largest capacity of any worker in each dimension.
-	largest   model.Size
-	settled   []settledKey
-	lastSweep time.Time
-	homeTerm  map[model.DataCentre]uint64
-	remote    map[model.DataCentre]*remoteLoad
+	largest  model.Size
+	mem      memory
+	homeTerm map[model.DataCentre]uint64
+	remote   map[model.DataCentre]*remoteLoad
 
 	serving bool
 	term    uint64
@@ -104,13 +103,13 @@
 	// preemptAgain is when victims may be chosen again; it gives those that are
 	// being stopped time to make room.
 	preemptAgain time.Time
-	// restarting is set while a gang waits for its tasks to stop, so that it can
-	// go back into the queue as a whole.
-	restarting bool
 	// delegated is set once the delegation was handed to the daemon.
 	delegated bool
 	// lookup is set while the old system is asked for the key.
 	lookup bool
+	// maybeOld is set when an earlier owner may have sent the request to the
+	// old system.
+	maybeOld bool
 	// standing marks an instance that the text asks for.
 	standing bool
 	waitedAt time.Time
@@ -119,15 +118,13 @@
 // taskRuntime is the owner's volatile state of one task.
 type taskRuntime struct {
 	// startAt is the record version that must be replicated before the start
-	// is sent; 0 when no start is pending.
+	// or the delegation is sent; 0 when none is pending.
 	startAt uint64
 	charged model.Size
 	began   time.Time
 	// failures counts the attempts that ended badly. Preemption, draining and
 	// refused starts do not count.
 	failures int
-	// requeue is set when a stop is meant to place the task again.
-	requeue bool
 }
 
 type workerState struct {
@@ -138,6 +135,8 @@
 	contact  time.Time
 	leaving  bool
 	leavedAt time.Time
+	// asked is set when an operator asked for the drain, whatever the list says.
+	asked bool
 	// probing is set while the one task that may bring the worker back from
 	// quarantine runs.
 	probing bool
@@ -204,11 +203,15 @@
 // BeginCampaign drops inventories of earlier campaigns.
 func (c *Core) BeginCampaign() { c.grants, c.early = nil, nil }
 
-// AllRecords returns copies of all records, for standbys and successors.
+// AllRecords returns copies of all records, for standbys and successors. After
+// stepping down it leaves out final fates that no standby confirmed: a
+// successor may have decided otherwise, and no caller was told.
 func (c *Core) AllRecords() []model.Record {
 	out := make([]model.Record, 0, len(c.entries))
 	for _, e := range c.entries {
-		out = append(out, copyRecord(&e.rec))
+		if c.serving || !e.unconfirmed() {
+			out = append(out, copyRecord(&e.rec))
+		}
 	}
 	return out
 }
--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -37,29 +37,59 @@
 	if c.serving {
 		if e == nil {
 			e = &entry{rec: copyRecord(&rec), tasks: make([]taskRuntime, len(rec.Tasks))}
-			c.entries[rec.Request.Key] = e
+			c.keep(e)
 			c.resume(now, e)
 		}
 		return
 	}
 	if e == nil {
-		e = &entry{rec: rec}
-		c.entries[rec.Request.Key] = e
-	} else if !rec.Newer(&e.rec) {
+		e = &entry{rec: copyRecord(&rec), tasks: make([]taskRuntime, len(rec.Tasks))}
+		c.keep(e)
+	} else if !rec.Newer(&e.rec) && !(e.unconfirmed() && rec.Term > e.rec.Term) {
 		return
 	}
+	c.replace(e, rec)
+	e.tasks = make([]taskRuntime, len(e.rec.Tasks))
+	e.acked, e.settleAt = e.rec.Version, 0
+	if rec.Fate.Terminal() {
+		e.settleAt = rec.Version
+	}
+}
+
+// keep adds a record from elsewhere to the table.
+func (c *Core) keep(e *entry) {
+	c.entries[e.rec.Request.Key] = e
+	c.takePayload(e)
+	if e.rec.Fate.Terminal() {
+		c.noteSettled(e, e.rec.Ended)
+	}
+}
+
+// replace takes over a newer version of a record. Versions from the journal
+// lack the payload.
+func (c *Core) replace(e *entry, rec model.Record) {
 	payload := e.rec.Request.Payload
+	wasTerminal := e.rec.Fate.Terminal()
+	c.forgetAnswer(e)
+	c.dropPayload(e)
 	e.rec = copyRecord(&rec)
 	if e.rec.Request.Payload == nil && !rec.Fate.Terminal() {
 		e.rec.Request.Payload = payload
 	}
-	e.tasks = make([]taskRuntime, len(e.rec.Tasks))
-	e.acked = e.rec.Version
-	if rec.Fate.Terminal() {
-		e.settleAt = rec.Version
+	c.takePayload(e)
+	switch {
+	case !rec.Fate.Terminal():
+	case wasTerminal:
+		c.mem.answerBytes += len(e.rec.Answer)
+	default:
+		c.noteSettled(e, rec.Ended)
 	}
 }
 
+// unconfirmed reports whether the final fate may be missing at the standbys. No
+// caller was told it, so another owner may have decided otherwise.
+func (e *entry) unconfirmed() bool { return e.rec.Fate.Terminal() && e.acked < e.settleAt }
+
 // Serve makes the core the owner's. All records and inventories that can be
 // had are in place; what they leave open puts the data centre in doubt.
 func (c *Core) Serve(now time.Time, r Recovery) {
@@ -92,7 +122,11 @@
 // resume continues a restored request.
 func (c *Core) resume(now time.Time, e *entry) {
 	if e.rec.Fate.Terminal() {
-		c.settled = append(c.settled, settledKey{e.rec.Request.Key, e.rec.Ended})
+		if e.unconfirmed() {
+			c.changed(e)
+			e.settleAt = e.rec.Version
+			c.journal(e)
+		}
 		return
 	}
 	if home := c.Home(e.rec.Request.Key); home != c.cfg.DataCentre {
@@ -102,13 +136,15 @@
 	c.changed(e)
 	switch {
 	case e.rec.Side == model.OldSide:
-		e.rec.Tasks[0].State = model.TaskQueued
+		e.rec.Tasks[0].State, e.maybeOld = model.TaskQueued, true
+		if e.rec.CancelRequested {
+			c.askOld(e)
+		}
 		return
 	case e.rec.DelegatedTo != "":
 		return
 	case e.untouched() && c.carried.NeedsLookup(now, e.rec.Request.Key, e.rec.Request.Service):
-		e.lookup = true
-		c.out.OldLookups = append(c.out.OldLookups, e.rec.Request.Key)
+		c.askOld(e)
 		return
 	}
 	gangQueued := false
@@ -176,7 +212,7 @@
 			}
 		}
 		e.tasks = make([]taskRuntime, len(e.rec.Tasks))
-		e.preemptAgain, e.lookup, e.restarting, e.delegated = time.Time{}, false, false, false
+		e.preemptAgain, e.lookup, e.delegated = time.Time{}, false, false
 		c.queue.Remove(e.rec.Request.Key)
 	}
 }
--- a/internal/core/scheduler/schedule.go
+++ b/internal/core/scheduler/schedule.go
@@ -204,7 +204,7 @@
 	e.preemptAgain = now.Add(preemptWait)
 	for _, id := range victims {
 		c.stat.Preempted++
-		c.stopTask(c.entries[id.Key], id.Index, StopCheckpoint, true)
+		c.stopTask(c.entries[id.Key], id.Index, StopCheckpoint)
 	}
 }
 
@@ -216,10 +216,9 @@
 }
 
 // stopTask asks the worker to end a running task.
-func (c *Core) stopTask(e *entry, index int, mode StopMode, requeue bool) {
+func (c *Core) stopTask(e *entry, index int, mode StopMode) {
 	t := &e.rec.Tasks[index]
 	t.State = model.TaskStopping
-	e.tasks[index].requeue = requeue
 	c.out.stop(t.Worker, Stop{ID: model.TaskID{Key: e.rec.Request.Key, Index: index}, Attempt: t.Attempt, Mode: mode})
 }
 
@@ -231,57 +230,63 @@
 		c.queue.Refund(e.rec.Request.Team, rt.charged)
 		rt.charged = model.Size{}
 	}
-	rt.startAt, rt.requeue = 0, false
+	rt.startAt = 0
 	c.dirty = true
 }
 
 // requeue puts a task that has to run again back into the queue. A gang goes
-// back as a whole, once none of its tasks holds a worker.
+// back as a whole.
 func (c *Core) requeue(now time.Time, e *entry, index int, wait time.Duration) {
 	e.rec.Tasks[index].State = model.TaskQueued
 	e.rec.Tasks[index].Worker = ""
 	if e.rec.Request.Class == model.AllAtOnce {
-		e.restarting = true
-		c.restartGang(now, e, wait)
-		return
+		if !c.gatherGang(now, e) {
+			return
+		}
+		index = 0
+	}
+	it := c.item(now, e, index)
+	it.Enqueued = e.rec.Accepted
+	if wait > 0 {
+		it.NotBefore = now.Add(wait)
 	}
-	c.enqueueAgain(now, e, index, wait)
+	c.queue.Requeue(now, it)
+	c.dirty = true
 }
 
-// restartGang stops what still runs of a gang and puts it back into the queue
-// once nothing of it holds a worker.
-func (c *Core) restartGang(now time.Time, e *entry, wait time.Duration) {
-	holding := false
+// gatherGang prepares a gang to start again and reports whether it can. It
+// first stops all tasks that hold a worker; the gang goes back to the queue
+// with the last of them. A non-idempotent gang of which something ran ends.
+func (c *Core) gatherGang(now time.Time, e *entry) bool {
+	held := false
 	for i := range e.rec.Tasks {
 		switch t := &e.rec.Tasks[i]; {
 		case t.State == model.TaskStarting && e.tasks[i].startAt != 0:
+			// The start was not sent, so no worker would confirm a stop.
 			c.release(e, i)
 			t.State, t.Worker = model.TaskQueued, ""
 		case t.State.HoldsWorker():
-			holding = true
+			held = true
 			if t.State != model.TaskStopping {
-				c.stopTask(e, i, StopCheckpoint, true)
+				c.stopTask(e, i, StopCheckpoint)
 			}
 		}
 	}
-	if holding {
-		return
+	if held {
+		return false
 	}
-	e.restarting = false
+	again := e.rec.Request.Idempotent || e.rec.Started.IsZero()
 	for i := range e.rec.Tasks {
-		e.rec.Tasks[i].State, e.rec.Tasks[i].Answer = model.TaskQueued, nil
+		if t := &e.rec.Tasks[i]; again {
+			t.State, t.Worker, t.Answer = model.TaskQueued, "", nil
+		} else if t.State == model.TaskQueued {
+			t.State = model.TaskLost
+		}
 	}
-	c.enqueueAgain(now, e, 0, wait)
-}
-
-func (c *Core) enqueueAgain(now time.Time, e *entry, index int, wait time.Duration) {
-	it := c.item(now, e, index)
-	it.Enqueued = e.rec.Accepted
-	if wait > 0 {
-		it.NotBefore = now.Add(wait)
+	if !again {
+		c.settleIfEnded(now, e)
 	}
-	c.queue.Requeue(now, it)
-	c.dirty = true
+	return again
 }
 
 // updateHealth moves workers in and out of quarantine.
