--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -63,6 +63,16 @@
 	return Size{s.MilliCPU - o.MilliCPU, s.MemMB - o.MemMB, s.Accel - o.Accel, s.Slots - o.Slots, s.Conns - o.Conns}
 }
 
+// Max returns the larger of s and o in each dimension.
+func (s Size) Max(o Size) Size {
+	return Size{max(s.MilliCPU, o.MilliCPU), max(s.MemMB, o.MemMB), max(s.Accel, o.Accel), max(s.Slots, o.Slots), max(s.Conns, o.Conns)}
+}
+
+// Min returns the smaller of s and o in each dimension.
+func (s Size) Min(o Size) Size {
+	return Size{min(s.MilliCPU, o.MilliCPU), min(s.MemMB, o.MemMB), min(s.Accel, o.Accel), min(s.Slots, o.Slots), min(s.Conns, o.Conns)}
+}
+
 // Times returns s multiplied by n.
 func (s Size) Times(n int64) Size {
 	return Size{s.MilliCPU * n, s.MemMB * n, s.Accel * n, s.Slots * n, s.Conns * n}
@@ -194,6 +204,11 @@
 	Fingerprint uint64 `json:"fingerprint"`
 }
 
+// Overdue reports whether the request may not start any more at now.
+func (r *Request) Overdue(now time.Time) bool {
+	return !r.Deadline.IsZero() && !now.Before(r.Deadline)
+}
+
 // TaskState is the state of one task.
 type TaskState string
 
@@ -234,13 +249,15 @@
 
 // Record is everything the home data centre knows about a key.
 type Record struct {
-	Request Request      `json:"request"`
-	Side    Side         `json:"side"`
-	Fate    Fate         `json:"fate"`
-	OK      bool         `json:"ok"`
-	Reason  Reason       `json:"reason,omitempty"`
-	Answer  []byte       `json:"answer,omitempty"`
-	Tasks   []TaskRecord `json:"tasks"`
+	Request Request `json:"request"`
+	Side    Side    `json:"side"`
+	Fate    Fate    `json:"fate"`
+	OK      bool    `json:"ok"`
+	Reason  Reason  `json:"reason,omitempty"`
+	Answer  []byte  `json:"answer,omitempty"`
+	// AnswerDropped is set once the answer gave way to later ones.
+	AnswerDropped bool         `json:"answer_dropped,omitempty"`
+	Tasks         []TaskRecord `json:"tasks"`
 	// Term is the owner's term in which the record last changed.
 	Term uint64 `json:"term"`
 	// Version grows with each change of the record within all terms.
--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -45,17 +45,18 @@
 	// dataCentres lists the data centres of the text.
 	dataCentres []model.DataCentre
 
-	index         *placement.Index
-	queue         *queue.Queue
-	sizes         *estimate.Estimator
-	budget        *retry.Budget
-	backoff       retry.Backoff
-	random        *rand.Rand
-	budgetPercent int
-	health        *retry.Health
-	shares        *split.History
-	entries       map[string]*entry
-	workers       map[model.WorkerID]*workerState
+	index   *placement.Index
+	queue   *queue.Queue
+	sizes   *estimate.Estimator
+	budget  *retry.Budget
+	backoff retry.Backoff
+	random  *rand.Rand
+	health  *retry.Health
+	carried split.Carried
+	// oldSlots are the slots on each worker that belong to the old system.
+	oldSlots int64
+	entries  map[string]*entry
+	workers  map[model.WorkerID]*workerState
 	// grants holds leases granted before Serve; their inventories are merged
 	// after the records of the peers and the journal.
 	grants []Grant
@@ -63,10 +64,13 @@
 	early []earlyReport
 	// capacityKnown is true when every listed worker has granted a lease once.
 	capacityKnown bool
-	settled       []settledKey
-	lastSweep     time.Time
-	homeTerm      map[model.DataCentre]uint64
-	remote        map[model.DataCentre]*remoteLoad
+	// largest is the largest capacity of any worker in each dimension.
+	largest model.Size
+	mem     memory
+	// due holds running requests that are stopped at their deadline.
+	due      dueKeys
+	homeTerm map[model.DataCentre]uint64
+	remote   map[model.DataCentre]*remoteLoad
 
 	serving bool
 	term    uint64
@@ -74,6 +78,7 @@
 	// dirty is set when something changed that may let a waiting task start.
 	dirty bool
 	// holds protects the estimated start of the oldest waiting gang.
+	// hold keeps smaller work from delaying the oldest waiting gang.
 	hold gangHold
 	out  Actions
 	stat Counters
@@ -82,7 +87,10 @@
 // Counters counts decisions since the process started.
 type Counters struct {
 	Admitted, Refused, Started, Finished, Failed, Retried, Preempted int64
-	StaleAnswers, DelegatedOut, DelegatedIn, RecordsDropped          int64
+	// Lost counts tasks whose worker is gone, NotStarted starts that a worker
+	// surely did not accept, and StaleAnswers reports of attempts given up.
+	Lost, NotStarted, StaleAnswers            int64
+	DelegatedOut, DelegatedIn, RecordsDropped int64
 }
 
 // entry is a key record with what the owner needs besides.
@@ -95,26 +103,34 @@
 	// settleAt is the version after which the final fate may be told.
 	settleAt uint64
 	tasks    []taskRuntime
-	// preempting is set while victims are stopped to make room.
-	preempting bool
+	// preempted is when tasks were last stopped to make room; zero once the
+	// request was placed.
+	preempted time.Time
 	// delegated is set once the delegation was handed to the daemon.
 	delegated bool
 	// lookup is set while the old system is asked for the key.
 	lookup bool
+	// maybeOld is set when an earlier owner may have sent the request to the
+	// old system.
+	maybeOld bool
 	// standing marks an instance that the text asks for.
 	standing bool
+	// restored marks a record of an earlier owner; it may be out of date while
+	// the data centre is in doubt.
+	restored bool
 	waitedAt time.Time
 }
 
 // taskRuntime is the owner's volatile state of one task.
 type taskRuntime struct {
 	// startAt is the record version that must be replicated before the start
-	// is sent; 0 when no start is pending.
+	// or the delegation is sent; 0 when none is pending.
 	startAt uint64
 	charged model.Size
 	began   time.Time
-	// requeue is set when a stop is meant to place the task again.
-	requeue bool
+	// failures counts the attempts that ended badly. Preemption, draining and
+	// refused starts do not count.
+	failures int
 }
 
 type workerState struct {
@@ -125,6 +141,8 @@
 	contact  time.Time
 	leaving  bool
 	leavedAt time.Time
+	// asked is set when an operator asked for the drain, whatever the list says.
+	asked bool
 	// probing is set while the one task that may bring the worker back from
 	// quarantine runs.
 	probing bool
@@ -156,10 +174,9 @@
 		index:    placement.New(placement.Options{}),
 		queue:    queue.New(queue.Config{}),
 		sizes:    estimate.New(estimate.Options{}),
-		budget:   retry.NewBudget(retry.BudgetConfig{}),
+		budget:   retry.NewBudget(budgetConfig(0)),
 		random:   rand.New(rand.NewPCG(cfg.Seed, 1)),
-		health:   retry.NewHealth(retry.HealthConfig{}),
-		shares:   split.NewHistory(),
+		health:   retry.NewHealth(healthConfig),
 		entries:  map[string]*entry{},
 		workers:  map[model.WorkerID]*workerState{},
 		homeTerm: map[model.DataCentre]uint64{},
@@ -192,11 +209,15 @@
 // BeginCampaign drops inventories of earlier campaigns.
 func (c *Core) BeginCampaign() { c.grants, c.early = nil, nil }
 
-// AllRecords returns copies of all records, for standbys and successors.
+// AllRecords returns copies of all records, for standbys and successors. After
+// stepping down it leaves out final fates that no standby confirmed: a
+// successor may have decided otherwise, and no caller was told.
 func (c *Core) AllRecords() []model.Record {
 	out := make([]model.Record, 0, len(c.entries))
 	for _, e := range c.entries {
-		out = append(out, copyRecord(&e.rec))
+		if c.serving || !e.unconfirmed() {
+			out = append(out, copyRecord(&e.rec))
+		}
 	}
 	return out
 }
--- a/internal/core/scheduler/services.go
+++ b/internal/core/scheduler/services.go
@@ -16,9 +16,13 @@
 // standingPrefix marks keys of service instances that the text asks for.
 const standingPrefix = "instance."
 
-// SetText puts a configuration revision in force.
-func (c *Core) SetText(now time.Time, revision uint64, t *text.Config) {
-	c.text = t
+// SetText puts a configuration revision in force. The old system's reserve
+// shrinks only once it acknowledged that it has vacated the slots.
+func (c *Core) SetText(now time.Time, t *text.Config, carried split.Carried) {
+	c.text, c.carried = t, carried
+	if slots := int64(carried.Reserve.Highest); slots > c.oldSlots {
+		c.oldSlots = slots
+	}
 	c.dataCentres = c.dataCentres[:0]
 	for _, dc := range t.DataCentres {
 		c.dataCentres = append(c.dataCentres, dc.Name)
@@ -28,18 +32,10 @@
 		HeadroomPercent: t.Limits.InteractiveHeadroomPercent, RackSpare: t.Limits.RackSpare,
 	})
 	c.queue.Configure(queueConfig(t))
-	shares := make(map[string]int, len(t.Services))
-	for i := range t.Services {
-		shares[t.Services[i].Name] = t.Services[i].NewPercent
-	}
-	c.shares.Add(revision, shares)
 	c.backoff = retry.Backoff{
 		Base: time.Duration(t.Retry.BackoffMS) * time.Millisecond, Max: time.Duration(t.Retry.BackoffMaxMS) * time.Millisecond,
 	}
-	if t.Retry.BudgetPercent != c.budgetPercent {
-		c.budgetPercent = t.Retry.BudgetPercent
-		c.budget = retry.NewBudget(retry.BudgetConfig{Percent: c.budgetPercent})
-	}
+	c.budget.Configure(budgetConfig(t.Retry.BudgetPercent))
 	for id, w := range c.workers {
 		c.index.Upsert(c.usable(w.worker))
 		c.setState(now, id)
@@ -50,6 +46,20 @@
 	c.dirty = true
 }
 
+// ReserveAcknowledged lowers the old system's reserve after its acknowledgement
+// of the text in force.
+func (c *Core) ReserveAcknowledged(now time.Time, slots int64) {
+	if slots != c.text.Old.SlotsPerWorker || slots == c.oldSlots {
+		return
+	}
+	c.oldSlots = slots
+	for id, w := range c.workers {
+		c.index.Upsert(c.usable(w.worker))
+		c.setState(now, id)
+	}
+	c.dirty = true
+}
+
 func queueConfig(t *text.Config) queue.Config {
 	quotas := make(map[string]queue.Quota, len(t.Teams))
 	for _, team := range t.Teams {
@@ -75,6 +85,7 @@
 			if !mine {
 				continue
 			}
+			key = c.liveKey(key)
 			wanted[key] = true
 			if c.entries[key] == nil {
 				c.startInstance(now, s, key)
@@ -100,6 +111,21 @@
 	return key, dc == c.cfg.DataCentre && split.Side(key, s.Name, s.NewPercent) == model.NewSide
 }
 
+// liveKey returns the key under which an instance runs or can start. A final
+// fate never changes, so an instance that is asked for again after it was
+// cancelled gets the next generation of its key.
+func (c *Core) liveKey(key string) string {
+	for generation := 1; ; generation++ {
+		next := key
+		if generation > 1 {
+			next = fmt.Sprintf("%s~%d", key, generation)
+		}
+		if e := c.entries[next]; e == nil || (!e.rec.Fate.Terminal() && !e.rec.CancelRequested) {
+			return next
+		}
+	}
+}
+
 func (c *Core) isStanding(key string) bool {
 	return strings.HasPrefix(key, string(c.cfg.DataCentre)+":"+standingPrefix)
 }
--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -31,7 +31,7 @@
 		}
 	}
 	c.health.SetWorkers(len(c.workers))
-	c.updateCapacityKnown()
+	c.updateCapacityKnown(now)
 	c.refreshDoubt(now)
 }
 
@@ -43,14 +43,14 @@
 		c.index.Upsert(c.usable(l.Worker))
 		c.setState(now, l.Worker.ID)
 	}
-	if l.Leaving != w.leaving {
-		c.setLeaving(now, w, l.Leaving)
+	if leaving := l.Leaving || w.asked; leaving != w.leaving {
+		c.setLeaving(now, w, leaving)
 	}
 }
 
 // usable takes the slots of the old system off a shared worker's capacity.
 func (c *Core) usable(w model.Worker) model.Worker {
-	w.Capacity.Slots = max(0, w.Capacity.Slots-c.text.Old.SlotsPerWorker)
+	w.Capacity.Slots = max(0, w.Capacity.Slots-c.oldSlots)
 	return w
 }
 
@@ -66,6 +66,7 @@
 	if w == nil {
 		return 0, false
 	}
+	w.asked = true
 	if !w.leaving {
 		c.setLeaving(now, w, true)
 	}
@@ -94,7 +95,7 @@
 		return
 	}
 	if e.rec.Tasks[id.Index].State == model.TaskRunning && (e.rec.Request.Idempotent || e.standing) {
-		c.stopTask(e, id.Index, StopCheckpoint, true)
+		c.stopTask(e, id.Index, StopCheckpoint)
 	}
 }
 
@@ -128,14 +129,15 @@
 		w.worker.Rack = g.Rack
 	}
 	c.index.Upsert(c.usable(w.worker))
-	listed := make(map[model.TaskID]bool, len(g.Tasks))
+	c.forgetLeftovers(g.Worker)
+	listed := make(map[attemptID]bool, len(g.Tasks))
 	for _, t := range g.Tasks {
-		listed[t.ID] = true
+		listed[attemptID{t.ID, t.Attempt}] = true
 		c.adopt(now, g.Worker, t)
 	}
 	c.reconcileMissing(now, g.Worker, listed)
 	c.setState(now, g.Worker)
-	c.updateCapacityKnown()
+	c.updateCapacityKnown(now)
 	c.refreshDoubt(now)
 }
 
@@ -152,9 +154,7 @@
 	rec := &e.rec.Tasks[t.ID.Index]
 	if rec.Attempt > t.Attempt || rec.State.Final() || e.rec.Fate.Terminal() {
 		if !t.State.Final() {
-			// A leftover of an attempt that was given up holds real capacity.
-			c.index.Reserve(w, t.ID, placement.Need{Class: e.rec.Request.Class, Service: t.Service, Size: t.Size})
-			c.out.stop(w, Stop{ID: t.ID, Attempt: t.Attempt, Mode: StopNow})
+			c.stopLeftover(e, w, t)
 		}
 		return
 	}
@@ -162,6 +162,7 @@
 	stopping := rec.State == model.TaskStopping
 	rec.Worker, rec.Attempt = w, t.Attempt
 	if !known {
+		c.release(e, t.ID.Index)
 		rec.State, rec.Planned = model.TaskStarting, t.Size
 		c.queue.RemoveTask(t.ID.Key, t.ID.Index)
 		c.reserveAdopted(now, e, w, t)
@@ -173,7 +174,7 @@
 	}
 	c.taskStarted(now, e, t.ID.Index)
 	if e.rec.CancelRequested || stopping {
-		c.stopTask(e, t.ID.Index, StopNow, e.tasks[t.ID.Index].requeue)
+		c.stopTask(e, t.ID.Index, StopNow)
 	}
 }
 
@@ -202,14 +203,21 @@
 	return e
 }
 
+// attemptID identifies an attempt of a task. An inventory also lists finished
+// attempts, which say nothing about a later one.
+type attemptID struct {
+	task    model.TaskID
+	attempt int
+}
+
 // reconcileMissing handles tasks that the records place on a worker whose
-// inventory does not list them.
-func (c *Core) reconcileMissing(now time.Time, w model.WorkerID, listed map[model.TaskID]bool) {
+// inventory does not list their present attempt.
+func (c *Core) reconcileMissing(now time.Time, w model.WorkerID, listed map[attemptID]bool) {
 	for _, id := range c.assigned(w) {
 		e := c.entries[id.Key]
 		t := &e.rec.Tasks[id.Index]
 		switch {
-		case listed[id]:
+		case listed[attemptID{id, t.Attempt}]:
 		case t.State == model.TaskStarting && e.tasks[id.Index].startAt != 0:
 			// Not sent yet; it goes out under the new lease.
 		default:
@@ -231,12 +239,34 @@
 
 // updateCapacityKnown notes whether every listed worker has shown its capacity.
 // Until then nothing can be said to fit no worker.
-func (c *Core) updateCapacityKnown() {
+func (c *Core) updateCapacityKnown(now time.Time) {
+	before := c.capacityKnown
 	c.capacityKnown = len(c.workers) > 0
+	var largest model.Size
 	for _, w := range c.workers {
 		if w.bootID == "" {
 			c.capacityKnown = false
 		}
+		largest = largest.Max(w.worker.Capacity)
+	}
+	c.largest = largest
+	if c.capacityKnown && !before && c.serving {
+		c.refuseUnfit(now)
+	}
+}
+
+// refuseUnfit ends requests that were accepted before all capacities were
+// known and that fit no worker.
+func (c *Core) refuseUnfit(now time.Time) {
+	for _, e := range c.entries {
+		if e.rec.Fate != model.Queued || e.rec.Side != model.NewSide || e.rec.DelegatedTo != "" ||
+			e.lookup || e.standing || !e.untouched() || c.mayHaveStarted(e) {
+			continue
+		}
+		r := &e.rec.Request
+		if _, never := c.index.NeverFits(c.need(r), gangTasks(r)); never {
+			c.settle(now, e, model.NotRun, model.ReasonNeverFits)
+		}
 	}
 }
 
@@ -322,7 +352,7 @@
 	if t.State != model.TaskRunning {
 		return
 	}
-	planned := c.sizes.Plan(e.rec.Request.Service, e.rec.Request.Size)
+	planned := c.planned(&e.rec.Request)
 	if planned == t.Planned {
 		return
 	}
