Wait for an owner as long as the caller waits; let the old system use its own machines

Ruled out: the lookup calls (their 64 slots were not exhausted). A waiting caller was told no_owner when a takeover on a busy machine took more than 8 s, although it had asked to wait longer.

--- a/internal/daemon/route.go
+++ b/internal/daemon/route.go
@@ -217,6 +217,10 @@
 	for {
 		rec, err := d.route(ctx, d.fateCall(key, min(longPoll, deadline.Sub(d.now()))))
 		if err != nil {
+			// The caller waits for the fate, so it waits for an owner as well.
+			if retryable(err) && d.now().Before(deadline) && ctx.Err() == nil {
+				continue
+			}
 			return api.RequestStatus{}, err
 		}
 		if rec.Fate.Terminal() || !d.now().Before(deadline) || ctx.Err() != nil {
--- a/internal/platform/admin.go
+++ b/internal/platform/admin.go
@@ -123,9 +123,10 @@
 type OldStats struct {
 	RunsPerKey map[string]int `json:"runs_per_key"`
 	Running    int            `json:"running"`
-	Queued     int            `json:"queued"`
-	Revision   uint64         `json:"revision"`
-	Slots      int64          `json:"slots"`
+	// Shared counts the running keys that use a slot on shared workers.
+	Shared   int    `json:"shared"`
+	Revision uint64 `json:"revision"`
+	Slots    int64  `json:"slots"`
 }
 
 // Directive is an optional JSON payload that directs how a stand-in runs a task.
--- a/internal/standin/oldd/oldd_test.go
+++ b/internal/standin/oldd/oldd_test.go
@@ -102,5 +102,17 @@
 	reserve(2, 1, 2)
 	reserve(1, 9, 2)
 	assert.Equal(t, o.Stats().Slots, int64(1), "an earlier revision changes nothing")
+	// Without shared slots the old system goes on with its own machines.
+	reserve(3, 0, 2)
+	go func() {
+		_, err := c.Run(t.Context(), "c", "s", []byte(`{"sleep_ms":60000}`))
+		done <- err
+	}()
+	for o.Stats().Running < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, o.Stats().Shared, 1)
 	end("b")
+	reserve(3, 0, 3)
+	end("c")
 }
