--- /dev/null
+++ b/test/scenarios/checkers_test.go
@@ -0,0 +1,232 @@
+package scenarios
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"catkinvalve/internal/api"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/platform"
+	"catkinvalve/internal/testbed"
+)
+
+// rejects fails when a checker passes a situation that was broken on purpose.
+func rejects(t *testing.T, problems []string, want string) {
+	t.Helper()
+	if !strings.Contains(strings.Join(problems, "\n"), want) {
+		t.Fatalf("the checker reported %q, want %q", problems, want)
+	}
+}
+
+func accepts(t *testing.T, problems []string) {
+	t.Helper()
+	if len(problems) > 0 {
+		t.Fatalf("the checker rejects a correct situation: %q", problems)
+	}
+}
+
+// fleet runs stand-ins without daemons and holds the lease of a worker.
+type fleet struct {
+	t       *testing.T
+	cluster *testbed.Cluster
+	ctx     context.Context
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	slots <- struct{}{}
+	t.Cleanup(func() { <-slots })
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	t.Cleanup(cancel)
+	c, err := testbed.Start(ctx, testbed.Options{
+		Bin: programs, Dir: t.TempDir(), DCs: []testbed.DC{{Name: "klang-a", Region: "klang", Workers: 2}},
+		Capacity: model.Size{MilliCPU: 4000, MemMB: 4096, Slots: 4, Conns: 16},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := c.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	return &fleet{t: t, cluster: c, ctx: ctx}
+}
+
+// call posts to a worker.
+func (f *fleet) call(worker model.WorkerID, path string, in, out any) {
+	f.t.Helper()
+	if err := f.cluster.Admin(f.ctx, "POST", f.counters().fleets["klang-a"].Workers[worker].Addr, path, in, out); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// start takes the lease of a worker and starts a task of the given slots.
+func (f *fleet) start(worker model.WorkerID, key string, attempt int, slots int64) {
+	f.t.Helper()
+	f.call(worker, "/v1/lease", platform.LeaseRequest{Holder: "test", Term: 1, TTLMS: 30_000, TaskGraceMS: 30_000}, nil)
+	f.call(worker, "/v1/tasks", platform.StartRequest{Holder: "test", Term: 1, Tasks: []platform.StartTask{{
+		ID: key + "/0", Attempt: attempt, Key: key, RunMS: 60_000, Size: model.Size{MilliCPU: 100, Slots: slots},
+	}}}, nil)
+}
+
+func (f *fleet) counters() counters {
+	f.t.Helper()
+	c, err := readCounters(f.ctx, f.cluster)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return c
+}
+
+// TestOverloadChecker guards against a check that accepts an overloaded worker.
+func TestOverloadChecker(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.start("klang-a-w-0", "k-1", 1, 4)
+	accepts(t, f.counters().overloads())
+	f.start("klang-a-w-0", "k-2", 1, 1)
+	rejects(t, f.counters().overloads(), "worker klang-a-w-0 was overloaded by 1 starts")
+}
+
+// TestDoubleChecker guards against a check that accepts a task in two places.
+func TestDoubleChecker(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.start("klang-a-w-0", "k-1", 1, 1)
+	accepts(t, f.counters().doubles())
+	f.start("klang-a-w-1", "k-1", 2, 1)
+	rejects(t, f.counters().doubles(), "workers of klang-a counted 1 starts of a task that ran")
+}
+
+// TestDoubleAttemptChecker guards against two attempts on the same worker.
+func TestDoubleAttemptChecker(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.start("klang-a-w-0", "k-1", 1, 1)
+	f.start("klang-a-w-0", "k-1", 2, 1)
+	rejects(t, f.counters().doubles(), "worker klang-a-w-0 counted 1 starts of a task that it ran")
+}
+
+// TestSideChecker guards against a key that both systems run.
+func TestSideChecker(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.start("klang-a-w-0", "k-1", 1, 1)
+	if err := f.cluster.Admin(f.ctx, "POST", f.cluster.Old.Listen, "/v1/run", platform.RunRequest{Key: "k-1", Service: "plan"}, nil); err != nil {
+		t.Fatal(err)
+	}
+	rejects(t, f.counters().doubles(), "key k-1 ran in klang-a and in the old system")
+	rejects(t, f.counters().moreThanOnce("k-1"), "key k-1 was started 2 times")
+}
+
+// TestAtMostOnceChecker guards against a repeated start after the first run
+// has ended, which is no double run.
+func TestAtMostOnceChecker(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.start("klang-a-w-0", "k-1", 1, 1)
+	accepts(t, f.counters().moreThanOnce("k-1"))
+	crash := platform.WorkerFault{Worker: "klang-a-w-0", Crash: true}
+	if err := f.cluster.Fault(f.ctx, f.cluster.Workers["klang-a"].Admin, crash); err != nil {
+		t.Fatal(err)
+	}
+	f.start("klang-a-w-1", "k-1", 2, 1)
+	accepts(t, f.counters().doubles())
+	rejects(t, f.counters().moreThanOnce("k-1"), "key k-1 was started 2 times")
+	w := newWorld()
+	w.callers.begin(request("k-1", "slot", 1, 1, 0), false)
+	rejects(t, w.checkAtMostOnce(f.counters(), nil), "key k-1 was started 2 times")
+}
+
+// TestFateChecker guards against a check that accepts a false fate.
+func TestFateChecker(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.start("klang-a-w-0", "started", 1, 1)
+	for _, tc := range []struct {
+		name, key string
+		fates     []model.Fate
+		refused   bool
+		want      string
+	}{
+		{"not run but started", "started", []model.Fate{model.Queued, model.NotRun}, false, "told that it did not run"},
+		{"refused but started", "started", nil, true, "told that it did not run"},
+		{"done but never started", "other", []model.Fate{model.Done}, false, "it was never started"},
+		{"cancelled but never started", "other", []model.Fate{model.Cancelled}, false, "it was never started"},
+		{"two final fates", "started", []model.Fate{model.Done, model.Unknown}, false, "different final fates"},
+		{"done and started", "started", []model.Fate{model.Running, model.Done}, false, ""},
+		{"refused and not started", "other", nil, true, ""},
+	} {
+		keys := map[string]told{tc.key: {fates: map[model.Fate]bool{}}}
+		for _, fate := range tc.fates {
+			keys[tc.key].fates[fate] = true
+		}
+		if tc.refused {
+			keys[tc.key] = told{attempts: 2, refused: 2}
+		}
+		problems := f.counters().falseFates(keys)
+		if tc.want == "" {
+			accepts(t, problems)
+			continue
+		}
+		rejects(t, problems, tc.want)
+	}
+}
+
+// TestAnswerChecker guards against answers of another request, or part of one.
+func TestAnswerChecker(t *testing.T) {
+	t.Parallel()
+	req := request("k-1", "routes", 1, 2, 0)
+	answer := "k-1/0:" + string(req.Payload) + "k-1/1:" + string(req.Payload)
+	for _, tc := range []struct {
+		status api.RequestStatus
+		want   string
+	}{
+		{api.RequestStatus{Key: "k-1", Fate: model.Done, OK: true, Answer: []byte(answer)}, ""},
+		{api.RequestStatus{Key: "k-1", Fate: model.Done, OK: true, Answer: []byte(answer[:20])}, "a caller of k-1 got the answer"},
+		{api.RequestStatus{Key: "k-1", Fate: model.Done, OK: true}, "a caller of k-1 got the answer"},
+		{api.RequestStatus{Key: "k-2", Fate: model.Running}, "an answer to key k-2"},
+	} {
+		c := newCallers()
+		c.learn(c.begin(req, true), tc.status, nil, true)
+		problems := foreignAnswers(c.snapshot())
+		if tc.want == "" {
+			accepts(t, problems)
+			continue
+		}
+		rejects(t, problems, tc.want)
+	}
+}
+
+// TestRevisionChecker guards against a revision that is reverted, or that has
+// another text at another daemon.
+func TestRevisionChecker(t *testing.T) {
+	t.Parallel()
+	r := newRevisions()
+	r.add(sample{"d-0", 1, 4, "four"})
+	r.add(sample{"d-0", 1, 5, "five"})
+	r.add(sample{"d-1", 2, 4, "four"})
+	// A new process begins without a configuration.
+	r.add(sample{"d-0", 3, 0, ""})
+	accepts(t, r.problems)
+	r.add(sample{"d-1", 2, 3, "three"})
+	rejects(t, r.problems, "d-1 went from revision 4 back to 3")
+	r.add(sample{"d-2", 9, 5, "another five"})
+	rejects(t, r.problems, "d-2 has another text for revision 5")
+}
+
+// TestLoadStopReportsUnknownFates guards against a load whose callers give up
+// without notice.
+func TestLoadStopReportsUnknownFates(t *testing.T) {
+	t.Parallel()
+	w := newWorld()
+	l := &load{cancel: func() {}, done: make(chan struct{})}
+	close(l.done)
+	l.failed(context.DeadlineExceeded)
+	w.loads["a"] = l
+	if err := w.stopLoad("a"); err == nil {
+		t.Fatal("a load with a caller that knows no fate was accepted")
+	}
+}
--- a/test/scenarios/world_test.go
+++ b/test/scenarios/world_test.go
@@ -34,10 +34,12 @@
 	dir     string
 	cluster *testbed.Cluster
 	dcs     []testbed.DC
-	share   int
-	callers *callers
-	sampler *sampler
-	cuts    cuts
+	// share is the new system's share of the last text, oldSlots what the old
+	// system may use of each worker.
+	share, oldSlots int
+	callers         *callers
+	sampler         *sampler
+	cuts            cuts
 	// leftAt is when the list first showed a worker as leaving.
 	leftAt map[string]time.Time
 	loads  map[string]*load
@@ -117,7 +119,7 @@
 	workers, daemons := f.Int("workers", 3, ""), f.Int("daemons", 2, "")
 	ttl, grace := f.Duration("ttl", 1500*time.Millisecond, ""), f.Duration("grace", 5*time.Second, "")
 	lag, settle := f.Duration("lag", 0, ""), f.Duration("settle", 500*time.Millisecond, "")
-	share := f.Int("share", 100, "")
+	share, oldSlots := f.Int("share", 100, ""), f.Int("old-slots", 0, "")
 	parse(ts, f, args)
 	for name := range strings.SplitSeq(*names, ",") {
 		region, _, _ := strings.Cut(name, "-")
@@ -129,7 +131,7 @@
 		Capacity: model.Size{MilliCPU: 4000, MemMB: 4096, Slots: 4, Conns: 16},
 	})
 	ts.Check(err)
-	w.cluster, w.share = c, *share
+	w.cluster, w.share, w.oldSlots = c, *share, *oldSlots
 	w.sampler = newSampler(w)
 	w.group.Go(func() { w.sampler.run(w.ctx) })
 	_, err = c.Publish(w.ctx, w.text("first"))
@@ -161,8 +163,9 @@
  "services": [
   {"name": "plan", "team": "t", "class": "batch", "idempotent": true, %s,
   {"name": "slot", "team": "t", "class": "interactive", "idempotent": false, %s,
-  {"name": "routes", "team": "t", "class": "all_at_once", "tasks": 3, "idempotent": true, %s]}
-`, note, strings.Join(dcs, ", "), size1, size1, size1)
+  {"name": "routes", "team": "t", "class": "all_at_once", "tasks": 3, "idempotent": true, %s],
+ "old": {"slots_per_worker": %d}}
+`, note, strings.Join(dcs, ", "), size1, size1, size1, w.oldSlots)
 }
 
 // change runs fn, which adds, replaces or restarts daemons.
