--- a/test/scenarios/callers_test.go
+++ b/test/scenarios/callers_test.go
@@ -164,7 +164,7 @@
 		daemons := w.daemonsOf(via)
 		cl, err := w.client(daemons[i%len(daemons)])
 		if err != nil {
-			return err
+			continue
 		}
 		st, err := cl.Submit(ctx, req)
 		if w.ctx.Err() != nil {
--- a/test/scenarios/sampler_test.go
+++ b/test/scenarios/sampler_test.go
@@ -49,7 +49,9 @@
 	out := map[string]*testbed.Process{}
 	for _, id := range s.world.running("all") {
 		s.world.mu.RLock()
-		out[id] = s.world.cluster.Daemons[id].Process
+		if d := s.world.cluster.Daemons[id]; d != nil {
+			out[id] = d.Process
+		}
 		s.world.mu.RUnlock()
 	}
 	return out
--- a/test/scenarios/world_test.go
+++ b/test/scenarios/world_test.go
@@ -179,6 +179,9 @@
 func (w *world) client(id string) (*api.Client, error) {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
+	if w.cluster.Daemons[id] == nil {
+		return nil, fmt.Errorf("daemon %s was replaced", id)
+	}
 	return w.cluster.Client(id)
 }
 
@@ -211,7 +214,9 @@
 	var out []string
 	for _, id := range w.daemonsOf(words) {
 		w.mu.RLock()
-		alive := w.cluster.Daemons[id].Alive()
+		d := w.cluster.Daemons[id]
+		// The script may have replaced it since the list was made.
+		alive := d != nil && d.Process != nil && d.Alive()
 		w.mu.RUnlock()
 		if alive && !w.sampler.paused(id) {
 			out = append(out, id)
