Let a restarted standby become ready while nothing is replicated

A standby took note of the owner's term only with a batch of changed records. In a data centre without changes, a restarted daemon therefore fetched the records again and again and never became ready.

--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -322,7 +322,10 @@
 // syncedMsg marks a standby that has fetched all records.
 type syncedMsg struct{ term uint64 }
 
+// handle also takes note of the owner's term: without replicated changes since
+// this daemon started, the fetch is the first message of that term.
 func (m syncedMsg) handle(l *loop, _ time.Time) {
+	l.obey(m.term)
 	if m.term == l.fence {
 		l.synced = true
 	}
