--- a/internal/bench/controlload.go
+++ b/internal/bench/controlload.go
@@ -17,7 +17,7 @@
 	loadRunMS   = 100
 )
 
-// submitAll sends requests at a rate, spread over all data centres and daemons.
+// submitAll sends requests at a rate, spread over all data centres.
 func (m *controlRun) submitAll(ctx context.Context, name string, rate float64) (sent, refused int64, err error) {
 	duration := m.short(loadTime)
 	begun := time.Now()
@@ -25,7 +25,7 @@
 	p := pool.New().WithErrors()
 	for range loadClients {
 		p.Go(func() error {
-			client, err := m.c.Client()
+			clients, err := m.localClients()
 			if err != nil {
 				return err
 			}
@@ -38,7 +38,7 @@
 				if err := pause(ctx, due-time.Since(begun)); err != nil {
 					return err
 				}
-				if _, err := client.Submit(ctx, m.loadRequest(name, i)); err != nil {
+				if _, err := clients[i%int64(len(clients))].Submit(ctx, loadRequest(name, i)); err != nil {
 					rejected.Add(1)
 				} else {
 					accepted.Add(1)
@@ -50,7 +50,27 @@
 	return accepted.Load(), rejected.Load(), err
 }
 
-func (m *controlRun) loadRequest(name string, i int64) api.SubmitRequest {
+// localClients returns a client of each data centre's daemons. Callers use
+// their own data centre as the key's prefix and submit there.
+func (m *controlRun) localClients() ([]*api.Client, error) {
+	var out []*api.Client
+	for _, dc := range controlDCs {
+		var ids []string
+		for _, id := range m.c.Order {
+			if m.c.Daemons[id].DataCentre == dc.Name {
+				ids = append(ids, id)
+			}
+		}
+		c, err := m.c.Client(ids...)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, c)
+	}
+	return out, nil
+}
+
+func loadRequest(name string, i int64) api.SubmitRequest {
 	dc := controlDCs[i%int64(len(controlDCs))].Name
 	size := loadSize
 	return api.SubmitRequest{Key: fmt.Sprintf("%s:%s-%d", dc, name, i), Service: loadService, Size: &size, RunMS: loadRunMS, Payload: make([]byte, 200)}
--- a/internal/bench/processes.go
+++ b/internal/bench/processes.go
@@ -20,20 +20,21 @@
 type usage struct {
 	ticks      int64
 	residentMB float64
-	// crossRegion and sameRegion are bytes in both directions on the
-	// connections that the daemon opened.
-	crossRegion, sameRegion int64
+	// bytes counts both directions of the connections that the daemon opened,
+	// by kind and region.
+	bytes map[string]int64
 }
 
 // window is what the cluster used in a time.
 type window struct {
 	seconds float64
 	// cpu is percent of a core by daemon, resident megabytes at the end.
-	cpu, resident           map[string]float64
-	crossRegion, sameRegion float64
-	appends, appendedBytes  float64
-	starts                  int64
-	owners                  map[string]bool
+	cpu, resident map[string]float64
+	// bytes is a rate, by kind and region.
+	bytes                  map[string]float64
+	appends, appendedBytes float64
+	starts                 int64
+	owners                 map[string]bool
 }
 
 // window measures the daemons and the log while run lasts.
@@ -46,7 +47,7 @@
 	if err := run(); err != nil {
 		return window{}, err
 	}
-	w := window{seconds: time.Since(begun).Seconds(), cpu: map[string]float64{}, resident: map[string]float64{}, owners: map[string]bool{}}
+	w := window{seconds: time.Since(begun).Seconds(), cpu: map[string]float64{}, resident: map[string]float64{}, bytes: map[string]float64{}, owners: map[string]bool{}}
 	after, appendsAfter, bytesAfter, startsAfter, err := m.snapshot(ctx)
 	if err != nil {
 		return window{}, err
@@ -55,8 +56,9 @@
 		b := before[id]
 		w.cpu[id] = 100 * float64(a.ticks-b.ticks) / clockTicks / w.seconds
 		w.resident[id] = a.residentMB
-		w.crossRegion += float64(a.crossRegion-b.crossRegion) / w.seconds
-		w.sameRegion += float64(a.sameRegion-b.sameRegion) / w.seconds
+		for scope, n := range a.bytes {
+			w.bytes[scope] += float64(n-b.bytes[scope]) / w.seconds
+		}
 	}
 	w.appends, w.appendedBytes = float64(appendsAfter-appends)/w.seconds, float64(bytesAfter-logBytes)/w.seconds
 	w.starts = startsAfter - starts
@@ -96,7 +98,13 @@
 	if err := m.c.Admin(ctx, "GET", d.Callers, "/metrics", nil, &all); err != nil {
 		return usage{}, err
 	}
-	u := usage{crossRegion: scopeBytes(all, "cross_region"), sameRegion: scopeBytes(all, "same_region")}
+	u := usage{bytes: map[string]int64{}}
+	for _, scope := range byteScopes {
+		for _, direction := range []string{"sent_bytes", "received_bytes"} {
+			n, _ := all["peer.client."+scope+"."+direction]["count"].(float64)
+			u.bytes[scope] += int64(n)
+		}
+	}
 	var err error
 	if u.ticks, err = processorTicks(d.PID()); err != nil {
 		return u, err
@@ -105,16 +113,8 @@
 	return u, err
 }
 
-func scopeBytes(all map[string]map[string]any, scope string) int64 {
-	var sum int64
-	for _, kind := range []string{"control", "payload"} {
-		for _, direction := range []string{"sent_bytes", "received_bytes"} {
-			n, _ := all["peer.client."+kind+"."+scope+"."+direction]["count"].(float64)
-			sum += int64(n)
-		}
-	}
-	return sum
-}
+// byteScopes are the kinds of peer connections by region, as in the metrics.
+var byteScopes = []string{"control.cross_region", "control.same_region", "payload.cross_region", "payload.same_region"}
 
 // processorTicks returns the user and system time of a process.
 func processorTicks(pid int) (int64, error) {
@@ -149,8 +149,10 @@
 
 // report adds the figures of a window.
 func (m *controlRun) report(name string, w window, note string) {
-	m.add("control.cross_region_bytes."+name, w.crossRegion, "bytes/s", "peer calls between regions, both directions, all daemons; "+note)
-	m.add("control.same_region_bytes."+name, w.sameRegion, "bytes/s", "")
+	m.add("control.cross_region_bytes."+name, w.bytes["control.cross_region"], "bytes/s", "control calls between regions, both directions, all daemons; "+note)
+	m.add("control.same_region_bytes."+name, w.bytes["control.same_region"], "bytes/s", "heartbeats and replication")
+	m.add("payload.cross_region_bytes."+name, w.bytes["payload.cross_region"], "bytes/s", "forwarded calls")
+	m.add("payload.same_region_bytes."+name, w.bytes["payload.same_region"], "bytes/s", "forwarded calls")
 	m.add("control.appends."+name, w.appends, "appends/s", "all streams")
 	m.add("control.appended_bytes."+name, w.appendedBytes, "bytes/s", "")
 	var cpu, rss float64
