--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -53,7 +53,7 @@
 	if t := &e.rec.Tasks[index]; t.State == model.TaskStarting {
 		t.State = model.TaskRunning
 		e.tasks[index].began = now
-		c.stopAtDeadline(e)
+		c.watchDeadline(e)
 	}
 	c.markRunning(now, e)
 }
@@ -78,6 +78,7 @@
 		t.State, t.Answer = model.TaskDone, ev.Answer
 		if e.standing && !e.rec.CancelRequested {
 			c.requeue(now, e, ev.ID.Index, c.backoff.Delay(1, c.random))
+			c.changed(e)
 			return
 		}
 		c.settleIfEnded(now, e)
@@ -132,7 +133,7 @@
 	c.release(e, index)
 	e.rec.Tasks[index].State = model.TaskStopped
 	switch {
-	case e.rec.CancelRequested:
+	case e.ended():
 	case again:
 		c.requeue(now, e, index, 0)
 		c.changed(e)
@@ -158,6 +159,7 @@
 }
 
 func (c *Core) notStarted(now time.Time, e *entry, index int) {
+	c.stat.NotStarted++
 	c.endProbe(now, e.rec.Tasks[index].Worker)
 	c.release(e, index)
 	t := &e.rec.Tasks[index]
@@ -173,6 +175,7 @@
 
 // taskLost handles a task whose worker is gone.
 func (c *Core) taskLost(now time.Time, e *entry, index int) {
+	c.stat.Lost++
 	c.markRunning(now, e)
 	c.release(e, index)
 	t := &e.rec.Tasks[index]
@@ -218,11 +221,13 @@
 		return
 	}
 	if waiting+held > 0 {
+		// Workers forget ended tasks after a while, so the standbys have to know.
+		c.changed(e)
 		return
 	}
 	e.rec.Answer = joinAnswers(e.rec.Tasks, size)
 	switch {
-	case lost > 0:
+	case lost > 0, e.rec.Started.IsZero() && c.mayHaveStarted(e):
 		c.settle(now, e, model.Unknown, model.ReasonWorkerLost)
 	case e.rec.Started.IsZero():
 		c.settle(now, e, model.NotRun, e.reasonOr(model.ReasonCancelled))
