--- a/internal/core/placement/attach.go
+++ b/internal/core/placement/attach.go
@@ -73,6 +73,7 @@
 	if w.state == Available {
 		x.totals.Available = x.totals.Available.Add(capacity)
 		x.limits.restricted += sign * w.restricted
+		x.limits.firm += sign * w.firm
 		r.availableSlots += capacity.Slots
 	}
 	if w.open {
@@ -92,6 +93,9 @@
 	if n.Class != model.Interactive {
 		w.restricted += size.Slots
 	}
+	if n.Class != model.Interactive && !n.Preemptible {
+		w.firm += size.Slots
+	}
 }
 
 func compareTasks(a, b model.TaskID) int {
--- a/internal/core/placement/earliest.go
+++ b/internal/core/placement/earliest.go
@@ -64,7 +64,7 @@
 }
 
 func (x *Index) newForecast(n Need, tasks int) *forecast {
-	f := &forecast{need: n, tasks: int64(tasks), slotsLeft: x.slotsLeft(n.Class),
+	f := &forecast{need: n, tasks: int64(tasks), slotsLeft: x.slotsLeft(n),
 		free: make([]vec, len(x.workers)), copies: make([]int64, len(x.workers))}
 	for i := range x.workers {
 		if w := &x.workers[i]; w.live && w.state == Available {
--- a/internal/core/placement/explain.go
+++ b/internal/core/placement/explain.go
@@ -67,9 +67,7 @@
 		capacity := shape.Vector()
 		room += int64(count) * copies(&need, &capacity)
 	}
-	x.refreshLimits()
-	limit := x.opts.slotLimit(n.Class, x.totals.Capacity.Slots, x.limits.largest)
-	limited := n.Class != model.Interactive && n.Size.Slots*int64(tasks) > limit
+	limited := n.Class != model.Interactive && n.Size.Slots*int64(tasks) > x.slotsNever(n)
 	if room >= int64(tasks) && !limited {
 		return nil, false
 	}
--- a/internal/core/placement/index.go
+++ b/internal/core/placement/index.go
@@ -17,7 +17,9 @@
 	batch model.Size
 	// restricted is the slots held by tasks that may not use the headroom.
 	restricted int64
-	tasks      []int32
+	// firm is the part of restricted that cannot be preempted.
+	firm  int64
+	tasks []int32
 	// services counts the tasks of class service by service.
 	services map[string]int
 	rack     int32
@@ -81,6 +83,7 @@
 		byTask:    map[model.TaskID]int32{},
 		rackByKey: map[string]int32{},
 		shapes:    map[model.Size]int{},
+		limits:    limits{demand: -1},
 		plain:     none, accel: none, rackRoot: none, reclaimRoot: none,
 	}
 }
--- a/internal/core/placement/limits.go
+++ b/internal/core/placement/limits.go
@@ -7,33 +7,56 @@
 	// restricted is the slots in use on available workers by tasks that may
 	// not use the headroom.
 	restricted int64
+	// firm is the part of restricted that cannot be preempted.
+	firm int64
+	// demand is the recent peak of slots in use by interactive tasks; negative
+	// when it is not known.
+	demand int64
 	// largest and largestAvailable are the slots of the largest rack; they
 	// are recomputed when stale.
 	largest, largestAvailable int64
 	stale                     bool
 }
 
-// slotLimit returns how many of slots all tasks but interactive ones may use
-// together when a task of class c is added. largest is the largest rack.
-func (o Options) slotLimit(c model.Class, slots, largest int64) int64 {
-	if c == model.Interactive {
-		return slots
-	}
-	limit := slots - o.headroom(slots)
-	// A single rack has no other rack to move its services to.
-	if c != model.Service && o.RackSpare && largest < slots {
-		limit -= largest
-	}
-	return max(limit, 0)
+// keepsSpare reports whether tasks of this need leave the largest rack's slots
+// free. A single rack has no other rack to move its services to.
+func (o Options) keepsSpare(n Need, slots, largest int64) bool {
+	return o.RackSpare && n.Class != model.Interactive && n.Class != model.Service && !n.Preemptible && largest < slots
 }
 
-// headroom returns the slots that are kept for interactive tasks. The weights
-// move it by up to half in either direction; equal weights leave it as set.
-func (o Options) headroom(slots int64) int64 {
+// idleHeadroomShare is the part of the headroom that is kept without demand. A
+// burst beyond it stops batch tasks by checkpoint.
+const idleHeadroomShare = 4
+
+// headroom returns the slots that are kept for interactive tasks: one and a half
+// times their recent peak, at most what the options ask for and at least a
+// quarter of it. All of it, kept without demand, cost batch work a quarter of
+// its throughput. The weights move the maximum by up to half in either
+// direction; equal weights leave it as set.
+func (o Options) headroom(slots, demand int64) int64 {
 	const scale = 200
 	percent := int64(min(max(o.HeadroomPercent, 0), 100))
 	factor := scale - int64(o.tilt()*scale/2)
-	return min(slots, (slots*percent*factor+100*scale-1)/(100*scale))
+	most := min(slots, (slots*percent*factor+100*scale-1)/(100*scale))
+	if demand < 0 {
+		return most
+	}
+	least := (most + idleHeadroomShare - 1) / idleHeadroomShare
+	return min(most, max(least, demand+(demand+1)/2))
+}
+
+// SetInteractiveDemand tells the recent peak of slots in use by interactive tasks.
+func (x *Index) SetInteractiveDemand(slots int64) { x.limits.demand = slots }
+
+// slotsNever returns how many slots tasks of this need may ever use together.
+func (x *Index) slotsNever(n Need) int64 {
+	x.refreshLimits()
+	slots := x.totals.Capacity.Slots
+	limit := slots - x.opts.headroom(slots, min(x.limits.demand, 0))
+	if x.opts.keepsSpare(n, slots, x.limits.largest) {
+		limit -= x.limits.largest
+	}
+	return max(limit, 0)
 }
 
 // tilt returns how much packing outweighs waiting, from -1 to 1.
@@ -41,16 +64,22 @@
 	return min(max(float64(o.PackingWeight-o.WaitingWeight)/100, -1), 1)
 }
 
-// slotsLeft returns how many more slots tasks of class c may take on available
-// workers; negative when a change of capacity put them over the limit.
-func (x *Index) slotsLeft(c model.Class) int64 {
+// slotsLeft returns how many more slots tasks of this need may take on
+// available workers; negative when a change put them over the limit.
+func (x *Index) slotsLeft(n Need) int64 {
 	x.refreshLimits()
-	return x.opts.slotLimit(c, x.totals.Available.Slots, x.limits.largestAvailable) - x.limits.restricted
+	slots := x.totals.Available.Slots
+	limit := slots - x.opts.headroom(slots, x.limits.demand)
+	left := limit - x.limits.restricted
+	if x.opts.keepsSpare(n, slots, x.limits.largestAvailable) {
+		left = min(left, limit-x.limits.largestAvailable-x.limits.firm)
+	}
+	return left
 }
 
 // withinLimit reports whether the class of n may take slots for tasks more.
 func (x *Index) withinLimit(n Need, tasks int) bool {
-	return n.Class == model.Interactive || n.Size.Slots*int64(tasks) <= x.slotsLeft(n.Class)
+	return n.Class == model.Interactive || n.Size.Slots*int64(tasks) <= x.slotsLeft(n)
 }
 
 func (x *Index) refreshLimits() {
--- a/internal/core/placement/preempt.go
+++ b/internal/core/placement/preempt.go
@@ -77,7 +77,7 @@
 	lack := subVec(n.Size.Vector(), w.free().Vector())
 	if n.Class != model.Interactive {
 		const slots = 3
-		lack[slots] = max(lack[slots], n.Size.Slots-x.slotsLeft(n.Class))
+		lack[slots] = max(lack[slots], n.Size.Slots-x.slotsLeft(n))
 	}
 	chosen, ok := fewest(x.victimsOn(w, preemptible), lack, limit)
 	if !ok {
--- a/internal/core/placement/property_test.go
+++ b/internal/core/placement/property_test.go
@@ -187,7 +187,7 @@
 					size, count = size.Add(c), count+1
 				}
 			}
-			limited := n.Class != model.Interactive && n.Size.Slots-size.Slots > m.x.slotsLeft(n.Class)
+			limited := n.Class != model.Interactive && n.Size.Slots-size.Slots > m.x.slotsLeft(n)
 			if n.Size.Fits(w.free().Add(size)) && !limited && (best < 0 || count < best) {
 				best = count
 			}
--- a/internal/core/placement/types.go
+++ b/internal/core/placement/types.go
@@ -53,6 +53,9 @@
 	Class   model.Class
 	Service string
 	Size    model.Size
+	// Preemptible tasks may use the spare rack, because services that need it
+	// can stop them.
+	Preemptible bool
 }
 
 // Totals sums up the data centre.
--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -67,6 +67,7 @@
 	// largest is the largest capacity of any worker in each dimension.
 	largest model.Size
 	mem     memory
+	demand  demand
 	// due holds running requests that are stopped at their deadline.
 	due      dueKeys
 	homeTerm map[model.DataCentre]uint64
--- a/internal/core/scheduler/delegate.go
+++ b/internal/core/scheduler/delegate.go
@@ -59,6 +59,8 @@
 	to.free = to.free.Sub(it.Size)
 	e.rec.DelegatedTo = dc
 	e.tasks[it.Index].charged, e.tasks[it.Index].startAt = it.Size, e.rec.Version+1
+	// A request without room here counts as demand of this data centre.
+	c.demand.add(r.Class, it.Size.Slots)
 	c.stat.DelegatedOut++
 	c.changed(e)
 	return true
--- /dev/null
+++ b/internal/core/scheduler/demand_test.go
@@ -0,0 +1,25 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+)
+
+// Guards against headroom that is given away before the demand is known, and
+// against a peak that is forgotten at once or kept for ever.
+func TestRecentDemand(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var d demand
+	d.reset(start)
+	d.add(model.Interactive, 5)
+	d.add(model.Batch, 100)
+	assert.Equal(t, d.recent(start.Add(demandWarmup/2)), int64(-1))
+	d.add(model.Interactive, -4)
+	assert.Equal(t, d.recent(start.Add(demandWarmup)), int64(5))
+	assert.Equal(t, d.recent(start.Add(demandWindow)), int64(5))
+	assert.Equal(t, d.recent(start.Add(2*demandWindow)), int64(1))
+}
--- a/internal/core/scheduler/leftover.go
+++ b/internal/core/scheduler/leftover.go
@@ -5,7 +5,6 @@
 	"strings"
 
 	"catkinvalve/internal/core/model"
-	"catkinvalve/internal/core/placement"
 )
 
 // leftoverMark separates the parts of a leftover's key. Keys of requests have
@@ -23,7 +22,7 @@
 // stopLeftover stops an attempt that the record no longer refers to. It holds
 // capacity of its worker until the worker reports its end.
 func (c *Core) stopLeftover(e *entry, w model.WorkerID, t model.RunningTask) {
-	need := placement.Need{Class: e.rec.Request.Class, Service: t.Service, Size: t.Size}
+	need := needOf(&e.rec.Request, t.Size)
 	c.index.Reserve(w, leftoverID(w, t.ID, t.Attempt), need)
 	c.out.stop(w, Stop{ID: t.ID, Attempt: t.Attempt, Mode: StopNow})
 }
--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -104,6 +104,7 @@
 	for _, w := range c.workers {
 		w.contact = now
 	}
+	c.demand.reset(now)
 	for _, g := range c.grants {
 		c.takeOver(now, g)
 	}
--- a/internal/core/scheduler/schedule.go
+++ b/internal/core/scheduler/schedule.go
@@ -18,7 +18,11 @@
 }
 
 func (c *Core) need(r *model.Request) placement.Need {
-	return placement.Need{Class: r.Class, Service: r.Service, Size: c.planned(r)}
+	return needOf(r, c.planned(r))
+}
+
+func needOf(r *model.Request, size model.Size) placement.Need {
+	return placement.Need{Class: r.Class, Service: r.Service, Size: size, Preemptible: r.Class == model.Batch && r.Idempotent}
 }
 
 // planned returns the size to reserve for a task. An estimate must not turn a
@@ -52,7 +56,7 @@
 	if it.Class == model.AllAtOnce {
 		return c.tryGang(now, e, it)
 	}
-	n := placement.Need{Class: it.Class, Service: e.rec.Request.Service, Size: it.Size}
+	n := needOf(&e.rec.Request, it.Size)
 	w, ok := c.index.Place(n)
 	if !ok {
 		if c.delegate(now, e, it) {
@@ -70,7 +74,7 @@
 }
 
 func (c *Core) tryGang(now time.Time, e *entry, it queue.Item) queue.Verdict {
-	n := placement.Need{Class: it.Class, Service: e.rec.Request.Service, Size: it.Size}
+	n := needOf(&e.rec.Request, it.Size)
 	workers, ok := c.index.PlaceGang(n, it.Tasks)
 	if !ok {
 		c.holdFor(now, e, n, it.Tasks)
@@ -139,6 +143,7 @@
 	t.Boot = c.workers[w].bootID
 	t.Attempt++
 	e.tasks[index].charged = n.Size
+	c.demand.add(n.Class, n.Size.Slots)
 	e.tasks[index].began = now
 	e.tasks[index].startAt = e.rec.Version + 1
 	c.index.Reserve(w, model.TaskID{Key: e.rec.Request.Key, Index: index}, n)
@@ -229,6 +234,7 @@
 	rt := &e.tasks[index]
 	if rt.charged != (model.Size{}) {
 		c.queue.Refund(e.rec.Request.Team, rt.charged)
+		c.demand.add(e.rec.Request.Class, -rt.charged.Slots)
 		rt.charged = model.Size{}
 	}
 	rt.startAt = 0
--- a/internal/core/scheduler/tick.go
+++ b/internal/core/scheduler/tick.go
@@ -23,6 +23,7 @@
 	c.expireWorkers(now)
 	c.drainWorkers(now)
 	c.updateHealth(now)
+	c.index.SetInteractiveDemand(c.demand.recent(now))
 	c.refreshDoubt(now)
 	if c.queue.Len() > 0 {
 		// Backoff ends and ageing change the order without any other event.
--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"catkinvalve/internal/core/model"
-	"catkinvalve/internal/core/placement"
 )
 
 // lostMargin is added to the lease TTL and the task grace before the tasks of
@@ -179,9 +178,10 @@
 }
 
 func (c *Core) reserveAdopted(now time.Time, e *entry, w model.WorkerID, t model.RunningTask) {
-	c.index.Reserve(w, t.ID, placement.Need{Class: e.rec.Request.Class, Service: t.Service, Size: t.Size})
+	c.index.Reserve(w, t.ID, needOf(&e.rec.Request, t.Size))
 	rt := &e.tasks[t.ID.Index]
 	rt.charged, rt.began = t.Size, now
+	c.demand.add(e.rec.Request.Class, t.Size.Slots)
 	c.queue.Charge(e.rec.Request.Team, t.Size)
 }
 
