--- a/test/scenarios/checkers_test.go
+++ b/test/scenarios/checkers_test.go
@@ -205,15 +205,15 @@
 func TestRevisionChecker(t *testing.T) {
 	t.Parallel()
 	r := newRevisions()
-	r.add(sample{"d-0", 1, 4, "four"})
-	r.add(sample{"d-0", 1, 5, "five"})
-	r.add(sample{"d-1", 2, 4, "four"})
+	r.add(sample{daemon: "d-0", pid: 1, revision: 4, text: "four"})
+	r.add(sample{daemon: "d-0", pid: 1, revision: 5, text: "five"})
+	r.add(sample{daemon: "d-1", pid: 2, revision: 4, text: "four"})
 	// A new process begins without a configuration.
-	r.add(sample{"d-0", 3, 0, ""})
+	r.add(sample{daemon: "d-0", pid: 3, revision: 0, text: ""})
 	accepts(t, r.problems)
-	r.add(sample{"d-1", 2, 3, "three"})
+	r.add(sample{daemon: "d-1", pid: 2, revision: 3, text: "three"})
 	rejects(t, r.problems, "d-1 went from revision 4 back to 3")
-	r.add(sample{"d-2", 9, 5, "another five"})
+	r.add(sample{daemon: "d-2", pid: 9, revision: 5, text: "another five"})
 	rejects(t, r.problems, "d-2 has another text for revision 5")
 }
 
--- a/test/scenarios/faults_test.go
+++ b/test/scenarios/faults_test.go
@@ -354,7 +354,8 @@
 	ts.Check(testbed.WaitFor(w.ctx, inEffectWithin, "revision "+args[0]+" at "+words, func() bool {
 		last := w.sampler.latest()
 		for _, id := range w.running(words) {
-			if last[id].revision < want {
+			// An older sample may be one of an earlier process.
+			if last[id].revision < want || last[id].at.Before(begin) {
 				return false
 			}
 		}
--- a/test/scenarios/sampler_test.go
+++ b/test/scenarios/sampler_test.go
@@ -20,6 +20,7 @@
 	pid      int
 	revision uint64
 	text     string
+	at       time.Time
 }
 
 // sampler reads every daemon's configuration during a whole scenario.
@@ -67,13 +68,14 @@
 			}
 			callCtx, cancel := context.WithTimeout(ctx, time.Second)
 			defer cancel()
+			at := time.Now()
 			doc, err := cl.Config(callCtx)
 			if err != nil {
 				return
 			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.history.add(sample{daemon: id, pid: p.PID(), revision: doc.Revision, text: doc.Text})
+			s.history.add(sample{daemon: id, pid: p.PID(), revision: doc.Revision, text: doc.Text, at: at})
 		})
 	}
 	wg.Wait()
@@ -91,7 +93,7 @@
 	return s.stopped[id]
 }
 
-// latest returns the last sampled revision of each process of the daemons.
+// latest returns the last sample of each daemon.
 func (s *sampler) latest() map[string]sample {
 	s.mu.Lock()
 	defer s.mu.Unlock()
