--- a/test/scenarios/checkers_test.go
+++ b/test/scenarios/checkers_test.go
@@ -7,6 +7,7 @@
 
 	"catkinvalve/internal/api"
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/fault"
 	"catkinvalve/internal/platform"
 	"catkinvalve/internal/testbed"
 )
@@ -217,6 +218,18 @@
 	rejects(t, r.problems, "d-2 has another text for revision 5")
 }
 
+// TestLostAnswerChecker guards against a check that accepts an interrupted call.
+func TestLostAnswerChecker(t *testing.T) {
+	t.Parallel()
+	c := newCallers()
+	req := request("klang-a:in-1", "plan", 1, 1, 0)
+	c.learn(c.begin(req, true), api.RequestStatus{}, fault.New(api.Unreachable, "", "connection refused"), true)
+	accepts(t, lostAnswers(c.snapshot(), ":in-"))
+	c.learn(c.begin(req, true), api.RequestStatus{}, fault.New(fault.FateUnknownYet, "", "answer lost"), true)
+	rejects(t, lostAnswers(c.snapshot(), ":in-"), "a caller of klang-a:in-1 got no answer (fate_unknown_yet)")
+	accepts(t, lostAnswers(c.snapshot(), ":other-"))
+}
+
 // TestLoadStopReportsUnknownFates guards against a load whose callers give up
 // without notice.
 func TestLoadStopReportsUnknownFates(t *testing.T) {
