--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -24,6 +24,7 @@
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
+	"catkinvalve/internal/api"
 	"catkinvalve/internal/cli"
 	"catkinvalve/internal/daemon"
 	"catkinvalve/internal/fault"
@@ -129,6 +130,17 @@
 	}
 }
 
+// Guards against a field of the caller API that callers cannot look up.
+func TestAPIFieldsAreDocumented(t *testing.T) {
+	content := page(t, "api.md")
+	for _, typ := range []reflect.Type{reflect.TypeFor[api.SubmitRequest](), reflect.TypeFor[api.RequestStatus]()} {
+		for i := range typ.NumField() {
+			name, _, _ := strings.Cut(typ.Field(i).Tag.Get("json"), ",")
+			assert.Check(t, strings.Contains(content, "`"+name+"`"), "api.md lacks %s of %s", name, typ)
+		}
+	}
+}
+
 var errDown = errors.New("down")
 
 // down is a platform of which no part answers.
