--- a/internal/core/scheduler/deadlines.go
+++ b/internal/core/scheduler/deadlines.go
@@ -8,54 +8,61 @@
 	"catkinvalve/internal/text"
 )
 
-// deadlineHeap orders running requests by the deadline at which they stop.
-type deadlineHeap []deadlineItem
-
-type deadlineItem struct {
+// dueKey is a running request that has to be stopped at its deadline.
+type dueKey struct {
 	at  time.Time
 	key string
 }
 
-// Len implements heap.Interface.
-func (h deadlineHeap) Len() int { return len(h) }
-
-// Less implements heap.Interface.
-func (h deadlineHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+// dueKeys is a heap with the earliest deadline first.
+type dueKeys []dueKey
 
-// Swap implements heap.Interface.
-func (h deadlineHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (d dueKeys) Len() int           { return len(d) }
+func (d dueKeys) Less(i, j int) bool { return d[i].at.Before(d[j].at) }
+func (d dueKeys) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
 
 // Push implements heap.Interface.
-func (h *deadlineHeap) Push(x any) { *h = append(*h, x.(deadlineItem)) }
+func (d *dueKeys) Push(x any) { *d = append(*d, x.(dueKey)) }
 
 // Pop implements heap.Interface.
-func (h *deadlineHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
+func (d *dueKeys) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
 }
 
-// stopAtDeadline arranges for a started request to be stopped at its deadline
-// if the text asks for that.
-func (c *Core) stopAtDeadline(e *entry) {
+// watchDeadline remembers a request that began to run and whose service asks to
+// be stopped at the deadline.
+func (c *Core) watchDeadline(e *entry) {
 	r := &e.rec.Request
 	if !r.Deadline.IsZero() && c.service(r.Service).OnDeadline == text.DeadlineStop {
-		heap.Push(&c.stops, deadlineItem{r.Deadline, r.Key})
+		heap.Push(&c.due, dueKey{r.Deadline, r.Key})
 	}
 }
 
-// stopOverdue stops running requests whose deadline has passed.
-func (c *Core) stopOverdue(now time.Time) {
-	for len(c.stops) > 0 && !now.Before(c.stops[0].at) {
-		item := heap.Pop(&c.stops).(deadlineItem)
-		e := c.entries[item.key]
-		if e == nil || e.rec.Fate.Terminal() || e.rec.CancelRequested {
-			continue
+// stopDue stops the running tasks of requests whose deadline has passed.
+func (c *Core) stopDue(now time.Time) {
+	for len(c.due) > 0 && !now.Before(c.due[0].at) {
+		key := heap.Pop(&c.due).(dueKey).key
+		if e := c.entries[key]; e != nil && !e.rec.Fate.Terminal() && !e.rec.CancelRequested {
+			c.stopOverdue(now, e)
 		}
-		c.cancel(now, e)
-		if !e.rec.Fate.Terminal() {
-			e.rec.Reason = model.ReasonDeadline
+	}
+}
+
+func (c *Core) stopOverdue(now time.Time, e *entry) {
+	for i := range e.rec.Tasks {
+		if e.rec.Tasks[i].State == model.TaskRunning {
+			c.stopTask(e, i, StopNow)
 		}
 	}
+	c.dropWaiting(now, e, model.ReasonDeadline)
+	if !e.rec.Fate.Terminal() {
+		c.changed(e)
+	}
+}
+
+// ended reports whether stopped tasks of the request stay stopped.
+func (e *entry) ended() bool {
+	return e.rec.CancelRequested || e.rec.Reason == model.ReasonDeadline
 }
--- a/internal/core/scheduler/submit.go
+++ b/internal/core/scheduler/submit.go
@@ -19,12 +19,20 @@
 // Submit accepts a request of a caller, or joins it to the record that the key
 // already has. A returned fault means that this submission started nothing.
 func (c *Core) Submit(now time.Time, r model.Request) (model.Record, *fault.Error) {
+	return c.submit(now, r, false)
+}
+
+func (c *Core) submit(now time.Time, r model.Request, delegated bool) (model.Record, *fault.Error) {
 	if !c.serving {
 		return model.Record{}, c.errNoOwner()
 	}
 	if e := c.entries[r.Key]; e != nil {
 		return c.join(e, r)
 	}
+	if home := c.Home(r.Key); !delegated && home != c.cfg.DataCentre {
+		return model.Record{}, c.refuse(fault.New(fault.NoOwner, "retry with the same key; the set of data centres has changed",
+			"the home of %q is %s, not %s", r.Key, home, c.cfg.DataCentre))
+	}
 	if err := c.complete(&r); err != nil {
 		return model.Record{}, c.refuse(err)
 	}
@@ -35,10 +43,8 @@
 		return model.Record{}, c.refuse(fault.New(fault.DeadlineExceeded,
 			"submit again with a later deadline", "the deadline of %q has passed", r.Key))
 	}
-	if !c.makeRoom(now) {
-		return model.Record{}, c.refuse(fault.New(fault.Overloaded,
-			"retry later with backoff; raise the record limit if this persists",
-			"the table of %d key records is full", c.cfg.MaxRecords))
+	if err := c.checkRoom(now, &r); err != nil {
+		return model.Record{}, c.refuse(err)
 	}
 	e := c.newEntry(now, r)
 	e.rec.Side = split.Side(r.Key, r.Service, c.newPercent(r.Service))
@@ -46,6 +52,7 @@
 		return c.lookupFirst(e)
 	}
 	if err := c.enter(now, e); err != nil {
+		c.dropPayload(e)
 		delete(c.entries, r.Key)
 		return model.Record{}, c.refuse(err)
 	}
@@ -121,6 +128,7 @@
 	}
 	e.tasks = make([]taskRuntime, r.Tasks)
 	c.entries[r.Key] = e
+	c.takePayload(e)
 	return e
 }
 
@@ -224,7 +232,7 @@
 // yet: a successor might decide otherwise.
 func (c *Core) view(e *entry) model.Record {
 	r := copyRecord(&e.rec)
-	if r.Fate.Terminal() && e.acked < e.settleAt {
+	if e.unconfirmed() {
 		r.Fate, r.OK, r.Reason, r.Answer = model.Queued, false, "", nil
 		if !r.Started.IsZero() {
 			r.Fate = model.Running
--- /dev/null
+++ b/internal/core/scheduler/takeover_test.go
@@ -0,0 +1,84 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/membership"
+	"catkinvalve/internal/core/model"
+)
+
+// successor returns an owner of the next term with the replicated records.
+func (b *bench) successor(workers ...model.WorkerID) *bench {
+	b.t.Helper()
+	s := newStandby(b.t, workers...)
+	s.now = b.now
+	for _, r := range b.replicas {
+		s.c.Restore(s.now, r)
+	}
+	return s
+}
+
+// Guards against starts on workers whose lease the owner does not hold in its
+// second term.
+func TestNoStartWithoutLeaseInSecondTerm(t *testing.T) {
+	b := newBench(t, "w1")
+	b.c.StepDown()
+	b.serve(3)
+	b.submit("dc-a:k", "batch")
+	b.wantTask("dc-a:k", 0, model.TaskQueued)
+	assert.Equal(t, b.countStarts("dc-a:k"), 0)
+	b.grant("w1", "boot")
+	assert.Equal(t, b.countStarts("dc-a:k"), 1)
+}
+
+// Guards against a delegated request that its home forgets to follow when it
+// becomes owner again.
+func TestDelegationIsFollowedInSecondTerm(t *testing.T) {
+	b := delegated(t)
+	b.c.StepDown()
+	b.reset()
+	b.serve(3)
+	assert.Equal(t, len(b.delegations), 1)
+}
+
+// waitingForDelegation returns an owner without workers whose request dc-a:k
+// leaves for another data centre at the next tick.
+func waitingForDelegation(t *testing.T) *bench {
+	b := newBench(t)
+	b.submit("dc-a:k", "quick")
+	b.now = b.now.Add(time.Second)
+	b.c.SetRemote(b.now, dcOther, "r", membership.Load{Free: oneSlot.Times(4), LargestFree: oneSlot.Times(4), Workers: 1})
+	return b
+}
+
+// delegated returns an owner that delegated dc-a:k.
+func delegated(t *testing.T) *bench {
+	b := waitingForDelegation(t)
+	b.tick(0)
+	assert.Equal(t, len(b.delegations), 1)
+	return b
+}
+
+// Guards against running a finished task again after a takeover, when its
+// worker has forgotten it and other tasks of the request still run.
+func TestEndedTaskOfRunningRequestSurvivesTakeover(t *testing.T) {
+	for _, end := range []model.TaskState{model.TaskDone, model.TaskFailed, model.TaskStopped} {
+		b := newBench(t, "w1")
+		r := b.request("dc-a:k", "once")
+		r.Tasks = 2
+		_, err := b.c.Submit(b.now, r)
+		assert.Assert(t, err == nil, "%v", err)
+		b.run()
+		b.report("dc-a:k", 0, model.TaskRunning)
+		b.report("dc-a:k", 1, model.TaskRunning)
+		b.report("dc-a:k", 0, end)
+		s := b.successor("w1")
+		s.grant("w1", "boot", b.inventory("dc-a:k", 1, model.TaskRunning))
+		s.serve(2)
+		s.tick(time.Second)
+		assert.Equal(t, s.countStarts("dc-a:k"), 0, "after %s", end)
+	}
+}
