Give each campaign a term above the daemon's own earlier ones

Cause: after stepping down, a daemon campaigned again with the same term, so holder and term were those of its earlier leases. A start sent before could reach the worker after it had shown its inventory, and the task was placed a second time. Leases that were not yet released also counted as the new ones, so that no grant came and the campaign timed out.

Ruled out: repeated starts by the worker (it treats one ID and attempt as one). Before: the new test fails with term 1 after 1; after: it passes.

--- a/internal/core/election/election.go
+++ b/internal/core/election/election.go
@@ -92,7 +92,9 @@
 	if !in.Ready || in.Draining || !in.Candidate || in.Now.Before(e.holdOff) {
 		return None
 	}
-	e.role, e.since, e.term = Campaigning, in.Now, in.MaxTerm+1
+	// The term must also exceed the own earlier one: a start that was sent under
+	// it may still arrive, and only a new term makes the worker refuse it.
+	e.role, e.since, e.term = Campaigning, in.Now, max(in.MaxTerm, e.term)+1
 	return StartCampaign
 }
 
--- /dev/null
+++ b/internal/core/election/term_test.go
@@ -0,0 +1,26 @@
+package election
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a start of an earlier ownership that the worker accepts after
+// it showed its inventory, because both leases have the same holder and term.
+func TestEachCampaignHasANewTerm(t *testing.T) {
+	e := New(time.Second)
+	in := Input{Now: time.Unix(100, 0), Ready: true, Candidate: true}
+	var last uint64
+	for range 3 {
+		assert.Equal(t, e.Tick(in), StartCampaign)
+		assert.Assert(t, e.Term() > last, "term %d after %d", e.Term(), last)
+		last = e.Term()
+		in.Majority, in.Recovered, in.All = true, true, true
+		assert.Equal(t, e.Tick(in), StartRecovery)
+		assert.Equal(t, e.Tick(in), StartServing)
+		in.Majority = false
+		assert.Equal(t, e.Tick(in), StepDown)
+	}
+}
