--- a/internal/core/scheduler/delegate.go
+++ b/internal/core/scheduler/delegate.go
@@ -58,7 +58,7 @@
 	to := c.remote[dc]
 	to.free = to.free.Sub(it.Size)
 	e.rec.DelegatedTo = dc
-	e.tasks[it.Index].charged = it.Size
+	e.tasks[it.Index].charged, e.tasks[it.Index].startAt = it.Size, e.rec.Version+1
 	c.stat.DelegatedOut++
 	c.changed(e)
 	return true
@@ -106,7 +106,7 @@
 	if e.delegated {
 		return
 	}
-	e.delegated = true
+	e.delegated, e.tasks[0].startAt = true, 0
 	r := e.rec.Request
 	if r.IssuedAt.IsZero() || e.waitedAt.After(r.IssuedAt) {
 		// The receiver has never seen the request before this time.
@@ -156,15 +156,27 @@
 	e.rec.DelegatedTo, e.delegated = "", false
 	c.release(e, 0)
 	if e.rec.CancelRequested {
-		c.settle(now, e, model.NotRun, model.ReasonCancelled)
+		// An earlier attempt at home may have run.
+		e.rec.Tasks[0].State = model.TaskStopped
+		c.settleIfEnded(now, e)
 		return
 	}
 	c.requeue(now, e, 0, 0)
 	c.changed(e)
 }
 
+// waitsAtHome reports whether a record of an earlier owner says that its single
+// task waits at home.
+func (c *Core) waitsAtHome(e *entry) bool {
+	return (e.restored || !c.serving) && e.rec.Side == model.NewSide && e.rec.DelegatedTo == "" && !e.lookup &&
+		len(e.rec.Tasks) == 1 && e.rec.Tasks[0].State == model.TaskQueued
+}
+
 func (c *Core) cancelDelegated(now time.Time, e *entry) {
-	c.changed(e)
+	if e.tasks[0].startAt != 0 {
+		c.takeBack(now, e)
+		return
+	}
 	c.out.DelegateCancels = append(c.out.DelegateCancels, Delegation{To: e.rec.DelegatedTo, Request: e.rec.Request})
 }
 
@@ -179,7 +191,7 @@
 			"term %d of home %s is older than %d", term, home, c.homeTerm[home])
 	}
 	c.homeTerm[home] = term
-	rec, err := c.Submit(now, r)
+	rec, err := c.submit(now, r, true)
 	if err == nil {
 		if e := c.entries[r.Key]; e.home == "" {
 			e.home = home
@@ -205,9 +217,17 @@
 	return out, nil
 }
 
-// RestoreDelegated adds a request that another data centre runs for this one.
+// RestoreDelegated adds a request that another data centre runs for this one. A
+// record that does not know of the delegation yet learns of it.
 func (c *Core) RestoreDelegated(dc model.DataCentre, rec model.Record) {
-	if c.entries[rec.Request.Key] != nil {
+	if e := c.entries[rec.Request.Key]; e != nil {
+		if rec.Fate != model.NotRun && c.waitsAtHome(e) {
+			e.rec.DelegatedTo = dc
+			c.queue.Remove(rec.Request.Key)
+			if c.serving {
+				c.changed(e)
+			}
+		}
 		return
 	}
 	e := &entry{rec: copyRecord(&rec), tasks: make([]taskRuntime, len(rec.Tasks))}
@@ -216,7 +236,7 @@
 	for i := range e.rec.Tasks {
 		e.rec.Tasks[i].Worker = ""
 	}
-	c.entries[rec.Request.Key] = e
+	c.keep(e)
 	if c.serving && !rec.Fate.Terminal() {
 		c.changed(e)
 	}
--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/placement"
 	"catkinvalve/internal/fault"
 )
 
@@ -36,29 +37,59 @@
 	if c.serving {
 		if e == nil {
 			e = &entry{rec: copyRecord(&rec), tasks: make([]taskRuntime, len(rec.Tasks))}
-			c.entries[rec.Request.Key] = e
+			c.keep(e)
 			c.resume(now, e)
 		}
 		return
 	}
 	if e == nil {
-		e = &entry{rec: rec}
-		c.entries[rec.Request.Key] = e
-	} else if !rec.Newer(&e.rec) {
+		e = &entry{rec: copyRecord(&rec), tasks: make([]taskRuntime, len(rec.Tasks))}
+		c.keep(e)
+	} else if !rec.Newer(&e.rec) && !(e.unconfirmed() && rec.Term > e.rec.Term) {
 		return
 	}
+	c.replace(e, rec)
+	e.tasks = make([]taskRuntime, len(e.rec.Tasks))
+	e.acked, e.settleAt = e.rec.Version, 0
+	if rec.Fate.Terminal() {
+		e.settleAt = rec.Version
+	}
+}
+
+// keep adds a record from elsewhere to the table.
+func (c *Core) keep(e *entry) {
+	c.entries[e.rec.Request.Key] = e
+	c.takePayload(e)
+	if e.rec.Fate.Terminal() {
+		c.noteSettled(e, e.rec.Ended)
+	}
+}
+
+// replace takes over a newer version of a record. Versions from the journal
+// lack the payload.
+func (c *Core) replace(e *entry, rec model.Record) {
 	payload := e.rec.Request.Payload
+	wasTerminal := e.rec.Fate.Terminal()
+	c.forgetAnswer(e)
+	c.dropPayload(e)
 	e.rec = copyRecord(&rec)
 	if e.rec.Request.Payload == nil && !rec.Fate.Terminal() {
 		e.rec.Request.Payload = payload
 	}
-	e.tasks = make([]taskRuntime, len(e.rec.Tasks))
-	e.acked = e.rec.Version
-	if rec.Fate.Terminal() {
-		e.settleAt = rec.Version
+	c.takePayload(e)
+	switch {
+	case !rec.Fate.Terminal():
+	case wasTerminal:
+		c.mem.answerBytes += len(e.rec.Answer)
+	default:
+		c.noteSettled(e, rec.Ended)
 	}
 }
 
+// unconfirmed reports whether the final fate may be missing at the standbys. No
+// caller was told it, so another owner may have decided otherwise.
+func (e *entry) unconfirmed() bool { return e.rec.Fate.Terminal() && e.acked < e.settleAt }
+
 // Serve makes the core the owner's. All records and inventories that can be
 // had are in place; what they leave open puts the data centre in doubt.
 func (c *Core) Serve(now time.Time, r Recovery) {
@@ -91,23 +122,29 @@
 // resume continues a restored request.
 func (c *Core) resume(now time.Time, e *entry) {
 	if e.rec.Fate.Terminal() {
-		c.settled = append(c.settled, settledKey{e.rec.Request.Key, e.rec.Ended})
+		if e.unconfirmed() {
+			c.changed(e)
+			e.settleAt = e.rec.Version
+			c.journal(e)
+		}
 		return
 	}
 	if home := c.Home(e.rec.Request.Key); home != c.cfg.DataCentre {
 		e.home = home
 	}
-	e.standing = c.isStanding(e.rec.Request.Key)
+	e.standing, e.restored = c.isStanding(e.rec.Request.Key), true
 	c.changed(e)
 	switch {
 	case e.rec.Side == model.OldSide:
-		e.rec.Tasks[0].State = model.TaskQueued
+		e.rec.Tasks[0].State, e.maybeOld = model.TaskQueued, true
+		if e.rec.CancelRequested {
+			c.askOld(e)
+		}
 		return
 	case e.rec.DelegatedTo != "":
 		return
-	case e.untouched() && c.shares.NeedsLookup(e.rec.Request.Key, e.rec.Request.Service):
-		e.lookup = true
-		c.out.OldLookups = append(c.out.OldLookups, e.rec.Request.Key)
+	case e.untouched() && c.carried.NeedsLookup(now, e.rec.Request.Key, e.rec.Request.Service):
+		c.askOld(e)
 		return
 	}
 	gangQueued := false
@@ -121,6 +158,7 @@
 			c.resumeAssigned(now, e, i)
 		}
 	}
+	c.settleIfEnded(now, e)
 }
 
 // untouched reports whether no task was ever assigned to a worker.
@@ -154,10 +192,15 @@
 // StepDown stops all deciding. The records stay as a replica.
 func (c *Core) StepDown() {
 	c.serving, c.doubt = false, nil
-	c.out = Actions{}
+	c.out, c.due = Actions{}, nil
 	c.BeginCampaign()
 	for id, w := range c.workers {
 		w.leased = false
+		if w.probing {
+			w.probing = false
+			c.health.EndProbe(id)
+		}
+		c.index.SetState(id, placement.NotLeased)
 		for _, t := range c.index.Tasks(id) {
 			c.index.Release(t)
 		}
@@ -169,7 +212,7 @@
 			}
 		}
 		e.tasks = make([]taskRuntime, len(e.rec.Tasks))
-		e.preempting, e.lookup = false, false
+		e.preempted, e.lookup, e.delegated = time.Time{}, false, false
 		c.queue.Remove(e.rec.Request.Key)
 	}
 }
@@ -232,6 +275,23 @@
 	return false
 }
 
+// mayHaveStarted reports whether a request that waits by its record may have
+// been started by an earlier owner whose last records are lost.
+func (c *Core) mayHaveStarted(e *entry) bool { return c.doubt != nil && e.restored }
+
+// held reports whether a restored request has to wait for the sources that are
+// still missing. A forgotten attempt of an idempotent one has ended after the
+// task grace.
+func (c *Core) held(now time.Time, e *entry) bool {
+	return c.mayHaveStarted(e) && !(e.rec.Request.Idempotent && c.doubt.graceOver(now, c.cfg))
+}
+
+// graceOver reports whether workers that no owner leased since the takeover
+// have stopped their tasks.
+func (d *doubt) graceOver(now time.Time, cfg Config) bool {
+	return now.Sub(d.since) > cfg.LeaseTTL+cfg.TaskGrace+lostMargin
+}
+
 // checkDoubt refuses a new key that may have run before the data centre lost
 // its records. Requests issued after the loss cannot have.
 func (c *Core) checkDoubt(now time.Time, r model.Request) *fault.Error {
@@ -239,7 +299,7 @@
 	if d == nil || (!r.IssuedAt.IsZero() && r.IssuedAt.After(d.since)) {
 		return nil
 	}
-	if r.Idempotent && now.Sub(d.since) > c.cfg.LeaseTTL+c.cfg.TaskGrace+lostMargin {
+	if r.Idempotent && d.graceOver(now, c.cfg) {
 		return nil
 	}
 	return fault.New(fault.FateInDoubt,
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -22,6 +22,9 @@
 		c.early = append(c.early, earlyReport{w, ev})
 		return
 	}
+	if ev.State.Final() {
+		c.releaseLeftover(w, ev.ID, ev.Attempt)
+	}
 	e := c.entries[ev.ID.Key]
 	if e == nil || ev.ID.Index < 0 || ev.ID.Index >= len(e.rec.Tasks) {
 		c.stat.StaleAnswers++
@@ -50,6 +53,7 @@
 	if t := &e.rec.Tasks[index]; t.State == model.TaskStarting {
 		t.State = model.TaskRunning
 		e.tasks[index].began = now
+		c.watchDeadline(e)
 	}
 	c.markRunning(now, e)
 }
@@ -74,6 +78,7 @@
 		t.State, t.Answer = model.TaskDone, ev.Answer
 		if e.standing && !e.rec.CancelRequested {
 			c.requeue(now, e, ev.ID.Index, c.backoff.Delay(1, c.random))
+			c.changed(e)
 			return
 		}
 		c.settleIfEnded(now, e)
@@ -84,15 +89,18 @@
 	c.endProbe(now, t.Worker)
 	c.updateHealth(now)
 	t.State, t.Answer = model.TaskFailed, ev.Answer
-	if c.mayRetry(now, e, t.Attempt) {
+	e.tasks[ev.ID.Index].failures++
+	if c.mayRetry(now, e, e.tasks[ev.ID.Index].failures) && (e.standing || c.budget.Allow(e.rec.Request.Team)) {
 		c.retry(now, e, ev.ID.Index)
 		return
 	}
 	c.settleIfEnded(now, e)
 }
 
-// mayRetry reports whether a task that ended badly may run again.
-func (c *Core) mayRetry(now time.Time, e *entry, attempts int) bool {
+// mayRetry reports whether a task that ended badly may run again. Work lost
+// with its worker is not charged to the retry budget: a rack's failure must not
+// use it up, and no load can cause it.
+func (c *Core) mayRetry(now time.Time, e *entry, failures int) bool {
 	r := &e.rec.Request
 	if e.rec.CancelRequested || e.rec.Fate.Terminal() {
 		return false
@@ -100,31 +108,38 @@
 	if e.standing {
 		return true
 	}
-	if !r.Idempotent || attempts >= max(c.text.Retry.MaxAttempts, 1) || c.health.Parked(r.Key) {
+	if !r.Idempotent || failures >= max(c.text.Retry.MaxAttempts, 1) || c.health.Parked(r.Key) {
 		return false
 	}
 	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
 		return false
 	}
-	return c.budget.Allow(r.Team)
+	return true
 }
 
 func (c *Core) retry(now time.Time, e *entry, index int) {
 	c.stat.Retried++
-	c.requeue(now, e, index, c.backoff.Delay(e.rec.Tasks[index].Attempt, c.random))
+	c.requeue(now, e, index, c.backoff.Delay(e.tasks[index].failures, c.random))
 	c.changed(e)
 }
 
+// taskStopped handles a stop that the worker confirmed. Without a cancellation
+// it was a preemption or a drain, possibly of an earlier owner, or the worker
+// stopped the task because no owner renewed its lease.
 func (c *Core) taskStopped(now time.Time, e *entry, index int) {
 	c.markRunning(now, e)
-	again := e.tasks[index].requeue
+	again := e.standing || e.rec.Request.Idempotent
 	c.endProbe(now, e.rec.Tasks[index].Worker)
 	c.release(e, index)
 	e.rec.Tasks[index].State = model.TaskStopped
-	if !e.rec.CancelRequested && (again || e.standing) {
+	switch {
+	case e.ended():
+	case again:
 		c.requeue(now, e, index, 0)
 		c.changed(e)
 		return
+	default:
+		e.rec.Tasks[index].State = model.TaskLost
 	}
 	c.settleIfEnded(now, e)
 }
@@ -144,6 +159,7 @@
 }
 
 func (c *Core) notStarted(now time.Time, e *entry, index int) {
+	c.stat.NotStarted++
 	c.endProbe(now, e.rec.Tasks[index].Worker)
 	c.release(e, index)
 	t := &e.rec.Tasks[index]
@@ -159,23 +175,26 @@
 
 // taskLost handles a task whose worker is gone.
 func (c *Core) taskLost(now time.Time, e *entry, index int) {
+	c.stat.Lost++
 	c.markRunning(now, e)
 	c.release(e, index)
 	t := &e.rec.Tasks[index]
 	t.State = model.TaskLost
-	if c.mayRetry(now, e, t.Attempt) {
+	e.tasks[index].failures++
+	if c.mayRetry(now, e, e.tasks[index].failures) {
 		c.retry(now, e, index)
 		return
 	}
 	c.settleIfEnded(now, e)
 }
 
-// settleIfEnded gives the request its final fate once all tasks have ended.
+// settleIfEnded gives the request its final fate once all tasks have ended. A
+// gang with a task that has to run again goes back to the queue instead.
 func (c *Core) settleIfEnded(now time.Time, e *entry) {
 	if e.rec.Fate.Terminal() {
 		return
 	}
-	var done, failed, lost, stopped, size int
+	var done, failed, lost, stopped, waiting, held, size int
 	for i := range e.rec.Tasks {
 		t := &e.rec.Tasks[i]
 		switch t.State {
@@ -187,14 +206,28 @@
 			lost++
 		case model.TaskStopped:
 			stopped++
+		case model.TaskQueued:
+			waiting++
 		default:
-			return
+			held++
 		}
 		size += len(t.Answer)
 	}
+	if waiting > 0 && held == 0 && e.rec.Request.Class == model.AllAtOnce {
+		c.requeue(now, e, 0, 0)
+		if !e.rec.Fate.Terminal() {
+			c.changed(e)
+		}
+		return
+	}
+	if waiting+held > 0 {
+		// Workers forget ended tasks after a while, so the standbys have to know.
+		c.changed(e)
+		return
+	}
 	e.rec.Answer = joinAnswers(e.rec.Tasks, size)
 	switch {
-	case lost > 0:
+	case lost > 0, e.rec.Started.IsZero() && c.mayHaveStarted(e):
 		c.settle(now, e, model.Unknown, model.ReasonWorkerLost)
 	case e.rec.Started.IsZero():
 		c.settle(now, e, model.NotRun, e.reasonOr(model.ReasonCancelled))
@@ -237,11 +270,10 @@
 	c.queue.Remove(e.rec.Request.Key)
 	c.health.ForgetKey(e.rec.Request.Key)
 	e.rec.Fate, e.rec.Reason, e.rec.Ended = f, reason, now
-	e.rec.Request.Payload = nil
 	c.changed(e)
 	e.settleAt = e.rec.Version
 	c.journal(e)
-	c.settled = append(c.settled, settledKey{e.rec.Request.Key, now})
+	c.noteSettled(e, now)
 	if e.standing {
 		c.dirty = true
 	}
@@ -287,20 +319,28 @@
 		return
 	}
 	e.rec.CancelRequested = true
-	if e.rec.Side == model.OldSide {
+	switch {
+	case e.lookup:
+		// The old system may have run the key; its answer decides.
+	case e.rec.Side == model.OldSide:
 		c.cancelOld(now, e)
-		return
-	}
-	if e.rec.DelegatedTo != "" {
+	case e.rec.DelegatedTo != "":
 		c.cancelDelegated(now, e)
-		return
+	default:
+		c.cancelTasks(now, e)
 	}
+	if !e.rec.Fate.Terminal() {
+		c.changed(e)
+	}
+}
+
+// cancelTasks stops what may have started and drops the rest.
+func (c *Core) cancelTasks(now time.Time, e *entry) {
 	for i := range e.rec.Tasks {
 		t := &e.rec.Tasks[i]
 		if t.State.HoldsWorker() && e.tasks[i].startAt == 0 && t.State != model.TaskStopping {
-			c.stopTask(e, i, StopNow, false)
+			c.stopTask(e, i, StopNow)
 		}
-		e.tasks[i].requeue = false
 	}
 	c.dropWaiting(now, e, model.ReasonCancelled)
 }
--- a/internal/core/scheduler/schedule.go
+++ b/internal/core/scheduler/schedule.go
@@ -13,11 +13,23 @@
 type gangHold struct {
 	key     string
 	start   time.Time
+	expires time.Time
 	workers map[model.WorkerID]bool
 }
 
 func (c *Core) need(r *model.Request) placement.Need {
-	return placement.Need{Class: r.Class, Service: r.Service, Size: c.sizes.Plan(r.Service, r.Size)}
+	return placement.Need{Class: r.Class, Service: r.Service, Size: c.planned(r)}
+}
+
+// planned returns the size to reserve for a task. An estimate must not turn a
+// request that fits a worker into one that never does; a request that is
+// declared too large is not cut down to fit.
+func (c *Core) planned(r *model.Request) model.Size {
+	p := c.sizes.Plan(r.Service, r.Size)
+	if r.Size.Fits(c.largest) {
+		p = p.Min(c.largest)
+	}
+	return p
 }
 
 // Schedule places what can start now. It is cheap when nothing changed.
@@ -26,13 +38,15 @@
 		return
 	}
 	c.dirty = false
-	c.hold = gangHold{}
+	if now.After(c.hold.expires) {
+		c.hold = gangHold{}
+	}
 	c.queue.Next(now, func(it queue.Item) queue.Verdict { return c.try(now, it) })
 }
 
 func (c *Core) try(now time.Time, it queue.Item) queue.Verdict {
 	e := c.entries[it.Key]
-	if e == nil || e.rec.Fate.Terminal() || e.rec.DelegatedTo != "" {
+	if e == nil || e.rec.Fate.Terminal() || e.rec.DelegatedTo != "" || c.held(now, e) {
 		return queue.Skip
 	}
 	if it.Class == model.AllAtOnce {
@@ -65,10 +79,17 @@
 	for i, w := range workers {
 		c.assign(now, e, i, w, n)
 	}
+	if c.hold.key == it.Key {
+		c.hold = gangHold{}
+	}
 	c.placed(e)
 	return queue.Placed
 }
 
+// holdInterval is how long an estimate is used. The estimate visits all tasks of
+// the data centre, so it must not be made in every step.
+const holdInterval = 200 * time.Millisecond
+
 // holdFor records when the gang can start, so that backfill does not delay it.
 func (c *Core) holdFor(now time.Time, e *entry, n placement.Need, tasks int) {
 	if c.hold.key != "" {
@@ -78,7 +99,9 @@
 	if !ok {
 		return
 	}
-	c.hold = gangHold{key: e.rec.Request.Key, start: start, workers: make(map[model.WorkerID]bool, len(workers))}
+	c.hold = gangHold{
+		key: e.rec.Request.Key, start: start, expires: now.Add(holdInterval), workers: make(map[model.WorkerID]bool, len(workers)),
+	}
 	for _, w := range workers {
 		c.hold.workers[w] = true
 	}
@@ -136,7 +159,7 @@
 
 // placed publishes the new assignment to the standbys.
 func (c *Core) placed(e *entry) {
-	e.preempting = false
+	e.preempted = time.Time{}
 	c.changed(e)
 }
 
@@ -166,19 +189,23 @@
 	}
 }
 
+// preemptPause is the wait for the room of stopped tasks before more are
+// stopped. Urgent work has to start within 9.5 s even if others take the room.
+const preemptPause = 3 * time.Second
+
 // preempt stops batch tasks by checkpoint to make room for urgent work.
 func (c *Core) preempt(now time.Time, e *entry, n placement.Need) {
-	if e.preempting || n.Class == model.Batch {
+	if now.Sub(e.preempted) < preemptPause || n.Class == model.Batch {
 		return
 	}
 	victims, _, ok := c.index.Preempt(n, c.preemptible)
 	if !ok {
 		return
 	}
-	e.preempting = true
+	e.preempted = now
 	for _, id := range victims {
 		c.stat.Preempted++
-		c.stopTask(c.entries[id.Key], id.Index, StopCheckpoint, true)
+		c.stopTask(c.entries[id.Key], id.Index, StopCheckpoint)
 	}
 }
 
@@ -190,10 +217,9 @@
 }
 
 // stopTask asks the worker to end a running task.
-func (c *Core) stopTask(e *entry, index int, mode StopMode, requeue bool) {
+func (c *Core) stopTask(e *entry, index int, mode StopMode) {
 	t := &e.rec.Tasks[index]
 	t.State = model.TaskStopping
-	e.tasks[index].requeue = requeue
 	c.out.stop(t.Worker, Stop{ID: model.TaskID{Key: e.rec.Request.Key, Index: index}, Attempt: t.Attempt, Mode: mode})
 }
 
@@ -205,28 +231,20 @@
 		c.queue.Refund(e.rec.Request.Team, rt.charged)
 		rt.charged = model.Size{}
 	}
-	rt.startAt, rt.requeue = 0, false
+	rt.startAt = 0
 	c.dirty = true
 }
 
 // requeue puts a task that has to run again back into the queue. A gang goes
-// back as a whole, once none of its tasks holds a worker.
+// back as a whole.
 func (c *Core) requeue(now time.Time, e *entry, index int, wait time.Duration) {
 	e.rec.Tasks[index].State = model.TaskQueued
 	e.rec.Tasks[index].Worker = ""
 	if e.rec.Request.Class == model.AllAtOnce {
-		index = 0
-		for i := range e.rec.Tasks {
-			if e.rec.Tasks[i].State.HoldsWorker() {
-				if e.rec.Tasks[i].State != model.TaskStopping {
-					c.stopTask(e, i, StopCheckpoint, true)
-				}
-				return
-			}
-		}
-		for i := range e.rec.Tasks {
-			e.rec.Tasks[i].State = model.TaskQueued
+		if !c.gatherGang(now, e) {
+			return
 		}
+		index = 0
 	}
 	it := c.item(now, e, index)
 	it.Enqueued = e.rec.Accepted
@@ -237,6 +255,41 @@
 	c.dirty = true
 }
 
+// gatherGang prepares a gang to start again and reports whether it can. It
+// first stops all tasks that hold a worker; the gang goes back to the queue
+// with the last of them. A non-idempotent gang of which something ran ends.
+func (c *Core) gatherGang(now time.Time, e *entry) bool {
+	held := false
+	for i := range e.rec.Tasks {
+		switch t := &e.rec.Tasks[i]; {
+		case t.State == model.TaskStarting && e.tasks[i].startAt != 0:
+			// The start was not sent, so no worker would confirm a stop.
+			c.release(e, i)
+			t.State, t.Worker = model.TaskQueued, ""
+		case t.State.HoldsWorker():
+			held = true
+			if t.State != model.TaskStopping {
+				c.stopTask(e, i, StopCheckpoint)
+			}
+		}
+	}
+	if held {
+		return false
+	}
+	again := e.rec.Request.Idempotent || e.rec.Started.IsZero()
+	for i := range e.rec.Tasks {
+		if t := &e.rec.Tasks[i]; again {
+			t.State, t.Worker, t.Answer = model.TaskQueued, "", nil
+		} else if t.State == model.TaskQueued {
+			t.State = model.TaskLost
+		}
+	}
+	if !again {
+		c.settleIfEnded(now, e)
+	}
+	return again
+}
+
 // updateHealth moves workers in and out of quarantine.
 func (c *Core) updateHealth(now time.Time) {
 	for _, w := range c.health.Changed(now) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -108,6 +108,7 @@
 		controls: ring.New[message]("control", controlRingSize, deps.Registry),
 	}
 	d.state.Store(&state{})
+	d.exportState()
 	d.journal, d.replicator, d.delegator = newJournal(d), newReplicator(d), newDelegator(d)
 	d.old = newOldForwarder(d, deps.Old)
 	if err := d.newServers(deps); err != nil {
@@ -129,7 +130,7 @@
 	}
 	d.peers = peerrpc.NewClient(opts)
 	var err error
-	if d.peerSrv, err = peerrpc.NewServer(&peerService{d: d}, serverOpts); err != nil {
+	if d.peerSrv, err = peerrpc.NewServer(&peerService{d: d, snapshots: map[string]fenceReply{}}, serverOpts); err != nil {
 		return err
 	}
 	d.httpSrv = httpapi.New(d, httpapi.Options{
