--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -66,6 +66,9 @@
 	if o.Outcome.Err != "" {
 		result = string(o.Outcome.Err)
 	}
+	if len(o.Outcome.Answer) > 0 {
+		result += fmt.Sprintf(" %.200q", o.Outcome.Answer)
+	}
 	return fmt.Sprintf("%s-%s %s %s %s", o.Call.Round(time.Millisecond), end, o.Kind, o.Daemon, result)
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -55,7 +55,7 @@
 // check returns every violation, ordered by promise and key.
 func check(e evidence) []Violation {
 	var mu sync.Mutex
-	out := append(checkWorkers(e.fleets), checkConfig(e.config)...)
+	out := append(checkWorkers(e.fleets, repeated(e.starts)), checkConfig(e.config)...)
 	workers := pool.New().WithMaxGoroutines(runtime.GOMAXPROCS(0))
 	for key, r := range e.requests {
 		workers.Go(func() {
@@ -133,11 +133,27 @@
 	return slices.ContainsFunc(st.Tasks, func(t api.TaskStatus) bool { return e.crashed[t.Worker] })
 }
 
-func checkWorkers(fleets map[string]platform.FleetStats) []Violation {
+// repeated lists the tasks that were started more than once, as the candidates
+// of a count that does not tell the task.
+func repeated(starts map[string]map[string]int) []string {
+	var out []string
+	for key, tasks := range starts {
+		for id, n := range tasks {
+			if n > 1 && id != "old" {
+				out = append(out, key)
+				break
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func checkWorkers(fleets map[string]platform.FleetStats, candidates []string) []Violation {
 	var out []Violation
 	for dc, f := range fleets {
 		if f.ConcurrentRuns > 0 {
-			out = append(out, Violation{Promise: promiseOnePlace, Key: dc, Detail: fmt.Sprintf("%d starts of a running task", f.ConcurrentRuns)})
+			out = append(out, Violation{Promise: promiseOnePlace, Key: dc, Detail: fmt.Sprintf("%d starts of a running task, among %v", f.ConcurrentRuns, candidates)})
 		}
 		for id, w := range f.Workers {
 			if w.Overloads > 0 {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -154,7 +154,12 @@
 			return log(platform.GateFault{DelayMS: &ms})
 		})
 	case LogLost:
-		return log(platform.GateFault{LoseNextAnswers: &lost})
+		return in.during(ctx, f, func(on bool) error {
+			if !on {
+				lost = 0
+			}
+			return log(platform.GateFault{LoseNextAnswers: &lost})
+		})
 	case ListLag:
 		return in.during(ctx, f, func(on bool) error {
 			ms := zero
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -13,7 +13,7 @@
 
 // Bounds of the printed evidence.
 const (
-	maxPrinted    = 12 // violations with a history
+	maxPrinted    = 3  // violations of one promise with a history
 	maxPrintedOps = 40 // operations of one key
 )
 
@@ -42,9 +42,10 @@
 	printCounts(w, "fates", r.Fates)
 	printCounts(w, "refused keys", r.Refused)
 	printCounts(w, "failed calls", r.Errors)
-	for i, v := range r.Violations {
+	printed := map[string]int{}
+	for _, v := range r.Violations {
 		fmt.Fprintf(w, "VIOLATION: %s: %s: %s\n", v.Promise, v.Key, v.Detail)
-		if i < maxPrinted {
+		if printed[v.Promise]++; printed[v.Promise] <= maxPrinted {
 			printOps(w, v.Ops)
 		}
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -87,8 +87,9 @@
 	// conflictMargin separates faults that must not act together.
 	conflictMargin = time.Second
 	// journalMargin is the time in which a record may be in the memory of the
-	// daemons only: the journal appends once a second.
-	journalMargin = 3 * time.Second
+	// daemons only: the journal appends 64 KiB once a second, and what waited
+	// during a fault of the log needs some seconds.
+	journalMargin = 5 * time.Second
 )
 
 // NewSchedule returns the faults of a run in order of time. It depends on the
