--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -178,6 +178,7 @@
 	ReasonRetryBudget    Reason = "retry_budget_exhausted"
 	ReasonWorkerLost     Reason = "worker_lost"
 	ReasonNotAccepted    Reason = "not_accepted_by_worker"
+	ReasonPayloadLost    Reason = "payload_lost"
 	ReasonOldUnavailable Reason = "old_system_unavailable"
 )
 
@@ -267,6 +268,9 @@
 	Ended    time.Time `json:"ended"`
 	// CancelRequested is set once a caller asked to stop the request.
 	CancelRequested bool `json:"cancel_requested,omitempty"`
+	// PayloadMissing is set on a record rebuilt from an inventory or the journal,
+	// which do not keep payloads. Such a request cannot start again.
+	PayloadMissing bool `json:"payload_missing,omitempty"`
 	// DelegatedTo is the data centre that runs the request for its home.
 	DelegatedTo DataCentre `json:"delegated_to,omitempty"`
 }
--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -74,8 +74,11 @@
 	remote   map[model.DataCentre]*remoteLoad
 
 	serving bool
-	term    uint64
-	doubt   *doubt
+	// adopting is set while a new owner merges inventories. No request may be
+	// started again before all of them were seen.
+	adopting bool
+	term     uint64
+	doubt    *doubt
 	// dirty is set when something changed that may let a waiting task start.
 	dirty bool
 	// holds protects the estimated start of the oldest waiting gang.
@@ -235,6 +238,7 @@
 // the journal only has to answer for fates.
 func (c *Core) journal(e *entry) {
 	r := copyRecord(&e.rec)
+	r.PayloadMissing = r.PayloadMissing || len(r.Request.Payload) > 0
 	r.Request.Payload = nil
 	c.out.Journal = append(c.out.Journal, r)
 }
--- /dev/null
+++ b/internal/core/scheduler/rebuilt.go
@@ -0,0 +1,47 @@
+package scheduler
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// restorePayload completes a rebuilt record from a caller's repeated submission.
+func (c *Core) restorePayload(e *entry, r model.Request) {
+	if !e.rec.PayloadMissing || e.rec.Fate.Terminal() {
+		return
+	}
+	e.rec.PayloadMissing = false
+	e.rec.Request.Payload, e.rec.Request.Fingerprint = r.Payload, r.Fingerprint
+	c.takePayload(e)
+	c.changed(e)
+}
+
+// giveUpRebuilt ends a task that would have to start again without its payload.
+func (c *Core) giveUpRebuilt(now time.Time, e *entry, index int) {
+	t := &e.rec.Tasks[index]
+	t.State, t.Worker = model.TaskLost, ""
+	if e.rec.Started.IsZero() {
+		t.State = model.TaskStopped
+	}
+	e.rec.Reason = model.ReasonPayloadLost
+	c.settleIfEnded(now, e)
+}
+
+// resolveRebuilt decides about rebuilt requests whose tasks no inventory lists,
+// once every worker has shown its own.
+func (c *Core) resolveRebuilt(now time.Time) {
+	if !c.serving || c.adopting || c.unleased() {
+		return
+	}
+	for _, e := range c.entries {
+		if !e.rec.PayloadMissing || e.rec.Fate.Terminal() || e.rec.DelegatedTo != "" || e.rec.Side == model.OldSide {
+			continue
+		}
+		for i := range e.rec.Tasks {
+			if e.rec.Tasks[i].State == model.TaskQueued && !e.rec.Fate.Terminal() {
+				c.giveUpRebuilt(now, e, i)
+			}
+		}
+	}
+}
--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -105,9 +105,11 @@
 		w.contact = now
 	}
 	c.demand.reset(now)
+	c.adopting = true
 	for _, g := range c.grants {
 		c.takeOver(now, g)
 	}
+	c.adopting = false
 	for _, e := range c.entries {
 		c.resume(now, e)
 	}
@@ -115,6 +117,7 @@
 		c.TaskReported(now, r.worker, r.event)
 	}
 	c.BeginCampaign()
+	c.resolveRebuilt(now)
 	c.refreshDoubt(now)
 	c.syncServices(now)
 	c.dirty = true
@@ -152,6 +155,8 @@
 	for i := range e.rec.Tasks {
 		t := &e.rec.Tasks[i]
 		switch {
+		case t.State == model.TaskQueued && e.rec.PayloadMissing && c.unleased():
+			// The inventory of another worker may still list it.
 		case t.State == model.TaskQueued && !gangQueued:
 			gangQueued = e.rec.Request.Class == model.AllAtOnce
 			c.requeue(now, e, i, 0)
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -213,6 +213,10 @@
 		}
 		size += len(t.Answer)
 	}
+	if waiting > 0 && (c.adopting || e.rec.PayloadMissing) {
+		// Another inventory may still list the tasks that seem to wait.
+		return
+	}
 	if waiting > 0 && held == 0 && e.rec.Request.Class == model.AllAtOnce {
 		c.requeue(now, e, 0, 0)
 		if !e.rec.Fate.Terminal() {
@@ -228,7 +232,7 @@
 	e.rec.Answer = joinAnswers(e.rec.Tasks, size)
 	switch {
 	case lost > 0:
-		c.settle(now, e, model.Unknown, model.ReasonWorkerLost)
+		c.settle(now, e, model.Unknown, e.reasonOr(model.ReasonWorkerLost))
 	case e.rec.Started.IsZero():
 		c.settle(now, e, model.NotRun, e.reasonOr(model.ReasonCancelled))
 	case stopped > 0:
--- a/internal/core/scheduler/schedule.go
+++ b/internal/core/scheduler/schedule.go
@@ -178,7 +178,7 @@
 		rt.startAt = 0
 		c.stat.Started++
 		r := &e.rec.Request
-		if !r.Idempotent {
+		if !r.Idempotent || r.Tasks > 1 {
 			c.journal(e)
 		}
 		c.out.start(t.Worker, Start{
@@ -244,6 +244,10 @@
 // requeue puts a task that has to run again back into the queue. A gang goes
 // back as a whole.
 func (c *Core) requeue(now time.Time, e *entry, index int, wait time.Duration) {
+	if e.rec.PayloadMissing {
+		c.giveUpRebuilt(now, e, index)
+		return
+	}
 	e.rec.Tasks[index].State = model.TaskQueued
 	e.rec.Tasks[index].Worker = ""
 	if e.rec.Request.Class == model.AllAtOnce {
--- a/internal/core/scheduler/submit.go
+++ b/internal/core/scheduler/submit.go
@@ -72,6 +72,7 @@
 			"use a new key for a new request, or repeat the original one unchanged",
 			"key %q was used with another request", r.Key)
 	}
+	c.restorePayload(e, r)
 	return c.view(e), nil
 }
 
--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -31,6 +31,7 @@
 	}
 	c.health.SetWorkers(len(c.workers))
 	c.updateCapacityKnown(now)
+	c.resolveRebuilt(now)
 	c.refreshDoubt(now)
 }
 
@@ -137,6 +138,7 @@
 	c.reconcileMissing(now, g.Worker, listed)
 	c.setState(now, g.Worker)
 	c.updateCapacityKnown(now)
+	c.resolveRebuilt(now)
 	c.refreshDoubt(now)
 }
 
@@ -200,6 +202,8 @@
 	if home := c.Home(t.ID.Key); home != c.cfg.DataCentre {
 		e.home = home
 	}
+	e.standing = c.isStanding(t.ID.Key)
+	e.rec.PayloadMissing = !e.standing
 	return e
 }
 
--- a/internal/daemon/oldsystem.go
+++ b/internal/daemon/oldsystem.go
@@ -102,6 +102,20 @@
 	})
 }
 
+// remembered returns a record of a key that only the old system knows.
+func (o *oldForwarder) remembered(ctx context.Context, key string) (model.Record, bool) {
+	if o.sys == nil {
+		return model.Record{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, oldAskTimeout)
+	defer cancel()
+	st, err := o.sys.Lookup(ctx, key)
+	if err != nil || !st.Known {
+		return model.Record{}, false
+	}
+	return model.Record{Request: model.Request{Key: key}, Side: model.OldSide, Fate: st.Fate, OK: st.OK, Answer: st.Answer}, true
+}
+
 func (o *oldForwarder) lookup(key string) {
 	o.do(func(ctx context.Context) {
 		if o.sys == nil {
--- a/internal/daemon/route.go
+++ b/internal/daemon/route.go
@@ -232,13 +232,26 @@
 func (d *Daemon) fateCall(key string, wait time.Duration) call {
 	return call{
 		key:   key,
-		local: func(ctx context.Context) answer { return d.localFate(ctx, key, wait) },
+		local: func(ctx context.Context) answer { return d.fateOrOld(ctx, key, wait) },
 		remote: func(ctx context.Context, to peerrpc.Target) (*peerpb.RecordResponse, error) {
 			return d.peers.Fate(ctx, to, &peerpb.FateRequest{Key: key, WaitMs: max(0, wait.Milliseconds())})
 		},
 	}
 }
 
+// fateOrOld asks the owner loop, and the old system about a key that is not
+// known here: its own memory outlives the daemons.
+func (d *Daemon) fateOrOld(ctx context.Context, key string, wait time.Duration) answer {
+	a := d.localFate(ctx, key, wait)
+	if a.fault == nil || a.fault.Kind != fault.NotFound {
+		return a
+	}
+	if rec, ok := d.old.remembered(ctx, key); ok {
+		return answer{rec: rec}
+	}
+	return a
+}
+
 // localFate asks the owner loop and waits for a final fate up to wait.
 func (d *Daemon) localFate(ctx context.Context, key string, wait time.Duration) answer {
 	if wait <= 0 {
--- a/internal/peerpb/convert.go
+++ b/internal/peerpb/convert.go
@@ -129,6 +129,7 @@
 
 		CancelRequested: r.CancelRequested,
 		AnswerDropped:   r.AnswerDropped,
+		PayloadMissing:  r.PayloadMissing,
 	}
 	for i := range r.Tasks {
 		p.Tasks = append(p.Tasks, TaskRecordToProto(&r.Tasks[i]))
@@ -166,6 +167,7 @@
 
 		CancelRequested: p.GetCancelRequested(),
 		AnswerDropped:   p.GetAnswerDropped(),
+		PayloadMissing:  p.GetPayloadMissing(),
 	}, nil
 }
 
--- a/internal/peerpb/convert_test.go
+++ b/internal/peerpb/convert_test.go
@@ -51,7 +51,7 @@
 			Request: genRequest.Draw(t, "request"),
 			Side:    rapid.SampledFrom([]model.Side{model.NewSide, model.OldSide}).Draw(t, "side"),
 			Fate:    rapid.SampledFrom([]model.Fate{model.Queued, model.Done, model.Unknown}).Draw(t, "fate"),
-			OK:      rapid.Bool().Draw(t, "ok"), CancelRequested: rapid.Bool().Draw(t, "cancel"), AnswerDropped: rapid.Bool().Draw(t, "dropped"), Reason: model.Reason(genName.Draw(t, "reason")),
+			OK:      rapid.Bool().Draw(t, "ok"), CancelRequested: rapid.Bool().Draw(t, "cancel"), AnswerDropped: rapid.Bool().Draw(t, "dropped"), PayloadMissing: rapid.Bool().Draw(t, "missing"), Reason: model.Reason(genName.Draw(t, "reason")),
 			Answer: genBytes.Draw(t, "answer"), Term: rapid.Uint64().Draw(t, "term"), Version: rapid.Uint64().Draw(t, "version"),
 			Accepted: genTime.Draw(t, "accepted"), Started: genTime.Draw(t, "started"), Ended: genTime.Draw(t, "ended"),
 			DelegatedTo: model.DataCentre(genName.Draw(t, "delegated")),
