--- a/test/scenarios/faults_test.go
+++ b/test/scenarios/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"regexp"
 	"slices"
 	"strconv"
 	"syscall"
@@ -127,6 +128,21 @@
 	ts.Check(w.cluster.Fault(w.ctx, w.cluster.Log.Admin, f))
 }
 
+// cmdWaitLog waits until a record of a stream matches a regular expression:
+// wait-log STREAM REGEXP.
+func cmdWaitLog(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	want, err := regexp.Compile(args[1])
+	ts.Check(err)
+	ts.Check(testbed.WaitFor(w.ctx, waitLimit, args[1]+" in stream "+args[0], func() bool {
+		var page platform.ReadReply
+		err := w.cluster.Admin(w.ctx, "GET", w.cluster.Log.Listen, "/v1/streams/"+args[0]+"?from=0&max=1000", nil, &page)
+		return err == nil && slices.ContainsFunc(page.Records, func(r platform.LogRecord) bool {
+			return want.Match(r.Data)
+		})
+	}))
+}
+
 func gateFault(ts *testscript.TestScript, args []string) platform.GateFault {
 	var f platform.GateFault
 	if len(args) != 2 {
--- a/test/scenarios/requests_test.go
+++ b/test/scenarios/requests_test.go
@@ -21,6 +21,7 @@
 	run, deadline := f.Duration("run", 300*time.Millisecond, ""), f.Duration("deadline", 0, "")
 	tasks := f.Int("tasks", 1, "")
 	bg, once := f.Bool("bg", false, ""), f.Bool("once", false, "")
+	limit := f.Duration("limit", waitLimit, "")
 	keys := parse(ts, f, args)
 	*via = w.via(ts, *via)
 	for _, key := range keys {
@@ -33,10 +34,15 @@
 			ts.Fatalf("no daemon is named %q", *via)
 		}
 		if *bg {
-			w.group.Go(func() { _ = w.submit(req, *service != "slot", *via, waitLimit, *once) })
+			// Counted before the goroutine runs, so that told waits for it.
+			t := w.callers.begin(req, *service != "slot")
+			w.group.Go(func() {
+				defer w.callers.end(t)
+				_ = w.submit(req, *service != "slot", *via, *limit, *once)
+			})
 			continue
 		}
-		ts.Check(w.submit(req, *service != "slot", *via, waitLimit, *once))
+		ts.Check(w.submit(req, *service != "slot", *via, *limit, *once))
 	}
 }
 
