Stay in doubt when the log dropped fates that may still be asked for

The fate stream counted as complete once it was read to its end, also when the log had dropped its beginning. Ruled out: records of a peer, another data centre or a worker's inventory; none was left. The stream now counts as complete only if its first record is the first ever or older than the retention of keys (24 h). What was dropped does not come back, so the stream is not read every second while that doubt lasts; requests issued after the takeover are served.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,21 +57,24 @@
 	list       ports.InstanceList
 	dialer     ports.WorkerDialer
 
-	ctx       context.Context
-	cancel    context.CancelFunc
-	group     conc.WaitGroup
-	requests  *ring.Ring[message]
-	controls  *ring.Ring[message]
-	state     atomic.Pointer[state]
-	config    *configStore
-	fetching  atomic.Bool
-	book      peerBook
-	peers     *peerrpc.Client
-	peerSrv   *peerrpc.Server
-	httpSrv   *httpapi.Server
-	journal   *journal
-	old       *oldForwarder
-	delegator *delegator
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    conc.WaitGroup
+	requests *ring.Ring[message]
+	controls *ring.Ring[message]
+	state    atomic.Pointer[state]
+	config   *configStore
+	fetching atomic.Bool
+	book     peerBook
+	peers    *peerrpc.Client
+	peerSrv  *peerrpc.Server
+	httpSrv  *httpapi.Server
+	journal  *journal
+	// journalCut is set once the log was seen to have dropped fates. They do
+	// not come back, so the stream is not read again for them.
+	journalCut atomic.Bool
+	old        *oldForwarder
+	delegator  *delegator
 
 	replicator *replicator
 	metrics    counters
--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/ports"
 )
 
 const (
@@ -138,7 +140,8 @@
 }
 
 // readJournal reads the whole fate stream and hands its records to add. It
-// returns false when the log could not be read to its end.
+// returns false when the log could not be read to its end, or has dropped
+// records of keys that may still be asked for.
 func (d *Daemon) readJournal(ctx context.Context, add func([]model.Record)) bool {
 	var from int64
 	for {
@@ -146,6 +149,9 @@
 		if err != nil {
 			return false
 		}
+		if from == 0 {
+			d.journalCut.Store(d.droppedFates(page))
+		}
 		for _, r := range page.Records {
 			var records []model.Record
 			if json.Unmarshal(r.Data, &records) == nil {
@@ -153,8 +159,17 @@
 			}
 		}
 		if len(page.Records) == 0 || page.Next <= from {
-			return true
+			return !d.journalCut.Load()
 		}
 		from = page.Next
 	}
 }
+
+// droppedFates reports whether the first page of the stream begins after
+// records that are younger than the retention of keys.
+func (d *Daemon) droppedFates(page ports.LogPage) bool {
+	if page.First == 0 {
+		return false
+	}
+	return len(page.Records) == 0 || d.now().Sub(page.Records[0].Time) < scheduler.DefaultRetention
+}
--- a/internal/daemon/recovery.go
+++ b/internal/daemon/recovery.go
@@ -166,7 +166,7 @@
 func (d *Daemon) recoverLate(ctx context.Context, s *state) {
 	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
-	if d.readJournal(ctx, func(rs []model.Record) { d.control(restoreMsg{records: rs}) }) {
+	if !d.journalCut.Load() && d.readJournal(ctx, func(rs []model.Record) { d.control(restoreMsg{records: rs}) }) {
 		d.control(lateRecoveryMsg{journal: true})
 	}
 	for _, dc := range s.openHomes {
