--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -53,6 +53,7 @@
 // Guards against answers that only look right in a quiet cell: concurrent
 // callers of one key, cancellations and racing publications without faults.
 func TestConcurrentCallers(t *testing.T) {
+	t.Parallel()
 	rep := runSoak(t, Options{Seconds: 4, Seed: 3, Rate: 80, Kinds: []Kind{PublishRace, ShareChange}})
 	assert.Assert(t, rep.LostPublications > 0, "no publication lost a race")
 	assert.Assert(t, rep.Fates["done"] > 100, "%v", rep.Fates)
