--- /dev/null
+++ b/internal/core/scheduler/recovered_payload_test.go
@@ -0,0 +1,27 @@
+package scheduler
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+)
+
+// Guards against a request that runs again without its payload. After all
+// daemons of a data centre were replaced, a request that only a worker's
+// inventory names has no payload, so nothing of it may start until a caller
+// repeats it.
+func TestRecoveredRequestDoesNotStartWithoutPayload(t *testing.T) {
+	b := newStandby(t, "w1", "w2")
+	b.c.Serve(b.now, Recovery{Term: 2, JournalRead: true})
+	b.run()
+	b.grant("w1", "boot", model.RunningTask{
+		ID: model.TaskID{Key: "dc-a:k"}, Attempt: 1, Service: "batch", Size: oneSlot, State: model.TaskRunning,
+	})
+	b.grant("w2", "boot")
+	b.reset()
+	b.grant("w1", "boot after a crash")
+	b.tick(lostMargin)
+	assert.Equal(t, b.countStarts("dc-a:k"), 0, "a task was started without the payload of its request")
+}
