Make a new campaign ask every worker for its lease again

Cause: an agent compared the term it holds with the campaign's and skipped the request when its own was not lower. After an ownership in which the term of one worker had been raised, a campaign during a running sync got no grant from that worker, and its inventory was never shown. Ruled out: the release at stepping down; it happens only after the sync, up to a second later, when the new campaign has already begun. Before: the new test sees one grant request; after: two.

--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -66,6 +66,8 @@
 func (a *agent) campaign(term uint64) {
 	a.raise.Store(false)
 	a.want.Store(term)
+	// A lease of an earlier ownership does not count, whatever its term is.
+	a.held.Store(0)
 	a.poke()
 }
 
@@ -167,6 +169,10 @@
 	switch {
 	case err == nil:
 		a.held.Store(term)
+		if now := a.want.Load(); now != 0 && now != want {
+			a.held.CompareAndSwap(term, 0) // a new campaign began during the call
+			return term, false
+		}
 		a.d.control(grantedMsg{a.id, term, sentAt, grant})
 		return term, true
 	case errors.As(err, &held):
--- /dev/null
+++ b/internal/daemon/agent_test.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/ports"
+	"catkinvalve/internal/ring"
+	"catkinvalve/internal/settings"
+)
+
+// leaseWorker grants every lease. Its syncs last until they are let go, like
+// the long polls of an idle worker.
+type leaseWorker struct {
+	ports.Worker
+	mu     sync.Mutex
+	terms  []uint64
+	letGo  chan struct{}
+	synced chan struct{}
+}
+
+func (w *leaseWorker) Acquire(_ context.Context, l ports.Lease, _, _ time.Duration) (ports.Grant, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.terms = append(w.terms, l.Term)
+	return ports.Grant{}, nil
+}
+
+func (w *leaseWorker) Release(context.Context, ports.Lease) error { return nil }
+
+func (w *leaseWorker) Sync(ctx context.Context, _ ports.Lease, _ time.Duration, _ int64, _ time.Duration) (ports.SyncResult, error) {
+	select {
+	case w.synced <- struct{}{}:
+	default:
+	}
+	select {
+	case <-w.letGo:
+	case <-ctx.Done():
+	}
+	return ports.SyncResult{}, ctx.Err()
+}
+
+func (w *leaseWorker) granted() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.terms)
+}
+
+// Guards against a worker that a new campaign never asks: a lease of the
+// earlier ownership with a raised term was taken for one of the campaign.
+func TestCampaignAsksAWorkerWithARaisedTerm(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d := &Daemon{ctx: ctx, set: settings.Default(), now: time.Now, controls: ring.New[message]("control", 64, metrics.NewRegistry())}
+	w := &leaseWorker{letGo: make(chan struct{}), synced: make(chan struct{}, 1)}
+	a := newAgent(d, "w", w)
+	a.campaign(5)
+	waitSync(t, w)
+	// The owner raised the term of this worker, stepped down and campaigns again
+	// while a sync is under way.
+	a.held.Store(7)
+	a.release()
+	a.campaign(6)
+	close(w.letGo)
+	deadline := time.Now().Add(5 * time.Second)
+	for w.granted() < 2 && time.Now().Before(deadline) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Equal(t, w.granted(), 2, "the campaign did not ask the worker")
+	cancel()
+	a.done.Wait()
+}
+
+func waitSync(t *testing.T, w *leaseWorker) {
+	t.Helper()
+	select {
+	case <-w.synced:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the agent did not renew its lease")
+	}
+}
