Follow a delegation that arrives while the former follower ends

The delegator ignored a delegation of a key that it still followed. A follower reports a refusal before it ends, and the owner loop may delegate the request elsewhere at once; nobody then followed it, and it never got a final fate. The new delegation now waits for the end of the former follower.

Found by reading.

--- a/internal/daemon/delegator.go
+++ b/internal/daemon/delegator.go
@@ -16,19 +16,29 @@
 type delegator struct {
 	d  *Daemon
 	mu sync.Mutex
-	// following holds the keys that a goroutine follows.
+	// following holds the keys that a goroutine follows, and next the
+	// delegation that takes over when it ends.
 	following map[string]bool
+	next      map[string]scheduler.Delegation
 }
 
-func newDelegator(d *Daemon) *delegator { return &delegator{d: d, following: map[string]bool{}} }
+func newDelegator(d *Daemon) *delegator {
+	return &delegator{d: d, following: map[string]bool{}, next: map[string]scheduler.Delegation{}}
+}
 
 // start delegates a request and follows it until its fate is final.
 func (g *delegator) start(del scheduler.Delegation) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.following[del.Request.Key] {
+		g.next[del.Request.Key] = del
 		return
 	}
+	g.follower(del)
+}
+
+// follower starts the goroutine of a key. The caller holds mu.
+func (g *delegator) follower(del scheduler.Delegation) {
 	g.following[del.Request.Key] = true
 	g.d.group.Go(func() {
 		defer g.forget(del.Request.Key)
@@ -40,6 +50,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.following, key)
+	if del, ok := g.next[key]; ok && g.d.ctx.Err() == nil {
+		delete(g.next, key)
+		g.follower(del)
+	}
 }
 
 func (g *delegator) follow(ctx context.Context, del scheduler.Delegation) {
