End all waiting tasks of a rebuilt request whose payload is lost

Giving up a rebuilt request ended only one of its tasks. A request of several tasks kept the others queued, and it never got a final fate.

There is no table test for it yet.

--- a/internal/core/scheduler/rebuilt.go
+++ b/internal/core/scheduler/rebuilt.go
@@ -24,8 +24,7 @@
 	if e.rec.Started.IsZero() {
 		t.State = model.TaskStopped
 	}
-	e.rec.Reason = model.ReasonPayloadLost
-	c.settleIfEnded(now, e)
+	c.dropWaiting(now, e, model.ReasonPayloadLost)
 }
 
 // resolveRebuilt decides about rebuilt requests whose tasks no inventory lists,
