--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -161,16 +160,6 @@
 	return ports.Instance{ID: d.ID, Kind: ports.KindDaemon, Addr: d.Peers, DataCentre: model.DataCentre(d.DataCentre), Region: d.Region, State: s}
 }
 
-// freeAddr returns a loopback address that nobody listens on.
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func (c *Cluster) writeSettings(d *Daemon) error {
 	timings := map[string]string{"settle_time": "200ms"}
 	if ttl := c.Opts.LeaseTTL; ttl > 0 && ttl < settings.DefaultLeaseTTL {
