--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -40,7 +40,7 @@
 	}
 	m := &slopes{user: u, cfg: cfg, quick: o.Quick, seed: o.Seed}
 	for _, n := range fleetSizes {
-		if o.Quick && n > 500 {
+		if o.Quick && n > placeWorkers {
 			continue
 		}
 		m.placement(n)
