Ask the minority of workers with a higher term while records are loaded

Cause: a worker that granted the campaign's term, or a higher one, to the last owner refuses the campaign's term even after that lease expired. The successor only raised the term once it served, and it served only once all workers had granted or 1.5 TTL had passed. It now raises the term as soon as it holds a majority, which is all that the campaign's term has to prove.

--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -179,6 +179,11 @@
 	term := l.election.Term()
 	l.fence = max(l.fence, term)
 	l.log.WithField("term", term).Info("majority of worker leases held; loading records")
+	// Workers of the minority may have granted this term or a higher one to the
+	// last owner. Only the majority's leases need the campaign's term.
+	for _, a := range l.agents {
+		a.mayRaiseTerm()
+	}
 	l.d.recover(recoveryRequest{term: term, mates: l.members.Mates(l.d.now()), others: l.otherOwners(), synced: l.synced})
 }
 
