--- a/internal/daemon/recovery.go
+++ b/internal/daemon/recovery.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -166,7 +168,9 @@
 func (d *Daemon) recoverLate(ctx context.Context, s *state) {
 	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
-	if !d.journalCut.Load() && d.readJournal(ctx, func(rs []model.Record) { d.control(restoreMsg{records: rs}) }) {
+	newest := map[string]model.Record{}
+	if !d.journalCut.Load() && d.readJournal(ctx, func(rs []model.Record) { keepNewest(newest, rs) }) {
+		d.control(restoreMsg{records: slices.Collect(maps.Values(newest))})
 		d.control(lateRecoveryMsg{journal: true})
 	}
 	for _, dc := range s.openHomes {
@@ -175,3 +179,13 @@
 		}
 	}
 }
+
+// keepNewest keeps the newest record of each key. A serving owner adds only
+// keys that it does not know, so an older record must not reach it first.
+func keepNewest(newest map[string]model.Record, records []model.Record) {
+	for _, r := range records {
+		if have, ok := newest[r.Request.Key]; !ok || r.Newer(&have) {
+			newest[r.Request.Key] = r
+		}
+	}
+}
