--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -21,7 +21,7 @@
 		"cancel": cmdCancel, "told": cmdTold,
 		"kill-daemon": cmdKill, "pause": cmdPause, "resume": cmdResume, "restart": cmdRestart, "replace-all": cmdReplaceAll,
 		"stop-daemon": cmdStop, "join": cmdJoin, "cut": cmdCut, "cut-oneway": cmdCutOneWay, "heal": cmdHeal,
-		"log": cmdLog, "wait-log": cmdWaitLog, "worker": cmdWorker, "list": cmdList, "old": cmdOld, "drain": cmdDrain,
+		"log": cmdLog, "wait-journal": cmdWaitJournal, "worker": cmdWorker, "list": cmdList, "old": cmdOld, "drain": cmdDrain,
 		"no-overload":  check(func(w *world, c counters, _ []string) []string { return c.overloads() }),
 		"no-double":    check(func(w *world, c counters, _ []string) []string { return c.doubles() }),
 		"fates-true":   check(func(w *world, c counters, _ []string) []string { return c.falseFates(w.callers.snapshot()) }),
--- a/test/scenarios/faults_test.go
+++ b/test/scenarios/faults_test.go
@@ -2,18 +2,19 @@
 
 import (
 	"fmt"
-	"regexp"
 	"slices"
 	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"google.golang.org/protobuf/proto"
 
 	"catkinvalve/internal/api"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/daemon"
 	"catkinvalve/internal/fault"
+	"catkinvalve/internal/peerpb"
 	"catkinvalve/internal/platform"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/testbed"
@@ -128,21 +129,31 @@
 	ts.Check(w.cluster.Fault(w.ctx, w.cluster.Log.Admin, f))
 }
 
-// cmdWaitLog waits until a record of a stream matches a regular expression:
-// wait-log STREAM REGEXP.
-func cmdWaitLog(ts *testscript.TestScript, _ bool, args []string) {
+// cmdWaitJournal waits until the fate stream of a data centre holds a fate of a
+// key: wait-journal DATA-CENTRE KEY FATE.
+func cmdWaitJournal(ts *testscript.TestScript, _ bool, args []string) {
 	w := worldOf(ts)
-	want, err := regexp.Compile(args[1])
-	ts.Check(err)
-	ts.Check(testbed.WaitFor(w.ctx, waitLimit, args[1]+" in stream "+args[0], func() bool {
+	if len(args) != 3 {
+		ts.Fatalf("want a data centre, a key and a fate, have %q", args)
+	}
+	stream := "fates." + args[0]
+	ts.Check(testbed.WaitFor(w.ctx, waitLimit, args[1]+" "+args[2]+" in stream "+stream, func() bool {
 		var page platform.ReadReply
-		err := w.cluster.Admin(w.ctx, "GET", w.cluster.Log.Listen, "/v1/streams/"+args[0]+"?from=0&max=1000", nil, &page)
+		err := w.cluster.Admin(w.ctx, "GET", w.cluster.Log.Listen, "/v1/streams/"+stream+"?from=0&max=1000", nil, &page)
 		return err == nil && slices.ContainsFunc(page.Records, func(r platform.LogRecord) bool {
-			return want.Match(r.Data)
+			return journalHolds(r.Data, args[1], args[2])
 		})
 	}))
 }
 
+// journalHolds reports whether a batch of the fate stream holds a fate of a key.
+func journalHolds(data []byte, key, fate string) bool {
+	var batch peerpb.ReplicateRequest
+	return proto.Unmarshal(data, &batch) == nil && slices.ContainsFunc(batch.Records, func(r *peerpb.Record) bool {
+		return r.GetRequest().GetKey() == key && r.GetFate() == fate
+	})
+}
+
 func gateFault(ts *testscript.TestScript, args []string) platform.GateFault {
 	var f platform.GateFault
 	if len(args) != 2 {
