--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -161,14 +162,27 @@
 	return ports.Instance{ID: d.ID, Kind: ports.KindDaemon, Addr: d.Peers, DataCentre: model.DataCentre(d.DataCentre), Region: d.Region, State: s}
 }
 
+// Ports of daemons lie below the range from which Linux takes the ports of
+// outgoing connections. Otherwise one of these could take a port between the
+// check here and the daemon's start.
+const (
+	firstPort = 12_000
+	portCount = 20_000
+	portTries = 100
+)
+
 // freeAddr returns a loopback address that nobody listens on.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var last error
+	for range portTries {
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(portCount)))
+		l, err := net.Listen("tcp", addr)
+		if err == nil {
+			return addr, l.Close()
+		}
+		last = err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", last
 }
 
 func (c *Cluster) writeSettings(d *Daemon) error {
