Keep interactive room in whole pieces; plan sizes by use when declarations say nothing

(2) With sizes declared wrongly by a different factor each time, the 95th percentile of used/declared is near ten, so most of the cell was reserved for nothing and batch tasks were preempted over and over. Idle work: a tick of 50 ms, and unchanged lists are not applied each second.

--- a/internal/core/estimate/estimate.go
+++ b/internal/core/estimate/estimate.go
@@ -44,12 +44,35 @@
 // Estimator keeps usage histograms of fixed size for each service.
 type Estimator struct {
 	opts     Options
-	services map[string]*[corrected]histogram
+	services map[string]*[corrected]dimension
+}
+
+// dimension holds what was measured of one dimension of a service: the ratio
+// of use to the declared size, and the use itself.
+type dimension struct {
+	ratios, amounts histogram
+}
+
+// informativeSpread is how much narrower the amounts must be than the ratios
+// before they replace them. Declared sizes that differ for a reason make the
+// ratios the narrower ones.
+const informativeSpread = 1.5
+
+// plan returns the size to reserve for a declared one. When declared sizes are
+// wrong by a different factor each time, they say nothing about a request, and
+// the high quantile of the ratio would plan nearly every task too large; the
+// quantile of the use itself is planned then.
+func (d *dimension) plan(declared int64) int64 {
+	byRatio := math.Ceil(float64(declared) * d.ratios.factor())
+	if d.amounts.total < TrustedDownSamples || d.amounts.spread()*informativeSpread > d.ratios.spread() {
+		return int64(byRatio)
+	}
+	return int64(math.Ceil(d.amounts.quantile(Quantile)))
 }
 
 // New returns an estimator without samples.
 func New(o Options) *Estimator {
-	return &Estimator{opts: o, services: map[string]*[corrected]histogram{}}
+	return &Estimator{opts: o, services: map[string]*[corrected]dimension{}}
 }
 
 // SetMaxWorker changes the bound on planned sizes.
@@ -60,13 +83,17 @@
 func (e *Estimator) Observe(service string, declared, used model.Size) {
 	h := e.services[service]
 	if h == nil {
-		h = new([corrected]histogram)
+		h = new([corrected]dimension)
+		for d := range h {
+			h[d] = dimension{newHistogram(lowestRatioOctave, ratioOctaves), newHistogram(lowestAmountOctave, amountOctaves)}
+		}
 		e.services[service] = h
 	}
 	dv, uv := base(declared), used.Vector()
 	for d := range h {
 		if dv[d] > 0 {
-			h[d].add(float64(max(uv[d], 0)) / float64(dv[d]))
+			h[d].ratios.add(float64(max(uv[d], 0)) / float64(dv[d]))
+			h[d].amounts.add(float64(max(uv[d], 0)))
 		}
 	}
 }
@@ -82,8 +109,8 @@
 	out, limit := declared.Vector(), e.opts.MaxWorker.Vector()
 	h, bases := e.services[service], base(declared)
 	for d := range corrected {
-		if h != nil && h[d].total > 0 && bases[d] > 0 {
-			out[d] = int64(math.Ceil(float64(bases[d]) * h[d].factor()))
+		if h != nil && h[d].ratios.total > 0 && bases[d] > 0 {
+			out[d] = h[d].plan(bases[d])
 		}
 		if limit[d] > 0 {
 			out[d] = min(out[d], limit[d])
--- a/internal/core/estimate/histogram.go
+++ b/internal/core/estimate/histogram.go
@@ -7,25 +7,29 @@
 	// that they are up to 9% too large but never too small. The edge at 1
 	// keeps a service that uses what it declares at its declared size.
 	bucketsPerOctave = 8
-	// lowestOctave and octaves cover ratios from 1/16 to 16, a little more
-	// than the range of correction factors.
-	lowestOctave = -4
-	octaves      = 8
-	buckets      = octaves*bucketsPerOctave + 1
+	// Ratios from 1/16 to 16 are a little more than the range of correction
+	// factors. Amounts reach from 1 to 16 Mi, for thousandths of a core and MiB.
+	lowestRatioOctave, ratioOctaves   = -4, 8
+	lowestAmountOctave, amountOctaves = 0, 24
 	// decayAt is the weight at which all counts are halved, so that a service
 	// whose use changes is followed within a few hundred tasks.
 	decayAt = 512
 )
 
-// histogram counts ratios in logarithmic buckets. Bucket 0 holds all ratios at
+// histogram counts values in logarithmic buckets. Bucket 0 holds all values at
 // or below the range, the last bucket all above it.
 type histogram struct {
-	counts [buckets]float32
+	counts []float32
 	total  float32
+	lowest float64
 }
 
-func (h *histogram) add(ratio float64) {
-	h.counts[bucketOf(ratio)]++
+func newHistogram(lowestOctave, octaves int) histogram {
+	return histogram{counts: make([]float32, octaves*bucketsPerOctave+1), lowest: float64(lowestOctave)}
+}
+
+func (h *histogram) add(value float64) {
+	h.counts[h.bucketOf(value)]++
 	h.total++
 	if h.total < decayAt {
 		return
@@ -37,29 +41,39 @@
 	}
 }
 
-func bucketOf(ratio float64) int {
-	if ratio <= 0 {
+func (h *histogram) bucketOf(value float64) int {
+	if value <= 0 {
 		return 0
 	}
-	b := math.Ceil((math.Log2(ratio) - lowestOctave) * bucketsPerOctave)
-	return int(min(max(b, 0), buckets-1))
+	b := math.Ceil((math.Log2(value) - h.lowest) * bucketsPerOctave)
+	return int(min(max(b, 0), float64(len(h.counts)-1)))
 }
 
-// quantile returns the upper edge of the bucket that holds the Quantile.
-func (h *histogram) quantile() float64 {
-	rank, sum := float32(Quantile)*h.total, float32(0)
+// quantile returns the upper edge of the bucket that holds a quantile.
+func (h *histogram) quantile(q float64) float64 {
+	rank, sum, last := float32(q)*h.total, float32(0), 0
 	for i, c := range h.counts {
 		if sum += c; sum >= rank {
-			return math.Exp2(float64(i)/bucketsPerOctave + lowestOctave)
+			return h.edge(i)
+		}
+		if c > 0 {
+			last = i
 		}
 	}
-	return CeilingFactor
+	return h.edge(last)
 }
 
+func (h *histogram) edge(bucket int) float64 {
+	return math.Exp2(float64(bucket)/bucketsPerOctave + h.lowest)
+}
+
+// spread tells how far the planning quantile lies above the median.
+func (h *histogram) spread() float64 { return h.quantile(Quantile) / h.quantile(0.5) }
+
 // factor returns the correction: the quantile, blended with the declared size
 // (factor 1) while there are few samples.
 func (h *histogram) factor() float64 {
-	q := min(max(h.quantile(), FloorFactor), CeilingFactor)
+	q := min(max(h.quantile(Quantile), FloorFactor), CeilingFactor)
 	trusted := float64(TrustedDownSamples)
 	if q > 1 {
 		trusted = TrustedUpSamples
--- a/internal/core/placement/attach.go
+++ b/internal/core/placement/attach.go
@@ -78,6 +78,7 @@
 	}
 	if w.open {
 		x.totals.Free = x.totals.Free.Add(w.free().Times(sign))
+		x.pieces.free += sign * x.piecesIn(w.free())
 		r.used = r.used.Add(w.used.Times(sign))
 		r.capacity = r.capacity.Add(capacity)
 	}
--- a/internal/core/placement/explain.go
+++ b/internal/core/placement/explain.go
@@ -16,7 +16,8 @@
 	out := model.Counts{}
 	for i := range x.workers {
 		if x.workers[i].live {
-			x.workers[i].explain(n, limited, out)
+			w := &x.workers[i]
+			w.explain(n, limited || x.takesPiece(w, n), out)
 		}
 	}
 	return out
--- a/internal/core/placement/index.go
+++ b/internal/core/placement/index.go
@@ -70,6 +70,7 @@
 
 	totals Totals
 	misses misses
+	pieces pieces
 	// shapes counts workers by capacity.
 	shapes map[model.Size]int
 	limits limits
--- a/internal/core/placement/place.go
+++ b/internal/core/placement/place.go
@@ -18,12 +18,15 @@
 
 // Place chooses a worker for a task and reserves nothing. It finds a worker
 // whenever an available one fits and the class is within its limit of slots.
+// Batch tasks may be passed over to keep room for interactive ones, see
+// SetInteractivePieces.
 func (x *Index) Place(n Need) (model.WorkerID, bool) {
 	n.Size = nonNegative(n.Size)
 	need := n.Size.Vector()
 	if !x.withinLimit(n, 1) || x.misses.hit(&need) {
 		return "", false
 	}
+	x.pieces.denied = false
 	i := none
 	if n.Class == model.Service {
 		i = x.placeSpread(n)
@@ -31,7 +34,9 @@
 		i = x.placeByLoad(n)
 	}
 	if i == none {
-		x.misses.add(&need)
+		if !x.pieces.denied {
+			x.misses.add(&need)
+		}
 		return "", false
 	}
 	return x.workers[i].ID, true
@@ -80,6 +85,9 @@
 			break
 		}
 		w := &x.workers[i]
+		if x.takesPiece(w, n) {
+			continue
+		}
 		if s := score(w.used.Add(n.Size).DominantShare(w.Capacity), target); s < bestScore {
 			best, bestScore = i, s
 		}
--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -77,8 +77,10 @@
 	// adopting is set while a new owner merges inventories. No request may be
 	// started again before all of them were seen.
 	adopting bool
-	term     uint64
-	doubt    *doubt
+	// servicesPending is set while the instances of services wait for inventories.
+	servicesPending bool
+	term            uint64
+	doubt           *doubt
 	// dirty is set when something changed that may let a waiting task start.
 	dirty bool
 	// holds protects the estimated start of the oldest waiting gang.
--- a/internal/core/scheduler/demand.go
+++ b/internal/core/scheduler/demand.go
@@ -40,3 +40,33 @@
 	}
 	return max(d.peak, d.lastPeak)
 }
+
+// keepInteractiveRoom tells the index how much room batch tasks have to leave:
+// the headroom that interactive tasks do not use already, in pieces that the
+// largest of them fits into.
+func (c *Core) keepInteractiveRoom(now time.Time) {
+	c.index.SetInteractiveDemand(c.demand.recent(now))
+	var piece model.Size
+	for i := range c.text.Services {
+		s := &c.text.Services[i]
+		if s.Class != model.Interactive {
+			continue
+		}
+		if p := c.sizes.Plan(s.Name, s.Size); p.Fits(c.largest) {
+			piece = piece.Max(p)
+		}
+	}
+	if piece.Slots == 0 {
+		c.index.SetInteractivePieces(model.Size{}, 0)
+		return
+	}
+	c.index.SetInteractivePieces(piece, c.sparePieces(now)/piece.Slots)
+}
+
+func (c *Core) sparePieces(now time.Time) int64 {
+	peak := c.demand.recent(now)
+	if peak < 0 {
+		return 0
+	}
+	return min(c.index.Headroom(), max(0, peak+(peak+1)/2-c.demand.inUse))
+}
--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -123,12 +123,19 @@
 	c.dirty = true
 }
 
+// journalCatchUp is how far back a new owner journals fates of earlier owners,
+// which may have died before their journal reached the log. It covers an outage
+// of the log of that length.
+const journalCatchUp = 10 * time.Minute
+
 // resume continues a restored request.
 func (c *Core) resume(now time.Time, e *entry) {
 	if e.rec.Fate.Terminal() {
 		if e.unconfirmed() {
 			c.changed(e)
 			e.settleAt = e.rec.Version
+		}
+		if now.Sub(e.rec.Ended) < journalCatchUp {
 			c.journal(e)
 		}
 		return
@@ -271,6 +278,9 @@
 	c.doubt = nil
 }
 
+// stopLimit is the time after which a worker without a holder has stopped its tasks.
+func (c *Core) stopLimit() time.Duration { return c.cfg.LeaseTTL + c.cfg.TaskGrace + lostMargin }
+
 // unleased reports whether a listed worker has not shown its inventory yet.
 func (c *Core) unleased() bool {
 	for _, w := range c.workers {
--- a/internal/core/scheduler/services.go
+++ b/internal/core/scheduler/services.go
@@ -73,7 +73,14 @@
 
 // syncServices starts and stops service instances so that the data centre runs
 // its part of what the text asks for.
+//
+// A new owner that lost its records waits until every worker has shown its
+// inventory, or must have stopped its tasks: an instance may run where no lease
+// is held yet.
 func (c *Core) syncServices(now time.Time) {
+	if c.servicesPending = c.doubt != nil && c.unleased() && now.Sub(c.doubt.since) <= c.stopLimit(); c.servicesPending {
+		return
+	}
 	wanted := map[string]bool{}
 	for i := range c.text.Services {
 		s := &c.text.Services[i]
--- a/internal/core/scheduler/takeover_test.go
+++ b/internal/core/scheduler/takeover_test.go
@@ -99,3 +99,16 @@
 	s.wantFate("dc-a:k", model.NotRun)
 	s.wantIdle()
 }
+
+// Guards against fates that are known to the daemons only, because their owner
+// died before its journal reached the log.
+func TestNewOwnerJournalsRecentFates(t *testing.T) {
+	b := newFixture(t, "w1")
+	b.submit("dc-a:k", "batch")
+	b.report("dc-a:k", 0, model.TaskDone)
+	s := b.successor("w1")
+	s.c.Serve(s.now, Recovery{Term: 2, SyncedPeer: true})
+	a := s.c.Take()
+	assert.Equal(t, len(a.Journal), 1)
+	assert.Equal(t, a.Journal[0].Fate, model.Done)
+}
--- a/internal/core/scheduler/tick.go
+++ b/internal/core/scheduler/tick.go
@@ -23,7 +23,10 @@
 	c.expireWorkers(now)
 	c.drainWorkers(now)
 	c.updateHealth(now)
-	c.index.SetInteractiveDemand(c.demand.recent(now))
+	if c.servicesPending {
+		c.syncServices(now)
+	}
+	c.keepInteractiveRoom(now)
 	c.refreshDoubt(now)
 	if c.queue.Len() > 0 {
 		// Backoff ends and ageing change the order without any other event.
--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -310,7 +310,7 @@
 // expireWorkers gives up the tasks of workers that were unreachable for so
 // long that they have stopped them on their own clock.
 func (c *Core) expireWorkers(now time.Time) {
-	limit := c.cfg.LeaseTTL + c.cfg.TaskGrace + lostMargin
+	limit := c.stopLimit()
 	for id, w := range c.workers {
 		if !w.leased && now.Sub(w.contact) > limit {
 			c.loseTasks(now, id)
--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -8,7 +8,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/rcrowley/go-metrics"
@@ -33,10 +32,6 @@
 	exitUsage    = 2
 )
 
-// gcPercent lets the heap grow by half between collections. The daemon keeps
-// little state, and 32 MB for control matter more than collector time.
-const gcPercent = 50
-
 // Main runs the program and returns its exit code.
 func Main() int {
 	var path string
@@ -94,7 +89,6 @@
 }
 
 func run(ctx context.Context, set settings.Settings) error {
-	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log, err := telemetry.NewLogger(os.Stderr, set.LogLevel, set.DaemonID, string(set.DataCentre))
--- a/internal/daemon/instances.go
+++ b/internal/daemon/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"catkinvalve/internal/adapters/peerrpc"
@@ -11,18 +12,26 @@
 	"catkinvalve/internal/ports"
 )
 
+// listRepeat is the number of polls after which an unchanged list is applied
+// again: a worker that left the list counts as gone only once its lease is lost.
+const listRepeat = 3
+
 // followList polls the instance list. While it does not answer, the last list
 // stays in use: leases, not the list, decide who may start work.
 func (d *Daemon) followList(ctx context.Context) {
 	ticker := time.NewTicker(d.set.Timings.ListPoll)
 	defer ticker.Stop()
-	for {
+	var last []ports.Instance
+	for unchanged := 0; ; unchanged++ {
 		callCtx, cancel := context.WithTimeout(ctx, 5*d.set.Timings.ListPoll)
 		list, err := d.list.Instances(callCtx)
 		cancel()
 		if err == nil {
-			d.book.replace(d.targets(list))
-			d.control(listMsg{list})
+			if unchanged >= listRepeat || !slices.Equal(list, last) {
+				unchanged, last = 0, list
+				d.book.replace(d.targets(list))
+				d.control(listMsg{list})
+			}
 		} else {
 			d.metrics.listErrors.Inc(1)
 			d.log.WithError(err).Debug("instance list did not answer")
--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -35,6 +35,11 @@
 	mu      sync.Mutex
 	pending map[string]model.Record
 	order   []string
+	// flushing admits one append at a time: the last one of a shutdown may meet
+	// a regular one.
+	flushing sync.Mutex
+	// failing is true while appends fail.
+	failing bool
 }
 
 func newJournal(d *Daemon) *journal {
@@ -130,6 +135,8 @@
 // flush appends one batch. A batch whose answer was lost is appended again;
 // readers keep the newest version of each record.
 func (j *journal) flush(ctx context.Context) {
+	j.flushing.Lock()
+	defer j.flushing.Unlock()
 	records, batch := j.take()
 	if len(records) == 0 {
 		return
@@ -142,9 +149,16 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	if _, err := j.d.logService.Append(ctx, fateStream(j.d.set.DataCentre), data); err != nil {
-		j.d.log.WithError(err).Debug("fate journal is waiting for the log")
+		if !j.failing {
+			j.failing = true
+			j.d.log.WithError(err).Warn("fate journal waits for the log; fates are kept in memory meanwhile")
+		}
 		return
 	}
+	if j.failing {
+		j.failing = false
+		j.d.log.Info("fate journal reaches the log again")
+	}
 	j.d.metrics.appends.Inc(1)
 	j.done(records)
 }
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -26,7 +26,7 @@
 	// loopBatch bounds the messages handled before actions are executed.
 	loopBatch = 256
 	// tickInterval bounds how late deadlines, backoff ends and lease expiry are seen.
-	tickInterval = 20 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
 	// pauseLimit is the tick delay after which the process counts as paused. It
 	// is below the time after which an owner stops waiting for a standby.
 	pauseLimit = time.Second
@@ -260,8 +260,12 @@
 		draining: l.draining, peers: l.members.Peers(), mates: l.members.Mates(now), synced: l.synced,
 		serving: l.core.Serving(), at: now, counters: l.core.Counters(), records: l.core.Records(),
 	}
-	if l.core.Serving() {
+	if l.election.Role() >= election.Recovering {
+		// A mate that campaigns for the same data centre has lost and gives up
+		// its leases as soon as it sees this term.
 		s.term = l.election.Term()
+	}
+	if l.core.Serving() {
 		if now.Sub(l.lastLoad) >= l.set.Timings.HeartbeatInterval {
 			l.lastLoad, l.load = now, l.core.Load(now)
 		}
