--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -144,9 +144,9 @@
 	bootID string
 	leased bool
 	// contact is the latest time at which the worker's lease may have been renewed.
-	contact  time.Time
-	leaving  bool
-	leavedAt time.Time
+	contact      time.Time
+	leaving      bool
+	leavingSince time.Time
 	// asked is set when an operator asked for the drain, whatever the list says.
 	asked bool
 	// probing is set while the one task that may bring the worker back from
--- a/internal/core/scheduler/delegate.go
+++ b/internal/core/scheduler/delegate.go
@@ -234,7 +234,9 @@
 		return
 	}
 	e := &entry{rec: copyRecord(&rec), tasks: make([]taskRuntime, len(rec.Tasks))}
-	e.rec.DelegatedTo, e.rec.Version = dc, 0
+	// The terms of another data centre say nothing here; a record of the home's
+	// own, such as one from the journal that is read later, is always newer.
+	e.rec.DelegatedTo, e.rec.Term, e.rec.Version = dc, 0, 0
 	e.acked, e.settleAt = 0, 0
 	for i := range e.rec.Tasks {
 		e.rec.Tasks[i].Worker = ""
--- a/internal/core/scheduler/takeover_test.go
+++ b/internal/core/scheduler/takeover_test.go
@@ -112,3 +112,32 @@
 	assert.Equal(t, len(a.Journal), 1)
 	assert.Equal(t, a.Journal[0].Fate, model.Done)
 }
+
+// Guards against a record that another data centre reports for this one
+// outweighing the home's own record because of an unrelated term.
+func TestHomeRecordOutweighsReportOfAnotherDataCentre(t *testing.T) {
+	b := newFixture(t, "w1")
+	b.submit("dc-a:k", "batch")
+	b.report("dc-a:k", 0, model.TaskDone)
+	own := b.replicas["dc-a:k"]
+	s := newStandby(t, "w1")
+	reported := own
+	reported.Fate, reported.Term = model.Unknown, own.Term+100
+	s.c.RestoreDelegated(dcOther, reported)
+	s.c.Restore(s.now, own)
+	assert.Equal(t, s.record("dc-a:k").Fate, model.Done)
+}
+
+// Guards against an operator's drain that ends with the owner that was told.
+func TestDrainSurvivesTakeover(t *testing.T) {
+	b := newFixture(t, "w1", "w2")
+	_, found := b.c.Drain(b.now, "w1")
+	assert.Assert(t, found)
+	s := b.successor("w1", "w2")
+	s.c.SetAskedDrains(s.now, b.c.AskedDrains())
+	s.serve(2)
+	s.grant("w1", "boot")
+	s.grant("w2", "boot")
+	assert.Equal(t, s.c.Workers(s.now)[0].State, "draining")
+	assert.Equal(t, s.c.Workers(s.now)[1].State, "available")
+}
--- a/internal/core/scheduler/workers.go
+++ b/internal/core/scheduler/workers.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"catkinvalve/internal/core/model"
@@ -55,7 +56,7 @@
 }
 
 func (c *Core) setLeaving(now time.Time, w *workerState, leaving bool) {
-	w.leaving, w.leavedAt, w.drained = leaving, now, false
+	w.leaving, w.leavingSince, w.drained = leaving, now, false
 	c.setState(now, w.worker.ID)
 }
 
@@ -73,11 +74,38 @@
 	return len(c.index.Tasks(id)), true
 }
 
+// AskedDrains lists the workers that operators asked to drain.
+func (c *Core) AskedDrains() []model.WorkerID {
+	var out []model.WorkerID
+	for id, w := range c.workers {
+		if w.asked {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// SetAskedDrains takes over the drains that the owner reports, so that they
+// survive a change of the owner.
+func (c *Core) SetAskedDrains(now time.Time, ids []model.WorkerID) {
+	for id, w := range c.workers {
+		asked := slices.Contains(ids, id)
+		if asked == w.asked {
+			continue
+		}
+		w.asked = asked
+		if asked && !w.leaving {
+			c.setLeaving(now, w, true)
+		}
+	}
+}
+
 // drainWorkers moves tasks off workers whose drain time is over.
 func (c *Core) drainWorkers(now time.Time) {
 	wait := time.Duration(c.text.Limits.DrainMS) * time.Millisecond
 	for id, w := range c.workers {
-		if !w.leaving || w.drained || now.Sub(w.leavedAt) < wait {
+		if !w.leaving || w.drained || now.Sub(w.leavingSince) < wait {
 			continue
 		}
 		w.drained = true
--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -96,10 +96,21 @@
 	}
 	if s.serving {
 		req.Load = loadToProto(s.load)
+		for _, id := range s.drained {
+			req.Drained = append(req.Drained, string(id))
+		}
 	}
 	return req
 }
 
+func drainedOf(r *peerpb.HeartbeatRequest) []model.WorkerID {
+	out := make([]model.WorkerID, 0, len(r.Drained))
+	for _, id := range r.Drained {
+		out = append(out, model.WorkerID(id))
+	}
+	return out
+}
+
 func peerFromHeartbeat(r *peerpb.HeartbeatRequest) membership.Peer {
 	return membership.Peer{
 		ID: r.Daemon, Incarnation: r.Incarnation, DataCentre: model.DataCentre(r.DataCentre), Region: r.Region,
--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -149,6 +149,7 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	if _, err := j.d.logService.Append(ctx, fateStream(j.d.set.DataCentre), data); err != nil {
+		j.d.metrics.logErrors.Inc(1)
 		if !j.failing {
 			j.failing = true
 			j.d.log.WithError(err).Warn("fate journal waits for the log; fates are kept in memory meanwhile")
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -66,6 +66,7 @@
 	startedAt time.Time
 	lastLoad  time.Time
 	load      membership.Load
+	drained   []model.WorkerID
 	histogram *telemetry.Histograms
 }
 
@@ -267,9 +268,9 @@
 	}
 	if l.core.Serving() {
 		if now.Sub(l.lastLoad) >= l.set.Timings.HeartbeatInterval {
-			l.lastLoad, l.load = now, l.core.Load(now)
+			l.lastLoad, l.load, l.drained = now, l.core.Load(now), l.core.AskedDrains()
 		}
-		s.load = l.load
+		s.load, s.drained = l.load, l.drained
 		s.openHomes = l.core.OpenHomes()
 		s.inDoubt = l.core.InDoubt()
 	}
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -193,10 +193,18 @@
 func (m listMsg) handle(l *loop, now time.Time) { l.applyList(now, m.instances) }
 
 // heartbeatMsg brings what a peer said of itself.
-type heartbeatMsg struct{ peer membership.Peer }
+type heartbeatMsg struct {
+	peer membership.Peer
+	// drained lists the workers that operators asked to drain, if the peer is
+	// the owner of this data centre.
+	drained []model.WorkerID
+}
 
 func (m heartbeatMsg) handle(l *loop, now time.Time) {
 	l.members.Seen(now, m.peer)
+	if m.peer.Term > 0 && m.peer.DataCentre == l.set.DataCentre && !l.core.Serving() {
+		l.core.SetAskedDrains(now, m.drained)
+	}
 	if m.peer.Term > 0 && m.peer.DataCentre != l.set.DataCentre {
 		l.core.SetRemote(now, m.peer.DataCentre, m.peer.Region, m.peer.Load)
 	}
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -27,7 +27,7 @@
 
 // Heartbeat records the sender and answers with the own state.
 func (s *peerService) Heartbeat(_ context.Context, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
-	s.d.control(heartbeatMsg{peerFromHeartbeat(r)})
+	s.d.control(heartbeatMsg{peerFromHeartbeat(r), drainedOf(r)})
 	own := s.d.heartbeatRequest()
 	return &peerpb.HeartbeatResponse{
 		Daemon: own.Daemon, Incarnation: own.Incarnation, Revision: own.Revision, Term: own.Term,
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -25,6 +25,7 @@
 	peers     []membership.Peer
 	mates     []membership.Peer
 	load      membership.Load
+	drained   []model.WorkerID
 	counters  scheduler.Counters
 	records   int
 }
