Split the owner loop's messages by their source; require three renewals within a lease

Cause of the check: at a renewal interval of half the TTL an idle owner lost its leases between two renewals (soak with a TTL of 2 s changed owners without faults). Names: living daemons of the own data centre are local peers.

--- a/internal/adapters/peerrpc/pool.go
+++ b/internal/adapters/peerrpc/pool.go
@@ -36,13 +36,13 @@
 
 	mu     sync.Mutex
 	closed bool
-	// places holds a semaphore per address with an element per call.
-	places map[string]*places
+	// connSlots holds a semaphore per address with an element per call.
+	connSlots map[string]*connSlots
 }
 
-// places is dropped when no call uses it, so that the map does not grow with
+// connSlots is dropped when no call uses it, so that the map does not grow with
 // addresses of former peers.
-type places struct {
+type connSlots struct {
 	busy  chan struct{}
 	users int
 }
@@ -56,7 +56,7 @@
 		near: newBytesCounters(opts.Registry, k, "same_region"),
 		far:  newBytesCounters(opts.Registry, k, "cross_region"),
 
-		places: map[string]*places{},
+		connSlots: map[string]*connSlots{},
 	}
 }
 
@@ -108,7 +108,7 @@
 	p.release(to.Addr)
 }
 
-// acquire takes one of the target's places and waits up to PoolTimeout for it.
+// acquire takes one of the target's connection slots and waits up to PoolTimeout for it.
 func (p *pool) acquire(ctx context.Context, to Target) error {
 	busy, err := p.enter(to)
 	if err != nil {
@@ -141,10 +141,10 @@
 	if p.closed {
 		return nil, unsent(errClosed, fault.Draining, "use another daemon; nothing was sent", "this daemon is shutting down")
 	}
-	entry := p.places[to.Addr]
+	entry := p.connSlots[to.Addr]
 	if entry == nil {
-		entry = &places{busy: make(chan struct{}, p.size)}
-		p.places[to.Addr] = entry
+		entry = &connSlots{busy: make(chan struct{}, p.size)}
+		p.connSlots[to.Addr] = entry
 	}
 	entry.users++
 	return entry.busy, nil
@@ -153,16 +153,16 @@
 func (p *pool) leave(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	entry := p.places[addr]
+	entry := p.connSlots[addr]
 	if entry.users--; entry.users == 0 {
-		delete(p.places, addr)
+		delete(p.connSlots, addr)
 	}
 }
 
 // release undoes acquire.
 func (p *pool) release(addr string) {
 	p.mu.Lock()
-	busy := p.places[addr].busy
+	busy := p.connSlots[addr].busy
 	p.mu.Unlock()
 	<-busy
 	p.leave(addr)
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -156,7 +156,7 @@
 	assert.Assert(t, ok && owner.ID == "a")
 	owner, ok = table.Owner(epoch.Add(suspect), "dc")
 	assert.Assert(t, ok && owner.ID == "b", "the owner with the higher term is dead")
-	assert.Equal(t, len(table.Mates(epoch.Add(suspect))), 1)
+	assert.Equal(t, len(table.LocalPeers(epoch.Add(suspect))), 1)
 	_, ok = table.Owner(epoch.Add(2*suspect), "other")
 	assert.Assert(t, ok, "heartbeats of other data centres are rarer")
 	_, ok = table.Owner(epoch.Add(remoteSuspectFactor*suspect), "other")
--- a/internal/core/membership/peers.go
+++ b/internal/core/membership/peers.go
@@ -109,8 +109,8 @@
 	return *best, true
 }
 
-// Mates returns the living peers of the own data centre in order of ID.
-func (t *Table) Mates(now time.Time) []Peer {
+// LocalPeers returns the living peers of the own data centre in order of ID.
+func (t *Table) LocalPeers(now time.Time) []Peer {
 	var out []Peer
 	for _, p := range t.Peers() {
 		if p.DataCentre == t.self.DataCentre && t.Alive(now, p.ID) {
@@ -121,13 +121,13 @@
 }
 
 // Candidate reports whether the own daemon should campaign: no living owner is
-// known and no living, ready mate has a lower ID. Two daemons that disagree do
+// known and no living, ready local peer has a lower ID. Two daemons that disagree do
 // no harm, because the workers grant each lease once.
 func (t *Table) Candidate(now time.Time) bool {
 	if _, ok := t.Owner(now, t.self.DataCentre); ok {
 		return false
 	}
-	for _, p := range t.Mates(now) {
+	for _, p := range t.LocalPeers(now) {
 		if p.Ready && !p.Draining && p.ID < t.self.ID {
 			return false
 		}
--- a/internal/core/scheduler/core.go
+++ b/internal/core/scheduler/core.go
@@ -83,7 +83,6 @@
 	doubt           *doubt
 	// dirty is set when something changed that may let a waiting task start.
 	dirty bool
-	// holds protects the estimated start of the oldest waiting gang.
 	// hold keeps smaller work from delaying the oldest waiting gang.
 	hold gangHold
 	out  Actions
--- a/internal/core/scheduler/view.go
+++ b/internal/core/scheduler/view.go
@@ -59,7 +59,7 @@
 		}
 	}
 	if waiting == 0 {
-		x.Summary = fmt.Sprintf("all %d tasks are with workers", len(e.rec.Tasks))
+		x.Summary = fmt.Sprintf("%d of %d tasks are with workers", len(e.rec.Tasks), len(e.rec.Tasks))
 		return
 	}
 	x.Counts = c.waitReasons(e)
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -71,7 +71,7 @@
 	a.want.Store(term)
 	// A lease of an earlier ownership does not count, whatever its term is.
 	a.held.Store(0)
-	a.poke()
+	a.interrupt()
 }
 
 // mayRaiseTerm lets the agent acquire with a higher term than the campaign's.
@@ -81,12 +81,13 @@
 
 func (a *agent) release() {
 	a.want.Store(0)
-	a.poke()
+	a.interrupt()
 }
 
 func (a *agent) stop() { a.cancel() }
 
-func (a *agent) poke() {
+// interrupt ends a pause of the goroutine that holds the lease.
+func (a *agent) interrupt() {
 	select {
 	case a.wake <- struct{}{}:
 	default:
@@ -231,14 +232,14 @@
 func (a *agent) loseLease(term uint64) {
 	if a.held.CompareAndSwap(term, 0) {
 		a.d.control(lostMsg{a.id, term})
-		a.poke()
+		a.interrupt()
 	}
 }
 
 // reacquire is called by the owner loop when the lease expired on its clock.
 func (a *agent) reacquire() {
 	a.held.Store(0)
-	a.poke()
+	a.interrupt()
 }
 
 func (a *agent) sleep(ctx context.Context, d time.Duration) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -205,7 +205,7 @@
 	return err
 }
 
-// handOver gives up the worker leases, so that a mate can take them at once,
+// handOver gives up the worker leases, so that a local peer can take them at once,
 // and flushes the journal for the case that there is none.
 func (d *Daemon) handOver(ctx context.Context) {
 	d.journal.flush(ctx)
@@ -245,7 +245,7 @@
 	return nil
 }
 
-// fromMate reports whether a peer call came from the own data centre.
-func (d *Daemon) fromMate(ctx context.Context) bool {
-	return d.state.Load().aliveMate(peerrpc.CallerOf(ctx).ID)
+// fromLocalPeer reports whether a peer call came from the own data centre.
+func (d *Daemon) fromLocalPeer(ctx context.Context) bool {
+	return d.state.Load().aliveLocal(peerrpc.CallerOf(ctx).ID)
 }
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -186,7 +186,7 @@
 	for _, a := range l.agents {
 		a.mayRaiseTerm()
 	}
-	l.d.recover(recoveryRequest{term: term, mates: l.members.Mates(l.d.now()), others: l.otherOwners(), synced: l.synced})
+	l.d.recover(recoveryRequest{term: term, localPeers: l.members.LocalPeers(l.d.now()), others: l.otherOwners(), synced: l.synced})
 }
 
 // otherOwners lists the data centres of the text and the peers there.
@@ -246,7 +246,7 @@
 // ready reports whether the daemon knows enough to take part.
 func (l *loop) ready() bool { return l.revision > 0 && l.listRead && l.joined() }
 
-// joinWait is how long a daemon waits for heartbeats of living mates before it
+// joinWait is how long a daemon waits for heartbeats of living local peers before it
 // campaigns. It covers two heartbeat intervals.
 const joinWait = 1200 * time.Millisecond
 
@@ -258,11 +258,11 @@
 func (l *loop) publishState(now time.Time) {
 	s := &state{
 		role: l.election.Role(), revision: l.revision, ready: l.ready() && (l.synced || l.core.Serving()),
-		draining: l.draining, peers: l.members.Peers(), mates: l.members.Mates(now), synced: l.synced,
+		draining: l.draining, peers: l.members.Peers(), localPeers: l.members.LocalPeers(now), synced: l.synced,
 		serving: l.core.Serving(), at: now, counters: l.core.Counters(), records: l.core.Records(),
 	}
 	if l.election.Role() >= election.Recovering {
-		// A mate that campaigns for the same data centre has lost and gives up
+		// A local peer that campaigns for the same data centre has lost and gives up
 		// its leases as soon as it sees this term.
 		s.term = l.election.Term()
 	}
@@ -324,7 +324,7 @@
 	if len(records) == 0 {
 		return
 	}
-	if len(l.members.Mates(l.d.now())) == 0 {
+	if len(l.members.LocalPeers(l.d.now())) == 0 {
 		for i := range records {
 			l.core.Replicated(records[i].Request.Key, records[i].Version)
 		}
--- /dev/null
+++ b/internal/daemon/messages_workers.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/election"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/ports"
+)
+
+// grantedMsg reports a granted worker lease.
+type grantedMsg struct {
+	worker model.WorkerID
+	term   uint64
+	sentAt time.Time
+	grant  ports.Grant
+}
+
+func (m grantedMsg) handle(l *loop, now time.Time) {
+	if l.agents[m.worker] == nil || m.term < l.election.Term() || l.election.Role() == election.Standby {
+		return
+	}
+	l.leases.Granted(m.worker, m.term, m.sentAt)
+	l.core.WorkerGranted(now, scheduler.Grant{
+		Worker: m.worker, BootID: m.grant.BootID, Capacity: m.grant.Capacity, Rack: m.grant.Rack, Tasks: m.grant.Tasks,
+	})
+}
+
+// heldMsg reports that another lease is in force on a worker.
+type heldMsg struct {
+	worker model.WorkerID
+	term   uint64
+}
+
+func (m heldMsg) handle(l *loop, _ time.Time) { l.members.SawTerm(m.term) }
+
+// renewedMsg reports a renewal with the worker's events.
+type renewedMsg struct {
+	worker model.WorkerID
+	term   uint64
+	sentAt time.Time
+	result ports.SyncResult
+}
+
+func (m renewedMsg) handle(l *loop, now time.Time) {
+	l.leases.Renewed(m.worker, m.term, m.sentAt)
+	l.core.WorkerRenewed(m.sentAt, m.worker)
+	for _, ev := range m.result.Events {
+		l.core.TaskReported(now, m.worker, scheduler.TaskEvent{
+			ID: ev.ID, Attempt: ev.Attempt, State: ev.State, OK: ev.OK, Answer: ev.Answer,
+		})
+	}
+	l.core.UsageReported(now, m.worker, m.result.Usage)
+}
+
+// lostMsg reports that a worker refused the lease.
+type lostMsg struct {
+	worker model.WorkerID
+	term   uint64
+}
+
+func (m lostMsg) handle(l *loop, now time.Time) {
+	if l.leases.Lost(m.worker, m.term) {
+		l.core.WorkerUnreachable(now, m.worker)
+	}
+}
+
+// notStartedMsg reports starts that the worker surely did not accept.
+type notStartedMsg struct {
+	worker model.WorkerID
+	tasks  []scheduler.Start
+}
+
+func (m notStartedMsg) handle(l *loop, now time.Time) {
+	for _, s := range m.tasks {
+		l.core.NotStarted(now, m.worker, s.ID, s.Attempt)
+	}
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -13,7 +13,7 @@
 		"config.revision":  func(s *state) int64 { return int64(s.revision) },
 		"records":          func(s *state) int64 { return int64(s.records) },
 		"standby.synced":   func(s *state) int64 { return boolGauge(s.synced) },
-		"peers.mates":      func(s *state) int64 { return int64(len(s.mates)) },
+		"peers.local":      func(s *state) int64 { return int64(len(s.localPeers)) },
 		"requests.waiting": func(s *state) int64 { return s.load.Queued },
 		"tasks.running":    func(s *state) int64 { return s.load.Running },
 	} {
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -43,17 +43,17 @@
 }
 
 // onward runs a forwarded call here, or passes it on once to the owner of this
-// data centre. A call from a mate is never passed on, so calls cannot circle.
+// data centre. A call from a local peer is never passed on, so calls cannot circle.
 func (s *peerService) onward(ctx context.Context, c call) (*peerpb.RecordResponse, error) {
 	st := s.d.state.Load()
-	if st.serving || s.d.fromMate(ctx) {
+	if st.serving || s.d.fromLocalPeer(ctx) {
 		a := c.local(ctx)
 		if a.fault != nil {
 			return recordResponse(c.key, a.rec, a.fault)
 		}
 		return recordResponse(c.key, a.rec, nil)
 	}
-	owner, ok := st.ownerMate()
+	owner, ok := st.localOwner()
 	if !ok {
 		return recordResponse(c.key, model.Record{}, fault.New(fault.NoOwner, "retry with the same key", "data centre %s has no owner", s.d.set.DataCentre))
 	}
@@ -87,7 +87,7 @@
 // Explain tells why a key of this data centre waits.
 func (s *peerService) Explain(ctx context.Context, r *peerpb.ExplainRequest) (*peerpb.ExplainResponse, error) {
 	st := s.d.state.Load()
-	if owner, ok := st.ownerMate(); ok && !st.serving && !s.d.fromMate(ctx) {
+	if owner, ok := st.localOwner(); ok && !st.serving && !s.d.fromLocalPeer(ctx) {
 		return s.d.peers.Explain(ctx, target(owner), r)
 	}
 	x, err := s.d.localExplain(ctx, r.Key)
@@ -194,7 +194,7 @@
 // RecoverHome lists what runs here for a home data centre.
 func (s *peerService) RecoverHome(ctx context.Context, r *peerpb.RecoverHomeRequest) (*peerpb.FetchRecordsResponse, error) {
 	st := s.d.state.Load()
-	if owner, ok := st.ownerMate(); ok && !st.serving && !s.d.fromMate(ctx) {
+	if owner, ok := st.localOwner(); ok && !st.serving && !s.d.fromLocalPeer(ctx) {
 		return s.d.peers.RecoverHome(ctx, target(owner), r)
 	}
 	var records []model.Record
@@ -214,7 +214,7 @@
 // Drain stops new work on a worker of this data centre.
 func (s *peerService) Drain(ctx context.Context, r *peerpb.DrainRequest) (*peerpb.DrainResponse, error) {
 	st := s.d.state.Load()
-	if owner, ok := st.ownerMate(); ok && !st.serving && !s.d.fromMate(ctx) {
+	if owner, ok := st.localOwner(); ok && !st.serving && !s.d.fromLocalPeer(ctx) {
 		return s.d.peers.Drain(ctx, target(owner), r)
 	}
 	n, found, err := s.d.localDrain(ctx, r.Worker)
@@ -227,7 +227,7 @@
 // Status returns the view of this data centre's owner.
 func (s *peerService) Status(ctx context.Context, r *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
 	st := s.d.state.Load()
-	if owner, ok := st.ownerMate(); ok && !st.serving && !s.d.fromMate(ctx) {
+	if owner, ok := st.localOwner(); ok && !st.serving && !s.d.fromLocalPeer(ctx) {
 		return s.d.peers.Status(ctx, target(owner), r)
 	}
 	dc, err := s.d.localStatus(ctx)
--- a/internal/daemon/recovery.go
+++ b/internal/daemon/recovery.go
@@ -25,13 +25,13 @@
 )
 
 type recoveryRequest struct {
-	term   uint64
-	mates  []membership.Peer
-	others map[model.DataCentre][]membership.Peer
-	synced bool
+	term       uint64
+	localPeers []membership.Peer
+	others     map[model.DataCentre][]membership.Peer
+	synced     bool
 }
 
-// recover loads records from the mates, the journal and the other data centres
+// recover loads records from the local peers, the journal and the other data centres
 // at the same time and reports what it found.
 func (d *Daemon) recover(r recoveryRequest) {
 	d.group.Go(func() {
@@ -44,7 +44,7 @@
 			wg.Add(1)
 			d.group.Go(func() { defer wg.Done(); fn() })
 		}
-		for _, m := range r.mates {
+		for _, m := range r.localPeers {
 			run(func() {
 				synced := d.fetchRecords(ctx, m, r.term)
 				mu.Lock()
@@ -73,12 +73,12 @@
 	})
 }
 
-// fetchRecords restores all records of a mate. It returns true when the mate
+// fetchRecords restores all records of a local peer. It returns true when the local peer
 // had every record of the last owner.
-func (d *Daemon) fetchRecords(ctx context.Context, mate membership.Peer, term uint64) bool {
+func (d *Daemon) fetchRecords(ctx context.Context, peer membership.Peer, term uint64) bool {
 	after, synced := "", true
 	for {
-		resp, err := d.peers.FetchRecords(ctx, target(mate), &peerpb.FetchRecordsRequest{
+		resp, err := d.peers.FetchRecords(ctx, target(peer), &peerpb.FetchRecordsRequest{
 			DataCentre: string(d.set.DataCentre), Term: term, After: after, Limit: fetchPage,
 		})
 		if err != nil {
@@ -149,7 +149,7 @@
 // syncStandby fetches all records of the owner. The heartbeat before makes sure
 // that the owner replicates to this daemon from then on, so nothing is missed.
 func (d *Daemon) syncStandby(ctx context.Context, s *state) {
-	owner, ok := s.ownerMate()
+	owner, ok := s.localOwner()
 	if !ok {
 		return
 	}
@@ -158,7 +158,7 @@
 	if !d.heartbeat(ctx, target(owner)) {
 		return
 	}
-	// The owner's loop publishes its view of the mates with its next tick.
+	// The owner's loop publishes its view of the local peers with its next tick.
 	sleep(ctx, 2*tickInterval)
 	if d.fetchRecords(ctx, owner, 0) {
 		d.control(syncedMsg{owner.Term})
--- a/internal/daemon/replicator.go
+++ b/internal/daemon/replicator.go
@@ -100,9 +100,9 @@
 		req.Records = append(req.Records, peerpb.RecordToProto(&records[i]))
 	}
 	var wg sync.WaitGroup
-	for _, mate := range r.d.state.Load().mates {
+	for _, peer := range r.d.state.Load().localPeers {
 		wg.Add(1)
-		r.d.group.Go(func() { defer wg.Done(); r.sendTo(ctx, mate, req) })
+		r.d.group.Go(func() { defer wg.Done(); r.sendTo(ctx, peer, req) })
 	}
 	wg.Wait()
 	acks := make([]recordVersion, len(records))
@@ -112,10 +112,10 @@
 	r.d.control(replicatedMsg{term, acks})
 }
 
-func (r *replicator) sendTo(ctx context.Context, mate membership.Peer, req *peerpb.ReplicateRequest) {
-	for ctx.Err() == nil && r.d.state.Load().aliveMate(mate.ID) {
+func (r *replicator) sendTo(ctx context.Context, peer membership.Peer, req *peerpb.ReplicateRequest) {
+	for ctx.Err() == nil && r.d.state.Load().aliveLocal(peer.ID) {
 		callCtx, cancel := context.WithTimeout(ctx, replicateTimeout)
-		resp, err := r.d.peers.Replicate(callCtx, target(mate), req)
+		resp, err := r.d.peers.Replicate(callCtx, target(peer), req)
 		cancel()
 		switch {
 		case err != nil:
--- a/internal/daemon/route.go
+++ b/internal/daemon/route.go
@@ -32,8 +32,8 @@
 type call struct {
 	key   string
 	local func(ctx context.Context) answer
-	// remote returns the peer's record; nothingSent tells whether the call may
-	// have had an effect when it failed.
+	// remote returns the peer's record. peerrpc.NothingSent tells whether a
+	// failed call may have had an effect.
 	remote func(ctx context.Context, to peerrpc.Target) (*peerpb.RecordResponse, error)
 }
 
@@ -122,7 +122,7 @@
 	if home != d.set.DataCentre {
 		return s.peersIn(home)
 	}
-	if p, ok := s.ownerMate(); ok {
+	if p, ok := s.localOwner(); ok {
 		return []membership.Peer{p}
 	}
 	return nil
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -12,37 +12,37 @@
 // state is a copy of the owner loop's view for the other goroutines. It is
 // replaced with every tick and never changed.
 type state struct {
-	at        time.Time
-	role      election.Role
-	term      uint64
-	revision  uint64
-	ready     bool
-	draining  bool
-	serving   bool
-	synced    bool
-	inDoubt   bool
-	openHomes []model.DataCentre
-	peers     []membership.Peer
-	mates     []membership.Peer
-	load      membership.Load
-	drained   []model.WorkerID
-	counters  scheduler.Counters
-	records   int
+	at         time.Time
+	role       election.Role
+	term       uint64
+	revision   uint64
+	ready      bool
+	draining   bool
+	serving    bool
+	synced     bool
+	inDoubt    bool
+	openHomes  []model.DataCentre
+	peers      []membership.Peer
+	localPeers []membership.Peer
+	load       membership.Load
+	drained    []model.WorkerID
+	counters   scheduler.Counters
+	records    int
 }
 
-func (s *state) aliveMate(id string) bool {
-	for i := range s.mates {
-		if s.mates[i].ID == id {
+func (s *state) aliveLocal(id string) bool {
+	for i := range s.localPeers {
+		if s.localPeers[i].ID == id {
 			return true
 		}
 	}
 	return false
 }
 
-// ownerMate returns the living owner of the own data centre.
-func (s *state) ownerMate() (membership.Peer, bool) {
+// localOwner returns the living owner of the own data centre.
+func (s *state) localOwner() (membership.Peer, bool) {
 	var best membership.Peer
-	for _, p := range s.mates {
+	for _, p := range s.localPeers {
 		if p.Term > best.Term {
 			best = p
 		}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -37,7 +37,7 @@
 		{"limit", d, d + `, "limits": {"body_bytes": @0}`, "limits.body_bytes is 0"},
 		{"timeout", d, d + `, "limits": {"idle_timeout": @"-1s"}`, "limits.idle_timeout is -1s"},
 		{"duration type", d, d + `, "timings": {"renew_interval": @1}`, "timings.renew_interval is 1; write a duration"},
-		{"renew", d, d + `, "timings": {"renew_interval": @"1501ms"}`, "timings.renew_interval 1.501s is more than half"},
+		{"renew", d, d + `, "timings": {"renew_interval": @"1001ms"}`, "timings.renew_interval 1.001s is more than a third"},
 		{"grace", d, d + `, "timings": {"task_grace": @"2s"}`, "timings.task_grace 2s is below"},
 		{"heartbeat", d, d + `, "timings": {"heartbeat_interval": @"2s"}`, "timings.heartbeat_interval 2s is more"},
 		{"settle", d, d + `, "timings": {"settle_time": @"30s"}`, "timings.settle_time 30s leaves no time"},
@@ -78,7 +78,7 @@
 		s, ps := Parse("f", data)
 		assert.Equal(t, s == nil, len(ps) > 0)
 		if s != nil {
-			assert.Assert(t, s.Timings.RenewInterval >= time.Millisecond && s.Timings.RenewInterval <= s.Timings.LeaseTTL/2)
+			assert.Assert(t, s.Timings.RenewInterval >= time.Millisecond && s.Timings.RenewInterval <= s.Timings.LeaseTTL/3)
 		}
 	})
 }
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -183,11 +183,13 @@
 	checkDuration(doc, "timings.shutdown_timeout", s.Timings.ShutdownTimeout, time.Millisecond)
 }
 
-// One lost renewal must not cost a lease.
+// A renewal answers after its long poll of one interval, and a lease counts as
+// held for nine tenths of its TTL after a renewal was sent. At half of the TTL
+// an idle owner lost its leases between two renewals.
 func checkRenewal(s *Settings, doc *jsonc.Document) {
-	if s.Timings.RenewInterval > s.Timings.LeaseTTL/2 && !doc.BadWithin("timings") {
-		doc.Report("timings.renew_interval", "renew at least twice within lease_ttl",
-			"timings.renew_interval %s is more than half of timings.lease_ttl %s", s.Timings.RenewInterval, s.Timings.LeaseTTL)
+	if s.Timings.RenewInterval > s.Timings.LeaseTTL/3 && !doc.BadWithin("timings") {
+		doc.Report("timings.renew_interval", "renew at least three times within lease_ttl",
+			"timings.renew_interval %s is more than a third of timings.lease_ttl %s", s.Timings.RenewInterval, s.Timings.LeaseTTL)
 	}
 }
 
@@ -203,7 +205,7 @@
 func checkHeartbeat(s *Settings, doc *jsonc.Document) {
 	if s.Timings.HeartbeatInterval > s.Timings.LeaseTTL/2 && !doc.BadWithin("timings") {
 		doc.Report("timings.heartbeat_interval", "send at least two heartbeats within lease_ttl",
-			"timings.heartbeat_interval %s is more than half of timings.lease_ttl %s", s.Timings.HeartbeatInterval, s.Timings.LeaseTTL)
+			"timings.heartbeat_interval %s is more than a third of timings.lease_ttl %s", s.Timings.HeartbeatInterval, s.Timings.LeaseTTL)
 	}
 }
 
--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -71,13 +71,13 @@
 	c.mu.Lock()
 	owner, _ := c.tb.Owner(ctx, f.DC)
 	c.mu.Unlock()
-	mates := c.dcOf(f.DC)
-	for _, id := range mates {
+	localPeers := c.dcOf(f.DC)
+	for _, id := range localPeers {
 		if (id == owner) == ofOwner(f) {
 			return id
 		}
 	}
-	return mates[f.N%len(mates)]
+	return localPeers[f.N%len(localPeers)]
 }
 
 func (c *cell) kill(ids ...string) error {
--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -16,7 +16,7 @@
 func NewLogger(w io.Writer, level, daemon, dataCentre string) (*logrus.Entry, error) {
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Malformed, "use one of error, warning, info, debug", "log level %q is not known", level)
+		return nil, fault.Wrap(err, fault.Malformed, "use one of error, warn, info, debug", "log level %q is not known", level)
 	}
 	logger := logrus.New()
 	logger.SetOutput(w)
