--- a/internal/core/estimate/estimate.go
+++ b/internal/core/estimate/estimate.go
@@ -67,7 +67,9 @@
 	if d.amounts.total < TrustedDownSamples || d.amounts.spread()*informativeSpread > d.ratios.spread() {
 		return int64(byRatio)
 	}
-	return int64(math.Ceil(d.amounts.quantile(Quantile)))
+	amount := math.Ceil(d.amounts.quantile(Quantile))
+	lowest, highest := float64(declared)*FloorFactor, float64(declared)*CeilingFactor
+	return int64(math.Ceil(min(max(amount, lowest), highest)))
 }
 
 // New returns an estimator without samples.
