--- a/internal/core/scheduler/recovery.go
+++ b/internal/core/scheduler/recovery.go
@@ -299,14 +299,12 @@
 // still missing. A forgotten attempt of an idempotent one has ended after the
 // task grace.
 func (c *Core) held(now time.Time, e *entry) bool {
-	return c.mayHaveStarted(e) && !(e.rec.Request.Idempotent && c.doubt.graceOver(now, c.cfg))
+	return c.mayHaveStarted(e) && !(e.rec.Request.Idempotent && c.graceOver(now))
 }
 
 // graceOver reports whether workers that no owner leased since the takeover
 // have stopped their tasks.
-func (d *doubt) graceOver(now time.Time, cfg Config) bool {
-	return now.Sub(d.since) > cfg.LeaseTTL+cfg.TaskGrace+lostMargin
-}
+func (c *Core) graceOver(now time.Time) bool { return now.Sub(c.doubt.since) > c.stopLimit() }
 
 // checkDoubt refuses a new key that may have run before the data centre lost
 // its records. Requests issued after the loss cannot have.
@@ -315,7 +313,7 @@
 	if d == nil || (!r.IssuedAt.IsZero() && r.IssuedAt.After(d.since)) {
 		return nil
 	}
-	if r.Idempotent && d.graceOver(now, c.cfg) {
+	if r.Idempotent && c.graceOver(now) {
 		return nil
 	}
 	return fault.New(fault.FateInDoubt,
--- a/internal/core/scheduler/services.go
+++ b/internal/core/scheduler/services.go
@@ -78,7 +78,7 @@
 // inventory, or must have stopped its tasks: an instance may run where no lease
 // is held yet.
 func (c *Core) syncServices(now time.Time) {
-	if c.servicesPending = c.doubt != nil && c.unleased() && now.Sub(c.doubt.since) <= c.stopLimit(); c.servicesPending {
+	if c.servicesPending = c.doubt != nil && c.unleased() && !c.graceOver(now); c.servicesPending {
 		return
 	}
 	wanted := map[string]bool{}
