Ask all data centres for their status at once; do not pass on a refusal after a lost answer

A repeated call that was refused, for instance as overloaded, told the caller that nothing was started, although an earlier try whose answer was lost may have been accepted; it is fate_unknown_yet now.

--- a/internal/daemon/route.go
+++ b/internal/daemon/route.go
@@ -66,7 +66,7 @@
 			return rec, nil
 		}
 		if !retryable(err) {
-			return model.Record{}, err
+			return model.Record{}, refusal(home, c.key, maybeSent, err)
 		}
 		maybeSent = maybeSent || fault.KindOf(err) == fault.FateUnknownYet
 		sleep(ctx, routePause)
@@ -84,6 +84,19 @@
 	return false
 }
 
+// refusal returns the error of a call that was answered. A refusal says that
+// this try started nothing; an earlier one whose answer was lost may have been
+// accepted, so the caller must not take the refusal for "not run".
+func refusal(home model.DataCentre, key string, maybeSent bool, err error) error {
+	switch fault.KindOf(err) {
+	case fault.Overloaded, fault.DeadlineExceeded, fault.CanNeverRun, fault.UnknownService, fault.FateInDoubt:
+		if maybeSent {
+			return routeFailure(home, key, true, err)
+		}
+	}
+	return err
+}
+
 func routeFailure(home model.DataCentre, key string, maybeSent bool, last error) error {
 	if maybeSent {
 		return fault.Wrap(last, fault.FateUnknownYet, "ask for the fate of the key later, or repeat the request with the same key",
--- a/internal/daemon/route_test.go
+++ b/internal/daemon/route_test.go
@@ -32,6 +32,18 @@
 	}
 }
 
+// Guards against telling "not run" by a refusal of a repeated call when the first
+// one may have been accepted.
+func TestRefusalAfterLostAnswer(t *testing.T) {
+	for _, k := range []fault.Kind{fault.Overloaded, fault.DeadlineExceeded, fault.CanNeverRun, fault.FateInDoubt} {
+		err := fault.New(k, "retry", "refused")
+		assert.Equal(t, fault.KindOf(refusal("dc-b", "k", false, err)), k)
+		assert.Equal(t, fault.KindOf(refusal("dc-b", "k", true, err)), fault.FateUnknownYet)
+	}
+	conflict := fault.New(fault.KeyConflict, "use a new key", "conflict")
+	assert.Equal(t, fault.KindOf(refusal("dc-b", "k", true, conflict)), fault.KeyConflict)
+}
+
 // Guards against repeating a call that was answered, and against giving up on
 // one that the next owner can answer.
 func TestRetryable(t *testing.T) {
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"catkinvalve/internal/adapters/peerrpc"
 	"catkinvalve/internal/api"
 	"catkinvalve/internal/core/model"
@@ -168,13 +170,22 @@
 
 // Status implements the caller API.
 func (d *Daemon) Status(ctx context.Context) (api.Status, error) {
-	var out api.Status
-	for _, dc := range d.dataCentres() {
-		out.DataCentres = append(out.DataCentres, d.statusOfDC(ctx, dc))
-	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	dcs := d.dataCentres()
+	out := api.Status{DataCentres: make([]api.DataCentreStatus, len(dcs))}
+	var wg conc.WaitGroup
+	for i, dc := range dcs {
+		wg.Go(func() { out.DataCentres[i] = d.statusOfDC(ctx, dc) })
+	}
+	wg.Wait()
 	return out, nil
 }
 
+// statusTimeout bounds a status report. All data centres are asked at the same
+// time, so that one that does not answer hides no other.
+const statusTimeout = 1500 * time.Millisecond
+
 func (d *Daemon) statusOfDC(ctx context.Context, dc model.DataCentre) api.DataCentreStatus {
 	if dc == d.set.DataCentre && d.state.Load().serving {
 		if s, err := d.localStatus(ctx); err == nil {
@@ -193,6 +204,9 @@
 		return s
 	}
 	if dc == d.set.DataCentre {
+		// The own view is due even after the owner let the time pass.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), statusTimeout)
+		defer cancel()
 		if s, err := d.localStatus(ctx); err == nil {
 			return s
 		}
