Use one piece for waits, record pages and passing calls on

Found by reading the whole change again: the wait that ends with its context stood in the daemon (twice), the load generator and the soak; the loop over pages of records stood twice; the rule that passes a call to the owner stood four times. A published text was parsed three times for each accepted revision, two sets of histograms were built over one registry, and each batch of the owner loop copied and sorted the peers only to see whether there is one.

--- a/internal/core/membership/peers.go
+++ b/internal/core/membership/peers.go
@@ -120,6 +120,17 @@
 	return out
 }
 
+// HasLocalPeers reports whether another daemon of the own data centre is alive.
+// The owner asks with every batch, so it makes no copies.
+func (t *Table) HasLocalPeers(now time.Time) bool {
+	for id, p := range t.peers {
+		if p.DataCentre == t.self.DataCentre && t.Alive(now, id) {
+			return true
+		}
+	}
+	return false
+}
+
 // Candidate reports whether the own daemon should campaign: no living owner is
 // known and no living, ready local peer has a lower ID. Two daemons that disagree do
 // no harm, because the workers grant each lease once.
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -10,6 +10,7 @@
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/scheduler"
 	"catkinvalve/internal/fault"
+	"catkinvalve/internal/pause"
 	"catkinvalve/internal/ports"
 )
 
@@ -323,7 +324,7 @@
 			return
 		}
 		maybeSent = true
-		a.pause(ctx)
+		pause.For(ctx, retryPause)
 	}
 	if !maybeSent {
 		a.refuse(starts)
@@ -375,7 +376,7 @@
 		if err == nil || fault.KindOf(err) == fault.LeaseLost {
 			return
 		}
-		a.pause(ctx)
+		pause.For(ctx, retryPause)
 	}
 }
 
@@ -384,12 +385,3 @@
 	defer cancel()
 	return fn(ctx)
 }
-
-func (a *agent) pause(ctx context.Context) {
-	t := time.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -13,6 +13,7 @@
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/split"
 	"catkinvalve/internal/fault"
+	"catkinvalve/internal/pause"
 	"catkinvalve/internal/peerpb"
 	"catkinvalve/internal/text"
 )
@@ -35,23 +36,48 @@
 	cfg      *text.Config
 	revision uint64
 	changed  chan struct{}
+	// parsed is the last text that was parsed. Judging, digesting and putting a
+	// publication into force need the same one; only the holder of mu uses it.
+	parsed parsedText
+}
+
+type parsedText struct {
+	text string
+	cfg  *text.Config
+	err  error
 }
 
 func newConfigStore() *configStore {
-	return &configStore{reader: confirm.NewReader(confirm.Rules{Validate: validateText, Carry: carry}), changed: make(chan struct{})}
+	c := &configStore{changed: make(chan struct{})}
+	c.reader = confirm.NewReader(confirm.Rules{Validate: c.validate, Carry: c.carry})
+	return c
+}
+
+func parseText(s string) parsedText {
+	cfg, problems := text.Parse("published text", []byte(s))
+	if len(problems) > 0 {
+		return parsedText{text: s, err: errors.New(problems[0].String())}
+	}
+	return parsedText{text: s, cfg: cfg}
 }
 
-func validateText(s string) error {
-	if _, problems := text.Parse("published text", []byte(s)); len(problems) > 0 {
-		return errors.New(problems[0].String())
+// parse returns the parsed text, from the last call if it was the same.
+func (c *configStore) parse(s string) (*text.Config, error) {
+	if c.parsed.text != s || (c.parsed.cfg == nil && c.parsed.err == nil) {
+		c.parsed = parseText(s)
 	}
-	return nil
+	return c.parsed.cfg, c.parsed.err
+}
+
+func (c *configStore) validate(s string) error {
+	_, err := c.parse(s)
+	return err
 }
 
 // carry digests an accepted text for later revisions.
-func carry(before split.Carried, at time.Time, s string) split.Carried {
-	cfg, problems := text.Parse("published text", []byte(s))
-	if len(problems) > 0 {
+func (c *configStore) carry(before split.Carried, at time.Time, s string) split.Carried {
+	cfg, err := c.parse(s)
+	if err != nil {
 		return before
 	}
 	shares := make(map[string]int, len(cfg.Services))
@@ -88,8 +114,8 @@
 	if s.Revision <= c.revision {
 		return c.cfg, c.revision, false
 	}
-	cfg, problems := text.Parse("published text", []byte(s.Text))
-	if len(problems) > 0 {
+	cfg, err := c.parse(s.Text)
+	if err != nil {
 		return c.cfg, c.revision, false
 	}
 	c.cfg, c.revision = cfg, s.Revision
@@ -137,7 +163,7 @@
 		page, err := d.logService.Read(ctx, configStream, s.Next, logPage, d.set.Timings.LogPoll)
 		if err != nil {
 			d.metrics.logErrors.Inc(1)
-			sleep(ctx, d.set.Timings.LogPoll)
+			pause.For(ctx, d.set.Timings.LogPoll)
 			continue
 		}
 		d.applyConfig(func(r *confirm.Reader) {
@@ -152,7 +178,7 @@
 		first = false
 		d.maybeSnapshot(ctx, len(page.Records) == 0)
 		if len(page.Records) == 0 {
-			sleep(ctx, d.set.Timings.LogPoll/5)
+			pause.For(ctx, d.set.Timings.LogPoll/5)
 		}
 	}
 }
@@ -225,7 +251,7 @@
 // Publish appends a publication and waits for its verdict. After a lost answer
 // the append may have taken effect, so the verdict is awaited all the same.
 func (d *Daemon) Publish(ctx context.Context, p api.PublishRequest) (api.PublishResult, error) {
-	if err := validateText(p.Text); err != nil {
+	if err := parseText(p.Text).err; err != nil {
 		return api.PublishResult{}, fault.Wrap(err, fault.Malformed, "run catkinvalve check on the file and correct it", "the text is not valid")
 	}
 	if _, anchored := d.config.state(); !anchored {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/scheduler"
 	"catkinvalve/internal/fault"
+	"catkinvalve/internal/pause"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/ring"
 	"catkinvalve/internal/settings"
@@ -79,6 +80,7 @@
 	replicator *replicator
 	metrics    counters
 	registry   metrics.Registry
+	histograms *telemetry.Histograms
 }
 
 // counters are the daemon's own metrics.
@@ -106,7 +108,8 @@
 	d := &Daemon{
 		set: set, incarnation: incarnation, holder: set.DaemonID + "@" + incarnation,
 		log: deps.Logger, now: deps.Now, logService: deps.Log, list: deps.List, dialer: deps.Workers,
-		ctx: ctx, cancel: cancel, registry: deps.Registry, metrics: newCounters(deps.Registry), config: newConfigStore(),
+		ctx: ctx, cancel: cancel, registry: deps.Registry, histograms: telemetry.NewHistograms(deps.Registry, telemetry.DefaultPairs),
+		metrics: newCounters(deps.Registry), config: newConfigStore(),
 		requests: ring.New[message]("requests", requestRingSize, deps.Registry),
 		controls: ring.New[message]("control", controlRingSize, deps.Registry),
 	}
@@ -140,15 +143,11 @@
 		BodyBytes: d.set.Limits.BodyBytes, HeaderBytes: int(d.set.Limits.HeaderBytes),
 		HeaderTimeout: d.set.Limits.HeaderReadTimeout, BodyTimeout: d.set.Limits.BodyReadTimeout,
 		IdleTimeout: d.set.Limits.IdleTimeout, MaxConns: d.set.Limits.MaxConnections, MaxWait: d.set.Limits.MaxWait,
-		Registry: deps.Registry, Histograms: d.histograms(), Log: deps.Logger,
+		Registry: deps.Registry, Histograms: d.histograms, Log: deps.Logger,
 	})
 	return nil
 }
 
-func (d *Daemon) histograms() *telemetry.Histograms {
-	return telemetry.NewHistograms(d.registry, telemetry.DefaultPairs)
-}
-
 // Run serves until ctx ends and then shuts down gracefully. Both listeners
 // belong to the daemon from then on.
 func (d *Daemon) Run(ctx context.Context, callers, peers net.Listener) error {
@@ -182,7 +181,7 @@
 		members:  membership.NewTable(self, suspectBeats*d.set.Timings.HeartbeatInterval),
 		election: election.New(d.set.Timings.LeaseTTL),
 		waiters:  map[string][]chan answer{}, agents: map[model.WorkerID]*agent{},
-		startedAt: d.now(), histogram: d.histograms(),
+		startedAt: d.now(), histogram: d.histograms,
 	}
 }
 
@@ -194,7 +193,7 @@
 	defer cancel()
 	d.log.Info("shutting down")
 	d.control(drainMsg{})
-	sleep(ctx, d.set.Timings.SettleTime)
+	pause.For(ctx, d.set.Timings.SettleTime)
 	d.handOver(ctx)
 	err := d.httpSrv.Shutdown(ctx)
 	err = errors.Join(err, d.peerSrv.Shutdown(ctx))
--- a/internal/daemon/delegator.go
+++ b/internal/daemon/delegator.go
@@ -9,6 +9,7 @@
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/scheduler"
 	"catkinvalve/internal/fault"
+	"catkinvalve/internal/pause"
 	"catkinvalve/internal/peerpb"
 )
 
@@ -73,7 +74,7 @@
 			return
 		default:
 			sent = sent || !surelyNotRun(err)
-			sleep(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		}
 	}
 }
@@ -121,14 +122,14 @@
 func (g *delegator) await(ctx context.Context, del scheduler.Delegation) {
 	peers := g.d.state.Load().peersIn(del.To)
 	if len(peers) == 0 {
-		sleep(ctx, retryPause)
+		pause.For(ctx, retryPause)
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, longPoll+forwardTimeout)
 	defer cancel()
 	resp, err := g.d.peers.Fate(callCtx, target(peers[0]), &peerpb.FateRequest{Key: del.Request.Key, WaitMs: longPoll.Milliseconds()})
 	if err != nil {
-		sleep(ctx, retryPause)
+		pause.For(ctx, retryPause)
 		return
 	}
 	if rec, err := peerpb.RecordFromProto(resp.Record); err == nil {
@@ -149,7 +150,7 @@
 					return
 				}
 			}
-			sleep(g.d.ctx, time.Second)
+			pause.For(g.d.ctx, time.Second)
 		}
 	})
 }
--- a/internal/daemon/helpers_test.go
+++ b/internal/daemon/helpers_test.go
@@ -13,6 +13,7 @@
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/scheduler"
 	"catkinvalve/internal/fault"
+	"catkinvalve/internal/pause"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/settings"
 	"catkinvalve/internal/telemetry"
@@ -111,7 +112,7 @@
 	w.mu.Lock()
 	err := w.leaseErr
 	w.mu.Unlock()
-	sleep(ctx, 10*time.Millisecond)
+	pause.For(ctx, 10*time.Millisecond)
 	return ports.SyncResult{BootID: "boot"}, err
 }
 
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -324,7 +324,7 @@
 	if len(records) == 0 {
 		return
 	}
-	if len(l.members.LocalPeers(l.d.now())) == 0 {
+	if !l.members.HasLocalPeers(l.d.now()) {
 		for i := range records {
 			l.core.Replicated(records[i].Request.Key, records[i].Version)
 		}
--- a/internal/daemon/oldsystem.go
+++ b/internal/daemon/oldsystem.go
@@ -9,6 +9,7 @@
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/pause"
 	"catkinvalve/internal/ports"
 )
 
@@ -52,7 +53,7 @@
 	o.do(func(ctx context.Context) {
 		if o.sys == nil {
 			// The scheduler asks again at once, until the deadline.
-			sleep(ctx, oldRetry)
+			pause.For(ctx, oldRetry)
 		}
 		if o.sys == nil || (!r.Deadline.IsZero() && !o.d.now().Before(r.Deadline)) {
 			o.d.control(oldReportMsg{scheduler.OldReport{Key: r.Key, NotSent: true}})
@@ -69,11 +70,11 @@
 			}
 			sent = sent || err == nil || !refusedByOld(err)
 			if !sent {
-				sleep(ctx, oldRetry)
+				pause.For(ctx, oldRetry)
 				o.d.control(oldReportMsg{scheduler.OldReport{Key: r.Key, NotSent: true}})
 				return
 			}
-			sleep(ctx, oldRetry)
+			pause.For(ctx, oldRetry)
 		}
 	})
 }
@@ -112,7 +113,7 @@
 				}
 				return
 			}
-			sleep(o.d.ctx, oldRetry)
+			pause.For(o.d.ctx, oldRetry)
 		}
 	})
 }
@@ -142,7 +143,7 @@
 		st, err := o.sys.Lookup(callCtx, key)
 		if err != nil {
 			o.d.log.WithError(err).WithField("key", key).Debug("old system did not answer a lookup")
-			sleep(ctx, oldRetry)
+			pause.For(ctx, oldRetry)
 		}
 		o.d.control(oldLookupMsg{key: key, known: err == nil && st.Known, unavailable: err != nil})
 	})
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"catkinvalve/internal/adapters/peerrpc"
+	"catkinvalve/internal/core/membership"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/peerpb"
@@ -61,6 +62,16 @@
 	return recordResponse(c.key, rec, err)
 }
 
+// passOn returns the owner to which a call that is not keyed has to be passed,
+// under the same rule as onward.
+func (s *peerService) passOn(ctx context.Context) (membership.Peer, bool) {
+	st := s.d.state.Load()
+	if st.serving || s.d.fromLocalPeer(ctx) {
+		return membership.Peer{}, false
+	}
+	return st.localOwner()
+}
+
 // Submit handles a request whose home is this data centre.
 func (s *peerService) Submit(ctx context.Context, r *peerpb.SubmitRequest) (*peerpb.RecordResponse, error) {
 	req, err := peerpb.RequestFromProto(r.Request)
@@ -86,8 +97,7 @@
 
 // Explain tells why a key of this data centre waits.
 func (s *peerService) Explain(ctx context.Context, r *peerpb.ExplainRequest) (*peerpb.ExplainResponse, error) {
-	st := s.d.state.Load()
-	if owner, ok := st.localOwner(); ok && !st.serving && !s.d.fromLocalPeer(ctx) {
+	if owner, ok := s.passOn(ctx); ok {
 		return s.d.peers.Explain(ctx, target(owner), r)
 	}
 	x, err := s.d.localExplain(ctx, r.Key)
@@ -193,8 +203,7 @@
 
 // RecoverHome lists what runs here for a home data centre.
 func (s *peerService) RecoverHome(ctx context.Context, r *peerpb.RecoverHomeRequest) (*peerpb.FetchRecordsResponse, error) {
-	st := s.d.state.Load()
-	if owner, ok := st.localOwner(); ok && !st.serving && !s.d.fromLocalPeer(ctx) {
+	if owner, ok := s.passOn(ctx); ok {
 		return s.d.peers.RecoverHome(ctx, target(owner), r)
 	}
 	var records []model.Record
@@ -213,8 +222,7 @@
 
 // Drain stops new work on a worker of this data centre.
 func (s *peerService) Drain(ctx context.Context, r *peerpb.DrainRequest) (*peerpb.DrainResponse, error) {
-	st := s.d.state.Load()
-	if owner, ok := st.localOwner(); ok && !st.serving && !s.d.fromLocalPeer(ctx) {
+	if owner, ok := s.passOn(ctx); ok {
 		return s.d.peers.Drain(ctx, target(owner), r)
 	}
 	n, found, err := s.d.localDrain(ctx, r.Worker)
@@ -226,8 +234,7 @@
 
 // Status returns the view of this data centre's owner.
 func (s *peerService) Status(ctx context.Context, r *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
-	st := s.d.state.Load()
-	if owner, ok := st.localOwner(); ok && !st.serving && !s.d.fromLocalPeer(ctx) {
+	if owner, ok := s.passOn(ctx); ok {
 		return s.d.peers.Status(ctx, target(owner), r)
 	}
 	dc, err := s.d.localStatus(ctx)
--- a/internal/daemon/recovery.go
+++ b/internal/daemon/recovery.go
@@ -12,6 +12,7 @@
 	"catkinvalve/internal/core/membership"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/scheduler"
+	"catkinvalve/internal/pause"
 	"catkinvalve/internal/peerpb"
 )
 
@@ -73,22 +74,34 @@
 	})
 }
 
-// fetchRecords restores all records of a local peer. It returns true when the local peer
-// had every record of the last owner.
+// fetchRecords restores all records of a local peer. It returns true when that
+// peer had every record of the last owner.
 func (d *Daemon) fetchRecords(ctx context.Context, peer membership.Peer, term uint64) bool {
-	after, synced := "", true
-	for {
+	synced := true
+	complete := d.restorePages("", func(after string) (*peerpb.FetchRecordsResponse, error) {
 		resp, err := d.peers.FetchRecords(ctx, target(peer), &peerpb.FetchRecordsRequest{
 			DataCentre: string(d.set.DataCentre), Term: term, After: after, Limit: fetchPage,
 		})
+		synced = synced && err == nil && resp.Synced
+		return resp, err
+	})
+	return complete && synced
+}
+
+// restorePages fetches records page by page and restores them. It returns false
+// when a page could not be had. delegatedTo is set for records that another data
+// centre runs for this one.
+func (d *Daemon) restorePages(delegatedTo model.DataCentre, fetch func(after string) (*peerpb.FetchRecordsResponse, error)) bool {
+	after := ""
+	for {
+		resp, err := fetch(after)
 		if err != nil {
 			return false
 		}
-		synced = synced && resp.Synced
 		records := recordsOf(resp.Records)
-		d.control(restoreMsg{records: records})
+		d.control(restoreMsg{records: records, delegatedTo: delegatedTo})
 		if !resp.More || len(records) == 0 {
-			return synced
+			return true
 		}
 		after = records[len(records)-1].Request.Key
 	}
@@ -106,21 +119,11 @@
 }
 
 func (d *Daemon) recoverHomeFrom(ctx context.Context, dc model.DataCentre, to peerrpc.Target, term uint64) bool {
-	after := ""
-	for {
-		resp, err := d.peers.RecoverHome(ctx, to, &peerpb.RecoverHomeRequest{
+	return d.restorePages(dc, func(after string) (*peerpb.FetchRecordsResponse, error) {
+		return d.peers.RecoverHome(ctx, to, &peerpb.RecoverHomeRequest{
 			Home: string(d.set.DataCentre), HomeTerm: term, After: after, Limit: fetchPage,
 		})
-		if err != nil {
-			return false
-		}
-		records := recordsOf(resp.Records)
-		d.control(restoreMsg{records: records, delegatedTo: dc})
-		if !resp.More || len(records) == 0 {
-			return true
-		}
-		after = records[len(records)-1].Request.Key
-	}
+	})
 }
 
 // watchRecords keeps a standby's records complete and asks the sources that a
@@ -159,7 +162,7 @@
 		return
 	}
 	// The owner's loop publishes its view of the local peers with its next tick.
-	sleep(ctx, 2*tickInterval)
+	pause.For(ctx, 2*tickInterval)
 	if d.fetchRecords(ctx, owner, 0) {
 		d.control(syncedMsg{owner.Term})
 	}
--- a/internal/daemon/replicator.go
+++ b/internal/daemon/replicator.go
@@ -8,6 +8,7 @@
 	"catkinvalve/internal/adapters/peerrpc"
 	"catkinvalve/internal/core/membership"
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/pause"
 	"catkinvalve/internal/peerpb"
 )
 
@@ -119,7 +120,7 @@
 		cancel()
 		switch {
 		case err != nil:
-			sleep(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		case resp.Accepted:
 			return
 		default:
@@ -132,13 +133,3 @@
 func target(p membership.Peer) peerrpc.Target {
 	return peerrpc.Target{ID: p.ID, Addr: p.Addr, Region: p.Region}
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/daemon/route.go
+++ b/internal/daemon/route.go
@@ -13,6 +13,7 @@
 	"catkinvalve/internal/core/membership"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
+	"catkinvalve/internal/pause"
 	"catkinvalve/internal/peerpb"
 )
 
@@ -69,7 +70,7 @@
 			return model.Record{}, refusal(home, c.key, maybeSent, err)
 		}
 		maybeSent = maybeSent || fault.KindOf(err) == fault.FateUnknownYet
-		sleep(ctx, routePause)
+		pause.For(ctx, routePause)
 		if ctx.Err() != nil {
 			return model.Record{}, routeFailure(home, c.key, maybeSent, err)
 		}
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -13,6 +13,7 @@
 	"catkinvalve/internal/api"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
+	"catkinvalve/internal/pause"
 	"catkinvalve/internal/text"
 )
 
@@ -70,7 +71,7 @@
 	r.start = time.Now()
 	for n := 0; ; n++ {
 		a, ok := plan.Next()
-		if !ok || !sleepUntil(ctx, r.start.Add(a.At)) {
+		if !ok || !pause.For(ctx, time.Until(r.start.Add(a.At))) {
 			return
 		}
 		r.out.result.Planned++
@@ -78,21 +79,6 @@
 	}
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // follow submits a request and repeats it by key until its fate is final.
 func (r *runner) follow(ctx context.Context, n int, a Arrival) {
 	planned := r.start.Add(a.At)
@@ -116,7 +102,7 @@
 				r.out.refused(fault.KindOf(err))
 				return
 			}
-			sleepUntil(ctx, time.Now().Add(retryPause))
+			pause.For(ctx, retryPause)
 		}
 		if ctx.Err() != nil {
 			r.out.unfinished()
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/pause"
 	"catkinvalve/internal/platform"
 	"catkinvalve/internal/ports"
 )
@@ -31,7 +32,7 @@
 func (in *injector) run(ctx context.Context, start time.Time, schedule []Fault) {
 	var wg sync.WaitGroup
 	for _, f := range schedule {
-		if !sleep(ctx, time.Until(start.Add(f.At))) {
+		if !pause.For(ctx, time.Until(start.Add(f.At))) {
 			break
 		}
 		wg.Go(func() {
@@ -47,20 +48,6 @@
 	wg.Wait()
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // inject starts a fault, waits and ends it.
 func (in *injector) inject(ctx context.Context, f Fault) error {
 	c := in.cell
@@ -104,7 +91,7 @@
 	if err := set(true); err != nil {
 		return err
 	}
-	sleep(ctx, f.For)
+	pause.For(ctx, f.For)
 	return set(false)
 }
 
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -10,6 +10,7 @@
 	"catkinvalve/internal/api"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/history"
+	"catkinvalve/internal/pause"
 )
 
 const (
@@ -44,7 +45,7 @@
 	defer workers.Wait()
 	for {
 		r := p.next()
-		if r.at >= length || !sleep(ctx, time.Until(start.Add(r.at))) || time.Since(start) > length {
+		if r.at >= length || !pause.For(ctx, time.Until(start.Add(r.at))) || time.Since(start) > length {
 			return
 		}
 		l.mu.Lock()
@@ -66,7 +67,7 @@
 	for _, order := range r.callers {
 		wg.Go(func() { l.caller(ctx, r, order) })
 	}
-	if r.cancelAfter > 0 && sleep(ctx, r.cancelAfter) {
+	if r.cancelAfter > 0 && pause.For(ctx, r.cancelAfter) {
 		l.cancel(ctx, r)
 	}
 	wg.Wait()
@@ -85,7 +86,7 @@
 			l.refused(r.req.Key, out.Err)
 			return
 		case out.Err != "":
-			sleep(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		}
 		r.req.WaitMS = waitMS
 	}
@@ -196,6 +197,6 @@
 		if out.Err == fault.NotFound {
 			return
 		}
-		sleep(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 }
--- a/internal/soak/publish.go
+++ b/internal/soak/publish.go
@@ -11,6 +11,7 @@
 	"catkinvalve/internal/api"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/history"
+	"catkinvalve/internal/pause"
 )
 
 const (
@@ -96,7 +97,7 @@
 			}
 			last = err
 		}
-		if !sleep(ctx, publishPause) {
+		if !pause.For(ctx, publishPause) {
 			break
 		}
 	}
@@ -133,7 +134,7 @@
 			p.count(res.Accepted)
 			return nil
 		}
-		if !sleep(ctx, publishPause) {
+		if !pause.For(ctx, publishPause) {
 			return err
 		}
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -13,6 +13,7 @@
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/history"
+	"catkinvalve/internal/pause"
 	"catkinvalve/internal/testbed"
 )
 
@@ -123,7 +124,7 @@
 		r.load.run(loadCtx, r.start, r.opts.length(), newPlanner(r.opts.Seed, r.opts.Rate, len(r.cell.ids)))
 	})
 	r.inject.run(ctx, r.start, r.schedule)
-	sleep(ctx, time.Until(r.start.Add(r.opts.length())))
+	pause.For(ctx, time.Until(r.start.Add(r.opts.length())))
 	if err := r.cell.heal(ctx); err != nil {
 		return fmt.Errorf("end all faults: %w", err)
 	}
--- a/internal/soak/watch.go
+++ b/internal/soak/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"catkinvalve/internal/history"
+	"catkinvalve/internal/pause"
 	"catkinvalve/internal/platform"
 )
 
@@ -36,13 +37,13 @@
 func (w *watcher) run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		for sleep(ctx, statsEvery) {
+		for pause.For(ctx, statsEvery) {
 			_ = w.poll(ctx) // The last reading must succeed; see check.
 		}
 	})
 	for i := range w.cell.ids {
 		wg.Go(func() {
-			for sleep(ctx, readEvery) {
+			for pause.For(ctx, readEvery) {
 				w.read(ctx, i)
 			}
 		})
