--- a/internal/adapters/jsonhttp/jsonhttp.go
+++ b/internal/adapters/jsonhttp/jsonhttp.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 )
 
 const (
@@ -35,14 +35,16 @@
 
 // Options configure a Client. Zero values select the defaults.
 type Options struct {
-	// Daemon is the ID sent in platform.DaemonHeader.
+	// Daemon is the ID sent in standinapi.DaemonHeader.
 	Daemon string
 	// LocalAddr is the source IP address of connections.
 	LocalAddr string
 	// Timeout bounds calls whose context has no deadline.
-	Timeout       time.Duration
-	DialTimeout   time.Duration
-	ConnsPerHost  int
+	Timeout      time.Duration
+	DialTimeout  time.Duration
+	ConnsPerHost int
+	// IdlePerHost is how many unused connections to a host are kept.
+	IdlePerHost   int
 	MaxReplyBytes int64
 }
 
@@ -100,7 +102,7 @@
 		DialContext:            dialer.DialContext,
 		DisableCompression:     true,
 		MaxConnsPerHost:        orDefault(o.ConnsPerHost, defaultConnsPerHost),
-		MaxIdleConnsPerHost:    maxIdlePerHost,
+		MaxIdleConnsPerHost:    orDefault(o.IdlePerHost, maxIdlePerHost),
 		IdleConnTimeout:        idleTimeout,
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
@@ -124,59 +126,96 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
+// Request is one HTTP request of Send.
+type Request struct {
+	Method string
+	URL    string
+	// ContentType is that of Body, if there is one.
+	ContentType string
+	Body        []byte
+	Header      http.Header
+}
+
+// Reply is an HTTP response with its whole body.
+type Reply struct {
+	Status int
+	Body   []byte
+}
+
 // Do sends in as JSON, unless it is nil, and decodes a 2xx answer into out,
 // unless it is nil. Another status is returned as a *StatusError.
 func (c *Client) Do(ctx context.Context, method, url string, in, out any) error {
-	if _, ok := ctx.Deadline(); !ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, c.timeout)
-		defer cancel()
-	}
-	var body io.Reader
+	r := Request{Method: method, URL: url}
 	if in != nil {
 		data, err := json.Marshal(in)
 		if err != nil {
 			return err
 		}
-		body = bytes.NewReader(data)
+		r.Body, r.ContentType = data, "application/json"
 	}
-	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	reply, err := c.Send(ctx, r)
 	if err != nil {
 		return err
 	}
-	if in != nil {
-		req.Header.Set("Content-Type", "application/json")
+	if reply.Status < 200 || reply.Status > 299 {
+		return &StatusError{Code: reply.Status, Body: reply.Body}
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(reply.Body, out)
+}
+
+// Send sends a request and returns the response of any status.
+func (c *Client) Send(ctx context.Context, r Request) (Reply, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.timeout)
+		defer cancel()
+	}
+	var body io.Reader
+	if r.Body != nil {
+		body = bytes.NewReader(r.Body)
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, r.URL, body)
+	if err != nil {
+		return Reply{}, err
+	}
+	for name, values := range r.Header {
+		req.Header[name] = values
+	}
+	if r.Body != nil {
+		req.Header.Set("Content-Type", r.ContentType)
 	}
 	req.Header.Set("User-Agent", "") // Not sent, which makes each sync smaller.
 	if c.daemon != "" {
-		req.Header.Set(platform.DaemonHeader, c.daemon)
+		req.Header.Set(standinapi.DaemonHeader, c.daemon)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return err
+		return Reply{}, err
 	}
 	defer resp.Body.Close()
-	return c.decode(resp, out)
+	return c.read(resp)
 }
 
-// decode reads the whole body, because only then is the connection kept alive.
-func (c *Client) decode(resp *http.Response, out any) error {
-	if resp.StatusCode < 200 || resp.StatusCode > 299 {
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxDiscardBytes))
-		if err != nil {
-			return err
-		}
-		return &StatusError{Code: resp.StatusCode, Body: body}
+// read reads the whole body, because only then is the connection kept alive.
+// The body of an error is cut rather than refused.
+func (c *Client) read(resp *http.Response) (Reply, error) {
+	failed := resp.StatusCode < 200 || resp.StatusCode > 299
+	limit := c.maxReply
+	if failed {
+		limit = maxDiscardBytes
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxReply+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
-		return err
+		return Reply{}, err
 	}
-	if int64(len(body)) > c.maxReply {
-		return fmt.Errorf("answer exceeds %d bytes", c.maxReply)
-	}
-	if out == nil {
-		return nil
+	if int64(len(body)) > limit {
+		if !failed {
+			return Reply{}, fmt.Errorf("answer exceeds %d bytes", limit)
+		}
+		body = body[:limit]
 	}
-	return json.Unmarshal(body, out)
+	return Reply{Status: resp.StatusCode, Body: body}, nil
 }
--- a/internal/adapters/jsonhttp/jsonhttp_test.go
+++ b/internal/adapters/jsonhttp/jsonhttp_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/standin/harness"
 )
 
@@ -38,7 +38,7 @@
 func TestRequestIdentity(t *testing.T) {
 	var daemon, remote string
 	url := serve(t, func(w http.ResponseWriter, r *http.Request) {
-		daemon, remote = r.Header.Get(platform.DaemonHeader), r.RemoteAddr
+		daemon, remote = r.Header.Get(standinapi.DaemonHeader), r.RemoteAddr
 		harness.WriteJSON(w, http.StatusOK, struct{}{})
 	})
 	c := newClient(t, Options{Daemon: "d1", LocalAddr: "127.0.0.7"})
--- a/internal/adapters/listclient/listclient.go
+++ b/internal/adapters/listclient/listclient.go
@@ -7,7 +7,7 @@
 
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 )
 
@@ -26,7 +26,7 @@
 
 // Instances implements ports.InstanceList.
 func (c *Client) Instances(ctx context.Context) ([]ports.Instance, error) {
-	var out platform.InstancesReply
+	var out standinapi.InstancesReply
 	if err := c.http.Do(ctx, http.MethodGet, c.url, nil, &out); err != nil {
 		return nil, fault.Wrap(err, fault.ListUnavailable, "continue with the last list and ask again", "read instance list failed")
 	}
--- a/internal/adapters/logclient/logclient.go
+++ b/internal/adapters/logclient/logclient.go
@@ -10,7 +10,7 @@
 
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 )
 
@@ -29,8 +29,8 @@
 
 // Append implements ports.Log.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
-	var out platform.AppendReply
-	in := platform.AppendRequest{Data: data}
+	var out standinapi.AppendReply
+	in := standinapi.AppendRequest{Data: data}
 	if err := c.http.Do(ctx, http.MethodPost, c.base+url.PathEscape(stream), in, &out); err != nil {
 		return 0, wrap(err, "append to stream "+stream)
 	}
@@ -39,7 +39,7 @@
 
 // Read implements ports.Log.
 func (c *Client) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (ports.LogPage, error) {
-	var out platform.ReadReply
+	var out standinapi.ReadReply
 	target := fmt.Sprintf("%s%s?from=%d&max=%d&wait_ms=%d", c.base, url.PathEscape(stream), from, limit, wait.Milliseconds())
 	if err := c.http.Do(ctx, http.MethodGet, target, nil, &out); err != nil {
 		return ports.LogPage{}, wrap(err, "read stream "+stream)
--- a/internal/adapters/oldclient/oldclient.go
+++ b/internal/adapters/oldclient/oldclient.go
@@ -8,7 +8,7 @@
 
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 )
 
@@ -27,8 +27,8 @@
 
 // Run implements ports.OldSystem. It returns when the key has finished.
 func (c *Client) Run(ctx context.Context, key, service string, payload []byte) (ports.OldState, error) {
-	var out platform.RunReply
-	in := platform.RunRequest{Key: key, Service: service, Payload: payload}
+	var out standinapi.RunReply
+	in := standinapi.RunRequest{Key: key, Service: service, Payload: payload}
 	if err := c.http.Do(ctx, http.MethodPost, c.base+"run", in, &out); err != nil {
 		return ports.OldState{}, wrap(err, "look the key up or submit it again; it runs once", "run key "+key)
 	}
@@ -37,7 +37,7 @@
 
 // Lookup implements ports.OldSystem.
 func (c *Client) Lookup(ctx context.Context, key string) (ports.OldState, error) {
-	var out platform.RunReply
+	var out standinapi.RunReply
 	err := c.http.Do(ctx, http.MethodGet, c.base+"keys/"+url.PathEscape(key), nil, &out)
 	if jsonhttp.StatusOf(err) == http.StatusNotFound {
 		return ports.OldState{}, nil
@@ -50,15 +50,15 @@
 
 // Reserve implements ports.OldSystem.
 func (c *Client) Reserve(ctx context.Context, revision uint64, slots int64) (uint64, error) {
-	var out platform.ReserveReply
-	in := platform.ReserveRequest{Revision: revision, Slots: slots}
+	var out standinapi.ReserveReply
+	in := standinapi.ReserveRequest{Revision: revision, Slots: slots}
 	if err := c.http.Do(ctx, http.MethodPut, c.base+"reserve", in, &out); err != nil {
 		return 0, wrap(err, "keep the last acknowledged reserve and send this one again", "reserve slots")
 	}
 	return out.Revision, nil
 }
 
-func state(r platform.RunReply) ports.OldState {
+func state(r standinapi.RunReply) ports.OldState {
 	return ports.OldState{Known: true, Fate: r.State, OK: r.OK, Answer: r.Answer}
 }
 
--- a/internal/adapters/workerclient/workerclient.go
+++ b/internal/adapters/workerclient/workerclient.go
@@ -12,7 +12,7 @@
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 )
 
@@ -41,7 +41,7 @@
 	http *jsonhttp.Client
 	base string
 	// info is kept because it changes only with the boot ID.
-	info atomic.Pointer[platform.WorkerInfo]
+	info atomic.Pointer[standinapi.WorkerInfo]
 }
 
 var _ ports.Worker = (*Client)(nil)
@@ -49,10 +49,10 @@
 // Acquire implements ports.Worker. When the worker refuses, the error has kind
 // lease_lost and its cause is a *ports.HeldError.
 func (c *Client) Acquire(ctx context.Context, lease ports.Lease, ttl, taskGrace time.Duration) (ports.Grant, error) {
-	in := platform.LeaseRequest{
+	in := standinapi.LeaseRequest{
 		Holder: lease.Holder, Term: lease.Term, TTLMS: ttl.Milliseconds(), TaskGraceMS: taskGrace.Milliseconds(),
 	}
-	var out platform.LeaseGrant
+	var out standinapi.LeaseGrant
 	if err := c.http.Do(ctx, http.MethodPost, c.base+"lease", in, &out); err != nil {
 		return ports.Grant{}, wrapAcquire(err)
 	}
@@ -68,11 +68,11 @@
 }
 
 // infoOf returns the description of the worker in one of its lifetimes.
-func (c *Client) infoOf(ctx context.Context, bootID string) (*platform.WorkerInfo, error) {
+func (c *Client) infoOf(ctx context.Context, bootID string) (*standinapi.WorkerInfo, error) {
 	if info := c.info.Load(); info != nil && info.BootID == bootID {
 		return info, nil
 	}
-	var info platform.WorkerInfo
+	var info standinapi.WorkerInfo
 	if err := c.http.Do(ctx, http.MethodGet, c.base+"worker", nil, &info); err != nil {
 		return nil, wrap(err, "read the worker's capacity")
 	}
@@ -83,10 +83,10 @@
 	return &info, nil
 }
 
-func inventory(in []platform.TaskStatus) ([]model.RunningTask, error) {
+func inventory(in []standinapi.TaskStatus) ([]model.RunningTask, error) {
 	out := make([]model.RunningTask, len(in))
 	for i, t := range in {
-		id, err := platform.ParseTaskID(t.ID)
+		id, err := standinapi.ParseTaskID(t.ID)
 		if err != nil {
 			return nil, err
 		}
@@ -99,22 +99,22 @@
 
 // Release implements ports.Worker.
 func (c *Client) Release(ctx context.Context, lease ports.Lease) error {
-	in := platform.LeaseRequest{Holder: lease.Holder, Term: lease.Term}
+	in := standinapi.LeaseRequest{Holder: lease.Holder, Term: lease.Term}
 	return wrap(c.http.Do(ctx, http.MethodPost, c.base+"lease/release", in, nil), "release the lease")
 }
 
 // Sync implements ports.Worker.
 func (c *Client) Sync(ctx context.Context, lease ports.Lease, ttl time.Duration, ack int64, wait time.Duration) (ports.SyncResult, error) {
-	in := platform.SyncRequest{
+	in := standinapi.SyncRequest{
 		Holder: lease.Holder, Term: lease.Term, TTLMS: ttl.Milliseconds(), Ack: ack, WaitMS: wait.Milliseconds(),
 	}
-	var out platform.SyncReply
+	var out standinapi.SyncReply
 	if err := c.http.Do(ctx, http.MethodPost, c.base+"sync", in, &out); err != nil {
 		return ports.SyncResult{}, wrap(err, "renew the lease")
 	}
 	res := ports.SyncResult{BootID: out.BootID}
 	for _, e := range out.Events {
-		id, err := platform.ParseTaskID(e.ID)
+		id, err := standinapi.ParseTaskID(e.ID)
 		if err != nil {
 			return ports.SyncResult{}, wrap(err, "read the events")
 		}
@@ -123,7 +123,7 @@
 		})
 	}
 	for _, u := range out.Usage {
-		id, err := platform.ParseTaskID(u.ID)
+		id, err := standinapi.ParseTaskID(u.ID)
 		if err != nil {
 			return ports.SyncResult{}, wrap(err, "read the usage")
 		}
@@ -134,20 +134,20 @@
 
 // Start implements ports.Worker.
 func (c *Client) Start(ctx context.Context, lease ports.Lease, tasks []ports.StartTask) ([]ports.StartRefusal, error) {
-	in := platform.StartRequest{Holder: lease.Holder, Term: lease.Term, Tasks: make([]platform.StartTask, len(tasks))}
+	in := standinapi.StartRequest{Holder: lease.Holder, Term: lease.Term, Tasks: make([]standinapi.StartTask, len(tasks))}
 	for i, t := range tasks {
-		in.Tasks[i] = platform.StartTask{
+		in.Tasks[i] = standinapi.StartTask{
 			ID: t.ID.String(), Attempt: t.Attempt, Key: t.ID.Key, Service: t.Service, Size: t.Size,
 			RunMS: ceilMS(t.RunTime), StartWithinMS: ceilMS(t.StartWithin), Payload: t.Payload,
 		}
 	}
-	var out platform.StartReply
+	var out standinapi.StartReply
 	if err := c.http.Do(ctx, http.MethodPost, c.base+"tasks", in, &out); err != nil {
 		return nil, wrap(err, "start tasks")
 	}
 	var refused []ports.StartRefusal
 	for _, r := range out.Refused {
-		id, err := platform.ParseTaskID(r.ID)
+		id, err := standinapi.ParseTaskID(r.ID)
 		if err != nil {
 			return nil, wrap(err, "read the refusals")
 		}
@@ -161,9 +161,9 @@
 
 // Stop implements ports.Worker.
 func (c *Client) Stop(ctx context.Context, lease ports.Lease, tasks []ports.StopTask) error {
-	in := platform.StopRequest{Holder: lease.Holder, Term: lease.Term, Tasks: make([]platform.StopTask, len(tasks))}
+	in := standinapi.StopRequest{Holder: lease.Holder, Term: lease.Term, Tasks: make([]standinapi.StopTask, len(tasks))}
 	for i, t := range tasks {
-		in.Tasks[i] = platform.StopTask{ID: t.ID.String(), Attempt: t.Attempt, Mode: t.Mode}
+		in.Tasks[i] = standinapi.StopTask{ID: t.ID.String(), Attempt: t.Attempt, Mode: t.Mode}
 	}
 	return wrap(c.http.Do(ctx, http.MethodPost, c.base+"tasks/stop", in, nil), "stop tasks")
 }
@@ -171,7 +171,7 @@
 func wrapAcquire(err error) error {
 	var status *jsonhttp.StatusError
 	if errors.As(err, &status) && status.Code == http.StatusConflict {
-		var held platform.LeaseHeld
+		var held standinapi.LeaseHeld
 		if e := json.Unmarshal(status.Body, &held); e != nil {
 			return wrap(e, "read the refusal of the lease")
 		}
--- /dev/null
+++ b/internal/core/jobs/advice.go
@@ -0,0 +1,280 @@
+package jobs
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+const (
+	// ticketMargin is subtracted from a ticket's validity for the ways of the
+	// answer and of the start.
+	ticketMargin = 200 * time.Millisecond
+	// adviceSlack is added to the expected time of a call before it is given up.
+	adviceSlack = 1500 * time.Millisecond
+	// maxAdviceWorkers is how many workers one call may name.
+	maxAdviceWorkers = 100
+	// adviceBackoff is the delay after a call that was refused or not answered.
+	adviceBackoff = 100 * time.Millisecond
+)
+
+// stepAdvice is what the advice service said about a step.
+type stepAdvice struct {
+	// denied lists the workers that may not run the step. That does not change.
+	denied map[model.WorkerID]bool
+	// allowed lists those that may, with the latest ticket.
+	allowed map[model.WorkerID]*ticket
+	// call is the sequence number of the call in flight, or 0.
+	call uint64
+}
+
+// ticket allows the starts of a step on one life of a worker for a time.
+type ticket struct {
+	text  string
+	life  int64
+	until time.Time
+}
+
+func (a *stepAdvice) valid(now time.Time, w *worker) bool {
+	t := a.allowed[w.ID]
+	return t != nil && t.text != "" && t.life == w.life && now.Before(t.until)
+}
+
+func (a *stepAdvice) ticket(w *worker) string {
+	if t := a.allowed[w.ID]; t != nil {
+		return t.text
+	}
+	return ""
+}
+
+// revoke drops a ticket that a worker refused.
+func (a *stepAdvice) revoke(id model.WorkerID) {
+	if t := a.allowed[id]; t != nil {
+		t.text = ""
+	}
+}
+
+// advisers are the daemons that can ask the advice service. Each one has at
+// most one call in flight.
+type advisers struct {
+	names []string
+	busy  map[string]uint64
+	calls map[uint64]*adviceCall
+	next  uint64
+	// allowedShare is the share of named workers that were allowed, by queue.
+	shares map[string]*share
+}
+
+type adviceCall struct {
+	step    *step
+	queue   string
+	adviser string
+	named   []model.WorkerID
+	lives   map[model.WorkerID]int64
+	sent    time.Time
+	until   time.Time
+}
+
+// share is a running count of allowed and named workers.
+type share struct{ allowed, named float64 }
+
+// AdviceOrder is one call to the advice service.
+type AdviceOrder struct {
+	Seq     uint64
+	Adviser string
+	Step    StepRef
+	Workers []model.WorkerID
+	Timeout time.Duration
+}
+
+// AdviceResult is the answer to an AdviceOrder. OK is false when there was none
+// or when it was refused.
+type AdviceResult struct {
+	Seq      uint64
+	OK       bool
+	Allowed  []Allowance
+	Validity time.Duration
+}
+
+// Allowance is the permission to run a step on a worker.
+type Allowance struct {
+	Worker model.WorkerID
+	Ticket string
+}
+
+// SetAdvisers replaces the daemons that can ask, the leader's own first.
+func (c *Core) SetAdvisers(names []string) {
+	c.advisers.names = names
+	c.changed = true
+}
+
+// wantAdvice asks for more workers for a step, if an adviser is idle and there
+// are workers to ask for.
+func (c *Core) wantAdvice(now time.Time, s *step) {
+	terms := s.job().queue.Advice
+	if terms == nil || s.advice.call != 0 {
+		return
+	}
+	adviser, ok := c.idleAdviser()
+	if !ok {
+		return
+	}
+	named := c.nameWorkers(now, s)
+	if len(named) == 0 {
+		return
+	}
+	a := &c.advisers
+	a.next++
+	expected := terms.Decision + time.Duration(len(named))*terms.PerWorker
+	call := &adviceCall{step: s, queue: s.job().queue.Name, adviser: adviser, named: named,
+		lives: map[model.WorkerID]int64{}, sent: now, until: now.Add(expected*2 + adviceSlack)}
+	for _, id := range named {
+		call.lives[id] = c.workers[id].life
+	}
+	s.advice.call = a.next
+	a.calls[a.next] = call
+	a.busy[adviser] = a.next
+	c.out.Advice = append(c.out.Advice, AdviceOrder{Seq: a.next, Adviser: adviser, Step: s.ref(), Workers: named, Timeout: expected*2 + adviceSlack})
+	c.event(Event{Name: EventAdviceAsked, Job: s.job().spec.ID, Queue: call.queue, Detail: adviser, Count: len(named)})
+}
+
+func (c *Core) idleAdviser() (string, bool) {
+	for _, name := range c.advisers.names {
+		if c.advisers.busy[name] == 0 {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// nameWorkers chooses the workers to ask for: those with most room, enough that
+// the tasks find a place on the share that is usually allowed.
+func (c *Core) nameWorkers(now time.Time, s *step) []model.WorkerID {
+	var options []*worker
+	for _, w := range c.byService[s.job().queue.Service] {
+		if c.eligible(s, w) && !s.advice.denied[w.ID] && w.room.fits(s.def.Size) && !s.advice.valid(now, w) {
+			options = append(options, w)
+		}
+	}
+	slices.SortStableFunc(options, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(s.unknown(a), s.unknown(b)), cmp.Compare(b.room.copies(s.def.Size), a.room.copies(s.def.Size)))
+	})
+	want := float64(s.pending) * adviceSurplus / c.advisers.expectedShare(s.job().queue.Name)
+	var named []model.WorkerID
+	for _, w := range options {
+		if want <= 0 || len(named) == maxAdviceWorkers {
+			break
+		}
+		room := w.room.copies(s.def.Size)
+		if s.def.MaxPerWorker > 0 {
+			room = min(room, s.def.MaxPerWorker-s.onWorker[w.ID])
+		}
+		named = append(named, w.ID)
+		want -= float64(room) * float64(1+9*(1-s.unknown(w)))
+	}
+	return named
+}
+
+// adviceSurplus is how much more room is asked for than is needed.
+const adviceSurplus = 1.5
+
+// unknown is 0 for workers that are known to be allowed and 1 for others.
+func (s *step) unknown(w *worker) int {
+	if s.advice.allowed[w.ID] != nil {
+		return 0
+	}
+	return 1
+}
+
+// minShare keeps the number of named workers within reason.
+const minShare = 0.1
+
+func (a *advisers) expectedShare(queue string) float64 {
+	sh := a.shares[queue]
+	if sh == nil || sh.named == 0 {
+		return 0.5
+	}
+	return max(sh.allowed/sh.named, minShare)
+}
+
+// Advised takes the answer to an AdviceOrder.
+func (c *Core) Advised(now time.Time, r *AdviceResult) {
+	call := c.advisers.finish(r.Seq)
+	if call == nil {
+		return
+	}
+	s := call.step
+	if s.advice.call == r.Seq {
+		s.advice.call = 0
+	}
+	c.changed = true
+	if !r.OK {
+		s.notBefore = now.Add(adviceBackoff)
+		c.event(Event{Name: EventAdvised, Job: s.job().spec.ID, Queue: call.queue, Detail: "no answer from " + call.adviser, Age: now.Sub(call.sent)})
+		return
+	}
+	c.learnAdvice(now, call, r)
+	c.event(Event{Name: EventAdvised, Job: s.job().spec.ID, Queue: call.queue, Detail: call.adviser, Age: now.Sub(call.sent), Count: len(r.Allowed)})
+}
+
+func (c *Core) learnAdvice(now time.Time, call *adviceCall, r *AdviceResult) {
+	a := &call.step.advice
+	if a.denied == nil {
+		a.denied, a.allowed = map[model.WorkerID]bool{}, map[model.WorkerID]*ticket{}
+	}
+	fresh, good := 0, 0
+	for _, id := range call.named {
+		if a.allowed[id] == nil {
+			fresh++
+			a.denied[id] = true
+		}
+	}
+	for _, ok := range r.Allowed {
+		if a.denied[ok.Worker] {
+			delete(a.denied, ok.Worker)
+			good++
+		}
+		a.allowed[ok.Worker] = &ticket{text: ok.Ticket, life: call.lives[ok.Worker], until: now.Add(r.Validity - ticketMargin)}
+	}
+	c.advisers.observe(call.queue, good, fresh)
+}
+
+// observe updates the share of allowed workers; older observations fade.
+func (a *advisers) observe(queue string, allowed, named int) {
+	sh := a.shares[queue]
+	if sh == nil {
+		sh = &share{}
+		a.shares[queue] = sh
+	}
+	const fade = 0.98
+	sh.allowed = sh.allowed*fade + float64(allowed)
+	sh.named = sh.named*fade + float64(named)
+}
+
+// finish ends a call and makes its adviser idle.
+func (a *advisers) finish(seq uint64) *adviceCall {
+	call := a.calls[seq]
+	if call == nil {
+		return nil
+	}
+	delete(a.calls, seq)
+	if a.busy[call.adviser] == seq {
+		delete(a.busy, call.adviser)
+	}
+	return call
+}
+
+// checkAdvice gives up calls without an answer.
+func (c *Core) checkAdvice(now time.Time) {
+	for seq, call := range c.advisers.calls {
+		if now.After(call.until) {
+			c.Advised(now, &AdviceResult{Seq: seq})
+		}
+	}
+}
+
+func newAdvisers() advisers {
+	return advisers{busy: map[string]uint64{}, calls: map[uint64]*adviceCall{}, shares: map[string]*share{}}
+}
--- /dev/null
+++ b/internal/core/jobs/batch.go
@@ -0,0 +1,235 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// batchState collects what the next batch has to store.
+type batchState struct {
+	// next is the sequence number of the batch that is being collected.
+	next uint64
+	// inFlight is the sequence number of the batch that is being stored, or 0.
+	inFlight uint64
+	accepted []*job
+	dirty    []*job
+	workers  []*worker
+	drops    Batch
+	// answers are given when the batch with their key is stored.
+	answers map[uint64][]Answer
+	stored  map[uint64]batchEffects
+}
+
+// batchEffects are applied when a batch is stored.
+type batchEffects struct {
+	accepted []*job
+	outcomes []*job
+	workers  []*worker
+}
+
+func newBatchState() batchState {
+	return batchState{next: 1, answers: map[uint64][]Answer{}, stored: map[uint64]batchEffects{}}
+}
+
+// TakeBatch returns the next batch to store, or nil when there is nothing to
+// store or the last batch is still being stored.
+func (c *Core) TakeBatch() *Batch {
+	b := &c.batch
+	if b.inFlight != 0 {
+		return nil
+	}
+	out := b.drops
+	b.drops = Batch{}
+	out.Seq = b.next
+	effects := batchEffects{workers: b.workers}
+	for _, j := range b.accepted {
+		out.Accepted = append(out.Accepted, AcceptedRecord{Spec: *j.spec, Queue: *j.queue, Token: j.token, Accepted: c.wall})
+		effects.accepted = append(effects.accepted, j)
+	}
+	for _, j := range b.dirty {
+		j.dirty = false
+		out.Progress = append(out.Progress, j.progress())
+		if j.outcome != Unfinished && !j.outcomeStored {
+			effects.outcomes = append(effects.outcomes, j)
+			out.DropAccepted = append(out.DropAccepted, j.spec.ID)
+		}
+	}
+	for _, w := range b.workers {
+		out.Workers = append(out.Workers, WorkerRecord{ID: w.ID, Address: w.Address, Service: w.Service})
+	}
+	b.accepted, b.dirty, b.workers = nil, nil, nil
+	if out.Empty() {
+		return nil
+	}
+	b.inFlight = b.next
+	b.next++
+	b.stored[out.Seq] = effects
+	return &out
+}
+
+// HasBatch reports whether TakeBatch would return a batch.
+func (c *Core) HasBatch() bool {
+	b := &c.batch
+	return b.inFlight == 0 && (len(b.accepted)+len(b.dirty)+len(b.workers) > 0 || !b.drops.Empty())
+}
+
+// Stored tells that a batch is durable.
+func (c *Core) Stored(now time.Time, seq uint64) {
+	b := &c.batch
+	if seq != b.inFlight {
+		return
+	}
+	b.inFlight = 0
+	effects := b.stored[seq]
+	delete(b.stored, seq)
+	for _, j := range effects.accepted {
+		c.accept(now, j)
+	}
+	for _, j := range effects.outcomes {
+		c.tellOutcome(now, j)
+	}
+	for _, w := range effects.workers {
+		if w.roster == rosterSent {
+			w.roster = rosterStored
+			c.changed = true
+		}
+	}
+	c.out.Answers = append(c.out.Answers, b.answers[seq]...)
+	delete(b.answers, seq)
+	for _, w := range c.workers {
+		c.advanceAck(now, w)
+	}
+}
+
+// advanceAck moves a worker's cursor over the ends whose effects are stored.
+func (c *Core) advanceAck(now time.Time, w *worker) {
+	if w.acked == w.processed || w.ackBatch >= c.batch.oldestOpen() {
+		return
+	}
+	w.acked = w.processed
+	if !w.holding {
+		w.nextHold = now
+	}
+}
+
+// oldestOpen returns the sequence number of the first batch that is not stored.
+func (b *batchState) oldestOpen() uint64 {
+	if b.inFlight != 0 {
+		return b.inFlight
+	}
+	return b.next
+}
+
+// touch puts a job's progress into the next batch.
+func (c *Core) touch(j *job) {
+	j.change = c.batch.next
+	if !j.dirty {
+		j.dirty = true
+		c.batch.dirty = append(c.batch.dirty, j)
+	}
+}
+
+// answerWith gives an answer when the batch that is being collected is stored.
+func (c *Core) answerWith(seq uint64, a Answer) {
+	c.batch.answers[seq] = append(c.batch.answers[seq], a)
+}
+
+// accept makes a stored job eligible.
+func (c *Core) accept(now time.Time, j *job) {
+	j.stored = true
+	c.event(Event{Name: EventAccepted, Job: j.spec.ID, Queue: j.queue.Name, Age: now.Sub(j.accepted)})
+	c.createOccurrences(now, c.wall, j)
+	c.refreshReady(j)
+}
+
+// tellOutcome makes a final state visible and stops what still runs.
+func (c *Core) tellOutcome(now time.Time, j *job) {
+	j.outcomeStored, j.endedAt = true, now
+	c.ended = append(c.ended, j)
+	c.event(Event{Name: EventEnded, Job: j.spec.ID, Queue: j.queue.Name, Detail: j.outcome.String(), Age: now.Sub(j.accepted)})
+	j.occurrences = map[int32]*occurrence{}
+}
+
+// progress returns the stored form of what ended.
+func (j *job) progress() ProgressRecord {
+	p := ProgressRecord{Job: j.spec.ID, Queue: j.queue.Name, Outcome: j.outcome}
+	if j.outcome != Unfinished {
+		return p
+	}
+	for k := range j.finished {
+		p.Occurrences = append(p.Occurrences, OccurrenceProgress{Occurrence: k, Finished: true})
+	}
+	for _, o := range j.occurrences {
+		if steps := o.progress(); len(steps) > 0 {
+			p.Occurrences = append(p.Occurrences, OccurrenceProgress{Occurrence: o.k, Steps: steps})
+		}
+	}
+	slices.SortFunc(p.Occurrences, func(a, b OccurrenceProgress) int { return int(a.Occurrence) - int(b.Occurrence) })
+	return p
+}
+
+func (o *occurrence) progress() []StepProgress {
+	var out []StepProgress
+	for _, s := range o.steps {
+		p := StepProgress{Step: s.index, Finished: s.left == 0}
+		if !p.Finished {
+			p.Done, p.Failures = s.progress()
+		}
+		if p.Finished || len(p.Done) > 0 || len(p.Failures) > 0 {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func (s *step) progress() (done []byte, failures []TaskFailures) {
+	if s.gang.failures > 0 {
+		failures = append(failures, TaskFailures{Count: s.gang.failures, LastRun: s.gang.lastFailed})
+	}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.state == taskDone {
+			if done == nil {
+				done = make([]byte, (len(s.tasks)+7)/8)
+			}
+			done[i/8] |= 1 << (i % 8)
+		}
+		if t.failures > 0 {
+			failures = append(failures, TaskFailures{Index: t.index, Count: t.failures, LastRun: t.lastFailed})
+		}
+	}
+	return done, failures
+}
+
+// forgetEnded drops jobs that ended longer ago than the retention.
+func (c *Core) forgetEnded(now time.Time) {
+	for len(c.ended) > 0 && now.Sub(c.ended[0].endedAt) > c.cfg.Retention {
+		id := c.ended[0].spec.ID
+		c.ended = c.ended[1:]
+		delete(c.jobs, id)
+		c.batch.drops.DropProgress = append(c.batch.drops.DropProgress, id)
+	}
+}
+
+// enroll puts a worker's record into the next batch; before that is stored the
+// worker gets no work.
+func (c *Core) enroll(w *worker) {
+	if w.roster != rosterNone || !w.listed {
+		return
+	}
+	w.roster = rosterSent
+	c.batch.workers = append(c.batch.workers, w)
+	c.batch.drops.DropWorkers = slices.DeleteFunc(c.batch.drops.DropWorkers, func(id model.WorkerID) bool { return id == w.ID })
+}
+
+// strike deletes the record of a worker that can run nothing any more.
+func (c *Core) strike(w *worker) {
+	if w.roster == rosterNone {
+		return
+	}
+	w.roster = rosterNone
+	c.batch.workers = slices.DeleteFunc(c.batch.workers, func(o *worker) bool { return o == w })
+	c.batch.drops.DropWorkers = append(c.batch.drops.DropWorkers, w.ID)
+}
--- /dev/null
+++ b/internal/core/jobs/core.go
@@ -0,0 +1,302 @@
+package jobs
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/retry"
+)
+
+// leaseMargin is added to the computed end of a lease for the rounding of both
+// clocks.
+const leaseMargin = 20 * time.Millisecond
+
+// Config holds the bounds of the deployment and the timings of the leader.
+type Config struct {
+	// Token is the leader's fencing token.
+	Token uint64
+	// Lease is what each call to a worker grants.
+	Lease time.Duration
+	// HoldMax is the longest lease that a worker accepts.
+	HoldMax time.Duration
+	// LateCalls is how long after it was sent a call may still be executed.
+	LateCalls time.Duration
+	// HoldWait is how long such a call waits for an end.
+	HoldWait time.Duration
+	// ClockError is how much slower a worker's clock may run, as a share.
+	ClockError float64
+	// SilentAfter is how long after its last answer a worker gets no new work.
+	SilentAfter time.Duration
+	// PredecessorAuthority is how long an earlier leader may have gone on
+	// extending leases after this one replaced it.
+	PredecessorAuthority time.Duration
+	GangTimeout          time.Duration
+	// StartTimeout is when a start without an answer is given up.
+	StartTimeout time.Duration
+	// Retention is how long ended jobs are remembered.
+	Retention time.Duration
+	// MaxJobs bounds the unfinished jobs.
+	MaxJobs int
+	// EndsPerList is the number of ends in a full list; more may follow.
+	EndsPerList int
+	Health      retry.HealthConfig
+}
+
+// CallID names a caller's call that is answered later.
+type CallID uint64
+
+// Core is the state of one leader.
+type Core struct {
+	cfg    Config
+	queues map[string]*Queue
+	jobs   map[string]*job
+	// ready lists the steps that may start tasks.
+	ready     []*step
+	workers   map[model.WorkerID]*worker
+	byService map[string][]*worker
+	health    *retry.Health
+	// gate lists the workers on which an earlier leader may have started tasks
+	// and that have not answered yet, with the time until which that matters.
+	gate     map[model.WorkerID]time.Time
+	gateOpen bool
+
+	batch    batchState
+	advisers advisers
+	speeds   durations
+	ended    []*job    // in order of endedAt
+	timed    []*job    // jobs with occurrences still to come
+	open     int       // unfinished jobs
+	wall     time.Time // wall clock at the last event
+	// changed is set when a placement may succeed that did not before.
+	changed bool
+	// largest is, by service and dimension, the most that one usable worker has
+	// left.
+	largest map[string]model.Size
+	wake    time.Time
+	out     Actions
+	fenced  bool
+}
+
+// New returns the core of a new leader.
+func New(cfg Config) *Core {
+	return &Core{
+		cfg: cfg, queues: map[string]*Queue{}, jobs: map[string]*job{},
+		workers: map[model.WorkerID]*worker{}, byService: map[string][]*worker{},
+		health: retry.NewHealth(cfg.Health), gate: map[model.WorkerID]time.Time{},
+		batch: newBatchState(), advisers: newAdvisers(), speeds: newDurations(),
+	}
+}
+
+// Actions is what the leader loop has to carry out.
+type Actions struct {
+	Holds   []HoldOrder
+	Starts  []StartOrder
+	Stops   []StopOrder
+	Advice  []AdviceOrder
+	Answers []Answer
+	Events  []Event
+}
+
+// HoldOrder renews a worker's lease and asks for its lists.
+type HoldOrder struct {
+	Worker  model.WorkerID
+	Address string
+	// Deadline is on the worker's clock in ms; 0 extends nothing.
+	Deadline  int64
+	AckCursor int64
+	Wait      time.Duration
+}
+
+// StartOrder starts a run.
+type StartOrder struct {
+	Worker     model.WorkerID
+	Address    string
+	Task       TaskRef
+	Run        int64
+	Payload    string
+	Deadline   int64
+	Checkpoint string
+	Ticket     string
+	Timeout    time.Duration
+}
+
+// StopOrder stops a run.
+type StopOrder struct {
+	Worker  model.WorkerID
+	Address string
+	Task    TaskRef
+	Run     int64
+}
+
+// AnswerKind is the kind of an answer to a caller.
+type AnswerKind uint8
+
+// Answers.
+const (
+	// Accepted: the job is stored.
+	Accepted AnswerKind = iota
+	// Stopped: the job's cancellation is stored, or it had ended before.
+	Stopped
+	// NoSuchJob: the job is not known.
+	NoSuchJob
+	// Refused: the job was not accepted and never runs.
+	Refused
+)
+
+// Answer answers a call.
+type Answer struct {
+	Call       CallID
+	Kind       AnswerKind
+	Reason     model.Reason
+	RetryAfter time.Duration
+}
+
+// Take returns what is to be done and forgets it.
+func (c *Core) Take() Actions {
+	out := c.out
+	c.out = Actions{}
+	return out
+}
+
+// Fenced reports whether a worker refused this leader's token.
+func (c *Core) Fenced() bool { return c.fenced }
+
+// SetQueues replaces the configuration of the queues. Jobs of queues that are
+// gone keep the configuration that they were accepted under.
+func (c *Core) SetQueues(queues []Queue) {
+	c.queues = make(map[string]*Queue, len(queues))
+	for i := range queues {
+		q := queues[i]
+		c.queues[q.Name] = &q
+	}
+	for _, j := range c.jobs {
+		if q := c.queues[j.queue.Name]; q != nil {
+			j.queue = q
+		}
+	}
+	c.changed = true
+}
+
+// Restore loads what earlier leaders stored. It is called once, before any
+// other event.
+func (c *Core) Restore(now time.Time, wall time.Time, s Snapshot) {
+	c.wall = wall
+	for i := range s.Accepted {
+		c.restoreJob(now, wall, &s.Accepted[i])
+	}
+	for i := range s.Progress {
+		c.restoreProgress(now, &s.Progress[i])
+	}
+	for _, j := range c.jobs {
+		if j.outcome == Unfinished {
+			c.open++
+			c.createOccurrences(now, wall, j)
+			c.refreshReady(j)
+		}
+	}
+	until := now.Add(c.cfg.PredecessorAuthority + time.Duration(float64(c.cfg.Lease)/(1-c.cfg.ClockError)) + leaseMargin)
+	for _, r := range s.Workers {
+		w := c.worker(r.ID)
+		w.Address, w.Service, w.roster = r.Address, r.Service, rosterStored
+		c.gate[r.ID] = until
+	}
+	c.changed = true
+	c.openGate(now)
+}
+
+func (c *Core) restoreJob(now, wall time.Time, r *AcceptedRecord) {
+	q := r.Queue
+	if current := c.queues[q.Name]; current != nil {
+		q = *current
+	}
+	spec := r.Spec
+	age := min(max(wall.Sub(r.Accepted), 0), c.cfg.Retention)
+	j := newJob(&spec, &q, r.Token, now.Add(-age))
+	j.stored, j.restored = true, true
+	c.jobs[spec.ID] = j
+}
+
+func (c *Core) restoreProgress(now time.Time, p *ProgressRecord) {
+	j := c.jobs[p.Job]
+	if j == nil {
+		// The accepted record is dropped when a job ends.
+		j = newJob(&Spec{ID: p.Job, Queue: p.Queue}, &Queue{Name: p.Queue}, 0, now)
+		j.stored, j.restored = true, true
+		c.jobs[p.Job] = j
+	}
+	if p.Outcome != Unfinished {
+		j.outcome, j.outcomeStored, j.endedAt = p.Outcome, true, now
+		c.ended = append(c.ended, j)
+		return
+	}
+	if len(j.spec.Steps) == 0 {
+		// Progress without a specification cannot be continued.
+		delete(c.jobs, p.Job)
+		return
+	}
+	for i := range p.Occurrences {
+		j.restoreOccurrence(&p.Occurrences[i])
+	}
+}
+
+func (j *job) restoreOccurrence(p *OccurrenceProgress) {
+	if p.Finished {
+		j.finished[p.Occurrence] = true
+		return
+	}
+	o := j.newOccurrence(p.Occurrence, j.due(p.Occurrence))
+	for i := range p.Steps {
+		sp := &p.Steps[i]
+		if int(sp.Step) < len(o.steps) {
+			o.steps[sp.Step].restore(sp)
+		}
+	}
+	for _, s := range o.steps {
+		if s.left == 0 {
+			o.stepEnded(s)
+		}
+	}
+}
+
+func (s *step) restore(p *StepProgress) {
+	for i := range s.tasks {
+		done := p.Finished || i/8 < len(p.Done) && p.Done[i/8]&(1<<(i%8)) != 0
+		if done {
+			s.tasks[i].state = taskDone
+			s.left--
+			s.pending--
+		}
+	}
+	for _, f := range p.Failures {
+		if f.Index < 0 || int(f.Index) >= len(s.tasks) {
+			continue
+		}
+		if s.def.Gang {
+			s.gang.failures, s.gang.lastFailed = f.Count, f.LastRun
+		} else {
+			s.tasks[f.Index].failures, s.tasks[f.Index].lastFailed = f.Count, f.LastRun
+		}
+	}
+}
+
+// due returns when an occurrence is due on the wall clock; the zero time means
+// at once.
+func (j *job) due(k int32) time.Time {
+	if j.spec.Repeat == 0 {
+		return time.Time{}
+	}
+	return j.spec.First.Add(time.Duration(k) * j.spec.Interval)
+}
+
+// certain reports whether the leader knows of every run of the job's tasks.
+func (c *Core) certain(j *job) bool { return !j.restored || len(c.gate) == 0 }
+
+// worker returns the worker of an ID and creates it if needed.
+func (c *Core) worker(id model.WorkerID) *worker {
+	w := c.workers[id]
+	if w == nil {
+		w = &worker{Entry: Entry{ID: id}, runs: map[TaskRef]*run{}}
+		c.workers[id] = w
+	}
+	return w
+}
--- /dev/null
+++ b/internal/core/jobs/job.go
@@ -0,0 +1,178 @@
+package jobs
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// job is a submitted job in the leader's memory.
+type job struct {
+	spec  *Spec
+	queue *Queue
+	// token is the fencing token under which the job was accepted.
+	token    uint64
+	accepted time.Time
+	// stored is set once the accepted record is durable.
+	stored bool
+	// restored jobs were accepted by an earlier leader, which may have started
+	// their tasks on workers that have not answered yet.
+	restored bool
+	outcome  Outcome
+	// outcomeStored is set once the final state is durable and may be told.
+	outcomeStored bool
+	endedAt       time.Time
+	// begun is set when any task was seen to start.
+	begun bool
+	// dirty jobs have progress that is in no batch yet.
+	dirty bool
+	// change is the sequence number of the batch with the latest progress.
+	change      uint64
+	occurrences map[int32]*occurrence
+	// finished counts the occurrences whose steps all ended.
+	finished map[int32]bool
+	// created is how many occurrences were created so far.
+	created int
+}
+
+// occurrence is one run through the steps of a job.
+type occurrence struct {
+	job   *job
+	k     int32
+	due   time.Time
+	steps []*step
+	left  int
+}
+
+// step is a step of an occurrence.
+type step struct {
+	occ   *occurrence
+	index int32
+	def   *Step
+	tasks []task
+	// left counts the tasks that have not ended as done.
+	left int
+	// pending counts the tasks that wait for a start.
+	pending int
+	// waits counts the steps that this one depends on and that have not ended.
+	waits  int
+	queued bool
+	// latest is the last moment at which the step should start.
+	latest time.Time
+	// gang holds what the tasks of a gang share.
+	gang   gang
+	advice stepAdvice
+	// notBefore delays the next placement after a refusal.
+	notBefore time.Time
+	// onWorker counts the step's runs on each worker while MaxPerWorker is set.
+	onWorker map[model.WorkerID]int
+}
+
+// gang is the state that the tasks of an all-at-once step share.
+type gang struct {
+	runs     int64
+	failures int32
+	// lastFailed is the highest run that counted as failed.
+	lastFailed int64
+	checkpoint string
+	// current is the run number of the members that are running or starting.
+	current int64
+	// breaking is set while members are stopped before the next run.
+	breaking bool
+}
+
+type taskState uint8
+
+const (
+	taskPending taskState = iota
+	taskActive
+	taskDone
+)
+
+// task is one task of a step.
+type task struct {
+	step       *step
+	index      int32
+	state      taskState
+	failures   int32
+	lastFailed int64
+	// starts counts the runs that this leader numbered.
+	starts     int64
+	checkpoint string
+	notBefore  time.Time
+	run        *run
+}
+
+func (t *task) ref() TaskRef {
+	s := t.step
+	return TaskRef{Job: s.occ.job.spec.ID, Occurrence: s.occ.k, Step: s.index, Index: t.index}
+}
+
+func (s *step) ref() StepRef {
+	return StepRef{Job: s.occ.job.spec.ID, Occurrence: s.occ.k, Step: s.index}
+}
+
+func (s *step) job() *job { return s.occ.job }
+
+// live reports whether the step may still start tasks.
+func (s *step) live() bool { return s.job().outcome == Unfinished && s.left > 0 }
+
+func newJob(spec *Spec, q *Queue, token uint64, accepted time.Time) *job {
+	return &job{spec: spec, queue: q, token: token, accepted: accepted,
+		occurrences: map[int32]*occurrence{}, finished: map[int32]bool{}}
+}
+
+// newOccurrence creates occurrence k with all tasks pending.
+func (j *job) newOccurrence(k int32, due time.Time) *occurrence {
+	o := &occurrence{job: j, k: k, due: due, left: len(j.spec.Steps)}
+	for i := range j.spec.Steps {
+		def := &j.spec.Steps[i]
+		s := &step{occ: o, index: int32(i), def: def, left: def.Count, pending: def.Count,
+			waits: len(def.After), tasks: make([]task, def.Count)}
+		for t := range s.tasks {
+			s.tasks[t] = task{step: s, index: int32(t)}
+		}
+		o.steps = append(o.steps, s)
+	}
+	j.occurrences[k] = o
+	return o
+}
+
+// chain returns the longest estimated chain of work from step i on, itself
+// included.
+func (o *occurrence) chain(i int, duration func(*step) time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for _, s := range o.steps[i+1:] {
+		for _, before := range s.def.After {
+			if before == i {
+				longest = max(longest, o.chain(int(s.index), duration))
+			}
+		}
+	}
+	return longest + duration(o.steps[i])
+}
+
+// task returns the task that ref names, or nil.
+func (c *Core) task(ref TaskRef) *task {
+	j := c.jobs[ref.Job]
+	if j == nil {
+		return nil
+	}
+	o := j.occurrences[ref.Occurrence]
+	if o == nil || int(ref.Step) >= len(o.steps) || ref.Step < 0 {
+		return nil
+	}
+	s := o.steps[ref.Step]
+	if ref.Index < 0 || int(ref.Index) >= len(s.tasks) {
+		return nil
+	}
+	return &s.tasks[ref.Index]
+}
+
+// step returns the step that ref names, or nil.
+func (c *Core) step(ref StepRef) *step {
+	if t := c.task(TaskRef{Job: ref.Job, Occurrence: ref.Occurrence, Step: ref.Step}); t != nil {
+		return t.step
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/jobs/orders.go
@@ -0,0 +1,218 @@
+package jobs
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+const (
+	// startRepeats is how often a start without an answer is sent again.
+	startRepeats = 2
+	// stopRetry is the time after which a stop without effect is sent again.
+	stopRetry = 400 * time.Millisecond
+	// refusalBackoff is how long a worker that refused gets no further starts.
+	refusalBackoff = 500 * time.Millisecond
+)
+
+// StartResult is a worker's answer to a StartOrder.
+type StartResult struct {
+	Worker model.WorkerID
+	Task   TaskRef
+	Run    int64
+	Status HoldStatus
+	Clock  int64
+}
+
+// StopResult is a worker's answer to a StopOrder.
+type StopResult struct {
+	Worker model.WorkerID
+	Task   TaskRef
+	Run    int64
+	Status HoldStatus
+	Clock  int64
+}
+
+// start sends a new run of t to w. The caller has checked that it fits.
+func (c *Core) start(now time.Time, t *task, w *worker, number int64, ticket string) {
+	s := t.step
+	r := &run{ref: t.ref(), number: number, worker: w, size: s.def.Size, state: runStarting, sent: now}
+	c.attach(t, r)
+	w.reserve(r)
+	checkpoint := t.checkpoint
+	if s.def.Gang {
+		checkpoint = s.gang.checkpoint
+	}
+	c.out.Starts = append(c.out.Starts, StartOrder{
+		Worker: w.ID, Address: w.Address, Task: r.ref, Run: number, Payload: s.job().spec.Payload,
+		Deadline: c.deadline(now, w), Checkpoint: checkpoint, Ticket: ticket, Timeout: c.cfg.StartTimeout,
+	})
+	c.event(Event{Name: EventStarted, Job: r.ref.Job, Queue: s.job().queue.Name, Task: &r.ref, Run: number, Worker: w.ID, Age: now.Sub(s.job().accepted)})
+}
+
+// nextRun returns the number of the next run of a task, or of a gang when n
+// counts the gang's runs. It is higher than any run of an earlier leader.
+func (c *Core) nextRun(j *job, n *int64) int64 {
+	*n++
+	return int64(c.cfg.Token-j.token)*runsPerToken + *n
+}
+
+// runsPerToken bounds how many runs of one task a leader numbers.
+const runsPerToken = 1000
+
+// StartAnswered takes the result of a StartOrder after all its repeats.
+func (c *Core) StartAnswered(now time.Time, a *StartResult) {
+	w := c.workers[a.Worker]
+	if w == nil {
+		return
+	}
+	r := w.runs[a.Task]
+	if r == nil || r.number != a.Run || r.state == runActive {
+		if a.Status == CallOK {
+			c.heard(now, w, a.Clock)
+		}
+		return
+	}
+	switch a.Status {
+	case CallOK:
+		c.heard(now, w, a.Clock)
+		c.confirm(now, r)
+	case CallNoAnswer:
+		r.state, r.unclearSince = runUnclear, now
+		c.runEvent(EventStartUnclear, r, now.Sub(r.sent), "")
+	case CallOld:
+		// It ran and ended, or was stopped; the next list tells.
+		r.state, r.unclearSince = runUnclear, now
+	default:
+		c.startRefused(now, w, r, a.Status)
+	}
+}
+
+// startRefused handles a run that the worker certainly does not have.
+func (c *Core) startRefused(now time.Time, w *worker, r *run, status HoldStatus) {
+	c.runEvent(EventStartRefused, r, now.Sub(r.sent), status.String())
+	switch status {
+	case CallFenced:
+		c.loseToken(w)
+	case CallUnhealthy:
+		c.health.Failed(now, w.ID, r.ref.Job)
+		w.notBefore = now.Add(refusalBackoff)
+	case CallNotSent, CallNoRoom, CallLate, CallMalformed:
+		w.notBefore = now.Add(refusalBackoff)
+	case CallWrongLife:
+		w.answered = false
+		w.nextHold = now
+	case CallNoTicket:
+		if r.task != nil {
+			r.task.step.advice.revoke(w.ID)
+		}
+	}
+	w.release(r)
+	c.runGone(now, r)
+}
+
+// wantStop has a run stopped, now and again until it is gone.
+func (c *Core) wantStop(now time.Time, r *run) {
+	r.stop.wanted = true
+	c.sendStop(now, r)
+}
+
+func (c *Core) sendStop(now time.Time, r *run) {
+	if r.stop.inFlight || !r.stop.answered.IsZero() && now.Sub(r.stop.sent) < stopRetry {
+		return
+	}
+	r.stop.inFlight, r.stop.sent = true, now
+	c.out.Stops = append(c.out.Stops, StopOrder{Worker: r.worker.ID, Address: r.worker.Address, Task: r.ref, Run: r.number})
+	c.runEvent(EventRunStopped, r, now.Sub(r.sent), "")
+}
+
+// StopAnswered takes the result of a StopOrder.
+func (c *Core) StopAnswered(now time.Time, a *StopResult) {
+	w := c.workers[a.Worker]
+	if w == nil {
+		return
+	}
+	if a.Status == CallFenced {
+		c.loseToken(w)
+	}
+	r := w.runs[a.Task]
+	if r == nil || r.number != a.Run {
+		return
+	}
+	r.stop.inFlight = false
+	if a.Status == CallOK {
+		c.heard(now, w, a.Clock)
+		r.stop.answered = now
+		if !w.holding {
+			w.nextHold = now
+		}
+	}
+}
+
+// resendStops repeats stops that had no effect yet.
+func (c *Core) resendStops(now time.Time, w *worker) {
+	for _, r := range w.runs {
+		if r.stop.wanted && !r.stop.inFlight && now.Sub(r.stop.sent) >= stopRetry {
+			c.sendStop(now, r)
+		}
+	}
+}
+
+// Tick does what is due at now. The wall clock decides about occurrences only.
+func (c *Core) Tick(now, wall time.Time) {
+	c.wall = wall
+	c.createDue(now, wall)
+	c.forgetEnded(now)
+	for _, w := range c.workers {
+		c.tickWorker(now, w)
+	}
+	for id, until := range c.gate {
+		if now.After(until) {
+			delete(c.gate, id)
+			c.event(Event{Name: EventLeaseEnded, Worker: id, Detail: "lease of an earlier leader"})
+			c.openGate(now)
+		}
+	}
+	c.checkAdvice(now)
+}
+
+func (c *Core) tickWorker(now time.Time, w *worker) {
+	c.resendStops(now, w)
+	_, gated := c.gate[w.ID]
+	switch {
+	case w.answered && !w.lapsed && now.After(c.leaseEnd(w)):
+		c.lapse(now, w)
+	case !w.listed && !w.answered && len(w.runs) == 0 && !gated:
+		c.forget(w)
+	case !w.listed && w.lapsed:
+		c.forget(w)
+	}
+}
+
+// Holds returns the calls to workers that are due.
+func (c *Core) holds(now time.Time) {
+	for _, w := range c.workers {
+		if w.holding || w.Address == "" || now.Before(w.nextHold) {
+			continue
+		}
+		h := HoldOrder{Worker: w.ID, Address: w.Address, AckCursor: w.acked}
+		if w.answered {
+			h.Deadline = c.deadline(now, w)
+			if w.acked == w.processed && !w.stopping() {
+				h.Wait = c.cfg.HoldWait
+			}
+		}
+		w.holding, w.holdSent = true, now
+		c.out.Holds = append(c.out.Holds, h)
+	}
+}
+
+// stopping reports whether a run waits to be confirmed as gone.
+func (w *worker) stopping() bool {
+	for _, r := range w.runs {
+		if r.stop.wanted || r.state == runUnclear {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/jobs/progress.go
@@ -0,0 +1,193 @@
+package jobs
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// createOccurrences creates the occurrences of a stored job that are due or
+// will be soon.
+func (c *Core) createOccurrences(now, wall time.Time, j *job) {
+	if j.outcome != Unfinished {
+		return
+	}
+	for j.created < j.spec.Occurrences() {
+		k := int32(j.created)
+		due := j.due(k)
+		if due.After(wall) {
+			break
+		}
+		j.created++
+		if !j.finished[k] && j.occurrences[k] == nil {
+			j.newOccurrence(k, due)
+		}
+	}
+	if j.created < j.spec.Occurrences() && !j.inTimed(c) {
+		c.timed = append(c.timed, j)
+	}
+	if c.hopeless(j) {
+		c.event(Event{Name: EventAnomaly, Job: j.spec.ID, Queue: j.queue.Name, Reason: "can_never_run",
+			Detail: "a task is larger than every worker of the service"})
+		c.conclude(now, j, Failed)
+	}
+}
+
+func (j *job) inTimed(c *Core) bool {
+	for _, t := range c.timed {
+		if t == j {
+			return true
+		}
+	}
+	return false
+}
+
+// createDue creates occurrences whose time has come.
+func (c *Core) createDue(now, wall time.Time) {
+	waiting := c.timed
+	c.timed = nil
+	for _, j := range waiting {
+		c.createOccurrences(now, wall, j)
+		c.refreshReady(j)
+	}
+}
+
+// hopeless reports whether a task of the job fits on no worker of its service,
+// even on an empty one. Without any worker nothing is known.
+func (c *Core) hopeless(j *job) bool {
+	workers := c.byService[j.queue.Service]
+	if len(workers) == 0 {
+		return false
+	}
+	for i := range j.spec.Steps {
+		size, fits := j.spec.Steps[i].Size, false
+		for _, w := range workers {
+			fits = fits || size.Fits(w.room.capacity)
+		}
+		if !fits {
+			return true
+		}
+	}
+	return false
+}
+
+// refreshReady queues the steps of a job that may start tasks.
+func (c *Core) refreshReady(j *job) {
+	if j.outcome != Unfinished || !j.stored {
+		return
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			c.queueStep(s)
+		}
+	}
+}
+
+// queueStep adds a step to the ready list if it may start tasks.
+func (c *Core) queueStep(s *step) {
+	if s.queued || s.waits > 0 || s.pending == 0 || !s.live() || !s.job().stored {
+		return
+	}
+	s.queued = true
+	s.latest = c.latestStart(s)
+	if s.def.MaxPerWorker > 0 && s.onWorker == nil {
+		s.onWorker = map[model.WorkerID]int{}
+	}
+	c.ready = append(c.ready, s)
+	c.changed = true
+}
+
+// taskDone records that a task ended as done. All tasks of a gang end together.
+func (c *Core) taskDone(now time.Time, t *task) {
+	s := t.step
+	if t.state == taskDone || s.job().outcome != Unfinished {
+		return
+	}
+	if s.def.Gang {
+		for i := range s.tasks {
+			s.tasks[i].finish()
+		}
+	} else {
+		t.finish()
+	}
+	c.touch(s.job())
+	if s.left == 0 {
+		c.stepDone(now, s)
+	}
+}
+
+// finish marks a task as done.
+func (t *task) finish() {
+	if t.state == taskDone {
+		return
+	}
+	if t.state == taskPending {
+		t.step.pending--
+	}
+	t.state = taskDone
+	t.step.left--
+}
+
+func (c *Core) stepDone(now time.Time, s *step) {
+	o := s.occ
+	for _, next := range o.stepEnded(s) {
+		c.queueStep(next)
+	}
+	if o.left > 0 {
+		return
+	}
+	j := o.job
+	j.finished[o.k] = true
+	delete(j.occurrences, o.k)
+	if len(j.finished) == j.spec.Occurrences() {
+		c.conclude(now, j, Completed)
+	}
+}
+
+// stepEnded counts a finished step and returns the steps that waited for it.
+func (o *occurrence) stepEnded(s *step) []*step {
+	o.left--
+	var freed []*step
+	for _, next := range o.steps {
+		for _, before := range next.def.After {
+			if before == int(s.index) {
+				next.waits--
+				freed = append(freed, next)
+			}
+		}
+	}
+	return freed
+}
+
+// taskFailed counts a failed run and ends the job after the last attempt.
+func (c *Core) taskFailed(now time.Time, t *task, number int64) {
+	s := t.step
+	j := s.job()
+	if j.outcome != Unfinished || t.state == taskDone || s.def.LongRunning {
+		return
+	}
+	failures, last := &t.failures, &t.lastFailed
+	if s.def.Gang {
+		failures, last = &s.gang.failures, &s.gang.lastFailed
+	}
+	if number <= *last {
+		return
+	}
+	*last = number
+	*failures++
+	c.touch(j)
+	if int(*failures) >= max(1, j.queue.MaxAttempts) {
+		c.conclude(now, j, Failed)
+	}
+}
+
+// free returns a task to the pending ones after its run is gone.
+func (c *Core) free(t *task) {
+	t.run = nil
+	if t.state != taskActive {
+		return
+	}
+	t.state = taskPending
+	t.step.pending++
+	c.queueStep(t.step)
+}
--- /dev/null
+++ b/internal/core/jobs/records.go
@@ -0,0 +1,103 @@
+package jobs
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// Outcome is the final state of a job, or none.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Unfinished Outcome = iota
+	Completed
+	Failed
+	Cancelled
+)
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	return [...]string{"unfinished", "completed", "failed", "cancelled"}[o]
+}
+
+// AcceptedRecord is the stored form of a job when it is accepted.
+type AcceptedRecord struct {
+	Spec Spec
+	// Queue is the queue's configuration at the time; a newer one replaces it.
+	Queue Queue
+	// Token is the fencing token of the leader that accepted the job. Run
+	// numbers are counted from it.
+	Token uint64
+	// Accepted is wall-clock time.
+	Accepted time.Time
+}
+
+// ProgressRecord is the stored form of everything final about a job. It
+// replaces the earlier one.
+type ProgressRecord struct {
+	Job     string
+	Queue   string
+	Outcome Outcome
+	// Occurrences lists those of which any task ended; empty once the job ended.
+	Occurrences []OccurrenceProgress
+}
+
+// OccurrenceProgress lists what ended in one occurrence.
+type OccurrenceProgress struct {
+	Occurrence int32
+	// Finished means that all steps ended; Steps is empty then.
+	Finished bool
+	Steps    []StepProgress
+}
+
+// StepProgress lists what ended in one step.
+type StepProgress struct {
+	Step int32
+	// Finished means that all tasks ended as done.
+	Finished bool
+	// Done is a bit set of the tasks that ended as done, unless Finished.
+	Done     []byte
+	Failures []TaskFailures
+}
+
+// TaskFailures counts the failed runs of one task. A gang counts on task 0.
+type TaskFailures struct {
+	Index int32
+	Count int32
+	// LastRun is the highest failed run, so that an end that a worker lists
+	// again is not counted twice.
+	LastRun int64
+}
+
+// WorkerRecord tells that a worker may run tasks of the cell.
+type WorkerRecord struct {
+	ID      model.WorkerID
+	Address string
+	Service string
+}
+
+// Batch is what has to be stored in one append before its effects are told.
+type Batch struct {
+	Seq      uint64
+	Accepted []AcceptedRecord
+	Progress []ProgressRecord
+	Workers  []WorkerRecord
+	// DropAccepted, DropProgress and DropWorkers name records to delete.
+	DropAccepted []string
+	DropProgress []string
+	DropWorkers  []model.WorkerID
+}
+
+// Empty reports whether there is nothing to store.
+func (b *Batch) Empty() bool {
+	return len(b.Accepted)+len(b.Progress)+len(b.Workers)+len(b.DropAccepted)+len(b.DropProgress)+len(b.DropWorkers) == 0
+}
+
+// Snapshot is what a new leader reads from the store.
+type Snapshot struct {
+	Accepted []AcceptedRecord
+	Progress []ProgressRecord
+	Workers  []WorkerRecord
+}
--- /dev/null
+++ b/internal/core/jobs/schedule.go
@@ -0,0 +1,194 @@
+package jobs
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/retry"
+)
+
+// Schedule starts what can start now and asks for what it needs.
+func (c *Core) Schedule(now time.Time) {
+	c.holds(now)
+	if !c.changed && now.Before(c.wake) {
+		return
+	}
+	c.changed = false
+	c.wake = now.Add(scheduleInterval)
+	c.health.SetWorkers(len(c.workers))
+	c.refreshPool(now)
+	c.ready = slices.DeleteFunc(c.ready, func(s *step) bool {
+		s.queued = s.live() && s.pending > 0
+		return !s.queued
+	})
+	slices.SortStableFunc(c.ready, compareSteps)
+	for _, s := range c.ready {
+		c.place(now, s)
+	}
+}
+
+// scheduleInterval is how often placements are tried without a change, for
+// what depends on time only.
+const scheduleInterval = 100 * time.Millisecond
+
+func compareSteps(a, b *step) int {
+	return cmp.Or(cmp.Compare(a.job().queue.Priority, b.job().queue.Priority), a.latest.Compare(b.latest))
+}
+
+// refreshPool lists the workers that take tasks, by service.
+func (c *Core) refreshPool(now time.Time) {
+	for service := range c.byService {
+		c.byService[service] = c.byService[service][:0]
+	}
+	c.largest = map[string]model.Size{}
+	for _, w := range c.workers {
+		if !w.listed {
+			continue
+		}
+		w.state = c.workerState(now, w)
+		if w.state == Usable && c.health.State(now, w.ID) == retry.Quarantined {
+			w.state = SetAside
+		}
+		c.byService[w.Service] = append(c.byService[w.Service], w)
+		if w.state == Usable {
+			c.largest[w.Service] = c.largest[w.Service].Max(w.room.free())
+		}
+	}
+	for _, ws := range c.byService {
+		slices.SortFunc(ws, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
+
+// place starts as many tasks of a step as possible.
+func (c *Core) place(now time.Time, s *step) {
+	if !s.live() || s.pending == 0 || now.Before(s.notBefore) || !c.certain(s.job()) {
+		return
+	}
+	if s.def.Gang && s.pending != s.left {
+		return // members of an earlier run are not gone yet
+	}
+	if !s.def.Size.Fits(c.largest[s.job().queue.Service]) {
+		return
+	}
+	if s.def.Gang {
+		c.placeGang(now, s)
+	} else {
+		c.placeTasks(now, s)
+	}
+}
+
+// placeTasks starts tasks one by one, each on the best worker.
+func (c *Core) placeTasks(now time.Time, s *step) {
+	options := c.options(now, s)
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.state != taskPending || now.Before(t.notBefore) {
+			continue
+		}
+		w := best(s, options)
+		if w == nil {
+			c.wantAdvice(now, s)
+			return
+		}
+		c.start(now, t, w, c.nextRun(s.job(), &t.starts), s.advice.ticket(w))
+	}
+}
+
+// placeGang starts all tasks of a gang or none.
+func (c *Core) placeGang(now time.Time, s *step) {
+	options := c.options(now, s)
+	slices.SortStableFunc(options, func(a, b *worker) int { return cmp.Compare(score(s, a), score(s, b)) })
+	chosen := make([]*worker, 0, len(s.tasks))
+	for _, w := range options {
+		n := w.room.copies(s.def.Size)
+		if s.def.MaxPerWorker > 0 {
+			n = min(n, s.def.MaxPerWorker)
+		}
+		for ; n > 0 && len(chosen) < len(s.tasks); n-- {
+			chosen = append(chosen, w)
+		}
+	}
+	if len(chosen) < len(s.tasks) {
+		c.wantAdvice(now, s)
+		return
+	}
+	number := c.nextRun(s.job(), &s.gang.runs)
+	for i := range s.tasks {
+		c.start(now, &s.tasks[i], chosen[i], number, s.advice.ticket(chosen[i]))
+	}
+}
+
+// options returns the workers on which a task of the step could start now.
+func (c *Core) options(now time.Time, s *step) []*worker {
+	var out []*worker
+	for _, w := range c.byService[s.job().queue.Service] {
+		if c.eligible(s, w) && w.room.fits(s.def.Size) && (s.job().queue.Advice == nil || s.advice.valid(now, w)) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// eligible reports whether the step's fixed constraints allow the worker.
+func (c *Core) eligible(s *step, w *worker) bool {
+	return w.state == Usable && w.hasLabel(s.def.Label) &&
+		(s.def.MaxPerWorker == 0 || s.onWorker[w.ID] < s.def.MaxPerWorker)
+}
+
+// best returns the option with the lowest score that still has room, or nil.
+func best(s *step, options []*worker) *worker {
+	var chosen *worker
+	lowest := 0.0
+	for _, w := range options {
+		if !w.room.fits(s.def.Size) || s.def.MaxPerWorker > 0 && s.onWorker[w.ID] >= s.def.MaxPerWorker {
+			continue
+		}
+		if sc := score(s, w); chosen == nil || sc < lowest {
+			chosen, lowest = w, sc
+		}
+	}
+	return chosen
+}
+
+// remoteScore outweighs every difference in load.
+const remoteScore = 2.0
+
+// score ranks a worker for a step; lower is better. Full workers come first, so
+// that large tasks find whole ones.
+func score(s *step, w *worker) float64 {
+	sc := 1 - w.room.used.Add(s.def.Size).DominantShare(w.room.capacity)
+	if s.def.DataRack != "" && !w.hasLabel(s.def.DataRack) {
+		sc += remoteScore
+	}
+	return sc
+}
+
+// SetEntries replaces the instance list.
+func (c *Core) SetEntries(now time.Time, entries []Entry) {
+	for _, w := range c.workers {
+		w.listed = false
+	}
+	for i := range entries {
+		c.setEntry(now, &entries[i])
+	}
+	c.changed = true
+}
+
+func (c *Core) setEntry(now time.Time, e *Entry) {
+	w := c.worker(e.ID)
+	if e.Draining && !w.Draining {
+		c.event(Event{Name: EventWorkerState, Worker: e.ID, Detail: Leaving.String(), Age: e.Remaining})
+	}
+	if w.answered && w.life > e.Life && w.Entry.Life == w.life {
+		// The list is behind the worker's own answer.
+		w.listed = true
+		return
+	}
+	w.Entry, w.listed = *e, true
+	w.room.capacity = e.Capacity
+	if w.answered && !w.lapsed {
+		c.enroll(w)
+	}
+}
--- /dev/null
+++ b/internal/core/jobs/spec.go
@@ -0,0 +1,167 @@
+package jobs
+
+import (
+	"fmt"
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// Limits of a job, so that one request cannot exhaust a leader's memory.
+const (
+	MaxSteps        = 64
+	MaxTasksPerStep = 10_000
+	MaxPayloadBytes = 16 << 10
+	MaxOccurrences  = 100_000
+)
+
+// TaskRef names a task: one index of one step in one occurrence of a job.
+type TaskRef struct {
+	Job        string
+	Occurrence int32
+	Step       int32
+	Index      int32
+}
+
+// String returns "job.occurrence.step.index".
+func (t TaskRef) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+}
+
+// StepRef names a step in one occurrence of a job.
+type StepRef struct {
+	Job        string
+	Occurrence int32
+	Step       int32
+}
+
+// String returns "job.occurrence.step".
+func (s StepRef) String() string { return fmt.Sprintf("%s.%d.%d", s.Job, s.Occurrence, s.Step) }
+
+// Queue is the configuration of one queue.
+type Queue struct {
+	Name    string
+	Service string
+	// Priority 0 is the most urgent.
+	Priority int
+	// MaxAttempts is how often a task may fail before its job has failed.
+	MaxAttempts int
+	// Slack times the longest chain of work, plus Target, is the objective for
+	// the time from submission to completion.
+	Slack  float64
+	Target time.Duration
+	// Advice is nil when the queue's tasks may run on any worker of the service.
+	Advice *AdviceTerms
+}
+
+// AdviceTerms tell what a call to the advice service costs.
+type AdviceTerms struct {
+	Decision  time.Duration
+	PerWorker time.Duration
+	// Validity is how long a ticket can be used.
+	Validity time.Duration
+}
+
+// Step is a group of equal tasks of a job.
+type Step struct {
+	Count    int
+	Size     model.Size
+	Estimate time.Duration
+	// After lists the steps whose tasks must all have ended as done.
+	After []int
+	// Gang tasks work only together and end together.
+	Gang bool
+	// SameRack makes a gang slower when it is spread over several racks.
+	SameRack bool
+	// Label must be among the worker's labels, if not empty.
+	Label string
+	// DataRack is the rack where the data is; tasks elsewhere take longer.
+	DataRack string
+	// MaxPerWorker limits the tasks of the step on one worker; 0 means no limit.
+	MaxPerWorker int
+	// Checkpointing tasks resume from their last checkpoint.
+	Checkpointing bool
+	// Speculative tasks may run in several copies.
+	Speculative bool
+	// LongRunning tasks run until the job is cancelled.
+	LongRunning bool
+	// Image groups tasks that behave alike.
+	Image string
+	// TailTarget is the response time that tasks which serve users must keep.
+	TailTarget time.Duration
+	// Filler tasks take only the capacity that others leave unused.
+	Filler bool
+	// MaxUnavailable tasks of a long-running step may be down at a time by
+	// decisions of the system.
+	MaxUnavailable int
+}
+
+// Spec is a job as its caller submitted it.
+type Spec struct {
+	ID      string
+	Queue   string
+	Payload string
+	Steps   []Step
+	// Repeat runs the steps several times: occurrence k is due at First + k x
+	// Interval in wall-clock time. 0 means once, now.
+	Repeat   int
+	First    time.Time
+	Interval time.Duration
+}
+
+// Occurrences returns how often the steps run.
+func (s *Spec) Occurrences() int { return max(1, s.Repeat) }
+
+// SpecError tells what is wrong with a submitted job.
+type SpecError struct {
+	Field  string
+	Detail string
+}
+
+// Error implements the error interface.
+func (e *SpecError) Error() string {
+	return fmt.Sprintf("malformed job: %s %s; correct the field and submit again", e.Field, e.Detail)
+}
+
+// Validate checks what the state machine relies on.
+func (s *Spec) Validate() error {
+	switch {
+	case s.ID == "":
+		return &SpecError{"id", "is empty"}
+	case len(s.Payload) > MaxPayloadBytes:
+		return &SpecError{"payload", "is too long"}
+	case len(s.Steps) == 0:
+		return &SpecError{"steps", "is empty"}
+	case len(s.Steps) > MaxSteps:
+		return &SpecError{"steps", "has too many entries"}
+	case s.Repeat < 0 || s.Repeat > MaxOccurrences:
+		return &SpecError{"repeat count", "is out of range"}
+	case s.Repeat > 1 && s.Interval < 0:
+		return &SpecError{"interval", "is negative"}
+	}
+	for i := range s.Steps {
+		if err := s.Steps[i].validate(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Step) validate(i int) error {
+	field := fmt.Sprintf("steps[%d]", i)
+	size := d.Size
+	switch {
+	case d.Count < 1 || d.Count > MaxTasksPerStep:
+		return &SpecError{field + " count", "is out of range"}
+	case size.MilliCPU < 0 || size.MemMB < 0 || size.Accel < 0:
+		return &SpecError{field + " size", "is negative"}
+	case d.MaxPerWorker < 0 || d.Estimate < 0:
+		return &SpecError{field, "has a negative number"}
+	}
+	for _, before := range d.After {
+		if before < 0 || before >= i {
+			return &SpecError{field + " dependency", "does not name an earlier step"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/jobs/submit.go
@@ -0,0 +1,135 @@
+package jobs
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// retryAfterFull is when a caller may come back after the leader's memory was
+// full.
+const retryAfterFull = time.Second
+
+// View is a job's state as callers see it.
+type View string
+
+// Views.
+const (
+	ViewQueued    View = "queued"
+	ViewActive    View = "active"
+	ViewCompleted View = "completed"
+	ViewFailed    View = "failed"
+	ViewCancelled View = "cancelled"
+)
+
+// Submit takes a job. It returns an answer, or nil when the answer comes with a
+// batch. The spec must be valid.
+func (c *Core) Submit(now time.Time, spec *Spec, call CallID) *Answer {
+	if j := c.jobs[spec.ID]; j != nil {
+		return c.resubmitted(j, call)
+	}
+	q := c.queues[spec.Queue]
+	if q == nil {
+		return c.refuse(now, spec, "queue_unknown", retryAfterFull)
+	}
+	if reason, after, ok := c.admit(now, spec, q); !ok {
+		return c.refuse(now, spec, reason, after)
+	}
+	j := newJob(spec, q, c.cfg.Token, now)
+	c.jobs[spec.ID] = j
+	c.open++
+	c.batch.accepted = append(c.batch.accepted, j)
+	c.answerWith(c.batch.next, Answer{Call: call, Kind: Accepted})
+	return nil
+}
+
+// resubmitted answers a repeated submission: it is the same job.
+func (c *Core) resubmitted(j *job, call CallID) *Answer {
+	if j.stored {
+		return &Answer{Call: call, Kind: Accepted}
+	}
+	c.answerWith(c.batchOf(j), Answer{Call: call, Kind: Accepted})
+	return nil
+}
+
+// batchOf returns the batch that holds the accepted record of an unstored job.
+func (c *Core) batchOf(j *job) uint64 {
+	for _, waiting := range c.batch.accepted {
+		if waiting == j {
+			return c.batch.next
+		}
+	}
+	return c.batch.inFlight
+}
+
+func (c *Core) refuse(now time.Time, spec *Spec, reason model.Reason, after time.Duration) *Answer {
+	c.event(Event{Name: EventRefused, Job: spec.ID, Queue: spec.Queue, Reason: reason, Age: after, Count: c.open})
+	return &Answer{Kind: Refused, Reason: reason, RetryAfter: after}
+}
+
+// Cancel stops a job for good. It returns an answer, or nil when the answer
+// comes with a batch.
+func (c *Core) Cancel(now time.Time, id string, call CallID) *Answer {
+	j := c.jobs[id]
+	if j == nil {
+		return &Answer{Call: call, Kind: NoSuchJob}
+	}
+	if j.outcome == Unfinished {
+		c.event(Event{Name: EventCancelled, Job: id, Queue: j.queue.Name, Age: now.Sub(j.accepted)})
+		c.conclude(now, j, Cancelled)
+	}
+	if j.outcomeStored {
+		return &Answer{Call: call, Kind: Stopped}
+	}
+	c.answerWith(j.change, Answer{Call: call, Kind: Stopped})
+	return nil
+}
+
+// conclude ends a job. The outcome is told once it is stored.
+func (c *Core) conclude(now time.Time, j *job, o Outcome) {
+	j.outcome = o
+	c.open--
+	c.touch(j)
+	c.changed = true
+	if o != Completed {
+		c.stopRuns(now, j)
+	}
+}
+
+// stopRuns stops everything of a job that still runs.
+func (c *Core) stopRuns(now time.Time, j *job) {
+	for _, occ := range j.occurrences {
+		for _, s := range occ.steps {
+			for i := range s.tasks {
+				if r := s.tasks[i].run; r != nil {
+					c.wantStop(now, r)
+				}
+			}
+		}
+	}
+}
+
+// State returns a job's state from stored facts.
+func (c *Core) State(id string) (View, bool) {
+	j := c.jobs[id]
+	switch {
+	case j == nil:
+		return "", false
+	case !j.outcomeStored && j.begun:
+		return ViewActive, true
+	case !j.outcomeStored:
+		return ViewQueued, true
+	}
+	return map[Outcome]View{Completed: ViewCompleted, Failed: ViewFailed, Cancelled: ViewCancelled}[j.outcome], true
+}
+
+// Pending returns the number of a queue's jobs of which no task has started.
+func (c *Core) Pending(queue string) int {
+	n := 0
+	for _, j := range c.jobs {
+		if j.queue.Name == queue && j.outcome == Unfinished && !j.begun {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/jobs/worker.go
@@ -0,0 +1,231 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// Entry is a worker as its own entry in the instance list describes it.
+type Entry struct {
+	ID         model.WorkerID
+	Address    string
+	Service    string
+	DataCentre model.DataCentre
+	Labels     []string
+	Capacity   model.Size
+	Draining   bool
+	// Remaining is how long a draining worker stays at least; 0 if not known.
+	Remaining time.Duration
+	// Life tells incarnations of the same ID apart.
+	Life int64
+}
+
+type roster uint8
+
+const (
+	rosterNone roster = iota
+	rosterSent
+	rosterStored
+)
+
+// worker is what the leader knows about a worker.
+type worker struct {
+	Entry
+	listed bool
+	// answered is set once the worker has answered this leader in this life.
+	answered bool
+	life     int64
+	// clock is the worker's own clock in ms, read at clockAt at the latest.
+	clock   int64
+	clockAt time.Time
+	// maxDeadline is the largest lease deadline, on the worker's clock, that any
+	// call to this life carried.
+	maxDeadline int64
+	contact     time.Time
+	// lateGrants is until when calls to an earlier life may still arrive.
+	lateGrants time.Time
+
+	holding  bool
+	holdSent time.Time
+	nextHold time.Time
+	misses   int
+
+	// processed and acked are positions in the worker's list of ends: what this
+	// leader has seen, and what it may acknowledge.
+	processed int64
+	acked     int64
+	ackBatch  uint64
+
+	roster roster
+	// lapsed workers can run nothing any more until they answer again.
+	lapsed bool
+	runs   map[TaskRef]*run
+	// strangers counts runs of jobs that the leader does not know. Their size is
+	// not known either.
+	strangers int
+	room      room
+	notBefore time.Time
+	// state was computed in the present scheduling cycle.
+	state State
+}
+
+// State says why a worker takes no work, or that it does.
+type State uint8
+
+// Worker states.
+const (
+	Usable State = iota
+	Unlisted
+	Leaving
+	NotAnswered
+	Silent
+	NotStored
+	SetAside
+	Refusing
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	return [...]string{"usable", "unlisted", "leaving", "not_answered", "silent", "not_stored", "set_aside", "refusing"}[s]
+}
+
+// room is the ledger of one worker's capacity.
+type room struct {
+	capacity model.Size
+	used     model.Size
+}
+
+func (r *room) free() model.Size { return r.capacity.Sub(r.used) }
+
+func (r *room) fits(s model.Size) bool {
+	return r.used.MilliCPU+s.MilliCPU <= r.capacity.MilliCPU &&
+		r.used.MemMB+s.MemMB <= r.capacity.MemMB && r.used.Accel+s.Accel <= r.capacity.Accel
+}
+
+// copies returns how many tasks of size s fit.
+func (r *room) copies(s model.Size) int {
+	n := 1 << 20
+	f := r.free()
+	for _, d := range [][2]int64{{s.MilliCPU, f.MilliCPU}, {s.MemMB, f.MemMB}, {s.Accel, f.Accel}} {
+		if d[1] < 0 {
+			return 0
+		}
+		if d[0] > 0 {
+			n = min(n, int(d[1]/d[0]))
+		}
+	}
+	return n
+}
+
+type runState uint8
+
+const (
+	// runStarting: the start was sent and has no answer yet.
+	runStarting runState = iota
+	// runActive: the worker has it.
+	runActive
+	// runUnclear: the start got no answer; the worker may have it, now or later.
+	runUnclear
+)
+
+// run is one start of a task on one worker.
+type run struct {
+	ref    TaskRef
+	task   *task // nil for a run that no job wants
+	number int64
+	worker *worker
+	size   model.Size
+	state  runState
+	sent   time.Time
+	// confirmed is when the worker was first known to have the run.
+	confirmed time.Time
+	// unclearSince is when the last call that could start it ended.
+	unclearSince time.Time
+	stop         stopState
+	percent      int
+	percentAt    time.Time
+	// lastListed is the time of the call in which the worker last listed it.
+	lastListed time.Time
+}
+
+// stopState is the progress of stopping a run.
+type stopState struct {
+	wanted   bool
+	inFlight bool
+	sent     time.Time
+	// answered is when the worker confirmed the stop: from then on it never
+	// starts this run.
+	answered time.Time
+}
+
+// workerClock estimates the worker's clock at now, in ms.
+func (w *worker) workerClock(now time.Time) int64 {
+	return w.clock + now.Sub(w.clockAt).Milliseconds()
+}
+
+// leaseEnd returns the latest time at which the worker's lease can end.
+func (c *Core) leaseEnd(w *worker) time.Time {
+	granted := w.maxDeadline
+	if w.contact.Before(w.lateGrants) {
+		granted = max(granted, w.clock+c.cfg.HoldMax.Milliseconds())
+	}
+	left := float64(granted-w.clock) / (1 - c.cfg.ClockError)
+	return w.clockAt.Add(time.Duration(max(left, 0)*float64(time.Millisecond)) + leaseMargin)
+}
+
+// deadline extends the worker's lease and returns its end on the worker's clock.
+func (c *Core) deadline(now time.Time, w *worker) int64 {
+	d := w.workerClock(now) + c.cfg.Lease.Milliseconds()
+	w.maxDeadline = max(w.maxDeadline, d)
+	return d
+}
+
+// state tells whether the worker takes new tasks.
+func (c *Core) workerState(now time.Time, w *worker) State {
+	switch {
+	case !w.listed:
+		return Unlisted
+	case w.Draining:
+		return Leaving
+	case !w.answered || w.lapsed || w.Entry.Life != w.life || w.strangers > 0:
+		return NotAnswered
+	case now.Sub(w.contact) > c.cfg.SilentAfter:
+		return Silent
+	case w.roster != rosterStored:
+		return NotStored
+	case now.Before(w.notBefore):
+		return Refusing
+	}
+	return Usable
+}
+
+func (w *worker) hasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
+
+// reserve takes room for a run.
+func (w *worker) reserve(r *run) {
+	w.runs[r.ref] = r
+	w.room.used = w.room.used.Add(r.size)
+	if r.task == nil && r.size == (model.Size{}) {
+		w.strangers++
+	}
+	if r.task != nil && r.task.step.onWorker != nil {
+		r.task.step.onWorker[w.ID]++
+	}
+}
+
+// release gives the room of a run back.
+func (w *worker) release(r *run) {
+	if w.runs[r.ref] != r {
+		return
+	}
+	delete(w.runs, r.ref)
+	w.room.used = w.room.used.Sub(r.size)
+	if r.task == nil && r.size == (model.Size{}) {
+		w.strangers--
+	}
+	if r.task != nil && r.task.step.onWorker != nil {
+		r.task.step.onWorker[w.ID]--
+	}
+}
--- a/internal/loadgen/plan.go
+++ b/internal/loadgen/plan.go
@@ -10,7 +10,7 @@
 
 	"catkinvalve/internal/api"
 	"catkinvalve/internal/core/model"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/text"
 )
 
@@ -105,4 +105,4 @@
 }
 
 // directed reports whether the stand-ins answer the payload as planned.
-func directed(r api.SubmitRequest) string { return platform.ParseDirective(r.Payload).Answer }
+func directed(r api.SubmitRequest) string { return standinapi.ParseDirective(r.Payload).Answer }
--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -9,7 +9,7 @@
 	"catkinvalve/internal/api"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/daemon"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/testbed"
 )
@@ -181,18 +181,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cuts[id] += by
-	p := platform.Partition{}
+	p := standinapi.Partition{}
 	for d, n := range cuts {
 		if n > 0 {
 			p.Daemons = append(p.Daemons, d)
 		}
 	}
-	return c.tb.Fault(ctx, addr, platform.GateFault{Partition: &p})
+	return c.tb.Fault(ctx, addr, standinapi.GateFault{Partition: &p})
 }
 
 // setState changes a worker's state in the instance list.
 func (c *cell) setState(ctx context.Context, worker string, s ports.InstanceState) error {
-	var list platform.InstancesReply
+	var list standinapi.InstancesReply
 	if err := c.tb.Admin(ctx, "GET", c.tb.List.Listen, "/v1/instances", nil, &list); err != nil {
 		return err
 	}
@@ -208,17 +208,17 @@
 // heal ends all faults and restarts what is down.
 func (c *cell) heal(ctx context.Context) error {
 	off, none, zero := false, 0, int64(0)
-	gate := platform.GateFault{Outage: &off, DelayMS: &zero, LoseNextAnswers: &none, Partition: &platform.Partition{}}
+	gate := standinapi.GateFault{Outage: &off, DelayMS: &zero, LoseNextAnswers: &none, Partition: &standinapi.Partition{}}
 	for _, addr := range []string{c.tb.Log.Admin, c.tb.List.Admin, c.tb.Old.Admin} {
 		if err := c.tb.Fault(ctx, addr, gate); err != nil {
 			return err
 		}
 	}
-	if err := c.tb.Fault(ctx, c.tb.List.Admin, platform.ListFault{LagMS: &zero}); err != nil {
+	if err := c.tb.Fault(ctx, c.tb.List.Admin, standinapi.ListFault{LagMS: &zero}); err != nil {
 		return err
 	}
 	for _, dc := range shape {
-		f := platform.WorkerFault{GateFault: gate, FailAll: &off, DuplicateEvents: &off, ReorderEvents: &off}
+		f := standinapi.WorkerFault{GateFault: gate, FailAll: &off, DuplicateEvents: &off, ReorderEvents: &off}
 		if err := c.tb.Fault(ctx, c.tb.Workers[dc.Name].Admin, f); err != nil {
 			return err
 		}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -13,7 +13,7 @@
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/history"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 )
 
 // Violation is a promise that the run saw broken.
@@ -48,7 +48,7 @@
 	ops      map[string][]history.Op
 	config   []history.ConfigOp
 	starts   map[string]map[string]int
-	fleets   map[string]platform.FleetStats
+	fleets   map[string]standinapi.FleetStats
 	crashed  map[model.WorkerID]bool
 }
 
@@ -149,7 +149,7 @@
 	return out
 }
 
-func checkWorkers(fleets map[string]platform.FleetStats, candidates []string) []Violation {
+func checkWorkers(fleets map[string]standinapi.FleetStats, candidates []string) []Violation {
 	var out []Violation
 	for dc, f := range fleets {
 		if f.ConcurrentRuns > 0 {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -11,7 +11,7 @@
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/history"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 )
 
 // good returns the evidence of one key that was done once.
@@ -28,7 +28,7 @@
 		}},
 		config:  []history.ConfigOp{{Call: 1, Return: 2, PublishID: "a", Text: "a", Accepted: true, Revision: 1}},
 		starts:  map[string]map[string]int{"k": {"k/0": 1}},
-		fleets:  map[string]platform.FleetStats{"dc": {Workers: map[model.WorkerID]platform.WorkerStats{"w": {}}}},
+		fleets:  map[string]standinapi.FleetStats{"dc": {Workers: map[model.WorkerID]standinapi.WorkerStats{"w": {}}}},
 		crashed: map[model.WorkerID]bool{},
 	}
 }
@@ -63,9 +63,9 @@
 		}},
 		{promiseHistory, func(e *evidence) { e.ops["k"] = e.ops["k"][:1] }},
 		{promiseAnswer, func(e *evidence) { e.ops["k"][0].Outcome.Answer = []byte("j/0:p") }},
-		{promiseCapacity, func(e *evidence) { e.fleets["dc"].Workers["w"] = platform.WorkerStats{Overloads: 1} }},
-		{promiseOnePlace, func(e *evidence) { e.fleets["dc"].Workers["w"] = platform.WorkerStats{DoubleStarts: 1} }},
-		{promiseOnePlace, func(e *evidence) { e.fleets["dc"] = platform.FleetStats{ConcurrentRuns: 1} }},
+		{promiseCapacity, func(e *evidence) { e.fleets["dc"].Workers["w"] = standinapi.WorkerStats{Overloads: 1} }},
+		{promiseOnePlace, func(e *evidence) { e.fleets["dc"].Workers["w"] = standinapi.WorkerStats{DoubleStarts: 1} }},
+		{promiseOnePlace, func(e *evidence) { e.fleets["dc"] = standinapi.FleetStats{ConcurrentRuns: 1} }},
 		{promiseConfig, func(e *evidence) { e.config[0].Accepted = false }},
 	} {
 		e := good()
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -8,7 +8,7 @@
 
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/pause"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 )
 
@@ -123,29 +123,29 @@
 func (in *injector) injectPlatform(ctx context.Context, f Fault) error {
 	c := in.cell
 	workers, lost, zero := c.tb.Workers[f.DC].Admin, f.N*lostPerFault, int64(0)
-	worker := func(set func(*platform.WorkerFault)) error {
-		var wf platform.WorkerFault
+	worker := func(set func(*standinapi.WorkerFault)) error {
+		var wf standinapi.WorkerFault
 		set(&wf)
 		return c.tb.Fault(ctx, workers, wf)
 	}
-	log := func(g platform.GateFault) error { return c.tb.Fault(ctx, c.tb.Log.Admin, g) }
+	log := func(g standinapi.GateFault) error { return c.tb.Fault(ctx, c.tb.Log.Admin, g) }
 	switch f.Kind {
 	case LogOutage:
-		return in.during(ctx, f, func(on bool) error { return log(platform.GateFault{Outage: &on}) })
+		return in.during(ctx, f, func(on bool) error { return log(standinapi.GateFault{Outage: &on}) })
 	case LogSlow:
 		return in.during(ctx, f, func(on bool) error {
 			ms := zero
 			if on {
 				ms = slowLogMS
 			}
-			return log(platform.GateFault{DelayMS: &ms})
+			return log(standinapi.GateFault{DelayMS: &ms})
 		})
 	case LogLost:
 		return in.during(ctx, f, func(on bool) error {
 			if !on {
 				lost = 0
 			}
-			return log(platform.GateFault{LoseNextAnswers: &lost})
+			return log(standinapi.GateFault{LoseNextAnswers: &lost})
 		})
 	case ListLag:
 		return in.during(ctx, f, func(on bool) error {
@@ -153,23 +153,23 @@
 			if on {
 				ms = listLagMS
 			}
-			return c.tb.Fault(ctx, c.tb.List.Admin, platform.ListFault{LagMS: &ms})
+			return c.tb.Fault(ctx, c.tb.List.Admin, standinapi.ListFault{LagMS: &ms})
 		})
 	case WorkerLost:
-		return worker(func(w *platform.WorkerFault) { w.LoseNextAnswers = &lost })
+		return worker(func(w *standinapi.WorkerFault) { w.LoseNextAnswers = &lost })
 	case WorkerCrash:
 		c.mu.Lock()
 		c.crashed[model.WorkerID(f.Worker)] = true
 		c.mu.Unlock()
-		return worker(func(w *platform.WorkerFault) { w.Worker, w.Crash = model.WorkerID(f.Worker), true })
+		return worker(func(w *standinapi.WorkerFault) { w.Worker, w.Crash = model.WorkerID(f.Worker), true })
 	case WorkerFails:
 		return in.during(ctx, f, func(on bool) error {
-			return worker(func(w *platform.WorkerFault) { w.Worker, w.FailAll = model.WorkerID(f.Worker), &on })
+			return worker(func(w *standinapi.WorkerFault) { w.Worker, w.FailAll = model.WorkerID(f.Worker), &on })
 		})
 	case WorkerRepeats:
-		return in.during(ctx, f, func(on bool) error { return worker(func(w *platform.WorkerFault) { w.DuplicateEvents = &on }) })
+		return in.during(ctx, f, func(on bool) error { return worker(func(w *standinapi.WorkerFault) { w.DuplicateEvents = &on }) })
 	case WorkerReorder:
-		return in.during(ctx, f, func(on bool) error { return worker(func(w *platform.WorkerFault) { w.ReorderEvents = &on }) })
+		return in.during(ctx, f, func(on bool) error { return worker(func(w *standinapi.WorkerFault) { w.ReorderEvents = &on }) })
 	case Drain:
 		return in.during(ctx, f, func(on bool) error {
 			state := ports.StateLive
--- a/internal/soak/watch.go
+++ b/internal/soak/watch.go
@@ -8,7 +8,7 @@
 
 	"catkinvalve/internal/history"
 	"catkinvalve/internal/pause"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 )
 
 const (
@@ -25,12 +25,12 @@
 
 	// Written by one goroutine each, read after both have ended.
 	starts map[string]map[string]int // key, then task or "old"
-	fleets map[string]platform.FleetStats
+	fleets map[string]standinapi.FleetStats
 	since  time.Duration
 }
 
 func newWatcher(c *cell, rec *history.Recorder, l *load) *watcher {
-	return &watcher{cell: c, rec: rec, load: l, starts: map[string]map[string]int{}, fleets: map[string]platform.FleetStats{}}
+	return &watcher{cell: c, rec: rec, load: l, starts: map[string]map[string]int{}, fleets: map[string]standinapi.FleetStats{}}
 }
 
 // run polls until ctx ends.
--- a/internal/standin/command_test.go
+++ b/internal/standin/command_test.go
@@ -15,7 +15,7 @@
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/adapters/listclient"
 	"catkinvalve/internal/core/model"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -62,7 +62,7 @@
 		assert.NilError(t, client.Do(ctx, "GET", "http://"+ready.Admin+"/admin/stats", nil, &stats))
 		if args[0] == "worker" {
 			assert.Equal(t, len(ready.Workers), 10)
-			var info platform.WorkerInfo
+			var info standinapi.WorkerInfo
 			assert.NilError(t, client.Do(ctx, "GET", "http://"+ready.Workers["w-9"]+"/v1/worker", nil, &info))
 			assert.Equal(t, info.ID, model.WorkerID("w-9"))
 			assert.Equal(t, info.Rack, "k-1")
--- a/internal/standin/harness/gate.go
+++ b/internal/standin/harness/gate.go
@@ -17,7 +17,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 )
 
 // maxBodyBytes bounds request bodies; the largest are batches of task starts.
@@ -62,7 +62,7 @@
 	delay      time.Duration
 	lose       int
 	losePath   string
-	partition  platform.Partition
+	partition  standinapi.Partition
 	partitions []netip.Prefix
 }
 
@@ -73,7 +73,7 @@
 }
 
 // Set changes the faults that f names.
-func (g *Gate) Set(f platform.GateFault) error {
+func (g *Gate) Set(f standinapi.GateFault) error {
 	var prefixes []netip.Prefix
 	if f.Partition != nil {
 		for _, a := range f.Partition.Addrs {
@@ -109,7 +109,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.outage, g.delay, g.lose, g.losePath = false, 0, 0, g.defaultLose
-	g.partition, g.partitions = platform.Partition{}, nil
+	g.partition, g.partitions = standinapi.Partition{}, nil
 }
 
 func parsePrefix(s string) (netip.Prefix, error) {
@@ -127,7 +127,7 @@
 func (g *Gate) cut(r *http.Request) (isCut, dropAnswers bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	hit := slices.Contains(g.partition.Daemons, r.Header.Get(platform.DaemonHeader))
+	hit := slices.Contains(g.partition.Daemons, r.Header.Get(standinapi.DaemonHeader))
 	if !hit && len(g.partitions) > 0 {
 		if ap, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
 			addr := ap.Addr().Unmap()
--- a/internal/standin/listd/listd.go
+++ b/internal/standin/listd/listd.go
@@ -12,7 +12,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/standin/harness"
 )
@@ -106,12 +106,12 @@
 	l.pending = slices.Delete(l.pending, 0, n)
 }
 
-func (l *List) read() platform.InstancesReply {
+func (l *List) read() standinapi.InstancesReply {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settle(time.Now())
 	l.reads++
-	out := platform.InstancesReply{Version: l.version, Instances: make([]ports.Instance, 0, len(l.visible))}
+	out := standinapi.InstancesReply{Version: l.version, Instances: make([]ports.Instance, 0, len(l.visible))}
 	for _, in := range l.visible {
 		out.Instances = append(out.Instances, in)
 	}
@@ -119,7 +119,7 @@
 	return out
 }
 
-func (l *List) apply(f platform.ListFault) error {
+func (l *List) apply(f standinapi.ListFault) error {
 	if err := l.gate.Set(f.GateFault); err != nil {
 		return err
 	}
@@ -139,11 +139,11 @@
 }
 
 // Stats returns the counters.
-func (l *List) Stats() platform.ListStats {
+func (l *List) Stats() standinapi.ListStats {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settle(time.Now())
-	return platform.ListStats{Version: l.version, Pending: len(l.pending), Instances: len(l.visible), Reads: l.reads}
+	return standinapi.ListStats{Version: l.version, Pending: len(l.pending), Instances: len(l.visible), Reads: l.reads}
 }
 
 func (l *List) reset() {
--- a/internal/standin/listd/listd_test.go
+++ b/internal/standin/listd/listd_test.go
@@ -10,7 +10,7 @@
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/adapters/listclient"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/standin/harness"
 )
@@ -48,7 +48,7 @@
 	assert.NilError(t, do("PUT", "/admin/instances/w2", w2))
 	assert.NilError(t, do("PUT", "/admin/instances/w1", w1))
 	assert.DeepEqual(t, instances(), []ports.Instance{w1, w2})
-	assert.NilError(t, do("POST", "/admin/fault", platform.ListFault{LagMS: ptr(int64(60_000))}))
+	assert.NilError(t, do("POST", "/admin/fault", standinapi.ListFault{LagMS: ptr(int64(60_000))}))
 	assert.NilError(t, do("DELETE", "/admin/instances/w1", nil))
 	assert.Equal(t, len(instances()), 2, "the removal is not visible yet")
 	assert.NilError(t, do("POST", "/admin/reset", struct{}{}))
@@ -56,7 +56,7 @@
 
 	assert.Equal(t, jsonhttp.StatusOf(do("PUT", "/admin/instances/w3", ports.Instance{Kind: "x"})), 400)
 	assert.Equal(t, jsonhttp.StatusOf(do("POST", "/admin/fault", map[string]any{"unknown": 1})), 400)
-	assert.NilError(t, do("POST", "/admin/fault", platform.ListFault{GateFault: platform.GateFault{Outage: ptr(true)}}))
+	assert.NilError(t, do("POST", "/admin/fault", standinapi.ListFault{GateFault: standinapi.GateFault{Outage: ptr(true)}}))
 	_, err = list.Instances(t.Context())
 	assert.Equal(t, fault.KindOf(err), fault.ListUnavailable)
 }
--- a/internal/standin/logd/logd.go
+++ b/internal/standin/logd/logd.go
@@ -11,7 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/standin/harness"
 )
 
@@ -32,7 +32,7 @@
 
 type stream struct {
 	first   int64
-	records []platform.LogRecord
+	records []standinapi.LogRecord
 }
 
 func (s *stream) end() int64 { return s.first + int64(len(s.records)) }
@@ -41,7 +41,7 @@
 func (s *stream) dropBefore(offset int64) {
 	offset = min(offset, s.end())
 	if offset > s.first {
-		s.records = append([]platform.LogRecord(nil), s.records[offset-s.first:]...)
+		s.records = append([]standinapi.LogRecord(nil), s.records[offset-s.first:]...)
 		s.first = offset
 	}
 }
@@ -55,7 +55,7 @@
 	mu      sync.Mutex
 	streams map[string]*stream
 	changed chan struct{} // closed and replaced by each append
-	stats   platform.LogStats
+	stats   standinapi.LogStats
 }
 
 // New returns an empty log.
@@ -89,7 +89,7 @@
 	return harness.Admin(l.apply, func() any { return l.Stats() }, l.reset)
 }
 
-func (l *Log) append(c *harness.Call, in platform.AppendRequest) (int, any) {
+func (l *Log) append(c *harness.Call, in standinapi.AppendRequest) (int, any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.limiter.Allow() {
@@ -103,7 +103,7 @@
 		l.streams[name] = s
 	}
 	offset := s.end()
-	s.records = append(s.records, platform.LogRecord{Offset: offset, TimeMS: time.Now().UnixMilli(), Data: in.Data})
+	s.records = append(s.records, standinapi.LogRecord{Offset: offset, TimeMS: time.Now().UnixMilli(), Data: in.Data})
 	// Truncates in steps so that the copy is not made for each append.
 	if keep := l.cfg.Retention; keep > 0 && len(s.records) >= keep+max(1, keep/8) {
 		s.dropBefore(s.end() - int64(keep))
@@ -112,7 +112,7 @@
 	l.stats.AppendedBytes += int64(len(in.Data))
 	close(l.changed)
 	l.changed = make(chan struct{})
-	return http.StatusOK, platform.AppendReply{Offset: offset}
+	return http.StatusOK, standinapi.AppendReply{Offset: offset}
 }
 
 func (l *Log) read(c *harness.Call) (int, any) {
@@ -141,7 +141,7 @@
 }
 
 // page returns the records from an offset on and a channel that the next append closes.
-func (l *Log) page(name string, from int64, limit int) (platform.ReadReply, <-chan struct{}) {
+func (l *Log) page(name string, from int64, limit int) (standinapi.ReadReply, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stats.Reads++
@@ -151,8 +151,8 @@
 	}
 	from = min(max(from, s.first), s.end())
 	to := min(from+int64(limit), s.end())
-	records := append([]platform.LogRecord{}, s.records[from-s.first:to-s.first]...)
-	return platform.ReadReply{First: s.first, Next: to, Records: records}, l.changed
+	records := append([]standinapi.LogRecord{}, s.records[from-s.first:to-s.first]...)
+	return standinapi.ReadReply{First: s.first, Next: to, Records: records}, l.changed
 }
 
 func intParam(s string, missing int64) (int64, error) {
@@ -162,7 +162,7 @@
 	return strconv.ParseInt(s, 10, 64)
 }
 
-func (l *Log) apply(f platform.LogFault) error {
+func (l *Log) apply(f standinapi.LogFault) error {
 	if err := l.gate.Set(f.GateFault); err != nil {
 		return err
 	}
@@ -185,13 +185,13 @@
 }
 
 // Stats returns the counters.
-func (l *Log) Stats() platform.LogStats {
+func (l *Log) Stats() standinapi.LogStats {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := l.stats
-	out.Streams = map[string]platform.StreamStats{}
+	out.Streams = map[string]standinapi.StreamStats{}
 	for name, s := range l.streams {
-		out.Streams[name] = platform.StreamStats{First: s.first, Next: s.end()}
+		out.Streams[name] = standinapi.StreamStats{First: s.first, Next: s.end()}
 	}
 	return out
 }
@@ -201,5 +201,5 @@
 	l.setRate(l.cfg.Rate)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.stats = platform.LogStats{}
+	l.stats = standinapi.LogStats{}
 }
--- a/internal/standin/oldd/oldd.go
+++ b/internal/standin/oldd/oldd.go
@@ -12,13 +12,13 @@
 
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/standin/harness"
 )
 
 type run struct {
-	reply     platform.RunReply
-	directive platform.Directive
+	reply     standinapi.RunReply
+	directive standinapi.Directive
 	payload   []byte
 	timer     *time.Timer
 	done      chan struct{}
@@ -60,7 +60,7 @@
 
 // Admin returns the admin API.
 func (o *Old) Admin() http.Handler {
-	return harness.Admin(func(f platform.OldFault) error { return o.gate.Set(f.GateFault) },
+	return harness.Admin(func(f standinapi.OldFault) error { return o.gate.Set(f.GateFault) },
 		func() any { return o.Stats() }, o.reset)
 }
 
@@ -76,7 +76,7 @@
 }
 
 // run answers when the key has finished. The run goes on when its caller leaves.
-func (o *Old) run(c *harness.Call, in platform.RunRequest) (int, any) {
+func (o *Old) run(c *harness.Call, in standinapi.RunRequest) (int, any) {
 	if in.Key == "" {
 		return harness.Fail(fault.New(fault.Malformed, "set key", "key is empty"))
 	}
@@ -84,8 +84,8 @@
 	r := o.keys[in.Key]
 	if r == nil {
 		r = &run{
-			reply:     platform.RunReply{Key: in.Key, State: model.Queued},
-			directive: platform.ParseDirective(in.Payload), payload: in.Payload, done: make(chan struct{}),
+			reply:     standinapi.RunReply{Key: in.Key, State: model.Queued},
+			directive: standinapi.ParseDirective(in.Payload), payload: in.Payload, done: make(chan struct{}),
 		}
 		o.keys[in.Key] = r
 		o.start(r)
@@ -144,7 +144,7 @@
 	return http.StatusOK, r.reply
 }
 
-func (o *Old) reserve(_ *harness.Call, in platform.ReserveRequest) (int, any) {
+func (o *Old) reserve(_ *harness.Call, in standinapi.ReserveRequest) (int, any) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	// A late request of an earlier revision must not undo a later one.
@@ -152,14 +152,14 @@
 		o.proposed, o.limit = in.Revision, in.Slots
 	}
 	o.settleReserve()
-	return http.StatusOK, platform.ReserveReply{Revision: o.inForce}
+	return http.StatusOK, standinapi.ReserveReply{Revision: o.inForce}
 }
 
 // Stats returns the counters.
-func (o *Old) Stats() platform.OldStats {
+func (o *Old) Stats() standinapi.OldStats {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	out := platform.OldStats{
+	out := standinapi.OldStats{
 		RunsPerKey: make(map[string]int, len(o.runs)), Running: o.running, Shared: o.shared,
 		Revision: o.inForce, Slots: o.limit,
 	}
--- a/internal/standin/oldd/oldd_test.go
+++ b/internal/standin/oldd/oldd_test.go
@@ -12,7 +12,7 @@
 	"catkinvalve/internal/adapters/oldclient"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/standin/harness"
 )
@@ -38,7 +38,7 @@
 	o, c := newRig(t)
 	const key = "klang-a:order/17"
 	want := ports.OldState{Known: true, Fate: model.Done, OK: true, Answer: []byte("x")}
-	assert.NilError(t, o.gate.Set(platform.GateFault{LoseNextAnswers: ptr(1)}))
+	assert.NilError(t, o.gate.Set(standinapi.GateFault{LoseNextAnswers: ptr(1)}))
 	_, err := c.Run(t.Context(), key, "s", []byte(`{"answer":"x"}`))
 	assert.Equal(t, fault.KindOf(err), fault.OldSystemUnavailable)
 	var wg sync.WaitGroup
@@ -62,7 +62,7 @@
 	got, err := c.Lookup(t.Context(), "never")
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, ports.OldState{})
-	assert.NilError(t, o.gate.Set(platform.GateFault{Outage: ptr(true)}))
+	assert.NilError(t, o.gate.Set(standinapi.GateFault{Outage: ptr(true)}))
 	_, err = c.Lookup(t.Context(), "never")
 	assert.Equal(t, fault.KindOf(err), fault.OldSystemUnavailable)
 }
--- a/internal/standin/workerd/fleet.go
+++ b/internal/standin/workerd/fleet.go
@@ -13,7 +13,7 @@
 
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/core/model"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/standin/harness"
 )
@@ -107,7 +107,7 @@
 }
 
 func (f *Fleet) add(ctx context.Context, client *jsonhttp.Client, cfg FleetConfig, i int, addr string) error {
-	info := platform.WorkerInfo{ID: model.WorkerID(cfg.ID), DataCentre: cfg.DataCentre, Rack: cfg.Rack}
+	info := standinapi.WorkerInfo{ID: model.WorkerID(cfg.ID), DataCentre: cfg.DataCentre, Rack: cfg.Rack}
 	if cfg.Count > 1 {
 		info.ID = model.WorkerID(fmt.Sprintf("%s-%d", cfg.ID, i))
 		info.Rack = fmt.Sprintf("%s-%d", cfg.Rack, i/max(1, cfg.RackSize))
@@ -160,7 +160,7 @@
 }
 
 // Apply changes the faults of one worker or of all.
-func (f *Fleet) Apply(in platform.WorkerFault) error {
+func (f *Fleet) Apply(in standinapi.WorkerFault) error {
 	if in.Worker == "" {
 		for _, w := range f.workers {
 			if err := w.apply(in); err != nil {
@@ -176,7 +176,7 @@
 	return w.apply(in)
 }
 
-func (w *Worker) apply(in platform.WorkerFault) error {
+func (w *Worker) apply(in standinapi.WorkerFault) error {
 	if err := w.gate.Set(in.GateFault); err != nil {
 		return err
 	}
@@ -198,9 +198,9 @@
 }
 
 // Stats returns the counters of all workers.
-func (f *Fleet) Stats() platform.FleetStats {
-	out := platform.FleetStats{
-		Workers: map[model.WorkerID]platform.WorkerStats{}, StartsPerKey: map[string]map[string]int{},
+func (f *Fleet) Stats() standinapi.FleetStats {
+	out := standinapi.FleetStats{
+		Workers: map[model.WorkerID]standinapi.WorkerStats{}, StartsPerKey: map[string]map[string]int{},
 	}
 	for id, w := range f.workers {
 		out.Workers[id] = w.snapshot()
--- a/internal/standin/workerd/http.go
+++ b/internal/standin/workerd/http.go
@@ -7,7 +7,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/standin/harness"
 )
 
@@ -40,7 +40,7 @@
 	return http.StatusOK, w.info
 }
 
-func (w *Worker) handleLease(_ *harness.Call, in platform.LeaseRequest) (int, any) {
+func (w *Worker) handleLease(_ *harness.Call, in standinapi.LeaseRequest) (int, any) {
 	if in.Holder == "" || in.TTLMS <= 0 {
 		return malformed("holder is empty or ttl_ms is not positive")
 	}
@@ -51,14 +51,14 @@
 	return http.StatusOK, grant
 }
 
-func (w *Worker) handleRelease(_ *harness.Call, in platform.LeaseRequest) (int, any) {
+func (w *Worker) handleRelease(_ *harness.Call, in standinapi.LeaseRequest) (int, any) {
 	if !w.release(in, time.Now()) {
 		return leaseLost()
 	}
 	return http.StatusOK, struct{}{}
 }
 
-func (w *Worker) handleStart(c *harness.Call, in platform.StartRequest) (int, any) {
+func (w *Worker) handleStart(c *harness.Call, in standinapi.StartRequest) (int, any) {
 	for _, t := range in.Tasks {
 		if t.ID == "" || t.Key == "" {
 			return malformed("a task lacks its id or key")
@@ -71,7 +71,7 @@
 	return http.StatusOK, out
 }
 
-func (w *Worker) handleStop(_ *harness.Call, in platform.StopRequest) (int, any) {
+func (w *Worker) handleStop(_ *harness.Call, in standinapi.StopRequest) (int, any) {
 	if !w.stop(in, time.Now()) {
 		return leaseLost()
 	}
@@ -80,7 +80,7 @@
 
 // handleSync renews on arrival, then waits for events. It refuses when the
 // lease ended during the wait, which a crash does too.
-func (w *Worker) handleSync(c *harness.Call, in platform.SyncRequest) (int, any) {
+func (w *Worker) handleSync(c *harness.Call, in standinapi.SyncRequest) (int, any) {
 	if in.TTLMS <= 0 {
 		return malformed("ttl_ms is not positive")
 	}
--- a/internal/standin/workerd/tasks.go
+++ b/internal/standin/workerd/tasks.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"catkinvalve/internal/core/model"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 )
 
@@ -21,8 +21,8 @@
 
 type task struct {
 	ref       taskRef
-	spec      platform.StartTask
-	directive platform.Directive
+	spec      standinapi.StartTask
+	directive standinapi.Directive
 	state     model.TaskState
 	answer    []byte
 	throttled bool
@@ -50,10 +50,10 @@
 
 // start starts the tasks, whether they fit or not. Known tasks are accepted
 // without effect.
-func (w *Worker) start(in platform.StartRequest, received, now time.Time) (platform.StartReply, bool) {
+func (w *Worker) start(in standinapi.StartRequest, received, now time.Time) (standinapi.StartReply, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var out platform.StartReply
+	var out standinapi.StartReply
 	if !w.checkLease(in.Holder, in.Term, now) {
 		return out, false
 	}
@@ -65,7 +65,7 @@
 		within := time.Duration(spec.StartWithinMS) * time.Millisecond
 		if within > 0 && now.Sub(received) > within {
 			w.stats.LateStarts++
-			out.Refused = append(out.Refused, platform.StartRefusal{ID: spec.ID, Reason: model.ReasonDeadline})
+			out.Refused = append(out.Refused, standinapi.StartRefusal{ID: spec.ID, Reason: model.ReasonDeadline})
 			continue
 		}
 		w.run(ref, spec, now)
@@ -74,14 +74,14 @@
 }
 
 // run starts one task and updates the counters. The caller holds mu.
-func (w *Worker) run(ref taskRef, spec platform.StartTask, now time.Time) {
+func (w *Worker) run(ref taskRef, spec standinapi.StartTask, now time.Time) {
 	for other := range w.running {
 		if other.id == ref.id {
 			w.stats.DoubleStarts++
 			break
 		}
 	}
-	t := &task{ref: ref, spec: spec, directive: platform.ParseDirective(spec.Payload), state: model.TaskRunning, started: now}
+	t := &task{ref: ref, spec: spec, directive: standinapi.ParseDirective(spec.Payload), state: model.TaskRunning, started: now}
 	w.tasks[ref], w.running[ref] = t, t
 	w.inUse = w.inUse.Add(spec.Size)
 	w.stats.Starts++
@@ -148,14 +148,14 @@
 // emit queues an event with the task's present state. The caller holds mu.
 func (w *Worker) emit(t *task) {
 	w.lastSeq++
-	w.events = append(w.events, platform.TaskEvent{
+	w.events = append(w.events, standinapi.TaskEvent{
 		Seq: w.lastSeq, ID: t.ref.id, Attempt: t.ref.attempt, State: t.state,
 		OK: t.state == model.TaskDone, Answer: t.answer,
 	})
 	w.wake()
 }
 
-func (w *Worker) stop(in platform.StopRequest, now time.Time) bool {
+func (w *Worker) stop(in standinapi.StopRequest, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.checkLease(in.Holder, in.Term, now) {
@@ -179,7 +179,7 @@
 // renew renews the lease and drops events up to ack. It returns ok=false for a
 // lease that is not current, and known=false for an ack of an event that was
 // never sent: a holder that keeps its ack after a crash would miss events.
-func (w *Worker) renew(in platform.SyncRequest, now time.Time) (ok, known bool) {
+func (w *Worker) renew(in standinapi.SyncRequest, now time.Time) (ok, known bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.checkLease(in.Holder, in.Term, now) {
@@ -191,7 +191,7 @@
 	if in.Ack > w.lastSeq {
 		return true, false
 	}
-	n, _ := slices.BinarySearchFunc(w.events, in.Ack+1, func(e platform.TaskEvent, seq int64) int { return int(e.Seq - seq) })
+	n, _ := slices.BinarySearchFunc(w.events, in.Ack+1, func(e standinapi.TaskEvent, seq int64) int { return int(e.Seq - seq) })
 	w.events = slices.Delete(w.events, 0, n)
 	for _, t := range w.ended {
 		if t.ackedAt.IsZero() && t.lastSeq <= in.Ack {
@@ -215,13 +215,13 @@
 
 // poll returns the events to report and a channel that the next change closes.
 // It returns false when the lease is no longer current.
-func (w *Worker) poll(in platform.SyncRequest, now time.Time) (platform.SyncReply, <-chan struct{}, bool) {
+func (w *Worker) poll(in standinapi.SyncRequest, now time.Time) (standinapi.SyncReply, <-chan struct{}, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.checkLease(in.Holder, in.Term, now) {
-		return platform.SyncReply{}, nil, false
+		return standinapi.SyncReply{}, nil, false
 	}
-	out := platform.SyncReply{BootID: w.info.BootID}
+	out := standinapi.SyncReply{BootID: w.info.BootID}
 	for _, e := range w.events {
 		if e.Seq <= in.Ack {
 			continue
@@ -239,17 +239,17 @@
 
 // measure returns the usage as it was UsageLag ago, so that tasks which ended
 // since are included and tasks which started since are not.
-func (w *Worker) measure(now time.Time) []platform.TaskUsage {
+func (w *Worker) measure(now time.Time) []standinapi.TaskUsage {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	at := now.Add(-w.cfg.UsageLag)
-	var out []platform.TaskUsage
+	var out []standinapi.TaskUsage
 	add := func(t *task) {
 		if t.started.After(at) || (!t.measured.IsZero() && now.Sub(t.measured) < w.cfg.UsagePeriod) {
 			return
 		}
 		t.measured = now
-		out = append(out, platform.TaskUsage{ID: t.ref.id, Size: t.usage()})
+		out = append(out, standinapi.TaskUsage{ID: t.ref.id, Size: t.usage()})
 	}
 	for _, t := range w.running {
 		add(t)
--- a/internal/standin/workerd/worker.go
+++ b/internal/standin/workerd/worker.go
@@ -11,7 +11,7 @@
 
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/standin/harness"
 )
 
@@ -56,14 +56,14 @@
 	ledger *ledger
 
 	mu         sync.Mutex
-	info       platform.WorkerInfo
+	info       standinapi.WorkerInfo
 	lease      lease
 	graceTimer *time.Timer
 	tasks      map[taskRef]*task
 	running    map[taskRef]*task
 	ended      []*task // finished ones in order of their end
 	inUse      model.Size
-	events     []platform.TaskEvent // not acknowledged, in order of Seq
+	events     []standinapi.TaskEvent // not acknowledged, in order of Seq
 	lastSeq    int64
 	changed    chan struct{} // closed and replaced by each event, crash and grant
 	closed     bool
@@ -71,10 +71,10 @@
 	failAll   bool
 	duplicate bool
 	reorder   bool
-	stats     platform.WorkerStats
+	stats     standinapi.WorkerStats
 }
 
-func newWorker(cfg Config, info platform.WorkerInfo, ledger *ledger) *Worker {
+func newWorker(cfg Config, info standinapi.WorkerInfo, ledger *ledger) *Worker {
 	info.Capacity = cfg.Capacity
 	info.BootID = newBootID()
 	return &Worker{
@@ -85,7 +85,7 @@
 }
 
 // acquire grants the lease or returns who holds it.
-func (w *Worker) acquire(in platform.LeaseRequest, now time.Time) (platform.LeaseGrant, *platform.LeaseHeld) {
+func (w *Worker) acquire(in standinapi.LeaseRequest, now time.Time) (standinapi.LeaseGrant, *standinapi.LeaseHeld) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	same := w.lease.holder == in.Holder
@@ -94,7 +94,7 @@
 	if held || lowTerm {
 		w.stats.LeaseRefused++
 		remaining := max(0, w.lease.expires.Sub(now))
-		return platform.LeaseGrant{}, &platform.LeaseHeld{
+		return standinapi.LeaseGrant{}, &standinapi.LeaseHeld{
 			Holder: w.lease.holder, Term: w.lease.term, RemainingMS: ceilMS(remaining),
 		}
 	}
@@ -107,7 +107,7 @@
 	}
 	w.armGrace(now)
 	w.wake()
-	return platform.LeaseGrant{BootID: w.info.BootID, Term: in.Term, Tasks: w.inventory(now)}, nil
+	return standinapi.LeaseGrant{BootID: w.info.BootID, Term: in.Term, Tasks: w.inventory(now)}, nil
 }
 
 // ceilMS rounds up, so that a caller who waits this long finds the lease expired.
@@ -115,7 +115,7 @@
 	return int64((d + time.Millisecond - 1) / time.Millisecond)
 }
 
-func (w *Worker) release(in platform.LeaseRequest, now time.Time) bool {
+func (w *Worker) release(in standinapi.LeaseRequest, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.checkLease(in.Holder, in.Term, now) {
@@ -169,11 +169,11 @@
 }
 
 // inventory lists running tasks and finished ones that are still kept.
-func (w *Worker) inventory(now time.Time) []platform.TaskStatus {
+func (w *Worker) inventory(now time.Time) []standinapi.TaskStatus {
 	w.prune(now)
-	out := make([]platform.TaskStatus, 0, len(w.tasks))
+	out := make([]standinapi.TaskStatus, 0, len(w.tasks))
 	for ref, t := range w.tasks {
-		out = append(out, platform.TaskStatus{
+		out = append(out, standinapi.TaskStatus{
 			ID: ref.id, Attempt: ref.attempt, Key: t.spec.Key, Service: t.spec.Service, Size: t.spec.Size,
 			State: t.state, OK: t.state == model.TaskDone, Answer: t.answer,
 		})
@@ -207,7 +207,7 @@
 	}
 }
 
-func (w *Worker) snapshot() platform.WorkerStats {
+func (w *Worker) snapshot() standinapi.WorkerStats {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	out := w.stats
@@ -221,5 +221,5 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.failAll, w.duplicate, w.reorder = false, false, false
-	w.stats = platform.WorkerStats{Addr: w.stats.Addr, MaxInUse: w.inUse}
+	w.stats = standinapi.WorkerStats{Addr: w.stats.Addr, MaxInUse: w.inUse}
 }
--- a/internal/standin/workerd/worker_test.go
+++ b/internal/standin/workerd/worker_test.go
@@ -16,7 +16,7 @@
 	"catkinvalve/internal/adapters/workerclient"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/standin/harness"
 )
@@ -88,7 +88,7 @@
 	return ports.TaskEvent{}
 }
 
-func (r *rig) apply(f platform.WorkerFault) {
+func (r *rig) apply(f standinapi.WorkerFault) {
 	r.t.Helper()
 	assert.NilError(r.t, r.fleet.Apply(f))
 }
@@ -127,10 +127,10 @@
 		{"other holder after release, lower term", 13 * time.Second, "c", 6, false, false},
 		{"other holder after release, higher term", 13 * time.Second, "c", 8, false, true},
 	}
-	w := newWorker(Config{}, platform.WorkerInfo{}, &ledger{})
+	w := newWorker(Config{}, standinapi.WorkerInfo{}, &ledger{})
 	defer w.close()
 	for _, s := range steps {
-		in := platform.LeaseRequest{Holder: s.holder, Term: s.term, TTLMS: 10_000, TaskGraceMS: 60_000}
+		in := standinapi.LeaseRequest{Holder: s.holder, Term: s.term, TTLMS: 10_000, TaskGraceMS: 60_000}
 		var got bool
 		if s.release {
 			got = w.release(in, now.Add(s.after))
@@ -145,7 +145,7 @@
 // Guards against any sequence of grants in which an earlier lease stays usable.
 func TestLeaseHasOneHolder(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		w := newWorker(Config{}, platform.WorkerInfo{}, &ledger{})
+		w := newWorker(Config{}, standinapi.WorkerInfo{}, &ledger{})
 		defer w.close()
 		now := time.Now()
 		type seen struct {
@@ -156,7 +156,7 @@
 		var expires time.Time
 		for range 30 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 80).Draw(rt, "ms")) * time.Millisecond)
-			in := platform.LeaseRequest{
+			in := standinapi.LeaseRequest{
 				Holder: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "holder"),
 				Term:   rapid.Uint64Range(1, 8).Draw(rt, "term"), TTLMS: 100, TaskGraceMS: 60_000,
 			}
@@ -223,7 +223,7 @@
 func TestStartIsIdempotentAfterLostAnswer(t *testing.T) {
 	r := newRig(t)
 	r.acquire(a1, longTTL)
-	r.apply(platform.WorkerFault{GateFault: platform.GateFault{LoseNextAnswers: ptr(1)}})
+	r.apply(standinapi.WorkerFault{GateFault: standinapi.GateFault{LoseNextAnswers: ptr(1)}})
 	_, err := r.worker.Start(r.ctx(), a1, []ports.StartTask{startOf("k", time.Millisecond, "")})
 	assert.Equal(t, fault.KindOf(err), fault.WorkerUnavailable)
 	r.await("k", model.TaskDone)
@@ -265,7 +265,7 @@
 func TestLateStartIsRefused(t *testing.T) {
 	r := newRig(t)
 	r.acquire(a1, longTTL)
-	r.apply(platform.WorkerFault{GateFault: platform.GateFault{DelayMS: ptr(int64(50))}})
+	r.apply(standinapi.WorkerFault{GateFault: standinapi.GateFault{DelayMS: ptr(int64(50))}})
 	late, inTime := startOf("late", 0, ""), startOf("in-time", 0, "")
 	late.StartWithin, inTime.StartWithin = 10*time.Millisecond, longTTL
 	refused, err := r.worker.Start(r.ctx(), a1, []ports.StartTask{late, inTime})
@@ -290,7 +290,7 @@
 	r.await("stopped", model.TaskStopped)
 	r.await("checkpointed", model.TaskStopped)
 	assert.Equal(t, r.fleet.Stats().Workers["w"].Running, 1)
-	r.apply(platform.WorkerFault{Worker: "w", FailAll: ptr(true)})
+	r.apply(standinapi.WorkerFault{Worker: "w", FailAll: ptr(true)})
 	r.start(startOf("any", time.Hour, ""))
 	r.await("any", model.TaskFailed)
 }
@@ -334,7 +334,7 @@
 	r := newRig(t)
 	before := r.acquire(a1, longTTL)
 	r.start(startOf("k", 0, ""))
-	r.apply(platform.WorkerFault{Crash: true})
+	r.apply(standinapi.WorkerFault{Crash: true})
 	_, err := r.worker.Sync(r.ctx(), a1, longTTL, 0, 0)
 	assert.Equal(t, fault.KindOf(err), fault.LeaseLost)
 	after := r.acquire(a1, longTTL)
@@ -355,7 +355,7 @@
 	r.acquire(a1, longTTL)
 	go func() {
 		time.Sleep(20 * time.Millisecond)
-		r.fleet.workers["w"].start(platform.StartRequest{Holder: "a", Term: 1, Tasks: []platform.StartTask{
+		r.fleet.workers["w"].start(standinapi.StartRequest{Holder: "a", Term: 1, Tasks: []standinapi.StartTask{
 			{ID: "a/0", Attempt: 1, Key: "a", Size: oneSlot}, {ID: "b/0", Attempt: 1, Key: "b", Size: oneSlot},
 		}}, time.Now(), time.Now())
 	}()
@@ -371,7 +371,7 @@
 	seqs, usage := syncFrom(0)
 	assert.DeepEqual(t, seqs, []int64{1, 2})
 	assert.Equal(t, usage, 2)
-	r.apply(platform.WorkerFault{DuplicateEvents: ptr(true), ReorderEvents: ptr(true)})
+	r.apply(standinapi.WorkerFault{DuplicateEvents: ptr(true), ReorderEvents: ptr(true)})
 	seqs, _ = syncFrom(0)
 	assert.DeepEqual(t, seqs, []int64{2, 2, 1, 1})
 	seqs, _ = syncFrom(1)
@@ -380,15 +380,15 @@
 
 // Guards against usage that is fresher than the platform's.
 func TestUsageLags(t *testing.T) {
-	w := newWorker(Config{UsageLag: time.Second, UsagePeriod: time.Second}, platform.WorkerInfo{},
+	w := newWorker(Config{UsageLag: time.Second, UsagePeriod: time.Second}, standinapi.WorkerInfo{},
 		&ledger{starts: map[string]map[string]int{}, running: map[string]int{}})
 	defer w.close()
 	now := time.Now()
-	w.acquire(platform.LeaseRequest{Holder: "a", Term: 1, TTLMS: 60_000, TaskGraceMS: 60_000}, now)
-	w.start(platform.StartRequest{Holder: "a", Term: 1, Tasks: []platform.StartTask{
+	w.acquire(standinapi.LeaseRequest{Holder: "a", Term: 1, TTLMS: 60_000, TaskGraceMS: 60_000}, now)
+	w.start(standinapi.StartRequest{Holder: "a", Term: 1, Tasks: []standinapi.StartTask{
 		{ID: "k/0", Attempt: 1, Key: "k", Size: oneSlot, Payload: []byte(`{"usage_milli_cpu":900}`)},
 	}}, now, now)
-	at := func(d time.Duration) []platform.TaskUsage { return w.measure(now.Add(d)) }
+	at := func(d time.Duration) []standinapi.TaskUsage { return w.measure(now.Add(d)) }
 	assert.Equal(t, len(at(999*time.Millisecond)), 0)
 	got := at(time.Second)
 	assert.Equal(t, len(got), 1)
@@ -400,21 +400,21 @@
 // Guards against finished tasks that leave the inventory before a successor
 // could learn of them.
 func TestFinishedTasksAreKept(t *testing.T) {
-	w := newWorker(Config{KeepFinished: time.Minute}, platform.WorkerInfo{},
+	w := newWorker(Config{KeepFinished: time.Minute}, standinapi.WorkerInfo{},
 		&ledger{starts: map[string]map[string]int{}, running: map[string]int{}})
 	defer w.close()
 	now := time.Now()
-	lease := platform.LeaseRequest{Holder: "a", Term: 1, TTLMS: 1e9, TaskGraceMS: 1e9}
+	lease := standinapi.LeaseRequest{Holder: "a", Term: 1, TTLMS: 1e9, TaskGraceMS: 1e9}
 	w.acquire(lease, now)
-	w.start(platform.StartRequest{Holder: "a", Term: 1, Tasks: []platform.StartTask{{ID: "k/0", Attempt: 1, Key: "k"}}}, now, now)
-	w.stop(platform.StopRequest{Holder: "a", Term: 1, Tasks: []platform.StopTask{{ID: "k/0", Mode: ports.StopNow}}}, now)
+	w.start(standinapi.StartRequest{Holder: "a", Term: 1, Tasks: []standinapi.StartTask{{ID: "k/0", Attempt: 1, Key: "k"}}}, now, now)
+	w.stop(standinapi.StopRequest{Holder: "a", Term: 1, Tasks: []standinapi.StopTask{{ID: "k/0", Mode: ports.StopNow}}}, now)
 	kept := func(after time.Duration) int {
 		grant, held := w.acquire(lease, now.Add(after))
 		assert.Assert(t, held == nil)
 		return len(grant.Tasks)
 	}
 	assert.Equal(t, kept(time.Hour), 1, "not acknowledged")
-	ok, known := w.renew(platform.SyncRequest{Holder: "a", Term: 1, TTLMS: 1e9, Ack: 2}, now.Add(time.Hour))
+	ok, known := w.renew(standinapi.SyncRequest{Holder: "a", Term: 1, TTLMS: 1e9, Ack: 2}, now.Add(time.Hour))
 	assert.Assert(t, ok && known)
 	assert.Equal(t, kept(time.Hour+59*time.Second), 1, "acknowledged less than KeepFinished ago")
 	assert.Equal(t, kept(time.Hour+time.Minute), 0)
@@ -424,24 +424,24 @@
 func TestPartition(t *testing.T) {
 	tests := []struct {
 		name      string
-		partition platform.Partition
+		partition standinapi.Partition
 		starts    int64
 	}{
-		{"daemon refused", platform.Partition{Daemons: []string{"daemon-a"}}, 0},
-		{"address refused", platform.Partition{Addrs: []string{"127.0.0.0/8"}}, 0},
-		{"answers dropped", platform.Partition{Daemons: []string{"daemon-a"}, DropAnswers: true}, 1},
+		{"daemon refused", standinapi.Partition{Daemons: []string{"daemon-a"}}, 0},
+		{"address refused", standinapi.Partition{Addrs: []string{"127.0.0.0/8"}}, 0},
+		{"answers dropped", standinapi.Partition{Daemons: []string{"daemon-a"}, DropAnswers: true}, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			r := newRig(t)
 			r.acquire(a1, longTTL)
-			r.apply(platform.WorkerFault{GateFault: platform.GateFault{Partition: &tt.partition}})
+			r.apply(standinapi.WorkerFault{GateFault: standinapi.GateFault{Partition: &tt.partition}})
 			ctx, cancel := context.WithTimeout(r.ctx(), 500*time.Millisecond)
 			defer cancel()
 			_, err := r.worker.Start(ctx, a1, []ports.StartTask{startOf("k", 0, "")})
 			assert.Equal(t, fault.KindOf(err), fault.WorkerUnavailable)
 			assert.Equal(t, r.fleet.Stats().Workers["w"].Starts, tt.starts)
-			r.apply(platform.WorkerFault{GateFault: platform.GateFault{Partition: &platform.Partition{}}})
+			r.apply(standinapi.WorkerFault{GateFault: standinapi.GateFault{Partition: &standinapi.Partition{}}})
 			r.start(startOf("k", 0, ""))
 			assert.Equal(t, r.fleet.Stats().Workers["w"].Starts, int64(1))
 		})
--- a/internal/platform/admin.go
+++ b/internal/standinapi/admin.go
@@ -1,4 +1,4 @@
-package platform
+package standinapi
 
 import (
 	"encoding/json"
--- a/internal/platform/wire.go
+++ b/internal/standinapi/wire.go
@@ -1,7 +1,7 @@
-// Package platform holds the JSON types of the platform's protocols: worker,
+// Package standinapi holds the JSON types of the platform's protocols: worker,
 // log, instance list and old system, and of the stand-ins' admin ports. Both
 // the client adapters and the stand-ins use them.
-package platform
+package standinapi
 
 import (
 	"fmt"
--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -14,7 +14,7 @@
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/api"
 	"catkinvalve/internal/core/model"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/settings"
 	"catkinvalve/internal/standin"
@@ -258,22 +258,22 @@
 }
 
 // WorkerStats returns the counters of all workers of a data centre.
-func (c *Cluster) WorkerStats(ctx context.Context, dc string) (platform.FleetStats, error) {
-	var s platform.FleetStats
+func (c *Cluster) WorkerStats(ctx context.Context, dc string) (standinapi.FleetStats, error) {
+	var s standinapi.FleetStats
 	err := c.Admin(ctx, "GET", c.Workers[dc].Admin, "/admin/stats", nil, &s)
 	return s, err
 }
 
 // OldStats returns the counters of the old system.
-func (c *Cluster) OldStats(ctx context.Context) (platform.OldStats, error) {
-	var s platform.OldStats
+func (c *Cluster) OldStats(ctx context.Context) (standinapi.OldStats, error) {
+	var s standinapi.OldStats
 	err := c.Admin(ctx, "GET", c.Old.Admin, "/admin/stats", nil, &s)
 	return s, err
 }
 
 // LogStats returns the counters of the log.
-func (c *Cluster) LogStats(ctx context.Context) (platform.LogStats, error) {
-	var s platform.LogStats
+func (c *Cluster) LogStats(ctx context.Context) (standinapi.LogStats, error) {
+	var s standinapi.LogStats
 	err := c.Admin(ctx, "GET", c.Log.Admin, "/admin/stats", nil, &s)
 	return s, err
 }
--- a/test/scenarios/checkers_test.go
+++ b/test/scenarios/checkers_test.go
@@ -8,7 +8,7 @@
 	"catkinvalve/internal/api"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/testbed"
 )
 
@@ -66,8 +66,8 @@
 // start takes the lease of a worker and starts a task of the given slots.
 func (f *fleet) start(worker model.WorkerID, key string, attempt int, slots int64) {
 	f.t.Helper()
-	f.call(worker, "/v1/lease", platform.LeaseRequest{Holder: "test", Term: 1, TTLMS: 30_000, TaskGraceMS: 30_000}, nil)
-	f.call(worker, "/v1/tasks", platform.StartRequest{Holder: "test", Term: 1, Tasks: []platform.StartTask{{
+	f.call(worker, "/v1/lease", standinapi.LeaseRequest{Holder: "test", Term: 1, TTLMS: 30_000, TaskGraceMS: 30_000}, nil)
+	f.call(worker, "/v1/tasks", standinapi.StartRequest{Holder: "test", Term: 1, Tasks: []standinapi.StartTask{{
 		ID: key + "/0", Attempt: attempt, Key: key, RunMS: 60_000, Size: model.Size{MilliCPU: 100, Slots: slots},
 	}}}, nil)
 }
@@ -115,7 +115,7 @@
 	t.Parallel()
 	f := newFleet(t)
 	f.start("klang-a-w-0", "k-1", 1, 1)
-	if err := f.cluster.Admin(f.ctx, "POST", f.cluster.Old.Listen, "/v1/run", platform.RunRequest{Key: "k-1", Service: "plan"}, nil); err != nil {
+	if err := f.cluster.Admin(f.ctx, "POST", f.cluster.Old.Listen, "/v1/run", standinapi.RunRequest{Key: "k-1", Service: "plan"}, nil); err != nil {
 		t.Fatal(err)
 	}
 	rejects(t, f.counters().doubles(), "key k-1 ran in klang-a and in the old system")
@@ -129,7 +129,7 @@
 	f := newFleet(t)
 	f.start("klang-a-w-0", "k-1", 1, 1)
 	accepts(t, f.counters().moreThanOnce("k-1"))
-	crash := platform.WorkerFault{Worker: "klang-a-w-0", Crash: true}
+	crash := standinapi.WorkerFault{Worker: "klang-a-w-0", Crash: true}
 	if err := f.cluster.Fault(f.ctx, f.cluster.Workers["klang-a"].Admin, crash); err != nil {
 		t.Fatal(err)
 	}
--- a/test/scenarios/checks_test.go
+++ b/test/scenarios/checks_test.go
@@ -8,18 +8,18 @@
 
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/testbed"
 )
 
 // counters are the counts of all stand-ins that run requests.
 type counters struct {
-	fleets map[string]platform.FleetStats
-	old    platform.OldStats
+	fleets map[string]standinapi.FleetStats
+	old    standinapi.OldStats
 }
 
 func readCounters(ctx context.Context, c *testbed.Cluster) (counters, error) {
-	out := counters{fleets: map[string]platform.FleetStats{}}
+	out := counters{fleets: map[string]standinapi.FleetStats{}}
 	for dc := range c.Workers {
 		s, err := c.WorkerStats(ctx, dc)
 		if err != nil {
--- a/test/scenarios/faults_test.go
+++ b/test/scenarios/faults_test.go
@@ -16,7 +16,7 @@
 	"catkinvalve/internal/daemon"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/peerpb"
-	"catkinvalve/internal/platform"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/testbed"
 )
@@ -119,11 +119,11 @@
 // log truncate STREAM, log lose-answer N.
 func cmdLog(ts *testscript.TestScript, _ bool, args []string) {
 	w := worldOf(ts)
-	f := platform.LogFault{}
+	f := standinapi.LogFault{}
 	if args[0] == "truncate" {
 		st, err := w.cluster.LogStats(w.ctx)
 		ts.Check(err)
-		f.Truncate = &platform.Truncate{Stream: args[1], Before: st.Streams[args[1]].Next}
+		f.Truncate = &standinapi.Truncate{Stream: args[1], Before: st.Streams[args[1]].Next}
 	} else {
 		f.GateFault = gateFault(ts, args)
 	}
@@ -139,9 +139,9 @@
 	}
 	stream := "fates." + args[0]
 	ts.Check(testbed.WaitFor(w.ctx, waitLimit, args[1]+" "+args[2]+" in stream "+stream, func() bool {
-		var page platform.ReadReply
+		var page standinapi.ReadReply
 		err := w.cluster.Admin(w.ctx, "GET", w.cluster.Log.Listen, "/v1/streams/"+stream+"?from=0&max=1000", nil, &page)
-		return err == nil && slices.ContainsFunc(page.Records, func(r platform.LogRecord) bool {
+		return err == nil && slices.ContainsFunc(page.Records, func(r standinapi.LogRecord) bool {
 			return journalHolds(r.Data, args[1], args[2])
 		})
 	}))
@@ -156,8 +156,8 @@
 	})
 }
 
-func gateFault(ts *testscript.TestScript, args []string) platform.GateFault {
-	var f platform.GateFault
+func gateFault(ts *testscript.TestScript, args []string) standinapi.GateFault {
+	var f standinapi.GateFault
 	if len(args) != 2 {
 		ts.Fatalf("want outage on|off, slow DURATION or lose-answer N, have %q", args)
 	}
@@ -182,7 +182,7 @@
 // cmdOld injects a fault into the old system: old outage|slow|lose-answer ARG.
 func cmdOld(ts *testscript.TestScript, _ bool, args []string) {
 	w := worldOf(ts)
-	ts.Check(w.cluster.Fault(w.ctx, w.cluster.Old.Admin, platform.OldFault{GateFault: gateFault(ts, args)}))
+	ts.Check(w.cluster.Fault(w.ctx, w.cluster.Old.Admin, standinapi.OldFault{GateFault: gateFault(ts, args)}))
 }
 
 // cmdWorker injects a fault into one worker or all of a data centre:
@@ -191,7 +191,7 @@
 func cmdWorker(ts *testscript.TestScript, _ bool, args []string) {
 	w := worldOf(ts)
 	dc, worker := w.workerArg(ts, args[0])
-	f := platform.WorkerFault{Worker: worker}
+	f := standinapi.WorkerFault{Worker: worker}
 	on := len(args) > 2 && args[2] == "on"
 	switch args[1] {
 	case "fail-all":
@@ -243,7 +243,7 @@
 }
 
 func (w *world) listed(ts *testscript.TestScript, id string) (ports.Instance, bool) {
-	var list platform.InstancesReply
+	var list standinapi.InstancesReply
 	ts.Check(w.cluster.Admin(w.ctx, "GET", w.cluster.List.Listen, "/v1/instances", nil, &list))
 	i := slices.IndexFunc(list.Instances, func(in ports.Instance) bool { return in.ID == id })
 	if i < 0 {
@@ -256,7 +256,7 @@
 // of gateFault.
 func cmdList(ts *testscript.TestScript, _ bool, args []string) {
 	w := worldOf(ts)
-	f := platform.ListFault{}
+	f := standinapi.ListFault{}
 	if args[0] == "lag" {
 		d, err := time.ParseDuration(args[1])
 		ts.Check(err)
@@ -343,11 +343,11 @@
 		}
 	}
 	for addr, dcs := range map[string][]string{w.cluster.Log.Admin: c.log, w.cluster.List.Admin: c.list} {
-		p := platform.Partition{}
+		p := standinapi.Partition{}
 		for _, dc := range dcs {
 			p.Daemons = append(p.Daemons, w.daemonsOf(dc)...)
 		}
-		if err := w.cluster.Fault(w.ctx, addr, platform.GateFault{Partition: &p}); err != nil {
+		if err := w.cluster.Fault(w.ctx, addr, standinapi.GateFault{Partition: &p}); err != nil {
 			return err
 		}
 	}
