--- a/Makefile
+++ b/Makefile
@@ -40,4 +40,4 @@
 generate:
 	$(GO) build -o bin/ storj.io/drpc/cmd/protoc-gen-go-drpc google.golang.org/protobuf/cmd/protoc-gen-go
 	PATH="$(CURDIR)/bin:$$PATH" protoc --go_out=. --go_opt=module=catkinvalve \
-		--go-drpc_out=. --go-drpc_opt=module=catkinvalve internal/peerpb/peer.proto
+		--go-drpc_out=. --go-drpc_opt=module=catkinvalve internal/peerpb/peer.proto internal/cellpb/cell.proto
--- a/internal/adapters/jsonhttp/jsonhttp_test.go
+++ b/internal/adapters/jsonhttp/jsonhttp_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/standin/harness"
+	"catkinvalve/internal/standinapi"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/internal/adapters/linkrpc/transport.go
@@ -0,0 +1,149 @@
+package linkrpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcctx"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"catkinvalve/internal/cellpb"
+	"catkinvalve/internal/pause"
+)
+
+// helloTimeout bounds the exchange of the first frames.
+const helloTimeout = time.Second
+
+// acceptBackoff is the pause after a failed accept.
+const acceptBackoff = 50 * time.Millisecond
+
+var errNoHello = errors.New("the first frame is no hello")
+
+// Viewer answers questions about the leader.
+type Viewer interface {
+	View() *cellpb.ViewResponse
+}
+
+// Transport opens and accepts links.
+type Transport struct {
+	// Hello returns what this daemon says of itself first.
+	Hello    func() *cellpb.Hello
+	Handler  Handler
+	Viewer   Viewer
+	Registry metrics.Registry
+	Log      *logrus.Entry
+}
+
+// Dial opens a link and serves it on a goroutine of wg.
+func (t *Transport) Dial(ctx context.Context, address string, wg *conc.WaitGroup) (*Link, error) {
+	conn, err := dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	s, err := cellpb.NewDRPCLinksClient(drpcconn.New(boundedConn{conn})).Connect(context.Background())
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	l := newLink(s, conn, true, t.Registry)
+	if err := t.greet(l); err != nil {
+		l.Close()
+		return nil, err
+	}
+	wg.Go(func() { l.run(t.Handler) })
+	return l, nil
+}
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
+// greet exchanges the first frames.
+func (t *Transport) greet(l *Link) error {
+	timer := time.AfterFunc(helloTimeout, l.Close)
+	defer timer.Stop()
+	if err := l.stream.Send(&cellpb.Frame{Hello: t.Hello()}); err != nil {
+		return err
+	}
+	f, err := l.stream.Recv()
+	if err != nil {
+		return err
+	}
+	if f.Hello == nil {
+		return errNoHello
+	}
+	l.Peer = f.Hello
+	return nil
+}
+
+// Ask asks the daemon at an address about the leader.
+func (t *Transport) Ask(ctx context.Context, address, self string) (*cellpb.ViewResponse, error) {
+	conn, err := dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	client := drpcconn.New(boundedConn{conn})
+	defer func() { _ = client.Close() }()
+	return cellpb.NewDRPCLinksClient(client).View(ctx, &cellpb.ViewRequest{Node: self})
+}
+
+// Serve accepts links until ctx ends.
+func (t *Transport) Serve(ctx context.Context, l net.Listener) error {
+	mux := drpcmux.New()
+	if err := cellpb.DRPCRegisterLinks(mux, &server{t}); err != nil {
+		return err
+	}
+	drpc := drpcserver.New(mux)
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			t.Log.WithError(err).Warn("cannot accept a link")
+			pause.For(ctx, acceptBackoff)
+			continue
+		}
+		wg.Go(func() {
+			if err := drpc.ServeOne(ctx, boundedConn{conn}); err != nil {
+				t.Log.WithError(err).Debug("a link ended")
+			}
+		})
+	}
+}
+
+type server struct{ t *Transport }
+
+// Connect implements cellpb.DRPCLinksServer.
+func (s *server) Connect(st cellpb.DRPCLinks_ConnectStream) error {
+	transport, _ := drpcctx.Transport(st.Context())
+	conn, ok := transport.(net.Conn)
+	if !ok {
+		return fmt.Errorf("the stream has no connection")
+	}
+	l := newLink(st, conn, false, s.t.Registry)
+	if err := s.t.greet(l); err != nil {
+		l.Close()
+		return err
+	}
+	l.run(s.t.Handler)
+	return nil
+}
+
+// View implements cellpb.DRPCLinksServer.
+func (s *server) View(context.Context, *cellpb.ViewRequest) (*cellpb.ViewResponse, error) {
+	return s.t.Viewer.View(), nil
+}
--- a/internal/adapters/logclient/logclient.go
+++ b/internal/adapters/logclient/logclient.go
@@ -10,8 +10,8 @@
 
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
+	"catkinvalve/internal/standinapi"
 )
 
 // Client implements ports.Log.
--- a/internal/adapters/workerclient/workerclient.go
+++ b/internal/adapters/workerclient/workerclient.go
@@ -12,8 +12,8 @@
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
+	"catkinvalve/internal/standinapi"
 )
 
 const (
--- /dev/null
+++ b/internal/cell/election.go
@@ -0,0 +1,315 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
+
+	"catkinvalve/internal/cellpb"
+	"catkinvalve/internal/core/succession"
+	"catkinvalve/internal/pause"
+	"catkinvalve/internal/ports"
+)
+
+const (
+	// electionTick is how often a daemon looks at the leader's silence.
+	electionTick = 100 * time.Millisecond
+	// reportInterval is how often a daemon reports to the leader.
+	reportInterval = 400 * time.Millisecond
+	// linkSilence closes a link.
+	linkSilence = 1200 * time.Millisecond
+	// askTimeout bounds the question about the leader.
+	askTimeout = 300 * time.Millisecond
+	// storeCall bounds one call to the store while taking over.
+	storeCall = 1500 * time.Millisecond
+	// activityWindow is how long the store is watched for a leader's records.
+	activityWindow = 800 * time.Millisecond
+	// afterLoss is the pause after another daemon was faster.
+	afterLoss = 300 * time.Millisecond
+	// producer is the name under which leaders append to the jobs topic.
+	producer = "leader"
+)
+
+var errNotElected = errors.New("another daemon was faster")
+
+// elect takes over the lead when there is no leader, until ctx ends.
+func (d *Daemon) elect(ctx context.Context) {
+	reported := time.Time{}
+	for pause.For(ctx, electionTick) {
+		d.members.closeSilent(linkSilence)
+		s := d.members.standing()
+		if s.leading {
+			continue
+		}
+		if time.Since(reported) >= reportInterval {
+			reported = time.Now()
+			d.report()
+		}
+		asked := d.handover.Swap(false)
+		if !asked && (s.linked || !d.due(s)) || d.leaving.Load() {
+			continue
+		}
+		if asked || d.mayLead(ctx, s) {
+			d.tryLead(ctx, s.token)
+		}
+	}
+}
+
+func (d *Daemon) due(s standing) bool {
+	return d.store.age(time.Now()) >= 0 && succession.Standing{EverLed: s.token > 0, Silence: s.silence, Rank: s.rank, StoreResponse: d.store.usual()}.Due()
+}
+
+// report tells the leader how this daemon stands.
+func (d *Daemon) report() {
+	d.members.mu.Lock()
+	l := d.members.leaderLink
+	d.members.mu.Unlock()
+	if l == nil {
+		return
+	}
+	now := time.Now()
+	l.Send(&cellpb.Frame{Report: &cellpb.NodeReport{
+		StoreAgeMs: d.store.age(now).Milliseconds(), StoreRttUs: d.store.usual().Microseconds(),
+		ConfigVersion: d.config.version(), CpuShare: d.set.CPUShare, Leaving: d.leaving.Load(),
+	}})
+}
+
+// mayLead asks the others and, if too few answer, the store whether anybody
+// leads.
+func (d *Daemon) mayLead(ctx context.Context, s standing) bool {
+	if d.linkToKnownLeader(ctx, s) {
+		return false
+	}
+	opinions, known := d.askOthers(ctx)
+	verdict, address := succession.Judge(opinions, known, s.token)
+	d.log.WithFields(logrus.Fields{"event": "leader_missed", "silence_ms": s.silence.Milliseconds(), "rank": s.rank,
+		"asked": known, "answered": len(opinions), "verdict": verdict, "token": s.token}).Info("the leader is silent")
+	switch verdict {
+	case succession.Follow:
+		d.dial(ctx, address)
+		return false
+	case succession.CheckStore:
+		return !d.storeActive(ctx)
+	}
+	return true
+}
+
+// linkToKnownLeader reads who leads from the store and links to a newer leader.
+func (d *Daemon) linkToKnownLeader(ctx context.Context, s standing) bool {
+	record, token, _, err := d.readLeader(ctx)
+	if err != nil || record == nil || record.Node == d.set.Node {
+		return false
+	}
+	if token <= s.token && s.silence > succession.SilenceLimit && s.leader == record.Node {
+		return false
+	}
+	return d.dial(ctx, record.Address) && d.members.standing().linked
+}
+
+// dial opens a link and reports whether it worked.
+func (d *Daemon) dial(ctx context.Context, address string) bool {
+	if address == "" {
+		return false
+	}
+	_, err := d.transport.Dial(ctx, address, &d.linked)
+	if err != nil {
+		d.log.WithFields(logrus.Fields{"event": "link_failed", "address": address, "error": err.Error()}).Debug("cannot link to a daemon")
+	}
+	return err == nil
+}
+
+// askOthers asks all known daemons about the leader.
+func (d *Daemon) askOthers(ctx context.Context) ([]succession.Opinion, int) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	others := d.members.others()
+	var mu sync.Mutex
+	var opinions []succession.Opinion
+	var wg conc.WaitGroup
+	for _, address := range others {
+		wg.Go(func() {
+			v, err := d.transport.Ask(ctx, address, d.set.Node)
+			if err != nil {
+				return
+			}
+			d.config.offer(v.Config.ToConfig(), "daemon")
+			mu.Lock()
+			defer mu.Unlock()
+			opinions = append(opinions, succession.Opinion{Token: v.Token, Heard: time.Duration(v.HeardAgeMs) * time.Millisecond, Address: v.LeaderAddress})
+		})
+	}
+	wg.Wait()
+	return opinions, len(others)
+}
+
+// storeActive reports whether a leader writes to the store.
+func (d *Daemon) storeActive(ctx context.Context) bool {
+	before, err := d.jobsEnd(ctx)
+	if err != nil || !pause.For(ctx, activityWindow) {
+		return true
+	}
+	after, err := d.jobsEnd(ctx)
+	return err != nil || after != before
+}
+
+// lastKey sorts after every key, so that a page from it on holds no record.
+const lastKey = "~"
+
+func (d *Daemon) jobsEnd(ctx context.Context) (int64, error) {
+	page, err := d.newest(ctx, ports.JobsTopic, lastKey)
+	return page.End, err
+}
+
+// newest reads a page of a topic.
+func (d *Daemon) newest(ctx context.Context, topic ports.Topic, after string) (ports.NewestPage, error) {
+	return repeat(ctx, d, func(ctx context.Context) (ports.NewestPage, error) { return d.deps.Store.Newest(ctx, topic, after) })
+}
+
+// fence raises the producer's epoch.
+func (d *Daemon) fence(ctx context.Context, token uint64) error {
+	_, err := repeat(ctx, d, func(ctx context.Context) (int64, error) {
+		return d.deps.Store.Append(ctx, ports.Append{Topic: ports.JobsTopic, Fence: &ports.Fence{Producer: producer, Epoch: token}})
+	})
+	return err
+}
+
+// appendOnce makes one append.
+func (d *Daemon) appendOnce(ctx context.Context, a ports.Append) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeCall)
+	defer cancel()
+	sent := time.Now()
+	offset, err := d.deps.Store.Append(ctx, a)
+	d.observeStore(sent, err)
+	return offset, err
+}
+
+const (
+	// takeoverCalls is how often a call that has its effect once is tried while
+	// taking over.
+	takeoverCalls = 4
+	takeoverPause = 60 * time.Millisecond
+)
+
+// repeat makes a call again when the store does not answer or refuses.
+func repeat[T any](ctx context.Context, d *Daemon, call func(context.Context) (T, error)) (T, error) {
+	var out T
+	var err error
+	for range takeoverCalls {
+		sent := time.Now()
+		once, cancel := context.WithTimeout(ctx, storeCall)
+		out, err = call(once)
+		cancel()
+		d.observeStore(sent, err)
+		var e *ports.StoreError
+		if !errors.As(err, &e) || e.Kind != ports.StoreUnavailable && e.Kind != ports.StoreNoAnswer {
+			return out, err
+		}
+		if !pause.For(ctx, takeoverPause) {
+			break
+		}
+	}
+	return out, err
+}
+
+// observeStore keeps the health of the path to the store. A refusal for the
+// content of a call is an answer.
+func (d *Daemon) observeStore(sent time.Time, err error) {
+	var e *ports.StoreError
+	if errors.As(err, &e) && (e.Kind == ports.StoreUnavailable || e.Kind == ports.StoreNoAnswer) {
+		d.store.failed(err)
+		return
+	}
+	d.store.ok(time.Now(), time.Since(sent))
+}
+
+// leaderKey is the key of the leader record.
+const leaderKey = "leader"
+
+// readLeader returns the newest leader record, its token and the topic's end.
+func (d *Daemon) readLeader(ctx context.Context) (*cellpb.StoredNode, uint64, int64, error) {
+	page, err := d.newest(ctx, ports.LeaderTopic, "")
+	if err != nil {
+		return nil, 0, 0, err
+	}
+	for _, r := range page.Records {
+		record := &cellpb.StoredNode{}
+		if err := proto.Unmarshal(r.Value, record); err != nil {
+			d.log.WithFields(logrus.Fields{"event": "record_unreadable", "key": r.Key, "error": err.Error()}).Error("a leader record cannot be read")
+			continue
+		}
+		return record, tokenAt(r.Offset), page.End, nil
+	}
+	return nil, 0, page.End, nil
+}
+
+// tokenAt returns the fencing token of the leader record at an offset.
+func tokenAt(offset int64) uint64 { return uint64(offset) + 1 }
+
+// tryLead becomes the leader if nobody else is faster, and leads until another
+// daemon takes over or ctx ends.
+func (d *Daemon) tryLead(ctx context.Context, known uint64) {
+	start := time.Now()
+	token, err := d.claim(ctx, known)
+	if err != nil {
+		d.log.WithFields(logrus.Fields{"event": "claim_failed", "error": err.Error()}).Info("cannot become the leader")
+		pause.For(ctx, afterLoss)
+		return
+	}
+	snapshot, err := d.load(ctx)
+	if err != nil {
+		d.log.WithFields(logrus.Fields{"event": "claim_failed", "token": token, "error": err.Error()}).Warn("cannot read the jobs")
+		return
+	}
+	d.log.WithFields(logrus.Fields{"event": "leader_elected", "token": token, "jobs": len(snapshot.Accepted),
+		"progress": len(snapshot.Progress), "workers": len(snapshot.Workers), "took_ms": time.Since(start).Milliseconds()}).Info("this daemon leads")
+	l := newLeader(d, token, snapshot)
+	l.run(ctx)
+}
+
+// claim writes the leader record and fences the jobs topic.
+func (d *Daemon) claim(ctx context.Context, known uint64) (uint64, error) {
+	record, token, end, err := d.readLeader(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if token > known && record.Node != d.set.Node && d.dial(ctx, record.Address) && d.members.standing().linked {
+		return 0, errNotElected
+	}
+	value, err := proto.Marshal(&cellpb.StoredNode{Node: d.set.Node, Address: d.set.LinkAddress(), DataCentre: string(d.set.DataCentre), Incarnation: d.incarnation})
+	if err != nil {
+		return 0, err
+	}
+	offset, err := d.appendOnce(ctx, ports.Append{Topic: ports.LeaderTopic, End: &end, Records: []ports.KeyedRecord{{Key: leaderKey, Value: value}}})
+	if err != nil {
+		if offset, err = d.claimedAnyway(ctx, end, err); err != nil {
+			return 0, err
+		}
+	}
+	token = tokenAt(offset)
+	if err := d.fence(ctx, token); err != nil {
+		return 0, fmt.Errorf("cannot fence the jobs topic: %w", err)
+	}
+	return token, nil
+}
+
+// claimedAnyway finds out whether a claim without an answer was executed.
+func (d *Daemon) claimedAnyway(ctx context.Context, end int64, cause error) (int64, error) {
+	var e *ports.StoreError
+	if !errors.As(cause, &e) || e.Kind != ports.StoreNoAnswer {
+		return 0, cause
+	}
+	record, token, _, err := d.readLeader(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if record == nil || record.Node != d.set.Node || record.Incarnation != d.incarnation || token != tokenAt(end) {
+		return 0, cause
+	}
+	return end, nil
+}
--- /dev/null
+++ b/internal/cell/entry.go
@@ -0,0 +1,239 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"catkinvalve/internal/adapters/linkrpc"
+	"catkinvalve/internal/cellpb"
+	"catkinvalve/internal/core/jobs"
+	"catkinvalve/internal/telemetry"
+)
+
+const (
+	// answerMargin is kept between an answer and the caller's deadline.
+	answerMargin = 100 * time.Millisecond
+	// leaderlessWait is how long after the loss of the leader calls wait for the
+	// next one. Later ones are refused at once.
+	leaderlessWait = 2 * time.Second
+	// retryNoLeader is when a caller may come back while there is no leader.
+	retryNoLeader = time.Second
+	// maxPendingCalls bounds the calls that wait for the leader.
+	maxPendingCalls = 4096
+)
+
+// verdictNotLeader tells that the daemon asked does not lead. It never reaches
+// callers.
+const verdictNotLeader Verdict = 250
+
+// verdictLinkLost tells that the link closed before the answer.
+const verdictLinkLost Verdict = 251
+
+// entry passes callers' calls to the leader.
+type entry struct {
+	d       *Daemon
+	nextID  atomic.Uint64
+	mu      sync.Mutex
+	waiting map[uint64]*waitingCall
+	latency map[cellpb.CallKind]metrics.Histogram
+	refused metrics.Counter
+	unknown metrics.Counter
+}
+
+// waitingCall is a call that was sent and has no answer yet.
+type waitingCall struct {
+	reply chan Reply
+	link  *linkrpc.Link // nil when this daemon leads
+}
+
+func newEntry(d *Daemon) *entry {
+	e := &entry{d: d, waiting: map[uint64]*waitingCall{}, latency: map[cellpb.CallKind]metrics.Histogram{},
+		refused: telemetry.Counter(d.registry, "calls.refused"), unknown: telemetry.Counter(d.registry, "calls.unknown")}
+	histograms := telemetry.NewHistograms(d.registry, telemetry.DefaultPairs)
+	for kind, name := range cellpb.CallKind_name {
+		e.latency[cellpb.CallKind(kind)] = histograms.Latency(name)
+	}
+	return e
+}
+
+// Queue implements Calls.
+func (e *entry) Queue(host, path string) (string, string, *Reply) {
+	route, known := e.d.config.queue(host, path)
+	switch {
+	case !known:
+		return "", "", &Reply{Verdict: VerdictUnavailable, Reason: "no_configuration", RetryAfter: retryNoLeader}
+	case route == nil:
+		return "", "", &Reply{Verdict: VerdictNoQueue}
+	}
+	return route.Queue.Name, path[len(route.Prefix):], nil
+}
+
+// MaxBodyBytes implements Calls.
+func (e *entry) MaxBodyBytes() int64 {
+	if c := e.d.config.current.Load(); c != nil {
+		return c.MaxBodyBytes
+	}
+	return 0
+}
+
+// Submit implements Calls.
+func (e *entry) Submit(ctx context.Context, spec *jobs.Spec) Reply {
+	return e.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_SUBMIT, Queue: spec.Queue, Job: spec.ID, Spec: cellpb.FromSpec(spec)})
+}
+
+// Cancel implements Calls.
+func (e *entry) Cancel(ctx context.Context, queue, id string) Reply {
+	return e.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_CANCEL, Queue: queue, Job: id})
+}
+
+// State implements Calls.
+func (e *entry) State(ctx context.Context, queue, id string) Reply {
+	return e.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_STATE, Queue: queue, Job: id})
+}
+
+// Pending implements Calls.
+func (e *entry) Pending(ctx context.Context, queue string) Reply {
+	return e.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_PENDING, Queue: queue})
+}
+
+// Ready implements Calls.
+func (e *entry) Ready() bool {
+	return !e.d.leaving.Load() && e.d.config.current.Load() != nil && e.d.members.hasLeader(readyWithoutLeader)
+}
+
+// readyWithoutLeader is how long after the loss of the leader a daemon still
+// takes requests.
+const readyWithoutLeader = 2500 * time.Millisecond
+
+// Closing implements Calls.
+func (e *entry) Closing() bool { return e.d.leaving.Load() }
+
+// call passes a call to the leader, and again to the next one when the answer
+// does not come, until the caller's time is over.
+func (e *entry) call(ctx context.Context, c *cellpb.Call) Reply {
+	start := time.Now()
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerMargin))
+		defer cancel()
+	}
+	c.ConfigVersion = e.d.config.version()
+	reply := e.callLeader(ctx, c)
+	telemetry.ObserveSince(e.latency[c.Kind], start)
+	if reply.Verdict == VerdictUnavailable || reply.Verdict == VerdictOverloaded || reply.Verdict == VerdictUnknown {
+		e.refused.Inc(1)
+		e.d.log.WithFields(logrus.Fields{"event": "call_failed", "call": c.Kind.String(), "job": c.Job, "queue": c.Queue,
+			"verdict": reply.Verdict.String(), "reason": reply.Reason, "waited_ms": time.Since(start).Milliseconds(),
+			"retry_after_ms": reply.RetryAfter.Milliseconds()}).Info("a call was not carried out")
+	}
+	return reply
+}
+
+func (e *entry) callLeader(ctx context.Context, c *cellpb.Call) Reply {
+	sent := false
+	for {
+		ok, refusal := e.d.members.awaitLeader(ctx)
+		if !ok {
+			return e.giveUp(c, sent, refusal)
+		}
+		id, w := e.register()
+		if w == nil {
+			return Reply{Verdict: VerdictOverloaded, Reason: "too_many_calls", RetryAfter: retryNoLeader}
+		}
+		c.Id = id
+		tried := e.d.sendToLeader(c, w)
+		sent = sent || tried
+		reply := e.await(ctx, id, w, tried)
+		switch reply.Verdict {
+		case verdictNotLeader:
+			e.d.members.doubt(w.link)
+		case verdictLinkLost:
+		case VerdictUnknown:
+			return e.giveUp(c, sent, "no_answer")
+		default:
+			return reply
+		}
+	}
+}
+
+// giveUp tells the caller what is certain: without a sent call nothing was
+// accepted.
+func (e *entry) giveUp(c *cellpb.Call, sent bool, reason string) Reply {
+	if sent && (c.Kind == cellpb.CallKind_SUBMIT || c.Kind == cellpb.CallKind_CANCEL) {
+		return Reply{Verdict: VerdictUnknown, Reason: reason}
+	}
+	return Reply{Verdict: VerdictUnavailable, Reason: reason, RetryAfter: retryNoLeader}
+}
+
+func (e *entry) register() (uint64, *waitingCall) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.waiting) >= maxPendingCalls {
+		return 0, nil
+	}
+	id := e.nextID.Add(1)
+	w := &waitingCall{reply: make(chan Reply, 1)}
+	e.waiting[id] = w
+	return id, w
+}
+
+// await waits for the answer to a call.
+func (e *entry) await(ctx context.Context, id uint64, w *waitingCall, sent bool) Reply {
+	defer func() {
+		e.mu.Lock()
+		delete(e.waiting, id)
+		e.mu.Unlock()
+	}()
+	if !sent {
+		return Reply{Verdict: verdictLinkLost}
+	}
+	select {
+	case r := <-w.reply:
+		return r
+	case <-ctx.Done():
+		return Reply{Verdict: VerdictUnknown}
+	}
+}
+
+// resolve gives an answer to the call that waits for it.
+func (e *entry) resolve(id uint64, r Reply) {
+	e.mu.Lock()
+	w := e.waiting[id]
+	e.mu.Unlock()
+	if w == nil {
+		return
+	}
+	select {
+	case w.reply <- r:
+	default:
+	}
+}
+
+// linkClosed ends the wait of calls that were sent over a link.
+func (e *entry) linkClosed(l *linkrpc.Link) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, w := range e.waiting {
+		if w.link == l {
+			select {
+			case w.reply <- Reply{Verdict: verdictLinkLost}:
+			default:
+			}
+		}
+	}
+}
+
+// leaderEnded ends the wait of calls that this daemon's own leader had.
+func (e *entry) leaderEnded() { e.linkClosed(nil) }
+
+// String returns the verdict's name.
+func (v Verdict) String() string {
+	names := map[Verdict]string{VerdictOK: "ok", VerdictOverloaded: "overloaded", VerdictUnavailable: "unavailable",
+		VerdictUnknown: "unknown", VerdictNoJob: "no_job", VerdictNoQueue: "no_queue"}
+	return names[v]
+}
--- /dev/null
+++ b/internal/cell/leader.go
@@ -0,0 +1,432 @@
+package cell
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"catkinvalve/internal/adapters/linkrpc"
+	"catkinvalve/internal/cellpb"
+	"catkinvalve/internal/core/jobs"
+	"catkinvalve/internal/core/retry"
+	"catkinvalve/internal/core/succession"
+	"catkinvalve/internal/ports"
+	"catkinvalve/internal/ring"
+	"catkinvalve/internal/telemetry"
+)
+
+const (
+	// inboxSize is the number of messages that may wait for the leader loop.
+	inboxSize = 8192
+	// loopTick is how often the loop runs without a message.
+	loopTick = 50 * time.Millisecond
+	// heartbeatInterval is how often the leader is heard.
+	heartbeatInterval = 250 * time.Millisecond
+	// dialInterval is how often daemons without a link are dialed.
+	dialInterval = time.Second
+	// messagesPerRound bounds the messages taken before the next decision.
+	messagesPerRound = 512
+	// batchInterval is the least time between two appends.
+	batchInterval = 15 * time.Millisecond
+
+	// workerLease is granted with each call to a worker. It has to outlive a
+	// takeover.
+	workerLease = 4500 * time.Millisecond
+	// holdWait is how long a call to a worker waits for an end.
+	holdWait = time.Second
+	// silentAfter is the time without an answer after which a worker gets no work.
+	silentAfter = 1700 * time.Millisecond
+	// clockError is how much slower a worker's clock may run.
+	clockError = 0.02
+	// lateCalls is how long after it was sent a worker may still execute a call.
+	lateCalls = 13 * time.Second
+	// startTimeout bounds one attempt to start a run.
+	startTimeout = 350 * time.Millisecond
+	// endsPerList is the number of ends in a full list of a worker.
+	endsPerList = 500
+	// maxJobs bounds the unfinished jobs.
+	maxJobs = 20_000
+
+	// authorityAlone is how long a leader orders without an answer from the store
+	// when it hears no other daemon that could tell whether there is a new leader.
+	authorityAlone = 2 * time.Second
+	// authorityWithoutStore is how long it does while the others do not reach the
+	// store either.
+	authorityWithoutStore = 12 * time.Second
+	// freshProof is how recent the store's confirmation must be to deny that a job
+	// exists.
+	freshProof = 2 * time.Second
+)
+
+// leader is one daemon's time as leader.
+type leader struct {
+	d     *Daemon
+	token uint64
+	core  *jobs.Core
+	inbox *ring.Ring[message]
+	log   *logrus.Entry
+	ctx   context.Context
+	end   context.CancelFunc
+	// work holds the goroutines of the leader's calls.
+	work conc.WaitGroup
+
+	journal *journal
+	// lastBatch is when the last batch was handed over.
+	lastBatch time.Time
+	proof     proof
+	// callers maps the core's calls to those who wait for the answer.
+	callers  map[jobs.CallID]caller
+	nextCall jobs.CallID
+	reports  map[string]report
+	nodes    map[string]string
+	// told lists the daemons that have the present configuration and node list.
+	told          map[*linkrpc.Link]toldState
+	lastHeartbeat time.Time
+	lastDial      time.Time
+	configVersion int64
+	metrics       leaderMetrics
+	why           string
+}
+
+// caller is who waits for an answer: a daemon by its link, or this one.
+type caller struct {
+	link *linkrpc.Link
+	id   uint64
+}
+
+// report is the last report of another daemon.
+type report struct {
+	*cellpb.NodeReport
+	at time.Time
+}
+
+// toldState is what a daemon was told last.
+type toldState struct {
+	config int64
+	nodes  int
+}
+
+// leaderMetrics are the leader's counters and histograms.
+type leaderMetrics struct {
+	starts, ends, refused, advice metrics.Counter
+	round                         metrics.Histogram
+}
+
+func newLeader(d *Daemon, token uint64, snapshot jobs.Snapshot) *leader {
+	cfg := jobs.Config{
+		Token: token, Lease: min(workerLease, d.set.Bounds.LeaseMax), HoldMax: d.set.Bounds.LeaseMax, LateCalls: lateCalls,
+		HoldWait: holdWait, ClockError: clockError, SilentAfter: silentAfter, PredecessorAuthority: authorityWithoutStore,
+		GangTimeout: d.set.Bounds.GangTimeout, StartTimeout: startTimeout, Retention: d.set.Bounds.StatusRetention + retentionSlack,
+		MaxJobs: maxJobs, EndsPerList: endsPerList,
+		Health: retry.HealthConfig{Failures: 3, Base: 2 * time.Second, Max: 8 * time.Second, Percent: 20, Attempts: 1 << 20, Keys: 4096},
+	}
+	l := &leader{
+		d: d, token: token, core: jobs.New(cfg), log: d.log.WithField("token", token),
+		inbox: ring.New[message]("leader", inboxSize, d.registry), callers: map[jobs.CallID]caller{},
+		reports: map[string]report{}, nodes: map[string]string{}, told: map[*linkrpc.Link]toldState{},
+		metrics: leaderMetrics{
+			starts: telemetry.Counter(d.registry, "leader.starts"), ends: telemetry.Counter(d.registry, "leader.ends"),
+			refused: telemetry.Counter(d.registry, "leader.refused"), advice: telemetry.Counter(d.registry, "leader.advice_calls"),
+			round: telemetry.NewHistograms(d.registry, telemetry.DefaultPairs).Latency("leader_round"),
+		},
+	}
+	now := time.Now()
+	config := d.config.current.Load()
+	l.core.SetQueues(queuesOf(config))
+	if config != nil {
+		l.configVersion = config.Version
+	}
+	l.core.Restore(now, now, snapshot)
+	l.proof.confirm(now)
+	return l
+}
+
+// retentionSlack is added to the time for which ended jobs must be known.
+const retentionSlack = 30 * time.Second
+
+// run leads until another daemon takes over or ctx ends.
+func (l *leader) run(ctx context.Context) {
+	l.ctx, l.end = context.WithCancel(ctx)
+	defer l.end()
+	l.journal = newJournal(l)
+	l.work.Go(l.journal.run)
+	l.work.Go(l.followWorkers)
+	l.work.Go(l.readNodes)
+	l.d.setLeader(l)
+	l.d.members.lead(l.token)
+	l.loop()
+	l.d.setLeader(nil)
+	l.d.members.resign()
+	l.d.entry.leaderEnded()
+	l.end()
+	l.work.Wait()
+	l.d.deps.Idle()
+	l.log.WithFields(logrus.Fields{"event": "leader_ended", "reason": l.why}).Info("this daemon leads no more")
+}
+
+// loop takes messages, decides and hands out orders.
+func (l *leader) loop() {
+	tick := time.NewTicker(loopTick)
+	defer tick.Stop()
+	flush := time.NewTimer(batchInterval)
+	defer flush.Stop()
+	var buffer []message
+	for l.why == "" {
+		var first message
+		select {
+		case <-l.ctx.Done():
+			l.stop("the daemon stops")
+			return
+		case <-tick.C:
+		case <-flush.C:
+		case first = <-l.inbox.C():
+		}
+		start := time.Now()
+		if first != nil {
+			buffer = l.inbox.DrainInto(append(buffer[:0], first), messagesPerRound)
+			for _, m := range buffer {
+				m.apply(l, start)
+			}
+		}
+		l.round(start)
+		if wait := l.flushIn(time.Now()); wait > 0 {
+			flush.Reset(wait)
+		}
+		telemetry.ObserveSince(l.metrics.round, start)
+	}
+}
+
+// round decides once and carries out what was decided.
+func (l *leader) round(now time.Time) {
+	l.core.Tick(now, now)
+	l.core.SetAdvisers(l.advisers())
+	l.core.SetStalled(l.journal.stalled(now))
+	l.core.Schedule(now)
+	l.carryOut(l.core.Take())
+	l.flush(now)
+	l.beat(now)
+	l.checkAuthority(now)
+}
+
+// stop ends the lead.
+func (l *leader) stop(why string) {
+	if l.why == "" {
+		l.why = why
+	}
+}
+
+// flush hands the next batch to the journal.
+func (l *leader) flush(now time.Time) {
+	if now.Sub(l.lastBatch) < batchInterval {
+		return
+	}
+	if b := l.core.TakeBatch(); b != nil {
+		l.lastBatch = now
+		l.journal.put(b)
+	}
+}
+
+// flushIn returns when the next batch can be handed over, or 0 when there is
+// none.
+func (l *leader) flushIn(now time.Time) time.Duration {
+	if !l.core.HasBatch() {
+		return 0
+	}
+	return max(batchInterval-now.Sub(l.lastBatch), time.Millisecond)
+}
+
+// advisers returns the daemons that can ask the advice service, this one first.
+func (l *leader) advisers() []string {
+	if l.d.deps.Advice == nil {
+		return nil
+	}
+	names := []string{l.d.set.Node}
+	now := time.Now()
+	for name, r := range l.reports {
+		if now.Sub(r.at) < linkSilence && !r.Leaving && l.d.members.linkTo(name) != nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names[1:])
+	return names
+}
+
+// checkAuthority ends the lead when the store did not confirm it for too long,
+// or when a higher token was seen.
+func (l *leader) checkAuthority(now time.Time) {
+	switch {
+	case l.core.Fenced():
+		l.stop("a worker has seen a higher token")
+	case l.d.members.outranked(l.token):
+		l.stop("another daemon leads")
+	case l.journal.fenced():
+		l.stop("the store has seen a higher token")
+	}
+	age := l.proof.age(now)
+	if age < handoverAfter {
+		return
+	}
+	if next := l.withStore(now); next != "" && now.Sub(l.proof.offered) > handoverRetry {
+		l.proof.offered = now
+		l.handOver(next, "the store does not answer this daemon")
+	}
+	limit := authorityAlone
+	if l.othersWithoutStore(now) {
+		limit = authorityWithoutStore
+	}
+	if age > limit {
+		l.stop("the store did not confirm the lead")
+	}
+}
+
+const (
+	// handoverAfter is the time without confirmation after which the lead is
+	// offered to a daemon that reaches the store.
+	handoverAfter = 900 * time.Millisecond
+	// handoverRetry is the time between two offers.
+	handoverRetry = 700 * time.Millisecond
+)
+
+// withStore returns the best daemon that reached the store after this one lost
+// it, or "".
+func (l *leader) withStore(now time.Time) string {
+	for _, name := range l.successors(now) {
+		r := l.reports[name]
+		if answered := r.at.Add(-time.Duration(r.StoreAgeMs) * time.Millisecond); answered.After(l.proof.lastTried()) {
+			return name
+		}
+	}
+	return ""
+}
+
+// othersWithoutStore reports whether most daemons are heard and none of them
+// reaches the store.
+func (l *leader) othersWithoutStore(now time.Time) bool {
+	heard := 0
+	for _, r := range l.reports {
+		if now.Sub(r.at) < linkSilence {
+			heard++
+		}
+	}
+	return 2*heard >= len(l.nodes)
+}
+
+// successors ranks the other daemons.
+func (l *leader) successors(now time.Time) []string {
+	var candidates []succession.Candidate
+	for name, r := range l.reports {
+		candidates = append(candidates, succession.Candidate{Node: name, StoreAge: time.Duration(r.StoreAgeMs) * time.Millisecond,
+			StoreResponse: time.Duration(r.StoreRttUs) * time.Microsecond, CPUShare: r.CpuShare, Leaving: r.Leaving, Silence: now.Sub(r.at)})
+	}
+	return succession.Order(candidates)
+}
+
+// handOver asks a daemon to take over.
+func (l *leader) handOver(to, why string) {
+	l.log.WithFields(logrus.Fields{"event": "handover", "to": to, "reason": why}).Info("asking another daemon to lead")
+	if link := l.d.members.linkTo(to); link != nil {
+		link.Send(&cellpb.Frame{Handover: &cellpb.Handover{Token: l.token}})
+	}
+}
+
+// leave hands the lead to the best successor because this daemon stops.
+func (l *leader) leave(now time.Time) {
+	if order := l.successors(now); len(order) > 0 {
+		l.handOver(order[0], "this daemon stops")
+	}
+}
+
+// beat sends heartbeats and dials daemons without a link.
+func (l *leader) beat(now time.Time) {
+	if now.Sub(l.lastHeartbeat) < heartbeatInterval {
+		return
+	}
+	l.lastHeartbeat = now
+	order := l.successors(now)
+	for _, link := range l.d.members.peers() {
+		link.Send(&cellpb.Frame{Heartbeat: l.heartbeat(link, order)})
+	}
+	if now.Sub(l.lastDial) >= dialInterval {
+		l.lastDial = now
+		l.dialMissing()
+	}
+}
+
+// heartbeat returns the heartbeat for one daemon. It carries the configuration
+// and the list of daemons when that daemon does not have them.
+func (l *leader) heartbeat(link *linkrpc.Link, order []string) *cellpb.Heartbeat {
+	h := &cellpb.Heartbeat{Token: l.token, Successors: order, ConfigVersion: l.configVersion}
+	told := l.told[link]
+	if told.config < l.configVersion && l.reports[link.Peer.Node].GetConfigVersion() < l.configVersion {
+		h.Config = cellpb.FromConfig(l.d.config.current.Load())
+	}
+	if told.nodes != len(l.nodes) {
+		for name, address := range l.nodes {
+			h.Nodes = append(h.Nodes, &cellpb.StoredNode{Node: name, Address: address})
+		}
+	}
+	if _, known := l.told[link]; !known {
+		l.forgetClosed()
+	}
+	l.told[link] = toldState{config: l.configVersion, nodes: len(l.nodes)}
+	return h
+}
+
+func (l *leader) forgetClosed() {
+	for link := range l.told {
+		select {
+		case <-link.Done():
+			delete(l.told, link)
+		default:
+		}
+	}
+}
+
+// dialMissing links to daemons without a link.
+func (l *leader) dialMissing() {
+	for name, address := range l.nodes {
+		if name != l.d.set.Node && l.d.members.linkTo(name) == nil {
+			l.work.Go(func() { l.d.dial(l.ctx, address) })
+		}
+	}
+}
+
+// proof is when the store last confirmed the lead.
+type proof struct {
+	confirmed time.Time
+	offered   time.Time
+}
+
+// confirm records that a call sent at a time was accepted.
+func (p *proof) confirm(sent time.Time) {
+	if sent.After(p.confirmed) {
+		p.confirmed = sent
+	}
+}
+
+func (p *proof) age(now time.Time) time.Duration { return now.Sub(p.confirmed) }
+
+func (p *proof) lastTried() time.Time { return p.confirmed.Add(handoverAfter / 2) }
+
+// readNodes reads which daemons there are.
+func (l *leader) readNodes() {
+	page, err := l.d.newest(l.ctx, ports.NodesTopic, "")
+	if err != nil {
+		l.log.WithFields(logrus.Fields{"event": "nodes_unreadable", "error": err.Error()}).Warn("cannot read the list of daemons")
+	}
+	nodes := l.d.members.others()
+	for name, address := range decodeNodes(l.log, page.Records) {
+		nodes[name] = address
+	}
+	l.push(nodesMsg{nodes})
+}
+
+// push adds a message to the inbox and waits for room.
+func (l *leader) push(m message) {
+	// The only error is the end of the lead.
+	_ = l.inbox.Push(l.ctx, m)
+}
--- /dev/null
+++ b/internal/cell/messages.go
@@ -0,0 +1,214 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"catkinvalve/internal/adapters/linkrpc"
+	"catkinvalve/internal/cellpb"
+	"catkinvalve/internal/core/jobs"
+	"catkinvalve/internal/ports"
+)
+
+// message is an input of the leader loop.
+type message interface {
+	apply(l *leader, now time.Time)
+}
+
+// callMsg is a caller's call.
+type callMsg struct {
+	from caller
+	call *cellpb.Call
+	at   time.Time
+}
+
+func (m callMsg) apply(l *leader, now time.Time) {
+	switch m.call.Kind {
+	case cellpb.CallKind_SUBMIT:
+		l.submit(m)
+	case cellpb.CallKind_CANCEL:
+		l.nextCall++
+		l.callers[l.nextCall] = m.from
+		if a := l.core.Cancel(now, m.call.Job, l.nextCall); a != nil {
+			l.answer(*a)
+		}
+	case cellpb.CallKind_STATE:
+		l.tellState(m, now)
+	case cellpb.CallKind_PENDING:
+		l.reply(m.from, Reply{Pending: l.core.Pending(m.call.Queue)})
+	}
+}
+
+// configPatience is how long a call for a queue of a newer configuration waits
+// for the leader to read it.
+const configPatience = 1500 * time.Millisecond
+
+func (l *leader) submit(m callMsg) {
+	spec, err := m.call.Spec.ToSpec()
+	if err != nil {
+		l.log.WithFields(logrus.Fields{"event": "call_unreadable", "job": m.call.Job, "error": err.Error()}).Error("a submitted job cannot be read")
+		l.reply(m.from, Reply{Verdict: VerdictUnavailable, Reason: "unreadable"})
+		return
+	}
+	if m.call.ConfigVersion > l.configVersion && !l.core.KnowsQueue(spec.Queue) && time.Since(m.at) < configPatience {
+		time.AfterFunc(configRetry, func() { l.push(m) })
+		return
+	}
+	l.nextCall++
+	l.callers[l.nextCall] = m.from
+	if a := l.core.Submit(m.at, spec, l.nextCall); a != nil {
+		l.answer(*a)
+	}
+}
+
+// tellState answers with a job's state. That a job does not exist is only told
+// while the store confirms the lead.
+func (l *leader) tellState(m callMsg, now time.Time) {
+	view, known := l.core.State(m.call.Job)
+	switch {
+	case known:
+		l.reply(m.from, Reply{View: view})
+	case l.proof.age(now) < freshProof:
+		l.reply(m.from, Reply{Verdict: VerdictNoJob})
+	default:
+		l.reply(m.from, Reply{Verdict: VerdictUnavailable, Reason: "lead_not_confirmed", RetryAfter: retryNoLeader})
+	}
+}
+
+// answer passes the core's answer to its caller.
+func (l *leader) answer(a jobs.Answer) {
+	from, known := l.callers[a.Call]
+	if !known {
+		return
+	}
+	delete(l.callers, a.Call)
+	r := Reply{Reason: string(a.Reason), RetryAfter: a.RetryAfter}
+	switch a.Kind {
+	case jobs.NoSuchJob:
+		r.Verdict = VerdictNoJob
+		if l.proof.age(time.Now()) >= freshProof {
+			r = Reply{Verdict: VerdictUnavailable, Reason: "lead_not_confirmed", RetryAfter: retryNoLeader}
+		}
+	case jobs.Refused:
+		r.Verdict = VerdictOverloaded
+		l.metrics.refused.Inc(1)
+	case jobs.RefusedNoStore:
+		r.Verdict = VerdictUnavailable
+		l.metrics.refused.Inc(1)
+	}
+	l.reply(from, r)
+}
+
+// reply sends an answer to where the call came from.
+func (l *leader) reply(to caller, r Reply) {
+	if to.link == nil {
+		l.d.entry.resolve(to.id, r)
+		return
+	}
+	to.link.Send(&cellpb.Frame{Replies: []*cellpb.Reply{toProtoReply(to.id, r)}})
+}
+
+func toProtoReply(id uint64, r Reply) *cellpb.Reply {
+	return &cellpb.Reply{Id: id, Verdict: uint32(r.Verdict), View: string(r.View), Pending: int64(r.Pending),
+		RetryAfterMs: r.RetryAfter.Milliseconds(), Reason: r.Reason}
+}
+
+func fromProtoReply(p *cellpb.Reply) Reply {
+	return Reply{Verdict: Verdict(p.Verdict), View: jobs.View(p.View), Pending: int(p.Pending),
+		RetryAfter: time.Duration(p.RetryAfterMs) * time.Millisecond, Reason: p.Reason}
+}
+
+// heldMsg is a worker's answer with its lists.
+type heldMsg struct {
+	result jobs.HoldResult
+	at     time.Time
+}
+
+func (m heldMsg) apply(l *leader, _ time.Time) {
+	for _, problem := range m.result.Problems {
+		l.log.WithFields(logrus.Fields{"event": "list_unreadable", "worker": m.result.Worker, "error": problem}).Error("a row of a worker's list cannot be read")
+	}
+	l.metrics.ends.Inc(int64(len(m.result.Ended)))
+	l.core.Held(m.at, &m.result)
+}
+
+type startedMsg struct {
+	result jobs.StartResult
+	at     time.Time
+}
+
+func (m startedMsg) apply(l *leader, _ time.Time) { l.core.StartAnswered(m.at, &m.result) }
+
+type stoppedMsg struct {
+	result jobs.StopResult
+	at     time.Time
+}
+
+func (m stoppedMsg) apply(l *leader, _ time.Time) { l.core.StopAnswered(m.at, &m.result) }
+
+type advisedMsg struct{ result *jobs.AdviceResult }
+
+func (m advisedMsg) apply(l *leader, now time.Time) { l.core.Advised(now, m.result) }
+
+// storedMsg tells that a batch is durable.
+type storedMsg struct {
+	seq  uint64
+	sent time.Time
+}
+
+func (m storedMsg) apply(l *leader, now time.Time) {
+	l.proof.confirm(m.sent)
+	l.core.Stored(now, m.seq)
+}
+
+// confirmedMsg tells that the store confirmed the lead without a batch.
+type confirmedMsg struct{ sent time.Time }
+
+func (m confirmedMsg) apply(l *leader, _ time.Time) { l.proof.confirm(m.sent) }
+
+// entriesMsg is the whole list of workers.
+type entriesMsg struct{ entries []jobs.Entry }
+
+func (m entriesMsg) apply(l *leader, now time.Time) { l.core.SetEntries(now, m.entries) }
+
+// configMsg is a new configuration.
+type configMsg struct{ config *ports.CellConfig }
+
+func (m configMsg) apply(l *leader, _ time.Time) {
+	l.core.SetQueues(queuesOf(m.config))
+	l.configVersion = m.config.Version
+	l.lastHeartbeat = time.Time{}
+}
+
+// nodesMsg lists the daemons.
+type nodesMsg struct{ nodes map[string]string }
+
+func (m nodesMsg) apply(l *leader, _ time.Time) {
+	for name, address := range m.nodes {
+		l.nodes[name] = address
+	}
+	l.lastDial = time.Time{}
+	l.lastHeartbeat = time.Time{}
+}
+
+// linkMsg tells of an opened link.
+type linkMsg struct{ link *linkrpc.Link }
+
+func (m linkMsg) apply(l *leader, _ time.Time) {
+	l.nodes[m.link.Peer.Node] = m.link.Peer.Address
+	l.lastHeartbeat = time.Time{}
+}
+
+// reportMsg is another daemon's report.
+type reportMsg struct {
+	node   string
+	report *cellpb.NodeReport
+}
+
+func (m reportMsg) apply(l *leader, now time.Time) { l.reports[m.node] = report{m.report, now} }
+
+// leaveMsg tells that this daemon stops.
+type leaveMsg struct{}
+
+func (leaveMsg) apply(l *leader, now time.Time) { l.leave(now) }
--- /dev/null
+++ b/internal/cell/store_records.go
@@ -0,0 +1,120 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"catkinvalve/internal/cellpb"
+	"catkinvalve/internal/core/jobs"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/ports"
+)
+
+// Prefixes of the keys of the jobs topic.
+const (
+	jobPrefix      = "j:"
+	progressPrefix = "p:"
+	workerPrefix   = "w:"
+)
+
+// encodeBatch returns the records of a batch. Deletions come last, so that they
+// win over records of the same batch.
+func encodeBatch(b *jobs.Batch) ([]ports.KeyedRecord, error) {
+	var out []ports.KeyedRecord
+	put := func(key string, m proto.Message) error {
+		value, err := proto.Marshal(m)
+		if err != nil {
+			return fmt.Errorf("cannot encode %s: %w", key, err)
+		}
+		out = append(out, ports.KeyedRecord{Key: key, Value: value})
+		return nil
+	}
+	for i := range b.Accepted {
+		if err := put(jobPrefix+b.Accepted[i].Spec.ID, cellpb.FromAccepted(&b.Accepted[i])); err != nil {
+			return nil, err
+		}
+	}
+	for i := range b.Progress {
+		if err := put(progressPrefix+b.Progress[i].Job, cellpb.FromProgress(&b.Progress[i])); err != nil {
+			return nil, err
+		}
+	}
+	for _, w := range b.Workers {
+		if err := put(workerPrefix+string(w.ID), &cellpb.StoredWorker{Id: string(w.ID), Address: w.Address, Service: w.Service}); err != nil {
+			return nil, err
+		}
+	}
+	for _, id := range b.DropAccepted {
+		out = append(out, ports.KeyedRecord{Key: jobPrefix + id})
+	}
+	for _, id := range b.DropProgress {
+		out = append(out, ports.KeyedRecord{Key: progressPrefix + id})
+	}
+	for _, id := range b.DropWorkers {
+		out = append(out, ports.KeyedRecord{Key: workerPrefix + string(id)})
+	}
+	return out, nil
+}
+
+// load reads what earlier leaders stored.
+func (d *Daemon) load(ctx context.Context) (jobs.Snapshot, error) {
+	var s jobs.Snapshot
+	after := ""
+	for {
+		page, err := d.newest(ctx, ports.JobsTopic, after)
+		if err != nil {
+			return s, err
+		}
+		for i := range page.Records {
+			r := &page.Records[i]
+			if err := decodeRecord(&s, r.Key, r.Value); err != nil {
+				d.log.WithFields(logrus.Fields{"event": "record_unreadable", "key": r.Key, "offset": r.Offset, "error": err.Error()}).Error("a record of the jobs topic cannot be read")
+			}
+			after = r.Key
+		}
+		if !page.More || len(page.Records) == 0 {
+			return s, nil
+		}
+	}
+}
+
+// decodeRecord adds one record of the jobs topic to a snapshot.
+func decodeRecord(s *jobs.Snapshot, key string, value []byte) error {
+	switch {
+	case len(value) == 0:
+		// Deleted.
+	case strings.HasPrefix(key, jobPrefix):
+		p := &cellpb.StoredJob{}
+		if err := proto.Unmarshal(value, p); err != nil {
+			return err
+		}
+		r, err := p.ToAccepted()
+		if err != nil {
+			return err
+		}
+		s.Accepted = append(s.Accepted, r)
+	case strings.HasPrefix(key, progressPrefix):
+		p := &cellpb.StoredProgress{}
+		if err := proto.Unmarshal(value, p); err != nil {
+			return err
+		}
+		r, err := p.ToProgress()
+		if err != nil {
+			return err
+		}
+		s.Progress = append(s.Progress, r)
+	case strings.HasPrefix(key, workerPrefix):
+		p := &cellpb.StoredWorker{}
+		if err := proto.Unmarshal(value, p); err != nil {
+			return err
+		}
+		s.Workers = append(s.Workers, jobs.WorkerRecord{ID: model.WorkerID(p.Id), Address: p.Address, Service: p.Service})
+	default:
+		return fmt.Errorf("unknown kind of key")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cell/workerlist.go
@@ -0,0 +1,99 @@
+package cell
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"catkinvalve/internal/core/jobs"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/pause"
+	"catkinvalve/internal/ports"
+)
+
+const (
+	// listPoll is the time between two reads of the worker list.
+	listPoll = 400 * time.Millisecond
+	// listTimeout bounds one read.
+	listTimeout = 1200 * time.Millisecond
+)
+
+// followWorkers reads the worker list until the lead ends.
+func (l *leader) followWorkers() {
+	list := workerList{entries: map[model.WorkerID]jobs.Entry{}, log: l.log}
+	for {
+		if err := list.read(l.ctx, l.d.deps.List); err != nil {
+			if l.ctx.Err() != nil {
+				return
+			}
+			l.log.WithFields(logrus.Fields{"event": "worker_list_failed", "error": err.Error()}).Debug("cannot read the worker list")
+		} else {
+			l.push(entriesMsg{list.sorted()})
+		}
+		if !pause.For(l.ctx, listPoll) {
+			return
+		}
+	}
+}
+
+// workerList is the list of workers as read so far.
+type workerList struct {
+	entries map[model.WorkerID]jobs.Entry
+	cursor  ports.ListCursor
+	loaded  bool
+	log     *logrus.Entry
+}
+
+// read brings the list up to date.
+func (w *workerList) read(ctx context.Context, from ports.WorkerList) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	if !w.loaded {
+		changes, cursor, err := from.All(ctx)
+		if err != nil {
+			return err
+		}
+		clear(w.entries)
+		w.apply(changes)
+		w.cursor, w.loaded = cursor, true
+		return nil
+	}
+	changes, cursor, err := from.Changes(ctx, w.cursor)
+	var e *ports.StoreError
+	if errors.As(err, &e) && e.Kind == ports.StoreExpired {
+		w.loaded = false
+		return w.read(ctx, from)
+	}
+	if err != nil {
+		return err
+	}
+	w.apply(changes)
+	w.cursor = cursor
+	return nil
+}
+
+func (w *workerList) apply(changes []ports.WorkerChange) {
+	for _, c := range changes {
+		if c.Problem != "" {
+			w.log.WithFields(logrus.Fields{"event": "worker_entry_unreadable", "worker": c.ID, "error": c.Problem}).Warn("an entry of the worker list cannot be read")
+		}
+		if c.Entry == nil {
+			delete(w.entries, c.ID)
+			continue
+		}
+		w.entries[c.ID] = *c.Entry
+	}
+}
+
+func (w *workerList) sorted() []jobs.Entry {
+	out := make([]jobs.Entry, 0, len(w.entries))
+	for _, e := range w.entries {
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b jobs.Entry) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/internal/cellpb/convert.go
@@ -0,0 +1,211 @@
+package cellpb
+
+import (
+	"fmt"
+	"time"
+
+	"catkinvalve/internal/core/jobs"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/ports"
+)
+
+// FromSpec converts a job.
+func FromSpec(s *jobs.Spec) *Job {
+	p := &Job{Id: s.ID, Queue: s.Queue, Payload: s.Payload, Repeat: int32(s.Repeat), IntervalMs: s.Interval.Milliseconds()}
+	if !s.First.IsZero() {
+		p.FirstUnixMs = s.First.UnixMilli()
+	}
+	for i := range s.Steps {
+		p.Steps = append(p.Steps, fromStep(&s.Steps[i]))
+	}
+	return p
+}
+
+// ToSpec converts a job and checks it.
+func (p *Job) ToSpec() (*jobs.Spec, error) {
+	if p == nil {
+		return nil, fmt.Errorf("no job")
+	}
+	s := &jobs.Spec{ID: p.Id, Queue: p.Queue, Payload: p.Payload, Repeat: int(p.Repeat), Interval: time.Duration(p.IntervalMs) * time.Millisecond}
+	if p.FirstUnixMs != 0 {
+		s.First = time.UnixMilli(p.FirstUnixMs)
+	}
+	for _, step := range p.Steps {
+		s.Steps = append(s.Steps, step.toStep())
+	}
+	return s, s.Validate()
+}
+
+func fromStep(s *jobs.Step) *Step {
+	p := &Step{
+		Count: int32(s.Count), Size: &Size{MilliCpu: s.Size.MilliCPU, MemMb: s.Size.MemMB, Accel: s.Size.Accel},
+		EstimateUs: s.Estimate.Microseconds(), Gang: s.Gang, SameRack: s.SameRack, Label: s.Label, DataRack: s.DataRack,
+		MaxPerWorker: int32(s.MaxPerWorker), Checkpointing: s.Checkpointing, Speculative: s.Speculative,
+		LongRunning: s.LongRunning, Image: s.Image, TailTargetUs: s.TailTarget.Microseconds(), Filler: s.Filler,
+		MaxUnavailable: int32(s.MaxUnavailable),
+	}
+	for _, before := range s.After {
+		p.After = append(p.After, int32(before))
+	}
+	return p
+}
+
+func (p *Step) toStep() jobs.Step {
+	s := jobs.Step{
+		Count: int(p.Count), Size: model.Size{MilliCPU: p.Size.GetMilliCpu(), MemMB: p.Size.GetMemMb(), Accel: p.Size.GetAccel()},
+		Estimate: microseconds(p.EstimateUs), Gang: p.Gang, SameRack: p.SameRack, Label: p.Label, DataRack: p.DataRack,
+		MaxPerWorker: int(p.MaxPerWorker), Checkpointing: p.Checkpointing, Speculative: p.Speculative,
+		LongRunning: p.LongRunning, Image: p.Image, TailTarget: microseconds(p.TailTargetUs), Filler: p.Filler,
+		MaxUnavailable: int(p.MaxUnavailable),
+	}
+	for _, before := range p.After {
+		s.After = append(s.After, int(before))
+	}
+	return s
+}
+
+func microseconds(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+// FromQueue converts a queue.
+func FromQueue(q *jobs.Queue) *Queue {
+	p := &Queue{Name: q.Name, Service: q.Service, Priority: int32(q.Priority), MaxAttempts: int32(q.MaxAttempts),
+		Slack: q.Slack, TargetUs: q.Target.Microseconds()}
+	if q.Advice != nil {
+		p.Advice = &AdviceTerms{DecisionUs: q.Advice.Decision.Microseconds(), PerWorkerUs: q.Advice.PerWorker.Microseconds(), ValidityUs: q.Advice.Validity.Microseconds()}
+	}
+	return p
+}
+
+// ToQueue converts a queue; none gives the zero queue.
+func (p *Queue) ToQueue() jobs.Queue {
+	if p == nil {
+		return jobs.Queue{}
+	}
+	q := jobs.Queue{Name: p.Name, Service: p.Service, Priority: int(p.Priority), MaxAttempts: int(p.MaxAttempts),
+		Slack: p.Slack, Target: microseconds(p.TargetUs)}
+	if p.Advice != nil {
+		q.Advice = &jobs.AdviceTerms{Decision: microseconds(p.Advice.DecisionUs), PerWorker: microseconds(p.Advice.PerWorkerUs), Validity: microseconds(p.Advice.ValidityUs)}
+	}
+	return q
+}
+
+// FromConfig converts a configuration; nil stays nil.
+func FromConfig(c *ports.CellConfig) *Config {
+	if c == nil {
+		return nil
+	}
+	p := &Config{Version: c.Version, MaxBodyBytes: c.MaxBodyBytes, HeaderTimeoutUs: c.HeaderTimeout.Microseconds(), IdleTimeoutUs: c.IdleTimeout.Microseconds()}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		p.Routes = append(p.Routes, &Route{Host: r.Host, Prefix: r.Prefix, Queue: FromQueue(&r.Queue)})
+	}
+	return p
+}
+
+// ToConfig converts a configuration; nil stays nil.
+func (p *Config) ToConfig() *ports.CellConfig {
+	if p == nil {
+		return nil
+	}
+	c := &ports.CellConfig{Version: p.Version, MaxBodyBytes: p.MaxBodyBytes, HeaderTimeout: microseconds(p.HeaderTimeoutUs), IdleTimeout: microseconds(p.IdleTimeoutUs)}
+	for _, r := range p.Routes {
+		c.Routes = append(c.Routes, ports.Route{Host: r.Host, Prefix: r.Prefix, Queue: r.Queue.ToQueue()})
+	}
+	return c
+}
+
+// FromAccepted converts the record of an accepted job.
+func FromAccepted(r *jobs.AcceptedRecord) *StoredJob {
+	return &StoredJob{Job: FromSpec(&r.Spec), Queue: FromQueue(&r.Queue), Token: r.Token, AcceptedUnixMs: r.Accepted.UnixMilli()}
+}
+
+// ToAccepted converts the record of an accepted job and checks it.
+func (p *StoredJob) ToAccepted() (jobs.AcceptedRecord, error) {
+	spec, err := p.Job.ToSpec()
+	if err != nil {
+		return jobs.AcceptedRecord{}, err
+	}
+	return jobs.AcceptedRecord{Spec: *spec, Queue: p.Queue.ToQueue(), Token: p.Token, Accepted: time.UnixMilli(p.AcceptedUnixMs)}, nil
+}
+
+// FromProgress converts the record of what ended.
+func FromProgress(r *jobs.ProgressRecord) *StoredProgress {
+	p := &StoredProgress{Job: r.Job, Queue: r.Queue, Outcome: uint32(r.Outcome)}
+	for i := range r.Occurrences {
+		o := &r.Occurrences[i]
+		po := &StoredOccurrence{Occurrence: o.Occurrence, Finished: o.Finished}
+		for j := range o.Steps {
+			po.Steps = append(po.Steps, fromStepProgress(&o.Steps[j]))
+		}
+		p.Occurrences = append(p.Occurrences, po)
+	}
+	return p
+}
+
+func fromStepProgress(s *jobs.StepProgress) *StoredStep {
+	p := &StoredStep{Step: s.Step, Finished: s.Finished, Done: s.Done}
+	for _, f := range s.Failures {
+		p.Failures = append(p.Failures, &StoredFailures{Index: f.Index, Count: f.Count, LastRun: f.LastRun})
+	}
+	return p
+}
+
+// ToProgress converts the record of what ended and checks it.
+func (p *StoredProgress) ToProgress() (jobs.ProgressRecord, error) {
+	if p.Job == "" || p.Outcome > uint32(jobs.Cancelled) {
+		return jobs.ProgressRecord{}, fmt.Errorf("progress record of job %q with outcome %d", p.Job, p.Outcome)
+	}
+	r := jobs.ProgressRecord{Job: p.Job, Queue: p.Queue, Outcome: jobs.Outcome(p.Outcome)}
+	for _, po := range p.Occurrences {
+		o := jobs.OccurrenceProgress{Occurrence: po.Occurrence, Finished: po.Finished}
+		for _, ps := range po.Steps {
+			o.Steps = append(o.Steps, ps.toStepProgress())
+		}
+		r.Occurrences = append(r.Occurrences, o)
+	}
+	return r, nil
+}
+
+func (p *StoredStep) toStepProgress() jobs.StepProgress {
+	s := jobs.StepProgress{Step: p.Step, Finished: p.Finished, Done: p.Done}
+	for _, f := range p.Failures {
+		s.Failures = append(s.Failures, jobs.TaskFailures{Index: f.Index, Count: f.Count, LastRun: f.LastRun})
+	}
+	return s
+}
+
+// FromAdviceOrder converts a call to the advice service.
+func FromAdviceOrder(o *jobs.AdviceOrder) *AdviceCall {
+	p := &AdviceCall{Seq: o.Seq, Job: o.Step.Job, Occurrence: o.Step.Occurrence, Step: o.Step.Step, TimeoutMs: o.Timeout.Milliseconds()}
+	for _, id := range o.Workers {
+		p.Workers = append(p.Workers, string(id))
+	}
+	return p
+}
+
+// ToAdviceOrder converts a call to the advice service.
+func (p *AdviceCall) ToAdviceOrder() jobs.AdviceOrder {
+	o := jobs.AdviceOrder{Seq: p.Seq, Step: jobs.StepRef{Job: p.Job, Occurrence: p.Occurrence, Step: p.Step}, Timeout: time.Duration(p.TimeoutMs) * time.Millisecond}
+	for _, id := range p.Workers {
+		o.Workers = append(o.Workers, model.WorkerID(id))
+	}
+	return o
+}
+
+// FromAdviceResult converts the answer of the advice service.
+func FromAdviceResult(r *jobs.AdviceResult) *AdviceReply {
+	p := &AdviceReply{Seq: r.Seq, Ok: r.OK, ValidityUs: r.Validity.Microseconds()}
+	for _, a := range r.Allowed {
+		p.Allowed = append(p.Allowed, &Allowance{Worker: string(a.Worker), Ticket: a.Ticket})
+	}
+	return p
+}
+
+// ToAdviceResult converts the answer of the advice service.
+func (p *AdviceReply) ToAdviceResult() *jobs.AdviceResult {
+	r := &jobs.AdviceResult{Seq: p.Seq, OK: p.Ok, Validity: microseconds(p.ValidityUs)}
+	for _, a := range p.Allowed {
+		r.Allowed = append(r.Allowed, jobs.Allowance{Worker: model.WorkerID(a.Worker), Ticket: a.Ticket})
+	}
+	return r
+}
--- a/internal/core/jobs/advice.go
+++ b/internal/core/jobs/advice.go
@@ -106,8 +106,10 @@
 
 // SetAdvisers replaces the daemons that can ask, the leader's own first.
 func (c *Core) SetAdvisers(names []string) {
-	c.advisers.names = names
-	c.changed = true
+	if !slices.Equal(names, c.advisers.names) {
+		c.advisers.names = names
+		c.changed = true
+	}
 }
 
 // wantAdvice asks for more workers for a step, if an adviser is idle and there
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -75,6 +75,7 @@
 	wake    time.Time
 	out     Actions
 	fenced  bool
+	stalled bool
 }
 
 // New returns the core of a new leader.
@@ -141,6 +142,8 @@
 	NoSuchJob
 	// Refused: the job was not accepted and never runs.
 	Refused
+	// RefusedNoStore: the same, because the store does not take records now.
+	RefusedNoStore
 )
 
 // Answer answers a call.
@@ -158,6 +161,9 @@
 	return out
 }
 
+// SetStalled tells whether the store takes records at present.
+func (c *Core) SetStalled(stalled bool) { c.stalled = stalled }
+
 // Fenced reports whether a worker refused this leader's token.
 func (c *Core) Fenced() bool { return c.fenced }
 
@@ -177,6 +183,9 @@
 	c.changed = true
 }
 
+// KnowsQueue reports whether the configuration has a queue.
+func (c *Core) KnowsQueue(name string) bool { return c.queues[name] != nil }
+
 // Restore loads what earlier leaders stored. It is called once, before any
 // other event.
 func (c *Core) Restore(now time.Time, wall time.Time, s Snapshot) {
@@ -247,7 +256,7 @@
 	o := j.newOccurrence(p.Occurrence, j.due(p.Occurrence))
 	for i := range p.Steps {
 		sp := &p.Steps[i]
-		if int(sp.Step) < len(o.steps) {
+		if sp.Step >= 0 && int(sp.Step) < len(o.steps) {
 			o.steps[sp.Step].restore(sp)
 		}
 	}
--- a/internal/core/jobs/hold.go
+++ b/internal/core/jobs/hold.go
@@ -98,6 +98,8 @@
 	Life    int64
 	Running []Listed
 	Ended   []Ended
+	// Problems tells of rows that could not be read.
+	Problems []string
 }
 
 // Held takes the result of a HoldOrder. Received is when the answer came.
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -10,6 +10,9 @@
 // full.
 const retryAfterFull = time.Second
 
+// retryAfterStalled is when a caller may come back while the store is away.
+const retryAfterStalled = 2 * time.Second
+
 // View is a job's state as callers see it.
 type View string
 
@@ -30,10 +33,15 @@
 	}
 	q := c.queues[spec.Queue]
 	if q == nil {
-		return c.refuse(now, spec, "queue_unknown", retryAfterFull)
+		return c.refuse(now, spec, call, "queue_unknown", retryAfterFull)
+	}
+	if c.stalled {
+		a := c.refuse(now, spec, call, "store_unavailable", retryAfterStalled)
+		a.Kind = RefusedNoStore
+		return a
 	}
 	if reason, after, ok := c.admit(now, spec, q); !ok {
-		return c.refuse(now, spec, reason, after)
+		return c.refuse(now, spec, call, reason, after)
 	}
 	j := newJob(spec, q, c.cfg.Token, now)
 	c.jobs[spec.ID] = j
@@ -62,9 +70,9 @@
 	return c.batch.inFlight
 }
 
-func (c *Core) refuse(now time.Time, spec *Spec, reason model.Reason, after time.Duration) *Answer {
+func (c *Core) refuse(now time.Time, spec *Spec, call CallID, reason model.Reason, after time.Duration) *Answer {
 	c.event(Event{Name: EventRefused, Job: spec.ID, Queue: spec.Queue, Reason: reason, Age: after, Count: c.open})
-	return &Answer{Kind: Refused, Reason: reason, RetryAfter: after}
+	return &Answer{Call: call, Kind: Refused, Reason: reason, RetryAfter: after}
 }
 
 // Cancel stops a job for good. It returns an answer, or nil when the answer
--- /dev/null
+++ b/internal/core/succession/succession.go
@@ -0,0 +1,126 @@
+// Package succession decides when a daemon that misses the leader takes over.
+// It does no I/O.
+package succession
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// SilenceLimit is the silence after which a leader is suspected. Heartbeats
+	// come every quarter of a second.
+	SilenceLimit = 700 * time.Millisecond
+	// RankDelay is added for each place in the order of succession.
+	RankDelay = 250 * time.Millisecond
+	// maxRank bounds the delay of daemons that are not in the order.
+	maxRank = 6
+	// responseDelay scales the delay of a first election by the response time of
+	// the store, so that a daemon close to it wins.
+	responseDelay = 8
+	// minResponseDelay is the least delay of a first election.
+	minResponseDelay = 60 * time.Millisecond
+	// heardLimit is how fresh another daemon's contact with the leader must be to
+	// keep the leader in office.
+	heardLimit = 600 * time.Millisecond
+)
+
+// Standing is what a daemon knows when it considers to take over.
+type Standing struct {
+	// EverLed tells whether any leader was heard of.
+	EverLed bool
+	// Silence is the time since the last heartbeat, or since the start.
+	Silence time.Duration
+	// Rank is the daemon's place in the order of succession, from 0.
+	Rank int
+	// StoreResponse is the usual response time of the store.
+	StoreResponse time.Duration
+}
+
+// Due reports whether it is time to ask the others about the leader.
+func (s Standing) Due() bool {
+	if !s.EverLed {
+		return s.Silence >= minResponseDelay+responseDelay*s.StoreResponse
+	}
+	return s.Silence >= SilenceLimit+time.Duration(min(s.Rank, maxRank))*RankDelay
+}
+
+// Opinion is another daemon's answer about the leader.
+type Opinion struct {
+	// Token is the highest fencing token that it heard of.
+	Token uint64
+	// Heard is the time since it last heard that leader; negative when never.
+	Heard time.Duration
+	// Address is the leader's link address, if known.
+	Address string
+}
+
+// Verdict is what follows from the opinions.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Claim: take over.
+	Claim Verdict = iota
+	// Follow: another daemon hears a leader.
+	Follow
+	// CheckStore: too few answered; the store has to show that nobody leads.
+	CheckStore
+)
+
+// Judge weighs the answers of the other daemons. Known is how many there are.
+// The address is that of the leader to follow.
+func Judge(opinions []Opinion, known int, token uint64) (Verdict, string) {
+	for _, o := range opinions {
+		if o.Token >= token && o.Token > 0 && o.Heard >= 0 && o.Heard < heardLimit {
+			return Follow, o.Address
+		}
+	}
+	if 2*len(opinions) >= known {
+		return Claim, ""
+	}
+	return CheckStore, ""
+}
+
+// Candidate is a daemon as the leader knows it.
+type Candidate struct {
+	Node string
+	// StoreAge is the time since the store last answered it; negative when never.
+	StoreAge      time.Duration
+	StoreResponse time.Duration
+	CPUShare      float64
+	Leaving       bool
+	// Silence is the time since its last report.
+	Silence time.Duration
+}
+
+const (
+	// storeAgeLimit is the age from which a daemon counts as cut off from the store.
+	storeAgeLimit = 2500 * time.Millisecond
+	// reportLimit is the silence from which a daemon counts as gone.
+	reportLimit = 1200 * time.Millisecond
+	// cpuCost is the response time that a full core makes up for.
+	cpuCost = 10 * time.Millisecond
+)
+
+func (c *Candidate) fit() bool {
+	return !c.Leaving && c.StoreAge >= 0 && c.StoreAge < storeAgeLimit && c.Silence < reportLimit
+}
+
+func (c *Candidate) cost() time.Duration {
+	return c.StoreResponse + time.Duration(float64(cpuCost)/max(c.CPUShare, 0.05))
+}
+
+// Order returns the names of the daemons that should take over, best first.
+func Order(candidates []Candidate) []string {
+	fit := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return !c.fit() })
+	slices.SortFunc(fit, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(a.cost(), b.cost()), cmp.Compare(a.Node, b.Node))
+	})
+	out := make([]string, 0, len(fit))
+	for i := range fit {
+		out = append(out, fit[i].Node)
+	}
+	return out
+}
--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -36,7 +36,7 @@
 // Main runs the program and returns its exit code.
 func Main() int {
 	var path string
-	var check bool
+	var check, onPlatform bool
 	code := exitOK
 	cmd := &cobra.Command{
 		Use:           "catkinvalved",
@@ -45,6 +45,17 @@
 		Args:          cobra.NoArgs,
 		SilenceErrors: true, SilenceUsage: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if onPlatform {
+				set, ok := loadPlatform()
+				if !ok {
+					code = exitSettings
+					return nil
+				}
+				if check {
+					return nil
+				}
+				return runPlatform(cmd.Context(), *set)
+			}
 			set, ok := load(path)
 			if !ok {
 				code = exitSettings
@@ -58,7 +69,9 @@
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "settings file in JSON with comments (required)")
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
-	_ = cmd.MarkFlagRequired("settings")
+	cmd.Flags().BoolVar(&onPlatform, "platform", false, "run on the users' platform, with the settings that it provides")
+	cmd.MarkFlagsOneRequired("settings", "platform")
+	cmd.MarkFlagsMutuallyExclusive("settings", "platform")
 	started := false
 	inner := cmd.RunE
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
--- a/internal/ports/cell.go
+++ b/internal/ports/cell.go
@@ -14,8 +14,10 @@
 
 // Topics of the cell.
 const (
-	// JobsTopic holds the leader record, jobs, their progress and the workers in
-	// use. Only the leader writes to it, but for leader records.
+	// LeaderTopic holds the leader record. Its offsets number the leaders.
+	LeaderTopic Topic = "leader"
+	// JobsTopic holds jobs, their progress and the workers in use. Only the leader
+	// writes to it.
 	JobsTopic Topic = "jobs"
 	// NodesTopic holds one record for each daemon.
 	NodesTopic Topic = "nodes"
--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -9,8 +9,8 @@
 	"catkinvalve/internal/api"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/daemon"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/testbed"
 )
 
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -8,8 +8,8 @@
 
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/pause"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
+	"catkinvalve/internal/standinapi"
 )
 
 const (
--- a/internal/standin/listd/listd.go
+++ b/internal/standin/listd/listd.go
@@ -12,9 +12,9 @@
 	"github.com/julienschmidt/httprouter"
 
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/standin/harness"
+	"catkinvalve/internal/standinapi"
 )
 
 // change sets an instance or, when instance is nil, removes it.
--- a/internal/standin/listd/listd_test.go
+++ b/internal/standin/listd/listd_test.go
@@ -10,9 +10,9 @@
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/adapters/listclient"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/standin/harness"
+	"catkinvalve/internal/standinapi"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/standin/logd/logd.go
+++ b/internal/standin/logd/logd.go
@@ -11,8 +11,8 @@
 	"golang.org/x/time/rate"
 
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/standin/harness"
+	"catkinvalve/internal/standinapi"
 )
 
 const (
--- a/internal/standin/logd/logd_test.go
+++ b/internal/standin/logd/logd_test.go
@@ -11,8 +11,8 @@
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/adapters/logclient"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/standin/harness"
+	"catkinvalve/internal/standinapi"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/standin/oldd/oldd.go
+++ b/internal/standin/oldd/oldd.go
@@ -12,8 +12,8 @@
 
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/standin/harness"
+	"catkinvalve/internal/standinapi"
 )
 
 type run struct {
--- a/internal/standin/oldd/oldd_test.go
+++ b/internal/standin/oldd/oldd_test.go
@@ -12,9 +12,9 @@
 	"catkinvalve/internal/adapters/oldclient"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/standin/harness"
+	"catkinvalve/internal/standinapi"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/standin/workerd/fleet.go
+++ b/internal/standin/workerd/fleet.go
@@ -13,9 +13,9 @@
 
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/core/model"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/standin/harness"
+	"catkinvalve/internal/standinapi"
 )
 
 // registerTimeout bounds the registration of one worker at its start.
--- a/internal/standin/workerd/http.go
+++ b/internal/standin/workerd/http.go
@@ -7,8 +7,8 @@
 	"github.com/julienschmidt/httprouter"
 
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/standin/harness"
+	"catkinvalve/internal/standinapi"
 )
 
 // maxSyncWait bounds long polls so that a lost client holds no connection.
--- a/internal/standin/workerd/tasks.go
+++ b/internal/standin/workerd/tasks.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"catkinvalve/internal/core/model"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
+	"catkinvalve/internal/standinapi"
 )
 
 // failDelay is the run time of tasks on a worker that fails all of them, and of
--- a/internal/standin/workerd/worker.go
+++ b/internal/standin/workerd/worker.go
@@ -11,8 +11,8 @@
 
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/standin/harness"
+	"catkinvalve/internal/standinapi"
 )
 
 // bootCounter makes boot IDs unique within a process.
--- a/internal/standin/workerd/worker_test.go
+++ b/internal/standin/workerd/worker_test.go
@@ -16,9 +16,9 @@
 	"catkinvalve/internal/adapters/workerclient"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/standin/harness"
+	"catkinvalve/internal/standinapi"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/internal/telemetry/linewriter.go
@@ -0,0 +1,106 @@
+package telemetry
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	// lineQueueBytes bounds the log lines that wait to be written.
+	lineQueueBytes = 1 << 20
+	// lineFlush is how long lines are collected before they are written together.
+	lineFlush = 100 * time.Millisecond
+)
+
+// LineWriter writes log lines on a goroutine of its own, many at a time. Write
+// never blocks: lines that find the queue full are dropped and counted.
+type LineWriter struct {
+	out     io.Writer
+	mu      sync.Mutex
+	queue   []byte
+	spare   []byte
+	wake    chan struct{}
+	closed  chan struct{}
+	ended   chan struct{}
+	once    sync.Once
+	dropped atomic.Int64
+	counter metrics.Counter
+}
+
+// NewLineWriter returns a writer to out. Dropped lines are counted as
+// log.dropped.
+func NewLineWriter(out io.Writer, registry metrics.Registry) *LineWriter {
+	w := &LineWriter{out: out, wake: make(chan struct{}, 1), closed: make(chan struct{}), ended: make(chan struct{}),
+		counter: Counter(registry, "log.dropped")}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer. It takes whole lines.
+func (w *LineWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	full := len(w.queue)+len(p) > lineQueueBytes
+	if !full {
+		w.queue = append(w.queue, p...)
+	}
+	w.mu.Unlock()
+	if full {
+		w.dropped.Add(1)
+		w.counter.Inc(1)
+		return len(p), nil
+	}
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	return len(p), nil
+}
+
+// Dropped returns the number of dropped lines.
+func (w *LineWriter) Dropped() int64 { return w.dropped.Load() }
+
+// Close writes what waits and stops. It gives up after a second when the reader
+// does not take the lines.
+func (w *LineWriter) Close() {
+	w.once.Do(func() { close(w.closed) })
+	select {
+	case <-w.ended:
+	case <-time.After(time.Second):
+	}
+}
+
+func (w *LineWriter) run() {
+	defer close(w.ended)
+	for {
+		select {
+		case <-w.closed:
+			w.flush()
+			return
+		case <-w.wake:
+		}
+		select {
+		case <-w.closed:
+		case <-time.After(lineFlush):
+		}
+		w.flush()
+	}
+}
+
+// flush writes all lines that wait.
+func (w *LineWriter) flush() {
+	w.mu.Lock()
+	lines := w.queue
+	w.queue, w.spare = w.spare[:0], nil
+	w.mu.Unlock()
+	if len(lines) > 0 {
+		// Nobody is left to be told of a failed write of the log.
+		_, _ = w.out.Write(lines)
+	}
+	w.mu.Lock()
+	w.spare = lines[:0]
+	w.mu.Unlock()
+}
--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -14,10 +14,10 @@
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/api"
 	"catkinvalve/internal/core/model"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/settings"
 	"catkinvalve/internal/standin"
+	"catkinvalve/internal/standinapi"
 )
 
 // DC describes one data centre of a test cluster.
