Do not dial seeds as if they were daemons without a link

Cause: seed addresses were kept among the daemons under their address as a name, to which no link is ever found, so the leader dialed them each second.

--- a/internal/cell/daemon.go
+++ b/internal/cell/daemon.go
@@ -154,9 +154,7 @@
 		d.log.WithError(err).Error("cannot encode the record of this daemon")
 		return
 	}
-	for _, address := range d.set.SeedLinks() {
-		d.members.addNode(address, address)
-	}
+	d.members.setSeeds(d.set.SeedLinks())
 	for ctx.Err() == nil {
 		_, err := d.appendOnce(ctx, ports.Append{Topic: ports.NodesTopic, Records: []ports.KeyedRecord{{Key: d.set.Node, Value: value}}})
 		if err == nil {
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -128,7 +128,7 @@
 func (d *Daemon) askOthers(ctx context.Context) ([]succession.Opinion, int) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	others := d.members.others()
+	others := d.members.addresses()
 	var mu sync.Mutex
 	var opinions []succession.Opinion
 	var wg conc.WaitGroup
--- a/internal/cell/members.go
+++ b/internal/cell/members.go
@@ -16,6 +16,8 @@
 	mu   sync.Mutex
 	// nodes maps names to link addresses.
 	nodes map[string]string
+	// seeds are link addresses of daemons whose names are not known.
+	seeds []string
 	// links holds the open links to each daemon, the latest last. There are two
 	// while both sides have dialed; the unused one is closed for its silence.
 	links map[string][]*linkrpc.Link
@@ -177,6 +179,26 @@
 	}
 }
 
+// setSeeds records link addresses of daemons whose names are not known.
+func (m *members) setSeeds(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seeds = addresses
+}
+
+// addresses returns the link addresses of all daemons that could be asked.
+func (m *members) addresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := slices.Clone(m.seeds)
+	for name, address := range m.nodes {
+		if name != m.self && !slices.Contains(out, address) {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
 // others returns the link addresses of the other daemons by name.
 func (m *members) others() map[string]string {
 	m.mu.Lock()
