End the lease of a worker that answers no more

Cause: every call to a worker counted as extending its lease, also the calls that it did not answer, so a worker that had left kept its tasks for ever, and a gang with one member there never ran again. Calls to a silent worker now extend nothing. Ruled out: a lost stop (the stops went out every 400 ms), a stuck advice call.

--- /dev/null
+++ b/internal/core/jobs/helpers_test.go
@@ -0,0 +1,143 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/retry"
+)
+
+// origin is the time at which tests start.
+var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testConfig() Config {
+	return Config{
+		Token: 1, Lease: 4500 * time.Millisecond, HoldMax: 10 * time.Second, LateCalls: 13 * time.Second, HoldWait: time.Second,
+		ClockError: 0.02, SilentAfter: 1700 * time.Millisecond, PredecessorAuthority: 12 * time.Second,
+		GangTimeout: 3 * time.Second, StartTimeout: 350 * time.Millisecond, Retention: 150 * time.Second,
+		MaxJobs: 1000, EndsPerList: 500,
+		Health: retry.HealthConfig{Failures: 3, Base: 2 * time.Second, Max: 8 * time.Second, Percent: 20, Attempts: 1 << 20, Keys: 4096},
+	}
+}
+
+// bench drives a core by hand: its orders are collected and answered by the
+// test.
+type bench struct {
+	t    *testing.T
+	core *Core
+	now  time.Time
+	out  Actions
+}
+
+func newBench(t *testing.T, queues ...Queue) *bench {
+	t.Helper()
+	b := &bench{t: t, core: New(testConfig()), now: origin}
+	if len(queues) == 0 {
+		queues = []Queue{{Name: "q", Service: "s", MaxAttempts: 2, Slack: 2, Target: time.Second}}
+	}
+	b.core.SetQueues(queues)
+	b.core.Restore(b.now, b.now, Snapshot{})
+	return b
+}
+
+// entry describes a worker with 8 cores.
+func entry(id string) Entry {
+	return Entry{ID: model.WorkerID(id), Address: id + ":1", Service: "s", Labels: []string{"a", "r1"},
+		Capacity: model.Size{MilliCPU: 8000, MemMB: 16000}, Life: 1}
+}
+
+// step lets time pass and collects what the core wants done.
+func (b *bench) step(d time.Duration) Actions {
+	b.t.Helper()
+	b.now = b.now.Add(d)
+	b.core.Tick(b.now, b.now)
+	b.core.Schedule(b.now)
+	out := b.core.Take()
+	b.out.Answers = append(b.out.Answers, out.Answers...)
+	b.out.Events = append(b.out.Events, out.Events...)
+	return out
+}
+
+// store makes the waiting batch durable.
+func (b *bench) store() *Batch {
+	b.t.Helper()
+	batch := b.core.TakeBatch()
+	if batch != nil {
+		b.core.Stored(b.now, batch.Seq)
+	}
+	return batch
+}
+
+// answerHolds answers all calls to workers with lists.
+func (b *bench) answerHolds(out Actions, lists map[model.WorkerID]HoldResult) {
+	b.t.Helper()
+	for _, h := range out.Holds {
+		r := lists[h.Worker]
+		r.Worker, r.Sent = h.Worker, b.now
+		if r.Life == 0 {
+			r.Life = 1
+		}
+		r.Clock = b.clock()
+		b.core.Held(b.now, &r)
+	}
+}
+
+// clock is the clock of every worker in ms.
+func (b *bench) clock() int64 { return b.now.Sub(origin).Milliseconds() + 1000 }
+
+// ready lists workers, has them answered and enrolled.
+func (b *bench) ready(ids ...string) {
+	b.t.Helper()
+	var entries []Entry
+	for _, id := range ids {
+		entries = append(entries, entry(id))
+	}
+	b.core.SetEntries(b.now, entries)
+	b.answerHolds(b.step(0), nil)
+	b.store()
+}
+
+// submit submits a job and makes it durable.
+func (b *bench) submit(id string, steps ...Step) {
+	b.t.Helper()
+	a := b.core.Submit(b.now, &Spec{ID: id, Queue: "q", Steps: steps}, 1)
+	assert.Assert(b.t, a == nil, "answered at once: %v", a)
+	assert.Assert(b.t, b.store() != nil)
+}
+
+// accept answers starts positively.
+func (b *bench) accept(starts []StartOrder) {
+	b.t.Helper()
+	for _, s := range starts {
+		b.core.StartAnswered(b.now, &StartResult{Worker: s.Worker, Task: s.Task, Run: s.Run, Status: CallOK, Clock: b.clock()})
+	}
+}
+
+func small(count int) Step {
+	return Step{Count: count, Size: model.Size{MilliCPU: 1000, MemMB: 100}, Estimate: time.Second}
+}
+
+func gangOf(count int) Step {
+	s := small(count)
+	s.Gang = true
+	return s
+}
+
+func view(t *testing.T, c *Core, id string) View {
+	t.Helper()
+	v, known := c.State(id)
+	assert.Assert(t, known, "job %s is not known", id)
+	return v
+}
+
+func starts(out Actions) []string {
+	var names []string
+	for _, s := range out.Starts {
+		names = append(names, fmt.Sprintf("%s@%s#%d", s.Task, s.Worker, s.Run))
+	}
+	return names
+}
--- a/internal/core/jobs/orders.go
+++ b/internal/core/jobs/orders.go
@@ -100,8 +100,8 @@
 	case CallNotSent, CallNoRoom, CallLate, CallMalformed:
 		w.notBefore = now.Add(refusalBackoff)
 	case CallWrongLife:
-		w.answered = false
-		w.nextHold = now
+		c.endLife(now, w)
+		return
 	case CallNoTicket:
 		if r.task != nil {
 			r.task.step.advice.revoke(w.ID)
@@ -196,7 +196,9 @@
 			continue
 		}
 		h := HoldOrder{Worker: w.ID, Address: w.Address, AckCursor: w.acked}
-		if w.answered {
+		if w.answered && w.misses == 0 {
+			// Calls without an answer extend nothing, or the lease of a worker that
+			// is gone would never end.
 			h.Deadline = c.deadline(now, w)
 			if w.acked == w.processed && !w.stopping() {
 				h.Wait = c.cfg.HoldWait
