Count failed runs in any order; follow only a daemon that does lead

Two workers list their ends to a new leader in any order, so an end of a lower run was taken for one counted before, and the task started once more than it may. The record now lists the failed runs. Ruled out: an end acknowledged before it was stored.

--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -109,7 +109,17 @@
 	if token <= s.token && s.silence > succession.SilenceLimit && s.leader == record.Node {
 		return false
 	}
-	return d.dial(ctx, record.Address) && d.members.standing().linked
+	return d.followLeader(ctx, record, token)
+}
+
+// followLeader links to the daemon of a leader record and reports whether it
+// does lead. A daemon that claimed the lead may have failed to take it up.
+func (d *Daemon) followLeader(ctx context.Context, record *cellpb.StoredNode, token uint64) bool {
+	if !d.dial(ctx, record.Address) {
+		return false
+	}
+	s := d.members.standing()
+	return s.linked && s.token >= token && s.leader == record.Node
 }
 
 // dial opens a link and reports whether it worked.
@@ -278,7 +288,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if token > known && record.Node != d.set.Node && d.dial(ctx, record.Address) && d.members.standing().linked {
+	if token > known && record.Node != d.set.Node && d.followLeader(ctx, record, token) {
 		return 0, errNotElected
 	}
 	value, err := proto.Marshal(&cellpb.StoredNode{Node: d.set.Node, Address: d.set.LinkAddress(), DataCentre: string(d.set.DataCentre), Incarnation: d.incarnation})
--- a/internal/cellpb/convert.go
+++ b/internal/cellpb/convert.go
@@ -145,7 +145,7 @@
 func fromStepProgress(s *jobs.StepProgress) *StoredStep {
 	p := &StoredStep{Step: s.Step, Finished: s.Finished, Done: s.Done}
 	for _, f := range s.Failures {
-		p.Failures = append(p.Failures, &StoredFailures{Index: f.Index, Count: f.Count, LastRun: f.LastRun})
+		p.Failures = append(p.Failures, &StoredFailures{Index: f.Index, Runs: f.Runs})
 	}
 	return p
 }
@@ -169,7 +169,7 @@
 func (p *StoredStep) toStepProgress() jobs.StepProgress {
 	s := jobs.StepProgress{Step: p.Step, Finished: p.Finished, Done: p.Done}
 	for _, f := range p.Failures {
-		s.Failures = append(s.Failures, jobs.TaskFailures{Index: f.Index, Count: f.Count, LastRun: f.LastRun})
+		s.Failures = append(s.Failures, jobs.TaskFailures{Index: f.Index, Runs: f.Runs})
 	}
 	return s
 }
--- a/internal/core/jobs/batch.go
+++ b/internal/core/jobs/batch.go
@@ -185,8 +185,8 @@
 }
 
 func (s *step) progress() (done []byte, failures []TaskFailures) {
-	if s.gang.failures > 0 {
-		failures = append(failures, TaskFailures{Count: s.gang.failures, LastRun: s.gang.lastFailed})
+	if len(s.gang.failed) > 0 {
+		failures = append(failures, TaskFailures{Runs: s.gang.failed})
 	}
 	for i := range s.tasks {
 		t := &s.tasks[i]
@@ -196,8 +196,8 @@
 			}
 			done[i/8] |= 1 << (i % 8)
 		}
-		if t.failures > 0 {
-			failures = append(failures, TaskFailures{Index: t.index, Count: t.failures, LastRun: t.lastFailed})
+		if len(t.failed) > 0 {
+			failures = append(failures, TaskFailures{Index: t.index, Runs: t.failed})
 		}
 	}
 	return done, failures
--- /dev/null
+++ b/internal/core/jobs/budget_test.go
@@ -0,0 +1,78 @@
+package jobs
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+)
+
+// restarted returns the core of a new leader that reads what was stored.
+func (b *bench) restarted(token uint64, s Snapshot) *bench {
+	b.t.Helper()
+	next := &bench{t: b.t, now: b.now}
+	cfg := testConfig()
+	cfg.Token = token
+	next.core = New(cfg)
+	next.core.SetQueues([]Queue{{Name: "q", Service: "s", MaxAttempts: 2, Slack: 2}})
+	next.core.Restore(b.now, b.now, s)
+	return next
+}
+
+// Guards against a failed run that is not counted because a later run's end was
+// listed first: two workers list their ends to a new leader in any order, and
+// the task then starts once more than it may. Found by a hunt (kerlann-voix,
+// trouble-2, seed 364991379060).
+func TestFailuresCountInAnyOrder(t *testing.T) {
+	b := newBench(t)
+	b.ready("w1", "w2")
+	b.submit("j1", small(1))
+	spec := Spec{ID: "j1", Queue: "q", Steps: []Step{small(1)}}
+	next := b.restarted(3, Snapshot{
+		Accepted: []AcceptedRecord{{Spec: spec, Queue: Queue{Name: "q", Service: "s", MaxAttempts: 2}, Token: 1, Accepted: b.now}},
+		Workers:  []WorkerRecord{{ID: "w1", Address: "w1:1", Service: "s"}, {ID: "w2", Address: "w2:1", Service: "s"}},
+	})
+	next.core.SetEntries(next.now, []Entry{entry("w1"), entry("w2")})
+	task := TaskRef{Job: "j1"}
+	out := next.step(0)
+	lists := map[model.WorkerID]HoldResult{
+		"w1": {Ended: []Ended{{Seq: 1, Task: task, Run: 1, Kind: EndFailed}}},
+		"w2": {Ended: []Ended{{Seq: 1, Task: task, Run: 1001, Kind: EndFailed}}},
+	}
+	for _, first := range []model.WorkerID{"w2", "w1"} {
+		for _, h := range out.Holds {
+			if h.Worker == first {
+				next.answerHolds(Actions{Holds: []HoldOrder{h}}, lists)
+			}
+		}
+	}
+	next.store()
+	assert.Equal(t, len(next.step(0).Starts), 0, "started after the last attempt")
+	assert.Equal(t, view(t, next.core, "j1"), ViewFailed)
+}
+
+// Guards against a failed run that is counted twice because the worker lists
+// its end again to the next leader.
+func TestAFailureThatIsListedAgainCountsOnce(t *testing.T) {
+	b := newBench(t)
+	b.ready("w1")
+	b.submit("j1", small(1))
+	out := b.step(0)
+	b.accept(out.Starts)
+	b.answerHolds(out, nil)
+	failed := HoldResult{Ended: []Ended{{Seq: 1, Task: TaskRef{Job: "j1"}, Run: 1, Kind: EndFailed}}}
+	b.answerHolds(b.step(0), map[model.WorkerID]HoldResult{"w1": failed})
+	batch := b.store()
+	spec := Spec{ID: "j1", Queue: "q", Steps: []Step{small(1)}}
+	next := b.restarted(2, Snapshot{
+		Accepted: []AcceptedRecord{{Spec: spec, Queue: Queue{Name: "q", Service: "s", MaxAttempts: 2}, Token: 1, Accepted: b.now}},
+		Progress: batch.Progress,
+		Workers:  []WorkerRecord{{ID: "w1", Address: "w1:1", Service: "s"}},
+	})
+	next.core.SetEntries(next.now, []Entry{entry("w1")})
+	next.answerHolds(next.step(0), map[model.WorkerID]HoldResult{"w1": failed})
+	next.store()
+	assert.Equal(t, view(t, next.core, "j1"), ViewActive)
+	assert.DeepEqual(t, starts(next.step(0)), []string{"j1.0.0.0@w1#1001"})
+}
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -281,9 +281,9 @@
 			continue
 		}
 		if s.def.Gang {
-			s.gang.failures, s.gang.lastFailed = f.Count, f.LastRun
+			s.gang.failed = f.Runs
 		} else {
-			s.tasks[f.Index].failures, s.tasks[f.Index].lastFailed = f.Count, f.LastRun
+			s.tasks[f.Index].failed = f.Runs
 		}
 	}
 }
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -70,10 +70,9 @@
 
 // gang is the state that the tasks of an all-at-once step share.
 type gang struct {
-	runs     int64
-	failures int32
-	// lastFailed is the highest run that counted as failed.
-	lastFailed int64
+	runs int64
+	// failed lists the runs that failed.
+	failed     []int64
 	checkpoint string
 	// current is the run number of the members that are running or starting.
 	current int64
@@ -91,11 +90,11 @@
 
 // task is one task of a step.
 type task struct {
-	step       *step
-	index      int32
-	state      taskState
-	failures   int32
-	lastFailed int64
+	step  *step
+	index int32
+	state taskState
+	// failed lists the runs that failed.
+	failed []int64
 	// starts counts the runs that this leader numbered.
 	starts     int64
 	checkpoint string
--- a/internal/core/jobs/progress.go
+++ b/internal/core/jobs/progress.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"catkinvalve/internal/core/model"
@@ -166,17 +167,18 @@
 	if j.outcome != Unfinished || t.state == taskDone || s.def.LongRunning {
 		return
 	}
-	failures, last := &t.failures, &t.lastFailed
+	failed := &t.failed
 	if s.def.Gang {
-		failures, last = &s.gang.failures, &s.gang.lastFailed
+		failed = &s.gang.failed
 	}
-	if number <= *last {
+	// Workers list ends in any order, so a higher run says nothing about a lower
+	// one.
+	if slices.Contains(*failed, number) {
 		return
 	}
-	*last = number
-	*failures++
+	*failed = append(*failed, number)
 	c.touch(j)
-	if int(*failures) >= max(1, j.queue.MaxAttempts) {
+	if len(*failed) >= max(1, j.queue.MaxAttempts) {
 		c.conclude(now, j, Failed)
 	}
 }
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -62,13 +62,11 @@
 	Failures []TaskFailures
 }
 
-// TaskFailures counts the failed runs of one task. A gang counts on task 0.
+// TaskFailures lists the failed runs of one task, so that an end that a worker
+// lists again is not counted twice. A gang counts on task 0.
 type TaskFailures struct {
 	Index int32
-	Count int32
-	// LastRun is the highest failed run, so that an end that a worker lists
-	// again is not counted twice.
-	LastRun int64
+	Runs  []int64
 }
 
 // WorkerRecord tells that a worker may run tasks of the cell.
