--- a/internal/cell/daemon.go
+++ b/internal/cell/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -40,11 +41,13 @@
 	log         *logrus.Entry
 	registry    metrics.Registry
 	incarnation int64
-	config      *configHolder
-	store       *storeHealth
-	members     *members
-	entry       *entry
-	transport   *linkrpc.Transport
+	// spread separates daemons in a first election.
+	spread    float64
+	config    *configHolder
+	store     *storeHealth
+	members   *members
+	entry     *entry
+	transport *linkrpc.Transport
 	// linked holds the goroutines of dialed links.
 	linked conc.WaitGroup
 	// leading is this daemon's lead, or nil.
@@ -56,7 +59,7 @@
 // New returns a daemon that does nothing yet.
 func New(set Settings, deps Deps) *Daemon {
 	now := time.Now()
-	d := &Daemon{set: set, deps: deps, log: deps.Log, registry: deps.Registry, incarnation: now.UnixNano(),
+	d := &Daemon{set: set, deps: deps, log: deps.Log, registry: deps.Registry, incarnation: now.UnixNano(), spread: rand.Float64(),
 		config: &configHolder{log: deps.Log}, store: &storeHealth{log: deps.Log}, members: newMembers(set.Node, now)}
 	d.entry = newEntry(d)
 	d.transport = &linkrpc.Transport{Hello: d.hello, Handler: d, Viewer: d, Registry: deps.Registry, Log: deps.Log}
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -19,7 +19,7 @@
 
 const (
 	// electionTick is how often a daemon looks at the leader's silence.
-	electionTick = 100 * time.Millisecond
+	electionTick = 50 * time.Millisecond
 	// reportInterval is how often a daemon reports to the leader.
 	reportInterval = 400 * time.Millisecond
 	// linkSilence closes a link.
@@ -62,7 +62,8 @@
 }
 
 func (d *Daemon) due(s standing) bool {
-	return d.store.age(time.Now()) >= 0 && succession.Standing{EverLed: s.token > 0, Silence: s.silence, Rank: s.rank, StoreResponse: d.store.usual()}.Due()
+	return d.store.age(time.Now()) >= 0 && succession.Standing{EverLed: s.token > 0, Silence: s.silence, Rank: s.rank, StoreResponse: d.store.usual(),
+		CPUShare: d.set.CPUShare, Spread: d.spread}.Due()
 }
 
 // report tells the leader how this daemon stands.
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -14,6 +14,7 @@
 	"catkinvalve/internal/core/jobs"
 	"catkinvalve/internal/core/retry"
 	"catkinvalve/internal/core/succession"
+	"catkinvalve/internal/pause"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/ring"
 	"catkinvalve/internal/telemetry"
@@ -29,7 +30,10 @@
 	// dialInterval is how often daemons without a link are dialed.
 	dialInterval = time.Second
 	// messagesPerRound bounds the messages taken before the next decision.
-	messagesPerRound = 512
+	messagesPerRound = 2048
+	// roundInterval is the least time between two decisions, so that messages that
+	// come close together are decided on together.
+	roundInterval = 4 * time.Millisecond
 	// batchInterval is the least time between two appends.
 	batchInterval = 15 * time.Millisecond
 
@@ -85,6 +89,7 @@
 	nodes    map[string]string
 	// told lists the daemons that have the present configuration and node list.
 	told          map[*linkrpc.Link]toldState
+	lastTick      time.Time
 	lastHeartbeat time.Time
 	lastDial      time.Time
 	configVersion int64
@@ -174,6 +179,7 @@
 	defer tick.Stop()
 	flush := time.NewTimer(batchInterval)
 	defer flush.Stop()
+	last := time.Time{}
 	var buffer []message
 	for l.why == "" {
 		var first message
@@ -184,14 +190,21 @@
 		case <-tick.C:
 		case <-flush.C:
 		case first = <-l.inbox.C():
+			if wait := roundInterval - time.Since(last); wait > 0 {
+				pause.For(l.ctx, wait)
+			}
 		}
 		start := time.Now()
+		last = start
+		buffer = buffer[:0]
 		if first != nil {
-			buffer = l.inbox.DrainInto(append(buffer[:0], first), messagesPerRound)
-			for _, m := range buffer {
-				m.apply(l, start)
-			}
+			buffer = append(buffer, first)
 		}
+		buffer = l.inbox.DrainInto(buffer, messagesPerRound)
+		for _, m := range buffer {
+			m.apply(l, start)
+		}
+		clear(buffer)
 		l.round(start)
 		if wait := l.flushIn(time.Now()); wait > 0 {
 			flush.Reset(wait)
@@ -202,8 +215,11 @@
 
 // round decides once and carries out what was decided.
 func (l *leader) round(now time.Time) {
-	l.core.Tick(now, now)
-	l.core.SetAdvisers(l.advisers())
+	if now.Sub(l.lastTick) >= loopTick {
+		l.lastTick = now
+		l.core.Tick(now, now)
+		l.core.SetAdvisers(l.advisers())
+	}
 	l.core.SetStalled(l.journal.stalled(now))
 	l.core.Schedule(now)
 	l.carryOut(l.core.Take())
--- a/internal/core/jobs/advice.go
+++ b/internal/core/jobs/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -25,25 +26,35 @@
 	// denied lists the workers that may not run the step. That does not change.
 	denied map[model.WorkerID]bool
 	// allowed lists those that may, with the latest ticket.
-	allowed map[model.WorkerID]*ticket
+	allowed []*ticket
 	// call is the sequence number of the call in flight, or 0.
 	call uint64
 }
 
 // ticket allows the starts of a step on one life of a worker for a time.
 type ticket struct {
-	text  string
-	life  int64
-	until time.Time
+	worker *worker
+	text   string
+	life   int64
+	until  time.Time
 }
 
-func (a *stepAdvice) valid(now time.Time, w *worker) bool {
-	t := a.allowed[w.ID]
-	return t != nil && t.text != "" && t.life == w.life && now.Before(t.until)
+func (t *ticket) valid(now time.Time) bool {
+	return t.text != "" && t.life == t.worker.life && now.Before(t.until)
+}
+
+// find returns the permission for a worker, or nil.
+func (a *stepAdvice) find(id model.WorkerID) *ticket {
+	for _, t := range a.allowed {
+		if t.worker.ID == id {
+			return t
+		}
+	}
+	return nil
 }
 
 func (a *stepAdvice) ticket(w *worker) string {
-	if t := a.allowed[w.ID]; t != nil {
+	if t := a.find(w.ID); t != nil {
 		return t.text
 	}
 	return ""
@@ -51,7 +62,7 @@
 
 // revoke drops a ticket that a worker refused.
 func (a *stepAdvice) revoke(id model.WorkerID) {
-	if t := a.allowed[id]; t != nil {
+	if t := a.find(id); t != nil {
 		t.text = ""
 	}
 }
@@ -72,7 +83,7 @@
 	queue   string
 	adviser string
 	named   []model.WorkerID
-	lives   map[model.WorkerID]int64
+	lives   []int64
 	sent    time.Time
 	until   time.Time
 }
@@ -131,9 +142,9 @@
 	a.next++
 	expected := terms.Decision + time.Duration(len(named))*terms.PerWorker
 	call := &adviceCall{step: s, queue: s.job().queue.Name, adviser: adviser, named: named,
-		lives: map[model.WorkerID]int64{}, sent: now, until: now.Add(expected*2 + adviceSlack)}
+		sent: now, until: now.Add(expected*2 + adviceSlack)}
 	for _, id := range named {
-		call.lives[id] = c.workers[id].life
+		call.lives = append(call.lives, c.workers[id].life)
 	}
 	s.advice.call = a.next
 	a.calls[a.next] = call
@@ -155,8 +166,11 @@
 // the tasks find a place on the share that is usually allowed.
 func (c *Core) nameWorkers(now time.Time, s *step) []model.WorkerID {
 	var options []*worker
-	for _, w := range c.byService[s.job().queue.Service] {
-		if c.eligible(s, w) && !s.advice.denied[w.ID] && w.room.fits(s.def.Size) && !s.advice.valid(now, w) {
+	for _, w := range c.pool(s).workers {
+		if !w.room.fits(s.def.Size) || !c.eligible(s, w) || s.advice.denied[w.ID] {
+			continue
+		}
+		if t := s.advice.find(w.ID); t == nil || !t.valid(now) {
 			options = append(options, w)
 		}
 	}
@@ -184,7 +198,7 @@
 
 // unknown is 0 for workers that are known to be allowed and 1 for others.
 func (s *step) unknown(w *worker) int {
-	if s.advice.allowed[w.ID] != nil {
+	if s.advice.find(w.ID) != nil {
 		return 0
 	}
 	return 1
@@ -224,21 +238,31 @@
 func (c *Core) learnAdvice(now time.Time, call *adviceCall, r *AdviceResult) {
 	a := &call.step.advice
 	if a.denied == nil {
-		a.denied, a.allowed = map[model.WorkerID]bool{}, map[model.WorkerID]*ticket{}
+		a.denied = map[model.WorkerID]bool{}
+	}
+	texts := make(map[model.WorkerID]string, len(r.Allowed))
+	for _, ok := range r.Allowed {
+		texts[ok.Worker] = ok.Ticket
 	}
 	fresh, good := 0, 0
-	for _, id := range call.named {
-		if a.allowed[id] == nil {
+	for i, id := range call.named {
+		text, allowed := texts[id]
+		t := a.find(id)
+		if t == nil {
 			fresh++
-			a.denied[id] = true
 		}
-	}
-	for _, ok := range r.Allowed {
-		if a.denied[ok.Worker] {
-			delete(a.denied, ok.Worker)
+		switch {
+		case !allowed && t == nil:
+			a.denied[id] = true
+			continue
+		case !allowed:
+			continue
+		case t == nil:
 			good++
+			t = &ticket{}
+			a.allowed = append(a.allowed, t)
 		}
-		a.allowed[ok.Worker] = &ticket{text: ok.Ticket, life: call.lives[ok.Worker], until: now.Add(r.Validity - ticketMargin)}
+		t.worker, t.text, t.life, t.until = c.worker(id), text, call.lives[i], now.Add(r.Validity-ticketMargin)
 	}
 	c.advisers.observe(call.queue, good, fresh)
 }
@@ -270,8 +294,8 @@
 
 // checkAdvice gives up calls without an answer.
 func (c *Core) checkAdvice(now time.Time) {
-	for seq, call := range c.advisers.calls {
-		if now.After(call.until) {
+	for _, seq := range slices.Sorted(maps.Keys(c.advisers.calls)) {
+		if call := c.advisers.calls[seq]; now.After(call.until) {
 			c.Advised(now, &AdviceResult{Seq: seq})
 		}
 	}
--- a/internal/core/jobs/batch.go
+++ b/internal/core/jobs/batch.go
@@ -93,12 +93,12 @@
 	for _, w := range effects.workers {
 		if w.roster == rosterSent {
 			w.roster = rosterStored
-			c.changed = true
+			c.poolStale, c.changed = true, true
 		}
 	}
 	c.out.Answers = append(c.out.Answers, b.answers[seq]...)
 	delete(b.answers, seq)
-	for _, w := range c.workers {
+	for _, w := range c.list {
 		c.advanceAck(now, w)
 	}
 }
@@ -109,9 +109,7 @@
 		return
 	}
 	w.acked = w.processed
-	if !w.holding {
-		w.nextHold = now
-	}
+	c.holdNow(now, w)
 }
 
 // oldestOpen returns the sequence number of the first batch that is not stored.
@@ -161,7 +159,7 @@
 	for k := range j.finished {
 		p.Occurrences = append(p.Occurrences, OccurrenceProgress{Occurrence: k, Finished: true})
 	}
-	for _, o := range j.occurrences {
+	for _, o := range j.sortedOccurrences() {
 		if steps := o.progress(); len(steps) > 0 {
 			p.Occurrences = append(p.Occurrences, OccurrenceProgress{Occurrence: o.k, Steps: steps})
 		}
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -1,6 +1,9 @@
 package jobs
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"catkinvalve/internal/core/model"
@@ -51,10 +54,19 @@
 	queues map[string]*Queue
 	jobs   map[string]*job
 	// ready lists the steps that may start tasks.
-	ready     []*step
-	workers   map[model.WorkerID]*worker
-	byService map[string][]*worker
-	health    *retry.Health
+	ready    []*step
+	nextStep uint64
+	workers  map[model.WorkerID]*worker
+	// list holds the workers in order of ID.
+	list []*worker
+	// pools holds the workers that take tasks, by service.
+	pools     map[string]*pool
+	poolStale bool
+	// dueHolds lists the workers whose next call is due.
+	dueHolds []*worker
+	// stopping lists the runs that are to be stopped.
+	stopping []*run
+	health   *retry.Health
 	// gate lists the workers on which an earlier leader may have started tasks
 	// and that have not answered yet, with the time until which that matters.
 	gate     map[model.WorkerID]time.Time
@@ -69,9 +81,6 @@
 	wall     time.Time // wall clock at the last event
 	// changed is set when a placement may succeed that did not before.
 	changed bool
-	// largest is, by service and dimension, the most that one usable worker has
-	// left.
-	largest map[string]model.Size
 	wake    time.Time
 	out     Actions
 	fenced  bool
@@ -82,7 +91,7 @@
 func New(cfg Config) *Core {
 	return &Core{
 		cfg: cfg, queues: map[string]*Queue{}, jobs: map[string]*job{},
-		workers: map[model.WorkerID]*worker{}, byService: map[string][]*worker{},
+		workers: map[model.WorkerID]*worker{}, pools: map[string]*pool{}, poolStale: true,
 		health: retry.NewHealth(cfg.Health), gate: map[model.WorkerID]time.Time{},
 		batch: newBatchState(), advisers: newAdvisers(), speeds: newDurations(),
 	}
@@ -196,7 +205,8 @@
 	for i := range s.Progress {
 		c.restoreProgress(now, &s.Progress[i])
 	}
-	for _, j := range c.jobs {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		j := c.jobs[id]
 		if j.outcome == Unfinished {
 			c.open++
 			c.createOccurrences(now, wall, j)
@@ -304,8 +314,10 @@
 func (c *Core) worker(id model.WorkerID) *worker {
 	w := c.workers[id]
 	if w == nil {
-		w = &worker{Entry: Entry{ID: id}, runs: map[TaskRef]*run{}}
+		w = &worker{Entry: Entry{ID: id}}
 		c.workers[id] = w
+		at, _ := slices.BinarySearchFunc(c.list, id, func(o *worker, id model.WorkerID) int { return cmp.Compare(o.ID, id) })
+		c.list = slices.Insert(c.list, at, w)
 	}
 	return w
 }
--- a/internal/core/jobs/hold.go
+++ b/internal/core/jobs/hold.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"catkinvalve/internal/core/model"
@@ -113,6 +115,7 @@
 		c.holdFailed(received, w, h.Status)
 		return
 	}
+	c.poolStale = c.poolStale || w.misses > 0 || w.lapsed || !w.answered || h.Life != w.life
 	w.misses = 0
 	if w.answered && h.Life != w.life {
 		c.newLife(received, w, h)
@@ -128,9 +131,9 @@
 	c.readEnds(received, w, h)
 	c.readRunning(received, w, h)
 	c.passGate(received, w, h)
-	w.nextHold = received
-	if w.processed != w.acked {
-		w.nextHold = received.Add(unstoredPoll)
+	w.nextHold = received.Add(unstoredPoll)
+	if w.processed == w.acked {
+		c.holdNow(received, w)
 	}
 	c.advanceAck(received, w)
 	c.changed = true
@@ -154,6 +157,7 @@
 		c.event(Event{Name: EventWorkerState, Worker: w.ID, Detail: Silent.String(), Reason: model.Reason(status.String()), Age: now.Sub(w.contact)})
 	}
 	w.misses++
+	c.poolStale = true
 	w.nextHold = now.Add(min(holdRetry<<min(w.misses-1, 4), maxHoldRetry))
 	if status == CallWrongLife {
 		c.endLife(now, w)
@@ -164,10 +168,11 @@
 // one. Calls that name the former worker have no effect there.
 func (c *Core) endLife(now time.Time, w *worker) {
 	c.event(Event{Name: EventWorkerLife, Worker: w.ID, Count: len(w.runs), Age: now.Sub(w.contact), Detail: "another worker has its address"})
-	for _, r := range w.runs {
+	for _, r := range slices.Clone(w.runs) {
 		c.lose(now, r, "another worker has the address")
 	}
 	w.answered, w.processed, w.acked, w.ackBatch = false, 0, 0, 0
+	c.poolStale = true
 	delete(c.gate, w.ID)
 	c.openGate(now)
 }
@@ -193,8 +198,8 @@
 	// of the new life's clock.
 	w.lateGrants = now.Add(c.cfg.LateCalls)
 	w.processed, w.acked, w.ackBatch = 0, 0, 0
-	for ref, r := range w.runs {
-		if listed[ref] == r.number {
+	for _, r := range slices.Clone(w.runs) {
+		if listed[r.ref] == r.number {
 			continue
 		}
 		if r.state == runActive && r.confirmed.Before(h.Sent) {
@@ -204,7 +209,8 @@
 		if r.state == runActive {
 			r.state, r.unclearSince = runUnclear, now
 		}
-		r.stop = stopState{wanted: true}
+		r.stop = stopState{}
+		c.wantStop(now, r)
 	}
 }
 
@@ -222,7 +228,7 @@
 
 // runEnded processes one end.
 func (c *Core) runEnded(now time.Time, w *worker, e *Ended) {
-	r := w.runs[e.Task]
+	r := w.find(e.Task)
 	if r != nil && r.number == e.Run {
 		c.runEvent(EventRunEnded, r, now.Sub(r.sent), e.Kind.String())
 		w.release(r)
@@ -279,7 +285,7 @@
 	for i := range h.Running {
 		c.listed(now, w, h, &h.Running[i])
 	}
-	for _, r := range w.runs {
+	for _, r := range slices.Clone(w.runs) {
 		if !r.lastListed.Equal(h.Sent) {
 			c.absent(now, r, h)
 		}
@@ -288,7 +294,7 @@
 
 // listed processes one run that the worker has.
 func (c *Core) listed(now time.Time, w *worker, h *HoldResult, l *Listed) {
-	r := w.runs[l.Task]
+	r := w.find(l.Task)
 	switch {
 	case r == nil:
 		r = c.adopt(now, w, l)
@@ -426,8 +432,8 @@
 
 // settleGangs breaks gangs of which an earlier leader started only some members.
 func (c *Core) settleGangs(now time.Time) {
-	for _, j := range c.jobs {
-		for _, o := range j.occurrences {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		for _, o := range c.jobs[id].sortedOccurrences() {
 			for _, s := range o.steps {
 				if s.def.Gang && s.gang.current != 0 && s.pending > 0 && s.pending < len(s.tasks) {
 					c.breakGang(now, s)
@@ -440,8 +446,8 @@
 // lapse drops everything on a worker whose lease has certainly ended.
 func (c *Core) lapse(now time.Time, w *worker) {
 	c.event(Event{Name: EventLeaseEnded, Worker: w.ID, Count: len(w.runs), Age: now.Sub(w.contact)})
-	w.lapsed = true
-	for _, r := range w.runs {
+	w.lapsed, c.poolStale = true, true
+	for _, r := range slices.Clone(w.runs) {
 		c.lose(now, r, "the worker's lease ended")
 	}
 	c.strike(w)
@@ -454,5 +460,8 @@
 func (c *Core) forget(w *worker) {
 	c.strike(w)
 	c.health.Forget(w.ID)
+	w.state, w.answered = Unlisted, false
 	delete(c.workers, w.ID)
+	c.list = slices.DeleteFunc(c.list, func(o *worker) bool { return o == w })
+	c.poolStale = true
 }
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"catkinvalve/internal/core/model"
@@ -57,6 +59,8 @@
 	// waits counts the steps that this one depends on and that have not ended.
 	waits  int
 	queued bool
+	// order separates steps of equal urgency.
+	order uint64
 	// latest is the last moment at which the step should start.
 	latest time.Time
 	// gang holds what the tasks of a gang share.
@@ -121,6 +125,20 @@
 		occurrences: map[int32]*occurrence{}, finished: map[int32]bool{}}
 }
 
+// sortedOccurrences returns the live occurrences in order.
+func (j *job) sortedOccurrences() []*occurrence {
+	if len(j.occurrences) == 1 {
+		for _, o := range j.occurrences {
+			return []*occurrence{o}
+		}
+	}
+	out := make([]*occurrence, 0, len(j.occurrences))
+	for _, k := range slices.Sorted(maps.Keys(j.occurrences)) {
+		out = append(out, j.occurrences[k])
+	}
+	return out
+}
+
 // newOccurrence creates occurrence k with all tasks pending.
 func (j *job) newOccurrence(k int32, due time.Time) *occurrence {
 	o := &occurrence{job: j, k: k, due: due, left: len(j.spec.Steps)}
--- a/internal/core/jobs/orders.go
+++ b/internal/core/jobs/orders.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"catkinvalve/internal/core/model"
@@ -66,7 +67,7 @@
 	if w == nil {
 		return
 	}
-	r := w.runs[a.Task]
+	r := w.find(a.Task)
 	if r == nil || r.number != a.Run || r.state == runActive {
 		if a.Status == CallOK {
 			c.heard(now, w, a.Clock)
@@ -96,9 +97,9 @@
 		c.loseToken(w)
 	case CallUnhealthy:
 		c.health.Failed(now, w.ID, r.ref.Job)
-		w.notBefore = now.Add(refusalBackoff)
+		w.notBefore, c.poolStale = now.Add(refusalBackoff), true
 	case CallNotSent, CallNoRoom, CallLate, CallMalformed:
-		w.notBefore = now.Add(refusalBackoff)
+		w.notBefore, c.poolStale = now.Add(refusalBackoff), true
 	case CallWrongLife:
 		c.endLife(now, w)
 		return
@@ -113,7 +114,10 @@
 
 // wantStop has a run stopped, now and again until it is gone.
 func (c *Core) wantStop(now time.Time, r *run) {
-	r.stop.wanted = true
+	if !r.stop.wanted {
+		r.stop.wanted = true
+		c.stopping = append(c.stopping, r)
+	}
 	c.sendStop(now, r)
 }
 
@@ -135,7 +139,7 @@
 	if a.Status == CallFenced {
 		c.loseToken(w)
 	}
-	r := w.runs[a.Task]
+	r := w.find(a.Task)
 	if r == nil || r.number != a.Run {
 		return
 	}
@@ -143,16 +147,15 @@
 	if a.Status == CallOK {
 		c.heard(now, w, a.Clock)
 		r.stop.answered = now
-		if !w.holding {
-			w.nextHold = now
-		}
+		c.holdNow(now, w)
 	}
 }
 
 // resendStops repeats stops that had no effect yet.
-func (c *Core) resendStops(now time.Time, w *worker) {
-	for _, r := range w.runs {
-		if r.stop.wanted && !r.stop.inFlight && now.Sub(r.stop.sent) >= stopRetry {
+func (c *Core) resendStops(now time.Time) {
+	c.stopping = slices.DeleteFunc(c.stopping, func(r *run) bool { return r.gone })
+	for _, r := range c.stopping {
+		if !r.stop.inFlight && now.Sub(r.stop.sent) >= stopRetry {
 			c.sendStop(now, r)
 		}
 	}
@@ -163,9 +166,11 @@
 	c.wall = wall
 	c.createDue(now, wall)
 	c.forgetEnded(now)
-	for _, w := range c.workers {
+	c.resendStops(now)
+	for _, w := range slices.Clone(c.list) {
 		c.tickWorker(now, w)
 	}
+	c.poolStale = true
 	for id, until := range c.gate {
 		if now.After(until) {
 			delete(c.gate, id)
@@ -177,7 +182,9 @@
 }
 
 func (c *Core) tickWorker(now time.Time, w *worker) {
-	c.resendStops(now, w)
+	if !w.holding && !now.Before(w.nextHold) {
+		c.holdNow(now, w)
+	}
 	_, gated := c.gate[w.ID]
 	switch {
 	case w.answered && !w.lapsed && now.After(c.leaseEnd(w)):
@@ -189,10 +196,22 @@
 	}
 }
 
-// Holds returns the calls to workers that are due.
+// holdNow makes the next call to a worker due.
+func (c *Core) holdNow(now time.Time, w *worker) {
+	w.nextHold = now
+	if !w.holding && !w.due && w.Address != "" {
+		w.due = true
+		c.dueHolds = append(c.dueHolds, w)
+	}
+}
+
+// holds makes the calls to workers that are due.
 func (c *Core) holds(now time.Time) {
-	for _, w := range c.workers {
-		if w.holding || w.Address == "" || now.Before(w.nextHold) {
+	due := c.dueHolds
+	c.dueHolds = c.dueHolds[:0]
+	for _, w := range due {
+		w.due = false
+		if w.holding || c.workers[w.ID] != w {
 			continue
 		}
 		h := HoldOrder{Worker: w.ID, Address: w.Address, AckCursor: w.acked}
@@ -204,7 +223,7 @@
 				h.Wait = c.cfg.HoldWait
 			}
 		}
-		w.holding, w.holdSent = true, now
+		w.holding = true
 		c.out.Holds = append(c.out.Holds, h)
 	}
 }
--- a/internal/core/jobs/progress.go
+++ b/internal/core/jobs/progress.go
@@ -56,7 +56,12 @@
 // hopeless reports whether a task of the job fits on no worker of its service,
 // even on an empty one. Without any worker nothing is known.
 func (c *Core) hopeless(j *job) bool {
-	workers := c.byService[j.queue.Service]
+	var workers []*worker
+	for _, w := range c.list {
+		if w.listed && w.Service == j.queue.Service {
+			workers = append(workers, w)
+		}
+	}
 	if len(workers) == 0 {
 		return false
 	}
@@ -77,7 +82,7 @@
 	if j.outcome != Unfinished || !j.stored {
 		return
 	}
-	for _, o := range j.occurrences {
+	for _, o := range j.sortedOccurrences() {
 		for _, s := range o.steps {
 			c.queueStep(s)
 		}
@@ -91,10 +96,13 @@
 	}
 	s.queued = true
 	s.latest = c.latestStart(s)
+	c.nextStep++
+	s.order = c.nextStep
 	if s.def.MaxPerWorker > 0 && s.onWorker == nil {
 		s.onWorker = map[model.WorkerID]int{}
 	}
-	c.ready = append(c.ready, s)
+	at, _ := slices.BinarySearchFunc(c.ready, s, compareSteps)
+	c.ready = slices.Insert(c.ready, at, s)
 	c.changed = true
 }
 
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -17,16 +17,22 @@
 	}
 	c.changed = false
 	c.wake = now.Add(scheduleInterval)
-	c.health.SetWorkers(len(c.workers))
-	c.refreshPool(now)
-	c.ready = slices.DeleteFunc(c.ready, func(s *step) bool {
-		s.queued = s.live() && s.pending > 0
-		return !s.queued
-	})
-	slices.SortStableFunc(c.ready, compareSteps)
+	if c.poolStale {
+		c.refreshPools(now)
+	}
+	for _, p := range c.pools {
+		p.measure()
+	}
+	kept := c.ready[:0]
 	for _, s := range c.ready {
 		c.place(now, s)
+		s.queued = s.live() && s.pending > 0
+		if s.queued {
+			kept = append(kept, s)
+		}
 	}
+	clear(c.ready[len(kept):])
+	c.ready = kept
 }
 
 // scheduleInterval is how often placements are tried without a change, for
@@ -34,16 +40,32 @@
 const scheduleInterval = 100 * time.Millisecond
 
 func compareSteps(a, b *step) int {
-	return cmp.Or(cmp.Compare(a.job().queue.Priority, b.job().queue.Priority), a.latest.Compare(b.latest))
+	return cmp.Or(cmp.Compare(a.job().queue.Priority, b.job().queue.Priority), a.latest.Compare(b.latest), cmp.Compare(a.order, b.order))
+}
+
+// pool holds the workers of a service that take tasks, in order of ID.
+type pool struct {
+	workers []*worker
+	// largest is, in each dimension, the most that one worker has left.
+	largest model.Size
+}
+
+// measure recomputes what the workers have left.
+func (p *pool) measure() {
+	p.largest = model.Size{}
+	for _, w := range p.workers {
+		p.largest = p.largest.Max(w.room.free())
+	}
 }
 
-// refreshPool lists the workers that take tasks, by service.
-func (c *Core) refreshPool(now time.Time) {
-	for service := range c.byService {
-		c.byService[service] = c.byService[service][:0]
+// refreshPools recomputes which workers take tasks.
+func (c *Core) refreshPools(now time.Time) {
+	c.poolStale = false
+	c.health.SetWorkers(len(c.workers))
+	for _, p := range c.pools {
+		p.workers = p.workers[:0]
 	}
-	c.largest = map[string]model.Size{}
-	for _, w := range c.workers {
+	for _, w := range c.list {
 		if !w.listed {
 			continue
 		}
@@ -51,14 +73,24 @@
 		if w.state == Usable && c.health.State(now, w.ID) == retry.Quarantined {
 			w.state = SetAside
 		}
-		c.byService[w.Service] = append(c.byService[w.Service], w)
-		if w.state == Usable {
-			c.largest[w.Service] = c.largest[w.Service].Max(w.room.free())
+		if w.state != Usable {
+			continue
+		}
+		p := c.pools[w.Service]
+		if p == nil {
+			p = &pool{}
+			c.pools[w.Service] = p
 		}
+		p.workers = append(p.workers, w)
 	}
-	for _, ws := range c.byService {
-		slices.SortFunc(ws, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// pool returns the workers of a step's service that take tasks.
+func (c *Core) pool(s *step) *pool {
+	if p := c.pools[s.job().queue.Service]; p != nil {
+		return p
 	}
+	return &pool{}
 }
 
 // place starts as many tasks of a step as possible.
@@ -69,7 +101,7 @@
 	if s.def.Gang && s.pending != s.left {
 		return // members of an earlier run are not gone yet
 	}
-	if !s.def.Size.Fits(c.largest[s.job().queue.Service]) {
+	if !s.def.Size.Fits(c.pool(s).largest) {
 		return
 	}
 	if s.def.Gang {
@@ -123,8 +155,16 @@
 // options returns the workers on which a task of the step could start now.
 func (c *Core) options(now time.Time, s *step) []*worker {
 	var out []*worker
-	for _, w := range c.byService[s.job().queue.Service] {
-		if c.eligible(s, w) && w.room.fits(s.def.Size) && (s.job().queue.Advice == nil || s.advice.valid(now, w)) {
+	if s.job().queue.Advice == nil {
+		for _, w := range c.pool(s).workers {
+			if c.eligible(s, w) && w.room.fits(s.def.Size) {
+				out = append(out, w)
+			}
+		}
+		return out
+	}
+	for _, t := range s.advice.allowed {
+		if w := t.worker; t.valid(now) && c.eligible(s, w) && w.room.fits(s.def.Size) {
 			out = append(out, w)
 		}
 	}
@@ -167,9 +207,10 @@
 
 // SetEntries replaces the instance list.
 func (c *Core) SetEntries(now time.Time, entries []Entry) {
-	for _, w := range c.workers {
+	for _, w := range c.list {
 		w.listed = false
 	}
+	c.poolStale = true
 	for i := range entries {
 		c.setEntry(now, &entries[i])
 	}
--- /dev/null
+++ b/internal/core/jobs/sim_test.go
@@ -0,0 +1,524 @@
+package jobs
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// sim plays a cell under a virtual clock: the real core against models of the
+// store, the workers, the advice service and the callers. The same seed gives
+// the same run.
+type sim struct {
+	rng    *rand.Rand
+	now    time.Time
+	events eventHeap
+	seq    int
+
+	core     *Core
+	token    uint64
+	leading  bool
+	store    *simStore
+	workers  []*simWorker
+	byID     map[model.WorkerID]*simWorker
+	advice   map[string]time.Time // until when each adviser is busy
+	classes  []simClass
+	jobs     map[string]*simJob
+	order    []*simJob
+	waiting  map[CallID]*simJob
+	nextCall CallID
+	lastList time.Time
+	broken   []string
+	starts   int
+	wasted   float64
+	rounds   int
+	lists    int
+	calls    int
+	trouble  simTrouble
+}
+
+// simTrouble are the faults that hold at present.
+type simTrouble struct {
+	// late is the share of orders that get no answer and are executed 2 to 12 s
+	// later.
+	late float64
+	// lost is the share of answers that are lost.
+	lost float64
+}
+
+// simClass describes the jobs of one queue.
+type simClass struct {
+	queue                Queue
+	perSecond            float64
+	steps                float64
+	width, widthSpread   float64
+	widthMax             int
+	cpu, cpuSpread       float64
+	mem                  float64
+	work, workSpread     time.Duration
+	workMax              time.Duration
+	estimateOff          float64
+	gang                 float64
+	checkpointing        float64
+	failing, poison      float64
+	allowed              float64
+	worth, lateWorth     float64
+	perWorker, speculate float64
+	cancel               float64
+}
+
+// simJob is a job as its caller sees it.
+type simJob struct {
+	spec     *Spec
+	class    *simClass
+	sent     time.Time
+	accepted bool
+	refused  bool
+	poison   bool
+	tasks    map[TaskRef]*simTask
+	credit   float64
+	owed     float64
+	due      time.Duration
+	told     View
+	toldAt   time.Time
+	first    time.Time
+	// cancelled is when the caller cancelled, and cancelAcked when that was
+	// confirmed.
+	cancelled, cancelAcked time.Time
+}
+
+// simTask is the truth about a task.
+type simTask struct {
+	job      *simJob
+	step     int
+	work     time.Duration
+	attempts int
+	done     bool
+	noted    bool
+	failed   int
+	running  int
+}
+
+type simEvent struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type eventHeap []*simEvent
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(*simEvent)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// after runs f when d has passed.
+func (s *sim) after(d time.Duration, f func()) {
+	s.seq++
+	heap.Push(&s.events, &simEvent{at: s.now.Add(max(d, 0)), seq: s.seq, do: f})
+}
+
+// run plays until the time d after the start.
+func (s *sim) run(d time.Duration) {
+	end := origin.Add(d)
+	for len(s.events) > 0 && !s.events[0].at.After(end) {
+		e := heap.Pop(&s.events).(*simEvent)
+		s.now = e.at
+		e.do()
+	}
+	s.now = end
+}
+
+func (s *sim) breaks(rule, format string, args ...any) {
+	if len(s.broken) < 50 {
+		s.broken = append(s.broken, fmt.Sprintf("%7.3f s %s: %s", s.now.Sub(origin).Seconds(), rule, fmt.Sprintf(format, args...)))
+	}
+}
+
+const (
+	simHop      = 2 * time.Millisecond
+	simStoreRTT = 6 * time.Millisecond
+	simRound    = 5 * time.Millisecond
+	simTick     = 50 * time.Millisecond
+	simListPoll = 400 * time.Millisecond
+	simBatch    = 15 * time.Millisecond
+)
+
+func newSim(seed uint64, workers int, capacity model.Size, classes []simClass) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), now: origin, byID: map[model.WorkerID]*simWorker{}, advice: map[string]time.Time{},
+		jobs: map[string]*simJob{}, waiting: map[CallID]*simJob{}, classes: classes, store: newSimStore()}
+	for i := range workers {
+		s.addWorker(fmt.Sprintf("w%03d", i), i, capacity)
+	}
+	s.lead()
+	for i := range classes {
+		s.traffic(&s.classes[i])
+	}
+	s.after(simTick, s.tick)
+	s.after(0, s.pollList)
+	return s
+}
+
+// lead makes a new leader from what the store holds.
+func (s *sim) lead() {
+	s.token++
+	cfg := testConfig()
+	cfg.Token, cfg.MaxJobs = s.token, 20_000
+	s.core = New(cfg)
+	var queues []Queue
+	for i := range s.classes {
+		queues = append(queues, s.classes[i].queue)
+	}
+	s.core.SetQueues(queues)
+	s.core.Restore(s.now, s.now, s.store.snapshot())
+	s.core.SetAdvisers([]string{"a0", "a1", "a2", "a3", "a4", "a5"})
+	s.leading = true
+	s.store.inFlight = nil
+	s.waiting = map[CallID]*simJob{}
+	s.setEntries()
+}
+
+// fail ends the lead; the next one begins after d.
+func (s *sim) fail(d time.Duration) {
+	s.leading = false
+	s.core = nil
+	s.after(d, func() {
+		if !s.leading {
+			s.lead()
+		}
+	})
+}
+
+// of runs f only while the same leader leads.
+func (s *sim) of(f func()) func() {
+	token := s.token
+	return func() {
+		if s.leading && s.token == token {
+			f()
+			s.soon()
+		}
+	}
+}
+
+// soon lets the core decide within a round's time.
+func (s *sim) soon() {
+	if s.store.roundDue {
+		return
+	}
+	s.store.roundDue = true
+	s.after(simRound, func() {
+		s.store.roundDue = false
+		if s.leading {
+			s.round()
+		}
+	})
+}
+
+func (s *sim) tick() {
+	if s.leading {
+		s.core.Tick(s.now, s.now)
+		s.round()
+	}
+	s.after(simTick, s.tick)
+}
+
+func (s *sim) round() {
+	s.rounds++
+	s.core.Schedule(s.now)
+	out := s.core.Take()
+	for _, h := range out.Holds {
+		s.hold(h)
+	}
+	for _, o := range out.Starts {
+		s.start(o)
+	}
+	for _, o := range out.Stops {
+		s.stop(o)
+	}
+	for _, o := range out.Advice {
+		s.ask(o)
+	}
+	for _, a := range out.Answers {
+		s.answered(a)
+	}
+	s.flush()
+}
+
+func (s *sim) pollList() {
+	if s.leading {
+		s.setEntries()
+		s.soon()
+	}
+	s.after(simListPoll, s.pollList)
+}
+
+func (s *sim) setEntries() {
+	var entries []Entry
+	for _, w := range s.workers {
+		if !w.left && !w.entryGone {
+			entries = append(entries, w.entry())
+		}
+	}
+	s.core.SetEntries(s.now, entries)
+}
+
+// ask models the advice service: one call at a time for each adviser.
+func (s *sim) ask(o AdviceOrder) {
+	s.calls++
+	j := s.jobs[o.Step.Job]
+	terms := j.class.queue.Advice
+	begin := s.now.Add(simHop)
+	if busy := s.advice[o.Adviser]; busy.After(begin) {
+		begin = busy
+	}
+	end := begin.Add(terms.Decision + time.Duration(len(o.Workers))*terms.PerWorker)
+	s.advice[o.Adviser] = end
+	s.after(end.Sub(s.now)+simHop, s.of(func() {
+		r := &AdviceResult{Seq: o.Seq, OK: true, Validity: terms.Validity}
+		for _, id := range o.Workers {
+			if simAllowed(o.Step, id, j.class.allowed) {
+				r.Allowed = append(r.Allowed, Allowance{Worker: id, Ticket: fmt.Sprint(o.Step, id)})
+			}
+		}
+		s.core.Advised(s.now, r)
+	}))
+}
+
+// simAllowed is the policy of a queue: a fixed share of the workers for each
+// step.
+func simAllowed(step StepRef, id model.WorkerID, share float64) bool {
+	h := uint64(14695981039346656037)
+	for _, c := range step.String() + string(id) {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	h ^= h >> 29
+	h *= 0xbf58476d1ce4e5b9
+	return float64(h>>11)/float64(1<<53) < share
+}
+
+// traffic submits jobs of a class at random times.
+func (s *sim) traffic(c *simClass) {
+	gap := time.Duration(s.rng.ExpFloat64() / c.perSecond * float64(time.Second))
+	s.after(gap, func() {
+		s.submit(s.newJob(c))
+		s.traffic(c)
+	})
+}
+
+func (s *sim) lognormal(mean, spread float64) float64 {
+	sigma := math.Sqrt(math.Log(1 + spread*spread))
+	return mean * math.Exp(sigma*s.rng.NormFloat64()-sigma*sigma/2)
+}
+
+func (s *sim) newJob(c *simClass) *simJob {
+	id := fmt.Sprintf("%016x", s.rng.Uint64())
+	j := &simJob{class: c, tasks: map[TaskRef]*simTask{}, spec: &Spec{ID: id, Queue: c.queue.Name, Payload: "x"}}
+	j.poison = s.rng.Float64() < c.poison
+	steps := 1
+	for s.rng.Float64() < c.steps-float64(steps) {
+		steps++
+	}
+	chain, total := time.Duration(0), 0.0
+	for i := range steps {
+		longest, work := s.addStep(j, i)
+		chain += longest
+		total += work
+	}
+	if terms := c.queue.Advice; terms != nil {
+		chain += time.Duration(steps) * (terms.Decision + objectiveWorkers*terms.PerWorker)
+	}
+	j.due = time.Duration(c.queue.Slack*float64(chain)) + c.queue.Target
+	j.owed = c.worth * min(4, 0.3+0.7*total/c.meanWork())
+	return j
+}
+
+func (c *simClass) meanWork() float64 {
+	return c.steps * c.width * c.cpu / 1000 * c.work.Seconds()
+}
+
+func (s *sim) addStep(j *simJob, i int) (time.Duration, float64) {
+	c := j.class
+	count := min(max(1, int(math.Round(s.lognormal(c.width, c.widthSpread)))), c.widthMax)
+	work := min(time.Duration(s.lognormal(float64(c.work), float64(c.workSpread)/float64(time.Second))), c.workMax)
+	def := Step{Count: count, Size: model.Size{MilliCPU: min(int64(s.lognormal(c.cpu, c.cpuSpread)), int64(c.cpu*2)), MemMB: min(int64(s.lognormal(c.mem, 0.5)), int64(c.mem*2))},
+		Estimate: time.Duration(s.lognormal(float64(work), c.estimateOff)), Gang: s.rng.Float64() < c.gang, Checkpointing: s.rng.Float64() < c.checkpointing,
+		Speculative: s.rng.Float64() < c.speculate}
+	if i > 0 {
+		def.After = []int{i - 1}
+	}
+	if s.rng.Float64() < c.perWorker {
+		def.MaxPerWorker = 1 + s.rng.IntN(2)
+	}
+	j.spec.Steps = append(j.spec.Steps, def)
+	longest, total := time.Duration(0), 0.0
+	for t := range count {
+		own := work
+		if !def.Gang {
+			own = time.Duration(s.lognormal(float64(work), 0.25))
+		}
+		j.tasks[TaskRef{Job: j.spec.ID, Step: int32(i), Index: int32(t)}] = &simTask{job: j, step: i, work: own}
+		longest = max(longest, own)
+		total += own.Seconds() * float64(def.Size.MilliCPU) / 1000
+	}
+	return longest, total
+}
+
+func (s *sim) submit(j *simJob) {
+	s.jobs[j.spec.ID] = j
+	s.order = append(s.order, j)
+	j.sent = s.now
+	s.try(j, 0)
+	if s.rng.Float64() < j.class.cancel {
+		s.after(time.Duration(s.rng.Float64()*4*float64(time.Second)), func() { s.cancel(j) })
+	}
+}
+
+// try submits a job to the leader, again while there is none.
+func (s *sim) try(j *simJob, attempt int) {
+	if attempt > 20 {
+		return
+	}
+	if !s.leading {
+		s.after(200*time.Millisecond, func() { s.try(j, attempt+1) })
+		return
+	}
+	s.nextCall++
+	spec := *j.spec
+	token := s.token
+	if a := s.core.Submit(s.now, &spec, s.nextCall); a != nil {
+		s.answerJob(j, *a)
+		return
+	}
+	s.waiting[s.nextCall] = j
+	s.soon()
+	s.after(time.Second, func() {
+		if !j.accepted && !j.refused && s.token != token {
+			s.try(j, attempt+1)
+		}
+	})
+}
+
+func (s *sim) answered(a Answer) {
+	if j := s.waiting[a.Call]; j != nil {
+		delete(s.waiting, a.Call)
+		s.answerJob(j, a)
+	}
+}
+
+func (s *sim) answerJob(j *simJob, a Answer) {
+	switch a.Kind {
+	case Accepted:
+		j.accepted = true
+		s.watch(j)
+	case Refused, RefusedNoStore:
+		j.refused = true
+	case Stopped:
+		if j.cancelAcked.IsZero() {
+			j.cancelAcked = s.now
+		}
+	}
+}
+
+func (s *sim) cancel(j *simJob) {
+	if !j.accepted || !s.leading || j.told == ViewCompleted || j.told == ViewFailed {
+		return
+	}
+	j.cancelled = s.now
+	s.nextCall++
+	if a := s.core.Cancel(s.now, j.spec.ID, s.nextCall); a != nil {
+		s.answerJob(j, *a)
+		return
+	}
+	s.waiting[s.nextCall] = j
+	s.soon()
+}
+
+// watch asks for a job's state until it is final.
+func (s *sim) watch(j *simJob) {
+	s.after(100*time.Millisecond, func() {
+		if s.leading {
+			v, known := s.core.State(j.spec.ID)
+			if !known {
+				s.breaks("LOST", "job %s is not known", j.spec.ID)
+				return
+			}
+			if v == ViewCompleted || v == ViewFailed || v == ViewCancelled {
+				s.tell(j, v)
+				return
+			}
+		}
+		s.watch(j)
+	})
+}
+
+func (s *sim) tell(j *simJob, v View) {
+	j.told, j.toldAt = v, s.now
+	switch v {
+	case ViewCompleted:
+		for ref, t := range j.tasks {
+			if !t.done {
+				s.breaks("MIXED", "job %s is completed, %v is not done", j.spec.ID, ref)
+			}
+		}
+	case ViewFailed:
+		if !j.exhausted() {
+			s.breaks("LOST", "job %s failed without cause", j.spec.ID)
+		}
+	case ViewCancelled:
+		if j.cancelled.IsZero() {
+			s.breaks("LOST", "job %s cancelled without cause", j.spec.ID)
+		}
+		return
+	}
+	took := s.now.Sub(j.sent)
+	switch {
+	case v == ViewFailed && !j.poison:
+	case took <= j.due:
+		j.credit = j.owed
+	case took <= 3*j.due:
+		j.credit = j.owed * j.class.lateWorth / j.class.worth
+	}
+}
+
+func (j *simJob) exhausted() bool {
+	gangs := map[int]int{}
+	for _, t := range j.tasks {
+		gangs[t.step] += t.failed
+		if t.failed >= j.class.queue.MaxAttempts || j.spec.Steps[t.step].Gang && gangs[t.step] >= j.class.queue.MaxAttempts {
+			return true
+		}
+	}
+	return false
+}
+
+// worth returns the share of the credit owed that was earned, for jobs sent
+// between two times, by queue and over all.
+func (s *sim) worth(from, to time.Duration) (map[string]float64, float64) {
+	credit, owed := map[string]float64{}, map[string]float64{}
+	all, allOwed := 0.0, 0.0
+	for _, j := range s.order {
+		if at := j.sent.Sub(origin); at < from || at > to || !j.cancelled.IsZero() {
+			continue
+		}
+		credit[j.class.queue.Name] += j.credit
+		owed[j.class.queue.Name] += j.owed
+		all += j.credit
+		allOwed += j.owed
+	}
+	for q := range credit {
+		credit[q] /= owed[q]
+	}
+	return credit, all / allOwed
+}
--- /dev/null
+++ b/internal/core/jobs/simload_test.go
@@ -0,0 +1,117 @@
+package jobs
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// dispatchLoad is the load of 48 workers with 32 cores at about 80%.
+func dispatchLoad(scale float64) (int, model.Size, []simClass) {
+	return 48, model.Size{MilliCPU: 32_000, MemMB: 131_072}, []simClass{
+		{queue: Queue{Name: "plan", Service: "s", Priority: 1, MaxAttempts: 2, Slack: 2.2, Target: 1200 * time.Millisecond,
+			Advice: &AdviceTerms{450 * time.Millisecond, 6500 * time.Microsecond, 2 * time.Second}},
+			perSecond: 1.45 * scale, steps: 1.2, width: 6.4, widthSpread: 0.6, widthMax: 32, cpu: 9000, cpuSpread: 0.4, mem: 33_000,
+			work: 6200 * time.Millisecond, workSpread: 500 * time.Millisecond, workMax: 16 * time.Second, estimateOff: 0.9, gang: 1,
+			checkpointing: 0.5, failing: 0.005, poison: 0.03, allowed: 0.3, worth: 15.6, lateWorth: 3.12},
+		{queue: Queue{Name: "print", Service: "s", Priority: 2, MaxAttempts: 4, Slack: 4, Target: 3 * time.Second,
+			Advice: &AdviceTerms{58 * time.Millisecond, 820 * time.Microsecond, 2 * time.Second}},
+			perSecond: 5.44 * scale, steps: 1.5, width: 10, widthSpread: 0.8, widthMax: 60, cpu: 2000, cpuSpread: 0.45, mem: 7200,
+			work: 2700 * time.Millisecond, workSpread: 500 * time.Millisecond, workMax: 6800 * time.Millisecond, estimateOff: 0.5,
+			checkpointing: 0.8, failing: 0.05, allowed: 0.45, worth: 2.59, lateWorth: 0.518, perWorker: 0.12, cancel: 0.05},
+		{queue: Queue{Name: "confirm", Service: "s", Priority: 0, MaxAttempts: 3, Slack: 1.5, Target: 300 * time.Millisecond,
+			Advice: &AdviceTerms{6500 * time.Microsecond, 93 * time.Microsecond, 2 * time.Second}},
+			perSecond: 48.2 * scale, steps: 1, width: 2, widthSpread: 0.8, widthMax: 12, cpu: 2800, cpuSpread: 0.45, mem: 5700,
+			work: 640 * time.Millisecond, workSpread: 500 * time.Millisecond, workMax: 1600 * time.Millisecond, estimateOff: 0.2, gang: 0.3,
+			failing: 0.05, poison: 0.01, allowed: 0.7, worth: 0.41, lateWorth: 0.082},
+	}
+}
+
+// voiceLoad is the load of 48 workers with 16 cores.
+func voiceLoad(scale float64) (int, model.Size, []simClass) {
+	return 48, model.Size{MilliCPU: 16_000, MemMB: 32_768}, []simClass{
+		{queue: Queue{Name: "retrain", Service: "s", Priority: 1, MaxAttempts: 4, Slack: 2.2, Target: 1200 * time.Millisecond,
+			Advice: &AdviceTerms{470 * time.Millisecond, 6800 * time.Microsecond, 1500 * time.Millisecond}},
+			perSecond: 1.18 * scale, steps: 1.2, width: 8, widthSpread: 0.8, widthMax: 48, cpu: 4500, cpuSpread: 0.4, mem: 6400,
+			work: 6200 * time.Millisecond, workSpread: 500 * time.Millisecond, workMax: 16 * time.Second, estimateOff: 0.9, gang: 1,
+			checkpointing: 0.5, failing: 0.05, poison: 0.03, allowed: 0.3, worth: 13.7, lateWorth: 2.74},
+		{queue: Queue{Name: "lexfix", Service: "s", Priority: 2, MaxAttempts: 4, Slack: 4, Target: 3 * time.Second,
+			Advice: &AdviceTerms{42 * time.Millisecond, 600 * time.Microsecond, 1500 * time.Millisecond}},
+			perSecond: 6.8 * scale, steps: 1.5, width: 10, widthSpread: 0.8, widthMax: 60, cpu: 980, cpuSpread: 0.45, mem: 1400,
+			work: 2200 * time.Millisecond, workSpread: 500 * time.Millisecond, workMax: 5400 * time.Millisecond, estimateOff: 0.9,
+			checkpointing: 0.8, failing: 0.005, poison: 0.03, allowed: 0.45, worth: 1.49, lateWorth: 0.298, perWorker: 0.12, cancel: 0.05},
+		{queue: Queue{Name: "preview", Service: "s", Priority: 0, MaxAttempts: 4, Slack: 1.5, Target: 400 * time.Millisecond,
+			Advice: &AdviceTerms{8700 * time.Microsecond, 120 * time.Microsecond, 1500 * time.Millisecond}},
+			perSecond: 30.8 * scale, steps: 1, width: 2, widthSpread: 0.8, widthMax: 12, cpu: 1400, cpuSpread: 0.45, mem: 1400,
+			work: time.Second, workSpread: 500 * time.Millisecond, workMax: 2500 * time.Millisecond, estimateOff: 0.2, gang: 0.3,
+			failing: 0.02, poison: 0.01, allowed: 0.7, worth: 0.459, lateWorth: 0.0918},
+	}
+}
+
+// grownLoad is the load of 350 workers with 32 cores.
+func grownLoad(scale float64) (int, model.Size, []simClass) {
+	return 350, model.Size{MilliCPU: 32_000, MemMB: 65_536}, []simClass{
+		{queue: Queue{Name: "plan", Service: "s", Priority: 1, MaxAttempts: 3, Slack: 2.2, Target: 1200 * time.Millisecond,
+			Advice: &AdviceTerms{340 * time.Millisecond, 4900 * time.Microsecond, 2 * time.Second}},
+			perSecond: 5.42 * scale, steps: 1.2, width: 20, widthSpread: 0.8, widthMax: 120, cpu: 9000, cpuSpread: 0.4, mem: 17_000,
+			work: 4 * time.Second, workSpread: 500 * time.Millisecond, workMax: 10 * time.Second, estimateOff: 0.9, gang: 1,
+			checkpointing: 0.5, failing: 0.02, poison: 0.03, allowed: 0.3, worth: 8.44, lateWorth: 1.69},
+		{queue: Queue{Name: "print", Service: "s", Priority: 2, MaxAttempts: 2, Slack: 4, Target: 3 * time.Second,
+			Advice: &AdviceTerms{120 * time.Millisecond, 1800 * time.Microsecond, 2 * time.Second}},
+			perSecond: 7.17 * scale, steps: 1.5, width: 25, widthSpread: 0.8, widthMax: 150, cpu: 3500, cpuSpread: 0.45, mem: 5000,
+			work: 3400 * time.Millisecond, workSpread: 500 * time.Millisecond, workMax: 8400 * time.Millisecond, estimateOff: 0.2,
+			checkpointing: 0.8, failing: 0.05, poison: 0.01, allowed: 0.45, worth: 3.99, lateWorth: 0.798, perWorker: 0.12, cancel: 0.05},
+		{queue: Queue{Name: "confirm", Service: "s", Priority: 0, MaxAttempts: 2, Slack: 1.5, Target: 300 * time.Millisecond,
+			Advice: &AdviceTerms{9 * time.Millisecond, 130 * time.Microsecond, 2 * time.Second}},
+			perSecond: 100 * scale, steps: 1, width: 3.2, widthSpread: 0.8, widthMax: 19, cpu: 5000, cpuSpread: 0.45, mem: 9100,
+			work: 800 * time.Millisecond, workSpread: 500 * time.Millisecond, workMax: 2 * time.Second, estimateOff: 0.5, gang: 0.3,
+			failing: 0.005, allowed: 0.7, worth: 0.401, lateWorth: 0.0802},
+	}
+}
+
+var simLoads = map[string]func(float64) (int, model.Size, []simClass){"dispatch": dispatchLoad, "voice": voiceLoad, "grown": grownLoad}
+
+// report prints what callers got in a run.
+func (s *sim) report(t testing.TB, name string, d time.Duration) float64 {
+	byQueue, all := s.worth(2*time.Second, d-20*time.Second)
+	t.Logf("%-10s worth %.3f %v; %d jobs, %d starts, %d lists, %d advice calls, %d appends, %d rounds, %.0f core-s wasted",
+		name, all, fmtShares(byQueue), len(s.order), s.starts, s.lists, s.calls, s.store.appends, s.rounds, s.wasted)
+	for _, b := range s.broken {
+		t.Error(b)
+	}
+	return all
+}
+
+func fmtShares(m map[string]float64) string {
+	out := ""
+	for _, q := range []string{"plan", "print", "confirm", "retrain", "lexfix", "preview"} {
+		if v, ok := m[q]; ok {
+			out += fmt.Sprintf(" %s %.3f", q, v)
+		}
+	}
+	return out
+}
+
+// TestSimLoads plays each load without faults and prints what callers get.
+// SIM_SCALE changes the load.
+func TestSimLoads(t *testing.T) {
+	scale := 1.0
+	if v, err := strconv.ParseFloat(os.Getenv("SIM_SCALE"), 64); err == nil {
+		scale = v
+	}
+	const length = 60 * time.Second
+	for _, name := range []string{"dispatch", "voice", "grown"} {
+		t.Run(name, func(t *testing.T) {
+			workers, capacity, classes := simLoads[name](scale)
+			s := newSim(1, workers, capacity, classes)
+			begin := time.Now()
+			s.run(length)
+			s.report(t, name, length)
+			t.Logf("took %v", time.Since(begin))
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/jobs/simworld_test.go
@@ -0,0 +1,584 @@
+package jobs
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// simStore keeps the records of the newest batches.
+type simStore struct {
+	accepted map[string]AcceptedRecord
+	progress map[string]ProgressRecord
+	workers  map[model.WorkerID]WorkerRecord
+	inFlight *Batch
+	last     time.Time
+	down     bool
+	roundDue bool
+	appends  int
+}
+
+func newSimStore() *simStore {
+	return &simStore{accepted: map[string]AcceptedRecord{}, progress: map[string]ProgressRecord{}, workers: map[model.WorkerID]WorkerRecord{}}
+}
+
+func (st *simStore) apply(b *Batch) {
+	st.appends++
+	for _, r := range b.Accepted {
+		st.accepted[r.Spec.ID] = r
+	}
+	for _, r := range b.Progress {
+		st.progress[r.Job] = cloneProgress(r)
+	}
+	for _, r := range b.Workers {
+		st.workers[r.ID] = r
+	}
+	for _, id := range b.DropAccepted {
+		delete(st.accepted, id)
+	}
+	for _, id := range b.DropProgress {
+		delete(st.progress, id)
+	}
+	for _, id := range b.DropWorkers {
+		delete(st.workers, id)
+	}
+}
+
+// cloneProgress copies what the core may go on changing.
+func cloneProgress(r ProgressRecord) ProgressRecord {
+	r.Occurrences = slices.Clone(r.Occurrences)
+	for i := range r.Occurrences {
+		o := &r.Occurrences[i]
+		o.Steps = slices.Clone(o.Steps)
+		for k := range o.Steps {
+			st := &o.Steps[k]
+			st.Done = slices.Clone(st.Done)
+			st.Failures = slices.Clone(st.Failures)
+			for f := range st.Failures {
+				st.Failures[f].Runs = slices.Clone(st.Failures[f].Runs)
+			}
+		}
+	}
+	return r
+}
+
+func (st *simStore) snapshot() Snapshot {
+	var s Snapshot
+	for _, id := range slices.Sorted(maps.Keys(st.accepted)) {
+		s.Accepted = append(s.Accepted, st.accepted[id])
+	}
+	for _, id := range slices.Sorted(maps.Keys(st.progress)) {
+		s.Progress = append(s.Progress, cloneProgress(st.progress[id]))
+	}
+	for _, id := range slices.Sorted(maps.Keys(st.workers)) {
+		s.Workers = append(s.Workers, st.workers[id])
+	}
+	return s
+}
+
+// flush stores the next batch.
+func (s *sim) flush() {
+	if s.now.Sub(s.store.last) < simBatch {
+		if s.core.HasBatch() {
+			s.soon()
+		}
+		return
+	}
+	b := s.core.TakeBatch()
+	if b == nil {
+		return
+	}
+	s.store.last = s.now
+	s.append(b, s.token)
+}
+
+// append makes the append until the store is up; a deposed leader's is refused.
+func (s *sim) append(b *Batch, token uint64) {
+	s.after(simStoreRTT, func() {
+		if token != s.token {
+			return
+		}
+		if s.store.down {
+			s.append(b, token)
+			return
+		}
+		s.store.apply(b)
+		if s.leading {
+			s.core.Stored(s.now, b.Seq)
+			s.soon()
+		}
+	})
+}
+
+// simWorker is a worker as the platform describes it.
+type simWorker struct {
+	s        *sim
+	id       model.WorkerID
+	labels   []string
+	capacity model.Size
+	speed    float64
+	// slower multiplies the time of what starts while it is over 1.
+	slower float64
+	// rate is the speed of the worker's own clock.
+	rate  float64
+	life  int64
+	began time.Time
+	token uint64
+	lease int64
+	ended []Ended
+	runs  map[TaskRef]*simRun
+	// seen holds the highest run that was stopped or ended here.
+	seen map[TaskRef]int64
+	acks int64
+	next int64
+	// cut workers get no calls and answer none.
+	cut       bool
+	dark      bool
+	left      bool
+	draining  bool
+	entryGone bool
+	failing   bool
+	hanging   bool
+	waiting   []func()
+}
+
+// simRun is a run on a worker.
+type simRun struct {
+	task   *simTask
+	run    int64
+	size   model.Size
+	from   time.Time
+	needed time.Duration
+	ending bool
+	life   int64
+	here   bool
+}
+
+func (s *sim) addWorker(id string, i int, capacity model.Size) {
+	speeds := []float64{0.8, 1, 1.25}
+	w := &simWorker{s: s, id: model.WorkerID(id), labels: []string{[]string{"a", "b"}[i%2], fmt.Sprintf("r%d", i/8)}, capacity: capacity,
+		speed: speeds[i%3], slower: 1, rate: 1 - 0.02*s.rng.Float64(), life: int64(i + 1), began: s.now.Add(-time.Minute), runs: map[TaskRef]*simRun{}, seen: map[TaskRef]int64{}}
+	s.workers = append(s.workers, w)
+	s.byID[w.id] = w
+	w.expire()
+}
+
+func (w *simWorker) entry() Entry {
+	return Entry{ID: w.id, Address: string(w.id), Service: "s", Labels: w.labels, Capacity: w.capacity, Draining: w.draining, Life: w.life}
+}
+
+func (w *simWorker) clock() int64 {
+	return int64(float64(w.s.now.Sub(w.began).Milliseconds()) * w.rate)
+}
+
+func (w *simWorker) silent() bool { return w.cut || w.dark || w.left }
+
+// expire ends everything when the lease is over.
+func (w *simWorker) expire() {
+	if !w.dark && !w.left && w.clock() > w.lease {
+		for _, ref := range w.refs() {
+			w.finish(ref, EndLapsed)
+		}
+	}
+	w.s.after(20*time.Millisecond, w.expire)
+}
+
+func (w *simWorker) refs() []TaskRef {
+	refs := slices.Collect(maps.Keys(w.runs))
+	slices.SortFunc(refs, func(a, b TaskRef) int {
+		if a.String() < b.String() {
+			return -1
+		}
+		return 1
+	})
+	return refs
+}
+
+// crash ends everything without a trace and starts anew after d.
+func (w *simWorker) crash(d time.Duration) {
+	w.dark = true
+	w.drop()
+	w.s.after(d, func() { w.reborn() })
+}
+
+func (w *simWorker) drop() {
+	for _, ref := range w.refs() {
+		w.runs[ref].task.running--
+		delete(w.runs, ref)
+	}
+}
+
+func (w *simWorker) reborn() {
+	w.dark, w.token, w.lease, w.ended, w.next, w.acks = false, 0, 0, nil, 0, 0
+	w.seen = map[TaskRef]int64{}
+	w.life += 1000
+	w.began = w.s.now
+}
+
+// finish ends a run and lists its end.
+func (w *simWorker) finish(ref TaskRef, kind EndKind) {
+	r := w.runs[ref]
+	if r == nil {
+		return
+	}
+	delete(w.runs, ref)
+	r.task.running--
+	w.seen[ref] = max(w.seen[ref], r.run)
+	w.next++
+	w.ended = append(w.ended, Ended{Seq: w.next, Task: ref, Run: r.run, Kind: kind})
+	switch kind {
+	case EndDone:
+		r.task.done = true
+	case EndFailed:
+		r.task.failed++
+	}
+	if kind != EndDone {
+		w.s.wasted += w.s.now.Sub(r.from).Seconds() * float64(r.size.MilliCPU) / 1000
+	}
+	for _, f := range w.waiting {
+		w.s.after(0, f)
+	}
+	w.waiting = nil
+	if r.gang() {
+		w.s.gangEnded(ref, r, kind)
+	}
+}
+
+func (r *simRun) gang() bool { return r.task.job.spec.Steps[r.task.step].Gang }
+
+// gangEnded ends the other members of a gang's run.
+func (s *sim) gangEnded(ref TaskRef, r *simRun, kind EndKind) {
+	if kind != EndDone {
+		kind = EndBroken
+	}
+	for _, w := range s.workers {
+		for _, other := range w.refs() {
+			o := w.runs[other]
+			if o != nil && other.Job == ref.Job && other.Step == ref.Step && o.run == r.run {
+				w.finish(other, kind)
+			}
+		}
+	}
+}
+
+// call delivers an order to a worker and its answer back, with the present
+// faults. Late orders are executed seconds later and never answered.
+func (s *sim) call(w *simWorker, life int64, execute func() bool, answer func(ok bool), wait time.Duration) {
+	late := s.rng.Float64() < s.trouble.late
+	delay := simHop
+	if late {
+		delay = 2*time.Second + time.Duration(s.rng.Float64()*10*float64(time.Second))
+	}
+	answered := false
+	reply := s.of(func() {
+		if !answered {
+			answered = true
+			answer(true)
+		}
+	})
+	s.after(delay, func() {
+		if w.silent() || !execute() || late || s.rng.Float64() < s.trouble.lost {
+			return
+		}
+		s.after(simHop, reply)
+	})
+	s.after(wait, s.of(func() {
+		if !answered {
+			answered = true
+			answer(false)
+		}
+	}))
+}
+
+func (s *sim) hold(h HoldOrder) {
+	s.lists++
+	w := s.byID[h.Worker]
+	token, sent := s.token, s.now
+	var result HoldResult
+	limit := h.Wait + 450*time.Millisecond
+	answered := false
+	finish := s.of(func() {
+		if answered {
+			return
+		}
+		answered = true
+		result.Sent = sent
+		s.core.Held(s.now, &result)
+	})
+	read := func() {
+		result = HoldResult{Worker: h.Worker, Status: CallOK, Clock: w.clock(), Life: w.life}
+		if token < w.token {
+			result = HoldResult{Worker: h.Worker, Status: CallFenced}
+		}
+		for _, ref := range w.refs() {
+			result.Running = append(result.Running, Listed{Task: ref, Run: w.runs[ref].run, Percent: w.runs[ref].percent(s.now)})
+		}
+		result.Ended = slices.Clone(w.ended)
+		s.after(simHop, finish)
+	}
+	s.after(simHop, func() {
+		if w.silent() {
+			return
+		}
+		if token >= w.token {
+			w.token = token
+			w.ack(h.AckCursor)
+			w.extend(h.Deadline)
+		}
+		if h.Wait == 0 || len(w.ended) > 0 {
+			read()
+			return
+		}
+		done := false
+		once := func() {
+			if !done && !w.silent() {
+				done = true
+				read()
+			}
+		}
+		w.waiting = append(w.waiting, once)
+		s.after(h.Wait, once)
+	})
+	s.after(limit, s.of(func() {
+		if !answered {
+			answered = true
+			s.core.Held(s.now, &HoldResult{Worker: h.Worker, Sent: sent, Status: CallNoAnswer})
+		}
+	}))
+}
+
+func (w *simWorker) extend(deadline int64) {
+	w.lease = max(w.lease, min(deadline, w.clock()+w.s.core0().HoldMax.Milliseconds()))
+}
+
+func (s *sim) core0() Config { return testConfig() }
+
+func (w *simWorker) ack(cursor int64) {
+	w.acks = max(w.acks, cursor)
+	for len(w.ended) > 0 && w.ended[0].Seq <= cursor {
+		e := w.ended[0]
+		if t := w.s.task(e.Task); t != nil && e.Kind == EndDone {
+			t.noted = true
+		}
+		w.ended = w.ended[1:]
+	}
+}
+
+func (s *sim) task(ref TaskRef) *simTask {
+	if j := s.jobs[ref.Job]; j != nil {
+		return j.tasks[ref]
+	}
+	return nil
+}
+
+func (r *simRun) percent(now time.Time) int {
+	if r.needed <= 0 {
+		return 0
+	}
+	return int(min(99, 100*now.Sub(r.from)/r.needed))
+}
+
+func (s *sim) start(o StartOrder) {
+	w := s.byID[o.Worker]
+	token, life := s.token, w.life
+	status := CallOK
+	attempt := func(execute func() bool, answer func(bool), wait time.Duration) {
+		s.call(w, life, execute, answer, wait)
+	}
+	execute := func() bool {
+		status = w.startNow(o, token)
+		return true
+	}
+	var try func(n int)
+	try = func(n int) {
+		attempt(execute, func(ok bool) {
+			if !ok && n < startRepeats {
+				try(n + 1)
+				return
+			}
+			r := &StartResult{Worker: o.Worker, Task: o.Task, Run: o.Run, Status: CallNoAnswer}
+			if ok {
+				r.Status, r.Clock = status, w.clock()
+			}
+			if n > 0 && r.Status != CallOK {
+				r.Status = CallNoAnswer
+			}
+			s.core.StartAnswered(s.now, r)
+		}, 350*time.Millisecond)
+	}
+	try(0)
+}
+
+// startNow starts a run and checks the promises.
+func (w *simWorker) startNow(o StartOrder, token uint64) HoldStatus {
+	s := w.s
+	t := s.task(o.Task)
+	if token < w.token {
+		return CallFenced
+	}
+	w.token = token
+	if r := w.runs[o.Task]; r != nil && r.run == o.Run {
+		return CallOK
+	}
+	w.extend(o.Deadline)
+	if o.Run <= w.seen[o.Task] || w.runs[o.Task] != nil && w.runs[o.Task].run >= o.Run {
+		return CallOld
+	}
+	if o.Deadline <= w.clock() {
+		return CallLate
+	}
+	if r := w.runs[o.Task]; r != nil {
+		s.breaks("TWICE", "%v starts beside itself on %s", o.Task, w.id)
+	}
+	w.check(o, t)
+	w.run(o, t)
+	return CallOK
+}
+
+// check tests what must hold whenever a task starts.
+func (w *simWorker) check(o StartOrder, t *simTask) {
+	s := w.s
+	def := t.job.spec.Steps[t.step]
+	used := def.Size
+	for _, r := range w.runs {
+		used = used.Add(r.size)
+	}
+	if !used.Fits(w.capacity) {
+		s.breaks("LIMIT", "%v on %s: %v of %v", o.Task, w.id, used, w.capacity)
+	}
+	if t.running > 0 {
+		s.breaks("TWICE", "%v runs elsewhere", o.Task)
+	}
+	if t.done && t.noted {
+		s.breaks("TWICE", "%v is done", o.Task)
+	}
+	if t.failed >= t.job.class.queue.MaxAttempts {
+		s.breaks("BUDGET", "%v has failed %d times", o.Task, t.failed)
+	}
+	if t.job.refused {
+		s.breaks("REFUSED", "%v", o.Task)
+	}
+	if !t.job.cancelAcked.IsZero() && s.now.Sub(t.job.cancelAcked) > 3*time.Second && s.trouble.late == 0 {
+		s.breaks("UNASKED", "%v starts after its cancellation", o.Task)
+	}
+	if !simAllowed(StepRef{Job: o.Task.Job, Step: o.Task.Step}, w.id, t.job.class.allowed) && t.job.class.queue.Advice != nil {
+		s.breaks("ROUTE", "%v is not allowed on %s", o.Task, w.id)
+	}
+	for _, before := range def.After {
+		for ref, other := range t.job.tasks {
+			if int(ref.Step) == before && !other.done {
+				s.breaks("ORDER", "%v before %v", o.Task, ref)
+				return
+			}
+		}
+	}
+	same := 1
+	for ref := range w.runs {
+		if ref.Job == o.Task.Job && ref.Step == o.Task.Step {
+			same++
+		}
+	}
+	if def.MaxPerWorker > 0 && same > def.MaxPerWorker {
+		s.breaks("ROUTE", "%d tasks of %v on %s", same, o.Task, w.id)
+	}
+}
+
+// run lets the task work.
+func (w *simWorker) run(o StartOrder, t *simTask) {
+	s := w.s
+	s.starts++
+	if t.job.first.IsZero() {
+		t.job.first = s.now
+	}
+	t.attempts++
+	t.running++
+	needed := time.Duration(float64(t.work) / w.speed * w.slower)
+	r := &simRun{task: t, run: o.Run, size: t.job.spec.Steps[t.step].Size, from: s.now, needed: needed, life: w.life, here: true}
+	w.runs[o.Task] = r
+	kind := EndDone
+	if t.job.poison && o.Task.Index == 0 && o.Task.Step == 0 || s.rng.Float64() < t.job.class.failing || w.failing {
+		kind = EndFailed
+		needed = time.Duration(float64(needed) * s.rng.Float64())
+	}
+	if w.hanging {
+		return
+	}
+	end := func() {
+		if w.runs[o.Task] == r && !w.dark {
+			w.finish(o.Task, kind)
+		}
+	}
+	if !r.gang() {
+		s.after(needed, end)
+		return
+	}
+	s.whenComplete(o, r, func() { s.after(needed, end) })
+	s.after(3*time.Second, func() {
+		if w.runs[o.Task] == r && !s.complete(o) && w.life == r.life {
+			s.breaks("GANG", "%v run %d waited for the others", o.Task, o.Run)
+			w.finish(o.Task, EndAlone)
+		}
+	})
+}
+
+// complete reports whether all members of a gang's run are present.
+func (s *sim) complete(o StartOrder) bool {
+	n := 0
+	for _, w := range s.workers {
+		for ref, r := range w.runs {
+			if ref.Job == o.Task.Job && ref.Step == o.Task.Step && r.run == o.Run {
+				n++
+			}
+		}
+	}
+	return n == s.jobs[o.Task.Job].spec.Steps[o.Task.Step].Count
+}
+
+// whenComplete calls begin for every member once all are present.
+func (s *sim) whenComplete(o StartOrder, r *simRun, begin func()) {
+	var poll func()
+	poll = func() {
+		w := r.task
+		if w.running == 0 {
+			return
+		}
+		if s.complete(o) {
+			begin()
+			return
+		}
+		s.after(10*time.Millisecond, poll)
+	}
+	poll()
+}
+
+func (s *sim) stop(o StopOrder) {
+	w := s.byID[o.Worker]
+	token := s.token
+	status := CallOK
+	s.call(w, w.life, func() bool {
+		if token < w.token {
+			status = CallFenced
+			return true
+		}
+		w.token = token
+		w.seen[o.Task] = max(w.seen[o.Task], o.Run)
+		if r := w.runs[o.Task]; r != nil && r.run <= o.Run && !r.ending {
+			r.ending = true
+			s.after(time.Duration(s.rng.Float64()*400*float64(time.Millisecond)), func() {
+				if w.runs[o.Task] == r {
+					w.finish(o.Task, EndStopped)
+				}
+			})
+		}
+		return true
+	}, func(ok bool) {
+		r := &StopResult{Worker: o.Worker, Task: o.Task, Run: o.Run, Status: CallNoAnswer}
+		if ok {
+			r.Status, r.Clock = status, w.clock()
+		}
+		s.core.StopAnswered(s.now, r)
+	}, 400*time.Millisecond)
+}
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -106,7 +106,7 @@
 
 // stopRuns stops everything of a job that still runs.
 func (c *Core) stopRuns(now time.Time, j *job) {
-	for _, occ := range j.occurrences {
+	for _, occ := range j.sortedOccurrences() {
 		for _, s := range occ.steps {
 			for i := range s.tasks {
 				if r := s.tasks[i].run; r != nil {
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -48,9 +48,10 @@
 	lateGrants time.Time
 
 	holding  bool
-	holdSent time.Time
 	nextHold time.Time
-	misses   int
+	// due is set while the worker waits in Core.dueHolds.
+	due    bool
+	misses int
 
 	// processed and acked are positions in the worker's list of ends: what this
 	// leader has seen, and what it may acknowledge.
@@ -61,13 +62,13 @@
 	roster roster
 	// lapsed workers can run nothing any more until they answer again.
 	lapsed bool
-	runs   map[TaskRef]*run
+	runs   []*run
 	// strangers counts runs of jobs that the leader does not know. Their size is
 	// not known either.
 	strangers int
 	room      room
 	notBefore time.Time
-	// state was computed in the present scheduling cycle.
+	// state was computed with the latest pool.
 	state State
 }
 
@@ -148,6 +149,8 @@
 	percentAt    time.Time
 	// lastListed is the time of the call in which the worker last listed it.
 	lastListed time.Time
+	// gone is set once the worker certainly does not have the run.
+	gone bool
 }
 
 // stopState is the progress of stopping a run.
@@ -203,9 +206,19 @@
 
 func (w *worker) hasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
 
+// find returns the worker's run of a task, or nil.
+func (w *worker) find(ref TaskRef) *run {
+	for _, r := range w.runs {
+		if r.ref == ref {
+			return r
+		}
+	}
+	return nil
+}
+
 // reserve takes room for a run.
 func (w *worker) reserve(r *run) {
-	w.runs[r.ref] = r
+	w.runs = append(w.runs, r)
 	w.room.used = w.room.used.Add(r.size)
 	if r.task == nil && r.size == (model.Size{}) {
 		w.strangers++
@@ -217,10 +230,12 @@
 
 // release gives the room of a run back.
 func (w *worker) release(r *run) {
-	if w.runs[r.ref] != r {
+	i := slices.Index(w.runs, r)
+	if i < 0 {
 		return
 	}
-	delete(w.runs, r.ref)
+	w.runs = slices.Delete(w.runs, i, i+1)
+	r.gone = true
 	w.room.used = w.room.used.Sub(r.size)
 	if r.task == nil && r.size == (model.Size{}) {
 		w.strangers--
--- a/internal/core/succession/succession.go
+++ b/internal/core/succession/succession.go
@@ -16,11 +16,11 @@
 	RankDelay = 250 * time.Millisecond
 	// maxRank bounds the delay of daemons that are not in the order.
 	maxRank = 6
-	// responseDelay scales the delay of a first election by the response time of
-	// the store, so that a daemon close to it wins.
-	responseDelay = 8
-	// minResponseDelay is the least delay of a first election.
-	minResponseDelay = 60 * time.Millisecond
+	// costDelay scales the delay of a first election by the cost of a candidate,
+	// so that a daemon with a fast processor close to the store wins.
+	costDelay = 4
+	// spreadDelay separates daemons of equal cost.
+	spreadDelay = 150 * time.Millisecond
 	// heardLimit is how fresh another daemon's contact with the leader must be to
 	// keep the leader in office.
 	heardLimit = 600 * time.Millisecond
@@ -36,12 +36,16 @@
 	Rank int
 	// StoreResponse is the usual response time of the store.
 	StoreResponse time.Duration
+	// CPUShare is the part of a core that the daemon may use.
+	CPUShare float64
+	// Spread, from 0 to 1, differs from daemon to daemon.
+	Spread float64
 }
 
 // Due reports whether it is time to ask the others about the leader.
 func (s Standing) Due() bool {
 	if !s.EverLed {
-		return s.Silence >= minResponseDelay+responseDelay*s.StoreResponse
+		return s.Silence >= costDelay*cost(s.StoreResponse, s.CPUShare)+time.Duration(s.Spread*float64(spreadDelay))
 	}
 	return s.Silence >= SilenceLimit+time.Duration(min(s.Rank, maxRank))*RankDelay
 }
@@ -108,15 +112,19 @@
 	return !c.Leaving && c.StoreAge >= 0 && c.StoreAge < storeAgeLimit && c.Silence < reportLimit
 }
 
-func (c *Candidate) cost() time.Duration {
-	return c.StoreResponse + time.Duration(float64(cpuCost)/max(c.CPUShare, 0.05))
+// cost ranks candidates; the lowest leads.
+func cost(storeResponse time.Duration, cpuShare float64) time.Duration {
+	return storeResponse + time.Duration(float64(cpuCost)/max(cpuShare, minShare))
 }
 
+// minShare bounds the cost of a daemon that does not state its share.
+const minShare = 0.05
+
 // Order returns the names of the daemons that should take over, best first.
 func Order(candidates []Candidate) []string {
 	fit := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return !c.fit() })
 	slices.SortFunc(fit, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(a.cost(), b.cost()), cmp.Compare(a.Node, b.Node))
+		return cmp.Or(cmp.Compare(cost(a.StoreResponse, a.CPUShare), cost(b.StoreResponse, b.CPUShare)), cmp.Compare(a.Node, b.Node))
 	})
 	out := make([]string, 0, len(fit))
 	for i := range fit {
