Take over sooner

A leader is missed after 0.5 s of silence or at once when its link breaks; the silence counts also while the link is open (cause of 1.4 s before: links were closed after 1.2 s, and only then did a daemon act). A leader that the store refuses has the others try the store and hands over in 0.25 s (0.9 s before).

--- a/internal/adapters/linkrpc/link.go
+++ b/internal/adapters/linkrpc/link.go
@@ -146,6 +146,7 @@
 		out.Replies = append(out.Replies, f.Replies...)
 		out.AdviceCalls = append(out.AdviceCalls, f.AdviceCalls...)
 		out.AdviceReplies = append(out.AdviceReplies, f.AdviceReplies...)
+		out.Probe = out.Probe || f.Probe
 		if f.Handover != nil {
 			out.Handover = f.Handover
 		}
--- a/internal/cell/daemon.go
+++ b/internal/cell/daemon.go
@@ -53,6 +53,8 @@
 	// leading is this daemon's lead, or nil.
 	leading  atomic.Pointer[leader]
 	handover atomic.Bool
+	// electNow wakes the election before its next tick.
+	electNow chan struct{}
 	leaving  atomic.Bool
 }
 
@@ -60,7 +62,7 @@
 func New(set Settings, deps Deps) *Daemon {
 	now := time.Now()
 	d := &Daemon{set: set, deps: deps, log: deps.Log, registry: deps.Registry, incarnation: now.UnixNano(), spread: rand.Float64(),
-		config: &configHolder{log: deps.Log}, store: &storeHealth{log: deps.Log}, members: newMembers(set.Node, now)}
+		config: &configHolder{log: deps.Log}, store: &storeHealth{log: deps.Log}, members: newMembers(set.Node, now), electNow: make(chan struct{}, 1)}
 	d.entry = newEntry(d)
 	d.transport = &linkrpc.Transport{Hello: d.hello, Handler: d, Viewer: d, Registry: deps.Registry, Log: deps.Log}
 	d.config.changed = append(d.config.changed, func(c *ports.CellConfig) {
@@ -205,8 +207,9 @@
 		Config: cellpb.FromConfig(d.config.current.Load())}
 	switch {
 	case s.leading:
-		v.HeardAgeMs, v.LeaderAddress = 0, d.set.LinkAddress()
+		v.HeardAgeMs, v.LeaderAddress, v.Linked = 0, d.set.LinkAddress(), true
 	case s.leader != "":
+		v.Linked = s.linked
 		v.HeardAgeMs, v.LeaderAddress = s.silence.Milliseconds(), d.members.others()[s.leader]
 	}
 	return v
@@ -248,6 +251,7 @@
 // Closed implements linkrpc.Handler.
 func (d *Daemon) Closed(l *linkrpc.Link) {
 	d.members.closed(l)
+	d.wakeElection()
 	d.entry.linkClosed(l)
 	d.log.WithFields(logrus.Fields{"event": "link_closed", "peer": l.Peer.Node}).Info("a link to a daemon ended")
 }
@@ -280,7 +284,11 @@
 			lead.push(reportMsg{l.Peer.Node, f.Report})
 		}
 	}
+	if f.Probe {
+		d.linked.Go(func() { d.probe(l) })
+	}
 	if f.Handover != nil {
 		d.handover.Store(true)
+		d.wakeElection()
 	}
 }
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
+	"catkinvalve/internal/adapters/linkrpc"
 	"catkinvalve/internal/cellpb"
 	"catkinvalve/internal/core/succession"
 	"catkinvalve/internal/pause"
@@ -23,7 +24,7 @@
 	// reportInterval is how often a daemon reports to the leader.
 	reportInterval = 400 * time.Millisecond
 	// linkSilence closes a link.
-	linkSilence = 1200 * time.Millisecond
+	linkSilence = 1000 * time.Millisecond
 	// askTimeout bounds the question about the leader.
 	askTimeout = 300 * time.Millisecond
 	// storeCall bounds one call to the store while taking over.
@@ -41,7 +42,15 @@
 // elect takes over the lead when there is no leader, until ctx ends.
 func (d *Daemon) elect(ctx context.Context) {
 	reported := time.Time{}
-	for pause.For(ctx, electionTick) {
+	tick := time.NewTicker(electionTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-d.electNow:
+		}
 		d.members.closeSilent(linkSilence)
 		s := d.members.standing()
 		if s.leading {
@@ -52,7 +61,7 @@
 			d.report()
 		}
 		asked := d.handover.Swap(false)
-		if !asked && (s.linked || !d.due(s)) || d.leaving.Load() {
+		if !asked && !d.due(s) || d.leaving.Load() {
 			continue
 		}
 		if asked || d.mayLead(ctx, s) {
@@ -62,10 +71,30 @@
 }
 
 func (d *Daemon) due(s standing) bool {
-	return d.store.age(time.Now()) >= 0 && succession.Standing{EverLed: s.token > 0, Silence: s.silence, Rank: s.rank, StoreResponse: d.store.usual(),
+	return d.store.age(time.Now()) >= 0 && succession.Standing{EverLed: s.token > 0, Silence: s.silence, Rank: s.rank, Lost: !s.linked, StoreResponse: d.store.usual(),
 		CPUShare: d.set.CPUShare, Spread: d.spread}.Due()
 }
 
+// wakeElection has the leader's state looked at now.
+func (d *Daemon) wakeElection() {
+	select {
+	case d.electNow <- struct{}{}:
+	default:
+	}
+}
+
+// probe tries the store and reports to the leader at the other end of a link.
+func (d *Daemon) probe(l *linkrpc.Link) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeCall)
+	defer cancel()
+	sent := time.Now()
+	_, err := d.deps.Store.Newest(ctx, ports.JobsTopic, lastKey)
+	d.observeStore(sent, err)
+	if err == nil {
+		l.Send(&cellpb.Frame{Report: d.nodeReport()})
+	}
+}
+
 // report tells the leader how this daemon stands.
 func (d *Daemon) report() {
 	d.members.mu.Lock()
@@ -74,11 +103,14 @@
 	if l == nil {
 		return
 	}
-	now := time.Now()
-	l.Send(&cellpb.Frame{Report: &cellpb.NodeReport{
-		StoreAgeMs: d.store.age(now).Milliseconds(), StoreRttUs: d.store.usual().Microseconds(),
+	l.Send(&cellpb.Frame{Report: d.nodeReport()})
+}
+
+func (d *Daemon) nodeReport() *cellpb.NodeReport {
+	return &cellpb.NodeReport{
+		StoreAgeMs: d.store.age(time.Now()).Milliseconds(), StoreRttUs: d.store.usual().Microseconds(),
 		ConfigVersion: d.config.version(), CpuShare: d.set.CPUShare, Leaving: d.leaving.Load(),
-	}})
+	}
 }
 
 // mayLead asks the others and, if too few answer, the store whether anybody
@@ -107,8 +139,8 @@
 	if err != nil || record == nil || record.Node == d.set.Node {
 		return false
 	}
-	if token <= s.token && s.silence > succession.SilenceLimit && s.leader == record.Node {
-		return false
+	if token <= s.token && s.linked {
+		return false // linked, and silent all the same
 	}
 	return d.followLeader(ctx, record, token)
 }
@@ -152,7 +184,7 @@
 			d.config.offer(v.Config.ToConfig(), "daemon")
 			mu.Lock()
 			defer mu.Unlock()
-			opinions = append(opinions, succession.Opinion{Token: v.Token, Heard: time.Duration(v.HeardAgeMs) * time.Millisecond, Address: v.LeaderAddress})
+			opinions = append(opinions, succession.Opinion{Token: v.Token, Heard: time.Duration(v.HeardAgeMs) * time.Millisecond, Linked: v.Linked, Address: v.LeaderAddress})
 		})
 	}
 	wg.Wait()
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -25,8 +25,6 @@
 	inboxSize = 8192
 	// loopTick is how often the loop runs without a message.
 	loopTick = 50 * time.Millisecond
-	// heartbeatInterval is how often the leader is heard.
-	heartbeatInterval = 250 * time.Millisecond
 	// dialInterval is how often daemons without a link are dialed.
 	dialInterval = time.Second
 	// messagesPerRound bounds the messages taken before the next decision.
@@ -282,14 +280,8 @@
 	case l.journal.fenced():
 		l.stop("the store has seen a higher token")
 	}
+	l.considerHandover(now)
 	age := l.proof.age(now)
-	if age < handoverAfter {
-		return
-	}
-	if next := l.withStore(now); next != "" && now.Sub(l.proof.offered) > handoverRetry {
-		l.proof.offered = now
-		l.handOver(next, "the store does not answer this daemon")
-	}
 	limit := authorityAlone
 	if l.othersWithoutStore(now) {
 		limit = authorityWithoutStore
@@ -300,19 +292,46 @@
 }
 
 const (
-	// handoverAfter is the time without confirmation after which the lead is
-	// offered to a daemon that reaches the store.
-	handoverAfter = 900 * time.Millisecond
+	// refusedAfter is how long the store may refuse this daemon's appends before
+	// the others are asked whether it serves them.
+	refusedAfter = 150 * time.Millisecond
+	// silentStoreAfter is the same for appends without an answer, which also a
+	// slow store causes.
+	silentStoreAfter = 500 * time.Millisecond
 	// handoverRetry is the time between two offers.
-	handoverRetry = 700 * time.Millisecond
+	handoverRetry = 600 * time.Millisecond
 )
 
-// withStore returns the best daemon that reached the store after this one lost
-// it, or "".
-func (l *leader) withStore(now time.Time) string {
+// considerHandover asks the other daemons to try the store when it does not
+// serve this one, and offers the lead to the best one that it serves.
+func (l *leader) considerHandover(now time.Time) {
+	since, refused := l.journal.trouble(now)
+	limit := silentStoreAfter
+	if refused {
+		limit = refusedAfter
+	}
+	if since < limit || now.Sub(l.proof.offered) < handoverRetry {
+		return
+	}
+	if next := l.withStore(now, now.Add(-since)); next != "" {
+		l.proof.offered = now
+		l.proof.probed = time.Time{}
+		l.handOver(next, "the store does not answer this daemon")
+		return
+	}
+	if now.Sub(l.proof.probed) >= handoverRetry {
+		l.proof.probed = now
+		for _, link := range l.d.members.peers() {
+			link.Send(&cellpb.Frame{Probe: true})
+		}
+	}
+}
+
+// withStore returns the best daemon that the store answered after a time, or "".
+func (l *leader) withStore(now, after time.Time) string {
 	for _, name := range l.successors(now) {
 		r := l.reports[name]
-		if answered := r.at.Add(-time.Duration(r.StoreAgeMs) * time.Millisecond); answered.After(l.proof.lastTried()) {
+		if answered := r.at.Add(-time.Duration(r.StoreAgeMs) * time.Millisecond); answered.After(after) {
 			return name
 		}
 	}
@@ -358,7 +377,7 @@
 
 // beat sends heartbeats and dials daemons without a link.
 func (l *leader) beat(now time.Time) {
-	if now.Sub(l.lastHeartbeat) < heartbeatInterval {
+	if now.Sub(l.lastHeartbeat) < succession.HeartbeatInterval {
 		return
 	}
 	l.lastHeartbeat = now
@@ -414,7 +433,9 @@
 // proof is when the store last confirmed the lead.
 type proof struct {
 	confirmed time.Time
-	offered   time.Time
+	// probed and offered are when the others were last asked to try the store
+	// and to take over.
+	probed, offered time.Time
 }
 
 // confirm records that a call sent at a time was accepted.
@@ -426,8 +447,6 @@
 
 func (p *proof) age(now time.Time) time.Duration { return now.Sub(p.confirmed) }
 
-func (p *proof) lastTried() time.Time { return p.confirmed.Add(handoverAfter / 2) }
-
 // readNodes reads which daemons there are.
 func (l *leader) readNodes() {
 	page, err := l.d.newest(l.ctx, ports.NodesTopic, "")
--- a/internal/core/succession/succession.go
+++ b/internal/core/succession/succession.go
@@ -9,11 +9,14 @@
 )
 
 const (
-	// SilenceLimit is the silence after which a leader is suspected. Heartbeats
-	// come every quarter of a second.
-	SilenceLimit = 700 * time.Millisecond
+	// HeartbeatInterval is how often a leader is heard.
+	HeartbeatInterval = 150 * time.Millisecond
+	// SilenceLimit is the silence after which a leader is suspected.
+	SilenceLimit = 500 * time.Millisecond
+	// LostLimit is the silence after which it is when the link to it broke.
+	LostLimit = 50 * time.Millisecond
 	// RankDelay is added for each place in the order of succession.
-	RankDelay = 250 * time.Millisecond
+	RankDelay = 200 * time.Millisecond
 	// maxRank bounds the delay of daemons that are not in the order.
 	maxRank = 6
 	// costDelay scales the delay of a first election by the cost of a candidate,
@@ -23,7 +26,7 @@
 	spreadDelay = 150 * time.Millisecond
 	// heardLimit is how fresh another daemon's contact with the leader must be to
 	// keep the leader in office.
-	heardLimit = 600 * time.Millisecond
+	heardLimit = 450 * time.Millisecond
 )
 
 // Standing is what a daemon knows when it considers to take over.
@@ -32,6 +35,8 @@
 	EverLed bool
 	// Silence is the time since the last heartbeat, or since the start.
 	Silence time.Duration
+	// Lost tells that the link to the leader broke.
+	Lost bool
 	// Rank is the daemon's place in the order of succession, from 0.
 	Rank int
 	// StoreResponse is the usual response time of the store.
@@ -47,7 +52,11 @@
 	if !s.EverLed {
 		return s.Silence >= costDelay*cost(s.StoreResponse, s.CPUShare)+time.Duration(s.Spread*float64(spreadDelay))
 	}
-	return s.Silence >= SilenceLimit+time.Duration(min(s.Rank, maxRank))*RankDelay
+	limit := SilenceLimit
+	if s.Lost {
+		limit = LostLimit
+	}
+	return s.Silence >= limit+time.Duration(min(s.Rank, maxRank))*RankDelay
 }
 
 // Opinion is another daemon's answer about the leader.
@@ -56,6 +65,8 @@
 	Token uint64
 	// Heard is the time since it last heard that leader; negative when never.
 	Heard time.Duration
+	// Linked tells that its link to the leader is open.
+	Linked bool
 	// Address is the leader's link address, if known.
 	Address string
 }
@@ -77,7 +88,7 @@
 // The address is that of the leader to follow.
 func Judge(opinions []Opinion, known int, token uint64) (Verdict, string) {
 	for _, o := range opinions {
-		if o.Token >= token && o.Token > 0 && o.Heard >= 0 && o.Heard < heardLimit {
+		if o.Token >= token && o.Token > 0 && o.Linked && o.Heard >= 0 && o.Heard < heardLimit {
 			return Follow, o.Address
 		}
 	}
--- a/internal/telemetry/linewriter.go
+++ b/internal/telemetry/linewriter.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -90,16 +91,32 @@
 	}
 }
 
+// maxWrite bounds one write. Readers of pipes see at most this much at a time.
+const maxWrite = 4 << 10
+
+// write writes whole lines, a few at a time.
+func (w *LineWriter) write(lines []byte) {
+	for len(lines) > 0 {
+		n := len(lines)
+		if n > maxWrite {
+			n = bytes.LastIndexByte(lines[:maxWrite], '\n') + 1
+			if n == 0 {
+				n = bytes.IndexByte(lines, '\n') + 1
+			}
+		}
+		// Nobody is left to be told of a failed write of the log.
+		_, _ = w.out.Write(lines[:n])
+		lines = lines[n:]
+	}
+}
+
 // flush writes all lines that wait.
 func (w *LineWriter) flush() {
 	w.mu.Lock()
 	lines := w.queue
 	w.queue, w.spare = w.spare[:0], nil
 	w.mu.Unlock()
-	if len(lines) > 0 {
-		// Nobody is left to be told of a failed write of the log.
-		_, _ = w.out.Write(lines)
-	}
+	w.write(lines)
 	w.mu.Lock()
 	w.spare = lines[:0]
 	w.mu.Unlock()
