Give the advisers short calls in sequence and keep some free of long ones

Cause: one call at a time per adviser left it idle while the answer travelled, and a long call on the only adviser after a takeover delayed every urgent job behind it.

--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -259,9 +259,8 @@
 		return nil
 	}
 	names := []string{l.d.set.Node}
-	now := time.Now()
-	for name, r := range l.reports {
-		if now.Sub(r.at) < linkSilence && !r.Leaving && l.d.members.linkTo(name) != nil {
+	for _, link := range l.d.members.peers() {
+		if name := link.Peer.Node; !l.reports[name].GetLeaving() {
 			names = append(names, name)
 		}
 	}
--- a/internal/core/jobs/advice.go
+++ b/internal/core/jobs/advice.go
@@ -67,21 +67,31 @@
 	}
 }
 
-// advisers are the daemons that can ask the advice service. Each one has at
-// most one call in flight.
+// advisers are the daemons that can ask the advice service, which handles the
+// calls of each one in turn.
 type advisers struct {
-	names []string
-	busy  map[string]uint64
+	list  []*adviser
 	calls map[uint64]*adviceCall
 	next  uint64
-	// allowedShare is the share of named workers that were allowed, by queue.
+	// shares holds the share of named workers that were allowed, by queue.
 	shares map[string]*share
 }
 
+// adviser is one daemon with its calls in flight.
+type adviser struct {
+	name  string
+	calls int
+	// long counts the calls in flight that take long.
+	long int
+	// free is when its calls should be answered.
+	free time.Time
+}
+
 type adviceCall struct {
 	step    *step
 	queue   string
-	adviser string
+	adviser *adviser
+	long    bool
 	named   []model.WorkerID
 	lives   []int64
 	sent    time.Time
@@ -117,10 +127,53 @@
 
 // SetAdvisers replaces the daemons that can ask, the leader's own first.
 func (c *Core) SetAdvisers(names []string) {
-	if !slices.Equal(names, c.advisers.names) {
-		c.advisers.names = names
-		c.changed = true
+	a := &c.advisers
+	if slices.EqualFunc(a.list, names, func(x *adviser, name string) bool { return x.name == name }) {
+		return
+	}
+	list := make([]*adviser, 0, len(names))
+	for _, name := range names {
+		if i := slices.IndexFunc(a.list, func(x *adviser) bool { return x.name == name }); i >= 0 {
+			list = append(list, a.list[i])
+		} else {
+			list = append(list, &adviser{name: name})
+		}
+	}
+	a.list = list
+	c.changed = true
+}
+
+const (
+	// longCall is the time from which a call keeps short ones from its adviser.
+	longCall = 40 * time.Millisecond
+	// queuedCalls is how many short calls an adviser may have in flight, so that
+	// the way of the answer does not leave it idle.
+	queuedCalls = 3
+	// shortReserve is the part of the advisers that takes no long calls.
+	shortReserve = 4
+)
+
+// choose returns the adviser for a call that takes d, or nil when all are busy.
+func (a *advisers) choose(now time.Time, d time.Duration) *adviser {
+	var chosen *adviser
+	long := 0
+	for _, x := range a.list {
+		if x.long > 0 {
+			long++
+			continue
+		}
+		limit := queuedCalls
+		if d >= longCall {
+			limit = 1
+		}
+		if x.calls < limit && (chosen == nil || x.free.Before(chosen.free) && chosen.free.After(now)) {
+			chosen = x
+		}
+	}
+	if d >= longCall && len(a.list) > 1 && long >= len(a.list)-max(1, len(a.list)/shortReserve) {
+		return nil
 	}
+	return chosen
 }
 
 // wantAdvice asks for more workers for a step, if an adviser is idle and there
@@ -130,36 +183,38 @@
 	if terms == nil || s.advice.call != 0 {
 		return
 	}
-	adviser, ok := c.idleAdviser()
-	if !ok {
+	a := &c.advisers
+	adviser := a.choose(now, terms.Decision)
+	if adviser == nil {
 		return
 	}
 	named := c.nameWorkers(now, s)
 	if len(named) == 0 {
 		return
 	}
-	a := &c.advisers
 	a.next++
 	expected := terms.Decision + time.Duration(len(named))*terms.PerWorker
-	call := &adviceCall{step: s, queue: s.job().queue.Name, adviser: adviser, named: named,
-		sent: now, until: now.Add(expected*2 + adviceSlack)}
+	adviser.free = later(adviser.free, now).Add(expected)
+	call := &adviceCall{step: s, queue: s.job().queue.Name, adviser: adviser, long: expected >= longCall, named: named,
+		sent: now, until: adviser.free.Add(expected + adviceSlack)}
 	for _, id := range named {
 		call.lives = append(call.lives, c.workers[id].life)
 	}
 	s.advice.call = a.next
 	a.calls[a.next] = call
-	a.busy[adviser] = a.next
-	c.out.Advice = append(c.out.Advice, AdviceOrder{Seq: a.next, Adviser: adviser, Step: s.ref(), Workers: named, Timeout: expected*2 + adviceSlack})
-	c.event(Event{Name: EventAdviceAsked, Job: s.job().spec.ID, Queue: call.queue, Detail: adviser, Count: len(named)})
+	adviser.calls++
+	if call.long {
+		adviser.long++
+	}
+	c.out.Advice = append(c.out.Advice, AdviceOrder{Seq: a.next, Adviser: adviser.name, Step: s.ref(), Workers: named, Timeout: call.until.Sub(now)})
+	c.event(Event{Name: EventAdviceAsked, Job: s.job().spec.ID, Queue: call.queue, Detail: adviser.name, Count: len(named)})
 }
 
-func (c *Core) idleAdviser() (string, bool) {
-	for _, name := range c.advisers.names {
-		if c.advisers.busy[name] == 0 {
-			return name, true
-		}
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return "", false
+	return b
 }
 
 // nameWorkers chooses the workers to ask for: those with most room, enough that
@@ -228,11 +283,11 @@
 	c.changed = true
 	if !r.OK {
 		s.notBefore = now.Add(adviceBackoff)
-		c.event(Event{Name: EventAdvised, Job: s.job().spec.ID, Queue: call.queue, Detail: "no answer from " + call.adviser, Age: now.Sub(call.sent)})
+		c.event(Event{Name: EventAdvised, Job: s.job().spec.ID, Queue: call.queue, Detail: "no answer from " + call.adviser.name, Age: now.Sub(call.sent)})
 		return
 	}
 	c.learnAdvice(now, call, r)
-	c.event(Event{Name: EventAdvised, Job: s.job().spec.ID, Queue: call.queue, Detail: call.adviser, Age: now.Sub(call.sent), Count: len(r.Allowed)})
+	c.event(Event{Name: EventAdvised, Job: s.job().spec.ID, Queue: call.queue, Detail: call.adviser.name, Age: now.Sub(call.sent), Count: len(r.Allowed)})
 }
 
 func (c *Core) learnAdvice(now time.Time, call *adviceCall, r *AdviceResult) {
@@ -286,8 +341,12 @@
 		return nil
 	}
 	delete(a.calls, seq)
-	if a.busy[call.adviser] == seq {
-		delete(a.busy, call.adviser)
+	call.adviser.calls--
+	if call.long {
+		call.adviser.long--
+	}
+	if call.adviser.calls == 0 {
+		call.adviser.free = time.Time{}
 	}
 	return call
 }
@@ -302,5 +361,5 @@
 }
 
 func newAdvisers() advisers {
-	return advisers{busy: map[string]uint64{}, calls: map[uint64]*adviceCall{}, shares: map[string]*share{}}
+	return advisers{calls: map[uint64]*adviceCall{}, shares: map[string]*share{}}
 }
