Keep room for waiting gangs; learn the pace of workers; set stalled ones aside

Cause: each piece of room that came free went to the next small task, so a gang whose allowed workers were never free at once waited until it was late. The most urgent waiting gangs now keep the room that comes free first, as far as the progress of the runs there tells, and less urgent work uses it only if it ends in time.

--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -62,6 +62,10 @@
 	// pools holds the workers that take tasks, by service.
 	pools     map[string]*pool
 	poolStale bool
+	// claimsStale is set when the room kept for gangs has to be chosen anew.
+	claimsStale bool
+	// claimed lists the workers with claims.
+	claimed []*worker
 	// dueHolds lists the workers whose next call is due.
 	dueHolds []*worker
 	// stopping lists the runs that are to be stopped.
--- a/internal/core/jobs/durations.go
+++ b/internal/core/jobs/durations.go
@@ -47,7 +47,106 @@
 	if r == nil || r.task == nil || r.confirmed.IsZero() {
 		return
 	}
-	c.speeds.observe(r.task.step.job().queue.Name, now.Sub(r.sent))
+	took := now.Sub(r.confirmed)
+	if !r.task.step.def.Gang {
+		c.observePace(w, r, took)
+	}
+	c.speeds.observe(r.task.step.job().queue.Name, took)
+}
+
+const (
+	// paceProgress is the percentage at which a run's pace is observed, once.
+	paceProgress = 12
+	// paceWeight is the share of a new sample in a worker's slowness.
+	paceWeight = 0.2
+	// maxPace bounds one sample.
+	maxPace = 6.0
+	// stallAfter is the time without any progress after which a worker counts as
+	// stalled.
+	stallAfter = 1300 * time.Millisecond
+	// stallTime is how long a stalled worker is set aside.
+	stallTime = 3 * time.Second
+	// nearlyDone is the percentage from which a gang's member may be waiting for
+	// the others.
+	nearlyDone = 95
+)
+
+// progressed takes a run's listed progress.
+func (c *Core) progressed(now time.Time, w *worker, r *run, percent int) {
+	if percent != r.percent {
+		r.movedAt = now
+		w.moved = now
+	}
+	r.percent, r.percentAt = percent, now
+	if percent >= paceProgress && r.task != nil {
+		c.observePace(w, r, now.Sub(r.confirmed)*100/time.Duration(percent))
+	}
+}
+
+// observePace takes a run's whole time, measured or projected, as a sample of
+// its worker's slowness.
+func (c *Core) observePace(w *worker, r *run, total time.Duration) {
+	if r.sampled {
+		return
+	}
+	r.sampled = true
+	usual := c.speeds.expected(r.task.step.job().queue.Name, r.task.step.def)
+	if usual <= 0 {
+		return
+	}
+	sample := min(float64(total)/float64(usual), maxPace)
+	if w.slowness == 0 {
+		w.slowness = 1
+	}
+	w.slowness += paceWeight * (sample - w.slowness)
+}
+
+// pace returns the worker's slowness, 1 when it is not known.
+func (w *worker) pace() float64 {
+	if w.slowness == 0 {
+		return 1
+	}
+	return w.slowness
+}
+
+// checkStall sets a worker aside on which nothing moves although it answers,
+// and has its runs stopped, so that they start elsewhere.
+func (c *Core) checkStall(now time.Time, w *worker) {
+	if now.Before(w.stalled) || now.Sub(w.moved) < stallAfter || now.Sub(w.contact) > stallAfter {
+		return
+	}
+	stuck := 0
+	for _, r := range w.runs {
+		if r.state != runActive || r.task == nil || r.stop.wanted || r.task.step.def.LongRunning || r.percentAt.Sub(r.movedAt) < stallAfter {
+			continue
+		}
+		// A member of a gang waits at the begin and at the end for the others.
+		if r.task.step.def.Gang && (!r.task.step.complete() || r.percent >= nearlyDone) {
+			continue
+		}
+		stuck++
+	}
+	if stuck == 0 {
+		return
+	}
+	w.stalled = now.Add(stallTime)
+	c.poolStale = true
+	c.event(Event{Name: EventWorkerState, Worker: w.ID, Detail: Stalled.String(), Count: stuck, Age: now.Sub(w.moved)})
+	for _, r := range w.runs {
+		if r.task != nil && !r.task.step.def.LongRunning {
+			c.wantStop(now, r)
+		}
+	}
+}
+
+// complete reports whether all members of a gang have been present for a while.
+func (s *step) complete() bool {
+	for i := range s.tasks {
+		if r := s.tasks[i].run; r == nil || r.state != runActive {
+			return false
+		}
+	}
+	return true
 }
 
 // objective returns until when a job should be completed.
--- a/internal/core/jobs/hold.go
+++ b/internal/core/jobs/hold.go
@@ -247,6 +247,7 @@
 	switch e.Kind {
 	case EndDone:
 		c.observeDone(now, w, r)
+		w.moved = now
 		c.health.Succeeded(now, w.ID)
 		c.taskDone(now, t)
 		c.stopOtherRun(now, t, r)
@@ -307,9 +308,7 @@
 	if r.state != runActive {
 		c.confirm(now, r)
 	}
-	if l.Percent != r.percent {
-		r.percent, r.percentAt = l.Percent, now
-	}
+	c.progressed(now, w, r, l.Percent)
 	if r.task != nil {
 		c.keepCheckpoint(r.task, l.Checkpoint)
 	}
@@ -318,7 +317,7 @@
 // confirm records that the worker has a run.
 func (c *Core) confirm(now time.Time, r *run) {
 	r.state = runActive
-	r.confirmed, r.percentAt = now, now
+	r.confirmed, r.percentAt, r.movedAt = now, now, now
 	if r.task != nil {
 		r.task.step.job().begun = true
 	}
@@ -340,7 +339,7 @@
 // job wants it.
 func (c *Core) adopt(now time.Time, w *worker, l *Listed) *run {
 	t := c.task(l.Task)
-	r := &run{ref: l.Task, number: l.Run, worker: w, state: runActive, sent: now, confirmed: now, percentAt: now}
+	r := &run{ref: l.Task, number: l.Run, worker: w, state: runActive, sent: now, confirmed: now, percentAt: now, movedAt: now, sampled: true}
 	wanted := t != nil && t.step.job().outcome == Unfinished && t.state == taskPending && t.run == nil
 	if wanted && t.step.def.Gang {
 		g := &t.step.gang
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -68,6 +68,9 @@
 	advice stepAdvice
 	// notBefore delays the next placement after a refusal.
 	notBefore time.Time
+	// planned is when a waiting gang should have room; zero when that is not
+	// known.
+	planned time.Time
 	// onWorker counts the step's runs on each worker while MaxPerWorker is set.
 	onWorker map[model.WorkerID]int
 }
--- a/internal/core/jobs/orders.go
+++ b/internal/core/jobs/orders.go
@@ -40,6 +40,9 @@
 	r := &run{ref: t.ref(), number: number, worker: w, size: s.def.Size, state: runStarting, sent: now}
 	c.attach(t, r)
 	w.reserve(r)
+	if len(w.runs) == 1 {
+		w.moved = now
+	}
 	checkpoint := t.checkpoint
 	if s.def.Gang {
 		checkpoint = s.gang.checkpoint
@@ -170,7 +173,7 @@
 	for _, w := range slices.Clone(c.list) {
 		c.tickWorker(now, w)
 	}
-	c.poolStale = true
+	c.poolStale, c.claimsStale = true, true
 	for id, until := range c.gate {
 		if now.After(until) {
 			delete(c.gate, id)
@@ -185,6 +188,7 @@
 	if !w.holding && !now.Before(w.nextHold) {
 		c.holdNow(now, w)
 	}
+	c.checkStall(now, w)
 	_, gated := c.gate[w.ID]
 	switch {
 	case w.answered && !w.lapsed && now.After(c.leaseEnd(w)):
@@ -219,15 +223,22 @@
 			// Calls without an answer extend nothing, or the lease of a worker that
 			// is gone would never end.
 			h.Deadline = c.deadline(now, w)
-			if w.acked == w.processed && !w.stopping() {
+			if w.acked == w.processed {
 				h.Wait = c.cfg.HoldWait
 			}
+			if w.stopping() {
+				h.Wait = min(h.Wait, stoppingWait)
+			}
 		}
 		w.holding = true
 		c.out.Holds = append(c.out.Holds, h)
 	}
 }
 
+// stoppingWait is how long a call waits for an end while a run has to be
+// confirmed as gone, which no end may tell.
+const stoppingWait = 150 * time.Millisecond
+
 // stopping reports whether a run waits to be confirmed as gone.
 func (w *worker) stopping() bool {
 	for _, r := range w.runs {
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -23,6 +23,10 @@
 	for _, p := range c.pools {
 		p.measure()
 	}
+	if c.claimsStale {
+		c.claimsStale = false
+		c.refreshClaims(now)
+	}
 	kept := c.ready[:0]
 	for _, s := range c.ready {
 		c.place(now, s)
@@ -119,7 +123,7 @@
 		if t.state != taskPending || now.Before(t.notBefore) {
 			continue
 		}
-		w := best(s, options)
+		w := c.best(now, s, options)
 		if w == nil {
 			c.wantAdvice(now, s)
 			return
@@ -134,7 +138,7 @@
 	slices.SortStableFunc(options, func(a, b *worker) int { return cmp.Compare(score(s, a), score(s, b)) })
 	chosen := make([]*worker, 0, len(s.tasks))
 	for _, w := range options {
-		n := w.room.copies(s.def.Size)
+		n := c.roomFor(now, s, w)
 		if s.def.MaxPerWorker > 0 {
 			n = min(n, s.def.MaxPerWorker)
 		}
@@ -157,14 +161,14 @@
 	var out []*worker
 	if s.job().queue.Advice == nil {
 		for _, w := range c.pool(s).workers {
-			if c.eligible(s, w) && w.room.fits(s.def.Size) {
+			if c.eligible(s, w) && c.roomFor(now, s, w) > 0 {
 				out = append(out, w)
 			}
 		}
 		return out
 	}
 	for _, t := range s.advice.allowed {
-		if w := t.worker; t.valid(now) && c.eligible(s, w) && w.room.fits(s.def.Size) {
+		if w := t.worker; t.valid(now) && c.eligible(s, w) && c.roomFor(now, s, w) > 0 {
 			out = append(out, w)
 		}
 	}
@@ -178,11 +182,11 @@
 }
 
 // best returns the option with the lowest score that still has room, or nil.
-func best(s *step, options []*worker) *worker {
+func (c *Core) best(now time.Time, s *step, options []*worker) *worker {
 	var chosen *worker
 	lowest := 0.0
 	for _, w := range options {
-		if !w.room.fits(s.def.Size) || s.def.MaxPerWorker > 0 && s.onWorker[w.ID] >= s.def.MaxPerWorker {
+		if c.roomFor(now, s, w) == 0 || s.def.MaxPerWorker > 0 && s.onWorker[w.ID] >= s.def.MaxPerWorker {
 			continue
 		}
 		if sc := score(s, w); chosen == nil || sc < lowest {
@@ -192,19 +196,36 @@
 	return chosen
 }
 
-// remoteScore outweighs every difference in load.
-const remoteScore = 2.0
+const (
+	// remoteScore outweighs every difference in load.
+	remoteScore = 2.0
+	// claimScore keeps urgent work off room that a gang waits for.
+	claimScore = 0.3
+)
 
 // score ranks a worker for a step; lower is better. Full workers come first, so
-// that large tasks find whole ones.
+// that large tasks find whole ones, and slow ones last.
 func score(s *step, w *worker) float64 {
 	sc := 1 - w.room.used.Add(s.def.Size).DominantShare(w.room.capacity)
+	sc += paceScore(s) * (w.pace() - 1)
+	if len(w.claims) > 0 {
+		sc += claimScore
+	}
 	if s.def.DataRack != "" && !w.hasLabel(s.def.DataRack) {
 		sc += remoteScore
 	}
 	return sc
 }
 
+// paceScore weighs a worker's slowness against its fit. Urgent work and gangs,
+// which wait for their slowest member, need fast workers most.
+func paceScore(s *step) float64 {
+	if s.job().queue.Priority == 0 || s.def.Gang {
+		return 1
+	}
+	return 0.3
+}
+
 // SetEntries replaces the instance list.
 func (c *Core) SetEntries(now time.Time, entries []Entry) {
 	for _, w := range c.list {
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -70,6 +70,15 @@
 	notBefore time.Time
 	// state was computed with the latest pool.
 	state State
+	// claims is the room kept for waiting gangs, most urgent first.
+	claims []claim
+	// slowness is the running mean of how long runs take in relation to those of
+	// their queue; 0 when there is no sample.
+	slowness float64
+	// moved is when a run last made progress or ended.
+	moved time.Time
+	// stalled is until when the worker is set aside because nothing on it moved.
+	stalled time.Time
 }
 
 // State says why a worker takes no work, or that it does.
@@ -85,11 +94,12 @@
 	NotStored
 	SetAside
 	Refusing
+	Stalled
 )
 
 // String returns the state's name.
 func (s State) String() string {
-	return [...]string{"usable", "unlisted", "leaving", "not_answered", "silent", "not_stored", "set_aside", "refusing"}[s]
+	return [...]string{"usable", "unlisted", "leaving", "not_answered", "silent", "not_stored", "set_aside", "refusing", "stalled"}[s]
 }
 
 // room is the ledger of one worker's capacity.
@@ -145,8 +155,13 @@
 	// unclearSince is when the last call that could start it ended.
 	unclearSince time.Time
 	stop         stopState
-	percent      int
-	percentAt    time.Time
+	// percent is the progress that the worker listed at percentAt; it last changed
+	// at movedAt.
+	percent   int
+	percentAt time.Time
+	movedAt   time.Time
+	// sampled is set once the run's pace was observed.
+	sampled bool
 	// lastListed is the time of the call in which the worker last listed it.
 	lastListed time.Time
 	// gone is set once the worker certainly does not have the run.
@@ -200,6 +215,8 @@
 		return NotStored
 	case now.Before(w.notBefore):
 		return Refusing
+	case now.Before(w.stalled):
+		return Stalled
 	}
 	return Usable
 }
