Respect a lead that is being taken up; recover sooner after all daemons died

A daemon that takes up the lead says so and is waited for; a slow leader hands over to a much better daemon; the wait for silent workers follows from how long the former leader can have gone on, which is short when its process is known to be another one or when most daemons hear the new one.

--- a/internal/cell/daemon.go
+++ b/internal/cell/daemon.go
@@ -56,6 +56,8 @@
 	// electNow wakes the election before its next tick.
 	electNow chan struct{}
 	leaving  atomic.Bool
+	// claimed is the token of the lead that this daemon takes up or has.
+	claimed atomic.Uint64
 }
 
 // New returns a daemon that does nothing yet.
@@ -193,7 +195,7 @@
 
 // hello is what this daemon says of itself on a new link.
 func (d *Daemon) hello() *cellpb.Hello {
-	h := &cellpb.Hello{Node: d.set.Node, Address: d.set.LinkAddress(), DataCentre: string(d.set.DataCentre), Incarnation: d.incarnation}
+	h := &cellpb.Hello{Node: d.set.Node, Address: d.set.LinkAddress(), DataCentre: string(d.set.DataCentre), Incarnation: d.incarnation, Claimed: d.claimed.Load()}
 	if l := d.leading.Load(); l != nil {
 		h.Token = l.token
 	}
@@ -204,7 +206,7 @@
 func (d *Daemon) View() *cellpb.ViewResponse {
 	s := d.members.standing()
 	v := &cellpb.ViewResponse{Node: d.set.Node, Token: s.token, HeardAgeMs: -1, StoreAgeMs: d.store.age(time.Now()).Milliseconds(),
-		Config: cellpb.FromConfig(d.config.current.Load())}
+		Config: cellpb.FromConfig(d.config.current.Load()), Claimed: d.claimed.Load()}
 	switch {
 	case s.leading:
 		v.HeardAgeMs, v.LeaderAddress, v.Linked = 0, d.set.LinkAddress(), true
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -110,6 +110,7 @@
 	return &cellpb.NodeReport{
 		StoreAgeMs: d.store.age(time.Now()).Milliseconds(), StoreRttUs: d.store.usual().Microseconds(),
 		ConfigVersion: d.config.version(), CpuShare: d.set.CPUShare, Leaving: d.leaving.Load(),
+		Token: d.members.standing().token,
 	}
 }
 
@@ -127,6 +128,9 @@
 	case succession.Follow:
 		d.dial(ctx, address)
 		return false
+	case succession.Wait:
+		pause.For(ctx, afterLoss)
+		return false
 	case succession.CheckStore:
 		return !d.storeActive(ctx)
 	}
@@ -152,7 +156,11 @@
 		return false
 	}
 	s := d.members.standing()
-	return s.linked && s.token >= token && s.leader == record.Node
+	if s.linked && s.token >= token && s.leader == record.Node {
+		return true
+	}
+	l := d.members.linkTo(record.Node)
+	return l != nil && l.Peer.Claimed >= token
 }
 
 // dial opens a link and reports whether it worked.
@@ -184,7 +192,7 @@
 			d.config.offer(v.Config.ToConfig(), "daemon")
 			mu.Lock()
 			defer mu.Unlock()
-			opinions = append(opinions, succession.Opinion{Token: v.Token, Heard: time.Duration(v.HeardAgeMs) * time.Millisecond, Linked: v.Linked, Address: v.LeaderAddress})
+			opinions = append(opinions, succession.Opinion{Token: v.Token, Heard: time.Duration(v.HeardAgeMs) * time.Millisecond, Linked: v.Linked, Address: v.LeaderAddress, Claimed: v.Claimed})
 		})
 	}
 	wg.Wait()
@@ -298,7 +306,9 @@
 // daemon takes over or ctx ends.
 func (d *Daemon) tryLead(ctx context.Context, known uint64) {
 	start := time.Now()
-	token, err := d.claim(ctx, known)
+	defer d.claimed.Store(0)
+	claim, err := d.claim(ctx, known)
+	token := claim.token
 	if err != nil {
 		d.log.WithFields(logrus.Fields{"event": "claim_failed", "error": err.Error()}).Info("cannot become the leader")
 		pause.For(ctx, afterLoss)
@@ -311,34 +321,43 @@
 	}
 	d.log.WithFields(logrus.Fields{"event": "leader_elected", "token": token, "jobs": len(snapshot.Accepted),
 		"progress": len(snapshot.Progress), "workers": len(snapshot.Workers), "took_ms": time.Since(start).Milliseconds()}).Info("this daemon leads")
-	l := newLeader(d, token, snapshot)
+	l := newLeader(d, claim, snapshot)
 	l.run(ctx)
 }
 
+// claim is a lead that was taken, and whose it was before.
+type claim struct {
+	token uint64
+	at    time.Time
+	// former is the leader record before, or nil.
+	former *cellpb.StoredNode
+}
+
 // claim writes the leader record and fences the jobs topic.
-func (d *Daemon) claim(ctx context.Context, known uint64) (uint64, error) {
+func (d *Daemon) claim(ctx context.Context, known uint64) (claim, error) {
 	record, token, end, err := d.readLeader(ctx)
 	if err != nil {
-		return 0, err
+		return claim{}, err
 	}
 	if token > known && record.Node != d.set.Node && d.followLeader(ctx, record, token) {
-		return 0, errNotElected
+		return claim{}, errNotElected
 	}
 	value, err := proto.Marshal(&cellpb.StoredNode{Node: d.set.Node, Address: d.set.LinkAddress(), DataCentre: string(d.set.DataCentre), Incarnation: d.incarnation})
 	if err != nil {
-		return 0, err
+		return claim{}, err
 	}
 	offset, err := d.appendOnce(ctx, ports.Append{Topic: ports.LeaderTopic, End: &end, Records: []ports.KeyedRecord{{Key: leaderKey, Value: value}}})
 	if err != nil {
 		if offset, err = d.claimedAnyway(ctx, end, err); err != nil {
-			return 0, err
+			return claim{}, err
 		}
 	}
 	token = tokenAt(offset)
+	d.claimed.Store(token)
 	if err := d.fence(ctx, token); err != nil {
-		return 0, fmt.Errorf("cannot fence the jobs topic: %w", err)
+		return claim{}, fmt.Errorf("cannot fence the jobs topic: %w", err)
 	}
-	return token, nil
+	return claim{token: token, at: time.Now(), former: record}, nil
 }
 
 // claimedAnyway finds out whether a claim without an answer was executed.
--- a/internal/cell/journal.go
+++ b/internal/cell/journal.go
@@ -25,8 +25,11 @@
 	appendRetry = 50 * time.Millisecond
 	// maxAttempts bounds the attempts of one append that are under way.
 	maxAttempts = 4
-	// stalledAfter is the age of an append from which new jobs are refused.
-	stalledAfter = 700 * time.Millisecond
+	// stalledAfter is the age of an append without an answer from which new jobs
+	// are refused. A slow store takes almost as long.
+	stalledAfter = 500 * time.Millisecond
+	// refusedStall is the same for an append that the store refuses.
+	refusedStall = 150 * time.Millisecond
 )
 
 // journal stores the leader's batches, one append at a time.
@@ -70,8 +73,8 @@
 
 // stalled reports whether the store takes no records at present.
 func (j *journal) stalled(now time.Time) bool {
-	waited, _ := j.trouble(now)
-	return waited > stalledAfter
+	waited, refused := j.trouble(now)
+	return waited > stalledAfter || refused && waited > refusedStall
 }
 
 // fenced reports whether the store has seen a higher token.
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -54,8 +54,11 @@
 	maxJobs = 20_000
 
 	// authorityAlone is how long a leader orders without an answer from the store
-	// when it hears no other daemon that could tell whether there is a new leader.
+	// when it hears too few daemons to be told of a new leader.
 	authorityAlone = 2 * time.Second
+	// tellingTime is how long it takes a new leader to be heard of by a former one
+	// that hears most daemons.
+	tellingTime = time.Second
 	// authorityWithoutStore is how long it does while the others do not reach the
 	// store either.
 	authorityWithoutStore = 12 * time.Second
@@ -68,6 +71,7 @@
 type leader struct {
 	d     *Daemon
 	token uint64
+	claim claim
 	core  *jobs.Core
 	inbox *ring.Ring[message]
 	log   *logrus.Entry
@@ -119,16 +123,16 @@
 	round                         metrics.Histogram
 }
 
-func newLeader(d *Daemon, token uint64, snapshot jobs.Snapshot) *leader {
+func newLeader(d *Daemon, c claim, snapshot jobs.Snapshot) *leader {
 	cfg := jobs.Config{
-		Token: token, Lease: min(workerLease, d.set.Bounds.LeaseMax), HoldMax: d.set.Bounds.LeaseMax, LateCalls: lateCalls,
-		HoldWait: holdWait, ClockError: clockError, SilentAfter: silentAfter, PredecessorAuthority: authorityWithoutStore,
+		Token: c.token, Lease: min(workerLease, d.set.Bounds.LeaseMax), HoldMax: d.set.Bounds.LeaseMax, LateCalls: lateCalls,
+		HoldWait: holdWait, ClockError: clockError, SilentAfter: silentAfter,
 		GangTimeout: d.set.Bounds.GangTimeout, StartTimeout: startTimeout, Retention: d.set.Bounds.StatusRetention + retentionSlack,
 		MaxJobs: maxJobs, EndsPerList: endsPerList,
-		Health: retry.HealthConfig{Failures: 3, Base: 2 * time.Second, Max: 8 * time.Second, Percent: 20, Attempts: 1 << 20, Keys: 4096},
+		Health: retry.HealthConfig{Failures: 2, Base: 2 * time.Second, Max: 8 * time.Second, Percent: 25, Attempts: 1 << 20, Keys: 4096},
 	}
 	l := &leader{
-		d: d, token: token, core: jobs.New(cfg), log: d.log.WithField("token", token),
+		d: d, token: c.token, claim: c, core: jobs.New(cfg), log: d.log.WithField("token", c.token),
 		inbox: ring.New[message]("leader", inboxSize, d.registry), callers: map[jobs.CallID]caller{},
 		reports: map[string]report{}, nodes: map[string]string{}, told: map[*linkrpc.Link]toldState{},
 		metrics: leaderMetrics{
@@ -144,6 +148,7 @@
 		l.configVersion = config.Version
 	}
 	l.core.Restore(now, now, snapshot)
+	l.core.SetFormerEnd(l.formerEnd())
 	l.proof.confirm(now)
 	return l
 }
@@ -215,10 +220,11 @@
 func (l *leader) round(now time.Time) {
 	if now.Sub(l.lastTick) >= loopTick {
 		l.lastTick = now
+		l.core.SetFormerEnd(l.formerEnd())
 		l.core.Tick(now, now)
 		l.core.SetAdvisers(l.advisers())
 	}
-	l.core.SetStalled(l.journal.stalled(now))
+	l.core.SetStalled(now, l.journal.stalled(now))
 	l.core.Schedule(now)
 	l.carryOut(l.core.Take())
 	l.flush(now)
@@ -226,6 +232,23 @@
 	l.checkAuthority(now)
 }
 
+// formerEnd returns until when an earlier leader may have gone on extending the
+// leases of workers.
+func (l *leader) formerEnd() time.Time {
+	former := l.claim.former
+	if former == nil {
+		return l.claim.at
+	}
+	if former.Node == l.d.set.Node || l.d.members.incarnation(former.Node) > former.Incarnation {
+		// Its process is another one by now.
+		return l.claim.at
+	}
+	if linked, known := l.d.members.linked(); 2*(linked+1) > known+1 {
+		return l.claim.at.Add(authorityAlone + tellingTime)
+	}
+	return l.claim.at.Add(authorityWithoutStore)
+}
+
 // stop ends the lead.
 func (l *leader) stop(why string) {
 	if l.why == "" {
@@ -280,6 +303,7 @@
 		l.stop("the store has seen a higher token")
 	}
 	l.considerHandover(now)
+	l.considerBetter(now)
 	age := l.proof.age(now)
 	limit := authorityAlone
 	if l.othersWithoutStore(now) {
@@ -326,6 +350,28 @@
 	}
 }
 
+const (
+	// settleTime is how long a leader leads before it looks for a better one.
+	settleTime = 4 * time.Second
+)
+
+// considerBetter offers the lead to a daemon that would lead much better, such
+// as after all daemons started at once and a slow one was first.
+func (l *leader) considerBetter(now time.Time) {
+	if now.Sub(l.claim.at) < settleTime || now.Sub(l.proof.offered) < settleTime || !l.core.Recovered() {
+		return
+	}
+	order := l.successors(now)
+	if len(order) == 0 {
+		return
+	}
+	best := l.candidate(order[0], now)
+	if best.Better(l.d.store.usual(), l.d.set.CPUShare) {
+		l.proof.offered = now
+		l.handOver(order[0], "it is faster or closer to the store")
+	}
+}
+
 // withStore returns the best daemon that the store answered after a time, or "".
 func (l *leader) withStore(now, after time.Time) string {
 	for _, name := range l.successors(now) {
@@ -352,13 +398,19 @@
 // successors ranks the other daemons.
 func (l *leader) successors(now time.Time) []string {
 	var candidates []succession.Candidate
-	for name, r := range l.reports {
-		candidates = append(candidates, succession.Candidate{Node: name, StoreAge: time.Duration(r.StoreAgeMs) * time.Millisecond,
-			StoreResponse: time.Duration(r.StoreRttUs) * time.Microsecond, CPUShare: r.CpuShare, Leaving: r.Leaving, Silence: now.Sub(r.at)})
+	for name := range l.reports {
+		candidates = append(candidates, l.candidate(name, now))
 	}
 	return succession.Order(candidates)
 }
 
+// candidate returns a daemon as its last report describes it.
+func (l *leader) candidate(name string, now time.Time) succession.Candidate {
+	r := l.reports[name]
+	return succession.Candidate{Node: name, StoreAge: time.Duration(r.StoreAgeMs) * time.Millisecond,
+		StoreResponse: time.Duration(r.StoreRttUs) * time.Microsecond, CPUShare: r.CpuShare, Leaving: r.Leaving, Silence: now.Sub(r.at)}
+}
+
 // handOver asks a daemon to take over.
 func (l *leader) handOver(to, why string) {
 	l.log.WithFields(logrus.Fields{"event": "handover", "to": to, "reason": why}).Info("asking another daemon to lead")
--- a/internal/cell/members.go
+++ b/internal/cell/members.go
@@ -199,6 +199,34 @@
 	return out
 }
 
+// heardToken takes a token that another daemon heard of.
+func (m *members) heardToken(token uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if token > m.token {
+		m.token, m.leader, m.leaderLink = token, "", nil
+	}
+}
+
+// linked returns how many daemons there are open links to, and how many daemons
+// are known.
+func (m *members) linked() (int, int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.links), len(m.nodes)
+}
+
+// incarnation returns the latest incarnation of a daemon that was heard, or 0.
+func (m *members) incarnation(name string) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	latest := int64(0)
+	for _, l := range m.links[name] {
+		latest = max(latest, l.Peer.Incarnation)
+	}
+	return latest
+}
+
 // others returns the link addresses of the other daemons by name.
 func (m *members) others() map[string]string {
 	m.mu.Lock()
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -206,7 +206,10 @@
 	report *cellpb.NodeReport
 }
 
-func (m reportMsg) apply(l *leader, now time.Time) { l.reports[m.node] = report{m.report, now} }
+func (m reportMsg) apply(l *leader, now time.Time) {
+	l.reports[m.node] = report{m.report, now}
+	l.d.members.heardToken(m.report.Token)
+}
 
 // leaveMsg tells that this daemon stops.
 type leaveMsg struct{}
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -15,10 +15,11 @@
 	// holdSlack is added to the wait of a call to a worker.
 	holdSlack = 450 * time.Millisecond
 	// startAttempts is how often a start is sent before its outcome counts as
-	// unclear.
-	startAttempts = 3
-	// startPause is the pause between attempts.
-	startPause = 20 * time.Millisecond
+	// unclear, unless startPatience ends before.
+	startAttempts = 6
+	startPatience = 1200 * time.Millisecond
+	// startPause is the pause after the first attempt; it doubles.
+	startPause = 15 * time.Millisecond
 	// stopTimeout bounds one call that stops a run.
 	stopTimeout = 400 * time.Millisecond
 )
@@ -59,14 +60,16 @@
 func (l *leader) start(o jobs.StartOrder) {
 	var result jobs.StartResult
 	unclear := false
+	begin, wait := time.Now(), startPause
 	for i := range startAttempts {
 		ctx, cancel := context.WithTimeout(l.ctx, o.Timeout)
 		result = l.d.deps.Workers.Start(ctx, l.token, o)
 		cancel()
 		retry := result.Status == jobs.CallNoAnswer || result.Status == jobs.CallNotSent
-		if !retry || i == startAttempts-1 || !pause.For(l.ctx, startPause) {
+		if !retry || i == startAttempts-1 || time.Since(begin) > startPatience || !pause.For(l.ctx, wait) {
 			break
 		}
+		wait *= 2
 		unclear = unclear || result.Status == jobs.CallNoAnswer
 	}
 	if unclear && result.Status != jobs.CallOK {
--- a/internal/core/jobs/batch.go
+++ b/internal/core/jobs/batch.go
@@ -137,6 +137,10 @@
 // accept makes a stored job eligible.
 func (c *Core) accept(now time.Time, j *job) {
 	j.stored = true
+	for _, call := range j.calls {
+		c.out.Answers = append(c.out.Answers, Answer{Call: call, Kind: Accepted})
+	}
+	j.calls = nil
 	c.event(Event{Name: EventAccepted, Job: j.spec.ID, Queue: j.queue.Name, Age: now.Sub(j.accepted)})
 	c.createOccurrences(now, c.wall, j)
 	c.refreshReady(j)
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -30,10 +30,7 @@
 	ClockError float64
 	// SilentAfter is how long after its last answer a worker gets no new work.
 	SilentAfter time.Duration
-	// PredecessorAuthority is how long an earlier leader may have gone on
-	// extending leases after this one replaced it.
-	PredecessorAuthority time.Duration
-	GangTimeout          time.Duration
+	GangTimeout time.Duration
 	// StartTimeout is when a start without an answer is given up.
 	StartTimeout time.Duration
 	// Retention is how long ended jobs are remembered.
@@ -72,9 +69,11 @@
 	stopping []*run
 	health   *retry.Health
 	// gate lists the workers on which an earlier leader may have started tasks
-	// and that have not answered yet, with the time until which that matters.
-	gate     map[model.WorkerID]time.Time
+	// and that have not answered yet.
+	gate     map[model.WorkerID]bool
 	gateOpen bool
+	// formerEnd is until when an earlier leader may have extended leases.
+	formerEnd time.Time
 
 	batch    batchState
 	advisers advisers
@@ -96,7 +95,7 @@
 	return &Core{
 		cfg: cfg, queues: map[string]*Queue{}, jobs: map[string]*job{},
 		workers: map[model.WorkerID]*worker{}, pools: map[string]*pool{}, poolStale: true,
-		health: retry.NewHealth(cfg.Health), gate: map[model.WorkerID]time.Time{},
+		health: retry.NewHealth(cfg.Health), gate: map[model.WorkerID]bool{},
 		batch: newBatchState(), advisers: newAdvisers(), speeds: newDurations(),
 	}
 }
@@ -174,8 +173,40 @@
 	return out
 }
 
-// SetStalled tells whether the store takes records at present.
-func (c *Core) SetStalled(stalled bool) { c.stalled = stalled }
+// SetFormerEnd tells until when an earlier leader may have gone on extending
+// the leases of workers.
+func (c *Core) SetFormerEnd(at time.Time) { c.formerEnd = at }
+
+// Recovered reports whether the leader knows what every worker runs.
+func (c *Core) Recovered() bool { return c.gateOpen }
+
+// SetStalled tells whether the store takes records at present. Jobs that are in
+// no batch yet are refused: the caller can try again, and nothing was written.
+func (c *Core) SetStalled(now time.Time, stalled bool) {
+	c.stalled = stalled
+	if !stalled {
+		return
+	}
+	c.batch.accepted = slices.DeleteFunc(c.batch.accepted, func(j *job) bool {
+		// A cancelled job must stay known, or a late repeat of it would run.
+		if j.outcome != Unfinished {
+			return false
+		}
+		c.withdraw(now, j)
+		return true
+	})
+}
+
+// withdraw refuses a job that is in no batch yet.
+func (c *Core) withdraw(now time.Time, j *job) {
+	delete(c.jobs, j.spec.ID)
+	c.open--
+	for _, call := range j.calls {
+		a := c.refuse(now, j.spec, call, "store_unavailable", retryAfterStalled)
+		a.Kind = RefusedNoStore
+		c.out.Answers = append(c.out.Answers, *a)
+	}
+}
 
 // Fenced reports whether a worker refused this leader's token.
 func (c *Core) Fenced() bool { return c.fenced }
@@ -217,11 +248,10 @@
 			c.refreshReady(j)
 		}
 	}
-	until := now.Add(c.cfg.PredecessorAuthority + time.Duration(float64(c.cfg.Lease)/(1-c.cfg.ClockError)) + leaseMargin)
 	for _, r := range s.Workers {
 		w := c.worker(r.ID)
 		w.Address, w.Service, w.roster = r.Address, r.Service, rosterStored
-		c.gate[r.ID] = until
+		c.gate[r.ID] = true
 	}
 	c.changed = true
 	c.openGate(now)
--- a/internal/core/jobs/helpers_test.go
+++ b/internal/core/jobs/helpers_test.go
@@ -17,10 +17,10 @@
 func testConfig() Config {
 	return Config{
 		Token: 1, Lease: 4500 * time.Millisecond, HoldMax: 10 * time.Second, LateCalls: 13 * time.Second, HoldWait: time.Second,
-		ClockError: 0.02, SilentAfter: 1700 * time.Millisecond, PredecessorAuthority: 12 * time.Second,
+		ClockError: 0.02, SilentAfter: 1700 * time.Millisecond,
 		GangTimeout: 3 * time.Second, StartTimeout: 350 * time.Millisecond, Retention: 150 * time.Second,
 		MaxJobs: 1000, EndsPerList: 500,
-		Health: retry.HealthConfig{Failures: 3, Base: 2 * time.Second, Max: 8 * time.Second, Percent: 20, Attempts: 1 << 20, Keys: 4096},
+		Health: retry.HealthConfig{Failures: 2, Base: 2 * time.Second, Max: 8 * time.Second, Percent: 25, Attempts: 1 << 20, Keys: 4096},
 	}
 }
 
--- a/internal/core/jobs/hold.go
+++ b/internal/core/jobs/hold.go
@@ -411,7 +411,7 @@
 
 // passGate counts a worker as heard after a takeover once its list is complete.
 func (c *Core) passGate(now time.Time, w *worker, h *HoldResult) {
-	if _, waits := c.gate[w.ID]; !waits || len(h.Ended) >= c.cfg.EndsPerList {
+	if !c.gate[w.ID] || len(h.Ended) >= c.cfg.EndsPerList {
 		return
 	}
 	delete(c.gate, w.ID)
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -15,6 +15,8 @@
 	// token is the fencing token under which the job was accepted.
 	token    uint64
 	accepted time.Time
+	// calls wait for the accepted record to be stored.
+	calls []CallID
 	// stored is set once the accepted record is durable.
 	stored bool
 	// restored jobs were accepted by an earlier leader, which may have started
--- a/internal/core/jobs/orders.go
+++ b/internal/core/jobs/orders.go
@@ -174,26 +174,29 @@
 		c.tickWorker(now, w)
 	}
 	c.poolStale, c.claimsStale = true, true
-	for id, until := range c.gate {
-		if now.After(until) {
-			delete(c.gate, id)
-			c.event(Event{Name: EventLeaseEnded, Worker: id, Detail: "lease of an earlier leader"})
-			c.openGate(now)
-		}
+	if len(c.gate) > 0 && now.After(c.formerLeases()) {
+		c.event(Event{Name: EventLeaseEnded, Detail: "leases of an earlier leader", Count: len(c.gate)})
+		clear(c.gate)
+		c.openGate(now)
 	}
 	c.checkAdvice(now)
 }
 
+// formerLeases returns when the last lease that an earlier leader granted has
+// certainly ended.
+func (c *Core) formerLeases() time.Time {
+	return c.formerEnd.Add(time.Duration(float64(c.cfg.Lease)/(1-c.cfg.ClockError)) + leaseMargin)
+}
+
 func (c *Core) tickWorker(now time.Time, w *worker) {
 	if !w.holding && !now.Before(w.nextHold) {
 		c.holdNow(now, w)
 	}
 	c.checkStall(now, w)
-	_, gated := c.gate[w.ID]
 	switch {
 	case w.answered && !w.lapsed && now.After(c.leaseEnd(w)):
 		c.lapse(now, w)
-	case !w.listed && !w.answered && len(w.runs) == 0 && !gated:
+	case !w.listed && !w.answered && len(w.runs) == 0 && !c.gate[w.ID]:
 		c.forget(w)
 	case !w.listed && w.lapsed:
 		c.forget(w)
--- a/internal/core/jobs/sim_test.go
+++ b/internal/core/jobs/sim_test.go
@@ -188,6 +188,7 @@
 	}
 	s.core.SetQueues(queues)
 	s.core.Restore(s.now, s.now, s.store.snapshot())
+	s.core.SetFormerEnd(s.now)
 	var advisers []string
 	for i := range max(6, len(s.workers)/9) {
 		advisers = append(advisers, fmt.Sprintf("a%d", i))
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -47,7 +47,7 @@
 	c.jobs[spec.ID] = j
 	c.open++
 	c.batch.accepted = append(c.batch.accepted, j)
-	c.answerWith(c.batch.next, Answer{Call: call, Kind: Accepted})
+	j.calls = append(j.calls, call)
 	return nil
 }
 
@@ -56,20 +56,10 @@
 	if j.stored {
 		return &Answer{Call: call, Kind: Accepted}
 	}
-	c.answerWith(c.batchOf(j), Answer{Call: call, Kind: Accepted})
+	j.calls = append(j.calls, call)
 	return nil
 }
 
-// batchOf returns the batch that holds the accepted record of an unstored job.
-func (c *Core) batchOf(j *job) uint64 {
-	for _, waiting := range c.batch.accepted {
-		if waiting == j {
-			return c.batch.next
-		}
-	}
-	return c.batch.inFlight
-}
-
 func (c *Core) refuse(now time.Time, spec *Spec, call CallID, reason model.Reason, after time.Duration) *Answer {
 	c.event(Event{Name: EventRefused, Job: spec.ID, Queue: spec.Queue, Reason: reason, Age: after, Count: c.open})
 	return &Answer{Call: call, Kind: Refused, Reason: reason, RetryAfter: after}
--- a/internal/core/succession/succession.go
+++ b/internal/core/succession/succession.go
@@ -69,6 +69,8 @@
 	Linked bool
 	// Address is the leader's link address, if known.
 	Address string
+	// Claimed is the token of a lead that it is taking up itself, or 0.
+	Claimed uint64
 }
 
 // Verdict is what follows from the opinions.
@@ -82,6 +84,8 @@
 	Follow
 	// CheckStore: too few answered; the store has to show that nobody leads.
 	CheckStore
+	// Wait: another daemon is taking up the lead.
+	Wait
 )
 
 // Judge weighs the answers of the other daemons. Known is how many there are.
@@ -92,6 +96,11 @@
 			return Follow, o.Address
 		}
 	}
+	for _, o := range opinions {
+		if o.Claimed > token {
+			return Wait, ""
+		}
+	}
 	if 2*len(opinions) >= known {
 		return Claim, ""
 	}
@@ -131,6 +140,16 @@
 // minShare bounds the cost of a daemon that does not state its share.
 const minShare = 0.05
 
+// betterFactor is how much cheaper another daemon must be to be worth a change
+// of hands.
+const betterFactor = 2
+
+// Better reports whether c would lead so much better than a daemon with the
+// given response time and share that the lead should move.
+func (c *Candidate) Better(storeResponse time.Duration, cpuShare float64) bool {
+	return c.fit() && betterFactor*cost(c.StoreResponse, c.CPUShare) < cost(storeResponse, cpuShare)
+}
+
 // Order returns the names of the daemons that should take over, best first.
 func Order(candidates []Candidate) []string {
 	fit := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return !c.fit() })
