Let appends overlap while the store is slow; ask fewer daemons; steady response times

Up to 8 appends of the sequence are under way when the last one takes over 40 ms. After all daemons restarted, each asked all others at once; now at most 8. The response time of the store is the least one, which load does not raise, so that the lead no longer moves for it.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -93,8 +93,9 @@
 	log      *logrus.Entry
 }
 
-// rttWeight is the share of a new sample in the mean.
-const rttWeight = 0.3
+// rttDecay lets the least response time rise again, slowly, so that it follows a
+// change of the path but not the load of the store.
+const rttDecay = 1.002
 
 func (s *storeHealth) ok(now time.Time, took time.Duration) {
 	s.mu.Lock()
@@ -109,7 +110,7 @@
 	if s.rtt == 0 {
 		s.rtt = took
 	}
-	s.rtt += time.Duration(rttWeight * float64(took-s.rtt))
+	s.rtt = min(took, time.Duration(rttDecay*float64(s.rtt)))
 }
 
 func (s *storeHealth) failed(err error) {
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -175,11 +176,17 @@
 	return err == nil
 }
 
-// askOthers asks all known daemons about the leader.
+// maxAsked bounds the daemons that are asked about the leader: when all miss it
+// at once, their questions would keep them busy.
+const maxAsked = 8
+
+// askOthers asks some of the known daemons about the leader.
 func (d *Daemon) askOthers(ctx context.Context) ([]succession.Opinion, int) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	others := d.members.addresses()
+	rand.Shuffle(len(others), func(i, k int) { others[i], others[k] = others[k], others[i] })
+	others = others[:min(len(others), maxAsked)]
 	var mu sync.Mutex
 	var opinions []succession.Opinion
 	var wg conc.WaitGroup
@@ -329,8 +336,21 @@
 type claim struct {
 	token uint64
 	at    time.Time
-	// former is the leader record before, or nil.
-	former *cellpb.StoredNode
+	// former lists the daemons that claimed the lead before.
+	former []*cellpb.FormerLeader
+}
+
+// maxFormer bounds the earlier leaders in a leader record.
+const maxFormer = 8
+
+// formerLeaders returns the earlier leaders from the view of one that comes
+// after a record.
+func formerLeaders(record *cellpb.StoredNode, token uint64) []*cellpb.FormerLeader {
+	if record == nil {
+		return nil
+	}
+	former := append(record.Former, &cellpb.FormerLeader{Node: record.Node, Incarnation: record.Incarnation, Token: token})
+	return former[max(0, len(former)-maxFormer):]
 }
 
 // claim writes the leader record and fences the jobs topic.
@@ -342,7 +362,8 @@
 	if token > known && record.Node != d.set.Node && d.followLeader(ctx, record, token) {
 		return claim{}, errNotElected
 	}
-	value, err := proto.Marshal(&cellpb.StoredNode{Node: d.set.Node, Address: d.set.LinkAddress(), DataCentre: string(d.set.DataCentre), Incarnation: d.incarnation})
+	former := formerLeaders(record, token)
+	value, err := proto.Marshal(&cellpb.StoredNode{Node: d.set.Node, Address: d.set.LinkAddress(), DataCentre: string(d.set.DataCentre), Incarnation: d.incarnation, Former: former})
 	if err != nil {
 		return claim{}, err
 	}
@@ -357,7 +378,7 @@
 	if err := d.fence(ctx, token); err != nil {
 		return claim{}, fmt.Errorf("cannot fence the jobs topic: %w", err)
 	}
-	return claim{token: token, at: time.Now(), former: record}, nil
+	return claim{token: token, at: time.Now(), former: former}, nil
 }
 
 // claimedAnyway finds out whether a claim without an answer was executed.
--- a/internal/cell/journal.go
+++ b/internal/cell/journal.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +25,11 @@
 	appendAgain = 400 * time.Millisecond
 	// appendRetry is the pause after a refused attempt.
 	appendRetry = 50 * time.Millisecond
+	// overlapAfter is how long the last append must have waited for the next one to
+	// go out beside it.
+	overlapAfter = 40 * time.Millisecond
+	// maxOpenAppends bounds the appends that are under way.
+	maxOpenAppends = 8
 	// maxAttempts bounds the attempts of one append that are under way.
 	maxAttempts = 4
 	// stalledAfter is the age of an append without an answer from which new jobs
@@ -32,43 +39,60 @@
 	refusedStall = 150 * time.Millisecond
 )
 
-// journal stores the leader's batches, one append at a time.
+// journal stores the leader's batches in order. Usually there is one append at a
+// time; while the store is slow the next ones do not wait for its answer.
 type journal struct {
 	l       *leader
 	batches chan *jobs.Batch
-	origin  time.Time
-	// since is when the append in hand was first sent, on the steady clock from
-	// origin; 0 when there is none.
-	since atomic.Int64
-	// answered tells that the store refused the append in hand.
-	answered atomic.Bool
+	mu      sync.Mutex
+	// open lists the appends without an answer, oldest first.
+	open []*pendingAppend
+	seq  uint64
+
 	refused  atomic.Bool
-	seq      uint64
 	latency  metrics.Histogram
 	appends  metrics.Counter
 	bytes    metrics.Counter
 	failures metrics.Counter
 }
 
+// pendingAppend is an append that the store has not answered yet.
+type pendingAppend struct {
+	seq   uint64
+	since time.Time
+	// refused tells that the store answered, but did not take it.
+	refused bool
+}
+
 func newJournal(l *leader) *journal {
 	r := l.d.registry
-	return &journal{l: l, batches: make(chan *jobs.Batch, 1), origin: time.Now(),
+	return &journal{l: l, batches: make(chan *jobs.Batch, maxOpenAppends),
 		latency: telemetry.NewHistograms(r, telemetry.DefaultPairs).Latency("store_append"),
 		appends: telemetry.Counter(r, "store.appends"), bytes: telemetry.Counter(r, "store.append_bytes"),
 		failures: telemetry.Counter(r, "store.append_failures")}
 }
 
-// put hands over a batch. The core hands out one at a time.
+// free reports whether a batch may be handed over: when none is under way, or
+// when the oldest one takes unusually long and there are not too many.
+func (j *journal) free(now time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n := len(j.open) + len(j.batches)
+	return n == 0 || n < maxOpenAppends && len(j.open) > 0 && now.Sub(j.open[len(j.open)-1].since) >= overlapAfter
+}
+
+// put hands over a batch. The journal must be free.
 func (j *journal) put(b *jobs.Batch) { j.batches <- b }
 
-// trouble returns how long the append in hand has waited, and whether the store
+// trouble returns how long the oldest append has waited, and whether the store
 // refused it meanwhile.
 func (j *journal) trouble(now time.Time) (time.Duration, bool) {
-	since := j.since.Load()
-	if since == 0 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.open) == 0 {
 		return 0, false
 	}
-	return now.Sub(j.origin) - time.Duration(since), j.answered.Load()
+	return now.Sub(j.open[0].since), j.open[0].refused
 }
 
 // stalled reports whether the store takes no records at present.
@@ -90,40 +114,63 @@
 		case <-j.l.ctx.Done():
 			return
 		case b := <-j.batches:
-			if !j.store(b) {
-				return
-			}
+			j.store(b)
 		case <-timer.C:
-			if !j.confirm() {
-				return
-			}
+			j.confirm()
 		}
 	}
 }
 
-// store appends a batch, again and again until the store answers.
-func (j *journal) store(b *jobs.Batch) bool {
+// store appends a batch on a goroutine of its own.
+func (j *journal) store(b *jobs.Batch) {
 	records, err := encodeBatch(b)
 	if err != nil {
 		j.l.log.WithFields(logrus.Fields{"event": "batch_unstorable", "error": err.Error()}).Error("a batch cannot be encoded")
 		j.refused.Store(true)
-		return false
+		return
 	}
 	j.seq++
-	sent, ok := j.appendAll(records, j.seq)
-	if ok {
-		j.l.push(storedMsg{b.Seq, sent})
-	}
-	return ok
+	p := j.begin(j.seq)
+	j.l.work.Go(func() {
+		defer j.end(p)
+		if sent, ok := j.appendAll(records, p); ok {
+			j.l.push(storedMsg{b.Seq, sent})
+		}
+	})
 }
 
-// confirm has the lead confirmed by an append without records.
-func (j *journal) confirm() bool {
-	sent, ok := j.appendAll(nil, j.seq+1)
-	if ok {
-		j.l.push(confirmedMsg{sent})
+// confirm has the lead confirmed by an append of a small record, unless an append
+// is under way that will do so. It also shows others that somebody leads.
+func (j *journal) confirm() {
+	j.mu.Lock()
+	busy := len(j.open) > 0
+	j.mu.Unlock()
+	if busy {
+		return
 	}
-	return ok
+	j.seq++
+	p := j.begin(j.seq)
+	records := []ports.KeyedRecord{{Key: aliveKey, Value: []byte{1}}}
+	j.l.work.Go(func() {
+		defer j.end(p)
+		if sent, ok := j.appendAll(records, p); ok {
+			j.l.push(confirmedMsg{sent})
+		}
+	})
+}
+
+func (j *journal) begin(seq uint64) *pendingAppend {
+	p := &pendingAppend{seq: seq, since: time.Now()}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.open = append(j.open, p)
+	return p
+}
+
+func (j *journal) end(p *pendingAppend) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.open = slices.DeleteFunc(j.open, func(o *pendingAppend) bool { return o == p })
 }
 
 // attempt is the outcome of one call of an append.
@@ -136,17 +183,14 @@
 // attempt that was answered was sent. Attempts without an answer are joined by
 // further ones: the store executes an append of a sequence once. It fails when
 // the lead is lost.
-func (j *journal) appendAll(records []ports.KeyedRecord, seq uint64) (time.Time, bool) {
-	j.since.Store(int64(time.Since(j.origin)) + 1)
-	defer j.since.Store(0)
-	defer j.answered.Store(false)
+func (j *journal) appendAll(records []ports.KeyedRecord, p *pendingAppend) (time.Time, bool) {
 	ctx, cancel := context.WithCancel(j.l.ctx)
 	defer cancel()
 	results := make(chan attempt, maxAttempts)
 	open := 0
 	try := func() {
 		open++
-		j.l.work.Go(func() { results <- j.try(ctx, records, seq) })
+		j.l.work.Go(func() { results <- j.try(ctx, records, p.seq) })
 	}
 	try()
 	again := time.NewTimer(appendAgain)
@@ -162,11 +206,11 @@
 			again.Reset(appendAgain)
 		case r := <-results:
 			open--
-			if r.err == nil {
+			if r.err == nil || executed(r.err, p.seq) {
 				j.count(r.sent, records)
 				return r.sent, true
 			}
-			if j.lost(r.err, seq) {
+			if j.lost(r.err, p) {
 				return r.sent, false
 			}
 			again.Reset(appendRetry)
@@ -174,6 +218,13 @@
 	}
 }
 
+// executed reports whether an error tells that an append was executed by an
+// earlier attempt, too long ago for its answer to be repeated.
+func executed(err error, seq uint64) bool {
+	var e *ports.StoreError
+	return errors.As(err, &e) && e.Kind == ports.StoreSequence && e.Expected > seq
+}
+
 // try makes one call.
 func (j *journal) try(ctx context.Context, records []ports.KeyedRecord, seq uint64) attempt {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
@@ -197,17 +248,27 @@
 }
 
 // lost reports whether an error means that this daemon leads no more.
-func (j *journal) lost(err error, seq uint64) bool {
+func (j *journal) lost(err error, p *pendingAppend) bool {
 	j.failures.Inc(1)
 	var e *ports.StoreError
-	if !errors.As(err, &e) || e.Kind == ports.StoreUnavailable || e.Kind == ports.StoreNoAnswer {
-		first := !j.answered.Swap(errors.As(err, &e) && e.Kind == ports.StoreUnavailable)
-		if first {
-			j.l.log.WithFields(logrus.Fields{"event": "append_failed", "seq": seq, "error": err.Error()}).Warn("the store did not take an append")
-		}
+	known := errors.As(err, &e)
+	early := known && e.Kind == ports.StoreSequence && e.Expected < p.seq
+	if !known || early || e.Kind == ports.StoreUnavailable || e.Kind == ports.StoreNoAnswer {
+		j.note(err, p, known && e.Kind == ports.StoreUnavailable)
 		return false
 	}
-	j.l.log.WithFields(logrus.Fields{"event": "append_refused", "seq": seq, "error": err.Error()}).Warn("the store refused an append for good")
+	j.l.log.WithFields(logrus.Fields{"event": "append_refused", "seq": p.seq, "error": err.Error()}).Warn("the store refused an append for good")
 	j.refused.Store(true)
 	return true
 }
+
+// note records a failed attempt and logs the first one of an append.
+func (j *journal) note(err error, p *pendingAppend, refused bool) {
+	j.mu.Lock()
+	first := !p.refused
+	p.refused = p.refused || refused
+	j.mu.Unlock()
+	if first {
+		j.l.log.WithFields(logrus.Fields{"event": "append_failed", "seq": p.seq, "error": err.Error()}).Warn("the store did not take an append")
+	}
+}
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -35,6 +35,9 @@
 	// batchInterval is the least time between two appends.
 	batchInterval = 15 * time.Millisecond
 
+	// flushRetry is when a batch that the journal could not take is offered again.
+	flushRetry = 10 * time.Millisecond
+
 	// workerLease is granted with each call to a worker. It has to outlive a
 	// takeover.
 	workerLease = 4500 * time.Millisecond
@@ -88,7 +91,11 @@
 	callers  map[jobs.CallID]caller
 	nextCall jobs.CallID
 	reports  map[string]report
-	nodes    map[string]string
+	// stopped is when each daemon was first heard to know of this leader.
+	stopped map[string]time.Time
+	// recovered is the token of the last leader that knew what every worker ran.
+	recovered uint64
+	nodes     map[string]string
 	// told lists the daemons that have the present configuration and node list.
 	told          map[*linkrpc.Link]toldState
 	lastTick      time.Time
@@ -134,7 +141,7 @@
 	l := &leader{
 		d: d, token: c.token, claim: c, core: jobs.New(cfg), log: d.log.WithField("token", c.token),
 		inbox: ring.New[message]("leader", inboxSize, d.registry), callers: map[jobs.CallID]caller{},
-		reports: map[string]report{}, nodes: map[string]string{}, told: map[*linkrpc.Link]toldState{},
+		reports: map[string]report{}, stopped: map[string]time.Time{}, recovered: snapshot.Recovered, nodes: map[string]string{}, told: map[*linkrpc.Link]toldState{},
 		metrics: leaderMetrics{
 			starts: telemetry.Counter(d.registry, "leader.starts"), ends: telemetry.Counter(d.registry, "leader.ends"),
 			refused: telemetry.Counter(d.registry, "leader.refused"), advice: telemetry.Counter(d.registry, "leader.advice_calls"),
@@ -232,17 +239,34 @@
 	l.checkAuthority(now)
 }
 
-// formerEnd returns until when an earlier leader may have gone on extending the
+// formerEnd returns until when any earlier leader may have gone on extending the
 // leases of workers.
 func (l *leader) formerEnd() time.Time {
-	former := l.claim.former
-	if former == nil {
-		return l.claim.at
+	end := l.claim.at
+	for _, f := range l.claim.former {
+		if f.Token < l.recovered {
+			continue // every worker has seen a higher token
+		}
+		if at := l.endOf(f); at.After(end) {
+			end = at
+		}
 	}
-	if former.Node == l.d.set.Node || l.d.members.incarnation(former.Node) > former.Incarnation {
-		// Its process is another one by now.
+	if len(l.claim.former) == maxFormer && l.claim.former[0].Token > l.recovered {
+		return l.claim.at.Add(authorityWithoutStore)
+	}
+	return end
+}
+
+// endOf returns until when one earlier leader may have gone on.
+func (l *leader) endOf(f *cellpb.FormerLeader) time.Time {
+	if f.Node == l.d.set.Node || l.d.members.incarnation(f.Node) > f.Incarnation {
+		// Its process is another one by now, or this one.
 		return l.claim.at
 	}
+	if r, heard := l.reports[f.Node]; heard && r.Token >= l.token {
+		// It knows of this leader; that was so when its first report came.
+		return l.stopped[f.Node]
+	}
 	if linked, known := l.d.members.linked(); 2*(linked+1) > known+1 {
 		return l.claim.at.Add(authorityAlone + tellingTime)
 	}
@@ -258,7 +282,7 @@
 
 // flush hands the next batch to the journal.
 func (l *leader) flush(now time.Time) {
-	if now.Sub(l.lastBatch) < batchInterval {
+	if now.Sub(l.lastBatch) < batchInterval || !l.journal.free(now) {
 		return
 	}
 	if b := l.core.TakeBatch(); b != nil {
@@ -273,7 +297,7 @@
 	if !l.core.HasBatch() {
 		return 0
 	}
-	return max(batchInterval-now.Sub(l.lastBatch), time.Millisecond)
+	return max(batchInterval-now.Sub(l.lastBatch), flushRetry)
 }
 
 // advisers returns the daemons that can ask the advice service, this one first.
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -208,6 +208,9 @@
 
 func (m reportMsg) apply(l *leader, now time.Time) {
 	l.reports[m.node] = report{m.report, now}
+	if _, known := l.stopped[m.node]; !known && m.report.Token >= l.token {
+		l.stopped[m.node] = now
+	}
 	l.d.members.heardToken(m.report.Token)
 }
 
--- a/internal/cell/store_records.go
+++ b/internal/cell/store_records.go
@@ -19,6 +19,10 @@
 	jobPrefix      = "j:"
 	progressPrefix = "p:"
 	workerPrefix   = "w:"
+	// recoveredKey holds the last leader that knew what every worker ran.
+	recoveredKey = "recovered"
+	// aliveKey is written by an idle leader.
+	aliveKey = "alive"
 )
 
 // encodeBatch returns the records of a batch. Deletions come last, so that they
@@ -48,6 +52,11 @@
 			return nil, err
 		}
 	}
+	if b.Recovered != 0 {
+		if err := put(recoveredKey, &cellpb.StoredRecovery{Token: b.Recovered}); err != nil {
+			return nil, err
+		}
+	}
 	for _, id := range b.DropAccepted {
 		out = append(out, ports.KeyedRecord{Key: jobPrefix + id})
 	}
@@ -85,8 +94,8 @@
 // decodeRecord adds one record of the jobs topic to a snapshot.
 func decodeRecord(s *jobs.Snapshot, key string, value []byte) error {
 	switch {
-	case len(value) == 0:
-		// Deleted.
+	case len(value) == 0, key == aliveKey:
+		// Deleted, or without content.
 	case strings.HasPrefix(key, jobPrefix):
 		p := &cellpb.StoredJob{}
 		if err := proto.Unmarshal(value, p); err != nil {
@@ -113,6 +122,12 @@
 			return err
 		}
 		s.Workers = append(s.Workers, jobs.WorkerRecord{ID: model.WorkerID(p.Id), Address: p.Address, Service: p.Service})
+	case key == recoveredKey:
+		p := &cellpb.StoredRecovery{}
+		if err := proto.Unmarshal(value, p); err != nil {
+			return err
+		}
+		s.Recovered = p.Token
 	default:
 		return fmt.Errorf("unknown kind of key")
 	}
--- a/internal/core/jobs/batch.go
+++ b/internal/core/jobs/batch.go
@@ -11,8 +11,8 @@
 type batchState struct {
 	// next is the sequence number of the batch that is being collected.
 	next uint64
-	// inFlight is the sequence number of the batch that is being stored, or 0.
-	inFlight uint64
+	// inFlight lists the sequence numbers of the batches that are being stored.
+	inFlight []uint64
 	accepted []*job
 	dirty    []*job
 	workers  []*worker
@@ -34,12 +34,9 @@
 }
 
 // TakeBatch returns the next batch to store, or nil when there is nothing to
-// store or the last batch is still being stored.
+// store. Batches have to be stored in order.
 func (c *Core) TakeBatch() *Batch {
 	b := &c.batch
-	if b.inFlight != 0 {
-		return nil
-	}
 	out := b.drops
 	b.drops = Batch{}
 	out.Seq = b.next
@@ -63,7 +60,7 @@
 	if out.Empty() {
 		return nil
 	}
-	b.inFlight = b.next
+	b.inFlight = append(b.inFlight, b.next)
 	b.next++
 	b.stored[out.Seq] = effects
 	return &out
@@ -72,16 +69,17 @@
 // HasBatch reports whether TakeBatch would return a batch.
 func (c *Core) HasBatch() bool {
 	b := &c.batch
-	return b.inFlight == 0 && (len(b.accepted)+len(b.dirty)+len(b.workers) > 0 || !b.drops.Empty())
+	return len(b.accepted)+len(b.dirty)+len(b.workers) > 0 || !b.drops.Empty()
 }
 
 // Stored tells that a batch is durable.
 func (c *Core) Stored(now time.Time, seq uint64) {
 	b := &c.batch
-	if seq != b.inFlight {
+	at := slices.Index(b.inFlight, seq)
+	if at < 0 {
 		return
 	}
-	b.inFlight = 0
+	b.inFlight = slices.Delete(b.inFlight, at, at+1)
 	effects := b.stored[seq]
 	delete(b.stored, seq)
 	for _, j := range effects.accepted {
@@ -114,8 +112,8 @@
 
 // oldestOpen returns the sequence number of the first batch that is not stored.
 func (b *batchState) oldestOpen() uint64 {
-	if b.inFlight != 0 {
-		return b.inFlight
+	if len(b.inFlight) > 0 {
+		return b.inFlight[0]
 	}
 	return b.next
 }
--- a/internal/core/jobs/hold.go
+++ b/internal/core/jobs/hold.go
@@ -424,6 +424,7 @@
 		return
 	}
 	c.gateOpen = true
+	c.batch.drops.Recovered = c.cfg.Token
 	c.event(Event{Name: EventGateOpen, Count: len(c.jobs)})
 	c.settleGangs(now)
 	c.changed = true
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -86,11 +86,14 @@
 	DropAccepted []string
 	DropProgress []string
 	DropWorkers  []model.WorkerID
+	// Recovered is the token of a leader that has come to know what every worker
+	// runs, or 0.
+	Recovered uint64
 }
 
 // Empty reports whether there is nothing to store.
 func (b *Batch) Empty() bool {
-	return len(b.Accepted)+len(b.Progress)+len(b.Workers)+len(b.DropAccepted)+len(b.DropProgress)+len(b.DropWorkers) == 0
+	return b.Recovered == 0 && len(b.Accepted)+len(b.Progress)+len(b.Workers)+len(b.DropAccepted)+len(b.DropProgress)+len(b.DropWorkers) == 0
 }
 
 // Snapshot is what a new leader reads from the store.
@@ -98,4 +101,6 @@
 	Accepted []AcceptedRecord
 	Progress []ProgressRecord
 	Workers  []WorkerRecord
+	// Recovered is the token of the last leader that knew what every worker ran.
+	Recovered uint64
 }
--- a/internal/core/jobs/simworld_test.go
+++ b/internal/core/jobs/simworld_test.go
@@ -83,7 +83,7 @@
 
 // flush stores the next batch.
 func (s *sim) flush() {
-	if s.now.Sub(s.store.last) < simBatch {
+	if s.now.Sub(s.store.last) < simBatch || s.store.inFlight != nil {
 		if s.core.HasBatch() {
 			s.soon()
 		}
@@ -94,6 +94,7 @@
 		return
 	}
 	s.store.last = s.now
+	s.store.inFlight = b
 	s.append(b, s.token)
 }
 
@@ -108,6 +109,7 @@
 			return
 		}
 		s.store.apply(b)
+		s.store.inFlight = nil
 		if s.leading {
 			s.core.Stored(s.now, b.Seq)
 			s.soon()
--- a/internal/core/succession/succession.go
+++ b/internal/core/succession/succession.go
@@ -23,7 +23,7 @@
 	// so that a daemon with a fast processor close to the store wins.
 	costDelay = 4
 	// spreadDelay separates daemons of equal cost.
-	spreadDelay = 150 * time.Millisecond
+	spreadDelay = 300 * time.Millisecond
 	// heardLimit is how fresh another daemon's contact with the leader must be to
 	// keep the leader in office.
 	heardLimit = 450 * time.Millisecond
--- a/internal/ports/cell.go
+++ b/internal/ports/cell.go
@@ -89,8 +89,10 @@
 type StoreError struct {
 	Kind StoreErrorKind
 	// End is where the topic ends, for StoreMoved.
-	End    int64
-	Detail string
+	End int64
+	// Expected is the sequence number that the store expects, for StoreSequence.
+	Expected uint64
+	Detail   string
 }
 
 // Error implements the error interface.
