Announce a lead before its first order; steadier elections

A lead now begins with one append of its own that says who leads; its successors read from it whose orders may still be under way.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -88,9 +88,10 @@
 type storeHealth struct {
 	mu       sync.Mutex
 	answered time.Time
-	rtt      time.Duration
-	lost     bool
-	log      *logrus.Entry
+	// rtt is the least time of a call.
+	rtt  time.Duration
+	lost bool
+	log  *logrus.Entry
 }
 
 // rttDecay lets the least response time rise again, slowly, so that it follows a
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -73,7 +73,7 @@
 
 func (d *Daemon) due(s standing) bool {
 	return d.store.age(time.Now()) >= 0 && succession.Standing{EverLed: s.token > 0, Silence: s.silence, Rank: s.rank, Lost: !s.linked, StoreResponse: d.store.usual(),
-		CPUShare: d.set.CPUShare, Spread: d.spread}.Due()
+		CPUShare: d.set.CPUShare, Spread: d.spread, Daemons: s.daemons}.Due()
 }
 
 // wakeElection has the leader's state looked at now.
@@ -92,7 +92,9 @@
 	_, err := d.deps.Store.Newest(ctx, ports.JobsTopic, lastKey)
 	d.observeStore(sent, err)
 	if err == nil {
-		l.Send(&cellpb.Frame{Report: d.nodeReport()})
+		r := d.nodeReport()
+		r.ProbeUs = max(time.Since(sent).Microseconds(), 1)
+		l.Send(&cellpb.Frame{Report: r})
 	}
 }
 
@@ -321,14 +323,18 @@
 		pause.For(ctx, afterLoss)
 		return
 	}
-	snapshot, err := d.load(ctx)
+	stored, err := d.load(ctx)
+	if err == nil {
+		err = d.announce(ctx, token, &stored)
+	}
 	if err != nil {
-		d.log.WithFields(logrus.Fields{"event": "claim_failed", "token": token, "error": err.Error()}).Warn("cannot read the jobs")
+		d.log.WithFields(logrus.Fields{"event": "claim_failed", "token": token, "error": err.Error()}).Warn("cannot take up the lead")
 		return
 	}
+	snapshot := &stored.snapshot
 	d.log.WithFields(logrus.Fields{"event": "leader_elected", "token": token, "jobs": len(snapshot.Accepted),
 		"progress": len(snapshot.Progress), "workers": len(snapshot.Workers), "took_ms": time.Since(start).Milliseconds()}).Info("this daemon leads")
-	l := newLeader(d, claim, snapshot)
+	l := newLeader(d, claim, &stored)
 	l.run(ctx)
 }
 
@@ -336,21 +342,6 @@
 type claim struct {
 	token uint64
 	at    time.Time
-	// former lists the daemons that claimed the lead before.
-	former []*cellpb.FormerLeader
-}
-
-// maxFormer bounds the earlier leaders in a leader record.
-const maxFormer = 8
-
-// formerLeaders returns the earlier leaders from the view of one that comes
-// after a record.
-func formerLeaders(record *cellpb.StoredNode, token uint64) []*cellpb.FormerLeader {
-	if record == nil {
-		return nil
-	}
-	former := append(record.Former, &cellpb.FormerLeader{Node: record.Node, Incarnation: record.Incarnation, Token: token})
-	return former[max(0, len(former)-maxFormer):]
 }
 
 // claim writes the leader record and fences the jobs topic.
@@ -362,11 +353,13 @@
 	if token > known && record.Node != d.set.Node && d.followLeader(ctx, record, token) {
 		return claim{}, errNotElected
 	}
-	former := formerLeaders(record, token)
-	value, err := proto.Marshal(&cellpb.StoredNode{Node: d.set.Node, Address: d.set.LinkAddress(), DataCentre: string(d.set.DataCentre), Incarnation: d.incarnation, Former: former})
+	value, err := proto.Marshal(&cellpb.StoredNode{Node: d.set.Node, Address: d.set.LinkAddress(), DataCentre: string(d.set.DataCentre), Incarnation: d.incarnation})
 	if err != nil {
 		return claim{}, err
 	}
+	// Said before the append, since others may read the record before its answer
+	// arrives here.
+	d.claimed.Store(tokenAt(end))
 	offset, err := d.appendOnce(ctx, ports.Append{Topic: ports.LeaderTopic, End: &end, Records: []ports.KeyedRecord{{Key: leaderKey, Value: value}}})
 	if err != nil {
 		if offset, err = d.claimedAnyway(ctx, end, err); err != nil {
@@ -374,11 +367,35 @@
 		}
 	}
 	token = tokenAt(offset)
-	d.claimed.Store(token)
 	if err := d.fence(ctx, token); err != nil {
 		return claim{}, fmt.Errorf("cannot fence the jobs topic: %w", err)
 	}
-	return claim{token: token, at: time.Now(), former: former}, nil
+	return claim{token: token, at: time.Now()}, nil
+}
+
+// maxFormer bounds the earlier leads that a leader remembers.
+const maxFormer = 8
+
+// firstSeq is the sequence number of a leader's first append, which goes out
+// alone: the store takes any number from a new epoch, and the others have to
+// follow it.
+const firstSeq = 1
+
+// announce writes that this daemon leads, before its first order.
+func (d *Daemon) announce(ctx context.Context, token uint64, s *stored) error {
+	own := &cellpb.Lead{Node: d.set.Node, Incarnation: d.incarnation, Token: token}
+	value, err := proto.Marshal(&cellpb.StoredLead{Lead: own, Former: s.former()})
+	if err != nil {
+		return err
+	}
+	_, err = repeat(ctx, d, func(ctx context.Context) (int64, error) {
+		return d.deps.Store.Append(ctx, ports.Append{Topic: ports.JobsTopic, Records: []ports.KeyedRecord{{Key: leadKey, Value: value}},
+			Fence: &ports.Fence{Producer: producer, Epoch: token, Seq: firstSeq}})
+	})
+	if err != nil && !executed(err, firstSeq) {
+		return fmt.Errorf("cannot announce the lead: %w", err)
+	}
+	return nil
 }
 
 // claimedAnyway finds out whether a claim without an answer was executed.
--- a/internal/cell/journal.go
+++ b/internal/cell/journal.go
@@ -27,14 +27,14 @@
 	appendRetry = 50 * time.Millisecond
 	// overlapAfter is how long the last append must have waited for the next one to
 	// go out beside it.
-	overlapAfter = 40 * time.Millisecond
+	overlapAfter = 60 * time.Millisecond
 	// maxOpenAppends bounds the appends that are under way.
-	maxOpenAppends = 8
+	maxOpenAppends = 2
 	// maxAttempts bounds the attempts of one append that are under way.
 	maxAttempts = 4
 	// stalledAfter is the age of an append without an answer from which new jobs
 	// are refused. A slow store takes almost as long.
-	stalledAfter = 500 * time.Millisecond
+	stalledAfter = 900 * time.Millisecond
 	// refusedStall is the same for an append that the store refuses.
 	refusedStall = 150 * time.Millisecond
 )
@@ -66,7 +66,7 @@
 
 func newJournal(l *leader) *journal {
 	r := l.d.registry
-	return &journal{l: l, batches: make(chan *jobs.Batch, maxOpenAppends),
+	return &journal{l: l, seq: firstSeq, batches: make(chan *jobs.Batch, maxOpenAppends),
 		latency: telemetry.NewHistograms(r, telemetry.DefaultPairs).Latency("store_append"),
 		appends: telemetry.Counter(r, "store.appends"), bytes: telemetry.Counter(r, "store.append_bytes"),
 		failures: telemetry.Counter(r, "store.append_failures")}
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -91,11 +91,14 @@
 	callers  map[jobs.CallID]caller
 	nextCall jobs.CallID
 	reports  map[string]report
+	// probes holds how long the store took to answer other daemons in the present
+	// round of probes.
+	probes map[string]time.Duration
 	// stopped is when each daemon was first heard to know of this leader.
 	stopped map[string]time.Time
-	// recovered is the token of the last leader that knew what every worker ran.
-	recovered uint64
-	nodes     map[string]string
+	// former lists the earlier leads whose orders may not be known to all workers.
+	former []*cellpb.Lead
+	nodes  map[string]string
 	// told lists the daemons that have the present configuration and node list.
 	told          map[*linkrpc.Link]toldState
 	lastTick      time.Time
@@ -130,7 +133,7 @@
 	round                         metrics.Histogram
 }
 
-func newLeader(d *Daemon, c claim, snapshot jobs.Snapshot) *leader {
+func newLeader(d *Daemon, c claim, s *stored) *leader {
 	cfg := jobs.Config{
 		Token: c.token, Lease: min(workerLease, d.set.Bounds.LeaseMax), HoldMax: d.set.Bounds.LeaseMax, LateCalls: lateCalls,
 		HoldWait: holdWait, ClockError: clockError, SilentAfter: silentAfter,
@@ -141,7 +144,7 @@
 	l := &leader{
 		d: d, token: c.token, claim: c, core: jobs.New(cfg), log: d.log.WithField("token", c.token),
 		inbox: ring.New[message]("leader", inboxSize, d.registry), callers: map[jobs.CallID]caller{},
-		reports: map[string]report{}, stopped: map[string]time.Time{}, recovered: snapshot.Recovered, nodes: map[string]string{}, told: map[*linkrpc.Link]toldState{},
+		reports: map[string]report{}, stopped: map[string]time.Time{}, probes: map[string]time.Duration{}, former: s.former(), nodes: map[string]string{}, told: map[*linkrpc.Link]toldState{},
 		metrics: leaderMetrics{
 			starts: telemetry.Counter(d.registry, "leader.starts"), ends: telemetry.Counter(d.registry, "leader.ends"),
 			refused: telemetry.Counter(d.registry, "leader.refused"), advice: telemetry.Counter(d.registry, "leader.advice_calls"),
@@ -154,7 +157,7 @@
 	if config != nil {
 		l.configVersion = config.Version
 	}
-	l.core.Restore(now, now, snapshot)
+	l.core.Restore(now, now, s.snapshot)
 	l.core.SetFormerEnd(l.formerEnd())
 	l.proof.confirm(now)
 	return l
@@ -242,23 +245,20 @@
 // formerEnd returns until when any earlier leader may have gone on extending the
 // leases of workers.
 func (l *leader) formerEnd() time.Time {
+	if len(l.former) >= maxFormer {
+		return l.claim.at.Add(authorityWithoutStore)
+	}
 	end := l.claim.at
-	for _, f := range l.claim.former {
-		if f.Token < l.recovered {
-			continue // every worker has seen a higher token
-		}
+	for _, f := range l.former {
 		if at := l.endOf(f); at.After(end) {
 			end = at
 		}
 	}
-	if len(l.claim.former) == maxFormer && l.claim.former[0].Token > l.recovered {
-		return l.claim.at.Add(authorityWithoutStore)
-	}
 	return end
 }
 
-// endOf returns until when one earlier leader may have gone on.
-func (l *leader) endOf(f *cellpb.FormerLeader) time.Time {
+// endOf returns until when the leader of an earlier lead may have gone on.
+func (l *leader) endOf(f *cellpb.Lead) time.Time {
 	if f.Node == l.d.set.Node || l.d.members.incarnation(f.Node) > f.Incarnation {
 		// Its process is another one by now, or this one.
 		return l.claim.at
@@ -344,7 +344,7 @@
 	refusedAfter = 150 * time.Millisecond
 	// silentStoreAfter is the same for appends without an answer, which also a
 	// slow store causes.
-	silentStoreAfter = 500 * time.Millisecond
+	silentStoreAfter = 800 * time.Millisecond
 	// handoverRetry is the time between two offers.
 	handoverRetry = 600 * time.Millisecond
 )
@@ -357,17 +357,26 @@
 	if refused {
 		limit = refusedAfter
 	}
-	if since < limit || now.Sub(l.proof.offered) < handoverRetry {
+	if since < limit {
+		clear(l.probes)
 		return
 	}
-	if next := l.withStore(now, now.Add(-since)); next != "" {
+	if now.Sub(l.proof.offered) < handoverRetry {
+		return
+	}
+	answer := since
+	if !refused {
+		answer = since / quickAnswer
+	}
+	if next := l.withStore(now, answer); next != "" {
 		l.proof.offered = now
-		l.proof.probed = time.Time{}
+		clear(l.probes)
 		l.handOver(next, "the store does not answer this daemon")
 		return
 	}
 	if now.Sub(l.proof.probed) >= handoverRetry {
 		l.proof.probed = now
+		clear(l.probes)
 		for _, link := range l.d.members.peers() {
 			link.Send(&cellpb.Frame{Probe: true})
 		}
@@ -376,13 +385,13 @@
 
 const (
 	// settleTime is how long a leader leads before it looks for a better one.
-	settleTime = 4 * time.Second
+	settleTime = 1500 * time.Millisecond
 )
 
 // considerBetter offers the lead to a daemon that would lead much better, such
 // as after all daemons started at once and a slow one was first.
 func (l *leader) considerBetter(now time.Time) {
-	if now.Sub(l.claim.at) < settleTime || now.Sub(l.proof.offered) < settleTime || !l.core.Recovered() {
+	if now.Sub(l.claim.at) < settleTime || now.Sub(l.proof.offered) < settleTime {
 		return
 	}
 	order := l.successors(now)
@@ -396,11 +405,14 @@
 	}
 }
 
-// withStore returns the best daemon that the store answered after a time, or "".
-func (l *leader) withStore(now, after time.Time) string {
+// quickAnswer is how many times faster the store must answer another daemon
+// than it keeps this one waiting: a store that is slow for all is no reason.
+const quickAnswer = 4
+
+// withStore returns the best daemon that the store answered quickly enough, or "".
+func (l *leader) withStore(now time.Time, within time.Duration) string {
 	for _, name := range l.successors(now) {
-		r := l.reports[name]
-		if answered := r.at.Add(-time.Duration(r.StoreAgeMs) * time.Millisecond); answered.After(after) {
+		if took, probed := l.probes[name]; probed && took <= within {
 			return name
 		}
 	}
--- a/internal/cell/members.go
+++ b/internal/cell/members.go
@@ -286,6 +286,8 @@
 	linked  bool
 	silence time.Duration
 	rank    int
+	// daemons is how many there are, as far as known.
+	daemons int
 }
 
 // standing returns what the daemon knows about the leader; rank is its place
@@ -294,7 +296,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := standing{token: m.token, leader: m.leader, leading: m.leading, linked: m.leaderLink != nil,
-		silence: time.Since(m.heard), rank: len(m.successors)}
+		silence: time.Since(m.heard), rank: len(m.successors),
+		daemons: max(len(m.nodes), len(m.seeds)) + 1}
 	for i, name := range m.successors {
 		if name == m.self {
 			s.rank = i
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -211,6 +211,9 @@
 	if _, known := l.stopped[m.node]; !known && m.report.Token >= l.token {
 		l.stopped[m.node] = now
 	}
+	if m.report.ProbeUs > 0 {
+		l.probes[m.node] = time.Duration(m.report.ProbeUs) * time.Microsecond
+	}
 	l.d.members.heardToken(m.report.Token)
 }
 
--- a/internal/cell/store_records.go
+++ b/internal/cell/store_records.go
@@ -21,6 +21,8 @@
 	workerPrefix   = "w:"
 	// recoveredKey holds the last leader that knew what every worker ran.
 	recoveredKey = "recovered"
+	// leadKey holds the last leader that gave orders.
+	leadKey = "lead"
 	// aliveKey is written by an idle leader.
 	aliveKey = "alive"
 )
@@ -69,9 +71,29 @@
 	return out, nil
 }
 
+// stored is what earlier leaders stored.
+type stored struct {
+	snapshot jobs.Snapshot
+	// recovered is the token of the last leader that knew what every worker ran.
+	recovered uint64
+	lead      *cellpb.StoredLead
+}
+
+// former returns the earlier leads whose orders may not be known to all workers.
+func (s *stored) former() []*cellpb.Lead {
+	if s.lead == nil || s.lead.Lead == nil {
+		return nil
+	}
+	if s.recovered >= s.lead.Lead.Token {
+		return []*cellpb.Lead{s.lead.Lead}
+	}
+	former := append(s.lead.Former, s.lead.Lead)
+	return former[max(0, len(former)-maxFormer):]
+}
+
 // load reads what earlier leaders stored.
-func (d *Daemon) load(ctx context.Context) (jobs.Snapshot, error) {
-	var s jobs.Snapshot
+func (d *Daemon) load(ctx context.Context) (stored, error) {
+	var s stored
 	after := ""
 	for {
 		page, err := d.newest(ctx, ports.JobsTopic, after)
@@ -80,7 +102,7 @@
 		}
 		for i := range page.Records {
 			r := &page.Records[i]
-			if err := decodeRecord(&s, r.Key, r.Value); err != nil {
+			if err := s.decode(r.Key, r.Value); err != nil {
 				d.log.WithFields(logrus.Fields{"event": "record_unreadable", "key": r.Key, "offset": r.Offset, "error": err.Error()}).Error("a record of the jobs topic cannot be read")
 			}
 			after = r.Key
@@ -91,8 +113,9 @@
 	}
 }
 
-// decodeRecord adds one record of the jobs topic to a snapshot.
-func decodeRecord(s *jobs.Snapshot, key string, value []byte) error {
+// decode adds one record of the jobs topic.
+func (st *stored) decode(key string, value []byte) error {
+	s := &st.snapshot
 	switch {
 	case len(value) == 0, key == aliveKey:
 		// Deleted, or without content.
@@ -127,7 +150,13 @@
 		if err := proto.Unmarshal(value, p); err != nil {
 			return err
 		}
-		s.Recovered = p.Token
+		st.recovered = p.Token
+	case key == leadKey:
+		p := &cellpb.StoredLead{}
+		if err := proto.Unmarshal(value, p); err != nil {
+			return err
+		}
+		st.lead = p
 	default:
 		return fmt.Errorf("unknown kind of key")
 	}
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -101,6 +101,4 @@
 	Accepted []AcceptedRecord
 	Progress []ProgressRecord
 	Workers  []WorkerRecord
-	// Recovered is the token of the last leader that knew what every worker ran.
-	Recovered uint64
 }
--- a/internal/core/succession/succession.go
+++ b/internal/core/succession/succession.go
@@ -21,9 +21,12 @@
 	maxRank = 6
 	// costDelay scales the delay of a first election by the cost of a candidate,
 	// so that a daemon with a fast processor close to the store wins.
-	costDelay = 4
-	// spreadDelay separates daemons of equal cost.
-	spreadDelay = 300 * time.Millisecond
+	costDelay = 10
+	// bestCost is the cost of a daemon that need not wait.
+	bestCost = 10 * time.Millisecond
+	// spreadDelay for each daemon separates those of equal cost, so that the first
+	// one is seen before the next one acts.
+	spreadDelay = 30 * time.Millisecond
 	// heardLimit is how fresh another daemon's contact with the leader must be to
 	// keep the leader in office.
 	heardLimit = 450 * time.Millisecond
@@ -45,12 +48,14 @@
 	CPUShare float64
 	// Spread, from 0 to 1, differs from daemon to daemon.
 	Spread float64
+	// Daemons is how many there are.
+	Daemons int
 }
 
 // Due reports whether it is time to ask the others about the leader.
 func (s Standing) Due() bool {
 	if !s.EverLed {
-		return s.Silence >= costDelay*cost(s.StoreResponse, s.CPUShare)+time.Duration(s.Spread*float64(spreadDelay))
+		return s.Silence >= costDelay*max(cost(s.StoreResponse, s.CPUShare)-bestCost, 0)+time.Duration(s.Spread*float64(s.Daemons)*float64(spreadDelay))
 	}
 	limit := SilenceLimit
 	if s.Lost {
