--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 PACKAGES = ./...
 
-.PHONY: build demo test lint fmt bench soak fuzz generate
+.PHONY: build demo test lint fmt bench soak sim fuzz generate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -15,24 +15,30 @@
 # Skips exactly the Go tests whose names stand on lines of their own in KNOWN-RED.txt, and prints the file.
 KNOWN_RED = $(shell sed -n -e 's,^\(Test[A-Za-z0-9_]*\)$$,^\1$$,p' -e 's,^\(Test[A-Za-z0-9_]*\)/\([a-z0-9_]*\)$$,^\1$$/^\2$$,p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 
+# The simulations are single-threaded and run without the race detector.
 # Fuzz targets run on their committed seed corpus as part of the tests.
 test: build
 	@cat KNOWN-RED.txt 2>/dev/null || true
-	$(GO) test -race -count=1 -timeout 600s $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $(PACKAGES)
+	$(GO) test -race -count=1 -timeout 600s -skip '^TestSim$(if $(KNOWN_RED),|$(KNOWN_RED))' $(PACKAGES)
+	$(GO) test -count=1 -timeout 300s -run '^TestSim' $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./internal/core/jobs
 	./bin/bench -quick > /dev/null
 
 lint:
-	@unformatted=$$(gofmt -l cmd internal test 2>/dev/null); \
+	@unformatted=$$(gofmt -l cmd internal platform test 2>/dev/null); \
 	if [ -n "$$unformatted" ]; then echo "not formatted (run make fmt):"; echo "$$unformatted"; exit 1; fi
 	$(GO) vet $(PACKAGES)
 	$(GO) tool staticcheck $(PACKAGES)
 
 fmt:
-	gofmt -w cmd internal test
+	gofmt -w cmd internal platform test
 
 bench: build
 	./bin/bench -json bench-result.json
 
+# Plays days with faults under fresh seeds.
+sim:
+	SIM_SEEDS=$(SECONDS)0 SIM_SEED=$$(date +%s) $(GO) test -count=1 -timeout 3600s -run '^TestSimFaults' ./internal/core/jobs
+
 soak: build
 	./bin/soak -seconds $(SECONDS) -seed $(SEED)
 
--- a/internal/core/jobs/admit.go
+++ b/internal/core/jobs/admit.go
@@ -11,5 +11,38 @@
 	if c.open >= c.cfg.MaxJobs {
 		return model.ReasonQueueFull, retryAfterFull, false
 	}
+	if c.hopeless(spec, q) {
+		return model.ReasonNeverFits, retryAfterHopeless, false
+	}
 	return "", 0, true
 }
+
+// retryAfterHopeless is when a caller may ask again whether a worker has come
+// that could run its job.
+const retryAfterHopeless = 30 * time.Second
+
+// hopeless reports whether a step of the job could run on no worker of its
+// service, even on an empty one. Without any worker nothing is known.
+func (c *Core) hopeless(spec *Spec, q *Queue) bool {
+	for i := range spec.Steps {
+		if def := &spec.Steps[i]; !c.anyCould(def, q) {
+			return true
+		}
+	}
+	return false
+}
+
+// anyCould reports whether a worker could run a task of a step when empty.
+func (c *Core) anyCould(def *Step, q *Queue) bool {
+	known := false
+	for _, w := range c.list {
+		if !w.listed || w.Service != q.Service {
+			continue
+		}
+		known = true
+		if def.Size.Fits(w.room.capacity) && w.hasLabel(def.Label) {
+			return true
+		}
+	}
+	return !known
+}
--- /dev/null
+++ b/internal/core/jobs/admit_test.go
@@ -0,0 +1,67 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+)
+
+// Guards against a job that no worker can run being taken and never started: its
+// caller would wait for nothing.
+func TestAJobThatNoWorkerCanRunIsRefusedAtOnce(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		step Step
+	}{
+		{"too large", Step{Count: 1, Size: model.Size{MilliCPU: 9000}}},
+		{"label that no worker has", Step{Count: 1, Size: model.Size{MilliCPU: 100}, Label: "gpu"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBench(t)
+			b.ready("w1", "w2")
+			a := b.core.Submit(b.now, &Spec{ID: "j1", Queue: "q", Steps: []Step{small(1), tc.step}}, 7)
+			assert.Assert(t, a != nil)
+			assert.Equal(t, a.Kind, Refused)
+			assert.Equal(t, a.Call, CallID(7))
+			assert.Equal(t, a.Reason, model.ReasonNeverFits)
+			assert.Assert(t, a.RetryAfter >= time.Second)
+			_, known := b.core.State("j1")
+			assert.Assert(t, !known, "a refused job is remembered")
+			assert.Assert(t, b.core.TakeBatch() == nil, "a refused job is stored")
+		})
+	}
+}
+
+// Guards against jobs being refused while no worker is known yet, after a start
+// of everything.
+func TestWithoutWorkersNothingIsHopeless(t *testing.T) {
+	b := newBench(t)
+	a := b.core.Submit(b.now, &Spec{ID: "j1", Queue: "q", Steps: []Step{{Count: 1, Size: model.Size{MilliCPU: 9000}}}}, 1)
+	assert.Assert(t, a == nil, "%v", a)
+}
+
+// Guards against callers that wait for a store that is away: a job that is in no
+// append is refused truthfully, one that may be stored already is not.
+func TestAStalledStoreRefusesOnlyWhatWasNotSent(t *testing.T) {
+	b := newBench(t)
+	b.ready("w1")
+	submit := func(id string, call CallID) *Answer {
+		return b.core.Submit(b.now, &Spec{ID: id, Queue: "q", Steps: []Step{small(1)}}, call)
+	}
+	assert.Assert(t, submit("sent", 1) == nil)
+	batch := b.core.TakeBatch()
+	assert.Assert(t, submit("waiting", 2) == nil)
+	b.core.SetStalled(b.now, true)
+	later := submit("later", 3)
+	assert.Assert(t, later != nil && later.Kind == RefusedNoStore)
+	out := b.core.Take()
+	assert.Equal(t, len(out.Answers), 1)
+	assert.Equal(t, out.Answers[0].Call, CallID(2))
+	assert.Equal(t, out.Answers[0].Kind, RefusedNoStore)
+	b.core.Stored(b.now, batch.Seq)
+	out = b.core.Take()
+	assert.DeepEqual(t, out.Answers, []Answer{{Call: 1, Kind: Accepted}})
+}
--- a/internal/core/jobs/advice.go
+++ b/internal/core/jobs/advice.go
@@ -69,6 +69,18 @@
 	}
 }
 
+// forgetPermissions drops what was allowed on a worker that is forgotten. Should
+// it return, the advice is asked for anew.
+func (c *Core) forgetPermissions(w *worker) {
+	for _, j := range c.jobs {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				s.advice.allowed = slices.DeleteFunc(s.advice.allowed, func(t *ticket) bool { return t.worker == w })
+			}
+		}
+	}
+}
+
 // advisers are the daemons that can ask the advice service, which handles the
 // calls of each one in turn.
 type advisers struct {
--- /dev/null
+++ b/internal/core/jobs/advice_test.go
@@ -0,0 +1,53 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// adviceBench has a queue whose workers need permission.
+func adviceBench(t *testing.T) *bench {
+	b := newBench(t, Queue{Name: "q", Service: "s", MaxAttempts: 2, Slack: 2, Target: time.Second,
+		Advice: &AdviceTerms{Decision: 10 * time.Millisecond, PerWorker: time.Millisecond, Validity: 2 * time.Second}})
+	b.core.SetAdvisers([]string{"self"})
+	return b
+}
+
+// TestAWorkerThatReturnsIsAskedForAnew guards against a gang that waits for ever
+// for the room of a worker which was forgotten while it was cut off.
+func TestAWorkerThatReturnsIsAskedForAnew(t *testing.T) {
+	b := adviceBench(t)
+	b.ready("w1")
+	large := small(1)
+	large.Size.MilliCPU, large.Gang = 8000, true
+	b.submit("first", large)
+	order := b.step(10 * time.Millisecond).Advice
+	assert.Equal(t, len(order), 1)
+	allowed := []Allowance{{Worker: "w1", Ticket: "t"}}
+	b.core.Advised(b.now, &AdviceResult{Seq: order[0].Seq, OK: true, Allowed: allowed, Validity: 2 * time.Second})
+	b.accept(b.step(10 * time.Millisecond).Starts)
+
+	b.core.SetEntries(b.now, nil)
+	for range 70 {
+		for _, h := range b.step(100 * time.Millisecond).Holds {
+			b.core.Held(b.now, &HoldResult{Worker: h.Worker, Sent: b.now, Status: CallNoAnswer})
+		}
+	}
+	b.store()
+
+	b.ready("w1")
+	started := 0
+	for range 20 {
+		out := b.step(100 * time.Millisecond)
+		b.answerHolds(out, nil)
+		b.store()
+		for _, a := range out.Advice {
+			b.core.Advised(b.now, &AdviceResult{Seq: a.Seq, OK: true, Allowed: allowed, Validity: 2 * time.Second})
+		}
+		b.accept(out.Starts)
+		started += len(out.Starts)
+	}
+	assert.Assert(t, started > 0, "nothing starts on the worker that returned")
+}
--- a/internal/core/jobs/batch.go
+++ b/internal/core/jobs/batch.go
@@ -140,7 +140,7 @@
 	}
 	j.calls = nil
 	c.event(Event{Name: EventAccepted, Job: j.spec.ID, Queue: j.queue.Name, Age: now.Sub(j.accepted)})
-	c.createOccurrences(now, c.wall, j)
+	c.createOccurrences(c.wall, j)
 	c.refreshReady(j)
 }
 
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -244,7 +244,7 @@
 		j := c.jobs[id]
 		if j.outcome == Unfinished {
 			c.open++
-			c.createOccurrences(now, wall, j)
+			c.createOccurrences(wall, j)
 			c.refreshReady(j)
 		}
 	}
--- a/internal/core/jobs/helpers_test.go
+++ b/internal/core/jobs/helpers_test.go
@@ -121,12 +121,6 @@
 	return Step{Count: count, Size: model.Size{MilliCPU: 1000, MemMB: 100}, Estimate: time.Second}
 }
 
-func gangOf(count int) Step {
-	s := small(count)
-	s.Gang = true
-	return s
-}
-
 func view(t *testing.T, c *Core, id string) View {
 	t.Helper()
 	v, known := c.State(id)
--- a/internal/core/jobs/hold.go
+++ b/internal/core/jobs/hold.go
@@ -161,6 +161,18 @@
 	w.nextHold = now.Add(min(holdRetry<<min(w.misses-1, 4), maxHoldRetry))
 	if status == CallWrongLife {
 		c.endLife(now, w)
+		return
+	}
+	c.breakUnclearGangs(now, w)
+}
+
+// breakUnclearGangs stops the members of gangs that wait for one on a silent
+// worker, so that they do not occupy their room until they give up.
+func (c *Core) breakUnclearGangs(now time.Time, w *worker) {
+	for _, r := range slices.Clone(w.runs) {
+		if r.state == runUnclear && r.task != nil && r.task.step.def.Gang && !r.task.step.gang.breaking {
+			c.breakGang(now, r.task.step)
+		}
 	}
 }
 
@@ -461,6 +473,7 @@
 	c.strike(w)
 	c.health.Forget(w.ID)
 	w.state, w.answered = Unlisted, false
+	c.forgetPermissions(w)
 	delete(c.workers, w.ID)
 	c.list = slices.DeleteFunc(c.list, func(o *worker) bool { return o == w })
 	c.poolStale = true
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -190,11 +190,3 @@
 	}
 	return &s.tasks[ref.Index]
 }
-
-// step returns the step that ref names, or nil.
-func (c *Core) step(ref StepRef) *step {
-	if t := c.task(TaskRef{Job: ref.Job, Occurrence: ref.Occurrence, Step: ref.Step}); t != nil {
-		return t.step
-	}
-	return nil
-}
--- a/internal/core/jobs/orders.go
+++ b/internal/core/jobs/orders.go
@@ -84,6 +84,9 @@
 	case CallNoAnswer:
 		r.state, r.unclearSince = runUnclear, now
 		c.runEvent(EventStartUnclear, r, now.Sub(r.sent), "")
+		if w.misses > 0 {
+			c.breakUnclearGangs(now, w)
+		}
 	case CallOld:
 		// It ran and ended, or was stopped; the next list tells.
 		r.state, r.unclearSince = runUnclear, now
@@ -167,7 +170,7 @@
 // Tick does what is due at now. The wall clock decides about occurrences only.
 func (c *Core) Tick(now, wall time.Time) {
 	c.wall = wall
-	c.createDue(now, wall)
+	c.createDue(wall)
 	c.forgetEnded(now)
 	c.resendStops(now)
 	for _, w := range slices.Clone(c.list) {
--- a/internal/core/jobs/progress.go
+++ b/internal/core/jobs/progress.go
@@ -9,7 +9,7 @@
 
 // createOccurrences creates the occurrences of a stored job that are due or
 // will be soon.
-func (c *Core) createOccurrences(now, wall time.Time, j *job) {
+func (c *Core) createOccurrences(wall time.Time, j *job) {
 	if j.outcome != Unfinished {
 		return
 	}
@@ -27,11 +27,6 @@
 	if j.created < j.spec.Occurrences() && !j.inTimed(c) {
 		c.timed = append(c.timed, j)
 	}
-	if c.hopeless(j) {
-		c.event(Event{Name: EventAnomaly, Job: j.spec.ID, Queue: j.queue.Name, Reason: "can_never_run",
-			Detail: "a task is larger than every worker of the service"})
-		c.conclude(now, j, Failed)
-	}
 }
 
 func (j *job) inTimed(c *Core) bool {
@@ -44,39 +39,15 @@
 }
 
 // createDue creates occurrences whose time has come.
-func (c *Core) createDue(now, wall time.Time) {
+func (c *Core) createDue(wall time.Time) {
 	waiting := c.timed
 	c.timed = nil
 	for _, j := range waiting {
-		c.createOccurrences(now, wall, j)
+		c.createOccurrences(wall, j)
 		c.refreshReady(j)
 	}
 }
 
-// hopeless reports whether a task of the job fits on no worker of its service,
-// even on an empty one. Without any worker nothing is known.
-func (c *Core) hopeless(j *job) bool {
-	var workers []*worker
-	for _, w := range c.list {
-		if w.listed && w.Service == j.queue.Service {
-			workers = append(workers, w)
-		}
-	}
-	if len(workers) == 0 {
-		return false
-	}
-	for i := range j.spec.Steps {
-		size, fits := j.spec.Steps[i].Size, false
-		for _, w := range workers {
-			fits = fits || size.Fits(w.room.capacity)
-		}
-		if !fits {
-			return true
-		}
-	}
-	return false
-}
-
 // refreshReady queues the steps of a job that may start tasks.
 func (c *Core) refreshReady(j *job) {
 	if j.outcome != Unfinished || !j.stored {
--- a/internal/core/jobs/sim_test.go
+++ b/internal/core/jobs/sim_test.go
@@ -32,14 +32,16 @@
 	order    []*simJob
 	waiting  map[CallID]*simJob
 	nextCall CallID
-	lastList time.Time
 	broken   []string
-	starts   int
-	wasted   float64
-	rounds   int
-	lists    int
-	calls    int
-	trouble  simTrouble
+	// traced names the job or worker whose events are kept in trace.
+	traced  string
+	trace   []string
+	starts  int
+	wasted  float64
+	rounds  int
+	lists   int
+	calls   int
+	trouble simTrouble
 }
 
 // simTrouble are the faults that hold at present.
@@ -49,6 +51,12 @@
 	late float64
 	// lost is the share of answers that are lost.
 	lost float64
+	// since is when the last of all faults began or ended; zero without any.
+	since time.Time
+	// lateUntil is until when late orders may still be executed.
+	lateUntil time.Time
+	// silent stops the traffic.
+	silent bool
 }
 
 // simClass describes the jobs of one queue.
@@ -103,6 +111,15 @@
 	noted    bool
 	failed   int
 	running  int
+	// failures lists the failed ends, lastStart is when a run last began.
+	failures  []*simEnd
+	lastStart time.Time
+}
+
+// simEnd is an end that a worker listed.
+type simEnd struct {
+	at    time.Time
+	noted bool
 }
 
 type simEvent struct {
@@ -143,6 +160,20 @@
 	s.now = end
 }
 
+// log keeps the events of one job or worker, so that a broken rule can be
+// traced.
+func (s *sim) log(e Event) {
+	if s.traced == "" || e.Job != s.traced && string(e.Worker) != s.traced {
+		return
+	}
+	task := ""
+	if e.Task != nil {
+		task = e.Task.String()
+	}
+	s.trace = append(s.trace, fmt.Sprintf("%7.3f s token %d %s %s run %d worker %s %s %s age %v count %d", s.now.Sub(origin).Seconds(), s.token,
+		e.Name, task, e.Run, e.Worker, e.Detail, e.Reason, e.Age, e.Count))
+}
+
 func (s *sim) breaks(rule, format string, args ...any) {
 	if len(s.broken) < 50 {
 		s.broken = append(s.broken, fmt.Sprintf("%7.3f s %s: %s", s.now.Sub(origin).Seconds(), rule, fmt.Sprintf(format, args...)))
@@ -156,6 +187,8 @@
 	simTick     = 50 * time.Millisecond
 	simListPoll = 400 * time.Millisecond
 	simBatch    = 15 * time.Millisecond
+	// simStall is how long an append may take before new jobs are refused.
+	simStall = 900 * time.Millisecond
 )
 
 func newSim(seed uint64, workers int, capacity model.Size, classes []simClass) *sim {
@@ -238,6 +271,7 @@
 
 func (s *sim) tick() {
 	if s.leading {
+		s.core.SetStalled(s.now, s.store.inFlight != nil && s.now.Sub(s.store.last) > simStall)
 		s.core.Tick(s.now, s.now)
 		s.round()
 	}
@@ -248,6 +282,9 @@
 	s.rounds++
 	s.core.Schedule(s.now)
 	out := s.core.Take()
+	for _, e := range out.Events {
+		s.log(e)
+	}
 	for _, h := range out.Holds {
 		s.hold(h)
 	}
@@ -322,6 +359,9 @@
 func (s *sim) traffic(c *simClass) {
 	gap := time.Duration(c.rng.ExpFloat64() / c.perSecond * float64(time.Second))
 	s.after(gap, func() {
+		if s.trouble.silent {
+			return
+		}
 		s.submit(s.newJob(c))
 		s.traffic(c)
 	})
--- a/internal/core/jobs/simworld_test.go
+++ b/internal/core/jobs/simworld_test.go
@@ -147,24 +147,29 @@
 	failing   bool
 	hanging   bool
 	waiting   []func()
+	// lapsedEnds is the number of the last end that was listed when a lease ended.
+	lapsedEnds int64
+	ends       map[int64]*simEnd
 }
 
 // simRun is a run on a worker.
 type simRun struct {
-	task   *simTask
-	run    int64
-	size   model.Size
-	from   time.Time
+	task *simTask
+	run  int64
+	size model.Size
+	from time.Time
+	// began is when the work began; zero while the run waits or stands still.
+	began  time.Time
+	stuck  bool
 	needed time.Duration
 	ending bool
 	life   int64
-	here   bool
 }
 
 func (s *sim) addWorker(id string, i int, capacity model.Size) {
 	speeds := []float64{0.8, 1, 1.25}
 	w := &simWorker{s: s, id: model.WorkerID(id), labels: []string{[]string{"a", "b"}[i%2], fmt.Sprintf("r%d", i/8)}, capacity: capacity,
-		speed: speeds[i%3], slower: 1, rate: 1 - 0.02*s.rng.Float64(), life: int64(i + 1), began: s.now.Add(-time.Minute), runs: map[TaskRef]*simRun{}, seen: map[TaskRef]int64{}}
+		speed: speeds[i%3], slower: 1, rate: 1 - 0.02*s.rng.Float64(), life: int64(i + 1), began: s.now.Add(-time.Minute), runs: map[TaskRef]*simRun{}, seen: map[TaskRef]int64{}, ends: map[int64]*simEnd{}}
 	s.workers = append(s.workers, w)
 	s.byID[w.id] = w
 	w.expire()
@@ -183,6 +188,7 @@
 // expire ends everything when the lease is over.
 func (w *simWorker) expire() {
 	if !w.dark && !w.left && w.clock() > w.lease {
+		w.lapsedEnds = w.next
 		for _, ref := range w.refs() {
 			w.finish(ref, EndLapsed)
 		}
@@ -210,14 +216,21 @@
 
 func (w *simWorker) drop() {
 	for _, ref := range w.refs() {
-		w.runs[ref].task.running--
+		r := w.runs[ref]
+		if r == nil {
+			continue // ended with its gang
+		}
+		r.task.running--
 		delete(w.runs, ref)
+		if r.gang() {
+			w.s.gangEnded(ref, r, EndBroken)
+		}
 	}
 }
 
 func (w *simWorker) reborn() {
-	w.dark, w.token, w.lease, w.ended, w.next, w.acks = false, 0, 0, nil, 0, 0
-	w.seen = map[TaskRef]int64{}
+	w.dark, w.token, w.lease, w.ended, w.next, w.acks, w.lapsedEnds = false, 0, 0, nil, 0, 0, 0
+	w.seen, w.ends = map[TaskRef]int64{}, map[int64]*simEnd{}
 	w.life += 1000
 	w.began = w.s.now
 }
@@ -232,12 +245,14 @@
 	r.task.running--
 	w.seen[ref] = max(w.seen[ref], r.run)
 	w.next++
+	w.ends[w.next] = &simEnd{at: w.s.now}
 	w.ended = append(w.ended, Ended{Seq: w.next, Task: ref, Run: r.run, Kind: kind})
 	switch kind {
 	case EndDone:
 		r.task.done = true
 	case EndFailed:
 		r.task.failed++
+		r.task.failures = append(r.task.failures, w.ends[w.next])
 	}
 	if kind != EndDone {
 		w.s.wasted += w.s.now.Sub(r.from).Seconds() * float64(r.size.MilliCPU) / 1000
@@ -284,7 +299,7 @@
 		}
 	})
 	s.after(delay, func() {
-		if w.silent() || !execute() || late || s.rng.Float64() < s.trouble.lost {
+		if w.silent() || w.life != life || !execute() || late || s.rng.Float64() < s.trouble.lost {
 			return
 		}
 		s.after(simHop, reply)
@@ -364,13 +379,42 @@
 	w.acks = max(w.acks, cursor)
 	for len(w.ended) > 0 && w.ended[0].Seq <= cursor {
 		e := w.ended[0]
-		if t := w.s.task(e.Task); t != nil && e.Kind == EndDone {
-			t.noted = true
+		if t := w.s.task(e.Task); t != nil && e.Seq > w.lapsedEnds {
+			w.note(e, t)
 		}
 		w.ended = w.ended[1:]
 	}
 }
 
+// note takes note of an end and checks that no start contradicts it.
+func (w *simWorker) note(e Ended, t *simTask) {
+	end := w.ends[e.Seq]
+	end.noted = true
+	switch e.Kind {
+	case EndDone:
+		t.noted = true
+		if t.lastStart.After(end.at) {
+			w.s.breaks("TWICE", "%v began again before its end was noted", e.Task)
+		}
+	case EndFailed:
+		if t.overBudget() {
+			w.s.breaks("BUDGET", "%v began after its last attempt", e.Task)
+		}
+	}
+}
+
+// overBudget reports whether a run began after as many noted failures as the
+// queue allows.
+func (t *simTask) overBudget() bool {
+	n := 0
+	for _, f := range t.failures {
+		if f.noted && f.at.Before(t.lastStart) {
+			n++
+		}
+	}
+	return n >= t.job.class.queue.MaxAttempts
+}
+
 func (s *sim) task(ref TaskRef) *simTask {
 	if j := s.jobs[ref.Job]; j != nil {
 		return j.tasks[ref]
@@ -379,10 +423,10 @@
 }
 
 func (r *simRun) percent(now time.Time) int {
-	if r.needed <= 0 {
+	if r.began.IsZero() {
 		return 0
 	}
-	return int(min(99, 100*now.Sub(r.from)/r.needed))
+	return int(min(99, 100*now.Sub(r.began)/r.needed))
 }
 
 func (s *sim) start(o StartOrder) {
@@ -459,13 +503,14 @@
 	if t.done && t.noted {
 		s.breaks("TWICE", "%v is done", o.Task)
 	}
-	if t.failed >= t.job.class.queue.MaxAttempts {
+	t.lastStart = s.now
+	if t.overBudget() {
 		s.breaks("BUDGET", "%v has failed %d times", o.Task, t.failed)
 	}
 	if t.job.refused {
 		s.breaks("REFUSED", "%v", o.Task)
 	}
-	if !t.job.cancelAcked.IsZero() && s.now.Sub(t.job.cancelAcked) > 3*time.Second && s.trouble.late == 0 {
+	if !t.job.cancelAcked.IsZero() && s.now.Sub(t.job.cancelAcked) > 3*time.Second && s.now.After(s.trouble.lateUntil) {
 		s.breaks("UNASKED", "%v starts after its cancellation", o.Task)
 	}
 	if !simAllowed(StepRef{Job: o.Task.Job, Step: o.Task.Step}, w.id, t.job.class.allowed) && t.job.class.queue.Advice != nil {
@@ -500,7 +545,7 @@
 	t.attempts++
 	t.running++
 	needed := time.Duration(float64(t.work) / w.speed * w.slower)
-	r := &simRun{task: t, run: o.Run, size: t.job.spec.Steps[t.step].Size, from: s.now, needed: needed, life: w.life, here: true}
+	r := &simRun{task: t, run: o.Run, size: t.job.spec.Steps[t.step].Size, from: s.now, needed: needed, life: w.life, stuck: w.hanging}
 	w.runs[o.Task] = r
 	kind := EndDone
 	luck := rand.New(rand.NewPCG(s.seed^uint64(t.attempts), hashOf(o.Task.String())))
@@ -510,22 +555,28 @@
 		kind = EndFailed
 		needed = time.Duration(float64(needed) * luck.Float64())
 	}
-	if w.hanging {
-		return
-	}
-	end := func() {
-		if w.runs[o.Task] == r && !w.dark {
-			w.finish(o.Task, kind)
-		}
+	begin := func() {
+		r.began = s.now
+		s.after(needed, func() {
+			if w.runs[o.Task] == r && !w.dark {
+				w.finish(o.Task, kind)
+			}
+		})
 	}
-	if !r.gang() {
-		s.after(needed, end)
+	switch {
+	case r.stuck && !r.gang():
 		return
+	case !r.gang():
+		begin()
+		return
+	case !r.stuck:
+		s.whenComplete(w, o, r, begin)
 	}
-	s.whenComplete(o, r, func() { s.after(needed, end) })
 	s.after(3*time.Second, func() {
-		if w.runs[o.Task] == r && !s.complete(o) && w.life == r.life {
-			s.breaks("GANG", "%v run %d waited for the others", o.Task, o.Run)
+		if w.runs[o.Task] == r && s.members(o, true) < t.job.spec.Steps[t.step].Count && w.life == r.life {
+			if s.calmFor(6 * time.Second) {
+				s.breaks("GANG", "%v run %d waited for the others", o.Task, o.Run)
+			}
 			w.finish(o.Task, EndAlone)
 		}
 	})
@@ -537,28 +588,28 @@
 	return h.Sum64()
 }
 
-// complete reports whether all members of a gang's run are present.
-func (s *sim) complete(o StartOrder) bool {
+// members counts the members of a gang's run that are present, those that stand
+// still included or not.
+func (s *sim) members(o StartOrder, stuck bool) int {
 	n := 0
 	for _, w := range s.workers {
 		for ref, r := range w.runs {
-			if ref.Job == o.Task.Job && ref.Step == o.Task.Step && r.run == o.Run {
+			if ref.Job == o.Task.Job && ref.Step == o.Task.Step && r.run == o.Run && (stuck || !r.stuck) {
 				n++
 			}
 		}
 	}
-	return n == s.jobs[o.Task.Job].spec.Steps[o.Task.Step].Count
+	return n
 }
 
-// whenComplete calls begin for every member once all are present.
-func (s *sim) whenComplete(o StartOrder, r *simRun, begin func()) {
+// whenComplete calls begin for a member once all are present and work.
+func (s *sim) whenComplete(w *simWorker, o StartOrder, r *simRun, begin func()) {
 	var poll func()
 	poll = func() {
-		w := r.task
-		if w.running == 0 {
+		if w.runs[o.Task] != r {
 			return
 		}
-		if s.complete(o) {
+		if s.members(o, false) == r.task.job.spec.Steps[r.task.step].Count {
 			begin()
 			return
 		}
--- a/test/scenarios/faults_test.go
+++ b/test/scenarios/faults_test.go
@@ -16,8 +16,8 @@
 	"catkinvalve/internal/daemon"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/peerpb"
-	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/ports"
+	"catkinvalve/internal/standinapi"
 	"catkinvalve/internal/testbed"
 )
 
