--- /dev/null
+++ b/internal/cell/cell_test.go
@@ -0,0 +1,309 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/jobs"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/ports"
+)
+
+// testCell is a cell of daemons with real links in one process.
+type testCell struct {
+	t       *testing.T
+	store   *fakeStore
+	workers *fakeWorkers
+	daemons []*testDaemon
+	port    int
+	next    atomic.Int64
+}
+
+type testDaemon struct {
+	*Daemon
+	path *fakePath
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func newTestCell(t *testing.T, daemons int) *testCell {
+	c := &testCell{t: t, store: newFakeStore(), workers: newFakeWorkers("w1", "w2", "w3"), port: freePort(t)}
+	for range daemons {
+		c.add()
+	}
+	t.Cleanup(c.stop)
+	return c
+}
+
+// freePort returns a port that is free on the loopback addresses.
+func freePort(t *testing.T) int {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, l.Close()) }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// add starts a daemon on the next loopback address.
+func (c *testCell) add() *testDaemon {
+	n := len(c.daemons) + 1
+	set := Settings{
+		Node: fmt.Sprintf("daemon-%d", n), IP: fmt.Sprintf("127.0.0.%d", n+1), DataCentre: "dc", Region: "region",
+		Regions: map[model.DataCentre]string{"dc": "region"}, FirstPort: c.port, LastPort: c.port, CPUShare: 1,
+		Bounds: Bounds{LeaseMax: 10 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
+			ShutdownGrace: 5 * time.Second, StatusRetention: 2 * time.Minute},
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	path := &fakePath{store: c.store}
+	config := &ports.CellConfig{Version: 1, Routes: []ports.Route{{Host: "host", Prefix: "/q/", Queue: jobs.Queue{
+		Name: "q", Service: "service", MaxAttempts: 2, Slack: 2, Target: time.Second}}}}
+	d := &testDaemon{path: path, done: make(chan struct{})}
+	d.Daemon = New(set, Deps{Store: path, Config: fakeConfig{config}, List: c.workers, Workers: c.workers, Idle: func() {},
+		Log: logrus.NewEntry(log), Registry: metrics.NewRegistry()})
+	listen := func(address string) net.Listener {
+		l, err := net.Listen("tcp", address)
+		assert.NilError(c.t, err)
+		return l
+	}
+	servers := Servers{Callers: listen(set.IP + ":0"), Ready: listen(set.IP + ":0"), Links: listen(set.LinkAddress()), Metrics: listen(set.IP + ":0"),
+		CallerHandler: http.NotFoundHandler(), ReadyHandler: http.NotFoundHandler(), MetricsHandler: http.NotFoundHandler()}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stop = cancel
+	go func() {
+		defer close(d.done)
+		if err := d.Run(ctx, servers); err != nil {
+			c.t.Errorf("%s: %v", set.Node, err)
+		}
+	}()
+	c.daemons = append(c.daemons, d)
+	return d
+}
+
+func (c *testCell) stop() {
+	for _, d := range c.daemons {
+		d.stop()
+	}
+	for _, d := range c.daemons {
+		<-d.done
+	}
+}
+
+// eventually waits until f holds.
+func (c *testCell) eventually(limit time.Duration, what string, f func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(limit); !f(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			c.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+// leader waits for a leader other than the one given.
+func (c *testCell) leader(other *testDaemon) *testDaemon {
+	c.t.Helper()
+	var found *testDaemon
+	c.eventually(8*time.Second, "a leader", func() bool {
+		for _, d := range c.daemons {
+			if l := d.leading.Load(); l != nil && d != other {
+				found = d
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// submit hands a job in, again while its outcome is not known, and returns its
+// ID if it was accepted.
+func (c *testCell) submit(d *testDaemon) (string, Reply) {
+	spec := &jobs.Spec{ID: fmt.Sprintf("%016x", c.next.Add(1)), Queue: "q", Steps: []jobs.Step{
+		{Count: 3, Size: model.Size{MilliCPU: 1000, MemMB: 100}, Estimate: taskTime},
+		{Count: 2, Size: model.Size{MilliCPU: 1000, MemMB: 100}, Estimate: taskTime, After: []int{0}, Gang: true},
+	}}
+	for {
+		copied := *spec
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		reply := d.Calls().Submit(ctx, &copied)
+		cancel()
+		if reply.Verdict != VerdictUnknown {
+			return spec.ID, reply
+		}
+	}
+}
+
+// completed waits until a daemon tells that a job is completed.
+func (c *testCell) completed(d *testDaemon, id string) {
+	c.t.Helper()
+	last := Reply{}
+	c.eventually(20*time.Second, "job "+id+" is completed", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		last = d.Calls().State(ctx, "q", id)
+		if last.Verdict == VerdictNoJob {
+			c.t.Errorf("accepted job %s is not known", id)
+			return true
+		}
+		return last.View == jobs.ViewCompleted
+	})
+}
+
+// noDoubles checks that no task ran twice.
+func (c *testCell) noDoubles() {
+	c.t.Helper()
+	c.workers.mu.Lock()
+	defer c.workers.mu.Unlock()
+	assert.Equal(c.t, len(c.workers.doubled), 0, "%v", c.workers.doubled)
+}
+
+// TestEveryDaemonTakesJobsAndTellsTheirStates guards the whole path: from any
+// daemon through the leader, the store and the workers, back to any daemon.
+func TestEveryDaemonTakesJobsAndTellsTheirStates(t *testing.T) {
+	t.Parallel()
+	c := newTestCell(t, 3)
+	c.leader(nil)
+	var ids []string
+	for _, d := range c.daemons {
+		c.eventually(5*time.Second, "the daemon is ready", d.Calls().Ready)
+		id, reply := c.submit(d)
+		assert.Equal(t, reply.Verdict, VerdictOK, "%s", reply.Reason)
+		ids = append(ids, id)
+	}
+	for i, id := range ids {
+		c.completed(c.daemons[(i+1)%3], id)
+	}
+	c.noDoubles()
+	assert.Equal(t, c.workers.begun, 5*len(ids))
+}
+
+// TestARefusedLeaderHandsOver guards against a cell that stands still because
+// the store turns only its leader away.
+func TestARefusedLeaderHandsOver(t *testing.T) {
+	t.Parallel()
+	c := newTestCell(t, 3)
+	old := c.leader(nil)
+	id, reply := c.submit(old)
+	assert.Equal(t, reply.Verdict, VerdictOK, "%s", reply.Reason)
+	old.path.set(true)
+	next := c.leader(old)
+	c.eventually(5*time.Second, "the former leader takes jobs through the next one", func() bool {
+		_, reply := c.submit(old)
+		return reply.Verdict == VerdictOK
+	})
+	c.completed(next, id)
+	c.noDoubles()
+}
+
+// TestAStoppedLeaderLosesNothing guards against jobs that are lost or run twice
+// while a stopping leader hands over.
+func TestAStoppedLeaderLosesNothing(t *testing.T) {
+	t.Parallel()
+	c := newTestCell(t, 3)
+	old := c.leader(nil)
+	other := c.daemons[0]
+	if other == old {
+		other = c.daemons[1]
+	}
+	c.eventually(5*time.Second, "the other daemon is ready", other.Calls().Ready)
+	old.stop()
+	var ids []string
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+		id, reply := c.submit(other)
+		if reply.Verdict == VerdictOK {
+			ids = append(ids, id)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Assert(t, len(ids) > 20, "only %d jobs were accepted", len(ids))
+	for _, id := range ids {
+		c.completed(other, id)
+	}
+	c.noDoubles()
+}
+
+// TestNewDaemonsContinueFromTheStore guards against accepted jobs that are lost
+// when every daemon is gone: only the store and the workers remain.
+func TestNewDaemonsContinueFromTheStore(t *testing.T) {
+	t.Parallel()
+	c := newTestCell(t, 2)
+	c.leader(nil)
+	var ids []string
+	for range 20 {
+		id, reply := c.submit(c.daemons[0])
+		assert.Equal(t, reply.Verdict, VerdictOK, "%s", reply.Reason)
+		ids = append(ids, id)
+	}
+	c.stop()
+	c.add()
+	fresh := c.add()
+	for _, id := range ids {
+		c.completed(fresh, id)
+	}
+	c.noDoubles()
+}
+
+// TestALeadIsAnnouncedBeforeItsFirstOrder guards against two faults: an append
+// that overtakes the first one of an epoch, which the store then refuses as out
+// of sequence; and an order of a leader that the store has no record of.
+func TestALeadIsAnnouncedBeforeItsFirstOrder(t *testing.T) {
+	t.Parallel()
+	c := newTestCell(t, 3)
+	c.store.mu.Lock()
+	c.store.delay = func(a ports.Append) time.Duration {
+		if a.Fence != nil && a.Fence.Seq == firstSeq {
+			return 250 * time.Millisecond
+		}
+		return 2 * time.Millisecond
+	}
+	c.store.mu.Unlock()
+	old := c.leader(nil)
+	_, reply := c.submit(old)
+	assert.Equal(t, reply.Verdict, VerdictOK, "%s", reply.Reason)
+	old.path.set(true)
+	next := c.leader(old)
+	id, reply := c.submit(next)
+	assert.Equal(t, reply.Verdict, VerdictOK, "%s", reply.Reason)
+	c.completed(next, id)
+
+	announced := map[uint64]time.Time{}
+	for _, a := range c.store.appends() {
+		if a.fence.Seq != firstSeq {
+			end, known := announced[a.fence.Epoch]
+			assert.Assert(t, known && !a.begin.Before(end), "append %d of epoch %d overtakes the first one", a.fence.Seq, a.fence.Epoch)
+			continue
+		}
+		assert.DeepEqual(t, a.keys, []string{leadKey})
+		announced[a.fence.Epoch] = a.end
+	}
+	assert.Assert(t, len(announced) >= 2, "%d leads", len(announced))
+	c.workers.mu.Lock()
+	defer c.workers.mu.Unlock()
+	for token, at := range c.workers.firstStart {
+		assert.Assert(t, at.After(announced[token]), "token %d orders before its lead is stored", token)
+	}
+}
+
+// TestLostAnswersOfTheStoreLoseNoJob guards against a job that is told refused or
+// stored twice when the store carries appends out and its answers are lost.
+func TestLostAnswersOfTheStoreLoseNoJob(t *testing.T) {
+	t.Parallel()
+	c := newTestCell(t, 2)
+	leader := c.leader(nil)
+	for range 3 {
+		leader.path.loseNext(2)
+		id, reply := c.submit(leader)
+		assert.Equal(t, reply.Verdict, VerdictOK, "%s", reply.Reason)
+		c.completed(leader, id)
+	}
+	c.noDoubles()
+}
--- /dev/null
+++ b/internal/cell/fakes_test.go
@@ -0,0 +1,338 @@
+package cell
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"catkinvalve/internal/core/jobs"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/ports"
+)
+
+// fakeStore is the metadata store as its page describes it, in memory. Every
+// daemon reaches it through a fakePath of its own.
+type fakeStore struct {
+	mu     sync.Mutex
+	topics map[ports.Topic]*fakeTopic
+	// delay is the time of an append.
+	delay func(a ports.Append) time.Duration
+	// log lists the appends with a fence in order of their begin.
+	log []*loggedAppend
+}
+
+// loggedAppend is an append of a leader.
+type loggedAppend struct {
+	fence      ports.Fence
+	keys       []string
+	begin, end time.Time
+}
+
+type fakeTopic struct {
+	end     int64
+	records map[string]ports.NewestRecord
+	epoch   uint64
+	seq     uint64
+	// answers holds the answers to the last appends of the epoch.
+	answers map[uint64]int64
+}
+
+// repeatedAppends is how many of the last appends can be repeated.
+const repeatedAppends = 5
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{topics: map[ports.Topic]*fakeTopic{}, delay: func(ports.Append) time.Duration { return 2 * time.Millisecond }}
+}
+
+func (s *fakeStore) topic(name ports.Topic) *fakeTopic {
+	t := s.topics[name]
+	if t == nil {
+		t = &fakeTopic{records: map[string]ports.NewestRecord{}, answers: map[uint64]int64{}}
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (s *fakeStore) append(a ports.Append) (int64, error) {
+	entry := &loggedAppend{begin: time.Now()}
+	for _, r := range a.Records {
+		entry.keys = append(entry.keys, r.Key)
+	}
+	s.mu.Lock()
+	delay := s.delay(a)
+	if a.Fence != nil && len(a.Records) > 0 {
+		entry.fence = *a.Fence
+		s.log = append(s.log, entry)
+	}
+	s.mu.Unlock()
+	time.Sleep(delay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer func() { entry.end = time.Now() }()
+	return s.topic(a.Topic).append(a)
+}
+
+func (t *fakeTopic) append(a ports.Append) (int64, error) {
+	if a.End != nil && *a.End != t.end {
+		return 0, &ports.StoreError{Kind: ports.StoreMoved, End: t.end}
+	}
+	if f := a.Fence; f != nil {
+		switch {
+		case f.Epoch < t.epoch:
+			return 0, &ports.StoreError{Kind: ports.StoreFenced}
+		case f.Epoch > t.epoch:
+			t.epoch, t.seq, t.answers = f.Epoch, 0, map[uint64]int64{}
+		}
+		if len(a.Records) == 0 {
+			return t.end, nil
+		}
+		if first, repeated := t.answers[f.Seq]; repeated {
+			return first, nil
+		}
+		if t.seq != 0 && f.Seq != t.seq+1 {
+			return 0, &ports.StoreError{Kind: ports.StoreSequence, Expected: t.seq + 1}
+		}
+		t.seq = f.Seq
+		t.answers[f.Seq] = t.end
+		delete(t.answers, f.Seq-repeatedAppends)
+	}
+	first := t.end
+	for _, r := range a.Records {
+		if r.Value == nil {
+			delete(t.records, r.Key)
+		} else {
+			t.records[r.Key] = ports.NewestRecord{Key: r.Key, Value: slices.Clone(r.Value), Offset: t.end}
+		}
+		t.end++
+	}
+	return first, nil
+}
+
+// appends returns the appends of leaders so far.
+func (s *fakeStore) appends() []loggedAppend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []loggedAppend
+	for _, a := range s.log {
+		out = append(out, *a)
+	}
+	return out
+}
+
+// fakePath is one daemon's path to the store.
+type fakePath struct {
+	store *fakeStore
+	mu    sync.Mutex
+	// refuse makes the store turn this daemon away.
+	refuse bool
+	// lose is how many answers of appends are lost from now on.
+	lose int
+}
+
+func (p *fakePath) set(refuse bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refuse = refuse
+}
+
+func (p *fakePath) loseNext(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lose = n
+}
+
+func (p *fakePath) refused() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refuse {
+		return &ports.StoreError{Kind: ports.StoreUnavailable, Detail: "turned away by the test"}
+	}
+	return nil
+}
+
+// Append implements ports.Store.
+func (p *fakePath) Append(ctx context.Context, a ports.Append) (int64, error) {
+	if err := p.refused(); err != nil {
+		return 0, err
+	}
+	offset, err := p.store.append(a)
+	p.mu.Lock()
+	lost := p.lose > 0
+	p.lose = max(0, p.lose-1)
+	p.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return 0, &ports.StoreError{Kind: ports.StoreNoAnswer, Detail: "lost by the test"}
+	}
+	return offset, err
+}
+
+// Newest implements ports.Store.
+func (p *fakePath) Newest(_ context.Context, topic ports.Topic, after string) (ports.NewestPage, error) {
+	if err := p.refused(); err != nil {
+		return ports.NewestPage{}, err
+	}
+	p.store.mu.Lock()
+	defer p.store.mu.Unlock()
+	t := p.store.topic(topic)
+	page := ports.NewestPage{End: t.end}
+	const pageSize = 50
+	for _, key := range slices.Sorted(maps.Keys(t.records)) {
+		switch {
+		case key <= after:
+		case len(page.Records) == pageSize:
+			page.More = true
+			return page, nil
+		default:
+			page.Records = append(page.Records, t.records[key])
+		}
+	}
+	return page, nil
+}
+
+// fakeConfig holds one configuration that never changes.
+type fakeConfig struct{ config *ports.CellConfig }
+
+// Latest implements ports.ConfigSource.
+func (c fakeConfig) Latest(context.Context) (*ports.CellConfig, ports.ListCursor, error) {
+	return c.config, 1, nil
+}
+
+// Changes implements ports.ConfigSource.
+func (c fakeConfig) Changes(ctx context.Context, from ports.ListCursor, wait time.Duration) (*ports.CellConfig, ports.ListCursor, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return nil, from, ctx.Err()
+}
+
+// fakeWorkers are the workers of a cell and their list.
+type fakeWorkers struct {
+	mu      sync.Mutex
+	workers map[model.WorkerID]*fakeWorker
+	// doubled lists tasks that ran twice at a time or again after they were done.
+	doubled []string
+	// begun counts the starts.
+	begun int
+	// firstStart tells when the first start with each token arrived.
+	firstStart map[uint64]time.Time
+	running    map[jobs.TaskRef]bool
+	done       map[jobs.TaskRef]bool
+}
+
+type fakeWorker struct {
+	begin time.Time
+	token uint64
+	next  int64
+	runs  map[jobs.TaskRef]int64
+	ended []jobs.Ended
+}
+
+// taskTime is how long every task takes.
+const taskTime = 60 * time.Millisecond
+
+func newFakeWorkers(ids ...model.WorkerID) *fakeWorkers {
+	f := &fakeWorkers{workers: map[model.WorkerID]*fakeWorker{}, firstStart: map[uint64]time.Time{}, running: map[jobs.TaskRef]bool{}, done: map[jobs.TaskRef]bool{}}
+	for _, id := range ids {
+		f.workers[id] = &fakeWorker{begin: time.Now().Add(-time.Minute), runs: map[jobs.TaskRef]int64{}}
+	}
+	return f
+}
+
+// All implements ports.WorkerList.
+func (f *fakeWorkers) All(context.Context) ([]ports.WorkerChange, ports.ListCursor, error) {
+	var out []ports.WorkerChange
+	for id := range f.workers {
+		out = append(out, ports.WorkerChange{ID: id, Entry: &jobs.Entry{ID: id, Address: string(id), Service: "service", Life: 1,
+			Capacity: model.Size{MilliCPU: 16_000, MemMB: 32_000}}})
+	}
+	slices.SortFunc(out, func(a, b ports.WorkerChange) int { return cmp.Compare(a.ID, b.ID) })
+	return out, 1, nil
+}
+
+// Changes implements ports.WorkerList.
+func (f *fakeWorkers) Changes(_ context.Context, from ports.ListCursor) ([]ports.WorkerChange, ports.ListCursor, error) {
+	return nil, from, nil
+}
+
+func (w *fakeWorker) clock() int64 { return time.Since(w.begin).Milliseconds() }
+
+// Hold implements ports.TaskWorkers.
+func (f *fakeWorkers) Hold(ctx context.Context, token uint64, o jobs.HoldOrder) jobs.HoldResult {
+	sent := time.Now()
+	for {
+		if r, answered := f.lists(token, &o); answered || time.Since(sent) >= o.Wait {
+			r.Sent = sent
+			return r
+		}
+		select {
+		case <-ctx.Done():
+			return jobs.HoldResult{Worker: o.Worker, Sent: sent, Status: jobs.CallNoAnswer}
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// lists answers a call at once if there are ends, or if it is fenced.
+func (f *fakeWorkers) lists(token uint64, o *jobs.HoldOrder) (jobs.HoldResult, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[o.Worker]
+	if token < w.token {
+		return jobs.HoldResult{Worker: o.Worker, Status: jobs.CallFenced}, true
+	}
+	w.token = token
+	for len(w.ended) > 0 && w.ended[0].Seq <= o.AckCursor {
+		w.ended = w.ended[1:]
+	}
+	r := jobs.HoldResult{Worker: o.Worker, Status: jobs.CallOK, Clock: w.clock(), Life: 1, Ended: slices.Clone(w.ended)}
+	for ref, run := range w.runs {
+		r.Running = append(r.Running, jobs.Listed{Task: ref, Run: run, Percent: 10})
+	}
+	return r, len(w.ended) > 0
+}
+
+// Start implements ports.TaskWorkers.
+func (f *fakeWorkers) Start(_ context.Context, token uint64, o jobs.StartOrder) jobs.StartResult {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[o.Worker]
+	r := jobs.StartResult{Worker: o.Worker, Task: o.Task, Run: o.Run, Status: jobs.CallOK, Clock: w.clock()}
+	if token < w.token {
+		r.Status = jobs.CallFenced
+		return r
+	}
+	w.token = token
+	if w.runs[o.Task] == o.Run {
+		return r
+	}
+	if f.running[o.Task] || f.done[o.Task] {
+		f.doubled = append(f.doubled, o.Task.String())
+	}
+	if f.firstStart[token].IsZero() {
+		f.firstStart[token] = time.Now()
+	}
+	f.begun++
+	f.running[o.Task], w.runs[o.Task] = true, o.Run
+	time.AfterFunc(taskTime, func() { f.end(w, o.Task, o.Run) })
+	return r
+}
+
+func (f *fakeWorkers) end(w *fakeWorker, ref jobs.TaskRef, run int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.running, ref)
+	delete(w.runs, ref)
+	f.done[ref] = true
+	w.next++
+	w.ended = append(w.ended, jobs.Ended{Seq: w.next, Task: ref, Run: run, Kind: jobs.EndDone})
+}
+
+// Stop implements ports.TaskWorkers. Tasks are too short to be stopped.
+func (f *fakeWorkers) Stop(_ context.Context, _ uint64, o jobs.StopOrder) jobs.StopResult {
+	return jobs.StopResult{Worker: o.Worker, Task: o.Task, Run: o.Run, Status: jobs.CallOK}
+}
