Shed nothing for work that is refused all the same; fixed seeds for property tests

Cause: requeued work may take the queue past its bound. Admit now counts first what shedding can free. TestARefusedItemShedsNothing fails without the change.

Property tests draw from a fixed seed in make test, so that the verdict is the same each time; make property draws a fresh one.

--- a/internal/core/confirm/reader_test.go
+++ b/internal/core/confirm/reader_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"catkinvalve/internal/core/split"
+	_ "catkinvalve/internal/propseed"
 )
 
 var at = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/core/election/owners_test.go
+++ b/internal/core/election/owners_test.go
@@ -9,6 +9,7 @@
 
 	"catkinvalve/internal/core/lease"
 	"catkinvalve/internal/core/model"
+	_ "catkinvalve/internal/propseed"
 )
 
 // grantor is a worker that grants its lease on its own clock, which may run a
--- a/internal/core/estimate/estimate_test.go
+++ b/internal/core/estimate/estimate_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"catkinvalve/internal/core/model"
+	_ "catkinvalve/internal/propseed"
 )
 
 var declared = model.Size{MilliCPU: 1000, MemMB: 2000, Slots: 1, Conns: 4}
--- a/internal/core/lease/table_test.go
+++ b/internal/core/lease/table_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"catkinvalve/internal/core/model"
+	_ "catkinvalve/internal/propseed"
 )
 
 const ttl = 3 * time.Second
--- a/internal/core/placement/property_test.go
+++ b/internal/core/placement/property_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"catkinvalve/internal/core/model"
+	_ "catkinvalve/internal/propseed"
 )
 
 func drawNeed(t *rapid.T) Need {
--- a/internal/core/queue/admit.go
+++ b/internal/core/queue/admit.go
@@ -22,11 +22,13 @@
 	if q.config.Total <= 0 {
 		return nil, model.ReasonQueueFull
 	}
+	// Requeued work may exceed the bound, so that shedding may not suffice. Then
+	// nothing is shed.
+	if q.Len()-q.lessUrgent(it.Class.Rank()) >= q.config.Total {
+		return nil, model.ReasonQueueFull
+	}
 	for q.Len() >= q.config.Total {
 		victim := q.victim(it.Class.Rank())
-		if victim == nil {
-			return shed, model.ReasonQueueFull
-		}
 		shed = append(shed, q.removeKey(victim.item.Key)...)
 	}
 	q.insert(now, it)
@@ -51,6 +53,17 @@
 	return ""
 }
 
+// lessUrgent counts the items of the classes that are less urgent than rank.
+func (q *Queue) lessUrgent(rank int) int {
+	n := 0
+	for id, g := range q.groups {
+		if id.class.Rank() > rank {
+			n += g.oldest.len()
+		}
+	}
+	return n
+}
+
 // victim returns the newest item of the longest queue in the least urgent
 // class that is less urgent than rank, or nil.
 func (q *Queue) victim(rank int) *node {
--- a/internal/core/queue/queue_test.go
+++ b/internal/core/queue/queue_test.go
@@ -274,3 +274,17 @@
 	q.Next(t0, func(Item) Verdict { visits++; return NoRoom })
 	assert.Assert(t, visits <= maxShapes, "%d visits", visits)
 }
+
+// Requeued work may take the queue past its bound. An item that shedding cannot
+// make room for must not cost others their place.
+func TestARefusedItemShedsNothing(t *testing.T) {
+	q := build(bounds(10, 2))
+	admit(t, q, t0, task("batch", "a", model.Batch))
+	for i := range 3 {
+		q.Requeue(t0, task(fmt.Sprint("back", i), "b", model.Interactive))
+	}
+	shed, refused := q.Admit(t0, task("new", "b", model.Interactive))
+	assert.Equal(t, refused, model.ReasonQueueFull)
+	assert.Equal(t, len(shed), 0)
+	assert.Equal(t, q.Len(), 4)
+}
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"catkinvalve/internal/core/model"
+	_ "catkinvalve/internal/propseed"
 )
 
 var t0 = time.Unix(1_000_000, 0)
--- a/internal/core/scheduler/model_test.go
+++ b/internal/core/scheduler/model_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "catkinvalve/internal/propseed"
 )
 
 // modelSeeds make runs repeatable; -rapid.seed runs another one.
--- a/internal/core/split/split_test.go
+++ b/internal/core/split/split_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"catkinvalve/internal/core/model"
+	_ "catkinvalve/internal/propseed"
 )
 
 // A key must stay new when the share grows, and shares must be about met.
--- a/internal/peerpb/convert_test.go
+++ b/internal/peerpb/convert_test.go
@@ -12,6 +12,7 @@
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/limits"
+	_ "catkinvalve/internal/propseed"
 )
 
 var (
--- a/internal/standin/workerd/worker_test.go
+++ b/internal/standin/workerd/worker_test.go
@@ -17,6 +17,7 @@
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/ports"
+	_ "catkinvalve/internal/propseed"
 	"catkinvalve/internal/standin/harness"
 	"catkinvalve/internal/standinapi"
 )
--- a/internal/text/parse_test.go
+++ b/internal/text/parse_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "catkinvalve/internal/propseed"
 )
 
 const valid = `{
