One claim at a time; recover sooner after all daemons lost power

Cause, from the logs: a daemon looked for the claimant's link before the link's own goroutine had recorded it, and so did not see that the lead was being taken up. The greeting of the fresh link decides now. Further: the random part of the delay before a claim outweighed a daemon's fitness; earlier leads of a process that was replaced end with the start of the new process; a lead does not move before the recovery is complete; a worker that a leader waited for in vain is not waited for by the next one.

The leader keeps a copy in a topic of the cell's own.

Ruled out: slow loading (0.1 to 0.4 s), calls to workers (all lists within 0.3 s).

--- a/internal/adapters/linkrpc/link.go
+++ b/internal/adapters/linkrpc/link.go
@@ -39,6 +39,8 @@
 type Link struct {
 	// Peer is what the other daemon said of itself first.
 	Peer *cellpb.Hello
+	// Greeted is when that arrived.
+	Greeted time.Time
 	// Dialed tells that this daemon opened the link.
 	Dialed bool
 
--- a/internal/adapters/linkrpc/transport.go
+++ b/internal/adapters/linkrpc/transport.go
@@ -81,7 +81,7 @@
 	if f.Hello == nil {
 		return errNoHello
 	}
-	l.Peer = f.Hello
+	l.Peer, l.Greeted = f.Hello, time.Now()
 	return nil
 }
 
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -14,6 +14,8 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"catkinvalve/internal/adapters/linkrpc"
+	"catkinvalve/internal/cellpb"
 	"catkinvalve/internal/core/jobs"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/ports"
@@ -27,6 +29,7 @@
 	daemons []*testDaemon
 	port    int
 	next    atomic.Int64
+	config  ports.ConfigSource
 }
 
 type testDaemon struct {
@@ -38,6 +41,8 @@
 
 func newTestCell(t *testing.T, daemons int) *testCell {
 	c := &testCell{t: t, store: newFakeStore(), workers: newFakeWorkers("w1", "w2", "w3"), port: freePort(t)}
+	c.config = fakeConfig{&ports.CellConfig{Version: 1, Routes: []ports.Route{{Host: "host", Prefix: "/q/", Queue: jobs.Queue{
+		Name: "q", Service: "service", MaxAttempts: 2, Slack: 2, Target: time.Second}}}}}
 	for range daemons {
 		c.add()
 	}
@@ -65,10 +70,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	path := &fakePath{store: c.store}
-	config := &ports.CellConfig{Version: 1, Routes: []ports.Route{{Host: "host", Prefix: "/q/", Queue: jobs.Queue{
-		Name: "q", Service: "service", MaxAttempts: 2, Slack: 2, Target: time.Second}}}}
 	d := &testDaemon{path: path, done: make(chan struct{})}
-	d.Daemon = New(set, Deps{Store: path, Config: fakeConfig{config}, List: c.workers, Workers: c.workers, Idle: func() {},
+	d.Daemon = New(set, Deps{Store: path, Config: c.config, List: c.workers, Workers: c.workers, Idle: func() {},
 		Log: logrus.NewEntry(log), Registry: metrics.NewRegistry()})
 	listen := func(address string) net.Listener {
 		l, err := net.Listen("tcp", address)
@@ -307,3 +310,84 @@
 	}
 	c.noDoubles()
 }
+
+// TestOneDaemonTakesUpTheLead guards against daemons that start together and
+// each take the lead away from the one that is just taking it up.
+func TestOneDaemonTakesUpTheLead(t *testing.T) {
+	t.Parallel()
+	c := newTestCell(t, 0)
+	c.store.delay = func(a ports.Append) time.Duration {
+		if a.Fence != nil && a.Fence.Seq == firstSeq {
+			return 500 * time.Millisecond
+		}
+		return 2 * time.Millisecond
+	}
+	for range 8 {
+		c.add()
+	}
+	c.leader(nil)
+	epochs := map[uint64]bool{}
+	for _, a := range c.store.appends() {
+		epochs[a.fence.Epoch] = true
+	}
+	assert.Equal(t, len(epochs), 1, "%d daemons took up the lead", len(epochs))
+}
+
+// claimant is a daemon that is taking up the lead, as others see it.
+type claimant struct{ token uint64 }
+
+func (c claimant) View() *cellpb.ViewResponse {
+	return &cellpb.ViewResponse{Node: "claimant", Claimed: c.token}
+}
+func (claimant) Opened(*linkrpc.Link)               {}
+func (claimant) Frame(*linkrpc.Link, *cellpb.Frame) {}
+func (claimant) Closed(*linkrpc.Link)               {}
+func (c claimant) hello() *cellpb.Hello             { return &cellpb.Hello{Node: "claimant", Claimed: c.token} }
+
+// TestALeadThatIsTakenUpIsRespected guards against a claim over the head of a
+// daemon that said on a fresh link that it takes up the lead. Found on
+// kerlann-voix-grown, trouble-1: ten daemons claimed the lead within a second
+// after all had lost power.
+func TestALeadThatIsTakenUpIsRespected(t *testing.T) {
+	t.Parallel()
+	c := newTestCell(t, 1)
+	const token = 1000
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	peer := claimant{token}
+	transport := &linkrpc.Transport{Hello: peer.hello, Handler: peer, Viewer: peer, Registry: metrics.NewRegistry(), Log: c.daemons[0].log}
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		assert.Check(t, transport.Serve(ctx, l))
+	}()
+	defer func() { cancel(); <-served }()
+	record := &cellpb.StoredNode{Node: "claimant", Address: l.Addr().String()}
+	for range 50 {
+		assert.Assert(t, c.daemons[0].followLeader(ctx, record, token), "the claim is not seen")
+	}
+	assert.Assert(t, !c.daemons[0].followLeader(ctx, record, token+1), "a claim that failed is respected for ever")
+}
+
+// TestDaemonsStartWithTheCopyOfTheConfiguration guards against daemons that
+// refuse everything after they all were replaced while the store turns readers
+// of the operators' topic away. Found on kerlann-voix-grown, trouble-3.
+func TestDaemonsStartWithTheCopyOfTheConfiguration(t *testing.T) {
+	t.Parallel()
+	c := newTestCell(t, 1)
+	c.leader(nil)
+	c.eventually(5*time.Second, "the copy is stored", func() bool {
+		c.store.mu.Lock()
+		defer c.store.mu.Unlock()
+		return len(c.store.topic(ports.ConfigTopic).records) == 1
+	})
+	c.stop()
+	c.config = noConfig{}
+	c.add()
+	fresh := c.add()
+	c.eventually(8*time.Second, "the daemon is ready", fresh.Calls().Ready)
+	id, reply := c.submit(fresh)
+	assert.Equal(t, reply.Verdict, VerdictOK, "%s", reply.Reason)
+	c.completed(fresh, id)
+}
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -158,6 +158,9 @@
 		}
 		if errors.As(err, &store) {
 			d.store.failed(err)
+			if d.config.current.Load() == nil {
+				d.readCopy(ctx)
+			}
 		} else {
 			// A record that cannot be read is passed over: a later one replaces it.
 			d.log.WithFields(logrus.Fields{"event": "config_unreadable", "error": err.Error()}).Error("a configuration cannot be read")
--- a/internal/cell/daemon.go
+++ b/internal/cell/daemon.go
@@ -41,6 +41,7 @@
 	log         *logrus.Entry
 	registry    metrics.Registry
 	incarnation int64
+	started     time.Time
 	// spread separates daemons in a first election.
 	spread    float64
 	config    *configHolder
@@ -63,7 +64,7 @@
 // New returns a daemon that does nothing yet.
 func New(set Settings, deps Deps) *Daemon {
 	now := time.Now()
-	d := &Daemon{set: set, deps: deps, log: deps.Log, registry: deps.Registry, incarnation: now.UnixNano(), spread: rand.Float64(),
+	d := &Daemon{set: set, deps: deps, log: deps.Log, registry: deps.Registry, incarnation: now.UnixNano(), started: now, spread: rand.Float64(),
 		config: &configHolder{log: deps.Log}, store: &storeHealth{log: deps.Log}, members: newMembers(set.Node, now), electNow: make(chan struct{}, 1)}
 	d.entry = newEntry(d)
 	d.transport = &linkrpc.Transport{Hello: d.hello, Handler: d, Viewer: d, Registry: deps.Registry, Log: deps.Log}
@@ -195,7 +196,8 @@
 
 // hello is what this daemon says of itself on a new link.
 func (d *Daemon) hello() *cellpb.Hello {
-	h := &cellpb.Hello{Node: d.set.Node, Address: d.set.LinkAddress(), DataCentre: string(d.set.DataCentre), Incarnation: d.incarnation, Claimed: d.claimed.Load()}
+	h := &cellpb.Hello{Node: d.set.Node, Address: d.set.LinkAddress(), DataCentre: string(d.set.DataCentre), Incarnation: d.incarnation, Claimed: d.claimed.Load(),
+		UptimeMs: time.Since(d.started).Milliseconds()}
 	if l := d.leading.Load(); l != nil {
 		h.Token = l.token
 	}
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -153,29 +153,24 @@
 }
 
 // followLeader links to the daemon of a leader record and reports whether it
-// does lead. A daemon that claimed the lead may have failed to take it up.
+// leads or takes up the lead. A daemon that claimed the lead may have failed to
+// take it up.
 func (d *Daemon) followLeader(ctx context.Context, record *cellpb.StoredNode, token uint64) bool {
-	if !d.dial(ctx, record.Address) {
-		return false
-	}
-	s := d.members.standing()
-	if s.linked && s.token >= token && s.leader == record.Node {
-		return true
-	}
-	l := d.members.linkTo(record.Node)
-	return l != nil && l.Peer.Claimed >= token
+	l := d.dial(ctx, record.Address)
+	return l != nil && l.Peer.Node == record.Node && max(l.Peer.Token, l.Peer.Claimed) >= token
 }
 
-// dial opens a link and reports whether it worked.
-func (d *Daemon) dial(ctx context.Context, address string) bool {
+// dial opens a link. It returns nil when that does not work.
+func (d *Daemon) dial(ctx context.Context, address string) *linkrpc.Link {
 	if address == "" {
-		return false
+		return nil
 	}
-	_, err := d.transport.Dial(ctx, address, &d.linked)
+	l, err := d.transport.Dial(ctx, address, &d.linked)
 	if err != nil {
 		d.log.WithFields(logrus.Fields{"event": "link_failed", "address": address, "error": err.Error()}).Debug("cannot link to a daemon")
+		return nil
 	}
-	return err == nil
+	return l
 }
 
 // maxAsked bounds the daemons that are asked about the leader: when all miss it
--- a/internal/cell/fakes_test.go
+++ b/internal/cell/fakes_test.go
@@ -210,6 +210,19 @@
 	return nil, from, ctx.Err()
 }
 
+// noConfig is an operators' topic that cannot be read.
+type noConfig struct{}
+
+// Latest implements ports.ConfigSource.
+func (noConfig) Latest(context.Context) (*ports.CellConfig, ports.ListCursor, error) {
+	return nil, 0, &ports.StoreError{Kind: ports.StoreUnavailable, Detail: "turned away by the test"}
+}
+
+// Changes implements ports.ConfigSource.
+func (noConfig) Changes(_ context.Context, from ports.ListCursor, _ time.Duration) (*ports.CellConfig, ports.ListCursor, error) {
+	return nil, from, &ports.StoreError{Kind: ports.StoreUnavailable, Detail: "turned away by the test"}
+}
+
 // fakeWorkers are the workers of a cell and their list.
 type fakeWorkers struct {
 	mu      sync.Mutex
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -174,6 +174,7 @@
 	l.work.Go(l.journal.run)
 	l.work.Go(l.followWorkers)
 	l.work.Go(l.readNodes)
+	l.work.Go(l.keepCopy)
 	l.d.setLeader(l)
 	l.d.members.lead(l.token)
 	l.loop()
@@ -245,10 +246,13 @@
 // formerEnd returns until when any earlier leader may have gone on extending the
 // leases of workers.
 func (l *leader) formerEnd() time.Time {
-	if len(l.former) >= maxFormer {
+	switch {
+	case len(l.former) == 0:
+		return l.claim.at
+	case len(l.former) >= maxFormer:
 		return l.claim.at.Add(authorityWithoutStore)
 	}
-	end := l.claim.at
+	end := time.Time{}
 	for _, f := range l.former {
 		if at := l.endOf(f); at.After(end) {
 			end = at
@@ -259,9 +263,14 @@
 
 // endOf returns until when the leader of an earlier lead may have gone on.
 func (l *leader) endOf(f *cellpb.Lead) time.Time {
-	if f.Node == l.d.set.Node || l.d.members.incarnation(f.Node) > f.Incarnation {
-		// Its process is another one by now, or this one.
-		return l.claim.at
+	if f.Node == l.d.set.Node {
+		if f.Incarnation == l.d.incarnation {
+			return l.claim.at
+		}
+		return l.d.started
+	}
+	if at, known := l.d.members.replaced(f.Node, f.Incarnation); known {
+		return at
 	}
 	if r, heard := l.reports[f.Node]; heard && r.Token >= l.token {
 		// It knows of this leader; that was so when its first report came.
@@ -391,7 +400,8 @@
 // considerBetter offers the lead to a daemon that would lead much better, such
 // as after all daemons started at once and a slow one was first.
 func (l *leader) considerBetter(now time.Time) {
-	if now.Sub(l.claim.at) < settleTime || now.Sub(l.proof.offered) < settleTime {
+	// Before the recovery is complete, the next leader would wait once more.
+	if now.Sub(l.claim.at) < settleTime || now.Sub(l.proof.offered) < settleTime || !l.core.Recovered() {
 		return
 	}
 	order := l.successors(now)
--- a/internal/cell/members.go
+++ b/internal/cell/members.go
@@ -216,15 +216,22 @@
 	return len(m.links), len(m.nodes)
 }
 
-// incarnation returns the latest incarnation of a daemon that was heard, or 0.
-func (m *members) incarnation(name string) int64 {
+// replaced returns when the process of a daemon's incarnation had certainly been
+// replaced by another one, if that is known.
+func (m *members) replaced(name string, incarnation int64) (time.Time, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	latest := int64(0)
+	first, known := time.Time{}, false
 	for _, l := range m.links[name] {
-		latest = max(latest, l.Peer.Incarnation)
+		if l.Peer.Incarnation <= incarnation {
+			continue
+		}
+		began := l.Greeted.Add(-time.Duration(l.Peer.UptimeMs) * time.Millisecond)
+		if !known || began.Before(first) {
+			first, known = began, true
+		}
 	}
-	return latest
+	return first, known
 }
 
 // others returns the link addresses of the other daemons by name.
--- a/internal/core/jobs/lease_test.go
+++ b/internal/core/jobs/lease_test.go
@@ -44,3 +44,32 @@
 	assert.Assert(t, restarted >= lease, "restarted after %v, within the lease of %v", restarted, lease)
 	assert.Assert(t, restarted < lease+time.Second, "restarted after %v", restarted)
 }
+
+// Guards against a leader that waits for a worker's lease which the leader before
+// it has already waited for. Found on kerlann-voix-grown, trouble-1: two changes
+// of hands within seconds, and 4.8 s without a start of restored work in each.
+func TestASilentWorkerIsWaitedForOnce(t *testing.T) {
+	b := newBench(t)
+	b.ready("w1")
+	s := Snapshot{Workers: []WorkerRecord{{ID: "w1", Address: "w1:1", Service: "s"}, {ID: "gone", Address: "gone:1", Service: "s"}}}
+	next := b.restarted(2, s)
+	next.core.SetFormerEnd(next.now)
+	next.core.SetEntries(next.now, []Entry{entry("w1")})
+	dropped := map[model.WorkerID]bool{}
+	for range 60 {
+		for _, h := range next.step(100 * time.Millisecond).Holds {
+			r := HoldResult{Worker: h.Worker, Sent: next.now, Status: CallNoAnswer}
+			if h.Worker == "w1" {
+				r.Status, r.Life, r.Clock = CallOK, 1, next.clock()
+			}
+			next.core.Held(next.now, &r)
+		}
+		if batch := next.store(); batch != nil {
+			for _, id := range batch.DropWorkers {
+				dropped[id] = true
+			}
+		}
+	}
+	assert.Assert(t, next.core.Recovered())
+	assert.DeepEqual(t, dropped, map[model.WorkerID]bool{"gone": true})
+}
--- a/internal/core/jobs/orders.go
+++ b/internal/core/jobs/orders.go
@@ -179,12 +179,24 @@
 	c.poolStale, c.claimsStale = true, true
 	if len(c.gate) > 0 && now.After(c.formerLeases()) {
 		c.event(Event{Name: EventLeaseEnded, Detail: "leases of an earlier leader", Count: len(c.gate)})
-		clear(c.gate)
+		c.clearGate()
 		c.openGate(now)
 	}
 	c.checkAdvice(now)
 }
 
+// clearGate gives up waiting for the workers that have not answered. Their leases
+// have ended and this leader started nothing there, so that a next leader need
+// not wait for them either.
+func (c *Core) clearGate() {
+	for id := range c.gate {
+		if w := c.workers[id]; w != nil && !w.answered {
+			c.strike(w)
+		}
+	}
+	clear(c.gate)
+}
+
 // formerLeases returns when the last lease that an earlier leader granted has
 // certainly ended.
 func (c *Core) formerLeases() time.Time {
--- a/internal/core/succession/succession.go
+++ b/internal/core/succession/succession.go
@@ -21,12 +21,12 @@
 	maxRank = 6
 	// costDelay scales the delay of a first election by the cost of a candidate,
 	// so that a daemon with a fast processor close to the store wins.
-	costDelay = 10
+	costDelay = 15
 	// bestCost is the cost of a daemon that need not wait.
 	bestCost = 10 * time.Millisecond
-	// spreadDelay for each daemon separates those of equal cost, so that the first
-	// one is seen before the next one acts.
-	spreadDelay = 30 * time.Millisecond
+	// spreadDelay for each daemon separates those of equal cost, so that few act
+	// at the same time.
+	spreadDelay = 8 * time.Millisecond
 	// heardLimit is how fresh another daemon's contact with the leader must be to
 	// keep the leader in office.
 	heardLimit = 450 * time.Millisecond
--- a/internal/ports/cell.go
+++ b/internal/ports/cell.go
@@ -21,6 +21,8 @@
 	JobsTopic Topic = "jobs"
 	// NodesTopic holds one record for each daemon.
 	NodesTopic Topic = "nodes"
+	// ConfigTopic holds the leader's copy of the configuration in force.
+	ConfigTopic Topic = "config"
 )
 
 // KeyedRecord is a record of a keyed topic. A nil value deletes the key.
