--- a/internal/core/jobs/sim_test.go
+++ b/internal/core/jobs/sim_test.go
@@ -374,6 +374,15 @@
 	s.after(24*time.Second, func() { c.perSecond = usual })
 }
 
+// grey makes a share of the workers fail all that they start for a while.
+func (s *sim) grey(share float64) {
+	for i := range int(share * float64(len(s.workers))) {
+		w := s.workers[(i*37)%len(s.workers)]
+		s.after(7*time.Second, func() { w.failing = true })
+		s.after(13*time.Second, func() { w.failing = false })
+	}
+}
+
 func (c *simClass) lognormal(mean, spread float64) float64 {
 	sigma := math.Sqrt(math.Log(1 + spread*spread))
 	return mean * math.Exp(sigma*c.rng.NormFloat64()-sigma*sigma/2)
--- a/internal/core/jobs/simload_test.go
+++ b/internal/core/jobs/simload_test.go
@@ -128,7 +128,8 @@
 
 // TestSimLoads plays each load without faults and prints what callers get.
 // SIM_SCALE changes the load, SIM_SEEDS the number of runs, SIM_LOAD selects one
-// load, SIM_BURST multiplies the first class's traffic from 20 to 24 s.
+// load, SIM_BURST multiplies the first class's traffic from 20 to 24 s,
+// SIM_GREY is the share of workers that fail all they start from 7 to 13 s.
 func TestSimLoads(t *testing.T) {
 	scale, seeds := envFloat("SIM_SCALE", 0.9), int(envFloat("SIM_SEEDS", 1))
 	const length = 60 * time.Second
@@ -146,6 +147,7 @@
 						workers, capacity, classes := simLoads[name](scale)
 						s := newSim(uint64(i)+1, workers, capacity, classes)
 						s.burst(&s.classes[0], envFloat("SIM_BURST", 1))
+						s.grey(envFloat("SIM_GREY", 0))
 						s.run(length)
 						sum[i] = s.report(t, name, length)
 					})
--- a/internal/telemetry/linewriter.go
+++ b/internal/telemetry/linewriter.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -28,7 +27,6 @@
 	closed  chan struct{}
 	ended   chan struct{}
 	once    sync.Once
-	dropped atomic.Int64
 	counter metrics.Counter
 }
 
@@ -50,7 +48,6 @@
 	}
 	w.mu.Unlock()
 	if full {
-		w.dropped.Add(1)
 		w.counter.Inc(1)
 		return len(p), nil
 	}
@@ -61,8 +58,12 @@
 	return len(p), nil
 }
 
-// Dropped returns the number of dropped lines.
-func (w *LineWriter) Dropped() int64 { return w.dropped.Load() }
+// fill returns how full the queue is, from 0 to 1.
+func (w *LineWriter) fill() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return float64(len(w.queue)) / lineQueueBytes
+}
 
 // Close writes what waits and stops. It gives up after a second when the reader
 // does not take the lines.
--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -21,7 +21,11 @@
 	logger := logrus.New()
 	logger.SetOutput(w)
 	logger.SetLevel(parsed)
-	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	var formatter logrus.Formatter = &logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano}
+	if lines, ok := w.(*LineWriter); ok {
+		formatter = newShedder(formatter, lines)
+	}
+	logger.SetFormatter(formatter)
 	return logger.WithFields(logrus.Fields{"daemon": daemon, "data_centre": dataCentre}), nil
 }
 
