--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -190,3 +190,16 @@
 	err := answered{errors.Join(jsonc.Problems{{Fault: "f"}})}
 	assert.Equal(t, exitCode(err), ExitRefused)
 }
+
+// Guards against a trace that needs a server, or that calls a job without lines
+// settled.
+func TestTrace(t *testing.T) {
+	name := write(t, `{"daemon":"d","event":"job_refused","job":"a1","reason":"store_unavailable","time":"2026-01-01T00:00:01Z"}`)
+	var out, errOut bytes.Buffer
+	code := Execute(context.Background(), []string{"--server", "http://127.0.0.1:1", "trace", "a1", name}, &out, &errOut)
+	assert.Equal(t, code, ExitOK, errOut.String())
+	assert.Assert(t, strings.Contains(out.String(), "Settled at 00:00:01.000 by job_refused on d: reason=store_unavailable"), out.String())
+	code = Execute(context.Background(), []string{"trace", "other", name}, &out, &errOut)
+	assert.Equal(t, code, ExitUsage, errOut.String())
+	assert.Assert(t, strings.Contains(errOut.String(), "no line about other"))
+}
--- /dev/null
+++ b/internal/cli/trace.go
@@ -0,0 +1,80 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"catkinvalve/internal/fault"
+	"catkinvalve/internal/joblog"
+)
+
+// traceTime is the format of times in a timeline.
+const traceTime = "15:04:05.000"
+
+func newTrace(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:   "trace ID FILE...",
+		Short: "Show what happened to a job, from the daemons' logs",
+		Long: "Reads the logs of any number of daemons (- for standard input) and prints one timeline of a job: every " +
+			"decision about it, with what decided it, and between them changes of the leader, of the store and of its workers.",
+		Example: "  catkinvalve trace 5c0e7a21d94b36f8 logs/*.jsonl",
+		Args:    cobra.MinimumNArgs(2),
+		RunE:    func(cmd *cobra.Command, args []string) error { return a.trace(cmd, args[0], args[1:]) },
+	}
+}
+
+func (a *app) trace(cmd *cobra.Command, job string, files []string) error {
+	var lines []joblog.Line
+	for _, name := range files {
+		read, err := readLog(cmd.InOrStdin(), name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, read...)
+	}
+	t := joblog.Of(job, lines)
+	if len(t.Rows) == 0 {
+		return fault.New(fault.NotFound, "add the logs of all daemons, in particular of the leader", "no line about %s", job)
+	}
+	if a.output == outputJSON {
+		return a.print(t, nil)
+	}
+	rows := &table{header: []string{"TIME", "DAEMON", "EVENT", "WHAT", "WORKER", "WHY"}}
+	for i := range t.Rows {
+		r := &t.Rows[i]
+		rows.add(r.Time.Format(traceTime), r.Daemon, r.Event, r.What(), r.Worker, r.Why())
+	}
+	if err := a.print(nil, rows); err != nil {
+		return err
+	}
+	if t.Seal == nil {
+		fmt.Fprintln(a.out, "\nNothing in these logs settles the job.")
+	} else {
+		seal := joblog.Row{Line: *t.Seal, Count: 1}
+		fmt.Fprintf(a.out, "\nSettled at %s by %s on %s: %s\n", seal.Time.Format(traceTime), seal.Event, seal.Daemon, seal.Why())
+	}
+	if t.Dropped > 0 {
+		fmt.Fprintf(a.out, "%d lines of these kinds were dropped while the log was full.\n", t.Dropped)
+	}
+	return nil
+}
+
+// readLog reads one file of log lines.
+func readLog(in io.Reader, name string) (lines []joblog.Line, err error) {
+	if name != "-" {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, usage("cannot read the log: %v", err)
+		}
+		defer func() { _ = file.Close() }()
+		in = file
+	}
+	lines, err = joblog.Read(in)
+	if err != nil {
+		return nil, usage("cannot read %s: %v", name, err)
+	}
+	return lines, nil
+}
