--- a/test/scenarios/promises_test.go
+++ b/test/scenarios/promises_test.go
@@ -16,6 +16,7 @@
 const (
 	repository   = "../.."
 	promisesPage = repository + "/docs/promises.md"
+	platformPage = repository + "/docs/promises-platform.md"
 	// promiseCount is the number of promises in section 1 of docs/design.md.
 	promiseCount = 8
 )
@@ -104,3 +105,22 @@
 		}
 	}
 }
+
+// TestPlatformPromisesNameExistingTests guards against a test that the page of
+// the platform's promises names and that was renamed or removed.
+func TestPlatformPromisesNameExistingTests(t *testing.T) {
+	page, err := os.ReadFile(platformPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	functions := testFunctions(t)
+	names := testName.FindAllStringSubmatch(string(page), -1)
+	if len(names) == 0 {
+		t.Fatal("the page names no test")
+	}
+	for _, n := range names {
+		if !functions[n[1]] {
+			t.Errorf("the page names %s, which does not exist", n[1])
+		}
+	}
+}
