Keep heartbeats and reports small in a cell of many daemons

Cause: each heartbeat named all 298 successors, 6 kB to each daemon every 150 ms, and each addition to the list of daemons sent the whole list again; the leader's link was full. Ruled out: processor (24%), calls to workers (they answered, too late). A heartbeat names at most 8 successors and only additions; reports come less often beyond 50 daemons.

TestDaemonsLearnOfEachOther and the test of merged frames are new. The tests of the cell failed once in 20 runs, output lost; each cell has loopback addresses of its own now, since their ports could collide.

--- a/internal/adapters/linkrpc/link.go
+++ b/internal/adapters/linkrpc/link.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -169,9 +170,7 @@
 	if later.Config == nil {
 		later.Config = earlier.Config
 	}
-	if later.Nodes == nil {
-		later.Nodes = earlier.Nodes
-	}
+	later.Nodes = slices.Concat(earlier.Nodes, later.Nodes)
 	return later
 }
 
--- /dev/null
+++ b/internal/adapters/linkrpc/link_test.go
@@ -0,0 +1,26 @@
+package linkrpc
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/cellpb"
+)
+
+// Guards against what a frame carries only once being lost when waiting frames
+// are sent as one.
+func TestMergedFramesKeepEverything(t *testing.T) {
+	node := func(name string) []*cellpb.StoredNode { return []*cellpb.StoredNode{{Node: name}} }
+	merged := merge([]*cellpb.Frame{
+		{Heartbeat: &cellpb.Heartbeat{Token: 1, Nodes: node("a"), Config: &cellpb.Config{Version: 5}}, Calls: []*cellpb.Call{{Id: 1}}},
+		{Probe: true, Calls: []*cellpb.Call{{Id: 2}}},
+		{Heartbeat: &cellpb.Heartbeat{Token: 2, Nodes: node("b")}, Handover: &cellpb.Handover{Token: 9}},
+	})
+	assert.Equal(t, len(merged.Calls), 2)
+	assert.Assert(t, merged.Probe)
+	assert.Equal(t, merged.Handover.Token, uint64(9))
+	assert.Equal(t, merged.Heartbeat.Token, uint64(2))
+	assert.Equal(t, merged.Heartbeat.Config.Version, int64(5))
+	assert.Equal(t, len(merged.Heartbeat.Nodes), 2)
+}
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -28,6 +29,9 @@
 	workers *fakeWorkers
 	daemons []*testDaemon
 	port    int
+	// network is the first half of the cell's loopback addresses. Each cell has its
+	// own, so that tests beside one another do not take each other's ports.
+	network string
 	next    atomic.Int64
 	config  ports.ConfigSource
 }
@@ -39,8 +43,12 @@
 	done chan struct{}
 }
 
+// cells counts the cells of this process.
+var cells atomic.Int64
+
 func newTestCell(t *testing.T, daemons int) *testCell {
-	c := &testCell{t: t, store: newFakeStore(), workers: newFakeWorkers("w1", "w2", "w3"), port: freePort(t)}
+	c := &testCell{t: t, store: newFakeStore(), workers: newFakeWorkers("w1", "w2", "w3"), port: freePort(t),
+		network: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, cells.Add(1)%250)}
 	c.config = fakeConfig{&ports.CellConfig{Version: 1, Routes: []ports.Route{{Host: "host", Prefix: "/q/", Queue: jobs.Queue{
 		Name: "q", Service: "service", MaxAttempts: 2, Slack: 2, Target: time.Second}}}}}
 	for range daemons {
@@ -62,7 +70,7 @@
 func (c *testCell) add() *testDaemon {
 	n := len(c.daemons) + 1
 	set := Settings{
-		Node: fmt.Sprintf("daemon-%d", n), IP: fmt.Sprintf("127.0.0.%d", n+1), DataCentre: "dc", Region: "region",
+		Node: fmt.Sprintf("daemon-%d", n), IP: fmt.Sprintf("%s.%d", c.network, n), DataCentre: "dc", Region: "region",
 		Regions: map[model.DataCentre]string{"dc": "region"}, FirstPort: c.port, LastPort: c.port, CPUShare: 1,
 		Bounds: Bounds{LeaseMax: 10 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
 			ShutdownGrace: 5 * time.Second, StatusRetention: 2 * time.Minute},
@@ -391,3 +399,25 @@
 	assert.Equal(t, reply.Verdict, VerdictOK, "%s", reply.Reason)
 	c.completed(fresh, id)
 }
+
+// TestDaemonsLearnOfEachOther guards against daemons that miss an addition to
+// the list, of which the leader tells each one only once; and against heartbeats
+// that grow with the number of daemons. Found by a trial with 298 daemons.
+func TestDaemonsLearnOfEachOther(t *testing.T) {
+	t.Parallel()
+	const daemons = 12
+	c := newTestCell(t, daemons/2)
+	leader := c.leader(nil)
+	for range daemons / 2 {
+		c.add()
+	}
+	for _, d := range c.daemons {
+		c.eventually(8*time.Second, "the daemon knows the others", func() bool { return len(d.members.others()) == daemons-1 })
+		if d != leader {
+			d.members.mu.Lock()
+			named := len(d.members.successors)
+			d.members.mu.Unlock()
+			assert.Assert(t, named <= toldSuccessors, "%d successors in a heartbeat", named)
+		}
+	}
+}
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -24,6 +24,10 @@
 	electionTick = 50 * time.Millisecond
 	// reportInterval is how often a daemon reports to the leader.
 	reportInterval = 400 * time.Millisecond
+	// maxReportInterval is the same for a cell of many daemons.
+	maxReportInterval = 800 * time.Millisecond
+	// reportingDaemons is the number of daemons from which they report less often.
+	reportingDaemons = 50
 	// linkSilence closes a link.
 	linkSilence = 1000 * time.Millisecond
 	// askTimeout bounds the question about the leader.
@@ -57,7 +61,7 @@
 		if s.leading {
 			continue
 		}
-		if time.Since(reported) >= reportInterval {
+		if time.Since(reported) >= reportEvery(s.daemons) {
 			reported = time.Now()
 			d.report()
 		}
@@ -71,6 +75,12 @@
 	}
 }
 
+// reportEvery returns how often a daemon reports, so that the reports to the
+// leader do not grow with the number of daemons.
+func reportEvery(daemons int) time.Duration {
+	return min(reportInterval*time.Duration(max(daemons, reportingDaemons))/reportingDaemons, maxReportInterval)
+}
+
 func (d *Daemon) due(s standing) bool {
 	return d.store.age(time.Now()) >= 0 && succession.Standing{EverLed: s.token > 0, Silence: s.silence, Rank: s.rank, Lost: !s.linked, StoreResponse: d.store.usual(),
 		CPUShare: d.set.CPUShare, Spread: d.spread, Daemons: s.daemons}.Due()
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -99,6 +99,8 @@
 	// former lists the earlier leads whose orders may not be known to all workers.
 	former []*cellpb.Lead
 	nodes  map[string]string
+	// nodeChanges lists the daemons in the order in which they were added or moved.
+	nodeChanges []string
 	// told lists the daemons that have the present configuration and node list.
 	told          map[*linkrpc.Link]toldState
 	lastTick      time.Time
@@ -121,7 +123,8 @@
 	at time.Time
 }
 
-// toldState is what a daemon was told last.
+// toldState is what a daemon was told last: the version of the configuration, and
+// how many changes of the list of daemons.
 type toldState struct {
 	config int64
 	nodes  int
@@ -472,6 +475,18 @@
 	}
 }
 
+// toldSuccessors is how many successors a heartbeat names, so that its size does
+// not grow with the number of daemons.
+const toldSuccessors = 8
+
+// addNode records where a daemon is.
+func (l *leader) addNode(name, address string) {
+	if l.nodes[name] != address {
+		l.nodes[name] = address
+		l.nodeChanges = append(l.nodeChanges, name)
+	}
+}
+
 // beat sends heartbeats and dials daemons without a link.
 func (l *leader) beat(now time.Time) {
 	if now.Sub(l.lastHeartbeat) < succession.HeartbeatInterval {
@@ -479,6 +494,7 @@
 	}
 	l.lastHeartbeat = now
 	order := l.successors(now)
+	order = order[:min(len(order), toldSuccessors)]
 	for _, link := range l.d.members.peers() {
 		link.Send(&cellpb.Frame{Heartbeat: l.heartbeat(link, order)})
 	}
@@ -496,15 +512,13 @@
 	if told.config < l.configVersion && l.reports[link.Peer.Node].GetConfigVersion() < l.configVersion {
 		h.Config = cellpb.FromConfig(l.d.config.current.Load())
 	}
-	if told.nodes != len(l.nodes) {
-		for name, address := range l.nodes {
-			h.Nodes = append(h.Nodes, &cellpb.StoredNode{Node: name, Address: address})
-		}
+	for _, name := range l.nodeChanges[min(told.nodes, len(l.nodeChanges)):] {
+		h.Nodes = append(h.Nodes, &cellpb.StoredNode{Node: name, Address: l.nodes[name]})
 	}
 	if _, known := l.told[link]; !known {
 		l.forgetClosed()
 	}
-	l.told[link] = toldState{config: l.configVersion, nodes: len(l.nodes)}
+	l.told[link] = toldState{config: l.configVersion, nodes: len(l.nodeChanges)}
 	return h
 }
 
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -186,7 +186,7 @@
 
 func (m nodesMsg) apply(l *leader, _ time.Time) {
 	for name, address := range m.nodes {
-		l.nodes[name] = address
+		l.addNode(name, address)
 	}
 	l.lastDial = time.Time{}
 	l.lastHeartbeat = time.Time{}
@@ -196,7 +196,7 @@
 type linkMsg struct{ link *linkrpc.Link }
 
 func (m linkMsg) apply(l *leader, _ time.Time) {
-	l.nodes[m.link.Peer.Node] = m.link.Peer.Address
+	l.addNode(m.link.Peer.Node, m.link.Peer.Address)
 	l.lastHeartbeat = time.Time{}
 }
 
