--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -421,3 +421,24 @@
 		}
 	}
 }
+
+// TestEveryPageOfATopicIsRead guards against records beyond the first page that
+// a new leader or a daemon never sees.
+func TestEveryPageOfATopicIsRead(t *testing.T) {
+	t.Parallel()
+	c := newTestCell(t, 1)
+	const records = 137
+	var batch []ports.KeyedRecord
+	for i := range records {
+		batch = append(batch, ports.KeyedRecord{Key: fmt.Sprintf("key-%03d", i), Value: []byte{1}})
+	}
+	_, err := c.store.append(ports.Append{Topic: "other", Records: batch})
+	assert.NilError(t, err)
+	seen := map[string]int{}
+	err = c.daemons[0].everyRecord(context.Background(), "other", func(r *ports.NewestRecord) { seen[r.Key]++ })
+	assert.NilError(t, err)
+	assert.Equal(t, len(seen), records)
+	for key, n := range seen {
+		assert.Equal(t, n, 1, key)
+	}
+}
--- a/internal/cell/daemon.go
+++ b/internal/cell/daemon.go
@@ -157,7 +157,7 @@
 
 // register records this daemon in the store, once.
 func (d *Daemon) register(ctx context.Context) {
-	value, err := proto.Marshal(&cellpb.StoredNode{Node: d.set.Node, Address: d.set.LinkAddress(), DataCentre: string(d.set.DataCentre), Incarnation: d.incarnation})
+	value, err := d.nodeRecord()
 	if err != nil {
 		d.log.WithError(err).Error("cannot encode the record of this daemon")
 		return
@@ -170,26 +170,30 @@
 		}
 		pause.For(ctx, registerRetry)
 	}
-	page, err := d.newest(ctx, ports.NodesTopic, "")
-	if err != nil {
-		d.log.WithFields(logrus.Fields{"event": "nodes_unreadable", "error": err.Error()}).Warn("cannot read the list of daemons")
-		return
-	}
-	for name, address := range decodeNodes(d.log, page.Records) {
+	for name, address := range d.readNodes(ctx) {
 		d.members.addNode(name, address)
 	}
 }
 
-// decodeNodes reads the records of daemons.
-func decodeNodes(log *logrus.Entry, records []ports.NewestRecord) map[string]string {
+// nodeRecord is the stored form of this daemon.
+func (d *Daemon) nodeRecord() ([]byte, error) {
+	return proto.Marshal(&cellpb.StoredNode{Node: d.set.Node, Address: d.set.LinkAddress(), DataCentre: string(d.set.DataCentre), Incarnation: d.incarnation})
+}
+
+// readNodes returns the link addresses of the daemons in the store by name, as
+// far as they can be read.
+func (d *Daemon) readNodes(ctx context.Context) map[string]string {
 	nodes := map[string]string{}
-	for _, r := range records {
+	err := d.everyRecord(ctx, ports.NodesTopic, func(r *ports.NewestRecord) {
 		n := &cellpb.StoredNode{}
 		if err := proto.Unmarshal(r.Value, n); err != nil || n.Node == "" || n.Address == "" {
-			log.WithFields(logrus.Fields{"event": "record_unreadable", "key": r.Key}).Error("the record of a daemon cannot be read")
-			continue
+			d.log.WithFields(logrus.Fields{"event": "record_unreadable", "key": r.Key}).Error("the record of a daemon cannot be read")
+			return
 		}
 		nodes[n.Node] = n.Address
+	})
+	if err != nil {
+		d.log.WithFields(logrus.Fields{"event": "nodes_unreadable", "error": err.Error()}).Warn("cannot read the list of daemons")
 	}
 	return nodes
 }
@@ -219,16 +223,12 @@
 	return v
 }
 
-func (d *Daemon) setLeader(l *leader) { d.leading.Store(l) }
-
 // sendToLeader sends a call to the leader and reports whether it was sent.
 func (d *Daemon) sendToLeader(c *cellpb.Call, w *waitingCall) bool {
 	if l := d.leading.Load(); l != nil {
 		return l.inbox.TryPush(callMsg{caller{nil, c.Id}, c, time.Now()})
 	}
-	d.members.mu.Lock()
-	link := d.members.leaderLink
-	d.members.mu.Unlock()
+	link := d.members.linkToLeader()
 	if link == nil {
 		return false
 	}
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -110,13 +110,9 @@
 
 // report tells the leader how this daemon stands.
 func (d *Daemon) report() {
-	d.members.mu.Lock()
-	l := d.members.leaderLink
-	d.members.mu.Unlock()
-	if l == nil {
-		return
+	if l := d.members.linkToLeader(); l != nil {
+		l.Send(&cellpb.Frame{Report: d.nodeReport()})
 	}
-	l.Send(&cellpb.Frame{Report: d.nodeReport()})
 }
 
 func (d *Daemon) nodeReport() *cellpb.NodeReport {
@@ -236,6 +232,24 @@
 	return repeat(ctx, d, func(ctx context.Context) (ports.NewestPage, error) { return d.deps.Store.Newest(ctx, topic, after) })
 }
 
+// everyRecord calls f with the newest record of each key of a topic.
+func (d *Daemon) everyRecord(ctx context.Context, topic ports.Topic, f func(*ports.NewestRecord)) error {
+	after := ""
+	for {
+		page, err := d.newest(ctx, topic, after)
+		if err != nil {
+			return err
+		}
+		for i := range page.Records {
+			f(&page.Records[i])
+			after = page.Records[i].Key
+		}
+		if !page.More || len(page.Records) == 0 {
+			return nil
+		}
+	}
+}
+
 // fence raises the producer's epoch.
 func (d *Daemon) fence(ctx context.Context, token uint64) error {
 	_, err := repeat(ctx, d, func(ctx context.Context) (int64, error) {
@@ -272,7 +286,7 @@
 		cancel()
 		d.observeStore(sent, err)
 		var e *ports.StoreError
-		if !errors.As(err, &e) || e.Kind != ports.StoreUnavailable && e.Kind != ports.StoreNoAnswer {
+		if !errors.As(err, &e) || !e.Transient() {
 			return out, err
 		}
 		if !pause.For(ctx, takeoverPause) {
@@ -286,7 +300,7 @@
 // content of a call is an answer.
 func (d *Daemon) observeStore(sent time.Time, err error) {
 	var e *ports.StoreError
-	if errors.As(err, &e) && (e.Kind == ports.StoreUnavailable || e.Kind == ports.StoreNoAnswer) {
+	if errors.As(err, &e) && e.Transient() {
 		d.store.failed(err)
 		return
 	}
@@ -358,7 +372,7 @@
 	if token > known && record.Node != d.set.Node && d.followLeader(ctx, record, token) {
 		return claim{}, errNotElected
 	}
-	value, err := proto.Marshal(&cellpb.StoredNode{Node: d.set.Node, Address: d.set.LinkAddress(), DataCentre: string(d.set.DataCentre), Incarnation: d.incarnation})
+	value, err := d.nodeRecord()
 	if err != nil {
 		return claim{}, err
 	}
--- a/internal/cell/journal.go
+++ b/internal/cell/journal.go
@@ -121,7 +121,7 @@
 	}
 }
 
-// store appends a batch on a goroutine of its own.
+// store appends a batch.
 func (j *journal) store(b *jobs.Batch) {
 	records, err := encodeBatch(b)
 	if err != nil {
@@ -129,12 +129,18 @@
 		j.refused.Store(true)
 		return
 	}
+	j.send(records, func(sent time.Time) message { return storedMsg{b.Seq, sent} })
+}
+
+// send makes the next append of the sequence on a goroutine of its own and
+// reports to the leader loop when it is stored.
+func (j *journal) send(records []ports.KeyedRecord, done func(sent time.Time) message) {
 	j.seq++
 	p := j.begin(j.seq)
 	j.l.work.Go(func() {
 		defer j.end(p)
 		if sent, ok := j.appendAll(records, p); ok {
-			j.l.push(storedMsg{b.Seq, sent})
+			j.l.push(done(sent))
 		}
 	})
 }
@@ -148,15 +154,7 @@
 	if busy {
 		return
 	}
-	j.seq++
-	p := j.begin(j.seq)
-	records := []ports.KeyedRecord{{Key: aliveKey, Value: []byte{1}}}
-	j.l.work.Go(func() {
-		defer j.end(p)
-		if sent, ok := j.appendAll(records, p); ok {
-			j.l.push(confirmedMsg{sent})
-		}
-	})
+	j.send([]ports.KeyedRecord{{Key: aliveKey, Value: []byte{1}}}, func(sent time.Time) message { return confirmedMsg{sent} })
 }
 
 func (j *journal) begin(seq uint64) *pendingAppend {
@@ -253,7 +251,7 @@
 	var e *ports.StoreError
 	known := errors.As(err, &e)
 	early := known && e.Kind == ports.StoreSequence && e.Expected < p.seq
-	if !known || early || e.Kind == ports.StoreUnavailable || e.Kind == ports.StoreNoAnswer {
+	if !known || early || e.Transient() {
 		j.note(err, p, known && e.Kind == ports.StoreUnavailable)
 		return false
 	}
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,7 +16,6 @@
 	"catkinvalve/internal/core/retry"
 	"catkinvalve/internal/core/succession"
 	"catkinvalve/internal/pause"
-	"catkinvalve/internal/ports"
 	"catkinvalve/internal/ring"
 	"catkinvalve/internal/telemetry"
 )
@@ -62,8 +62,8 @@
 	// tellingTime is how long it takes a new leader to be heard of by a former one
 	// that hears most daemons.
 	tellingTime = time.Second
-	// authorityWithoutStore is how long it does while the others do not reach the
-	// store either.
+	// authorityWithoutStore is how long it does while it hears most daemons, which
+	// would tell it of a new leader.
 	authorityWithoutStore = 12 * time.Second
 	// freshProof is how recent the store's confirmation must be to deny that a job
 	// exists.
@@ -178,10 +178,10 @@
 	l.work.Go(l.followWorkers)
 	l.work.Go(l.readNodes)
 	l.work.Go(l.keepCopy)
-	l.d.setLeader(l)
+	l.d.leading.Store(l)
 	l.d.members.lead(l.token)
 	l.loop()
-	l.d.setLeader(nil)
+	l.d.leading.Store(nil)
 	l.d.members.resign()
 	l.d.entry.leaderEnded()
 	l.end()
@@ -339,13 +339,8 @@
 		l.stop("the store has seen a higher token")
 	}
 	l.considerHandover(now)
-	l.considerBetter(now)
 	age := l.proof.age(now)
-	limit := authorityAlone
-	if l.othersWithoutStore(now) {
-		limit = authorityWithoutStore
-	}
-	if age > limit {
+	if age > authorityWithoutStore || age > authorityAlone && !l.hearsMost(now) {
 		l.stop("the store did not confirm the lead")
 	}
 }
@@ -400,14 +395,13 @@
 	settleTime = 1500 * time.Millisecond
 )
 
-// considerBetter offers the lead to a daemon that would lead much better, such
-// as after all daemons started at once and a slow one was first.
-func (l *leader) considerBetter(now time.Time) {
+// considerBetter offers the lead to the first successor if that would lead much
+// better, such as after all daemons started at once and a slow one was first.
+func (l *leader) considerBetter(now time.Time, order []string) {
 	// Before the recovery is complete, the next leader would wait once more.
 	if now.Sub(l.claim.at) < settleTime || now.Sub(l.proof.offered) < settleTime || !l.core.Recovered() {
 		return
 	}
-	order := l.successors(now)
 	if len(order) == 0 {
 		return
 	}
@@ -432,9 +426,8 @@
 	return ""
 }
 
-// othersWithoutStore reports whether most daemons are heard and none of them
-// reaches the store.
-func (l *leader) othersWithoutStore(now time.Time) bool {
+// hearsMost reports whether most daemons were heard lately.
+func (l *leader) hearsMost(now time.Time) bool {
 	heard := 0
 	for _, r := range l.reports {
 		if now.Sub(r.at) < linkSilence {
@@ -494,6 +487,7 @@
 	}
 	l.lastHeartbeat = now
 	order := l.successors(now)
+	l.considerBetter(now, order)
 	order = order[:min(len(order), toldSuccessors)]
 	for _, link := range l.d.members.peers() {
 		link.Send(&cellpb.Frame{Heartbeat: l.heartbeat(link, order)})
@@ -560,14 +554,8 @@
 
 // readNodes reads which daemons there are.
 func (l *leader) readNodes() {
-	page, err := l.d.newest(l.ctx, ports.NodesTopic, "")
-	if err != nil {
-		l.log.WithFields(logrus.Fields{"event": "nodes_unreadable", "error": err.Error()}).Warn("cannot read the list of daemons")
-	}
 	nodes := l.d.members.others()
-	for name, address := range decodeNodes(l.log, page.Records) {
-		nodes[name] = address
-	}
+	maps.Copy(nodes, l.d.readNodes(l.ctx))
 	l.push(nodesMsg{nodes})
 }
 
--- a/internal/cell/members.go
+++ b/internal/cell/members.go
@@ -257,6 +257,13 @@
 	return nil
 }
 
+// linkToLeader returns the link to the leader, or nil.
+func (m *members) linkToLeader() *linkrpc.Link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaderLink
+}
+
 // peers returns the latest open link to each daemon.
 func (m *members) peers() []*linkrpc.Link {
 	m.mu.Lock()
--- a/internal/cell/store_records.go
+++ b/internal/cell/store_records.go
@@ -94,23 +94,12 @@
 // load reads what earlier leaders stored.
 func (d *Daemon) load(ctx context.Context) (stored, error) {
 	var s stored
-	after := ""
-	for {
-		page, err := d.newest(ctx, ports.JobsTopic, after)
-		if err != nil {
-			return s, err
-		}
-		for i := range page.Records {
-			r := &page.Records[i]
-			if err := s.decode(r.Key, r.Value); err != nil {
-				d.log.WithFields(logrus.Fields{"event": "record_unreadable", "key": r.Key, "offset": r.Offset, "error": err.Error()}).Error("a record of the jobs topic cannot be read")
-			}
-			after = r.Key
+	err := d.everyRecord(ctx, ports.JobsTopic, func(r *ports.NewestRecord) {
+		if err := s.decode(r.Key, r.Value); err != nil {
+			d.log.WithFields(logrus.Fields{"event": "record_unreadable", "key": r.Key, "offset": r.Offset, "error": err.Error()}).Error("a record of the jobs topic cannot be read")
 		}
-		if !page.More || len(page.Records) == 0 {
-			return s, nil
-		}
-	}
+	})
+	return s, err
 }
 
 // decode adds one record of the jobs topic.
--- a/internal/core/jobs/events.go
+++ b/internal/core/jobs/events.go
@@ -11,7 +11,6 @@
 
 // Events.
 const (
-	EventSubmitted    EventName = "job_submitted"
 	EventRefused      EventName = "job_refused"
 	EventAccepted     EventName = "job_accepted"
 	EventCancelled    EventName = "job_cancelled"
--- a/internal/core/jobs/progress.go
+++ b/internal/core/jobs/progress.go
@@ -24,20 +24,11 @@
 			j.newOccurrence(k, due)
 		}
 	}
-	if j.created < j.spec.Occurrences() && !j.inTimed(c) {
+	if j.created < j.spec.Occurrences() && !slices.Contains(c.timed, j) {
 		c.timed = append(c.timed, j)
 	}
 }
 
-func (j *job) inTimed(c *Core) bool {
-	for _, t := range c.timed {
-		if t == j {
-			return true
-		}
-	}
-	return false
-}
-
 // createDue creates occurrences whose time has come.
 func (c *Core) createDue(wall time.Time) {
 	waiting := c.timed
--- a/internal/ports/cell.go
+++ b/internal/ports/cell.go
@@ -111,6 +111,9 @@
 	return fmt.Sprintf("metadata store: %s: %s; %s", e.Kind, e.Detail, remedy)
 }
 
+// Transient reports whether the same call may succeed later.
+func (e *StoreError) Transient() bool { return e.Kind == StoreUnavailable || e.Kind == StoreNoAnswer }
+
 // Store is the platform's metadata store. Its errors are *StoreError.
 type Store interface {
 	// Append returns the offset of the first record, or the end of the topic
