Answer a new link with one heartbeat, not with one to every daemon

Each link that opened made the leader send a heartbeat to all daemons at once. After a restart of all 44 daemons that is about 44 x 44 frames in the half second in which the leader also asks every worker for its lists. The new link alone gets its heartbeat at once; the others learn of the daemon with the next one, at most 150 ms later.

--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -101,6 +101,8 @@
 	nodes  map[string]string
 	// nodeChanges lists the daemons in the order in which they were added or moved.
 	nodeChanges []string
+	// toldOrder lists the successors that heartbeats name.
+	toldOrder []string
 	// told lists the daemons that have the present configuration and node list.
 	told          map[*linkrpc.Link]toldState
 	lastTick      time.Time
@@ -488,9 +490,9 @@
 	l.lastHeartbeat = now
 	order := l.successors(now)
 	l.considerBetter(now, order)
-	order = order[:min(len(order), toldSuccessors)]
+	l.toldOrder = order[:min(len(order), toldSuccessors)]
 	for _, link := range l.d.members.peers() {
-		link.Send(&cellpb.Frame{Heartbeat: l.heartbeat(link, order)})
+		l.sendHeartbeat(link)
 	}
 	if now.Sub(l.lastDial) >= dialInterval {
 		l.lastDial = now
@@ -498,10 +500,15 @@
 	}
 }
 
+// sendHeartbeat sends a heartbeat to one daemon.
+func (l *leader) sendHeartbeat(link *linkrpc.Link) {
+	link.Send(&cellpb.Frame{Heartbeat: l.heartbeat(link)})
+}
+
 // heartbeat returns the heartbeat for one daemon. It carries the configuration
 // and the list of daemons when that daemon does not have them.
-func (l *leader) heartbeat(link *linkrpc.Link, order []string) *cellpb.Heartbeat {
-	h := &cellpb.Heartbeat{Token: l.token, Successors: order, ConfigVersion: l.configVersion}
+func (l *leader) heartbeat(link *linkrpc.Link) *cellpb.Heartbeat {
+	h := &cellpb.Heartbeat{Token: l.token, Successors: l.toldOrder, ConfigVersion: l.configVersion}
 	told := l.told[link]
 	if told.config < l.configVersion && l.reports[link.Peer.Node].GetConfigVersion() < l.configVersion {
 		h.Config = cellpb.FromConfig(l.d.config.current.Load())
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -197,7 +197,7 @@
 
 func (m linkMsg) apply(l *leader, _ time.Time) {
 	l.addNode(m.link.Peer.Node, m.link.Peer.Address)
-	l.lastHeartbeat = time.Time{}
+	l.sendHeartbeat(m.link)
 }
 
 // reportMsg is another daemon's report.
