Give each test process a part of the port range that no other one has

The part of the range was chosen by process ID modulo 12, so two test binaries of one go test could share it, and the port of a daemon that is down looked free to the other. A process now holds the first port of its part. Ruled out: a port given twice by one process (TestAddressesAreGivenOnce) and outgoing connections (the range lies below theirs). The new test cannot be written against the code before, which claims nothing.

--- a/internal/testbed/ports.go
+++ b/internal/testbed/ports.go
@@ -12,7 +12,8 @@
 // Listen ports lie below the range from which systems take the ports of
 // outgoing connections (32768 and up on Linux). A connection of any process
 // could otherwise hold a daemon's port while the daemon restarts. Each test
-// process uses a part of the range of its own.
+// process uses a part of the range of its own, and holds the part's first port so
+// that no other process takes the same part.
 const (
 	lowestPort   = 20_000
 	portsAProc   = 1_000
@@ -26,6 +27,8 @@
 var given = struct {
 	sync.Mutex
 	ports map[int]bool
+	// part holds the first port of this process's part, once there is one.
+	part net.Listener
 }{ports: map[int]bool{}}
 
 // freeAddr returns a loopback address that nobody listens on and that was not
@@ -33,9 +36,16 @@
 func freeAddr() (string, error) {
 	given.Lock()
 	defer given.Unlock()
-	first := lowestPort + os.Getpid()%procRanges*portsAProc
+	if given.part == nil {
+		part, err := claimPart()
+		if err != nil {
+			return "", err
+		}
+		given.part = part
+	}
+	first := given.part.Addr().(*net.TCPAddr).Port + 1
 	for range portTries {
-		port := first + rand.IntN(portsAProc)
+		port := first + rand.IntN(portsAProc-1)
 		if given.ports[port] {
 			continue
 		}
@@ -48,3 +58,15 @@
 	}
 	return "", errors.New("found no free loopback port")
 }
+
+// claimPart takes a part of the range that no other process has, for as long as
+// the listener is open.
+func claimPart() (net.Listener, error) {
+	for i := range procRanges {
+		first := lowestPort + (os.Getpid()+i)%procRanges*portsAProc
+		if l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopbackHost, first)); err == nil {
+			return l, nil
+		}
+	}
+	return nil, errors.New("other test processes have all parts of the port range")
+}
--- a/internal/testbed/ports_test.go
+++ b/internal/testbed/ports_test.go
@@ -1,6 +1,7 @@
 package testbed
 
 import (
+	"net"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -17,3 +18,17 @@
 		seen[addr] = true
 	}
 }
+
+// Guards against two test processes that use the same ports: the port of a
+// daemon that is down then goes to the other process. Found by TestSoak/seed_2:
+// "cannot listen for fault injection: address already in use" after a kill.
+func TestProcessesHaveDifferentPorts(t *testing.T) {
+	one, err := claimPart()
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, one.Close()) }()
+	other, err := claimPart()
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, other.Close()) }()
+	distance := one.Addr().(*net.TCPAddr).Port - other.Addr().(*net.TCPAddr).Port
+	assert.Assert(t, max(distance, -distance) >= portsAProc, "%v and %v", one.Addr(), other.Addr())
+}
