Derive the runs of a step on a worker instead of counting them

Cause, from the trace: the new leader adopted the step's runs before it had heard that the step before had ended; the counter of runs per worker was created only when the step could start, so the adopted runs were not in it. Ruled out: a late order, and a second worker of the same ID. The count is now taken from the worker's runs, those that are being stopped included, and one function answers for tasks, gangs, claims and advice.

--- a/internal/core/jobs/advice.go
+++ b/internal/core/jobs/advice.go
@@ -293,10 +293,7 @@
 		if want <= 0 || len(named) == maxAdviceWorkers {
 			break
 		}
-		room := w.room.copies(s.def.Size)
-		if s.def.MaxPerWorker > 0 {
-			room = min(room, s.def.MaxPerWorker-s.onWorker[w.ID])
-		}
+		room := min(w.room.copies(s.def.Size), w.allowance(s))
 		named = append(named, w)
 		want -= float64(room) * float64(1+9*(1-s.unknown(w)))
 	}
--- a/internal/core/jobs/claims.go
+++ b/internal/core/jobs/claims.go
@@ -98,10 +98,7 @@
 	if !c.eligible(s, w) {
 		return out
 	}
-	most := len(s.tasks)
-	if s.def.MaxPerWorker > 0 {
-		most = min(most, s.def.MaxPerWorker)
-	}
+	most := min(len(s.tasks), w.allowance(s))
 	free := w.room.free().Sub(w.claimedBefore(s))
 	n := min(copiesIn(free, s.def.Size), most)
 	for range n {
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"catkinvalve/internal/core/model"
 )
 
 // job is a submitted job in the leader's memory.
@@ -75,8 +73,6 @@
 	// planned is when a waiting gang should have room; zero when that is not
 	// known.
 	planned time.Time
-	// onWorker counts the step's runs on each worker while MaxPerWorker is set.
-	onWorker map[model.WorkerID]int
 }
 
 // gang is the state that the tasks of an all-at-once step share.
--- a/internal/core/jobs/progress.go
+++ b/internal/core/jobs/progress.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"catkinvalve/internal/core/model"
 )
 
 // createOccurrences creates the occurrences of a stored job that are due or
@@ -60,9 +58,6 @@
 	s.latest = c.latestStart(s)
 	c.nextStep++
 	s.order = c.nextStep
-	if s.def.MaxPerWorker > 0 && s.onWorker == nil {
-		s.onWorker = map[model.WorkerID]int{}
-	}
 	at, _ := slices.BinarySearchFunc(c.ready, s, compareSteps)
 	c.ready = slices.Insert(c.ready, at, s)
 	c.changed = true
--- a/internal/core/jobs/promises_test.go
+++ b/internal/core/jobs/promises_test.go
@@ -163,3 +163,36 @@
 		assert.Equal(t, s.Worker, model.WorkerID("w2"))
 	}
 }
+
+// Guards against a second task of a limited step on a worker: a new leader hears
+// of the step's runs before it hears that the step before it has ended. Found by
+// a hunt (kerlann-voix, leader-troubles, seed 907644133109).
+func TestRunsOfAnEarlierLeaderCountAgainstTheLimitPerWorker(t *testing.T) {
+	limited := small(2)
+	limited.After, limited.MaxPerWorker = []int{0}, 1
+	spec := Spec{ID: "j1", Queue: "q", Steps: []Step{small(1), limited}}
+	b := newBench(t).restarted(2, Snapshot{
+		Accepted: []AcceptedRecord{{Spec: spec, Queue: Queue{Name: "q", Service: "s", MaxAttempts: 2}, Token: 1, Accepted: origin}},
+		Workers:  []WorkerRecord{{ID: "w1", Address: "w1:1", Service: "s"}, {ID: "w2", Address: "w2:1", Service: "s"}},
+	})
+	b.core.SetEntries(b.now, []Entry{entry("w1"), entry("w2")})
+	out := b.step(0)
+	lists := map[model.WorkerID]HoldResult{
+		"w1": {Running: []Listed{{Task: TaskRef{Job: "j1", Step: 1}, Run: 1, Percent: 5}}},
+		"w2": {Ended: []Ended{{Seq: 1, Task: TaskRef{Job: "j1"}, Run: 1, Kind: EndDone}}},
+	}
+	for _, first := range []model.WorkerID{"w1", "w2"} {
+		for _, h := range out.Holds {
+			if h.Worker == first {
+				b.answerHolds(Actions{Holds: []HoldOrder{h}}, lists)
+			}
+		}
+	}
+	b.store()
+	// w2 is fuller, so that only the limit keeps the task off w1.
+	w2 := b.core.workers["w2"]
+	w2.room.capacity = w2.room.capacity.Times(4)
+	started := b.step(0).Starts
+	assert.Equal(t, len(started), 1)
+	assert.Equal(t, started[0].Worker, model.WorkerID("w2"))
+}
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -172,10 +172,7 @@
 	slices.SortStableFunc(options, func(a, b *worker) int { return cmp.Compare(score(s, a), score(s, b)) })
 	chosen := make([]*worker, 0, len(s.tasks))
 	for _, w := range options {
-		n := c.roomFor(now, s, w)
-		if s.def.MaxPerWorker > 0 {
-			n = min(n, s.def.MaxPerWorker)
-		}
+		n := min(c.roomFor(now, s, w), w.allowance(s))
 		for ; n > 0 && len(chosen) < len(s.tasks); n-- {
 			chosen = append(chosen, w)
 		}
@@ -211,8 +208,7 @@
 
 // eligible reports whether the step's fixed constraints allow the worker.
 func (c *Core) eligible(s *step, w *worker) bool {
-	return w.state == Usable && w.hasLabel(s.def.Label) &&
-		(s.def.MaxPerWorker == 0 || s.onWorker[w.ID] < s.def.MaxPerWorker)
+	return w.state == Usable && w.hasLabel(s.def.Label) && w.allowance(s) > 0
 }
 
 // best returns the option with the lowest score that still has room, or nil.
@@ -220,7 +216,7 @@
 	var chosen *worker
 	lowest := 0.0
 	for _, w := range options {
-		if c.roomFor(now, s, w) == 0 || s.def.MaxPerWorker > 0 && s.onWorker[w.ID] >= s.def.MaxPerWorker {
+		if c.roomFor(now, s, w) == 0 || w.allowance(s) <= 0 {
 			continue
 		}
 		if sc := score(s, w); chosen == nil || sc < lowest {
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -233,6 +233,22 @@
 	return nil
 }
 
+// allowance returns how many more tasks of a step the worker may have by the
+// step's limit per worker. Runs that an earlier leader started count, and also
+// those that are being stopped.
+func (w *worker) allowance(s *step) int {
+	if s.def.MaxPerWorker == 0 {
+		return len(s.tasks)
+	}
+	n := s.def.MaxPerWorker
+	for _, r := range w.runs {
+		if r.ref.Job == s.job().spec.ID && r.ref.Occurrence == s.occ.k && r.ref.Step == s.index {
+			n--
+		}
+	}
+	return n
+}
+
 // reserve takes room for a run.
 func (w *worker) reserve(r *run) {
 	w.runs = append(w.runs, r)
@@ -240,9 +256,6 @@
 	if r.task == nil && r.size == (model.Size{}) {
 		w.strangers++
 	}
-	if r.task != nil && r.task.step.onWorker != nil {
-		r.task.step.onWorker[w.ID]++
-	}
 }
 
 // release gives the room of a run back.
@@ -257,7 +270,4 @@
 	if r.task == nil && r.size == (model.Size{}) {
 		w.strangers--
 	}
-	if r.task != nil && r.task.step.onWorker != nil {
-		r.task.step.onWorker[w.ID]--
-	}
 }
