Hand the lead over to the best daemon that the store serves

Cause, from the log: the store turned the leader away, all daemons were asked to try it, and the lead went to the one whose answer came first, edge-bzh-rns-5, with 0.192 of a core and a link of 10 Mbit/s; its calls to 350 workers then took longer than their timeouts. Ruled out: the store (it served the new leader at once), the workers (they answered the leaders before and after). The better ranked daemons get 120 ms to answer now before a worse one is chosen, and a daemon's link counts in the ranking.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -442,3 +442,14 @@
 		assert.Equal(t, n, 1, key)
 	}
 }
+
+// Guards against a deposed leader that hands over what it no longer has: the
+// daemon that it asks would displace the present leader.
+func TestAHandoverOfADeposedLeaderIsIgnored(t *testing.T) {
+	d := New(Settings{Node: "a"}, Deps{Log: logrus.NewEntry(logrus.New()), Registry: metrics.NewRegistry()})
+	d.members.heardToken(3)
+	d.Frame(nil, &cellpb.Frame{Handover: &cellpb.Handover{Token: 2}})
+	assert.Assert(t, !d.handover.Load(), "takes over from a leader that another one has replaced")
+	d.Frame(nil, &cellpb.Frame{Handover: &cellpb.Handover{Token: 3}})
+	assert.Assert(t, d.handover.Load())
+}
--- a/internal/cell/daemon.go
+++ b/internal/cell/daemon.go
@@ -291,7 +291,7 @@
 	if f.Probe {
 		d.linked.Go(func() { d.probe(l) })
 	}
-	if f.Handover != nil {
+	if f.Handover != nil && !d.members.outranked(f.Handover.Token) {
 		d.handover.Store(true)
 		d.wakeElection()
 	}
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -82,8 +82,13 @@
 }
 
 func (d *Daemon) due(s standing) bool {
-	return d.store.age(time.Now()) >= 0 && succession.Standing{EverLed: s.token > 0, Silence: s.silence, Rank: s.rank, Lost: !s.linked, StoreResponse: d.store.usual(),
-		CPUShare: d.set.CPUShare, Spread: d.spread, Daemons: s.daemons}.Due()
+	return d.store.age(time.Now()) >= 0 && succession.Standing{EverLed: s.token > 0, Silence: s.silence, Rank: s.rank, Lost: !s.linked,
+		Means: d.means(), Spread: d.spread, Daemons: s.daemons}.Due()
+}
+
+// means returns what this daemon has to lead with.
+func (d *Daemon) means() succession.Means {
+	return succession.Means{StoreResponse: d.store.usual(), CPUShare: d.set.CPUShare, LinkMbps: d.set.LinkMbps}
 }
 
 // wakeElection has the leader's state looked at now.
@@ -118,7 +123,7 @@
 func (d *Daemon) nodeReport() *cellpb.NodeReport {
 	return &cellpb.NodeReport{
 		StoreAgeMs: d.store.age(time.Now()).Milliseconds(), StoreRttUs: d.store.usual().Microseconds(),
-		ConfigVersion: d.config.version(), CpuShare: d.set.CPUShare, Leaving: d.leaving.Load(),
+		ConfigVersion: d.config.version(), CpuShare: d.set.CPUShare, LinkMbps: d.set.LinkMbps, Leaving: d.leaving.Load(),
 		Token: d.members.standing().token,
 	}
 }
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -377,7 +377,8 @@
 	if !refused {
 		answer = since / quickAnswer
 	}
-	if next := l.withStore(now, answer); next != "" {
+	probe := succession.Probe{Age: now.Sub(l.proof.probed), Answers: l.probes, Limit: answer}
+	if next := probe.Choose(l.successors(now)); next != "" {
 		l.proof.offered = now
 		clear(l.probes)
 		l.handOver(next, "the store does not answer this daemon")
@@ -408,7 +409,7 @@
 		return
 	}
 	best := l.candidate(order[0], now)
-	if best.Better(l.d.store.usual(), l.d.set.CPUShare) {
+	if best.Better(l.d.means()) {
 		l.proof.offered = now
 		l.handOver(order[0], "it is faster or closer to the store")
 	}
@@ -418,16 +419,6 @@
 // than it keeps this one waiting: a store that is slow for all is no reason.
 const quickAnswer = 4
 
-// withStore returns the best daemon that the store answered quickly enough, or "".
-func (l *leader) withStore(now time.Time, within time.Duration) string {
-	for _, name := range l.successors(now) {
-		if took, probed := l.probes[name]; probed && took <= within {
-			return name
-		}
-	}
-	return ""
-}
-
 // hearsMost reports whether most daemons were heard lately.
 func (l *leader) hearsMost(now time.Time) bool {
 	heard := 0
@@ -452,7 +443,8 @@
 func (l *leader) candidate(name string, now time.Time) succession.Candidate {
 	r := l.reports[name]
 	return succession.Candidate{Node: name, StoreAge: time.Duration(r.StoreAgeMs) * time.Millisecond,
-		StoreResponse: time.Duration(r.StoreRttUs) * time.Microsecond, CPUShare: r.CpuShare, Leaving: r.Leaving, Silence: now.Sub(r.at)}
+		Means:   succession.Means{StoreResponse: time.Duration(r.StoreRttUs) * time.Microsecond, CPUShare: r.CpuShare, LinkMbps: r.LinkMbps},
+		Leaving: r.Leaving, Silence: now.Sub(r.at)}
 }
 
 // handOver asks a daemon to take over.
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -30,6 +30,8 @@
 	AdviceAddress string
 	// CPUShare is the part of a core that the daemon may use.
 	CPUShare float64
+	// LinkMbps is the bandwidth of the machine's network link; 0 when not known.
+	LinkMbps float64
 	MemoryMB int64
 	Bounds   Bounds
 }
--- a/internal/core/succession/succession.go
+++ b/internal/core/succession/succession.go
@@ -42,10 +42,7 @@
 	Lost bool
 	// Rank is the daemon's place in the order of succession, from 0.
 	Rank int
-	// StoreResponse is the usual response time of the store.
-	StoreResponse time.Duration
-	// CPUShare is the part of a core that the daemon may use.
-	CPUShare float64
+	Means
 	// Spread, from 0 to 1, differs from daemon to daemon.
 	Spread float64
 	// Daemons is how many there are.
@@ -55,7 +52,7 @@
 // Due reports whether it is time to ask the others about the leader.
 func (s Standing) Due() bool {
 	if !s.EverLed {
-		return s.Silence >= costDelay*max(cost(s.StoreResponse, s.CPUShare)-bestCost, 0)+time.Duration(s.Spread*float64(s.Daemons)*float64(spreadDelay))
+		return s.Silence >= costDelay*max(s.cost()-bestCost, 0)+time.Duration(s.Spread*float64(s.Daemons)*float64(spreadDelay))
 	}
 	limit := SilenceLimit
 	if s.Lost {
@@ -116,10 +113,9 @@
 type Candidate struct {
 	Node string
 	// StoreAge is the time since the store last answered it; negative when never.
-	StoreAge      time.Duration
-	StoreResponse time.Duration
-	CPUShare      float64
-	Leaving       bool
+	StoreAge time.Duration
+	Means
+	Leaving bool
 	// Silence is the time since its last report.
 	Silence time.Duration
 }
@@ -129,37 +125,56 @@
 	storeAgeLimit = 2500 * time.Millisecond
 	// reportLimit is the silence from which a daemon counts as gone.
 	reportLimit = 1200 * time.Millisecond
-	// cpuCost is the response time that a full core makes up for.
-	cpuCost = 10 * time.Millisecond
 )
 
 func (c *Candidate) fit() bool {
 	return !c.Leaving && c.StoreAge >= 0 && c.StoreAge < storeAgeLimit && c.Silence < reportLimit
 }
 
-// cost ranks candidates; the lowest leads.
-func cost(storeResponse time.Duration, cpuShare float64) time.Duration {
-	return storeResponse + time.Duration(float64(cpuCost)/max(cpuShare, minShare))
+// Means are what a daemon has to lead with.
+type Means struct {
+	// StoreResponse is the usual response time of the store.
+	StoreResponse time.Duration
+	// CPUShare is the part of a core that the daemon may use.
+	CPUShare float64
+	// LinkMbps is the bandwidth of its network link; 0 when it is not known.
+	LinkMbps float64
 }
 
-// minShare bounds the cost of a daemon that does not state its share.
-const minShare = 0.05
+const (
+	// cpuCost is the response time that a full core makes up for.
+	cpuCost = 10 * time.Millisecond
+	// linkCost is the response time that a link of 1 Mbit/s makes up for. All
+	// calls to workers and all links to daemons share the leader's link.
+	linkCost = 500 * time.Millisecond
+	// minShare bounds the cost of a daemon that does not state its share.
+	minShare = 0.05
+)
+
+// cost ranks candidates; the lowest leads.
+func (m *Means) cost() time.Duration {
+	sum := m.StoreResponse + time.Duration(float64(cpuCost)/max(m.CPUShare, minShare))
+	if m.LinkMbps > 0 {
+		sum += time.Duration(float64(linkCost) / m.LinkMbps)
+	}
+	return sum
+}
 
 // betterFactor is how much cheaper another daemon must be to be worth a change
 // of hands.
 const betterFactor = 2
 
 // Better reports whether c would lead so much better than a daemon with the
-// given response time and share that the lead should move.
-func (c *Candidate) Better(storeResponse time.Duration, cpuShare float64) bool {
-	return c.fit() && betterFactor*cost(c.StoreResponse, c.CPUShare) < cost(storeResponse, cpuShare)
+// given means that the lead should move.
+func (c *Candidate) Better(than Means) bool {
+	return c.fit() && betterFactor*c.cost() < than.cost()
 }
 
 // Order returns the names of the daemons that should take over, best first.
 func Order(candidates []Candidate) []string {
 	fit := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return !c.fit() })
 	slices.SortFunc(fit, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(cost(a.StoreResponse, a.CPUShare), cost(b.StoreResponse, b.CPUShare)), cmp.Compare(a.Node, b.Node))
+		return cmp.Or(cmp.Compare(a.cost(), b.cost()), cmp.Compare(a.Node, b.Node))
 	})
 	out := make([]string, 0, len(fit))
 	for i := range fit {
@@ -167,3 +182,32 @@
 	}
 	return out
 }
+
+// ProbeWait is how long better candidates may take to answer a probe of the
+// store before a worse one is chosen that has answered.
+const ProbeWait = 120 * time.Millisecond
+
+// Probe is a round in which all daemons were asked to call the store.
+type Probe struct {
+	// Age is the time since they were asked.
+	Age time.Duration
+	// Answers holds how long the store took to answer each daemon that reported.
+	Answers map[string]time.Duration
+	// Limit is the response time up to which the store counts as serving a daemon.
+	Limit time.Duration
+}
+
+// Choose returns the best candidate that the store serves, or "" when none has
+// reported or a better one may still do. The order is that of Order.
+func (p *Probe) Choose(order []string) string {
+	for _, name := range order {
+		took, answered := p.Answers[name]
+		switch {
+		case answered && took <= p.Limit:
+			return name
+		case !answered && p.Age < ProbeWait:
+			return ""
+		}
+	}
+	return ""
+}
