A fault soak of daemons on stand-ins of the platform

Real daemons run as separate processes on loopback addresses of their own; store, advice and workers are stand-ins in the soak's process, reached through proxies that delay, reset, cut one way or silence. Faults are drawn from a seed, in series and overlapping: kills, pauses, SIGTERM, SIGHUP, the store's refusals, silence, lost and late answers, workers that crash, leave, fail, stall or execute late, new configurations. Not covered: links between daemons are not proxied, and clocks do not jump.

The topic model of the cell's tests moved to internal/standin/cellstore, which both use.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 PACKAGES = ./...
 
-.PHONY: build demo test lint fmt bench soak sim property fuzz generate
+.PHONY: build demo test lint fmt bench soak platform-soak sim property fuzz generate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -46,6 +46,10 @@
 soak: build
 	./bin/soak -seconds $(SECONDS) -seed $(SEED)
 
+# Runs daemons on stand-ins of the users' platform under faults.
+platform-soak: build
+	./bin/soak -platform -seconds $(SECONDS) -seed $(SEED)
+
 # Needs protoc; the generated code is committed, so that builds need no generator.
 generate:
 	$(GO) build -o bin/ storj.io/drpc/cmd/protoc-gen-go-drpc google.golang.org/protobuf/cmd/protoc-gen-go
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -9,6 +10,7 @@
 	"os/signal"
 	"path/filepath"
 
+	"catkinvalve/internal/cellsoak"
 	"catkinvalve/internal/soak"
 )
 
@@ -16,16 +18,43 @@
 	o := soak.Options{Out: os.Stdout}
 	flag.IntVar(&o.Seconds, "seconds", 60, "length of the load")
 	flag.Uint64Var(&o.Seed, "seed", 1, "seed of load and faults")
-	flag.Float64Var(&o.Rate, "rate", soak.DefaultRate, "new keys a second")
+	flag.Float64Var(&o.Rate, "rate", 0, "new keys or jobs a second; 0 takes the default")
+	onPlatform := flag.Bool("platform", false, "run daemons on stand-ins of the users' platform")
+	daemons := flag.Int("daemons", cellsoak.DefaultDaemons, "daemons, with -platform")
+	workers := flag.Int("workers", cellsoak.DefaultWorkers, "workers, with -platform")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	if !run(ctx, o) {
+	ok := false
+	if *onPlatform {
+		ok = runPlatform(ctx, cellsoak.Options{Seconds: o.Seconds, Seed: o.Seed, Rate: cmp.Or(o.Rate, cellsoak.DefaultRate),
+			Daemons: *daemons, Workers: *workers, Out: os.Stdout})
+	} else {
+		ok = run(ctx, o)
+	}
+	if !ok {
 		stop()
 		os.Exit(1)
 	}
 }
 
+// runPlatform runs daemons on stand-ins of the users' platform and reports
+// whether all promises were kept.
+func runPlatform(ctx context.Context, o cellsoak.Options) bool {
+	self, err := os.Executable()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		return false
+	}
+	o.Bin = filepath.Dir(self)
+	rep, err := cellsoak.Run(ctx, o)
+	rep.Print(os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+	}
+	return err == nil && len(rep.Violations) == 0
+}
+
 func run(ctx context.Context, o soak.Options) bool {
 	self, err := os.Executable()
 	if err == nil {
--- a/internal/adapters/jsonhttp/jsonhttp.go
+++ b/internal/adapters/jsonhttp/jsonhttp.go
@@ -134,6 +134,8 @@
 	ContentType string
 	Body        []byte
 	Header      http.Header
+	// Host replaces the host name of the URL in the request, if it is set.
+	Host string
 }
 
 // Reply is an HTTP response with its whole body.
@@ -181,6 +183,7 @@
 	if err != nil {
 		return Reply{}, err
 	}
+	req.Host = r.Host
 	for name, values := range r.Header {
 		req.Header[name] = values
 	}
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -388,7 +388,7 @@
 	c.eventually(5*time.Second, "the copy is stored", func() bool {
 		c.store.mu.Lock()
 		defer c.store.mu.Unlock()
-		return len(c.store.topic(ports.ConfigTopic).records) == 1
+		return len(c.store.topic(ports.ConfigTopic).Newest("", 1).Records) == 1
 	})
 	c.stop()
 	c.config = noConfig{}
--- a/internal/cell/fakes_test.go
+++ b/internal/cell/fakes_test.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -11,13 +10,14 @@
 	"catkinvalve/internal/core/jobs"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/ports"
+	"catkinvalve/internal/standin/cellstore"
 )
 
 // fakeStore is the metadata store as its page describes it, in memory. Every
 // daemon reaches it through a fakePath of its own.
 type fakeStore struct {
 	mu     sync.Mutex
-	topics map[ports.Topic]*fakeTopic
+	topics map[ports.Topic]*cellstore.Topic
 	// delay is the time of an append.
 	delay func(a ports.Append) time.Duration
 	// log lists the appends with a fence in order of their begin.
@@ -31,26 +31,14 @@
 	begin, end time.Time
 }
 
-type fakeTopic struct {
-	end     int64
-	records map[string]ports.NewestRecord
-	epoch   uint64
-	seq     uint64
-	// answers holds the answers to the last appends of the epoch.
-	answers map[uint64]int64
-}
-
-// repeatedAppends is how many of the last appends can be repeated.
-const repeatedAppends = 5
-
 func newFakeStore() *fakeStore {
-	return &fakeStore{topics: map[ports.Topic]*fakeTopic{}, delay: func(ports.Append) time.Duration { return 2 * time.Millisecond }}
+	return &fakeStore{topics: map[ports.Topic]*cellstore.Topic{}, delay: func(ports.Append) time.Duration { return 2 * time.Millisecond }}
 }
 
-func (s *fakeStore) topic(name ports.Topic) *fakeTopic {
+func (s *fakeStore) topic(name ports.Topic) *cellstore.Topic {
 	t := s.topics[name]
 	if t == nil {
-		t = &fakeTopic{records: map[string]ports.NewestRecord{}, answers: map[uint64]int64{}}
+		t = cellstore.New()
 		s.topics[name] = t
 	}
 	return t
@@ -72,43 +60,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer func() { entry.end = time.Now() }()
-	return s.topic(a.Topic).append(a)
-}
-
-func (t *fakeTopic) append(a ports.Append) (int64, error) {
-	if a.End != nil && *a.End != t.end {
-		return 0, &ports.StoreError{Kind: ports.StoreMoved, End: t.end}
-	}
-	if f := a.Fence; f != nil {
-		switch {
-		case f.Epoch < t.epoch:
-			return 0, &ports.StoreError{Kind: ports.StoreFenced}
-		case f.Epoch > t.epoch:
-			t.epoch, t.seq, t.answers = f.Epoch, 0, map[uint64]int64{}
-		}
-		if len(a.Records) == 0 {
-			return t.end, nil
-		}
-		if first, repeated := t.answers[f.Seq]; repeated {
-			return first, nil
-		}
-		if t.seq != 0 && f.Seq != t.seq+1 {
-			return 0, &ports.StoreError{Kind: ports.StoreSequence, Expected: t.seq + 1}
-		}
-		t.seq = f.Seq
-		t.answers[f.Seq] = t.end
-		delete(t.answers, f.Seq-repeatedAppends)
-	}
-	first := t.end
-	for _, r := range a.Records {
-		if r.Value == nil {
-			delete(t.records, r.Key)
-		} else {
-			t.records[r.Key] = ports.NewestRecord{Key: r.Key, Value: slices.Clone(r.Value), Offset: t.end}
-		}
-		t.end++
-	}
-	return first, nil
+	return s.topic(a.Topic).Append(a)
 }
 
 // appends returns the appends of leaders so far.
@@ -177,22 +129,12 @@
 	}
 	p.store.mu.Lock()
 	defer p.store.mu.Unlock()
-	t := p.store.topic(topic)
-	page := ports.NewestPage{End: t.end}
-	const pageSize = 50
-	for _, key := range slices.Sorted(maps.Keys(t.records)) {
-		switch {
-		case key <= after:
-		case len(page.Records) == pageSize:
-			page.More = true
-			return page, nil
-		default:
-			page.Records = append(page.Records, t.records[key])
-		}
-	}
-	return page, nil
+	return p.store.topic(topic).Newest(after, fakePageSize), nil
 }
 
+// fakePageSize makes the tests read several pages.
+const fakePageSize = 50
+
 // fakeConfig holds one configuration that never changes.
 type fakeConfig struct{ config *ports.CellConfig }
 
--- /dev/null
+++ b/internal/cellsoak/cell.go
@@ -0,0 +1,305 @@
+package cellsoak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"catkinvalve/internal/adapters/jsonhttp"
+	"catkinvalve/internal/cell"
+	"catkinvalve/internal/core/jobs"
+	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/faultproxy"
+	"catkinvalve/internal/ports"
+	"catkinvalve/internal/testbed"
+	"catkinvalve/platform"
+)
+
+// Ports, the same on the loopback address of every process.
+const (
+	callerPort    = 8161
+	readinessPort = 8167
+	serverPort    = 8169
+	proxyPort     = 8170
+	linkPort      = 7720
+)
+
+// Parts of the run's loopback network.
+const (
+	daemonNet = 0
+	workerNet = 1
+	storeNet  = 2
+)
+
+const (
+	service = "build"
+	host    = "soak.example"
+	// drainTime is how long a leaving worker goes on.
+	drainTime = 3 * time.Second
+)
+
+var capacity = model.Size{MilliCPU: 8000, MemMB: 16_000}
+
+// soakCell is the system under test: real daemons, and stand-ins of the platform
+// in this process, each behind proxies.
+type soakCell struct {
+	bin, dir string
+	network  int
+	world    *world
+	store    *store
+	workers  []*soakWorker
+	daemons  []*soakDaemon
+	// held keeps other runs off the network's addresses.
+	held   net.Listener
+	close  []func()
+	config ports.CellConfig
+	caller platform.Caller
+}
+
+// soakWorker is a worker with its server and the proxy in front of it.
+type soakWorker struct {
+	*worker
+	proxy *faultproxy.Proxy
+	entry jobs.Entry
+}
+
+// soakDaemon is a daemon with its path to the store.
+type soakDaemon struct {
+	process  *testbed.Process
+	settings cell.Settings
+	path     string
+	proxy    *faultproxy.Proxy
+	starts   int
+	// busy is set while a fault holds the process.
+	busy bool
+}
+
+// address returns an address of a part of the run's network.
+func (c *soakCell) address(part, n, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", c.network, part, n+1, port)
+}
+
+// newCell starts the stand-ins and the daemons.
+func newCell(bin, dir string, daemons, workers int, seed uint64) (*soakCell, error) {
+	c := &soakCell{bin: bin, dir: dir, world: newWorld(), store: newStore()}
+	if err := c.claimNetwork(); err != nil {
+		return nil, err
+	}
+	client, err := jsonhttp.New(jsonhttp.Options{Timeout: 5 * time.Second})
+	if err != nil {
+		return c, err
+	}
+	c.caller = platform.Caller{Client: client, Host: host}
+	if err := c.serve(c.address(storeNet, 0, serverPort), platform.StandinStore(c.store.topic, c.store.fault)); err != nil {
+		return c, err
+	}
+	if err := c.serve(c.address(storeNet, 1, serverPort), platform.StandinAdvice(c.advise)); err != nil {
+		return c, err
+	}
+	for i := range workers {
+		if err := c.addWorker(i, seed); err != nil {
+			return c, err
+		}
+	}
+	if err := c.publish(false); err != nil {
+		return c, err
+	}
+	for i := range daemons {
+		if err := c.addDaemon(i, daemons); err != nil {
+			return c, err
+		}
+	}
+	return c, nil
+}
+
+// Networks 127.64 to 127.127 are for soak runs.
+const (
+	firstNetwork = 64
+	networks     = 64
+)
+
+// claimNetwork finds a loopback network that no other run uses.
+func (c *soakCell) claimNetwork() error {
+	for i := range networks {
+		c.network = firstNetwork + (os.Getpid()+i)%networks
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", c.network, serverPort))
+		if err == nil {
+			c.held = l
+			return nil
+		}
+	}
+	return errors.New("all loopback networks are in use; wait for other runs to end")
+}
+
+// serve starts a server of this process.
+func (c *soakCell) serve(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = s.Serve(l) }() // It returns when the server is closed.
+	c.close = append(c.close, func() { _ = s.Close() })
+	return nil
+}
+
+func (c *soakCell) addWorker(i int, seed uint64) error {
+	id := model.WorkerID(fmt.Sprintf("w-%02d", i))
+	w := &soakWorker{worker: newWorker(c.world, id, capacity, seed+uint64(i))}
+	if err := c.serve(c.address(workerNet, i, serverPort), platform.StandinWorker(w.worker)); err != nil {
+		return err
+	}
+	var err error
+	if w.proxy, err = faultproxy.Listen(c.address(workerNet, i, proxyPort), c.address(workerNet, i, serverPort)); err != nil {
+		return err
+	}
+	c.close = append(c.close, w.proxy.Close)
+	w.entry = jobs.Entry{ID: id, Address: w.proxy.Address(), Service: service, Labels: []string{fmt.Sprint("r", i/4)}, Capacity: capacity, Life: w.Life()}
+	c.workers = append(c.workers, w)
+	return c.register(w)
+}
+
+// register writes a worker's entry.
+func (c *soakCell) register(w *soakWorker) error {
+	c.world.mu.Lock()
+	w.entry.Life = w.Life()
+	c.world.mu.Unlock()
+	record, err := platform.WorkerRecord(&w.entry)
+	if err != nil {
+		return err
+	}
+	return c.put(platform.WorkerTopic(), record)
+}
+
+func (c *soakCell) put(topic string, r ports.KeyedRecord) error {
+	_, err := c.store.topic(topic).Append(ports.Append{Records: []ports.KeyedRecord{r}})
+	return err
+}
+
+// Queues of the run.
+const (
+	urgentPrefix = "/urgent/"
+	batchPrefix  = "/batch/"
+)
+
+// publish writes the next configuration; extra adds a route.
+func (c *soakCell) publish(extra bool) error {
+	advice := &jobs.AdviceTerms{Decision: 20 * time.Millisecond, PerWorker: time.Millisecond, Validity: 2 * time.Second}
+	route := func(prefix string, priority int, a *jobs.AdviceTerms) ports.Route {
+		return ports.Route{Host: host, Prefix: prefix, Queue: jobs.Queue{Name: prefix, Service: service, Priority: priority,
+			MaxAttempts: maxAttempts, Slack: 2, Target: time.Second, Advice: a}}
+	}
+	c.config.Version++
+	c.config.MaxBodyBytes = 64 << 10
+	if extra || c.config.Routes == nil {
+		c.config.Routes = []ports.Route{route(urgentPrefix, 0, nil), route(batchPrefix, 1, advice)}
+	}
+	record, err := platform.ConfigRecord(&c.config)
+	if err != nil {
+		return err
+	}
+	return c.put(platform.OperatorTopic(), record)
+}
+
+// advise allows two thirds of the workers for each step.
+func (c *soakCell) advise(ctx context.Context, step string, workers []model.WorkerID) (ports.AdviceAnswer, bool) {
+	a := ports.AdviceAnswer{Validity: 2 * time.Second}
+	select {
+	case <-time.After(20*time.Millisecond + time.Duration(len(workers))*time.Millisecond):
+	case <-ctx.Done():
+		return a, false
+	}
+	for _, w := range workers {
+		if (int(w[len(w)-1])+len(step))%3 != 0 {
+			a.Allowed = append(a.Allowed, jobs.Allowance{Worker: w, Ticket: "t"})
+		}
+	}
+	return a, true
+}
+
+func (c *soakCell) addDaemon(i, daemons int) error {
+	host := func(part, n int) string { return fmt.Sprintf("127.%d.%d.%d", c.network, part, n+1) }
+	d := &soakDaemon{}
+	var err error
+	if d.proxy, err = faultproxy.Listen(c.address(daemonNet, i, proxyPort), c.address(storeNet, 0, serverPort)); err != nil {
+		return err
+	}
+	c.close = append(c.close, d.proxy.Close)
+	dc := []model.DataCentre{"north-a", "north-b", "south-a"}[i%3]
+	d.settings = cell.Settings{
+		Node: fmt.Sprintf("daemon-%d", i), IP: host(daemonNet, i), DataCentre: dc, Region: "north",
+		Regions: map[model.DataCentre]string{"north-a": "north", "north-b": "north", "south-a": "south"}, FirstPort: linkPort, LastPort: linkPort + 15,
+		CallerAddress: c.address(daemonNet, i, callerPort), ReadyAddress: c.address(daemonNet, i, readinessPort),
+		StoreAddress: d.proxy.Address(), AdviceAddress: c.address(storeNet, 1, serverPort), CPUShare: 0.5, LinkMbps: 1000, MemoryMB: 284,
+		Bounds: cell.Bounds{LeaseMax: leaseMax, StopTimeout: 400 * time.Millisecond, GangTimeout: gangTimeout,
+			ShutdownGrace: 5 * time.Second, StatusRetention: 2 * time.Minute},
+	}
+	for n := range min(daemons, 3) {
+		d.settings.Seeds = append(d.settings.Seeds, fmt.Sprintf("%s:8166", host(daemonNet, n)))
+	}
+	d.path = filepath.Join(c.dir, d.settings.Node+".toml")
+	c.daemons = append(c.daemons, d)
+	return c.start(d)
+}
+
+// start writes a daemon's settings and starts its process.
+func (c *soakCell) start(d *soakDaemon) error {
+	if err := c.writeSettings(d); err != nil {
+		return err
+	}
+	var err error
+	d.process, err = testbed.StartLogged(c.bin, c.dir, d.settings.Node, "catkinvalved", []string{platform.SettingsVariable + "=" + d.path}, "--platform")
+	d.starts++
+	return err
+}
+
+func (c *soakCell) writeSettings(d *soakDaemon) error {
+	data, err := platform.EncodeSettings(&d.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(d.path, data, 0o600)
+}
+
+// tick lets the workers' runs go on until ctx ends, and restarts daemons that
+// ended without a fault.
+func (c *soakCell) tick(ctx context.Context) {
+	t := time.NewTicker(workerTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			c.world.mu.Lock()
+			for _, w := range c.workers {
+				w.advance(now)
+			}
+			c.world.mu.Unlock()
+		}
+	}
+}
+
+// stop ends all processes and servers.
+func (c *soakCell) stop() error {
+	var errs []error
+	for _, d := range c.daemons {
+		if d.process != nil {
+			_ = d.process.Signal(syscall.SIGCONT) // It may have ended already.
+			errs = append(errs, d.process.Kill())
+		}
+	}
+	for _, f := range c.close {
+		f()
+	}
+	if c.held != nil {
+		errs = append(errs, c.held.Close())
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/cellsoak/inject.go
@@ -0,0 +1,207 @@
+package cellsoak
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"catkinvalve/internal/faultproxy"
+	"catkinvalve/internal/pause"
+)
+
+// injector carries out a schedule of faults from outside the daemons.
+type injector struct {
+	cell  *soakCell
+	begin time.Time
+	say   func(format string, args ...any)
+	work  sync.WaitGroup
+	mu    sync.Mutex
+	done  map[Kind]int
+	errs  []error
+}
+
+// run injects the faults at their times and returns when all have ended.
+func (i *injector) run(ctx context.Context, schedule []Fault) {
+	for _, f := range schedule {
+		if !pause.For(ctx, time.Until(i.begin.Add(f.At))) {
+			break
+		}
+		i.work.Go(func() {
+			if err := i.inject(ctx, f); err != nil {
+				i.mu.Lock()
+				i.errs = append(i.errs, fmt.Errorf("%s: %w", f.Kind, err))
+				i.mu.Unlock()
+			}
+		})
+		i.mu.Lock()
+		i.done[f.Kind]++
+		i.mu.Unlock()
+	}
+	i.work.Wait()
+}
+
+// storeModes maps faults to what the store does meanwhile.
+var storeModes = map[Kind]storeMode{StoreRefuses: storeRefuses, StoreSilent: storeSilent, StoreSlow: storeSlow, StoreLoses: storeLoses, StoreLate: storeLate}
+
+// workerFaults maps faults to what workers do meanwhile.
+var workerFaults = map[Kind]workerFault{WorkerFails: failsAll, WorkerStalls: stalls, WorkerLate: answersLate}
+
+func (i *injector) inject(ctx context.Context, f Fault) error {
+	if mode, ok := storeModes[f.Kind]; ok {
+		i.cell.store.set(mode)
+		pause.For(ctx, f.For)
+		i.cell.store.set(storeServes)
+		return nil
+	}
+	if fault, ok := workerFaults[f.Kind]; ok {
+		i.setWorkers(f, fault)
+		pause.For(ctx, f.For)
+		i.setWorkers(f, healthy)
+		return nil
+	}
+	switch f.Kind {
+	case Publish:
+		return i.cell.publish(true)
+	case CutStore, CutWorkers:
+		i.setProxies(f, f.Mode)
+		pause.For(ctx, f.For)
+		i.setProxies(f, faultproxy.Pass)
+		return nil
+	case WorkerCrash, WorkerLeaves:
+		return i.eachWorker(ctx, f)
+	}
+	return i.eachDaemon(ctx, f)
+}
+
+func (i *injector) setWorkers(f Fault, fault workerFault) {
+	i.cell.world.mu.Lock()
+	defer i.cell.world.mu.Unlock()
+	for _, w := range i.workers(f) {
+		w.fault = fault
+	}
+}
+
+func (i *injector) workers(f Fault) []*soakWorker {
+	var out []*soakWorker
+	for n := range f.Count {
+		out = append(out, i.cell.workers[(f.First+n)%len(i.cell.workers)])
+	}
+	return out
+}
+
+func (i *injector) setProxies(f Fault, m faultproxy.Mode) {
+	if f.Kind == CutWorkers {
+		for _, w := range i.workers(f) {
+			w.proxy.Set(m)
+		}
+		return
+	}
+	for n := range f.Count {
+		i.cell.daemons[(f.First+n)%len(i.cell.daemons)].proxy.Set(m)
+	}
+}
+
+// eachWorker crashes workers, or has them leave and come back.
+func (i *injector) eachWorker(ctx context.Context, f Fault) error {
+	for _, w := range i.workers(f) {
+		if f.Kind == WorkerLeaves {
+			w.entry.Draining, w.entry.Remaining = true, drainTime
+			if err := i.cell.register(w); err != nil {
+				return err
+			}
+			pause.For(ctx, drainTime)
+		}
+		w.proxy.Set(faultproxy.Reset)
+		i.cell.world.mu.Lock()
+		w.reborn()
+		i.cell.world.mu.Unlock()
+		pause.For(ctx, f.For)
+		i.cell.world.mu.Lock()
+		w.reborn()
+		i.cell.world.mu.Unlock()
+		w.entry.Draining, w.entry.Remaining = false, 0
+		if err := i.cell.register(w); err != nil {
+			return err
+		}
+		w.proxy.Set(faultproxy.Pass)
+	}
+	return nil
+}
+
+// take reserves a daemon for a fault; a process that another fault holds is left
+// alone.
+func (i *injector) take(d *soakDaemon) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if d.busy {
+		return false
+	}
+	d.busy = true
+	return true
+}
+
+func (i *injector) release(d *soakDaemon) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	d.busy = false
+}
+
+// eachDaemon signals daemons, all at once or in turn, and starts them again.
+func (i *injector) eachDaemon(ctx context.Context, f Fault) error {
+	var all sync.WaitGroup
+	for n := range f.Count {
+		d := i.cell.daemons[(f.First+n)%len(i.cell.daemons)]
+		one := func() {
+			if !i.take(d) {
+				return
+			}
+			defer i.release(d)
+			if err := i.signal(ctx, f, d); err != nil {
+				i.mu.Lock()
+				i.errs = append(i.errs, fmt.Errorf("%s: %w", f.Kind, err))
+				i.mu.Unlock()
+			}
+		}
+		if f.Kind == RollTerminate {
+			one()
+		} else {
+			all.Go(one)
+		}
+	}
+	all.Wait()
+	return nil
+}
+
+// stopLimit is how long a daemon may take to stop.
+const stopLimit = 6 * time.Second
+
+func (i *injector) signal(ctx context.Context, f Fault, d *soakDaemon) error {
+	i.say("%s %s", f.Kind, d.settings.Node)
+	switch f.Kind {
+	case Pause:
+		if err := d.process.Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		pause.For(ctx, f.For)
+		return d.process.Signal(syscall.SIGCONT)
+	case Hangup:
+		if err := i.cell.writeSettings(d); err != nil {
+			return err
+		}
+		return d.process.Signal(syscall.SIGHUP)
+	case Terminate, RollTerminate:
+		if err := d.process.Terminate(stopLimit); err != nil {
+			return err
+		}
+	default:
+		if err := d.process.Kill(); err != nil {
+			return err
+		}
+	}
+	if f.Kind != RollTerminate {
+		pause.For(ctx, f.For)
+	}
+	return i.cell.start(d)
+}
--- /dev/null
+++ b/internal/cellsoak/run.go
@@ -0,0 +1,147 @@
+// Package cellsoak runs daemons on the users' platform as separate processes
+// under a seeded load and a seeded schedule of faults, and checks the platform's
+// rules from what callers and workers see. Store, advice and workers are
+// stand-ins in the process of the soak; faults come from outside the daemons:
+// signals, proxies on their connections, and stand-ins that misbehave.
+package cellsoak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+)
+
+// Options describe a run.
+type Options struct {
+	// Bin is the directory of the built programs.
+	Bin     string
+	Seconds int
+	Seed    uint64
+	// Rate is the number of new jobs a second.
+	Rate             float64
+	Daemons, Workers int
+	Out              io.Writer
+}
+
+// Defaults of a run.
+const (
+	DefaultRate    = 8
+	DefaultDaemons = 5
+	DefaultWorkers = 8
+)
+
+// Bounds of a run.
+const (
+	maxSeconds = 24 * 3600
+	maxRate    = 500
+	maxDaemons = 200
+	maxWorkers = 200
+	// startLimit bounds the time until the cell takes its first job.
+	startLimit = 20 * time.Second
+	// settleLimit bounds the time from the end of the faults to the last end.
+	settleLimit = 40 * time.Second
+)
+
+// Report is the outcome of a run.
+type Report struct {
+	Faults     map[Kind]int
+	Jobs       int
+	Accepted   int
+	Completed  int
+	Starts     int
+	Violations []string
+	// Dir holds the logs; it is removed after a run without violations.
+	Dir string
+}
+
+func (o *Options) check() error {
+	switch {
+	case o.Seconds < 1 || o.Seconds > maxSeconds:
+		return fmt.Errorf("seconds must be from 1 to %d", maxSeconds)
+	case o.Rate <= 0 || o.Rate > maxRate:
+		return fmt.Errorf("rate must be above 0 and at most %d", maxRate)
+	case o.Daemons < 1 || o.Daemons > maxDaemons || o.Workers < 1 || o.Workers > maxWorkers:
+		return fmt.Errorf("daemons and workers must be from 1 to %d", maxDaemons)
+	}
+	return nil
+}
+
+// Run runs a cell and checks it. The error is one of the run itself; broken
+// promises are in the report.
+func Run(ctx context.Context, o Options) (rep Report, err error) {
+	if err := o.check(); err != nil {
+		return Report{}, err
+	}
+	if rep.Dir, err = os.MkdirTemp("", "catkinvalve-cellsoak-"); err != nil {
+		return rep, err
+	}
+	c, err := newCell(o.Bin, rep.Dir, o.Daemons, o.Workers, o.Seed)
+	if c != nil {
+		defer func() { err = errors.Join(err, c.stop()) }()
+	}
+	if err != nil {
+		return rep, err
+	}
+	length := time.Duration(o.Seconds) * time.Second
+	ctx, cancel := context.WithTimeout(ctx, startLimit+length+2*settleLimit)
+	defer cancel()
+	go c.tick(ctx)
+	l := &load{cell: c, rng: rand.New(rand.NewPCG(o.Seed, 2))}
+	schedule := newSchedule(o.Seed, length, o.Daemons, o.Workers)
+	for _, f := range schedule {
+		fmt.Fprintln(o.Out, f)
+	}
+	begin := time.Now()
+	c.world.begin = begin
+	i := &injector{cell: c, begin: begin, done: map[Kind]int{}, say: func(format string, args ...any) {
+		fmt.Fprintf(o.Out, "%7.3f s  %s\n", time.Since(begin).Seconds(), fmt.Sprintf(format, args...))
+	}}
+	loaded, stopLoad := context.WithTimeout(ctx, length)
+	defer stopLoad()
+	faulted := make(chan struct{})
+	go func() {
+		defer close(faulted)
+		i.run(ctx, schedule)
+	}()
+	l.run(loaded, o.Rate)
+	<-faulted
+	settled, stopSettling := context.WithTimeout(ctx, settleLimit)
+	defer stopSettling()
+	l.settle(settled)
+	c.summarize(&rep, i)
+	if len(rep.Violations) == 0 && len(i.errs) == 0 {
+		return rep, os.RemoveAll(rep.Dir)
+	}
+	return rep, errors.Join(i.errs...)
+}
+
+func (c *soakCell) summarize(rep *Report, i *injector) {
+	c.world.mu.Lock()
+	defer c.world.mu.Unlock()
+	rep.Faults, rep.Jobs, rep.Starts = i.done, len(c.world.jobs), c.world.starts
+	rep.Violations = slices.Clone(c.world.violations)
+	for _, j := range c.world.jobs {
+		if j.accepted {
+			rep.Accepted++
+		}
+		if j.final != "" {
+			rep.Completed++
+		}
+	}
+}
+
+// Print writes the report.
+func (r *Report) Print(out io.Writer) {
+	fmt.Fprintf(out, "%d jobs, %d accepted, %d with a final state, %d starts, faults %v\n", r.Jobs, r.Accepted, r.Completed, r.Starts, r.Faults)
+	for _, v := range r.Violations {
+		fmt.Fprintln(out, v)
+	}
+	if len(r.Violations) > 0 {
+		fmt.Fprintf(out, "%d promises broken; logs in %s\n", len(r.Violations), r.Dir)
+	}
+}
--- /dev/null
+++ b/internal/cellsoak/schedule.go
@@ -0,0 +1,92 @@
+package cellsoak
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"catkinvalve/internal/faultproxy"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// Kinds of faults. Those of daemons act on N daemons, from a random one on.
+const (
+	Kill          Kind = "kill"
+	KillAll       Kind = "kill_all"
+	Pause         Kind = "pause"
+	Terminate     Kind = "terminate"
+	RollTerminate Kind = "terminate_in_turn"
+	Hangup        Kind = "hangup"
+	StoreRefuses  Kind = "store_refuses"
+	StoreSilent   Kind = "store_silent"
+	StoreSlow     Kind = "store_slow"
+	StoreLoses    Kind = "store_loses_answers"
+	StoreLate     Kind = "store_executes_late"
+	CutStore      Kind = "cut_from_store"
+	CutWorkers    Kind = "cut_workers"
+	WorkerCrash   Kind = "worker_crash"
+	WorkerFails   Kind = "worker_fails_all"
+	WorkerStalls  Kind = "worker_stalls"
+	WorkerLate    Kind = "worker_executes_late"
+	WorkerLeaves  Kind = "worker_leaves"
+	Publish       Kind = "publish"
+)
+
+// kinds lists all kinds of faults.
+var kinds = []Kind{Kill, KillAll, Pause, Terminate, RollTerminate, Hangup, StoreRefuses, StoreSilent, StoreSlow, StoreLoses, StoreLate,
+	CutStore, CutWorkers, WorkerCrash, WorkerFails, WorkerStalls, WorkerLate, WorkerLeaves, Publish}
+
+// Fault is one entry of a schedule.
+type Fault struct {
+	At, For time.Duration
+	Kind    Kind
+	// First and Count choose daemons or workers.
+	First, Count int
+	// Mode is that of a cut connection.
+	Mode faultproxy.Mode
+}
+
+// String describes the fault in the printed schedule.
+func (f Fault) String() string {
+	s := fmt.Sprintf("%6.2f s for %5.2f s  %-22s from %d, %d", f.At.Seconds(), f.For.Seconds(), f.Kind, f.First, f.Count)
+	if f.Kind == CutStore || f.Kind == CutWorkers {
+		s += " " + f.Mode.String()
+	}
+	return s
+}
+
+const (
+	// faultFree is the time at the begin of a run without faults.
+	faultFree = 3 * time.Second
+	// meanGap is the mean time between two faults.
+	meanGap = 1500 * time.Millisecond
+	// minFault and maxFault bound the length of a fault.
+	minFault = 300 * time.Millisecond
+	maxFault = 6 * time.Second
+)
+
+// newSchedule draws the faults of a run, which follow each other and overlap.
+func newSchedule(seed uint64, length time.Duration, daemons, workers int) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 0x50a4))
+	var out []Fault
+	order := rng.Perm(len(kinds))
+	for at := faultFree; at < length; at += time.Duration(rng.ExpFloat64() * float64(meanGap)) {
+		f := Fault{At: at, Kind: kinds[order[len(out)%len(order)]],
+			For: minFault + time.Duration(rng.Float64()*rng.Float64()*float64(maxFault-minFault))}
+		f.First, f.Count = rng.IntN(daemons), 1+rng.IntN(2)
+		switch f.Kind {
+		case KillAll, RollTerminate:
+			f.Count = daemons
+		case CutWorkers, WorkerCrash, WorkerFails, WorkerStalls, WorkerLate, WorkerLeaves:
+			f.First, f.Count = rng.IntN(workers), 1+rng.IntN(max(workers/4, 1))
+		}
+		f.Mode = faultproxy.Delay + faultproxy.Mode(rng.IntN(int(faultproxy.Reset)))
+		out = append(out, f)
+	}
+	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return out
+}
--- /dev/null
+++ b/internal/cellsoak/store.go
@@ -0,0 +1,83 @@
+package cellsoak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"catkinvalve/internal/standin/cellstore"
+	"catkinvalve/platform"
+)
+
+// storeMode is how the store misbehaves.
+type storeMode uint8
+
+const (
+	storeServes storeMode = iota
+	storeRefuses
+	storeSilent
+	storeSlow
+	// storeLoses: part of the answers to appends are lost.
+	storeLoses
+	// storeLate: the same, and the appends are executed seconds later.
+	storeLate
+)
+
+const (
+	// storeTime is the usual time of an answer, slowStoreTime that of a slow store.
+	storeTime     = 2 * time.Millisecond
+	slowStoreTime = 200 * time.Millisecond
+)
+
+// store is the stand-in of the metadata store.
+type store struct {
+	mu     sync.Mutex
+	topics map[string]*cellstore.Topic
+	mode   storeMode
+}
+
+func newStore() *store { return &store{topics: map[string]*cellstore.Topic{}} }
+
+func (s *store) topic(name string) *cellstore.Topic {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topics[name]
+	if t == nil {
+		t = cellstore.New()
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (s *store) set(m storeMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+}
+
+// fault implements platform.StoreFault.
+func (s *store) fault(ctx context.Context, writes bool, execute func()) platform.StoreOutcome {
+	s.mu.Lock()
+	mode := s.mode
+	s.mu.Unlock()
+	time.Sleep(storeTime)
+	disturbed := writes && rand.IntN(3) == 0
+	switch {
+	case mode == storeRefuses:
+		return platform.StoreRefuses
+	case mode == storeSilent:
+		<-ctx.Done()
+		return platform.StoreLosesAnswer
+	case mode == storeSlow:
+		time.Sleep(slowStoreTime)
+	case mode == storeLoses && disturbed:
+		execute()
+		return platform.StoreLosesAnswer
+	case mode == storeLate && disturbed:
+		time.AfterFunc(time.Duration(1000+rand.IntN(4000))*time.Millisecond, execute)
+		return platform.StoreLosesAnswer
+	}
+	execute()
+	return platform.StoreAnswers
+}
--- /dev/null
+++ b/internal/cellsoak/world_test.go
@@ -0,0 +1,111 @@
+package cellsoak
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/jobs"
+	"catkinvalve/internal/core/model"
+)
+
+// Guards against checks that cannot fail: each promise is broken once by hand.
+func TestEachBrokenPromiseIsSeen(t *testing.T) {
+	task := jobs.TaskRef{Job: "j"}
+	order := func(run int64) jobs.StartOrder {
+		return jobs.StartOrder{Task: task, Run: run, Payload: "100", Deadline: 5000}
+	}
+	for name, c := range map[string]struct {
+		rule    string
+		breakIt func(w *world, a, b *worker, j *seenJob)
+	}{
+		"unknown job": {"UNASKED", func(_ *world, a, _ *worker, _ *seenJob) {
+			a.start(1, &jobs.StartOrder{Task: jobs.TaskRef{Job: "other"}, Run: 1, Deadline: 5000})
+		}},
+		"another payload": {"UNASKED", func(_ *world, a, _ *worker, _ *seenJob) {
+			a.start(1, &jobs.StartOrder{Task: task, Run: 1, Payload: "7", Deadline: 5000})
+		}},
+		"refused job": {"REFUSED", func(_ *world, a, _ *worker, j *seenJob) {
+			j.accepted, j.refused = false, 1
+			o := order(1)
+			a.start(1, &o)
+		}},
+		"over capacity": {"LIMIT", func(_ *world, a, _ *worker, j *seenJob) {
+			j.spec.Steps[0].Size.MilliCPU = 5000
+			o, other := order(1), order(1)
+			other.Task.Index = 1
+			a.start(1, &o)
+			a.start(1, &other)
+		}},
+		"on two workers": {"TWICE", func(_ *world, a, b *worker, _ *seenJob) {
+			o, again := order(1), order(2)
+			a.start(1, &o)
+			b.start(1, &again)
+		}},
+		"done and started again": {"TWICE", func(w *world, a, b *worker, _ *seenJob) {
+			o, again := order(1), order(2)
+			a.start(1, &o)
+			a.end(task, a.runs[task], jobs.EndDone)
+			b.start(1, &again)
+			w.noted(&a.ends[0])
+		}},
+		"before its step": {"ORDER", func(_ *world, a, _ *worker, j *seenJob) {
+			o := order(1)
+			o.Task.Step = 1
+			a.start(1, &o)
+		}},
+		"failed too often": {"BUDGET", func(w *world, a, _ *worker, _ *seenJob) {
+			w.task(task).failed = maxAttempts
+			o := order(9)
+			a.start(1, &o)
+		}},
+		"completed early":      {"MIXED", func(w *world, _, _ *worker, j *seenJob) { w.told(j, jobs.ViewCompleted) }},
+		"failed without cause": {"LOST", func(w *world, _, _ *worker, j *seenJob) { w.told(j, jobs.ViewFailed) }},
+		"cancelled by nobody":  {"LOST", func(w *world, _, _ *worker, j *seenJob) { w.told(j, jobs.ViewCancelled) }},
+	} {
+		w := newWorld()
+		a, b := newWorker(w, "w-00", capacity, 1), newWorker(w, "w-01", capacity, 2)
+		size := model.Size{MilliCPU: 1000, MemMB: 10}
+		j := &seenJob{accepted: true, spec: &jobs.Spec{ID: "j", Payload: "100", Steps: []jobs.Step{{Count: 2, Size: size}, {Count: 1, Size: size, After: []int{0}}}}}
+		w.jobs["j"] = j
+		c.breakIt(w, a, b, j)
+		assert.Assert(t, len(w.violations) > 0, name)
+		for _, v := range w.violations {
+			assert.Assert(t, strings.Contains(v, c.rule), "%s: %v", name, w.violations)
+		}
+	}
+}
+
+// Guards against a soak that takes allowed behaviour for a broken promise.
+func TestAllowedBehaviourIsNoViolation(t *testing.T) {
+	w := newWorld()
+	a, b := newWorker(w, "w-00", capacity, 1), newWorker(w, "w-01", capacity, 2)
+	w.jobs["j"] = &seenJob{accepted: true, spec: &jobs.Spec{ID: "j", Payload: "100", Steps: []jobs.Step{{Count: 1, Size: model.Size{MilliCPU: 1000}}}}}
+	task := jobs.TaskRef{Job: "j"}
+	a.start(1, &jobs.StartOrder{Task: task, Run: 1, Payload: "100", Deadline: 5000})
+	a.end(task, a.runs[task], jobs.EndDone)
+	a.reborn()
+	b.start(2, &jobs.StartOrder{Task: task, Run: 1001, Payload: "100", Deadline: 5000})
+	b.end(task, b.runs[task], jobs.EndFailed)
+	status, _ := b.start(1, &jobs.StartOrder{Task: task, Run: 1002, Payload: "100", Deadline: 5000})
+	assert.Equal(t, status, jobs.CallFenced)
+	b.start(2, &jobs.StartOrder{Task: task, Run: 1002, Payload: "100", Deadline: 5000})
+	b.end(task, b.runs[task], jobs.EndDone)
+	w.told(w.jobs["j"], jobs.ViewCompleted)
+	assert.Equal(t, len(w.violations), 0, "%v", w.violations)
+}
+
+// Guards against a schedule that leaves kinds of faults out, or that differs
+// between two runs of one seed.
+func TestSchedulesAreDrawnFromTheSeed(t *testing.T) {
+	const length = 2 * time.Minute
+	first := newSchedule(7, length, 5, 8)
+	assert.DeepEqual(t, first, newSchedule(7, length, 5, 8))
+	seen := map[Kind]bool{}
+	for _, f := range first {
+		seen[f.Kind] = true
+	}
+	assert.Equal(t, len(seen), len(kinds))
+}
--- /dev/null
+++ b/internal/faultproxy/faultproxy.go
@@ -0,0 +1,173 @@
+// Package faultproxy passes TCP connections on over loopback and disturbs them,
+// so that tests inject network faults from outside the programs.
+package faultproxy
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode is what the proxy does with the bytes of its connections.
+type Mode uint8
+
+// Modes.
+const (
+	// Pass hands all bytes on.
+	Pass Mode = iota
+	// Delay hands them on late.
+	Delay
+	// CutRequests drops what clients send; answers pass.
+	CutRequests
+	// CutAnswers drops what the server sends; requests pass.
+	CutAnswers
+	// Silent drops everything and accepts connections all the same.
+	Silent
+	// Reset resets open connections, and new ones as they come.
+	Reset
+)
+
+// String returns the mode's name.
+func (m Mode) String() string {
+	return [...]string{"pass", "delay", "cut_requests", "cut_answers", "silent", "reset"}[m]
+}
+
+// delayed is how late bytes arrive in mode Delay.
+const delayed = 150 * time.Millisecond
+
+// Proxy listens for one server.
+type Proxy struct {
+	listener net.Listener
+	target   string
+	mu       sync.Mutex
+	mode     Mode
+	// spoiled connections lost bytes and stay silent for good.
+	conns map[*pair]bool
+	work  sync.WaitGroup
+}
+
+// pair is a client's connection and the one to the server.
+type pair struct {
+	client, server net.Conn
+	spoiled        bool
+}
+
+// Listen starts a proxy on an address.
+func Listen(address, target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: l, target: target, conns: map[*pair]bool{}}
+	p.work.Go(p.accept)
+	return p, nil
+}
+
+// Address is where clients connect.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set changes the mode.
+func (p *Proxy) Set(m Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	if m == Reset {
+		for c := range p.conns {
+			c.reset()
+		}
+	}
+}
+
+// Close ends all connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	for c := range p.conns {
+		c.reset()
+	}
+	p.mu.Unlock()
+	p.work.Wait()
+}
+
+func (p *Proxy) accept() {
+	for {
+		client, err := p.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		p.work.Go(func() { p.serve(client) })
+	}
+}
+
+func (p *Proxy) serve(client net.Conn) {
+	server, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		_ = client.(*net.TCPConn).SetLinger(0)
+		_ = client.Close()
+		return
+	}
+	c := &pair{client: client, server: server}
+	p.mu.Lock()
+	p.conns[c] = true
+	if p.mode == Reset {
+		c.reset()
+	}
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(c, server, client, CutRequests) })
+	both.Go(func() { p.copy(c, client, server, CutAnswers) })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.conns, c)
+	p.mu.Unlock()
+}
+
+const copyBytes = 16 << 10
+
+// copy hands bytes on in one direction until the connection ends.
+func (p *Proxy) copy(c *pair, to io.Writer, from io.Reader, cut Mode) {
+	defer c.close()
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !p.drops(c, cut) {
+			if _, failed := to.Write(buffer[:n]); failed != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// drops waits as the mode says and reports whether bytes in the direction that
+// cut names are lost.
+func (p *Proxy) drops(c *pair, cut Mode) bool {
+	p.mu.Lock()
+	mode := p.mode
+	c.spoiled = c.spoiled || mode == Silent || mode == cut
+	spoiled := c.spoiled
+	p.mu.Unlock()
+	if mode == Delay {
+		time.Sleep(delayed)
+	}
+	return spoiled
+}
+
+func (c *pair) close() {
+	_ = c.client.Close()
+	_ = c.server.Close()
+}
+
+func (c *pair) reset() {
+	for _, conn := range []net.Conn{c.client, c.server} {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	c.close()
+}
--- /dev/null
+++ b/internal/standin/cellstore/cellstore.go
@@ -0,0 +1,118 @@
+// Package cellstore is a topic of the metadata store in memory, as the store's
+// page describes it, for tests and for the stand-in of the store.
+package cellstore
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"catkinvalve/internal/ports"
+)
+
+// repeatedAppends is how many of the last appends of a producer can be repeated.
+const repeatedAppends = 5
+
+// Topic is a keyed topic with one partition.
+type Topic struct {
+	mu      sync.Mutex
+	records []ports.KeyedRecord
+	newest  map[string]ports.NewestRecord
+	epoch   uint64
+	seq     uint64
+	// answers holds the answers to the last appends of the epoch.
+	answers map[uint64]int64
+	// grown is closed and replaced when records are added.
+	grown chan struct{}
+}
+
+// New returns an empty topic.
+func New() *Topic {
+	return &Topic{newest: map[string]ports.NewestRecord{}, answers: map[uint64]int64{}, grown: make(chan struct{})}
+}
+
+// Append executes an append and returns the offset of its first record.
+func (t *Topic) Append(a ports.Append) (int64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	end := int64(len(t.records))
+	if a.End != nil && *a.End != end {
+		return 0, &ports.StoreError{Kind: ports.StoreMoved, End: end}
+	}
+	if a.Fence != nil {
+		first, repeated, err := t.sequence(a.Fence, end, len(a.Records) == 0)
+		if err != nil || repeated || len(a.Records) == 0 {
+			return first, err
+		}
+	}
+	t.add(a.Records)
+	return end, nil
+}
+
+// sequence checks an append's place in its producer's sequence.
+func (t *Topic) sequence(f *ports.Fence, end int64, fenceOnly bool) (first int64, repeated bool, err error) {
+	switch {
+	case f.Epoch < t.epoch:
+		return 0, false, &ports.StoreError{Kind: ports.StoreFenced}
+	case f.Epoch > t.epoch:
+		t.epoch, t.seq, t.answers = f.Epoch, 0, map[uint64]int64{}
+	}
+	if fenceOnly {
+		return end, false, nil
+	}
+	if first, repeated := t.answers[f.Seq]; repeated {
+		return first, true, nil
+	}
+	if t.seq != 0 && f.Seq != t.seq+1 {
+		return 0, false, &ports.StoreError{Kind: ports.StoreSequence, Expected: t.seq + 1}
+	}
+	t.seq = f.Seq
+	t.answers[f.Seq] = end
+	delete(t.answers, f.Seq-repeatedAppends)
+	return end, false, nil
+}
+
+func (t *Topic) add(records []ports.KeyedRecord) {
+	for _, r := range records {
+		offset := int64(len(t.records))
+		r.Value = slices.Clone(r.Value)
+		t.records = append(t.records, r)
+		if len(r.Value) == 0 {
+			delete(t.newest, r.Key)
+		} else {
+			t.newest[r.Key] = ports.NewestRecord{Key: r.Key, Value: r.Value, Offset: offset}
+		}
+	}
+	close(t.grown)
+	t.grown = make(chan struct{})
+}
+
+// Newest returns a page of the newest records whose keys follow after.
+func (t *Topic) Newest(after string, pageSize int) ports.NewestPage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	page := ports.NewestPage{End: int64(len(t.records))}
+	for _, key := range slices.Sorted(maps.Keys(t.newest)) {
+		switch {
+		case key <= after:
+		case len(page.Records) == pageSize:
+			page.More = true
+			return page
+		default:
+			page.Records = append(page.Records, t.newest[key])
+		}
+	}
+	return page
+}
+
+// From returns the records from an offset on, the end of the topic, and a channel
+// that is closed when it grows.
+func (t *Topic) From(offset int64) (records []ports.KeyedRecord, end int64, grown <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	end = int64(len(t.records))
+	if offset >= 0 && offset < end {
+		records = slices.Clone(t.records[offset:])
+	}
+	return records, end, t.grown
+}
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -36,14 +36,12 @@
 		return nil, nil, err
 	}
 	defer logFile.Close()
-	cmd := exec.Command(filepath.Join(bin, program), args...)
+	cmd := command(bin, program, args...)
 	cmd.Stderr = logFile
 	out, err := cmd.StdoutPipe()
 	if err != nil {
 		return nil, nil, err
 	}
-	// The process dies with the test even if that is killed.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return nil, nil, fmt.Errorf("start %s: %w; run make build first", program, err)
 	}
@@ -51,6 +49,35 @@
 	return p, out, nil
 }
 
+// StartLogged runs a program of bin with additional environment variables. All
+// that it prints goes to a log file in dir.
+func StartLogged(bin, dir, name, program string, env []string, args ...string) (*Process, error) {
+	logFile, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer logFile.Close()
+	cmd := command(bin, program, args...)
+	cmd.Stdout, cmd.Stderr = logFile, logFile
+	cmd.Env = append(os.Environ(), env...)
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w; run make build first", program, err)
+	}
+	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// command prepares a program that dies with the test even if that is killed.
+func command(bin, program string, args ...string) *exec.Cmd {
+	cmd := exec.Command(filepath.Join(bin, program), args...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return cmd
+}
+
 // reap waits for the process in the background. It must run after standard
 // output was read as far as needed.
 func (p *Process) reap(rest io.Reader) {
