--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -453,3 +453,35 @@
 	d.Frame(nil, &cellpb.Frame{Handover: &cellpb.Handover{Token: 3}})
 	assert.Assert(t, d.handover.Load())
 }
+
+// Guards against a process that ends while a call waits for an outcome: the
+// connection breaks and nobody answers. Found by the platform soak, seed 2.
+func TestCallsInFlightAreAnsweredBeforeTheProcessEnds(t *testing.T) {
+	t.Parallel()
+	d := New(Settings{Node: "a", Bounds: Bounds{ShutdownGrace: settle + shutdownMargin + time.Second}},
+		Deps{Log: logrus.NewEntry(logrus.New()), Registry: metrics.NewRegistry()})
+	calls, endCalls := context.WithCancel(context.Background())
+	arrived := make(chan struct{})
+	server := &http.Server{BaseContext: func(net.Listener) context.Context { return calls },
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			close(arrived)
+			<-r.Context().Done()
+			w.WriteHeader(http.StatusGatewayTimeout)
+		})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(l) }()
+	status := make(chan int, 1)
+	go func() {
+		resp, err := http.Get("http://" + l.Addr().String())
+		if err != nil {
+			status <- 0
+			return
+		}
+		defer resp.Body.Close()
+		status <- resp.StatusCode
+	}()
+	<-arrived
+	assert.NilError(t, d.shutdown(server, endCalls))
+	assert.Equal(t, <-status, http.StatusGatewayTimeout)
+}
--- a/internal/cell/daemon.go
+++ b/internal/cell/daemon.go
@@ -94,13 +94,18 @@
 	registerRetry = 300 * time.Millisecond
 	// shutdownMargin is kept between the end of the process and its kill.
 	shutdownMargin = 500 * time.Millisecond
+	// lastAnswers is kept for the answers to calls whose outcome is still not known
+	// when the process has to end.
+	lastAnswers = 400 * time.Millisecond
 )
 
 // Run serves until ctx ends, and then until the calls in flight are answered.
 func (d *Daemon) Run(ctx context.Context, s Servers) error {
 	duties, stop := context.WithCancel(context.Background())
 	defer stop()
-	callers := &http.Server{Handler: s.CallerHandler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, ErrorLog: nil}
+	calls, endCalls := context.WithCancel(context.Background())
+	defer endCalls()
+	callers := &http.Server{Handler: s.CallerHandler, BaseContext: func(net.Listener) context.Context { return calls }, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, ErrorLog: nil}
 	ready := &http.Server{Handler: s.ReadyHandler, ReadHeaderTimeout: 5 * time.Second}
 	metrics := &http.Server{Handler: s.MetricsHandler, ReadHeaderTimeout: 5 * time.Second}
 	var wg conc.WaitGroup
@@ -122,7 +127,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		err = d.shutdown(callers)
+		err = d.shutdown(callers, endCalls)
 	case err = <-failed:
 	}
 	_ = callers.Close()
@@ -137,8 +142,9 @@
 	return err
 }
 
-// shutdown hands the lead over and lets calls in flight end.
-func (d *Daemon) shutdown(callers *http.Server) error {
+// shutdown hands the lead over and lets calls in flight end. Those that would not
+// end in time are answered all the same: their callers have to ask again.
+func (d *Daemon) shutdown(callers *http.Server, endCalls func()) error {
 	d.leaving.Store(true)
 	d.log.WithField("event", "stopping").Info("the daemon stops")
 	if l := d.leading.Load(); l != nil {
@@ -147,14 +153,23 @@
 	d.report()
 	deadline := time.Now().Add(d.set.Bounds.ShutdownGrace - shutdownMargin)
 	time.Sleep(min(settle, time.Until(deadline)))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if shutdownBy(callers, deadline.Add(-lastAnswers)) == nil {
+		return nil
+	}
+	endCalls()
+	if err := shutdownBy(callers, deadline); err != nil {
 		return fmt.Errorf("calls in flight did not end: %w", err)
 	}
 	return nil
 }
 
+// shutdownBy waits until the calls in flight have ended, or until a deadline.
+func shutdownBy(s *http.Server, deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return s.Shutdown(ctx)
+}
+
 // register records this daemon in the store, once.
 func (d *Daemon) register(ctx context.Context) {
 	value, err := d.nodeRecord()
--- a/internal/cellsoak/load.go
+++ b/internal/cellsoak/load.go
@@ -75,11 +75,8 @@
 // cancel it.
 func (l *load) caller(rng *rand.Rand, j *seenJob, prefix string) {
 	ctx := context.Background()
-	c := &l.cell.caller
 	for range attempts {
-		verdict, err := c.Submit(ctx, l.daemon(rng), prefix, j.spec)
-		l.submitted(j, verdict, err)
-		if err == nil && verdict == cell.VerdictOK {
+		if l.submit(ctx, rng, j, prefix) {
 			break
 		}
 		pause.For(ctx, time.Duration(rng.ExpFloat64()*float64(retryPause)))
@@ -88,15 +85,14 @@
 	switch {
 	case draw < repeatShare:
 		pause.For(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
-		verdict, err := c.Submit(ctx, l.daemon(rng), prefix, j.spec)
-		l.submitted(j, verdict, err)
+		l.submit(ctx, rng, j, prefix)
 	case draw < repeatShare+cancelShare:
 		pause.For(ctx, time.Duration(rng.IntN(2000))*time.Millisecond)
 		l.cell.world.mu.Lock()
 		j.cancelled = true
 		l.cell.world.mu.Unlock()
 		for range attempts {
-			if _, err := c.Cancel(ctx, l.daemon(rng), prefix, j.spec.ID); err == nil {
+			if _, err := l.cell.caller.Cancel(ctx, l.daemon(rng), prefix, j.spec.ID); err == nil {
 				return
 			}
 			pause.For(ctx, time.Duration(rng.ExpFloat64()*float64(retryPause)))
@@ -104,11 +100,17 @@
 	}
 }
 
-// submitted records how a submission was answered.
-func (l *load) submitted(j *seenJob, v cell.Verdict, err error) {
+// submit makes one submission, records how it was answered and reports whether
+// the job was accepted.
+func (l *load) submit(ctx context.Context, rng *rand.Rand, j *seenJob, prefix string) bool {
 	w := l.cell.world
 	w.mu.Lock()
+	j.pending++
+	w.mu.Unlock()
+	v, err := l.cell.caller.Submit(ctx, l.daemon(rng), prefix, j.spec)
+	w.mu.Lock()
 	defer w.mu.Unlock()
+	j.pending--
 	switch {
 	case err != nil || v == cell.VerdictUnknown:
 		j.unclear = true
@@ -116,12 +118,11 @@
 		j.accepted = true
 	case v == cell.VerdictOverloaded || v == cell.VerdictUnavailable:
 		j.refused++
-		if j.started && !j.accepted && !j.unclear {
-			w.violate("REFUSED: job %s was refused and runs", j.spec.ID)
-		}
+		w.checkRefused(j)
 	default:
 		w.violate("LOST: submission of %s was answered with verdict %d", j.spec.ID, v)
 	}
+	return j.accepted
 }
 
 // daemon returns the address of a random daemon, as a balancer would choose it.
--- a/internal/cellsoak/worker.go
+++ b/internal/cellsoak/worker.go
@@ -90,7 +90,7 @@
 		n.world.ended(n, ref, jobs.EndLapsed)
 	}
 	for i := range n.ends {
-		n.world.forgotten(&n.ends[i])
+		n.world.lost(&n.ends[i])
 	}
 	n.born, n.token, n.lease = time.Now(), 0, 0
 	n.runs, n.highest, n.ends, n.nextEnd = map[jobs.TaskRef]*workerRun{}, map[jobs.TaskRef]int64{}, nil, 0
@@ -111,31 +111,39 @@
 	n.lease = max(n.lease, min(deadline, n.clock()+leaseMax.Milliseconds()))
 }
 
-// misbehaves reports whether an order is left without an answer, and how late it
-// is executed.
-func (n *worker) misbehaves() (time.Duration, bool) {
+// leaveUnanswered reports whether a start is left without an answer, to be
+// executed seconds later, unless the worker's life has ended by then.
+func (n *worker) leaveUnanswered(token uint64, o *jobs.StartOrder) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.fault != answersLate || n.rng.IntN(4) > 0 {
-		return 0, false
+		return false
 	}
-	return time.Duration(2000+n.rng.IntN(4000)) * time.Millisecond, true
+	life := n.born
+	time.AfterFunc(time.Duration(2000+n.rng.IntN(4000))*time.Millisecond, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.born.Equal(life) {
+			n.start(token, o)
+		}
+	})
+	return true
 }
 
 // Start implements platform.WorkerBackend.
 func (n *worker) Start(_ context.Context, token uint64, o jobs.StartOrder) jobs.StartResult {
 	r := jobs.StartResult{Worker: n.id, Task: o.Task, Run: o.Run, Status: jobs.CallNoAnswer}
-	if wait, late := n.misbehaves(); late {
-		time.AfterFunc(wait, func() { n.start(token, &o) })
+	if n.leaveUnanswered(token, &o) {
 		return r
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	r.Status, r.Clock = n.start(token, &o)
 	return r
 }
 
+// start executes a start. The world's lock must be held.
 func (n *worker) start(token uint64, o *jobs.StartOrder) (jobs.HoldStatus, int64) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	if token < n.token {
 		return jobs.CallFenced, n.clock()
 	}
@@ -247,7 +255,7 @@
 	lapsed := n.clock() > n.lease
 	if lapsed {
 		for i := range n.ends {
-			n.world.lapsed(&n.ends[i])
+			n.world.lost(&n.ends[i])
 		}
 	}
 	for ref, r := range n.runs {
--- a/internal/cellsoak/world.go
+++ b/internal/cellsoak/world.go
@@ -28,9 +28,11 @@
 	// accepted, refused and unclear tell how the submissions were answered.
 	accepted, unclear bool
 	refused           int
-	cancelled         bool
-	final             jobs.View
-	started           bool
+	// pending counts the submissions that have no answer yet.
+	pending   int
+	cancelled bool
+	final     jobs.View
+	started   bool
 }
 
 // seenTask is a task as the workers know it.
@@ -39,8 +41,8 @@
 	done     bool
 	noted    bool
 	restarts int
-	// excused is set when the worker's lease lapsed before the end was noted: the
-	// cell may start the task again.
+	// excused is set when the worker's lease or life ended before the end was noted:
+	// the cell may start the task again.
 	excused bool
 	failed  int
 }
@@ -84,9 +86,7 @@
 	if j.spec.Payload != o.Payload {
 		w.violate("UNASKED: %s starts %s with another payload", on.id, o.Task)
 	}
-	if j.refused > 0 && !j.accepted && !j.unclear {
-		w.violate("REFUSED: %s starts %s, whose job was refused each time", on.id, o.Task)
-	}
+	w.checkRefused(j)
 	if !step.Size.Fits(on.capacity.Sub(used)) {
 		w.violate("LIMIT: %s starts %s over its capacity", on.id, o.Task)
 	}
@@ -111,6 +111,13 @@
 	t.running[on] = o.Run
 }
 
+// checkRefused checks that a job runs only if a submission was not refused.
+func (w *world) checkRefused(j *seenJob) {
+	if j.started && j.refused > 0 && j.pending == 0 && !j.accepted && !j.unclear {
+		w.violate("REFUSED: job %s runs, each of its submissions was refused", j.spec.ID)
+	}
+}
+
 // stepDone reports whether all tasks of a step have ended as done. One end
 // represents a gang.
 func (w *world) stepDone(ref jobs.TaskRef, index int) bool {
@@ -147,15 +154,9 @@
 	}
 }
 
-// forgotten records that an end was lost with its worker before it was noted.
-func (w *world) forgotten(e *jobs.Ended) {
-	if t := w.task(e.Task); e.Kind == jobs.EndDone && !t.noted {
-		t.done, t.restarts = false, 0
-	}
-}
-
-// lapsed records that a worker's lease ended before an end was noted.
-func (w *world) lapsed(e *jobs.Ended) { w.task(e.Task).excused = true }
+// lost records that a worker's lease or life ended before the cell took note of
+// an end.
+func (w *world) lost(e *jobs.Ended) { w.task(e.Task).excused = true }
 
 // told checks a job's state as a caller was told.
 func (w *world) told(j *seenJob, v jobs.View) {
--- a/internal/core/jobs/admit_test.go
+++ b/internal/core/jobs/admit_test.go
@@ -65,3 +65,34 @@
 	out = b.core.Take()
 	assert.DeepEqual(t, out.Answers, []Answer{{Call: 1, Kind: Accepted}})
 }
+
+// Guards against a new leader that accepts a job which no worker can ever run,
+// because it has not read the list of workers yet. Found by the platform soak,
+// seed 11: accepted 20 ms after the change of hands, and queued for ever.
+func TestASubmissionWaitsForTheListOfWorkers(t *testing.T) {
+	b := newBench(t)
+	huge := small(1)
+	huge.Size.MilliCPU = 100_000
+	assert.Assert(t, b.core.Submit(b.now, &Spec{ID: "huge", Queue: "q", Steps: []Step{huge}}, 1) == nil)
+	assert.Assert(t, b.core.Submit(b.now, &Spec{ID: "fits", Queue: "q", Steps: []Step{small(1)}}, 2) == nil)
+	assert.Assert(t, b.core.Submit(b.now, &Spec{ID: "dropped", Queue: "q", Steps: []Step{small(1)}}, 3) == nil)
+	assert.Equal(t, b.core.Cancel(b.now, "dropped", 4).Kind, NoSuchJob)
+	b.core.SetEntries(b.now, []Entry{entry("w1")})
+	b.store()
+	b.step(0)
+	kinds := map[CallID]AnswerKind{}
+	for _, a := range b.out.Answers {
+		kinds[a.Call] = a.Kind
+	}
+	assert.DeepEqual(t, kinds, map[CallID]AnswerKind{1: Refused, 2: Accepted, 3: Refused})
+}
+
+// Guards against submissions that wait for ever while the list of workers cannot
+// be read.
+func TestASubmissionIsDecidedWithoutAList(t *testing.T) {
+	b := newBench(t)
+	assert.Assert(t, b.core.Submit(b.now, &Spec{ID: "j1", Queue: "q", Steps: []Step{small(1)}}, 1) == nil)
+	b.step(listPatience)
+	b.store()
+	assert.Equal(t, view(t, b.core, "j1"), ViewQueued)
+}
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -75,9 +75,13 @@
 	batch    batchState
 	advisers advisers
 	speeds   durations
-	ended    []*job    // in order of endedAt
-	timed    []*job    // jobs with occurrences still to come
-	open     int       // unfinished jobs
+	ended    []*job // in order of endedAt
+	timed    []*job // jobs with occurrences still to come
+	open     int    // unfinished jobs
+	// listRead is set once the list of workers was read.
+	listRead bool
+	// unjudged lists submissions that wait for that.
+	unjudged []submission
 	wall     time.Time // wall clock at the last event
 	// changed is set when a placement may succeed that did not before.
 	changed bool
--- a/internal/core/jobs/orders.go
+++ b/internal/core/jobs/orders.go
@@ -170,6 +170,7 @@
 // Tick does what is due at now. The wall clock decides about occurrences only.
 func (c *Core) Tick(now, wall time.Time) {
 	c.wall = wall
+	c.judgeWaiting(now)
 	c.createDue(wall)
 	c.forgetEnded(now)
 	c.resendStops(now)
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -265,7 +265,8 @@
 	for i := range entries {
 		c.setEntry(now, &entries[i])
 	}
-	c.changed = true
+	c.changed, c.listRead = true, true
+	c.judgeWaiting(now)
 }
 
 func (c *Core) setEntry(now time.Time, e *Entry) {
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"catkinvalve/internal/core/model"
@@ -25,9 +26,57 @@
 	ViewCancelled View = "cancelled"
 )
 
-// Submit takes a job. It returns an answer, or nil when the answer comes with a
-// batch. The spec must be valid.
+// Submit takes a job. It returns an answer, or nil when the answer comes later.
+// The spec must be valid.
 func (c *Core) Submit(now time.Time, spec *Spec, call CallID) *Answer {
+	if !c.listRead && c.jobs[spec.ID] == nil {
+		c.unjudged = append(c.unjudged, submission{spec, call, now})
+		return nil
+	}
+	return c.judge(now, spec, call)
+}
+
+// submission is a job that waits for the list of workers: without it a new
+// leader cannot tell whether the job can ever run.
+type submission struct {
+	spec *Spec
+	call CallID
+	came time.Time
+}
+
+// listPatience is how long a submission waits for the list of workers.
+const listPatience = 500 * time.Millisecond
+
+// judgeWaiting decides on the submissions that waited for the list of workers,
+// or that waited for too long.
+func (c *Core) judgeWaiting(now time.Time) {
+	waiting := c.unjudged
+	c.unjudged = nil
+	for _, s := range waiting {
+		if !c.listRead && now.Sub(s.came) < listPatience {
+			c.unjudged = append(c.unjudged, s)
+			continue
+		}
+		if a := c.judge(now, s.spec, s.call); a != nil {
+			c.out.Answers = append(c.out.Answers, *a)
+		}
+	}
+}
+
+// dropUnjudged refuses the submissions of a cancelled job that wait for the list
+// of workers, so that it never runs.
+func (c *Core) dropUnjudged(now time.Time, id string) {
+	c.unjudged = slices.DeleteFunc(c.unjudged, func(s submission) bool {
+		if s.spec.ID != id {
+			return false
+		}
+		c.out.Answers = append(c.out.Answers, *c.refuse(now, s.spec, s.call, "cancelled", retryAfterFull))
+		return true
+	})
+}
+
+// judge accepts or refuses a job.
+func (c *Core) judge(now time.Time, spec *Spec, call CallID) *Answer {
 	if j := c.jobs[spec.ID]; j != nil {
 		return c.resubmitted(j, call)
 	}
@@ -70,6 +119,7 @@
 func (c *Core) Cancel(now time.Time, id string, call CallID) *Answer {
 	j := c.jobs[id]
 	if j == nil {
+		c.dropUnjudged(now, id)
 		return &Answer{Call: call, Kind: NoSuchJob}
 	}
 	if j.outcome == Unfinished {
