Call idle workers less often in a large cell; bound unused connections

Beyond 600 workers an idle one is called every few seconds instead of always; a new leader has at most 512 calls under way to workers that have not answered; unused connections keep to a part of the descriptors; daemons that are not about to take over get each second heartbeat from 100 daemons on. Below 600 workers and 100 daemons nothing changes. Tests: TestANewLeaderCallsABoundedNumberOfWorkersAtOnce, TestIdleWorkersOfALargeCellAreCalledLessOften.

--- a/internal/adapters/jsonhttp/jsonhttp.go
+++ b/internal/adapters/jsonhttp/jsonhttp.go
@@ -44,7 +44,9 @@
 	DialTimeout  time.Duration
 	ConnsPerHost int
 	// IdlePerHost is how many unused connections to a host are kept.
-	IdlePerHost   int
+	IdlePerHost int
+	// MaxIdle is how many are kept to all hosts together; 0 means no limit.
+	MaxIdle       int
 	MaxReplyBytes int64
 }
 
@@ -103,6 +105,7 @@
 		DisableCompression:     true,
 		MaxConnsPerHost:        orDefault(o.ConnsPerHost, defaultConnsPerHost),
 		MaxIdleConnsPerHost:    orDefault(o.IdlePerHost, maxIdlePerHost),
+		MaxIdleConns:           o.MaxIdle,
 		IdleConnTimeout:        idleTimeout,
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -107,6 +107,8 @@
 	told          map[*linkrpc.Link]toldState
 	lastTick      time.Time
 	lastHeartbeat time.Time
+	// beats counts the rounds of heartbeats.
+	beats         uint64
 	lastDial      time.Time
 	configVersion int64
 	metrics       leaderMetrics
@@ -483,8 +485,11 @@
 	order := l.successors(now)
 	l.considerBetter(now, order)
 	l.toldOrder = order[:min(len(order), toldSuccessors)]
+	l.beats++
 	for _, link := range l.d.members.peers() {
-		l.sendHeartbeat(link)
+		if l.hears(link.Peer.Node) {
+			l.sendHeartbeat(link)
+		}
 	}
 	if now.Sub(l.lastDial) >= dialInterval {
 		l.lastDial = now
@@ -492,6 +497,17 @@
 	}
 }
 
+const (
+	// manyDaemons is the number of daemons from which those that are not about to
+	// take over get only each second heartbeat.
+	manyDaemons = 100
+)
+
+// hears reports whether a daemon gets the present heartbeat.
+func (l *leader) hears(name string) bool {
+	return len(l.nodes) < manyDaemons || l.beats%2 == 0 || slices.Contains(l.toldOrder, name)
+}
+
 // sendHeartbeat sends a heartbeat to one daemon.
 func (l *leader) sendHeartbeat(link *linkrpc.Link) {
 	link.Send(&cellpb.Frame{Heartbeat: l.heartbeat(link)})
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -33,6 +33,8 @@
 	// LinkMbps is the bandwidth of the machine's network link; 0 when not known.
 	LinkMbps float64
 	MemoryMB int64
+	// MaxFiles is how many descriptors the process may have; 0 when not known.
+	MaxFiles int
 	Bounds   Bounds
 }
 
--- /dev/null
+++ b/internal/core/jobs/calls_test.go
@@ -0,0 +1,72 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+)
+
+// manyWorkers lists a number of workers.
+func manyWorkers(n int) []Entry {
+	var entries []Entry
+	for i := range n {
+		entries = append(entries, entry(fmt.Sprintf("w%04d", i)))
+	}
+	return entries
+}
+
+// Guards against a new leader that calls thousands of workers at once, which
+// takes more descriptors and time than it has.
+func TestANewLeaderCallsABoundedNumberOfWorkersAtOnce(t *testing.T) {
+	b := newBench(t)
+	b.core.SetEntries(b.now, manyWorkers(3000))
+	called := 0
+	for range 10 {
+		out := b.step(50 * time.Millisecond)
+		assert.Assert(t, len(out.Holds) <= maxUnanswered, "%d calls at once", len(out.Holds))
+		called += len(out.Holds)
+		b.answerHolds(out, nil)
+		b.store()
+	}
+	assert.Assert(t, called >= 3000, "only %d workers were called", called)
+}
+
+// Guards against calls to idle workers that grow with their number, against idle
+// workers that count as silent between two calls, and against a busy worker that
+// is called as rarely.
+func TestIdleWorkersOfALargeCellAreCalledLessOften(t *testing.T) {
+	b := newBench(t)
+	b.core.SetEntries(b.now, manyWorkers(3000))
+	for range 10 {
+		b.answerHolds(b.step(50*time.Millisecond), nil)
+		b.store()
+	}
+	calls := 0
+	for range 100 {
+		out := b.step(100 * time.Millisecond)
+		calls += len(out.Holds)
+		b.answerHolds(out, nil)
+	}
+	assert.Assert(t, calls <= 10*2*idleCalls, "%d calls in 10 s", calls)
+	for _, w := range b.core.list {
+		assert.Equal(t, b.core.workerState(b.now, w), Usable, "%s after %v", w.ID, b.now.Sub(w.contact))
+	}
+	b.submit("j1", small(1))
+	out := b.step(0)
+	assert.Equal(t, len(out.Starts), 1)
+	busy := out.Starts[0].Worker
+	if !b.core.workers[busy].holding {
+		b.core.Schedule(b.now)
+		out = b.core.Take()
+	}
+	called := false
+	for _, h := range out.Holds {
+		called = called || h.Worker == busy
+	}
+	assert.Assert(t, called || b.core.workers[busy].holding, "the ends of a busy worker are not asked for")
+	b.answerHolds(Actions{Holds: []HoldOrder{{Worker: busy}}}, map[model.WorkerID]HoldResult{busy: {Running: []Listed{{Task: TaskRef{Job: "j1"}, Run: 1}}}})
+}
--- a/internal/core/jobs/hold.go
+++ b/internal/core/jobs/hold.go
@@ -110,6 +110,7 @@
 		return
 	}
 	w.holding = false
+	c.uncount(w)
 	if h.Status != CallOK {
 		c.holdFailed(received, w, h.Status)
 		return
@@ -130,8 +131,12 @@
 	c.readEnds(received, w, h)
 	c.readRunning(received, w, h)
 	c.passGate(received, w, h)
-	w.nextHold = received.Add(unstoredPoll)
-	if w.processed == w.acked {
+	switch {
+	case w.processed != w.acked:
+		w.nextHold = received.Add(unstoredPoll)
+	case w.idle():
+		w.nextHold = received.Add(c.rest())
+	default:
 		c.holdNow(received, w)
 	}
 	c.advanceAck(received, w)
@@ -435,6 +440,7 @@
 // forget drops a worker that left and can run nothing any more.
 func (c *Core) forget(w *worker) {
 	c.strike(w)
+	c.uncount(w)
 	c.health.Forget(w.ID)
 	w.state, w.answered = Unlisted, false
 	c.forgetPermissions(w)
--- a/internal/core/jobs/orders.go
+++ b/internal/core/jobs/orders.go
@@ -42,6 +42,7 @@
 	w.reserve(r)
 	if len(w.runs) == 1 {
 		w.moved = now
+		c.holdNow(now, w)
 	}
 	checkpoint := t.checkpoint
 	if s.def.Gang {
@@ -189,7 +190,7 @@
 	c.checkStall(now, w)
 	c.checkRoster(now, w)
 	switch {
-	case w.answered && !w.lapsed && now.After(c.leaseEnd(w)):
+	case w.answered && !w.lapsed && !w.resting() && now.After(c.leaseEnd(w)):
 		c.lapse(now, w)
 	case !w.listed && !w.answered && len(w.runs) == 0 && !c.gate.waitsFor(w.ID):
 		c.forget(w)
@@ -197,52 +198,3 @@
 		c.forget(w)
 	}
 }
-
-// holdNow makes the next call to a worker due.
-func (c *Core) holdNow(now time.Time, w *worker) {
-	w.nextHold = now
-	if !w.holding && !w.due && w.Address != "" {
-		w.due = true
-		c.dueHolds = append(c.dueHolds, w)
-	}
-}
-
-// holds makes the calls to workers that are due.
-func (c *Core) holds(now time.Time) {
-	due := c.dueHolds
-	c.dueHolds = c.dueHolds[:0]
-	for _, w := range due {
-		w.due = false
-		if w.holding || c.workers[w.ID] != w {
-			continue
-		}
-		h := HoldOrder{Worker: w.ID, Address: w.Address, AckCursor: w.acked}
-		if w.answered && w.misses == 0 {
-			// Calls without an answer extend nothing, or the lease of a worker that
-			// is gone would never end.
-			h.Deadline = c.deadline(now, w)
-			if w.acked == w.processed {
-				h.Wait = c.cfg.HoldWait
-			}
-			if w.stopping() {
-				h.Wait = min(h.Wait, stoppingWait)
-			}
-		}
-		w.holding = true
-		c.out.Holds = append(c.out.Holds, h)
-	}
-}
-
-// stoppingWait is how long a call waits for an end while a run has to be
-// confirmed as gone, which no end may tell.
-const stoppingWait = 150 * time.Millisecond
-
-// stopping reports whether a run waits to be confirmed as gone.
-func (w *worker) stopping() bool {
-	for _, r := range w.runs {
-		if r.stop.wanted || r.state == runUnclear {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -55,6 +55,8 @@
 	// due is set while the worker waits in Core.dueHolds.
 	due    bool
 	misses int
+	// counted is set while a call to the worker counts among Core.unanswered.
+	counted bool
 
 	// processed and acked are positions in the worker's list of ends: what this
 	// leader has seen, and what it may acknowledge.
@@ -214,7 +216,7 @@
 		return Leaving
 	case !w.answered || w.lapsed || w.Entry.Life != w.life || w.strangers > 0:
 		return NotAnswered
-	case now.Sub(w.contact) > c.cfg.SilentAfter:
+	case now.Sub(w.contact) > c.silenceLimit(w):
 		return Silent
 	case w.roster != rosterStored:
 		return NotStored
--- a/internal/daemon/command/platform.go
+++ b/internal/daemon/command/platform.go
@@ -55,7 +55,7 @@
 		return err
 	}
 	log.WithFields(logrus.Fields{"event": "start", "ip": set.IP, "region": set.Region, "store": set.StoreAddress, "advice": set.AdviceAddress}).Info("the daemon starts")
-	client, err := platform.NewClient()
+	client, err := platform.NewClient(set.MaxFiles)
 	if err != nil {
 		return err
 	}
