Ask for advice anew as soon as the link to the adviser has ended

Calls of a daemon that was killed counted as under way until their timeout, 1.5 s and more; the step waited meanwhile. Test: TestAdviceIsAskedAnewWhenTheAdviserIsLost (nobody is asked, before).

--- a/internal/cell/daemon.go
+++ b/internal/cell/daemon.go
@@ -272,6 +272,9 @@
 	d.members.closed(l)
 	d.wakeElection()
 	d.entry.linkClosed(l)
+	if lead := d.leading.Load(); lead != nil {
+		lead.push(linkLostMsg{l.Peer.Node})
+	}
 	d.log.WithFields(logrus.Fields{"event": "link_closed", "peer": l.Peer.Node}).Info("a link to a daemon ended")
 }
 
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -200,6 +200,11 @@
 	l.sendHeartbeat(m.link)
 }
 
+// linkLostMsg tells of a link that ended.
+type linkLostMsg struct{ node string }
+
+func (m linkLostMsg) apply(l *leader, now time.Time) { l.core.AdviserLost(now, m.node) }
+
 // reportMsg is another daemon's report.
 type reportMsg struct {
 	node   string
--- a/internal/core/jobs/advice.go
+++ b/internal/core/jobs/advice.go
@@ -446,6 +446,16 @@
 	return call
 }
 
+// AdviserLost gives up the calls of a daemon to which the link has ended: their
+// answers cannot arrive any more.
+func (c *Core) AdviserLost(now time.Time, name string) {
+	for _, seq := range slices.Sorted(maps.Keys(c.advisers.calls)) {
+		if c.advisers.calls[seq].adviser.name == name {
+			c.Advised(now, &AdviceResult{Seq: seq})
+		}
+	}
+}
+
 // checkAdvice gives up calls without an answer.
 func (c *Core) checkAdvice(now time.Time) {
 	for _, seq := range slices.Sorted(maps.Keys(c.advisers.calls)) {
--- a/internal/core/jobs/advice_test.go
+++ b/internal/core/jobs/advice_test.go
@@ -51,3 +51,20 @@
 	}
 	assert.Assert(t, started > 0, "nothing starts on the worker that returned")
 }
+
+// Guards against a step that waits for the answer of a daemon that was killed,
+// until the call times out.
+func TestAdviceIsAskedAnewWhenTheAdviserIsLost(t *testing.T) {
+	b := adviceBench(t)
+	b.core.SetAdvisers([]string{"self", "other"})
+	b.ready("w1")
+	b.submit("j1", small(1))
+	asked := b.step(0).Advice
+	assert.Equal(t, len(asked), 1)
+	assert.Equal(t, len(b.step(2*adviceBackoff).Advice), 0, "asked twice at the same time")
+	b.core.AdviserLost(b.now, asked[0].Adviser)
+	b.core.SetAdvisers([]string{"other"})
+	again := b.step(2 * adviceBackoff).Advice
+	assert.Equal(t, len(again), 1, "nobody is asked after the adviser was lost")
+	assert.Equal(t, again[0].Adviser, "other")
+}
