Slow fillers down while a serving task beside them is near its target

Fillers go where nothing serves; one that stands still for 3 s is stopped and goes on elsewhere from its checkpoint. A filler that is slowed is not taken for a stalled run.

--- a/internal/cell/fakes_test.go
+++ b/internal/cell/fakes_test.go
@@ -287,6 +287,11 @@
 	w.ended = append(w.ended, jobs.Ended{Seq: w.next, Task: ref, Run: run, Kind: jobs.EndDone})
 }
 
+// Pace implements ports.TaskWorkers.
+func (f *fakeWorkers) Pace(_ context.Context, _ uint64, o jobs.PaceOrder) jobs.PaceResult {
+	return jobs.PaceResult{Worker: o.Worker, Task: o.Task, Run: o.Run, Percent: o.Percent, Status: jobs.CallOK}
+}
+
 // Stop implements ports.TaskWorkers. Tasks are too short to be stopped.
 func (f *fakeWorkers) Stop(_ context.Context, _ uint64, o jobs.StopOrder) jobs.StopResult {
 	return jobs.StopResult{Worker: o.Worker, Task: o.Task, Run: o.Run, Status: jobs.CallOK}
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -147,6 +147,10 @@
 
 func (m stoppedMsg) apply(l *leader, _ time.Time) { l.core.StopAnswered(m.at, &m.result) }
 
+type pacedMsg struct{ result jobs.PaceResult }
+
+func (m pacedMsg) apply(l *leader, _ time.Time) { l.core.PaceAnswered(&m.result) }
+
 type advisedMsg struct{ result *jobs.AdviceResult }
 
 func (m advisedMsg) apply(l *leader, now time.Time) { l.core.Advised(now, m.result) }
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -20,7 +20,7 @@
 	startPatience = 1200 * time.Millisecond
 	// startPause is the pause after the first attempt; it doubles.
 	startPause = 15 * time.Millisecond
-	// stopTimeout bounds one call that stops a run.
+	// stopTimeout bounds one call that stops a run or changes its pace.
 	stopTimeout = 400 * time.Millisecond
 )
 
@@ -36,6 +36,9 @@
 	for _, o := range a.Stops {
 		l.work.Go(func() { l.stopRun(o) })
 	}
+	for _, o := range a.Paces {
+		l.work.Go(func() { l.pace(o) })
+	}
 	for _, o := range a.Advice {
 		l.metrics.advice.Inc(1)
 		l.advise(o)
@@ -95,6 +98,12 @@
 	l.push(stoppedMsg{result, time.Now()})
 }
 
+func (l *leader) pace(o jobs.PaceOrder) {
+	ctx, cancel := context.WithTimeout(l.ctx, stopTimeout)
+	defer cancel()
+	l.push(pacedMsg{l.d.deps.Workers.Pace(ctx, l.token, o)})
+}
+
 // advise has the chosen daemon ask the advice service.
 func (l *leader) advise(o jobs.AdviceOrder) {
 	if o.Adviser == l.d.set.Node {
--- a/internal/core/jobs/advice.go
+++ b/internal/core/jobs/advice.go
@@ -277,7 +277,7 @@
 func (c *Core) nameForTasks(now time.Time, s *step) []*worker {
 	var options []*worker
 	for _, w := range c.pool(s).workers {
-		if !w.room.fits(s.def.Size) || !c.eligible(s, w) || s.advice.denied[w.ID] || c.roomFor(now, s, w) == 0 {
+		if !w.room.fits(s.def.Size) || !c.eligible(now, s, w) || s.advice.denied[w.ID] || c.roomFor(now, s, w) == 0 {
 			continue
 		}
 		if t := s.advice.find(w.ID); t == nil || !t.valid(now) {
@@ -309,7 +309,7 @@
 	}
 	var options []option
 	for _, w := range c.pool(s).workers {
-		if !c.eligible(s, w) || s.advice.denied[w.ID] || s.advice.find(w.ID) != nil || !s.def.Size.Fits(w.room.capacity) {
+		if !c.eligible(now, s, w) || s.advice.denied[w.ID] || s.advice.find(w.ID) != nil || !s.def.Size.Fits(w.room.capacity) {
 			continue
 		}
 		soon := copiesIn(w.room.capacity, s.def.Size)
--- a/internal/core/jobs/claims.go
+++ b/internal/core/jobs/claims.go
@@ -95,7 +95,7 @@
 
 // slotsOn appends the slots of one worker.
 func (c *Core) slotsOn(now time.Time, s *step, w *worker, ticket time.Time, out []slot) []slot {
-	if !c.eligible(s, w) {
+	if !c.eligible(now, s, w) {
 		return out
 	}
 	most := min(len(s.tasks), w.allowance(s))
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -91,6 +91,8 @@
 	out     Actions
 	fenced  bool
 	stalled bool
+	// sharing is set once a job had fillers or tasks that serve users.
+	sharing bool
 }
 
 // New returns the core of a new leader.
@@ -108,6 +110,7 @@
 	Holds   []HoldOrder
 	Starts  []StartOrder
 	Stops   []StopOrder
+	Paces   []PaceOrder
 	Advice  []AdviceOrder
 	Answers []Answer
 	Events  []Event
@@ -273,6 +276,7 @@
 	age := min(max(wall.Sub(r.Accepted), 0), c.cfg.Retention)
 	j := newJob(&spec, &q, r.Token, now.Add(-age))
 	j.stored, j.restored = true, true
+	c.noteSharing(j)
 	c.jobs[spec.ID] = j
 }
 
--- a/internal/core/jobs/durations.go
+++ b/internal/core/jobs/durations.go
@@ -148,7 +148,7 @@
 	}
 	stuck := 0
 	for _, r := range w.runs {
-		if r.state != runActive || r.task == nil || r.stop.wanted || r.task.step.def.LongRunning || r.percentAt.Sub(r.movedAt) < stallAfter {
+		if r.state != runActive || r.task == nil || r.stop.wanted || r.task.step.def.LongRunning || r.fills() || r.percentAt.Sub(r.movedAt) < stallAfter {
 			continue
 		}
 		// A member of a gang waits at the begin and at the end for the others.
--- a/internal/core/jobs/events.go
+++ b/internal/core/jobs/events.go
@@ -22,6 +22,7 @@
 	EventRunLost      EventName = "run_lost"
 	EventRunAdopted   EventName = "run_adopted"
 	EventRunStopped   EventName = "run_stop_sent"
+	EventPaced        EventName = "run_paced"
 	EventAdviceAsked  EventName = "advice_asked"
 	EventAdvised      EventName = "advice_answered"
 	EventWorkerState  EventName = "worker_state"
--- a/internal/core/jobs/hold.go
+++ b/internal/core/jobs/hold.go
@@ -46,6 +46,9 @@
 	Checkpoint string
 	// Percent is how far the run is.
 	Percent int
+	// Load is the tail of the response times in ms of a task that serves users, and
+	// the processors in use, in thousandths, of any other one.
+	Load int64
 }
 
 // Ended is a run that ended on a worker. Seq counts the ends of one life.
@@ -323,6 +326,7 @@
 	if r.state != runActive {
 		c.confirm(now, r)
 	}
+	r.tail = time.Duration(l.Load) * time.Millisecond
 	c.progressed(now, w, r, l.Percent)
 	if r.task != nil {
 		c.keepCheckpoint(r.task, l.Checkpoint)
@@ -354,7 +358,7 @@
 // job wants it.
 func (c *Core) adopt(now time.Time, w *worker, l *Listed) *run {
 	t := c.task(l.Task)
-	r := &run{ref: l.Task, number: l.Run, worker: w, state: runActive, sent: now, confirmed: now, percentAt: now, movedAt: now, sampled: true}
+	r := &run{ref: l.Task, number: l.Run, worker: w, state: runActive, sent: now, confirmed: now, percentAt: now, movedAt: now, sampled: true, pace: paceState{now: paceUnknown, wanted: fullPace}}
 	wanted := t != nil && t.step.job().outcome == Unfinished && t.state == taskPending && t.run == nil
 	if wanted && t.step.def.Gang {
 		g := &t.step.gang
--- a/internal/core/jobs/orders.go
+++ b/internal/core/jobs/orders.go
@@ -37,7 +37,7 @@
 // start sends a new run of t to w. The caller has checked that it fits.
 func (c *Core) start(now time.Time, t *task, w *worker, number int64, ticket string) {
 	s := t.step
-	r := &run{ref: t.ref(), number: number, worker: w, size: s.def.Size, state: runStarting, sent: now}
+	r := &run{ref: t.ref(), number: number, worker: w, size: s.def.Size, state: runStarting, sent: now, pace: paceState{now: fullPace, wanted: fullPace}}
 	c.attach(t, r)
 	w.reserve(r)
 	if len(w.runs) == 1 {
@@ -188,6 +188,7 @@
 		c.holdNow(now, w)
 	}
 	c.checkStall(now, w)
+	c.checkSharing(now, w)
 	c.checkRoster(now, w)
 	switch {
 	case w.answered && !w.lapsed && !w.resting() && now.After(c.leaseEnd(w)):
--- /dev/null
+++ b/internal/core/jobs/pace_test.go
@@ -0,0 +1,131 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+)
+
+const tailTarget = 100 * time.Millisecond
+
+func servingStep() Step {
+	s := small(1)
+	s.LongRunning, s.TailTarget = true, tailTarget
+	return s
+}
+
+func fillingStep(count int) Step {
+	s := small(count)
+	s.Size.MilliCPU = 0
+	s.Filler = true
+	return s
+}
+
+// sharedWorker returns a bench with a serving task and a filler on one worker.
+func sharedWorker(t *testing.T) *bench {
+	b := newBench(t)
+	b.ready("w1")
+	b.submit("serve", servingStep())
+	b.submit("fill", fillingStep(1))
+	out := b.step(0)
+	assert.Equal(t, len(out.Starts), 2, "a filler beside a serving task is not started")
+	b.answerHolds(out, nil)
+	b.accept(out.Starts)
+	return b
+}
+
+// listTail lets a tick pass in which the worker lists a response time.
+func (b *bench) listTail(tail time.Duration) Actions {
+	out := b.step(100 * time.Millisecond)
+	b.answerHolds(out, map[model.WorkerID]HoldResult{"w1": {Running: []Listed{
+		{Task: TaskRef{Job: "serve"}, Run: 1, Percent: 100, Load: tail.Milliseconds()}, {Task: TaskRef{Job: "fill"}, Run: 1, Percent: 20}}}})
+	for _, p := range out.Paces {
+		b.core.PaceAnswered(&PaceResult{Worker: p.Worker, Task: p.Task, Run: p.Run, Percent: p.Percent, Status: CallOK})
+	}
+	return out
+}
+
+// pace returns the filler's pace at the worker.
+func (b *bench) pace() int { return b.core.workers["w1"].find(TaskRef{Job: "fill"}).pace.now }
+
+// Guards against fillers that work on while a serving task beside them misses its
+// target.
+func TestFillersYieldToServingTasks(t *testing.T) {
+	b := sharedWorker(t)
+	for range 3 {
+		b.listTail(tailTarget / 2)
+	}
+	assert.Equal(t, b.pace(), fullPace)
+	waited := time.Duration(0)
+	for b.pace() > 0 && waited < 5*time.Second {
+		b.listTail(tailTarget + 10*time.Millisecond)
+		waited += 100 * time.Millisecond
+	}
+	assert.Assert(t, waited <= time.Second, "the filler works on for %v", waited)
+	for range 40 {
+		b.listTail(tailTarget / 4)
+	}
+	assert.Equal(t, b.pace(), fullPace, "the filler is not let go on")
+}
+
+// Guards against a filler that is slowed although nothing says how the serving
+// task does, and against an order that is sent once only.
+func TestAPaceOrderIsRepeatedUntilItIsConfirmed(t *testing.T) {
+	b := sharedWorker(t)
+	orders := 0
+	for range 20 {
+		out := b.step(100 * time.Millisecond)
+		b.answerHolds(out, map[model.WorkerID]HoldResult{"w1": {Running: []Listed{
+			{Task: TaskRef{Job: "serve"}, Run: 1, Load: 2 * tailTarget.Milliseconds()}, {Task: TaskRef{Job: "fill"}, Run: 1}}}})
+		for _, p := range out.Paces {
+			assert.Equal(t, p.Percent, 0)
+			orders++
+			b.core.PaceAnswered(&PaceResult{Worker: p.Worker, Task: p.Task, Run: p.Run, Percent: p.Percent, Status: CallNoAnswer})
+		}
+	}
+	assert.Assert(t, orders >= 3, "%d orders without an answer", orders)
+}
+
+// Guards against fillers beside serving tasks while another worker is free, and
+// against one that stands still for ever beside a busy serving task.
+func TestFillersGoWhereNothingServes(t *testing.T) {
+	b := sharedWorker(t)
+	b.core.SetEntries(b.now, []Entry{entry("w1"), entry("w2")})
+	stopped := false
+	for range 60 {
+		out := b.step(100 * time.Millisecond)
+		lists := map[model.WorkerID]HoldResult{"w1": {Running: []Listed{
+			{Task: TaskRef{Job: "serve"}, Run: 1, Load: 2 * tailTarget.Milliseconds()}, {Task: TaskRef{Job: "fill"}, Run: 1, Percent: 20}}}}
+		b.answerHolds(out, lists)
+		b.store()
+		for _, p := range out.Paces {
+			b.core.PaceAnswered(&PaceResult{Worker: p.Worker, Task: p.Task, Run: p.Run, Percent: p.Percent, Status: CallOK})
+		}
+		for _, s := range out.Stops {
+			stopped = stopped || s.Task.Job == "fill"
+		}
+	}
+	assert.Assert(t, stopped, "a filler stands still although another worker is free")
+	b.submit("other", fillingStep(1))
+	for _, o := range b.step(100 * time.Millisecond).Starts {
+		assert.Equal(t, o.Worker, model.WorkerID("w2"), "%v", o.Task)
+	}
+}
+
+// Guards against a pace that an earlier leader set and nobody takes back.
+func TestAnAdoptedFillerGetsAPace(t *testing.T) {
+	b := newBench(t)
+	next := b.restarted(2, Snapshot{
+		Accepted: []AcceptedRecord{{Spec: Spec{ID: "fill", Queue: "q", Steps: []Step{fillingStep(1)}}, Queue: Queue{Name: "q", Service: "s"}, Token: 1, Accepted: b.now}},
+		Workers:  []WorkerRecord{{ID: "w1", Address: "w1:1", Service: "s"}},
+	})
+	next.core.SetEntries(next.now, []Entry{entry("w1")})
+	list := map[model.WorkerID]HoldResult{"w1": {Running: []Listed{{Task: TaskRef{Job: "fill"}, Run: 1, Percent: 20}}}}
+	next.answerHolds(next.step(0), list)
+	out := next.step(100 * time.Millisecond)
+	assert.Equal(t, len(out.Paces), 1)
+	assert.Equal(t, out.Paces[0].Percent, fullPace)
+}
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -192,14 +192,14 @@
 	var out []*worker
 	if s.job().queue.Advice == nil {
 		for _, w := range c.pool(s).workers {
-			if c.eligible(s, w) && c.roomFor(now, s, w) > 0 {
+			if c.eligible(now, s, w) && c.roomFor(now, s, w) > 0 {
 				out = append(out, w)
 			}
 		}
 		return out
 	}
 	for _, t := range s.advice.allowed {
-		if w := t.worker; t.valid(now) && c.eligible(s, w) && c.roomFor(now, s, w) > 0 {
+		if w := t.worker; t.valid(now) && c.eligible(now, s, w) && c.roomFor(now, s, w) > 0 {
 			out = append(out, w)
 		}
 	}
@@ -207,8 +207,8 @@
 }
 
 // eligible reports whether the step's fixed constraints allow the worker.
-func (c *Core) eligible(s *step, w *worker) bool {
-	return w.state == Usable && w.hasLabel(s.def.Label) && w.allowance(s) > 0
+func (c *Core) eligible(now time.Time, s *step, w *worker) bool {
+	return w.state == Usable && w.hasLabel(s.def.Label) && w.allowance(s) > 0 && !(s.def.Filler && now.Before(w.strained))
 }
 
 // best returns the option with the lowest score that still has room, or nil.
@@ -237,7 +237,7 @@
 // that large tasks find whole ones, and slow ones last.
 func score(s *step, w *worker) float64 {
 	sc := 1 - w.room.used.Add(s.def.Size).DominantShare(w.room.capacity)
-	sc += paceScore(s) * (w.pace() - 1)
+	sc += paceScore(s)*(w.pace()-1) + sharingScore(s, w)
 	if len(w.claims) > 0 {
 		sc += claimScore
 	}
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -93,6 +93,7 @@
 		return c.refuse(now, spec, call, reason, after)
 	}
 	j := newJob(spec, q, c.cfg.Token, now)
+	c.noteSharing(j)
 	c.jobs[spec.ID] = j
 	c.open++
 	c.batch.accepted = append(c.batch.accepted, j)
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -86,6 +86,9 @@
 	moved time.Time
 	// stalled is until when the worker is set aside because nothing on it moved.
 	stalled time.Time
+	// paced is when the pace of its fillers was last decided, strained until when
+	// it takes no further ones.
+	paced, strained time.Time
 }
 
 // State says why a worker takes no work, or that it does.
@@ -167,6 +170,9 @@
 	percent   int
 	percentAt time.Time
 	movedAt   time.Time
+	// tail is the listed response time of a task that serves users.
+	tail time.Duration
+	pace paceState
 	// sampled is set once the run's pace was observed.
 	sampled bool
 	// lastListed is the time of the call in which the worker last listed it.
--- a/internal/ports/cell.go
+++ b/internal/ports/cell.go
@@ -176,6 +176,7 @@
 	Hold(ctx context.Context, token uint64, o jobs.HoldOrder) jobs.HoldResult
 	Start(ctx context.Context, token uint64, o jobs.StartOrder) jobs.StartResult
 	Stop(ctx context.Context, token uint64, o jobs.StopOrder) jobs.StopResult
+	Pace(ctx context.Context, token uint64, o jobs.PaceOrder) jobs.PaceResult
 }
 
 // AdviceAnswer is what the advice service allows.
