Choose workers for advice from a sample in a large cell

From the log: the time to accept a job rose from 20 ms to 1 s after the first change of hands, answers to calls for advice were processed 0.6 s late, and tickets of 2 s ended before they could be used, which made for more calls. Cause: with 298 advisers free, each of some 600 waiting steps looked at and sorted all 3,000 workers in each round. Ruled out: processor share (0.31 of 0.8 at the peak: the time is spent in one turn), the links (1 MB/s of 25). Beyond 400 workers each call is chosen from 400 of them, in turn; smaller cells decide as before. Test: TestWorkersForAdviceAreChosenFromASample.

--- a/internal/core/jobs/calls_test.go
+++ b/internal/core/jobs/calls_test.go
@@ -70,3 +70,25 @@
 	assert.Assert(t, called || b.core.workers[busy].holding, "the ends of a busy worker are not asked for")
 	b.answerHolds(Actions{Holds: []HoldOrder{{Worker: busy}}}, map[model.WorkerID]HoldResult{busy: {Running: []Listed{{Task: TaskRef{Job: "j1"}, Run: 1}}}})
 }
+
+// Guards against decisions that grow with the number of workers: with 3,000 and
+// some hundred waiting steps, each round sorted all workers for each step, took
+// 0.5 s, and tickets ended before they could be used.
+func TestWorkersForAdviceAreChosenFromASample(t *testing.T) {
+	b := adviceBench(t)
+	b.core.SetEntries(b.now, manyWorkers(3000))
+	for range 10 {
+		b.answerHolds(b.step(50*time.Millisecond), nil)
+		b.store()
+	}
+	seen := map[model.WorkerID]bool{}
+	pool := b.core.pools["s"]
+	for range 3000/sampledWorkers + 1 {
+		sample := b.core.sample(pool)
+		assert.Equal(t, len(sample), sampledWorkers)
+		for _, w := range sample {
+			seen[w.ID] = true
+		}
+	}
+	assert.Equal(t, len(seen), 3000, "some workers are never chosen")
+}
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -65,6 +65,8 @@
 	claimed []*worker
 	// dueHolds lists the workers whose next call is due.
 	dueHolds []*worker
+	// sampled is the memory of the latest sample of a pool.
+	sampled []*worker
 	// unanswered counts the calls under way to workers that have not answered.
 	unanswered int
 	// stopping lists the runs that are to be stopped.
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -86,6 +86,8 @@
 	workers []*worker
 	// largest is, in each dimension, the most that one worker has left.
 	largest model.Size
+	// next is where the next sample begins.
+	next int
 }
 
 // measure recomputes what the workers have left.
