Histograms for each queue on the metrics address; one look-up for answered orders

A daemon that led again counted into histograms that were not registered any more: the first lead's stayed on the metrics address. Test: TestEachQueueHasItsOwnHistograms.

--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -112,6 +112,7 @@
 	lastDial      time.Time
 	configVersion int64
 	metrics       leaderMetrics
+	queues        *queueMetrics
 	why           string
 }
 
@@ -152,6 +153,7 @@
 		d: d, token: c.token, claim: c, core: jobs.New(cfg), log: d.log.WithField("token", c.token),
 		inbox: ring.New[message]("leader", inboxSize, d.registry), callers: map[jobs.CallID]caller{},
 		reports: map[string]report{}, stopped: map[string]time.Time{}, probes: map[string]time.Duration{}, former: s.former(), nodes: map[string]string{}, told: map[*linkrpc.Link]toldState{},
+		queues: newQueueMetrics(d.registry),
 		metrics: leaderMetrics{
 			starts: telemetry.Counter(d.registry, "leader.starts"), ends: telemetry.Counter(d.registry, "leader.ends"),
 			refused: telemetry.Counter(d.registry, "leader.refused"), advice: telemetry.Counter(d.registry, "leader.advice_calls"),
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -48,6 +48,7 @@
 	}
 	for i := range a.Events {
 		logEvent(l.log, &a.Events[i])
+		l.queues.observe(&a.Events[i])
 	}
 }
 
--- /dev/null
+++ b/internal/cell/queuemetrics_test.go
@@ -0,0 +1,39 @@
+package cell
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/jobs"
+	"catkinvalve/internal/telemetry"
+)
+
+// Guards against a metrics address that does not tell which queue's callers wait.
+func TestEachQueueHasItsOwnHistograms(t *testing.T) {
+	registry := metrics.NewRegistry()
+	q := newQueueMetrics(registry)
+	for _, e := range []jobs.Event{
+		{Name: jobs.EventAccepted, Queue: "a", Age: 10 * time.Millisecond},
+		{Name: jobs.EventStarted, Queue: "a", Age: 50 * time.Millisecond},
+		{Name: jobs.EventEnded, Queue: "a", Detail: "completed", Age: time.Second},
+		{Name: jobs.EventEnded, Queue: "b", Detail: "failed", Age: time.Second},
+		{Name: jobs.EventRefused, Queue: "b", Reason: "can_never_run"},
+	} {
+		q.observe(&e)
+	}
+	// The next lead of the same daemon.
+	newQueueMetrics(registry).observe(&jobs.Event{Name: jobs.EventAccepted, Queue: "a"})
+	var out bytes.Buffer
+	assert.NilError(t, telemetry.WriteText(&out, registry))
+	for _, line := range []string{
+		"catkinvalve_stage_accepted_a_us_count 2", "catkinvalve_stage_started_a_us_count 1", "catkinvalve_stage_completed_a_us_count 1",
+		"catkinvalve_stage_failed_b_us_count 1", "catkinvalve_refused_can_never_run_total 1",
+	} {
+		assert.Assert(t, strings.Contains(out.String(), line+"\n"), "%s is missing in\n%s", line, out.String())
+	}
+}
--- a/internal/core/jobs/orders.go
+++ b/internal/core/jobs/orders.go
@@ -139,23 +139,31 @@
 
 // StopAnswered takes the result of a StopOrder.
 func (c *Core) StopAnswered(now time.Time, a *StopResult) {
-	w := c.workers[a.Worker]
-	if w == nil {
-		return
-	}
-	if a.Status == CallFenced {
-		c.loseToken(w)
-	}
-	r := w.find(a.Task)
-	if r == nil || r.number != a.Run {
+	r := c.ordered(a.Worker, a.Task, a.Run, a.Status)
+	if r == nil {
 		return
 	}
 	r.stop.inFlight = false
 	if a.Status == CallOK {
-		c.heard(now, w, a.Clock)
+		c.heard(now, r.worker, a.Clock)
 		r.stop.answered = now
-		c.holdNow(now, w)
+		c.holdNow(now, r.worker)
+	}
+}
+
+// ordered returns the run that an answered order was for, or nil when it is gone.
+func (c *Core) ordered(id model.WorkerID, task TaskRef, number int64, status HoldStatus) *run {
+	w := c.workers[id]
+	if w == nil {
+		return nil
+	}
+	if status == CallFenced {
+		c.loseToken(w)
+	}
+	if r := w.find(task); r != nil && r.number == number {
+		return r
 	}
+	return nil
 }
 
 // resendStops repeats stops that had no effect yet.
--- a/internal/core/jobs/pace.go
+++ b/internal/core/jobs/pace.go
@@ -192,15 +192,8 @@
 
 // PaceAnswered takes the result of a PaceOrder.
 func (c *Core) PaceAnswered(a *PaceResult) {
-	w := c.workers[a.Worker]
-	if w == nil {
-		return
-	}
-	if a.Status == CallFenced {
-		c.loseToken(w)
-	}
-	r := w.find(a.Task)
-	if r == nil || r.number != a.Run {
+	r := c.ordered(a.Worker, a.Task, a.Run, a.Status)
+	if r == nil {
 		return
 	}
 	r.pace.inFlight = false
--- a/internal/telemetry/labels.go
+++ b/internal/telemetry/labels.go
@@ -24,6 +24,7 @@
 	registry metrics.Registry
 	waiting  labelSet
 	latency  labelSet
+	stages   labelSet
 }
 
 // NewHistograms returns histograms that are registered in registry. At most
@@ -33,6 +34,7 @@
 		registry: registry,
 		waiting:  labelSet{limit: maxPairs, byName: map[string]metrics.Histogram{}},
 		latency:  labelSet{limit: maxRoutes, byName: map[string]metrics.Histogram{}},
+		stages:   labelSet{limit: maxPairs, byName: map[string]metrics.Histogram{}},
 	}
 }
 
@@ -51,6 +53,12 @@
 	return h.latency.get(h.registry, "latency."+route, "latency."+otherLabel)
 }
 
+// Stage returns the histogram of the time from a job's submission or acceptance
+// to a stage of its way, in microseconds, for the jobs of one queue.
+func (h *Histograms) Stage(queue, stage string) metrics.Histogram {
+	return h.stages.get(h.registry, "stage."+stage+"."+queue, "stage."+stage+"."+otherLabel)
+}
+
 // labelSet is a bounded set of histograms by name. Names of the overflow
 // histograms do not count towards the limit; there is one per class.
 type labelSet struct {
@@ -78,8 +86,11 @@
 	if name != overflow {
 		s.own++
 	}
-	h = NewHistogram()
+	// A daemon that leads again goes on with the histograms of its earlier lead.
+	h, ok = registry.GetOrRegister(name, NewHistogram).(metrics.Histogram)
+	if !ok {
+		h = NewHistogram() // Another kind of metric has the name.
+	}
 	s.byName[name] = h
-	registry.GetOrRegister(name, h)
 	return h
 }
