--- a/internal/cellsoak/cell.go
+++ b/internal/cellsoak/cell.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -56,10 +57,11 @@
 	workers  []*soakWorker
 	daemons  []*soakDaemon
 	// held keeps other runs off the network's addresses.
-	held   net.Listener
-	close  []func()
-	config ports.CellConfig
-	caller platform.Caller
+	held     net.Listener
+	close    []func()
+	configMu sync.Mutex
+	config   ports.CellConfig
+	caller   platform.Caller
 }
 
 // soakWorker is a worker with its server and the proxy in front of it.
@@ -107,7 +109,7 @@
 			return c, err
 		}
 	}
-	if err := c.publish(false); err != nil {
+	if err := c.publish(); err != nil {
 		return c, err
 	}
 	for i := range daemons {
@@ -188,8 +190,10 @@
 	batchPrefix  = "/batch/"
 )
 
-// publish writes the next configuration; extra adds a route.
-func (c *soakCell) publish(extra bool) error {
+// publish writes the next configuration, which has one more route.
+func (c *soakCell) publish() error {
+	c.configMu.Lock()
+	defer c.configMu.Unlock()
 	advice := &jobs.AdviceTerms{Decision: 20 * time.Millisecond, PerWorker: time.Millisecond, Validity: 2 * time.Second}
 	route := func(prefix string, priority int, a *jobs.AdviceTerms) ports.Route {
 		return ports.Route{Host: host, Prefix: prefix, Queue: jobs.Queue{Name: prefix, Service: service, Priority: priority,
@@ -197,9 +201,10 @@
 	}
 	c.config.Version++
 	c.config.MaxBodyBytes = 64 << 10
-	if extra || c.config.Routes == nil {
+	if c.config.Routes == nil {
 		c.config.Routes = []ports.Route{route(urgentPrefix, 0, nil), route(batchPrefix, 1, advice)}
 	}
+	c.config.Routes = append(c.config.Routes, route(extraPrefix(c.config.Version), 2, nil))
 	record, err := platform.ConfigRecord(&c.config)
 	if err != nil {
 		return err
@@ -207,6 +212,30 @@
 	return c.put(platform.OperatorTopic(), record)
 }
 
+// extraPrefix is the route that a version adds.
+func extraPrefix(version int64) string { return fmt.Sprintf("/extra-%d/", version) }
+
+// checkDaemons checks that all daemons run and know the newest configuration.
+func (c *soakCell) checkDaemons(ctx context.Context) {
+	newest := extraPrefix(c.config.Version)
+	for _, d := range c.daemons {
+		if !d.process.Alive() {
+			c.violate("FAULT: %s ended by itself", d.settings.Node)
+			continue
+		}
+		verdict, _, err := c.caller.State(ctx, d.settings.CallerAddress, newest, fmt.Sprintf("%016x", 0))
+		if err != nil || verdict != cell.VerdictNoJob {
+			c.violate("CONFIG: %s answers a request for a route of the newest version with verdict %d, %v", d.settings.Node, verdict, err)
+		}
+	}
+}
+
+func (c *soakCell) violate(format string, args ...any) {
+	c.world.mu.Lock()
+	defer c.world.mu.Unlock()
+	c.world.violate(format, args...)
+}
+
 // advise allows two thirds of the workers for each step.
 func (c *soakCell) advise(ctx context.Context, step string, workers []model.WorkerID) (ports.AdviceAnswer, bool) {
 	a := ports.AdviceAnswer{Validity: 2 * time.Second}
@@ -267,8 +296,7 @@
 	return os.WriteFile(d.path, data, 0o600)
 }
 
-// tick lets the workers' runs go on until ctx ends, and restarts daemons that
-// ended without a fault.
+// tick lets the workers' runs go on until ctx ends.
 func (c *soakCell) tick(ctx context.Context) {
 	t := time.NewTicker(workerTick)
 	defer t.Stop()
--- a/internal/cellsoak/inject.go
+++ b/internal/cellsoak/inject.go
@@ -63,7 +63,7 @@
 	}
 	switch f.Kind {
 	case Publish:
-		return i.cell.publish(true)
+		return i.cell.publish()
 	case CutStore, CutWorkers:
 		i.setProxies(f, f.Mode)
 		pause.For(ctx, f.For)
--- a/internal/cellsoak/run.go
+++ b/internal/cellsoak/run.go
@@ -113,6 +113,7 @@
 	settled, stopSettling := context.WithTimeout(ctx, settleLimit)
 	defer stopSettling()
 	l.settle(settled)
+	c.checkDaemons(ctx)
 	c.summarize(&rep, i)
 	if len(rep.Violations) == 0 && len(i.errs) == 0 {
 		return rep, os.RemoveAll(rep.Dir)
