Revert: overlap up to four appends while the store is slow

A partition takes its appends one at a time, so that with a store 53 times slower each further append, and each early repeat, queues behind the others.

--- a/internal/cell/journal.go
+++ b/internal/cell/journal.go
@@ -21,19 +21,15 @@
 	confirmInterval = 500 * time.Millisecond
 	// appendTimeout bounds one attempt of an append.
 	appendTimeout = 1500 * time.Millisecond
-	// An attempt without an answer is joined by another after slowAnswers times the
-	// usual response time of the store, within these bounds.
-	slowAnswers    = 10
-	minAppendAgain = 100 * time.Millisecond
-	maxAppendAgain = 400 * time.Millisecond
+	// appendAgain is when an attempt without an answer is joined by another.
+	appendAgain = 400 * time.Millisecond
 	// appendRetry is the pause after a refused attempt.
 	appendRetry = 50 * time.Millisecond
 	// overlapAfter is how long the last append must have waited for the next one to
 	// go out beside it.
 	overlapAfter = 60 * time.Millisecond
-	// maxOpenAppends bounds the appends that are under way. The store repeats its
-	// answers to the last five only.
-	maxOpenAppends = 4
+	// maxOpenAppends bounds the appends that are under way.
+	maxOpenAppends = 2
 	// maxAttempts bounds the attempts of one append that are under way.
 	maxAttempts = 4
 	// stalledAfter is the age of an append without an answer from which new jobs
@@ -195,7 +191,7 @@
 		j.l.work.Go(func() { results <- j.try(ctx, records, p.seq) })
 	}
 	try()
-	again := time.NewTimer(j.again())
+	again := time.NewTimer(appendAgain)
 	defer again.Stop()
 	for {
 		select {
@@ -205,7 +201,7 @@
 			if open < maxAttempts {
 				try()
 			}
-			again.Reset(j.again())
+			again.Reset(appendAgain)
 		case r := <-results:
 			open--
 			if r.err == nil || executed(r.err, p.seq) {
@@ -220,11 +216,6 @@
 	}
 }
 
-// again returns when an attempt without an answer is joined by another.
-func (j *journal) again() time.Duration {
-	return min(max(slowAnswers*j.l.d.store.usual(), minAppendAgain), maxAppendAgain)
-}
-
 // executed reports whether an error tells that an append was executed by an
 // earlier attempt, too long ago for its answer to be repeated.
 func executed(err error, seq uint64) bool {
