--- a/internal/cellsoak/run.go
+++ b/internal/cellsoak/run.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -98,7 +99,10 @@
 	}
 	begin := time.Now()
 	c.world.begin = begin
+	var outMu sync.Mutex
 	i := &injector{cell: c, begin: begin, done: map[Kind]int{}, say: func(format string, args ...any) {
+		outMu.Lock()
+		defer outMu.Unlock()
 		fmt.Fprintf(o.Out, "%7.3f s  %s\n", time.Since(begin).Seconds(), fmt.Sprintf(format, args...))
 	}}
 	loaded, stopLoad := context.WithTimeout(ctx, length)
--- a/internal/core/jobs/pace.go
+++ b/internal/core/jobs/pace.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"time"
 
 	"catkinvalve/internal/core/model"
@@ -125,7 +126,7 @@
 	w.paced = now
 	for _, r := range w.runs {
 		if r.fills() {
-			c.setPace(now, r, nextPace(r.pace.wanted, serving, worst))
+			c.setPace(now, r, nextPace(r.pace.wanted, serving, worst), worst)
 		}
 	}
 }
@@ -146,12 +147,13 @@
 	return pace
 }
 
-// setPace changes the pace that a filler should have.
-func (c *Core) setPace(now time.Time, r *run, pace int) {
+// setPace changes the pace that a filler should have, for the strain of the
+// serving tasks beside it.
+func (c *Core) setPace(now time.Time, r *run, pace int, strain float64) {
 	if pace == r.pace.wanted {
 		return
 	}
-	c.runEvent(EventPaced, r, now.Sub(r.sent), "")
+	c.runEvent(EventPaced, r, now.Sub(r.sent), fmt.Sprintf("%d%% to %d%%, the worst response time beside it is %.2f of its target", r.pace.wanted, pace, strain))
 	r.pace.wanted = pace
 	r.pace.parked = time.Time{}
 	if pace == 0 {
