Let wide gangs ask for advice in parallel and keep their room meanwhile

Small tasks asked for advice on the emptiest workers, so no worker kept room for large tasks; a gang named at most 100 workers, of which some 30 were allowed, and never had tickets for all members at once; capacity was taken by others while tickets were renewed.

Change: candidates for tasks by best fit; a gang names as many workers as it needs, in parallel calls, together with the allowed ones whose tickets expire; it holds the capacity that it knows of until the calls are answered.

--- a/internal/core/jobs/advice.go
+++ b/internal/core/jobs/advice.go
@@ -28,10 +28,13 @@
 	// allowed lists the workers that may run the step, with their latest
 	// tickets.
 	allowed []*ticket
-	// call is the sequence number of the call in flight, or 0.
-	call uint64
+	// callsInFlight counts the calls that were not answered yet.
+	callsInFlight int
 	// calls counts all calls made for the step.
 	calls int
+	// nextRequestAt ends the time in which no call is made because there was no
+	// worker to ask about.
+	nextRequestAt time.Time
 }
 
 // ticket allows starts of a step on one incarnation of a worker until it
@@ -209,32 +212,56 @@
 	return chosen
 }
 
-// requestAdvice requests advice on further workers for a step, or new tickets,
-// if a relay is available.
+// candidateRetryDelay is the time after which the candidates for a call are chosen
+// again when there were none.
+const candidateRetryDelay = 40 * time.Millisecond
+
+// parallelCallsDivisor determines how many calls for one step may be in flight: one
+// for each so many relays, at least one.
+const parallelCallsDivisor = 8
+
+// requestAdvice requests advice on further workers for a step, or new tickets, as far
+// as relays are available. Candidates beyond maxAdviceWorkers are divided among
+// parallel calls.
 func (c *Core) requestAdvice(now time.Time, s *step) {
 	adviceCfg := s.job().queue.Advice
-	if adviceCfg == nil || s.advice.call != 0 {
+	if adviceCfg == nil || s.advice.callsInFlight > 0 || now.Before(s.advice.nextRequestAt) {
 		return
 	}
 	rs := &c.relays
-	relay := rs.choose(now, adviceCfg.DecisionTime)
-	if relay == nil {
+	if rs.choose(now, adviceCfg.DecisionTime) == nil {
 		return
 	}
 	candidates := c.adviceCandidates(now, s)
 	if len(candidates) == 0 {
+		s.advice.nextRequestAt = now.Add(candidateRetryDelay)
 		return
 	}
+	calls := min((len(candidates)+maxAdviceWorkers-1)/maxAdviceWorkers, max(1, len(rs.list)/parallelCallsDivisor))
+	size := min((len(candidates)+calls-1)/calls, maxAdviceWorkers)
+	for part := range slices.Chunk(candidates[:min(len(candidates), calls*size)], size) {
+		relay := rs.choose(now, adviceCfg.DecisionTime)
+		if relay == nil {
+			return
+		}
+		c.callAdvice(now, s, relay, part)
+	}
+}
+
+// callAdvice makes one call for a step through a relay.
+func (c *Core) callAdvice(now time.Time, s *step, relay *relay, candidates []*worker) {
+	rs, adviceCfg := &c.relays, s.job().queue.Advice
 	rs.lastSeq++
-	expected := adviceCfg.DecisionTime + time.Duration(len(candidates))*adviceCfg.TimePerWorker
+	expected := adviceCfg.callTime(len(candidates))
 	relay.idleAt = later(relay.idleAt, now).Add(expected)
 	call := &adviceCall{step: s, queue: s.job().queue.Name, relay: relay, long: expected >= longCallTime,
 		sentAt: now, deadline: relay.idleAt.Add(expected + adviceTimeoutMargin)}
 	for _, w := range candidates {
 		call.candidates = append(call.candidates, w.ID)
 		call.incarnations = append(call.incarnations, w.incarnation)
+		w.gangCalls += call.gangCount()
 	}
-	s.advice.call = rs.lastSeq
+	s.advice.callsInFlight++
 	s.advice.calls++
 	rs.calls[rs.lastSeq] = call
 	relay.calls++
@@ -245,6 +272,20 @@
 	c.event(Event{Name: EventAdviceAsked, Job: s.job().spec.ID, Queue: call.queue, Detail: relay.name, Count: len(candidates)})
 }
 
+// gangCount returns 1 for a call for a gang and 0 for any other.
+func (call *adviceCall) gangCount() int {
+	if call.step.def.Gang {
+		return 1
+	}
+	return 0
+}
+
+// callTime returns how long the advice service takes for a call with a number of
+// workers.
+func (a *AdviceConfig) callTime(workers int) time.Duration {
+	return a.DecisionTime + time.Duration(workers)*a.TimePerWorker
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -273,8 +314,12 @@
 		return
 	}
 	s := call.step
-	if s.advice.call == r.Seq {
-		s.advice.call = 0
+	s.advice.callsInFlight--
+	s.advice.nextRequestAt = time.Time{}
+	for _, id := range call.candidates {
+		if w := c.workers[id]; w != nil {
+			w.gangCalls -= call.gangCount()
+		}
 	}
 	c.placementsStale = true
 	if !r.OK {
--- a/internal/core/jobs/advice_candidates.go
+++ b/internal/core/jobs/advice_candidates.go
@@ -25,48 +25,12 @@
 	return c.sampleBuf
 }
 
-// adviceCandidates chooses the workers to request advice for. A gang with a
-// planned start needs new tickets shortly before it, and further workers only if
-// it has long to wait.
+// adviceCandidates chooses the workers to request advice for.
 func (c *Core) adviceCandidates(now time.Time, s *step) []*worker {
-	if !s.def.Gang {
-		return c.taskCandidates(now, s)
-	}
-	if s.plannedStart.IsZero() {
-		return c.gangCandidates(now, s)
-	}
-	adviceCfg := s.job().queue.Advice
-	callTime := adviceCfg.DecisionTime + time.Duration(len(s.tasks))*adviceCfg.TimePerWorker
-	if !now.Add(callTime + ticketMargin).Before(s.plannedStart) {
-		return c.renewalCandidates(now.Add(callTime+ticketMargin), s)
-	}
-	if s.plannedStart.Sub(now) > plannedWaitCalls*callTime && s.advice.calls < maxGangAdviceCalls {
+	if s.def.Gang {
 		return c.gangCandidates(now, s)
 	}
-	return nil
-}
-
-const (
-	// plannedWaitCalls is the planned wait of a gang, as a multiple of the
-	// duration of an advice call, above which advice for further workers is
-	// requested.
-	plannedWaitCalls = 2
-	// maxGangAdviceCalls limits the advice calls of a gang after which no
-	// further workers are requested.
-	maxGangAdviceCalls = 6
-)
-
-// renewalCandidates returns the workers that have capacity reserved for a gang
-// and whose tickets for it are not valid at the time until. All tickets of a
-// gang must be valid at once.
-func (c *Core) renewalCandidates(until time.Time, s *step) []*worker {
-	var candidates []*worker
-	for _, t := range s.advice.allowed {
-		if !t.valid(until) && slices.ContainsFunc(t.worker.reservations, func(r reservation) bool { return r.step == s }) && len(candidates) < maxAdviceWorkers {
-			candidates = append(candidates, t.worker)
-		}
-	}
-	return candidates
+	return c.taskCandidates(now, s)
 }
 
 // taskCandidates chooses the workers with the most free capacity, as many as the
@@ -84,7 +48,7 @@
 		}
 	}
 	slices.SortStableFunc(options, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(s.permissionUnknown(a), s.permissionUnknown(b)), cmp.Compare(b.resources.copies(s.def.Size), a.resources.copies(s.def.Size)))
+		return cmp.Or(cmp.Compare(s.permissionUnknown(a), s.permissionUnknown(b)), cmp.Compare(score(s, a), score(s, b)))
 	})
 	needed := float64(s.pending) * candidateSurplus / c.relays.expectedAllowRate(s.job().queue.Name)
 	var candidates []*worker
@@ -99,50 +63,6 @@
 	return candidates
 }
 
-// gangCandidates chooses workers that have free capacity or will have it soon.
-// All members start at the same time, so a call contains more workers than one
-// for single tasks.
-func (c *Core) gangCandidates(now time.Time, s *step) []*worker {
-	type option struct {
-		worker *worker
-		copies float64
-	}
-	var options []option
-	for _, w := range c.sample(c.pool(s)) {
-		if !c.eligible(now, s, w) || s.advice.denied[w.ID] || s.advice.find(w.ID) != nil || !s.def.Size.Fits(w.resources.capacity) {
-			continue
-		}
-		soon := copiesIn(w.resources.capacity, s.def.Size)
-		options = append(options, option{w, float64(w.resources.copies(s.def.Size)) + soonFreeShare*float64(soon)})
-	}
-	slices.SortStableFunc(options, func(a, b option) int {
-		return cmp.Or(cmp.Compare(b.copies, a.copies), cmp.Compare(a.worker.slowdownFactor(), b.worker.slowdownFactor()))
-	})
-	needed := float64(len(s.tasks)) * candidateSurplus / c.relays.expectedAllowRate(s.job().queue.Name)
-	adviceCfg := s.job().queue.Advice
-	minCandidates := 0
-	if adviceCfg.DecisionTime >= longCallTime && adviceCfg.TimePerWorker > 0 {
-		minCandidates = int(extraWorkersCostShare * float64(adviceCfg.DecisionTime) / float64(adviceCfg.TimePerWorker))
-	}
-	var candidates []*worker
-	for _, o := range options {
-		if needed <= 0 && len(candidates) >= minCandidates || len(candidates) == maxAdviceWorkers {
-			break
-		}
-		candidates = append(candidates, o.worker)
-		needed -= o.copies
-	}
-	return candidates
-}
-
-// extraWorkersCostShare is the fraction of an advice call's fixed time that
-// additional workers in the call may cost.
-const extraWorkersCostShare = 0.4
-
-// soonFreeShare is the fraction of a worker's whole capacity that is assumed to
-// become free in time for a gang.
-const soonFreeShare = 0.3
-
 // candidateSurplus is the ratio of the capacity for which advice is requested to
 // the capacity that is needed.
 const candidateSurplus = 1.5
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -81,6 +81,10 @@
 	// plannedStart is when a waiting gang is expected to find capacity; zero if
 	// that is not known.
 	plannedStart time.Time
+	// held lists the capacity that a gang keeps while its tickets are renewed.
+	held []heldCopies
+	// heldUntil is when the gang is expected to start on the held capacity.
+	heldUntil time.Time
 }
 
 // gang is the state that the tasks of a gang step share.
--- a/internal/core/jobs/reservations.go
+++ b/internal/core/jobs/reservations.go
@@ -18,6 +18,9 @@
 	copies int
 	// startAt is when all members of the gang are expected to have capacity.
 	startAt time.Time
+	// held is set while the gang waits only for its tickets. No other step of the same
+	// or a lower priority takes the capacity, however urgent it is.
+	held bool
 }
 
 // taskSlot is capacity for one task that a worker has from the time at on.
@@ -38,9 +41,16 @@
 		w.reservations = w.reservations[:0]
 	}
 	c.reservedWorkers = c.reservedWorkers[:0]
+	for _, s := range c.ready {
+		if s.advice.callsInFlight > 0 {
+			c.holdReservations(s.heldUntil, s)
+		} else {
+			s.held = s.held[:0]
+		}
+	}
 	remaining := maxReservingGangs
 	for _, s := range c.ready {
-		if !s.def.Gang || !c.placeable(s) {
+		if !s.def.Gang || !c.placeable(s) || len(s.held) > 0 {
 			continue
 		}
 		if remaining--; remaining < 0 {
@@ -75,11 +85,25 @@
 			w.reservations[n-1].copies++
 			continue
 		}
-		if len(w.reservations) == 0 {
-			c.reservedWorkers = append(c.reservedWorkers, w)
-		}
-		w.reservations = append(w.reservations, reservation{step: s, copies: 1, startAt: s.plannedStart})
+		c.reserve(w, reservation{step: s, copies: 1, startAt: s.plannedStart})
+	}
+}
+
+// reserve adds a reservation to a worker.
+func (c *Core) reserve(w *worker, r reservation) {
+	if len(w.reservations) == 0 {
+		c.reservedWorkers = append(c.reservedWorkers, w)
+	}
+	w.reservations = append(w.reservations, r)
+}
+
+// blocks reports whether a step may not use the reserved capacity for tasks that end at
+// the given time.
+func (r *reservation) blocks(s *step, end time.Time) bool {
+	if r.step == s || !r.startAt.Before(end) {
+		return false
 	}
+	return compareSteps(r.step, s) < 0 || r.held && r.step.job().queue.Priority <= s.job().queue.Priority
 }
 
 // futureSlots returns when the workers that the step may use have capacity for
@@ -158,8 +182,7 @@
 	free := w.resources.free()
 	end := now.Add(c.estimator.expected(s.job().queue.Name, s.def))
 	for i := range w.reservations {
-		r := &w.reservations[i]
-		if r.step != s && r.startAt.Before(end) && compareSteps(r.step, s) < 0 {
+		if r := &w.reservations[i]; r.blocks(s, end) {
 			free = free.Sub(r.step.def.Size.Times(int64(r.copies)))
 		}
 	}
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -185,6 +185,7 @@
 		c.requestAdvice(now, s)
 		return
 	}
+	c.release(s)
 	number := c.nextRunNumber(s.job(), &s.gang.runCount)
 	for i := range s.tasks {
 		c.start(now, &s.tasks[i], chosen[i], number, s.advice.ticketFor(chosen[i]))
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -90,6 +90,8 @@
 	// reservations holds the capacity reserved for waiting gangs, most urgent
 	// first.
 	reservations []reservation
+	// gangCalls counts the advice calls in flight for gangs that contain the worker.
+	gangCalls int
 	// slowdown is the running mean of the run time relative to the expected run
 	// time; 0 when there is no sample.
 	slowdown float64
