Let daemons near the workers make the leader's calls in a large cell

Change: beyond 128 workers the leader passes its calls to relays: the most capable daemons of the workers' data centre, as many as their processor shares allow (internal/core/callrouting). Groups of calls and of results travel over the links (cell.proto). A relay makes no call for a leader when it knows a later one or when a worker has refused the token, and none that was more than a second late on its way. The leader gives up the calls of a relay that is silent or late and uses others; a worker that its relay cannot reach gets another one. Nothing changes for small cells. Orders stay as safe as they were with a slow network: run numbers, lease deadlines and tokens are checked at the worker.

--- a/internal/adapters/linkrpc/link.go
+++ b/internal/adapters/linkrpc/link.go
@@ -162,6 +162,8 @@
 		out.Replies = append(out.Replies, f.Replies...)
 		out.AdviceCalls = append(out.AdviceCalls, f.AdviceCalls...)
 		out.AdviceReplies = append(out.AdviceReplies, f.AdviceReplies...)
+		out.WorkerCalls = append(out.WorkerCalls, f.WorkerCalls...)
+		out.WorkerResults = append(out.WorkerResults, f.WorkerResults...)
 		out.Probe = out.Probe || f.Probe
 		if f.Handover != nil {
 			out.Handover = f.Handover
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -35,11 +35,14 @@
 	addressPrefix string
 	lastJob       atomic.Int64
 	config        ports.ConfigSource
+	// maxDirect is the number of workers up to which leaders call workers themselves.
+	maxDirect int
 }
 
 type testDaemon struct {
 	*Daemon
 	storeClient *fakeStoreClient
+	workerCalls *workerCalls
 	stop        context.CancelFunc
 	done        chan struct{}
 }
@@ -49,7 +52,7 @@
 
 func newTestCell(t *testing.T, daemons int) *testCell {
 	c := &testCell{t: t, store: newFakeStore(), workers: newFakeWorkers("w1", "w2", "w3"), port: freePort(t),
-		addressPrefix: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, cellCount.Add(1)%250)}
+		addressPrefix: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, cellCount.Add(1)%250), maxDirect: maxDirectWorkers}
 	c.config = fakeConfig{&ports.CellConfig{Version: 1, Routes: []ports.Route{{Host: "host", Prefix: "/q/", Queue: jobs.Queue{
 		Name: "q", Service: "service", MaxAttempts: 2, Slack: 2, Target: time.Second}}}}}
 	for range daemons {
@@ -79,9 +82,10 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	storeClient := &fakeStoreClient{store: c.store}
-	d := &testDaemon{storeClient: storeClient, done: make(chan struct{})}
-	d.Daemon = New(settings, Deps{Store: storeClient, Config: c.config, List: c.workers, Workers: c.workers, CloseIdleConns: func() {},
+	d := &testDaemon{storeClient: storeClient, workerCalls: &workerCalls{fakeWorkers: c.workers}, done: make(chan struct{})}
+	d.Daemon = New(settings, Deps{Store: storeClient, Config: c.config, List: c.workers, Workers: d.workerCalls, CloseIdleConns: func() {},
 		Log: logrus.NewEntry(log), Registry: metrics.NewRegistry()})
+	d.maxDirectWorkers = c.maxDirect
 	listen := func(address string) net.Listener {
 		l, err := net.Listen("tcp", address)
 		assert.NilError(c.t, err)
--- a/internal/cell/daemon.go
+++ b/internal/cell/daemon.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -62,13 +63,21 @@
 	// claimedToken is the token with which this daemon leads or claims the leadership,
 	// or 0.
 	claimedToken atomic.Uint64
+	// maxDirectWorkers is the number of workers up to which this daemon, as the leader,
+	// makes all calls to workers itself.
+	maxDirectWorkers int
+	// refusedToken is the highest token of a leader that a worker refused.
+	refusedToken atomic.Uint64
+	// relaysMu guards relays, which holds the relays by link to their leader.
+	relaysMu sync.Mutex
+	relays   map[*linkrpc.Link]*relay
 }
 
 // New returns a daemon. Run starts it.
 func New(settings Settings, deps Deps) *Daemon {
 	now := time.Now()
 	d := &Daemon{settings: settings, deps: deps, log: deps.Log, registry: deps.Registry, incarnation: now.UnixNano(), started: now, electionJitter: rand.Float64(),
-		config: &configHolder{log: deps.Log}, store: &storeHealth{log: deps.Log}, members: newMembers(settings.Node, now), electionWake: make(chan struct{}, 1)}
+		config: &configHolder{log: deps.Log}, store: &storeHealth{log: deps.Log}, members: newMembers(settings.Node, now), maxDirectWorkers: maxDirectWorkers, relays: map[*linkrpc.Link]*relay{}, electionWake: make(chan struct{}, 1)}
 	d.forwarder = newForwarder(d)
 	d.transport = &linkrpc.Transport{Hello: d.hello, Handler: d, Viewer: d, Registry: deps.Registry, Log: deps.Log}
 	d.config.onChange = append(d.config.onChange, func(c *ports.CellConfig) {
@@ -280,6 +289,7 @@
 // LinkClosed implements linkrpc.Handler.
 func (d *Daemon) LinkClosed(l *linkrpc.Link) {
 	d.members.removeLink(l)
+	d.dropRelay(l)
 	d.wakeElection()
 	d.forwarder.failCallsOverLink(l)
 	if active := d.activeLeader.Load(); active != nil {
@@ -308,10 +318,16 @@
 			l.Send(&cellpb.Frame{AdviceReplies: []*cellpb.AdviceReply{cellpb.FromAdviceResult(d.fetchAdvice(context.Background(), req))}})
 		})
 	}
+	for _, c := range f.WorkerCalls {
+		d.relayFor(l).makeCalls(c)
+	}
 	if active != nil {
 		for _, r := range f.AdviceReplies {
 			active.push(adviceResultMsg{r.ToAdviceResult()})
 		}
+		for _, r := range f.WorkerResults {
+			active.push(workerResultsMsg{r, time.Now()})
+		}
 		if f.Report != nil {
 			active.push(reportMsg{l.PeerHello.Node, f.Report})
 		}
--- a/internal/cell/fakes_test.go
+++ b/internal/cell/fakes_test.go
@@ -186,6 +186,8 @@
 	token      uint64
 	lastSeq    int64
 	runs       map[jobs.TaskRef]int64
+	// highestRun holds the highest run number that was stopped or ended here.
+	highestRun map[jobs.TaskRef]int64
 	ended      []jobs.RunEnd
 }
 
@@ -195,7 +197,7 @@
 func newFakeWorkers(ids ...model.WorkerID) *fakeWorkers {
 	f := &fakeWorkers{workers: map[model.WorkerID]*fakeWorker{}, firstStartAt: map[uint64]time.Time{}, running: map[jobs.TaskRef]bool{}, done: map[jobs.TaskRef]bool{}}
 	for _, id := range ids {
-		f.workers[id] = &fakeWorker{clockStart: time.Now().Add(-time.Minute), runs: map[jobs.TaskRef]int64{}}
+		f.workers[id] = &fakeWorker{clockStart: time.Now().Add(-time.Minute), runs: map[jobs.TaskRef]int64{}, highestRun: map[jobs.TaskRef]int64{}}
 	}
 	return f
 }
@@ -204,7 +206,7 @@
 func (f *fakeWorkers) All(context.Context) ([]ports.WorkerChange, ports.ListCursor, error) {
 	var out []ports.WorkerChange
 	for id := range f.workers {
-		out = append(out, ports.WorkerChange{ID: id, WorkerEntry: &jobs.WorkerEntry{ID: id, Address: string(id), Service: "service", Incarnation: 1,
+		out = append(out, ports.WorkerChange{ID: id, WorkerEntry: &jobs.WorkerEntry{ID: id, Address: string(id), Service: "service", DataCentre: "dc", Incarnation: 1,
 			Capacity: model.Size{MilliCPU: 16_000, MemMB: 32_000}}})
 	}
 	slices.SortFunc(out, func(a, b ports.WorkerChange) int { return cmp.Compare(a.ID, b.ID) })
@@ -268,6 +270,14 @@
 	if w.runs[req.Task] == req.Run {
 		return r
 	}
+	switch {
+	case req.Run <= w.highestRun[req.Task]:
+		r.Status = jobs.CallStaleRun
+		return r
+	case req.LeaseDeadlineMs <= w.clock():
+		r.Status = jobs.CallDeadlinePassed
+		return r
+	}
 	if f.running[req.Task] || f.done[req.Task] {
 		f.doubleRuns = append(f.doubleRuns, req.Task.String())
 	}
@@ -285,6 +295,7 @@
 	defer f.mu.Unlock()
 	delete(f.running, ref)
 	delete(w.runs, ref)
+	w.highestRun[ref] = max(w.highestRun[ref], run)
 	f.done[ref] = true
 	w.lastSeq++
 	w.ended = append(w.ended, jobs.RunEnd{Seq: w.lastSeq, Task: ref, Run: run, Kind: jobs.EndDone})
@@ -295,8 +306,63 @@
 	return jobs.PaceResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Percent: req.Percent, Status: jobs.CallOK}
 }
 
-// Stop implements ports.WorkerClient. It does nothing, since the tasks are too short to
-// be stopped.
-func (f *fakeWorkers) Stop(_ context.Context, _ uint64, req jobs.StopRequest) jobs.StopResult {
-	return jobs.StopResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Status: jobs.CallOK}
+// Stop implements ports.WorkerClient. It does not end runs, since the tasks are short, but
+// refuses those that have not arrived yet.
+func (f *fakeWorkers) Stop(_ context.Context, token uint64, req jobs.StopRequest) jobs.StopResult {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[req.Worker]
+	r := jobs.StopResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Status: jobs.CallOK, ClockMs: w.clock()}
+	if token < w.token {
+		r.Status = jobs.CallFenced
+		return r
+	}
+	w.token = token
+	w.highestRun[req.Task] = max(w.highestRun[req.Task], req.Run)
+	return r
+}
+
+// workerCalls is one daemon's client of the workers. It counts the calls and can delay
+// them.
+type workerCalls struct {
+	*fakeWorkers
+	mu sync.Mutex
+	// syncs and starts count the calls.
+	syncs, starts int
+	// delay is how long starts and syncs wait before they reach the worker, whatever
+	// happens to the caller.
+	delay time.Duration
+}
+
+func (c *workerCalls) setDelay(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delay = d
+}
+
+// counts returns the numbers of syncs and starts.
+func (c *workerCalls) counts() (int, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.syncs, c.starts
+}
+
+func (c *workerCalls) begin(counter *int) {
+	c.mu.Lock()
+	*counter++
+	delay := c.delay
+	c.mu.Unlock()
+	time.Sleep(delay)
+}
+
+// RenewLease implements ports.WorkerClient.
+func (c *workerCalls) RenewLease(ctx context.Context, token uint64, req jobs.SyncRequest) jobs.SyncResult {
+	c.begin(&c.syncs)
+	return c.fakeWorkers.RenewLease(ctx, token, req)
+}
+
+// Start implements ports.WorkerClient.
+func (c *workerCalls) Start(ctx context.Context, token uint64, req jobs.StartRequest) jobs.StartResult {
+	c.begin(&c.starts)
+	return c.fakeWorkers.Start(ctx, token, req)
 }
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -75,6 +75,10 @@
 	// goroutines are the goroutines that the leader started, such as those of its calls.
 	goroutines conc.WaitGroup
 
+	// caller makes the calls to workers that no relay makes.
+	caller  *workerCaller
+	relayed *relayedCalls
+
 	journal *journal
 	// lastBatchAt is when the last batch was passed to the journal.
 	lastBatchAt  time.Time
@@ -159,6 +163,8 @@
 			round: telemetry.NewHistograms(d.registry, telemetry.DefaultMaxPairs).Latency("leader_round"),
 		},
 	}
+	l.caller = &workerCaller{client: d.deps.Workers, token: c.token, superseded: func() bool { return d.superseded(c.token) }}
+	l.relayed = newRelayedCalls(d.settings.Regions, d.maxDirectWorkers)
 	now := time.Now()
 	config := d.config.current.Load()
 	l.core.SetQueues(queuesOf(config))
@@ -243,10 +249,11 @@
 		l.core.SetPreviousLeaderEnd(l.previousLeadersEnd())
 		l.core.Tick(now, now)
 		l.core.SetAdviceRelays(l.adviceRelays())
+		l.checkRelays(now)
 	}
 	l.core.SetStoreStalled(now, l.journal.stalled(now))
 	l.core.Schedule(now)
-	l.dispatch(l.core.TakeActions())
+	l.dispatch(now, l.core.TakeActions())
 	l.flush(now)
 	l.sendHeartbeats(now)
 	l.checkLeadership(now)
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -186,7 +186,10 @@
 // workerListMsg is the complete list of workers.
 type workerListMsg struct{ entries []jobs.WorkerEntry }
 
-func (m workerListMsg) apply(l *leader, now time.Time) { l.core.SetWorkers(now, m.entries) }
+func (m workerListMsg) apply(l *leader, now time.Time) {
+	l.relayed.setWorkers(m.entries)
+	l.core.SetWorkers(now, m.entries)
+}
 
 // configMsg is a new configuration.
 type configMsg struct{ config *ports.CellConfig }
@@ -219,7 +222,10 @@
 // linkClosedMsg reports that a link to a daemon was closed.
 type linkClosedMsg struct{ node string }
 
-func (m linkClosedMsg) apply(l *leader, now time.Time) { l.core.HandleRelayLost(now, m.node) }
+func (m linkClosedMsg) apply(l *leader, now time.Time) {
+	l.core.HandleRelayLost(now, m.node)
+	l.failRelay(now, m.node)
+}
 
 // reportMsg is a report of another daemon.
 type reportMsg struct {
