Let wide gangs take turns; record which tasks may run on a draining worker

In the simulation 60 gangs waited at 70% use: all of them asked for advice, most in vain, while 9,167 of 10,344 free cores were reserved for those whose calls waited.

Change: gangs look for capacity in the order of urgency until together they need all that is free; the others make at most four calls ahead of their turn. Calls are divided further where relays are available, since a call for 35 workers takes 0.59 s and one for 100 takes 0.95 s. The record of a draining worker lists the tasks on it, like that of a silent one, and a new leader holds back only these tasks and gangs. The leader logs its load each second.

--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -56,6 +56,8 @@
 	startTimeout = 350 * time.Millisecond
 	// endsPerPage is the maximum number of ended runs in one answer of a worker.
 	endsPerPage = 500
+	// loadInterval is how often a leader logs its load.
+	loadInterval = time.Second
 	// maxUnfinishedJobs limits the jobs that have not ended.
 	maxUnfinishedJobs = 20_000
 )
@@ -109,9 +111,12 @@
 	// heartbeatRounds counts the rounds of heartbeats.
 	heartbeatRounds uint64
 	lastDialAt      time.Time
-	configVersion   int64
-	metrics         leaderMetrics
-	queues          *queueMetrics
+	lastLoadAt      time.Time
+	// roundTime is the time spent in rounds since lastLoadAt.
+	roundTime     time.Duration
+	configVersion int64
+	metrics       leaderMetrics
+	queues        *queueMetrics
 	// stopReason is why the leadership ends; empty until then.
 	stopReason string
 }
@@ -238,6 +243,7 @@
 			flushTimer.Reset(wait)
 		}
 		telemetry.ObserveSince(l.metrics.round, start)
+		l.roundTime += time.Since(start)
 	}
 }
 
@@ -250,6 +256,7 @@
 		l.core.Tick(now, now)
 		l.core.SetAdviceRelays(l.adviceRelays())
 		l.checkRelays(now)
+		l.logLoad(now)
 	}
 	l.core.SetStoreStalled(now, l.journal.stalled(now))
 	l.core.Schedule(now)
@@ -259,6 +266,19 @@
 	l.checkLeadership(now)
 }
 
+// logLoad logs the leader's load if that is due.
+func (l *leader) logLoad(now time.Time) {
+	if now.Sub(l.lastLoadAt) < loadInterval {
+		return
+	}
+	load := l.core.Load()
+	l.log.WithFields(logrus.Fields{"event": "leader_load", "workers": load.Workers, "used_milli_cpu": load.UsedMilliCPU,
+		"capacity_milli_cpu": load.CapacityMilliCPU, "jobs": load.UnfinishedJobs, "gangs_waiting": load.WaitingGangs,
+		"steps_waiting": load.WaitingSteps, "advice_calls": load.AdviceCalls, "relayed_calls": len(l.relayed.inFlight),
+		"rounds_ms": l.roundTime.Milliseconds()}).Info("load of the leader")
+	l.lastLoadAt, l.roundTime = now, 0
+}
+
 // stop makes the leader loop end. The first reason is kept.
 func (l *leader) stop(stopReason string) {
 	if l.stopReason == "" {
--- a/internal/cell/store_records.go
+++ b/internal/cell/store_records.go
@@ -10,7 +10,6 @@
 
 	"catkinvalve/internal/cellpb"
 	"catkinvalve/internal/core/jobs"
-	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/ports"
 )
 
@@ -52,7 +51,7 @@
 		}
 	}
 	for _, w := range b.Workers {
-		if err := put(workerPrefix+string(w.ID), &cellpb.StoredWorker{Id: string(w.ID), Address: w.Address, Service: w.Service, Silent: w.Silent, Jobs: w.Jobs}); err != nil {
+		if err := put(workerPrefix+string(w.ID), cellpb.FromWorkerRecord(&w)); err != nil {
 			return nil, err
 		}
 	}
@@ -139,7 +138,7 @@
 		if err := proto.Unmarshal(value, p); err != nil {
 			return err
 		}
-		snap.Workers = append(snap.Workers, jobs.WorkerRecord{ID: model.WorkerID(p.Id), Address: p.Address, Service: p.Service, Silent: p.Silent, Jobs: p.Jobs})
+		snap.Workers = append(snap.Workers, p.ToWorkerRecord())
 	case key == recoveredKey:
 		p := &cellpb.StoredRecovery{}
 		if err := proto.Unmarshal(value, p); err != nil {
--- a/internal/cellpb/convert.go
+++ b/internal/cellpb/convert.go
@@ -178,6 +178,24 @@
 	return s
 }
 
+// FromWorkerRecord returns the message for the record of a worker.
+func FromWorkerRecord(r *jobs.WorkerRecord) *StoredWorker {
+	p := &StoredWorker{Id: string(r.ID), Address: r.Address, Service: r.Service, Silent: r.Silent, Jobs: r.Jobs}
+	for _, ref := range r.Tasks {
+		p.Tasks = append(p.Tasks, fromRun(ref, 0))
+	}
+	return p
+}
+
+// ToWorkerRecord returns the record of a worker.
+func (p *StoredWorker) ToWorkerRecord() jobs.WorkerRecord {
+	r := jobs.WorkerRecord{ID: model.WorkerID(p.Id), Address: p.Address, Service: p.Service, Silent: p.Silent, Jobs: p.Jobs}
+	for _, t := range p.Tasks {
+		r.Tasks = append(r.Tasks, t.ref())
+	}
+	return r
+}
+
 // FromAdviceRequest returns the message for a call to the advice service.
 func FromAdviceRequest(req *jobs.AdviceRequest) *AdviceCall {
 	p := &AdviceCall{Seq: req.Seq, Job: req.Step.Job, Occurrence: req.Step.Occurrence, Step: req.Step.Step, TimeoutMs: req.Timeout.Milliseconds()}
--- a/internal/core/jobs/advice.go
+++ b/internal/core/jobs/advice.go
@@ -237,8 +237,8 @@
 		s.advice.nextRequestAt = now.Add(candidateRetryDelay)
 		return
 	}
-	calls := min((len(candidates)+maxAdviceWorkers-1)/maxAdviceWorkers, max(1, len(rs.list)/parallelCallsDivisor))
-	size := min((len(candidates)+calls-1)/calls, maxAdviceWorkers)
+	calls := max(1, len(rs.list)/parallelCallsDivisor)
+	size := min(max((len(candidates)+calls-1)/calls, adviceCfg.minWorkers()), maxAdviceWorkers)
 	for part := range slices.Chunk(candidates[:min(len(candidates), calls*size)], size) {
 		relay := rs.choose(now, adviceCfg.DecisionTime)
 		if relay == nil {
@@ -280,6 +280,14 @@
 	return 0
 }
 
+// minWorkers returns the number of workers below which dividing a call saves little time.
+func (a *AdviceConfig) minWorkers() int {
+	if a.TimePerWorker <= 0 {
+		return maxAdviceWorkers
+	}
+	return max(1, int(a.DecisionTime/(2*a.TimePerWorker)))
+}
+
 // callTime returns how long the advice service takes for a call with a number of
 // workers.
 func (a *AdviceConfig) callTime(workers int) time.Duration {
--- a/internal/core/jobs/gang_advice.go
+++ b/internal/core/jobs/gang_advice.go
@@ -15,11 +15,27 @@
 	// maxGangAdviceCalls limits the advice calls of a gang after which no
 	// further workers are requested while a start is planned.
 	maxGangAdviceCalls = 24
+	// maxEarlyCalls limits the advice calls of a gang before its turn to look for capacity.
+	maxEarlyCalls = 4
 	// soonFreeShare is the fraction of a worker's whole capacity that is assumed to
 	// become free in time for a gang.
 	soonFreeShare = 0.3
 )
 
+// admitGangs determines which gangs may look for capacity: the most urgent ones, until
+// together they need all that is free. The others would only ask for advice in vain and
+// delay the calls of the more urgent ones.
+func (c *Core) admitGangs() {
+	for _, s := range c.ready {
+		if !s.def.Gang || s.job().queue.Advice == nil || !c.placeable(s) {
+			continue
+		}
+		p := c.pool(s)
+		s.admitted = p.free.MilliCPU > 0 && p.free.MemMB > 0
+		p.free = p.free.Sub(s.def.Size.Times(int64(s.pending)))
+	}
+}
+
 // heldCopies is capacity for a number of members on one worker.
 type heldCopies struct {
 	worker *worker
@@ -30,6 +46,9 @@
 // gang can start when the calls are answered: all tickets have to be valid at once. It
 // holds the capacity on the workers that are known to be allowed.
 func (c *Core) gangCandidates(now time.Time, s *step) []*worker {
+	if !s.admitted {
+		return c.earlyCandidates(now, s)
+	}
 	known := c.freeOnAllowed(now, s)
 	copies := countCopies(known)
 	if copies >= len(s.tasks) {
@@ -42,6 +61,22 @@
 	return c.waitingGangCandidates(now, s)
 }
 
+// earlyCandidates chooses workers for a gang that has to wait, so that it knows enough
+// allowed ones when its turn comes.
+func (c *Core) earlyCandidates(now time.Time, s *step) []*worker {
+	if s.advice.calls >= maxEarlyCalls {
+		return nil
+	}
+	potential := 0
+	for _, t := range s.advice.allowed {
+		potential += copiesIn(t.worker.resources.capacity, s.def.Size)
+	}
+	if float64(potential) >= candidateSurplus*float64(len(s.tasks)) {
+		return nil
+	}
+	return c.soonFreeOnUnknown(now, s)
+}
+
 // waitingGangCandidates chooses workers for a gang for which there is not enough free
 // capacity. Near its planned start it needs new tickets; if that is far away, or cannot
 // be planned, it needs further workers.
--- a/internal/core/jobs/gang_advice_test.go
+++ b/internal/core/jobs/gang_advice_test.go
@@ -120,3 +120,34 @@
 	assert.Equal(t, len(starts), 2)
 	assert.Equal(t, starts[0].Task.Job, "gang")
 }
+
+// Guards against gangs that keep the advice service busy although more urgent ones need
+// all the capacity that is free.
+func TestGangsTakeTurnsInAskingForAdvice(t *testing.T) {
+	b := newAdviceBench(t)
+	b.core.SetAdviceRelays([]string{"d1", "d2", "d3", "d4", "d5"})
+	b.addWorkers("w1", "w2")
+	for _, id := range []string{"first", "second"} {
+		gang := wholeWorkerStep(2, time.Minute)
+		gang.Gang = true
+		b.submit(id, gang)
+	}
+	calls := map[string]int{}
+	var first []AdviceRequest
+	for range 20 {
+		for _, req := range b.advance(candidateRetryDelay).Advice {
+			calls[req.Step.Job]++
+			if req.Step.Job == "first" {
+				first = append(first, req)
+				continue
+			}
+			b.allow(req, func(model.WorkerID) bool { return false })
+		}
+	}
+	assert.Equal(t, calls["first"], 1)
+	assert.Assert(t, calls["second"] <= 1, "a gang whose turn has not come made %d calls", calls["second"])
+	b.allow(first[0], anyWorker)
+	starts := b.advance(10 * time.Millisecond).Starts
+	assert.Equal(t, len(starts), 2)
+	assert.Equal(t, starts[0].Task.Job, "first")
+}
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -81,6 +81,8 @@
 	// plannedStart is when a waiting gang is expected to find capacity; zero if
 	// that is not known.
 	plannedStart time.Time
+	// admitted is set while a gang may look for capacity.
+	admitted bool
 	// held lists the capacity that a gang keeps while its tickets are renewed.
 	held []heldCopies
 	// heldUntil is when the gang is expected to start on the held capacity.
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -78,10 +78,12 @@
 	ID      model.WorkerID
 	Address string
 	Service string
-	// Silent means that the worker stopped answering and that Jobs lists all
-	// jobs that may have runs on it.
+	// Silent means that the worker stopped answering or drains, and that Jobs and
+	// Tasks list all jobs and tasks that may have runs on it.
 	Silent bool
 	Jobs   []string
+	// Tasks is empty in records of earlier versions.
+	Tasks []TaskRef
 }
 
 // Batch is what has to be stored in one append before its effects become
--- a/internal/core/jobs/recovery.go
+++ b/internal/core/jobs/recovery.go
@@ -10,40 +10,53 @@
 
 // recovery tracks, after a change of leader, the workers on which runs of an
 // earlier leader may exist that this leader does not know yet. Tasks of a
-// restored job are not started while such a run of the job may exist.
+// restored job are not started while such a run of them may exist.
 type recovery struct {
-	// workers holds the workers that have not reported yet, and for each the
-	// jobs that may have runs there.
+	// workers holds the workers that have not reported yet, and for each what may
+	// run there.
 	workers map[model.WorkerID]previousRuns
-	// unknownWorkers counts the workers on which any job may have runs.
+	// unknownWorkers counts the workers on which any task may have runs.
 	unknownWorkers int
-	// jobs counts, for each job, the workers with a known list of jobs on which
-	// it may have runs.
-	jobs map[string]int
+	// jobs and tasks count, for each job and task, the workers on which it may have
+	// runs. A job is counted only where its tasks are not listed.
+	jobs  map[string]int
+	tasks map[TaskRef]int
 	// complete is set once each worker has reported or its lease has ended.
 	complete bool
 }
 
 // previousRuns is what an earlier leader may have started on a worker.
 type previousRuns struct {
-	// known is set when jobs lists every job that may have runs there.
+	// known is set when jobs and tasks list everything that may run there.
 	known bool
 	jobs  []string
+	tasks []TaskRef
 }
 
 func newRecovery() recovery {
-	return recovery{workers: map[model.WorkerID]previousRuns{}, jobs: map[string]int{}}
+	return recovery{workers: map[model.WorkerID]previousRuns{}, jobs: map[string]int{}, tasks: map[TaskRef]int{}}
 }
 
 // add makes recovery wait for the worker of a record.
 func (rec *recovery) add(r *WorkerRecord) {
-	rec.workers[r.ID] = previousRuns{known: r.Silent, jobs: r.Jobs}
-	if !r.Silent {
-		rec.unknownWorkers++
-		return
-	}
-	for _, id := range r.Jobs {
-		rec.jobs[id]++
+	previous := previousRuns{known: r.Silent, jobs: r.Jobs, tasks: r.Tasks}
+	rec.workers[r.ID] = previous
+	rec.count(&previous, 1)
+}
+
+// count adds n for everything that may run on a worker.
+func (rec *recovery) count(previous *previousRuns, n int) {
+	switch {
+	case !previous.known:
+		rec.unknownWorkers += n
+	case len(previous.tasks) > 0:
+		for _, ref := range previous.tasks {
+			rec.tasks[ref] += n
+		}
+	default:
+		for _, job := range previous.jobs {
+			rec.jobs[job] += n
+		}
 	}
 }
 
@@ -58,23 +71,32 @@
 func (rec *recovery) remove(id model.WorkerID) previousRuns {
 	previous := rec.workers[id]
 	delete(rec.workers, id)
-	if !previous.known {
-		rec.unknownWorkers--
-		return previous
-	}
-	for _, job := range previous.jobs {
-		if rec.jobs[job]--; rec.jobs[job] == 0 {
-			delete(rec.jobs, job)
-		}
-	}
+	rec.count(&previous, -1)
 	return previous
 }
 
-// blocks reports whether a restored job may have runs that are not known.
+// blocks reports whether a restored job may have runs that are not known of any of
+// its tasks.
 func (rec *recovery) blocks(job string) bool { return rec.unknownWorkers > 0 || rec.jobs[job] > 0 }
 
-// runsKnown reports whether the leader knows every run of the job's tasks.
-func (c *Core) runsKnown(j *job) bool { return !j.restored || !c.recovery.blocks(j.spec.ID) }
+// blocksTask reports whether a task is among those that may run on a worker which has
+// not reported.
+func (rec *recovery) blocksTask(t *task) bool { return len(rec.tasks) > 0 && rec.tasks[t.ref()] > 0 }
+
+// blocksAny reports whether any task of a step is blocked.
+func (rec *recovery) blocksAny(s *step) bool {
+	return len(rec.tasks) > 0 && slices.ContainsFunc(s.tasks, func(t task) bool { return rec.blocksTask(&t) })
+}
+
+// runsKnown reports whether the leader knows every run of a step that matters for what it
+// may start next: of all tasks of a gang, and of all tasks that are not listed
+// individually.
+func (c *Core) runsKnown(s *step) bool {
+	if !s.job().restored {
+		return true
+	}
+	return !c.recovery.blocks(s.job().spec.ID) && !(s.def.Gang && c.recovery.blocksAny(s))
+}
 
 // handleWorkerReport stops waiting for a worker that has reported all its ends:
 // a full page of ends may be followed by more.
@@ -119,12 +141,12 @@
 func (c *Core) abortPartialGangs(now time.Time, ids []string) {
 	for _, id := range ids {
 		j := c.jobs[id]
-		if j == nil || !c.runsKnown(j) {
+		if j == nil {
 			continue
 		}
 		for _, o := range j.sortedOccurrences() {
 			for _, s := range o.steps {
-				if s.def.Gang && s.gang.currentRun != 0 && s.pending > 0 && s.pending < len(s.tasks) {
+				if s.def.Gang && c.runsKnown(s) && s.gang.currentRun != 0 && s.pending > 0 && s.pending < len(s.tasks) {
 					c.abortGang(now, s)
 				}
 			}
--- a/internal/core/jobs/recovery_test.go
+++ b/internal/core/jobs/recovery_test.go
@@ -100,3 +100,70 @@
 	b.answerSyncs(b.advance(100*time.Millisecond), nil)
 	assert.Assert(t, b.storeBatch() == nil, "the record is written again")
 }
+
+// Guards against a change of leader shortly after workers were told to leave: all
+// restored jobs would wait for the leases of the workers that are gone.
+func TestRunsOnDrainingWorkerAreStored(t *testing.T) {
+	b := newTestBench(t)
+	b.addWorkers("w1")
+	b.submit("j1", smallStep(2))
+	out := b.advance(0)
+	b.confirmStarts(out.Starts)
+	draining := workerEntry("w1")
+	draining.Draining = true
+	b.core.SetWorkers(b.now, []WorkerEntry{draining})
+	b.advance(100 * time.Millisecond)
+	batch := b.storeBatch()
+	assert.Assert(t, batch != nil && len(batch.Workers) == 1, "the runs on the draining worker are not stored")
+	assert.Assert(t, batch.Workers[0].Silent)
+	assert.DeepEqual(t, batch.Workers[0].Tasks, []TaskRef{{Job: "j1", Index: 0}, {Job: "j1", Index: 1}})
+}
+
+// Guards against tasks that wait for the lease of a worker on which only other tasks of
+// their job may run, and against a task or gang that is started again within that lease.
+func TestListedTasksAloneWaitForSilentWorker(t *testing.T) {
+	b := newTestBench(t)
+	gang := smallStep(2)
+	gang.Gang = true
+	s := Snapshot{Workers: []WorkerRecord{
+		{ID: "w1", Address: "w1:1", Service: "s", Silent: true, Jobs: []string{"single", "gang"}, Tasks: []TaskRef{{Job: "single", Index: 1}, {Job: "gang"}}},
+		{ID: "w2", Address: "w2:1", Service: "s"}}}
+	for id, step := range map[string]Step{"single": smallStep(3), "gang": gang} {
+		s.Accepted = append(s.Accepted, AcceptedRecord{Spec: Spec{ID: id, Queue: "q", Steps: []Step{step}}, Queue: *b.core.queues["q"], Token: 1, Accepted: b.now})
+	}
+	next := b.newLeader(2, s)
+	next.core.SetPreviousLeaderEnd(next.now)
+	next.core.SetWorkers(next.now, []WorkerEntry{workerEntry("w1"), workerEntry("w2")})
+	startedAfter := map[TaskRef]time.Duration{}
+	for elapsed := time.Duration(0); elapsed < 7*time.Second; elapsed += 100 * time.Millisecond {
+		out := next.advance(100 * time.Millisecond)
+		next.answerExcept(out, "w1")
+		next.storeBatch()
+		for _, req := range out.Starts {
+			if _, again := startedAfter[req.Task]; !again {
+				startedAfter[req.Task] = elapsed
+			}
+		}
+	}
+	lease := b.core.cfg.LeaseDuration
+	for ref, wait := range map[TaskRef]bool{{Job: "single"}: false, {Job: "single", Index: 1}: true, {Job: "single", Index: 2}: false,
+		{Job: "gang"}: true, {Job: "gang", Index: 1}: true} {
+		started, known := startedAfter[ref]
+		assert.Assert(t, known, "%v never starts", ref)
+		if wait {
+			assert.Assert(t, started >= lease, "%v started again after %v", ref, started)
+		} else {
+			assert.Assert(t, started < time.Second, "%v waited for %v", ref, started)
+		}
+	}
+}
+
+// Guards against records of earlier versions, which list only the jobs on a silent worker.
+func TestJobsWithoutListedTasksWaitForSilentWorker(t *testing.T) {
+	rec := newRecovery()
+	rec.add(&WorkerRecord{ID: "w1", Silent: true, Jobs: []string{"j1"}})
+	assert.Assert(t, rec.blocks("j1"))
+	assert.Assert(t, !rec.blocks("j2"))
+	rec.remove("w1")
+	assert.Assert(t, !rec.blocks("j1"))
+}
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -22,13 +22,14 @@
 		c.refreshPools(now)
 	}
 	for _, p := range c.pools {
-		p.updateLargest()
+		p.updateFree()
 	}
 	if c.reservationsStale {
 		c.reservationsStale = false
 		c.markLate(now)
 		c.refreshReservations(now)
 	}
+	c.admitGangs()
 	kept := c.ready[:0]
 	for _, s := range c.ready {
 		c.place(now, s)
@@ -88,15 +89,19 @@
 	workers []*worker
 	// largest is, in each dimension, the largest free capacity of any worker.
 	largest model.Size
+	// free is the sum of the free capacity of all workers.
+	free model.Size
 	// next is the index at which the next sample begins.
 	next int
 }
 
-// updateLargest recomputes the largest free capacity.
-func (p *pool) updateLargest() {
-	p.largest = model.Size{}
+// updateFree recomputes the free capacity.
+func (p *pool) updateFree() {
+	p.largest, p.free = model.Size{}, model.Size{}
 	for _, w := range p.workers {
-		p.largest = p.largest.Max(w.resources.free())
+		free := w.resources.free()
+		p.largest = p.largest.Max(free)
+		p.free = p.free.Add(free)
 	}
 }
 
@@ -137,7 +142,7 @@
 
 // place starts as many tasks of a step as possible.
 func (c *Core) place(now time.Time, s *step) {
-	if !s.canStart() || s.pending == 0 || now.Before(s.backoffUntil) || !c.runsKnown(s.job()) {
+	if !s.canStart() || s.pending == 0 || now.Before(s.backoffUntil) || !c.runsKnown(s) {
 		return
 	}
 	if s.def.Gang && s.pending != s.unfinished {
@@ -158,7 +163,7 @@
 	options := c.options(now, s)
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != taskPending || now.Before(t.backoffUntil) {
+		if t.state != taskPending || now.Before(t.backoffUntil) || c.recovery.blocksTask(t) {
 			continue
 		}
 		w := c.bestWorker(now, s, options)
@@ -172,6 +177,10 @@
 
 // placeGang starts all tasks of a gang or none.
 func (c *Core) placeGang(now time.Time, s *step) {
+	if s.job().queue.Advice != nil && !s.admitted {
+		c.requestAdvice(now, s)
+		return
+	}
 	options := c.options(now, s)
 	slices.SortStableFunc(options, func(a, b *worker) int { return cmp.Compare(score(s, a), score(s, b)) })
 	chosen := make([]*worker, 0, len(s.tasks))
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -30,7 +30,7 @@
 	// recordSent means that the record is in a batch that is not stored yet.
 	recordSent
 	recordStored
-	// recordSilent means that the record lists the jobs that may run on the
+	// recordSilent means that the record lists the tasks that may run on the
 	// worker. Nothing may be started there until that record is replaced.
 	recordSilent
 )
--- a/internal/core/jobs/worker_record.go
+++ b/internal/core/jobs/worker_record.go
@@ -48,6 +48,7 @@
 		return r
 	}
 	for _, run := range w.runs {
+		r.Tasks = append(r.Tasks, run.ref)
 		if !slices.Contains(r.Jobs, run.ref.Job) {
 			r.Jobs = append(r.Jobs, run.ref.Job)
 		}
@@ -64,7 +65,7 @@
 	switch {
 	case w.missedSyncs == 0 && w.Draining && len(w.runs) == 0:
 		c.deregisterWorker(w)
-	case w.missedSyncs > 0 && w.recordState == recordStored && !c.storeStalled && now.Sub(w.lastContact) >= recordSilenceAfter:
+	case w.recordState == recordStored && !c.storeStalled && (w.Draining || w.missedSyncs > 0 && now.Sub(w.lastContact) >= recordSilenceAfter):
 		w.recordState = recordSilent
 		c.poolsStale = true
 		c.queueRecord(w)
