Send the configuration compressed from the leader, which alone reads it

Change: while the leader's heartbeats say that it has read the configuration within 1.5 s, other daemons do not; they only ping the store. Heartbeats carry it gzipped, once per version and link. A leader that hears of a newer version in a report fetches it from that daemon. Views contain a configuration only if it is newer. Reads of the store limit the time to the header, not that of a body which is arriving.

--- a/internal/adapters/jsonhttp/jsonhttp.go
+++ b/internal/adapters/jsonhttp/jsonhttp.go
@@ -144,6 +144,9 @@
 	Header      http.Header
 	// Host, if set, is sent as the Host header instead of the host of URL.
 	Host string
+	// HeaderTimeout, if not 0, limits the time until the header of the response arrives. The
+	// transfer of the body is limited by the context only.
+	HeaderTimeout time.Duration
 }
 
 // Reply is the status and body of an HTTP response.
@@ -183,6 +186,13 @@
 		ctx, cancel = context.WithTimeout(ctx, c.timeout)
 		defer cancel()
 	}
+	stopTimer := func() bool { return true }
+	if r.HeaderTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		stopTimer = time.AfterFunc(r.HeaderTimeout, cancel).Stop
+	}
 	var body io.Reader
 	if r.Body != nil {
 		body = bytes.NewReader(r.Body)
@@ -203,6 +213,7 @@
 		req.Header.Set(standinapi.DaemonHeader, c.daemon)
 	}
 	resp, err := c.http.Do(req)
+	stopTimer()
 	if err != nil {
 		return Reply{}, err
 	}
--- a/internal/adapters/jsonhttp/jsonhttp_test.go
+++ b/internal/adapters/jsonhttp/jsonhttp_test.go
@@ -79,3 +79,26 @@
 		assert.Equal(t, StatusOf(err), tt.status)
 	}
 }
+
+// Guards against a long response that is given up although it is arriving, and against a
+// call that waits for a response that never begins.
+func TestHeaderTimeoutDoesNotLimitBody(t *testing.T) {
+	const headerTimeout = 100 * time.Millisecond
+	url := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/silent" {
+			<-r.Context().Done()
+			return
+		}
+		for range 4 {
+			_, _ = w.Write([]byte("x"))
+			w.(http.Flusher).Flush()
+			time.Sleep(headerTimeout / 2)
+		}
+	})
+	c := newClient(t, Options{})
+	reply, err := c.Send(t.Context(), Request{Method: http.MethodGet, URL: url, HeaderTimeout: headerTimeout})
+	assert.NilError(t, err)
+	assert.Equal(t, string(reply.Body), "xxxx")
+	_, err = c.Send(t.Context(), Request{Method: http.MethodGet, URL: url + "/silent", HeaderTimeout: headerTimeout})
+	assert.ErrorContains(t, err, "canceled")
+}
--- a/internal/adapters/linkrpc/link.go
+++ b/internal/adapters/linkrpc/link.go
@@ -184,8 +184,8 @@
 	if earlier == nil {
 		return later
 	}
-	if later.Config == nil {
-		later.Config = earlier.Config
+	if len(later.ConfigGzip) == 0 {
+		later.ConfigGzip = earlier.ConfigGzip
 	}
 	later.Nodes = slices.Concat(earlier.Nodes, later.Nodes)
 	return later
--- a/internal/adapters/linkrpc/link_test.go
+++ b/internal/adapters/linkrpc/link_test.go
@@ -13,7 +13,7 @@
 func TestMergedFramesKeepEverything(t *testing.T) {
 	node := func(name string) []*cellpb.StoredNode { return []*cellpb.StoredNode{{Node: name}} }
 	merged := mergeFrames([]*cellpb.Frame{
-		{Heartbeat: &cellpb.Heartbeat{Token: 1, Nodes: node("a"), Config: &cellpb.Config{Version: 5}}, Calls: []*cellpb.Call{{Id: 1}}},
+		{Heartbeat: &cellpb.Heartbeat{Token: 1, Nodes: node("a"), ConfigGzip: []byte{5}}, Calls: []*cellpb.Call{{Id: 1}}},
 		{Probe: true, Calls: []*cellpb.Call{{Id: 2}}},
 		{Heartbeat: &cellpb.Heartbeat{Token: 2, Nodes: node("b")}, Handover: &cellpb.Handover{Token: 9}},
 	})
@@ -21,6 +21,6 @@
 	assert.Assert(t, merged.Probe)
 	assert.Equal(t, merged.Handover.Token, uint64(9))
 	assert.Equal(t, merged.Heartbeat.Token, uint64(2))
-	assert.Equal(t, merged.Heartbeat.Config.Version, int64(5))
+	assert.DeepEqual(t, merged.Heartbeat.ConfigGzip, []byte{5})
 	assert.Equal(t, len(merged.Heartbeat.Nodes), 2)
 }
--- a/internal/adapters/linkrpc/transport.go
+++ b/internal/adapters/linkrpc/transport.go
@@ -32,7 +32,7 @@
 // Viewer provides the daemon's view of the cell, in particular of its leader.
 type Viewer interface {
 	// View returns the current view. It may be called concurrently.
-	View() *cellpb.ViewResponse
+	View(*cellpb.ViewRequest) *cellpb.ViewResponse
 }
 
 // Transport opens and accepts links. Its fields must be set before use.
@@ -92,16 +92,15 @@
 	return nil
 }
 
-// FetchView returns the view of the daemon at an address. The parameter self is the name of
-// the calling daemon.
-func (t *Transport) FetchView(ctx context.Context, address, self string) (*cellpb.ViewResponse, error) {
+// FetchView asks the daemon at an address for its view.
+func (t *Transport) FetchView(ctx context.Context, address string, req *cellpb.ViewRequest) (*cellpb.ViewResponse, error) {
 	conn, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	client := drpcconn.New(writeTimeoutConn{conn})
 	defer func() { _ = client.Close() }()
-	return cellpb.NewDRPCLinksClient(client).View(ctx, &cellpb.ViewRequest{Node: self})
+	return cellpb.NewDRPCLinksClient(client).View(ctx, req)
 }
 
 // Serve accepts links until ctx is done, and then closes the listener l and returns nil after
@@ -155,6 +154,6 @@
 }
 
 // View implements cellpb.DRPCLinksServer.
-func (s *server) View(context.Context, *cellpb.ViewRequest) (*cellpb.ViewResponse, error) {
-	return s.t.Viewer.View(), nil
+func (s *server) View(_ context.Context, req *cellpb.ViewRequest) (*cellpb.ViewResponse, error) {
+	return s.t.Viewer.View(req), nil
 }
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -349,7 +349,7 @@
 // claimant is a daemon that is claiming the leadership, as it appears to other daemons.
 type claimant struct{ token uint64 }
 
-func (c claimant) View() *cellpb.ViewResponse {
+func (c claimant) View(*cellpb.ViewRequest) *cellpb.ViewResponse {
 	return &cellpb.ViewResponse{Node: "claimant", Claimed: c.token}
 }
 func (claimant) LinkOpened(*linkrpc.Link)           {}
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -10,17 +10,27 @@
 
 	"github.com/sirupsen/logrus"
 
+	"catkinvalve/internal/cellpb"
 	"catkinvalve/internal/core/jobs"
 	"catkinvalve/internal/pause"
 	"catkinvalve/internal/ports"
 )
 
 const (
+	// maxLeaderConfigAge is the age of what the leader knows of the store's configuration
+	// above which a daemon reads the configuration itself.
+	maxLeaderConfigAge = 1500 * time.Millisecond
+	// storePingInterval is how often a daemon that does not read the configuration makes a
+	// call to the store, which shows whether the store serves it.
+	storePingInterval = time.Second
+	// configCheckInterval is how often such a daemon checks that the leader still reads the
+	// configuration.
+	configCheckInterval = 100 * time.Millisecond
+	// configTransferTimeout limits the transfer of a long configuration.
+	configTransferTimeout = 6 * time.Second
 	// configWait is how long a long poll waits for a change of the configuration. It
 	// also limits how long a broken connection to the store stays undetected.
 	configWait = time.Second
-	// configWaitSlack is added to configWait for the transfer of the answer.
-	configWaitSlack = 700 * time.Millisecond
 	// configRetry is the pause before a retry: of a failed read of the configuration,
 	// and of a call for a queue that the leader does not know yet.
 	configRetry = 150 * time.Millisecond
@@ -31,6 +41,8 @@
 	log     *logrus.Entry
 	current atomic.Pointer[ports.CellConfig]
 	mu      sync.Mutex
+	// checkedAt is when the store last answered a read of the configuration.
+	checkedAt time.Time
 	// onChange lists the functions that are called, with mu held, with each newer
 	// configuration.
 	onChange []func(*ports.CellConfig)
@@ -52,6 +64,24 @@
 	}
 }
 
+// recordCheck records that the store answered a read of the configuration.
+func (h *configHolder) recordCheck(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.checkedAt = now
+}
+
+// ageMs returns the time since the store last answered a read of the configuration, in
+// milliseconds plus 1; 0 when it never did.
+func (h *configHolder) ageMs(now time.Time) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.checkedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(h.checkedAt).Milliseconds() + 1
+}
+
 // version returns the version of the active configuration, or 0 when there is none.
 func (h *configHolder) version() int64 {
 	if c := h.current.Load(); c != nil {
@@ -156,6 +186,11 @@
 func (d *Daemon) watchConfig(ctx context.Context) {
 	cursor := ports.ListCursor(-1)
 	for ctx.Err() == nil {
+		if d.members.leaderReadsConfig() {
+			d.awaitLeaderConfigEnd(ctx)
+			cursor = -1
+			continue
+		}
 		next, err := d.readConfig(ctx, cursor)
 		if err == nil {
 			cursor = next
@@ -183,10 +218,71 @@
 	}
 }
 
+// awaitLeaderConfigEnd returns when the leader does not read the configuration any more. The
+// leader sends it to all daemons. Each would otherwise read each version from the store,
+// which takes seconds over a link between regions if the configuration is long.
+func (d *Daemon) awaitLeaderConfigEnd(ctx context.Context) {
+	lastPingAt := time.Time{}
+	for d.members.leaderReadsConfig() {
+		if time.Since(lastPingAt) >= storePingInterval {
+			lastPingAt = time.Now()
+			d.pingStore(ctx)
+		}
+		if !pause.For(ctx, configCheckInterval) {
+			return
+		}
+	}
+}
+
+// pingStore makes a short call to the store and records whether the store answers.
+func (d *Daemon) pingStore(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	sent := time.Now()
+	_, err := d.deps.Store.Newest(ctx, ports.JobsTopic, lastKey)
+	d.recordStoreCall(sent, err)
+}
+
+// applyLeaderConfig applies the configuration in a heartbeat, if there is one.
+func (d *Daemon) applyLeaderConfig(h *cellpb.Heartbeat) {
+	if len(h.ConfigGzip) == 0 {
+		d.config.applyIfNewer(h.Config.ToConfig(), "leader")
+		return
+	}
+	c, err := cellpb.DecompressConfig(h.ConfigGzip)
+	if err != nil {
+		d.log.WithFields(logrus.Fields{"event": "config_unreadable", "source": "leader", "error": err.Error()}).Error("cannot decode the configuration that the leader sent")
+		return
+	}
+	d.config.applyIfNewer(c, "leader")
+}
+
+// newerConfigInterval is the minimum time between two requests of a leader for a newer
+// configuration that another daemon has.
+const newerConfigInterval = 500 * time.Millisecond
+
+// fetchNewerConfig fetches the configuration of a daemon that has a newer one, for example
+// because the store does not serve that topic to this daemon.
+func (l *leader) fetchNewerConfig(now time.Time, node string) {
+	address := l.nodes[node]
+	if address == "" || now.Sub(l.configFetchedAt) < newerConfigInterval {
+		return
+	}
+	l.configFetchedAt = now
+	l.goroutines.Go(func() {
+		ctx, cancel := context.WithTimeout(l.ctx, configTransferTimeout)
+		defer cancel()
+		v, err := l.d.transport.FetchView(ctx, address, &cellpb.ViewRequest{Node: l.d.settings.Node, ConfigVersion: l.d.config.version()})
+		if err == nil {
+			l.d.config.applyIfNewer(v.Config.ToConfig(), "daemon")
+		}
+	})
+}
+
 // readConfig reads the newest configuration, when from is negative, or waits for a
 // change after from. It returns the cursor for the next call.
 func (d *Daemon) readConfig(ctx context.Context, from ports.ListCursor) (ports.ListCursor, error) {
-	ctx, cancel := context.WithTimeout(ctx, configWait+configWaitSlack)
+	ctx, cancel := context.WithTimeout(ctx, configWait+configTransferTimeout)
 	defer cancel()
 	sent := time.Now()
 	var c *ports.CellConfig
@@ -202,6 +298,7 @@
 		return from, err
 	}
 	d.store.recordAnswer(time.Now(), took)
+	d.config.recordCheck(time.Now())
 	d.config.applyIfNewer(c, "store")
 	return from, nil
 }
--- a/internal/cell/daemon.go
+++ b/internal/cell/daemon.go
@@ -242,10 +242,13 @@
 }
 
 // View implements linkrpc.Viewer. It returns what this daemon knows about the leader.
-func (d *Daemon) View() *cellpb.ViewResponse {
+func (d *Daemon) View(req *cellpb.ViewRequest) *cellpb.ViewResponse {
 	s := d.members.electionState()
 	v := &cellpb.ViewResponse{Node: d.settings.Node, Token: s.token, HeardAgeMs: -1, StoreAgeMs: d.store.age(time.Now()).Milliseconds(),
-		Config: cellpb.FromConfig(d.config.current.Load()), Claimed: d.claimedToken.Load()}
+		Claimed: d.claimedToken.Load()}
+	if d.config.version() > req.ConfigVersion {
+		v.Config = cellpb.FromConfig(d.config.current.Load())
+	}
 	switch {
 	case s.isLeader:
 		v.HeardAgeMs, v.LeaderAddress, v.Linked = 0, d.settings.LinkAddress(), true
@@ -301,7 +304,7 @@
 // Frame implements linkrpc.Handler. It handles each part of a received frame.
 func (d *Daemon) Frame(l *linkrpc.Link, f *cellpb.Frame) {
 	if f.Heartbeat != nil && d.members.handleHeartbeat(l, f.Heartbeat) {
-		d.config.applyIfNewer(f.Heartbeat.Config.ToConfig(), "leader")
+		d.applyLeaderConfig(f.Heartbeat)
 	}
 	for _, r := range f.Replies {
 		d.forwarder.deliverReply(r.Id, fromProtoReply(r))
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -210,7 +210,7 @@
 	var wg conc.WaitGroup
 	for _, address := range others {
 		wg.Go(func() {
-			v, err := d.transport.FetchView(ctx, address, d.settings.Node)
+			v, err := d.transport.FetchView(ctx, address, &cellpb.ViewRequest{Node: d.settings.Node, ConfigVersion: d.config.version()})
 			if err != nil {
 				return
 			}
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"catkinvalve/internal/adapters/linkrpc"
 	"catkinvalve/internal/cellpb"
 	"catkinvalve/internal/core/succession"
@@ -65,10 +67,10 @@
 // they were not sent over the link yet. The configuration is also left out if the daemon
 // has reported that it has it.
 func (l *leader) heartbeat(link *linkrpc.Link) *cellpb.Heartbeat {
-	h := &cellpb.Heartbeat{Token: l.token, Successors: l.heartbeatSuccessors, ConfigVersion: l.configVersion}
+	h := &cellpb.Heartbeat{Token: l.token, Successors: l.heartbeatSuccessors, ConfigVersion: l.configVersion, ConfigAgeMs: l.d.config.ageMs(time.Now())}
 	lastSent := l.lastSent[link]
 	if lastSent.config < l.configVersion && l.reports[link.PeerHello.Node].GetConfigVersion() < l.configVersion {
-		h.Config = cellpb.FromConfig(l.d.config.current.Load())
+		h.ConfigGzip = l.compressedConfig()
 	}
 	for _, name := range l.nodeChanges[min(lastSent.nodes, len(l.nodeChanges)):] {
 		h.Nodes = append(h.Nodes, &cellpb.StoredNode{Node: name, Address: l.nodes[name]})
@@ -80,6 +82,22 @@
 	return h
 }
 
+// compressedConfig returns the configuration in the form in which heartbeats contain it. It
+// is compressed once per version: in a cell of many daemons a long configuration would
+// otherwise fill the links between regions.
+func (l *leader) compressedConfig() []byte {
+	config := l.d.config.current.Load()
+	if config == nil || config.Version == l.compressedVersion {
+		return l.compressed
+	}
+	data, err := cellpb.CompressConfig(config)
+	if err != nil {
+		l.log.WithFields(logrus.Fields{"event": "config_unsendable", "version": config.Version, "error": err.Error()}).Error("cannot compress the configuration for the other daemons")
+	}
+	l.compressed, l.compressedVersion = data, config.Version
+	return data
+}
+
 // removeClosedLinks removes the records of what was sent over links that are closed.
 func (l *leader) removeClosedLinks() {
 	for link := range l.lastSent {
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -115,8 +115,13 @@
 	// roundTime is the time spent in rounds since lastLoadAt.
 	roundTime     time.Duration
 	configVersion int64
-	metrics       leaderMetrics
-	queues        *queueMetrics
+	// compressed is the configuration of version compressedVersion in compressed form.
+	compressed        []byte
+	compressedVersion int64
+	// configFetchedAt is when the leader last asked another daemon for its configuration.
+	configFetchedAt time.Time
+	metrics         leaderMetrics
+	queues          *queueMetrics
 	// stopReason is why the leadership ends; empty until then.
 	stopReason string
 }
--- a/internal/cell/members.go
+++ b/internal/cell/members.go
@@ -35,6 +35,9 @@
 	// leaderHeardAt is when the leader was last known to lead: its last heartbeat, the
 	// end of this daemon's own leadership, or at first the start of this daemon.
 	leaderHeardAt time.Time
+	// leaderConfigAge is the age of the leader's knowledge of the store's configuration at
+	// its last heartbeat; negative when not known.
+	leaderConfigAge time.Duration
 	// successors lists the daemons that should take over, the best first, as in the
 	// last heartbeat.
 	successors []string
@@ -43,7 +46,7 @@
 }
 
 func newMembers(self string, now time.Time) *members {
-	return &members{self: self, nodes: map[string]string{}, links: map[string][]*linkrpc.Link{}, leaderHeardAt: now, leaderChanged: make(chan struct{})}
+	return &members{self: self, nodes: map[string]string{}, links: map[string][]*linkrpc.Link{}, leaderHeardAt: now, leaderConfigAge: -1, leaderChanged: make(chan struct{})}
 }
 
 // notifyLeaderChanged wakes the calls that wait for a leader. mu must be held.
@@ -107,6 +110,9 @@
 	if token < m.token || m.isLeader && token <= m.token {
 		return
 	}
+	if m.leader != l.PeerHello.Node {
+		m.leaderConfigAge = -1
+	}
 	m.token, m.leader, m.leaderHeardAt = token, l.PeerHello.Node, time.Now()
 	if m.leaderLink != l {
 		m.leaderLink = l
@@ -148,6 +154,7 @@
 	}
 	m.setLeader(l, h.Token)
 	m.leaderHeardAt = time.Now()
+	m.leaderConfigAge = time.Duration(h.ConfigAgeMs-1) * time.Millisecond
 	m.successors = h.Successors
 	for _, n := range h.Nodes {
 		m.nodes[n.Node] = n.Address
@@ -155,6 +162,14 @@
 	return true
 }
 
+// leaderReadsConfig reports whether another daemon leads that reads the configuration from
+// the store and sends it to this one.
+func (m *members) leaderReadsConfig() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.isLeader && m.leaderLink != nil && m.leaderConfigAge >= 0 && m.leaderConfigAge+time.Since(m.leaderHeardAt) < maxLeaderConfigAge
+}
+
 // becomeLeader records this daemon as the leader, unless a higher token is known.
 func (m *members) becomeLeader(token uint64) {
 	m.mu.Lock()
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -242,6 +242,9 @@
 		l.probeLatencies[m.node] = time.Duration(m.report.ProbeUs) * time.Microsecond
 	}
 	l.d.members.observeToken(m.report.Token)
+	if m.report.ConfigVersion > l.configVersion {
+		l.fetchNewerConfig(now, m.node)
+	}
 }
 
 // shutdownMsg reports that this daemon shuts down.
--- a/internal/cell/relay_test.go
+++ b/internal/cell/relay_test.go
@@ -121,7 +121,9 @@
 }
 
 // View implements linkrpc.Viewer.
-func (b *relayBench) View() *cellpb.ViewResponse { return &cellpb.ViewResponse{Node: "leader"} }
+func (b *relayBench) View(*cellpb.ViewRequest) *cellpb.ViewResponse {
+	return &cellpb.ViewResponse{Node: "leader"}
+}
 
 // LinkOpened implements linkrpc.Handler.
 func (b *relayBench) LinkOpened(*linkrpc.Link) {}
