Let tasks with time to spare yield to waiting gangs

Change: while a gang whose turn has come waits, steps of a lower priority do not start tasks during the first half of the time until their latest start.

--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -22,7 +22,7 @@
 		c.refreshPools(now)
 	}
 	for _, p := range c.pools {
-		p.updateFree()
+		p.startRound()
 	}
 	if c.reservationsStale {
 		c.reservationsStale = false
@@ -32,7 +32,10 @@
 	c.admitGangs()
 	kept := c.ready[:0]
 	for _, s := range c.ready {
-		c.place(now, s)
+		if !c.yields(now, s) {
+			c.place(now, s)
+			c.noteWaitingGang(s)
+		}
 		s.queued = s.canStart() && s.pending > 0
 		if s.queued {
 			kept = append(kept, s)
@@ -91,13 +94,17 @@
 	largest model.Size
 	// free is the sum of the free capacity of all workers.
 	free model.Size
+	// gangWaits is set once a gang of priority gangPriority was not placed in the current
+	// round although its turn had come.
+	gangWaits    bool
+	gangPriority int
 	// next is the index at which the next sample begins.
 	next int
 }
 
-// updateFree recomputes the free capacity.
-func (p *pool) updateFree() {
-	p.largest, p.free = model.Size{}, model.Size{}
+// startRound recomputes the free capacity and forgets the waiting gangs of the last round.
+func (p *pool) startRound() {
+	p.largest, p.free, p.gangWaits = model.Size{}, model.Size{}, false
 	for _, w := range p.workers {
 		free := w.resources.free()
 		p.largest = p.largest.Max(free)
--- /dev/null
+++ b/internal/core/jobs/yield.go
@@ -0,0 +1,29 @@
+package jobs
+
+import "time"
+
+// yieldShare is the fraction of the time until its latest start for which a step lets more
+// urgent gangs go first.
+const yieldShare = 0.5
+
+// noteWaitingGang records that a gang was not placed although its turn had come.
+func (c *Core) noteWaitingGang(s *step) {
+	if !s.def.Gang || !s.admitted || !c.placeable(s) {
+		return
+	}
+	p := c.pool(s)
+	p.gangWaits, p.gangPriority = true, s.job().queue.Priority
+}
+
+// yields reports whether a step does not start tasks now because a gang of a higher
+// priority waits for capacity. Otherwise its tasks, one by one, would take all capacity that
+// becomes free, although they have time to spare and the gang has not. Steps are tried in
+// the order of priority, so the gangs of this round are known.
+func (c *Core) yields(now time.Time, s *step) bool {
+	p := c.pool(s)
+	if s.def.Gang || !p.gangWaits || s.job().queue.Priority <= p.gangPriority {
+		return false
+	}
+	slack := s.startBy.Sub(s.job().acceptedAt)
+	return s.startBy.Sub(now) > time.Duration((1-yieldShare)*float64(slack))
+}
