Log why a step that may start has no run

The leader now writes a line each second for the most urgent steps without a run for 2 s, 20 at most, with the reason of the last round. Placement is unchanged: place returns the reason where it returned nothing.

--- a/internal/core/jobs/advice.go
+++ b/internal/core/jobs/advice.go
@@ -222,30 +222,36 @@
 
 // requestAdvice requests advice on further workers for a step, or new tickets, as far
 // as relays are available. Candidates beyond maxAdviceWorkers are divided among
-// parallel calls.
-func (c *Core) requestAdvice(now time.Time, s *step) {
+// parallel calls. It returns what the step waits for.
+func (c *Core) requestAdvice(now time.Time, s *step) model.Reason {
 	adviceCfg := s.job().queue.Advice
-	if adviceCfg == nil || s.advice.callsInFlight > 0 || now.Before(s.advice.nextRequestAt) {
-		return
+	switch {
+	case adviceCfg == nil:
+		return waitForCapacity
+	case s.advice.callsInFlight > 0:
+		return waitForAdvice
+	case now.Before(s.advice.nextRequestAt):
+		return waitForCandidate
 	}
 	rs := &c.relays
 	if rs.choose(now, adviceCfg.DecisionTime) == nil {
-		return
+		return waitForRelay
 	}
 	candidates := c.adviceCandidates(now, s)
 	if len(candidates) == 0 {
 		s.advice.nextRequestAt = now.Add(candidateRetryDelay)
-		return
+		return waitForCandidate
 	}
 	calls := max(1, len(rs.list)/parallelCallsDivisor)
 	size := min(max((len(candidates)+calls-1)/calls, adviceCfg.minWorkers()), maxAdviceWorkers)
 	for part := range slices.Chunk(candidates[:min(len(candidates), calls*size)], size) {
 		relay := rs.choose(now, adviceCfg.DecisionTime)
 		if relay == nil {
-			return
+			break
 		}
 		c.callAdvice(now, s, relay, part)
 	}
+	return waitForTicket
 }
 
 // callAdvice makes one call for a step through a relay.
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -105,8 +105,9 @@
 	nextScheduleAt time.Time
 	out            Actions
 	// fenced is set once a worker refused this leader's token.
-	fenced       bool
-	storeStalled bool
+	fenced         bool
+	storeStalled   bool
+	lastWaitReport time.Time
 	// pacingNeeded is set once a job had fillers or tasks with a latency
 	// target.
 	pacingNeeded bool
--- a/internal/core/jobs/events.go
+++ b/internal/core/jobs/events.go
@@ -15,6 +15,7 @@
 	EventJobAccepted      EventName = "job_accepted"
 	EventJobCancelled     EventName = "job_cancelled"
 	EventJobEnded         EventName = "job_ended"
+	EventStepWaiting      EventName = "step_waiting"
 	EventRunStarted       EventName = "run_started"
 	EventStartRefused     EventName = "start_refused"
 	EventStartUnclear     EventName = "start_unclear"
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -87,6 +87,7 @@
 	held []heldCopies
 	// heldUntil is when the gang is expected to start on the held capacity.
 	heldUntil time.Time
+	wait      waitState
 }
 
 // gang is the state that the tasks of a gang step share.
--- a/internal/core/jobs/runs.go
+++ b/internal/core/jobs/runs.go
@@ -200,6 +200,7 @@
 	c.poolsStale, c.reservationsStale = true, true
 	c.expirePreviousLeases(now)
 	c.expireAdviceCalls(now)
+	c.reportWaits(now)
 }
 
 // tickWorker does what is due for one worker. It removes a worker that is no
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -32,10 +32,13 @@
 	c.admitGangs()
 	kept := c.ready[:0]
 	for _, s := range c.ready {
-		if !c.yields(now, s) {
-			c.place(now, s)
+		if c.yields(now, s) {
+			s.wait.reason = waitForGang
+		} else {
+			s.wait.reason = c.place(now, s)
 			c.noteWaitingGang(s)
 		}
+		s.updateWait(now)
 		s.queued = s.canStart() && s.pending > 0
 		if s.queued {
 			kept = append(kept, s)
@@ -147,26 +150,28 @@
 	return &pool{}
 }
 
-// place starts as many tasks of a step as possible.
-func (c *Core) place(now time.Time, s *step) {
-	if !s.canStart() || s.pending == 0 || now.Before(s.backoffUntil) || !c.runsKnown(s) {
-		return
-	}
-	if s.def.Gang && s.pending != s.unfinished {
-		return // members of an earlier run are still being stopped
-	}
-	if !s.def.Size.Fits(c.pool(s).largest) {
-		return
-	}
-	if s.def.Gang {
-		c.placeGang(now, s)
-	} else {
-		c.placeTasks(now, s)
-	}
+// place starts as many tasks of a step as possible and returns why others were not
+// started, if there are any.
+func (c *Core) place(now time.Time, s *step) model.Reason {
+	switch {
+	case !s.canStart() || s.pending == 0:
+		return ""
+	case now.Before(s.backoffUntil):
+		return waitForBackoff
+	case !c.runsKnown(s):
+		return waitForRecovery
+	case s.def.Gang && s.pending != s.unfinished:
+		return waitForStops
+	case !s.def.Size.Fits(c.pool(s).largest):
+		return waitForCapacity
+	case s.def.Gang:
+		return c.placeGang(now, s)
+	}
+	return c.placeTasks(now, s)
 }
 
 // placeTasks starts tasks one by one, each on the best worker.
-func (c *Core) placeTasks(now time.Time, s *step) {
+func (c *Core) placeTasks(now time.Time, s *step) model.Reason {
 	options := c.options(now, s)
 	for i := range s.tasks {
 		t := &s.tasks[i]
@@ -175,18 +180,17 @@
 		}
 		w := c.bestWorker(now, s, options)
 		if w == nil {
-			c.requestAdvice(now, s)
-			return
+			return c.requestAdvice(now, s)
 		}
 		c.start(now, t, w, c.nextRunNumber(s.job(), &t.runCount), s.advice.ticketFor(w))
 	}
+	return ""
 }
 
 // placeGang starts all tasks of a gang or none.
-func (c *Core) placeGang(now time.Time, s *step) {
+func (c *Core) placeGang(now time.Time, s *step) model.Reason {
 	if s.job().queue.Advice != nil && !s.admitted {
-		c.requestAdvice(now, s)
-		return
+		return c.requestAdvice(now, s)
 	}
 	options := c.options(now, s)
 	slices.SortStableFunc(options, func(a, b *worker) int { return cmp.Compare(score(s, a), score(s, b)) })
@@ -198,14 +202,14 @@
 		}
 	}
 	if len(chosen) < len(s.tasks) {
-		c.requestAdvice(now, s)
-		return
+		return c.requestAdvice(now, s)
 	}
 	c.release(s)
 	number := c.nextRunNumber(s.job(), &s.gang.runCount)
 	for i := range s.tasks {
 		c.start(now, &s.tasks[i], chosen[i], number, s.advice.ticketFor(chosen[i]))
 	}
+	return ""
 }
 
 // options returns the workers on which a task of the step could start now.
--- /dev/null
+++ b/internal/core/jobs/waiting.go
@@ -0,0 +1,66 @@
+package jobs
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+const (
+	// waitReportDelay is how long no task of a ready step has had a run before the
+	// reason is reported.
+	waitReportDelay = 2 * time.Second
+	// waitReportInterval is the time between two reports on the waiting steps.
+	waitReportInterval = time.Second
+	// maxWaitReports limits the steps in one report.
+	maxWaitReports = 20
+)
+
+// Reasons why a ready step was not started in the last round.
+const (
+	waitForRecovery  model.Reason = "runs_of_earlier_leader"
+	waitForStops     model.Reason = "gang_members_stopping"
+	waitForBackoff   model.Reason = "backoff"
+	waitForCapacity  model.Reason = "no_worker_with_room"
+	waitForGang      model.Reason = "yields_to_gang"
+	waitForAdvice    model.Reason = "advice_in_flight"
+	waitForRelay     model.Reason = "no_adviser_free"
+	waitForCandidate model.Reason = "no_worker_to_ask_about"
+	waitForTicket    model.Reason = "advice_asked"
+)
+
+// waitState says since when and why a ready step has no run.
+type waitState struct {
+	// since is when the step was first seen without a run; zero while it has one.
+	since  time.Time
+	reason model.Reason
+}
+
+// updateWait records whether the step waits without any run.
+func (s *step) updateWait(now time.Time) {
+	switch {
+	case s.pending < s.unfinished || !s.canStart():
+		s.wait.since = time.Time{}
+	case s.wait.since.IsZero():
+		s.wait.since = now
+	}
+}
+
+// reportWaits reports the most urgent steps that have waited long, with the reason.
+func (c *Core) reportWaits(now time.Time) {
+	if now.Sub(c.lastWaitReport) < waitReportInterval {
+		return
+	}
+	c.lastWaitReport = now
+	reported := 0
+	for _, s := range c.ready {
+		if s.wait.since.IsZero() || now.Sub(s.wait.since) < waitReportDelay {
+			continue
+		}
+		if reported++; reported > maxWaitReports {
+			return
+		}
+		c.event(Event{Name: EventStepWaiting, Job: s.job().spec.ID, Queue: s.job().queue.Name, Task: &TaskRef{Job: s.job().spec.ID, Occurrence: s.occ.ordinal, Step: s.index},
+			Reason: s.wait.reason, Age: now.Sub(s.wait.since), Count: s.pending})
+	}
+}
