Ask about several workers for the last tasks of a step

Callers saw an accepted step that could run and was not started although most of the room was free. Cause: a call for advice named as few workers as had room for the tasks of the whole step, also when one task was pending. Ruled out: a step stuck in the leader's state (each step asked again in its turn). Change: the room of a worker counts for no more tasks than are pending, so that one task asks about as many workers as the usual share of permissions requires. TestLastTaskOfStepAsksAboutSeveralWorkers failed before (asks about [w2]).

--- a/internal/core/jobs/advice_candidates.go
+++ b/internal/core/jobs/advice_candidates.go
@@ -36,7 +36,8 @@
 // taskCandidates chooses the workers with the most free capacity, as many as the
 // pending tasks need at the usual share of allowed workers. Workers that are
 // known to be allowed and need a new ticket come first; the capacity of each
-// counts ten times.
+// counts ten times. A worker is allowed or denied as a whole, so its capacity counts
+// for no more tasks than are pending.
 func (c *Core) taskCandidates(now time.Time, s *step) []*worker {
 	var options []*worker
 	for _, w := range c.sample(c.pool(s)) {
@@ -56,7 +57,7 @@
 		if needed <= 0 || len(candidates) == maxAdviceWorkers {
 			break
 		}
-		n := min(w.resources.copies(s.def.Size), w.remainingPerWorker(s))
+		n := min(w.resources.copies(s.def.Size), w.remainingPerWorker(s), s.pending)
 		candidates = append(candidates, w)
 		needed -= float64(n) * float64(1+9*(1-s.permissionUnknown(w)))
 	}
--- a/internal/core/jobs/advice_test.go
+++ b/internal/core/jobs/advice_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
 )
 
 // newAdviceBench returns a bench whose queue requires advice.
@@ -68,3 +70,29 @@
 	assert.Equal(t, len(second), 1, "no new request after the relay was lost")
 	assert.Equal(t, second[0].Relay, "other")
 }
+
+// Guards against the last task of a wide step that asks about one worker at a time, because
+// that worker has room for many tasks, and is denied each time.
+func TestLastTaskOfStepAsksAboutSeveralWorkers(t *testing.T) {
+	b := newAdviceBench(t)
+	b.addWorkers("w1")
+	b.submit("j1", smallStep(6))
+	out := b.advance(10 * time.Millisecond)
+	b.allow(out.Advice[0], anyWorker)
+	starts := b.advance(10 * time.Millisecond).Starts
+	assert.Equal(t, len(starts), 6)
+	b.confirmStarts(starts)
+	done := SyncResult{Incarnation: 1}
+	for i, s := range starts[1:] {
+		done.Ends = append(done.Ends, RunEnd{Seq: int64(i + 1), Task: s.Task, Run: s.Run, Kind: EndDone})
+	}
+	b.answerSyncs(out, map[model.WorkerID]SyncResult{"w1": done})
+	b.storeBatch()
+
+	b.addWorkers("w2", "w3", "w4", "w5", "w6")
+	b.core.relays.observe("q", 4, 10)
+	b.core.handleReplacedWorker(b.now, b.core.workers["w1"])
+	requests := b.advance(10 * time.Millisecond).Advice
+	assert.Equal(t, len(requests), 1)
+	assert.Assert(t, len(requests[0].Workers) >= 3, "asks about %v", requests[0].Workers)
+}
