Start nothing on a worker that missed its last sync

Each was refused half a second later (not_sent), and its step had to queue for advice again. Change: a worker that missed its last sync gets no new tasks until it answers; the first repeat of the sync follows after 20 ms instead of 150 ms, since often only the connection broke.

--- a/internal/core/jobs/core_test.go
+++ b/internal/core/jobs/core_test.go
@@ -198,3 +198,17 @@
 	assert.Equal(t, len(started), 1)
 	assert.Equal(t, started[0].Worker, model.WorkerID("w2"))
 }
+
+// Guards against starts that are sent to a crashed worker because it answered a moment ago.
+func TestWorkerThatMissedASyncGetsNoStarts(t *testing.T) {
+	b := newTestBench(t)
+	b.addWorkers("w1")
+	out := b.advance(100 * time.Millisecond)
+	b.core.HandleSyncResult(b.now, &SyncResult{Worker: "w1", SentAt: b.now, Status: CallNoAnswer})
+	b.submit("j1", smallStep(1))
+	assert.Equal(t, len(out.Syncs), 1)
+	out = b.advance(firstSyncRetryDelay)
+	assert.Equal(t, len(out.Starts), 0, "started on a worker that does not answer")
+	b.answerSyncs(out, nil)
+	assert.Equal(t, len(b.advance(0).Starts), 1, "not started although the worker answers again")
+}
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// syncRetryDelay is the first delay after a sync without an answer; it
-	// doubles up to maxSyncRetryDelay.
+	// firstSyncRetryDelay is the delay after the first sync without an answer: often
+	// only the connection broke, and the worker gets no tasks until it answers.
+	firstSyncRetryDelay = 20 * time.Millisecond
+	// syncRetryDelay is the delay after the second one; it doubles up to
+	// maxSyncRetryDelay.
 	syncRetryDelay    = 150 * time.Millisecond
 	maxSyncRetryDelay = time.Second
 	// unstoredPollInterval is the delay between syncs while processed ends are
@@ -177,7 +180,7 @@
 	}
 	w.missedSyncs++
 	c.poolsStale = true
-	w.nextSync = now.Add(min(syncRetryDelay<<min(w.missedSyncs-1, 4), maxSyncRetryDelay))
+	w.nextSync = now.Add(retryDelay(w.missedSyncs))
 	if status == CallWrongIncarnation {
 		c.handleReplacedWorker(now, w)
 		return
@@ -185,6 +188,14 @@
 	c.abortUnclearGangs(now, w)
 }
 
+// retryDelay returns the delay after a number of successive syncs without an answer.
+func retryDelay(missedSyncs int) time.Duration {
+	if missedSyncs == 1 {
+		return firstSyncRetryDelay
+	}
+	return min(syncRetryDelay<<min(missedSyncs-2, 4), maxSyncRetryDelay)
+}
+
 // abortUnclearGangs aborts gangs that wait for a member on a silent worker;
 // otherwise the other members would occupy their capacity until they time out.
 func (c *Core) abortUnclearGangs(now time.Time, w *worker) {
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -117,7 +117,8 @@
 	// WorkerNotAnswered means that not everything that runs on the worker is
 	// known.
 	WorkerNotAnswered
-	// WorkerSilent means that the worker has not answered for too long.
+	// WorkerSilent means that the worker did not answer its last sync, or has not
+	// answered for too long.
 	WorkerSilent
 	// WorkerNotStored means that the worker's record is not stored yet.
 	WorkerNotStored
@@ -253,7 +254,7 @@
 		return WorkerDraining
 	case !w.answered || w.leaseExpired || w.WorkerEntry.Incarnation != w.incarnation || w.unknownRuns > 0:
 		return WorkerNotAnswered
-	case now.Sub(w.lastContact) > c.silenceTimeout(w):
+	case w.missedSyncs > 0 || now.Sub(w.lastContact) > c.silenceTimeout(w):
 		return WorkerSilent
 	case w.recordState != recordStored:
 		return WorkerNotStored
