Let soak workers crash under tasks; check BUDGET and LOST of such tasks

Change: a payload can mark the first task, or all tasks, of a job's last step as deadly. Their worker crashes 10 ms after the start, without state, and may come back under a new ID. The checker reports a third start after three crashes (BUDGET), a job shown as failed although no deadly task of it crashed two workers (LOST; crashes are no failed attempts), and a deadly job without a final state (LOST).

Measured: each new check fails in a case of TestEachBrokenPromiseIsSeen; TestAllowedEndsOfDeadlyTasksAreNoViolation passes.

--- a/internal/cellsoak/checker.go
+++ b/internal/cellsoak/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,6 +13,17 @@
 // maxAttempts is the number of failures of a task after which its job fails.
 const maxAttempts = 3
 
+const (
+	// minCrashes is the number of workers that crashed under a deadly task after which
+	// its job may be shown as failed.
+	minCrashes = 2
+	// maxCrashes is the number of such workers after which the starts of the task are
+	// limited to fewer than startsAfterCrashes.
+	maxCrashes = 3
+	// startsAfterCrashes is the number of starts after maxCrashes that is a violation.
+	startsAfterCrashes = 3
+)
+
 // checker records what callers and workers observe, and the violations of the platform's
 // rules that follow from it. The caller of its methods holds mu.
 type checker struct {
@@ -21,6 +33,8 @@
 	tasks      map[jobs.TaskRef]*trackedTask
 	violations []string
 	starts     int
+	// crashes counts the workers that crashed under deadly tasks.
+	crashes int
 }
 
 // trackedJob is a job as its caller observes it.
@@ -52,6 +66,9 @@
 	// cell had acknowledged the end of the task. The cell may start it again then.
 	mayRestart bool
 	failures   int
+	// crashes counts the workers that crashed while they ran the task, and
+	// startsAfterCrashes its starts after maxCrashes of them.
+	crashes, startsAfterCrashes int
 }
 
 func newChecker() *checker {
@@ -111,6 +128,11 @@
 	if t.failures >= maxAttempts {
 		c.addViolation("BUDGET: %s starts run %d of %s, which failed %d times", w.id, req.Run, req.Task, t.failures)
 	}
+	if c.deadly(req.Task) && t.crashes >= maxCrashes {
+		if t.startsAfterCrashes++; t.startsAfterCrashes == startsAfterCrashes {
+			c.addViolation("BUDGET: %s starts run %d of %s, start %d after %d workers crashed under it", w.id, req.Run, req.Task, startsAfterCrashes, maxCrashes)
+		}
+	}
 	for _, dependency := range step.After {
 		if !c.stepDone(req.Task, dependency) {
 			c.addViolation("ORDER: %s starts %s before step %d is done", w.id, req.Task, dependency)
@@ -140,6 +162,37 @@
 	return done == step.Count || step.Gang && done > 0
 }
 
+// deadly reports whether a task crashes the workers that start it.
+func (c *checker) deadly(ref jobs.TaskRef) bool {
+	j := c.jobs[ref.Job]
+	if j == nil || int(ref.Step) != len(j.spec.Steps)-1 {
+		return false
+	}
+	return strings.HasPrefix(j.spec.Payload, allDeadlyMark) || ref.Index == 0 && strings.HasPrefix(j.spec.Payload, firstDeadlyMark)
+}
+
+// workerCrashed records that a deadly task crashed a worker. None of the runs on it counts
+// as a failed attempt.
+func (c *checker) workerCrashed(w *worker) {
+	c.crashes++
+	for ref := range w.runs {
+		c.task(ref).crashes++
+	}
+}
+
+// crashedRepeatedly reports whether minCrashes workers crashed under a deadly task of the
+// job.
+func (c *checker) crashedRepeatedly(j *trackedJob) bool {
+	last := len(j.spec.Steps) - 1
+	for i := range j.spec.Steps[last].Count {
+		ref := jobs.TaskRef{Job: j.spec.ID, Step: int32(last), Index: int32(i)}
+		if c.deadly(ref) && c.task(ref).crashes >= minCrashes {
+			return true
+		}
+	}
+	return false
+}
+
 // recordEnd records the end of a run on a worker.
 func (c *checker) recordEnd(w *worker, ref jobs.TaskRef, kind jobs.EndKind) {
 	t := c.task(ref)
@@ -184,8 +237,8 @@
 			c.addViolation("LOST: job %s was reported as cancelled, but no caller cancelled it", j.spec.ID)
 		}
 	case jobs.ViewFailed:
-		if !c.attemptsExhausted(j) {
-			c.addViolation("LOST: job %s was reported as failed, but no task failed %d times", j.spec.ID, maxAttempts)
+		if !c.attemptsExhausted(j) && !c.crashedRepeatedly(j) {
+			c.addViolation("LOST: job %s was reported as failed, but no task failed %d times or crashed %d workers", j.spec.ID, maxAttempts, minCrashes)
 		}
 	default:
 		return
@@ -193,6 +246,25 @@
 	j.finalState = v
 }
 
+// checkUnfinished adds a violation for each of the given jobs, which have no final state
+// at the end of a run.
+func (c *checker) checkUnfinished(unfinished []*trackedJob) {
+	for _, j := range unfinished {
+		c.addViolation("LOST: job %s with payload %q was accepted and has no final state", j.spec.ID, j.spec.Payload)
+	}
+}
+
+// unfinished returns the accepted jobs without a final state.
+func (c *checker) unfinished() []*trackedJob {
+	var out []*trackedJob
+	for _, j := range c.jobs {
+		if j.accepted && j.finalState == "" {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
 // attemptsExhausted reports whether a task of the job, or the tasks of a gang together,
 // failed maxAttempts times.
 func (c *checker) attemptsExhausted(j *trackedJob) bool {
--- a/internal/cellsoak/checker_test.go
+++ b/internal/cellsoak/checker_test.go
@@ -65,6 +65,44 @@
 		"completed early":      {"MIXED", func(chk *checker, _, _ *worker, j *trackedJob) { chk.checkReported(j, jobs.ViewCompleted) }},
 		"failed without cause": {"LOST", func(chk *checker, _, _ *worker, j *trackedJob) { chk.checkReported(j, jobs.ViewFailed) }},
 		"cancelled by nobody":  {"LOST", func(chk *checker, _, _ *worker, j *trackedJob) { chk.checkReported(j, jobs.ViewCancelled) }},
+		"three starts after three crashes": {"BUDGET", func(_ *checker, a, _ *worker, j *trackedJob) {
+			j.spec = deadlyJob("j").spec
+			crashWorker(t, a, "j", maxCrashes+startsAfterCrashes-1)
+			a.start(1, deadlyRequest("j", 9))
+		}},
+		"innocent job failed after crashes": {"LOST", func(chk *checker, a, _ *worker, j *trackedJob) {
+			chk.jobs["guilty"] = deadlyJob("guilty")
+			for run := range int64(maxCrashes) {
+				req := newRequest(run + 1)
+				a.start(1, &req)
+				crashWorker(t, a, "guilty", 1)
+			}
+			assert.Equal(t, chk.task(task).crashes, maxCrashes)
+			chk.checkReported(j, jobs.ViewFailed)
+		}},
+		"failed after its workers were killed": {"LOST", func(chk *checker, a, _ *worker, j *trackedJob) {
+			for run := range int64(maxCrashes) {
+				req := newRequest(run + 1)
+				a.start(1, &req)
+				a.restart()
+			}
+			chk.checkReported(j, jobs.ViewFailed)
+		}},
+		"deadly job failed after one crash": {"LOST", func(chk *checker, a, _ *worker, j *trackedJob) {
+			j.spec = deadlyJob("j").spec
+			crashWorker(t, a, "j", 1)
+			chk.checkReported(j, jobs.ViewFailed)
+		}},
+		"deadly job without an end": {"LOST", func(chk *checker, a, _ *worker, j *trackedJob) {
+			j.spec = deadlyJob("j").spec
+			crashWorker(t, a, "j", maxCrashes)
+			chk.checkUnfinished(chk.unfinished())
+		}},
+		"deadly job completed": {"MIXED", func(chk *checker, a, _ *worker, j *trackedJob) {
+			j.spec = deadlyJob("j").spec
+			crashWorker(t, a, "j", minCrashes)
+			chk.checkReported(j, jobs.ViewCompleted)
+		}},
 	} {
 		chk := newChecker()
 		a, b := newWorker(chk, "w-00", workerCapacity, 1), newWorker(chk, "w-01", workerCapacity, 2)
@@ -79,6 +117,53 @@
 	}
 }
 
+// deadlyJob returns a job whose only task crashes the workers that start it.
+func deadlyJob(id string) *trackedJob {
+	return &trackedJob{accepted: true, spec: &jobs.Spec{ID: id, Payload: deadlyPayload(firstDeadlyMark, "100"), Steps: []jobs.Step{{Count: 1, Size: model.Size{MilliCPU: 1000}}}}}
+}
+
+func deadlyRequest(job string, run int64) *jobs.StartRequest {
+	return &jobs.StartRequest{Task: jobs.TaskRef{Job: job}, Run: run, Payload: deadlyPayload(firstDeadlyMark, "100"), LeaseDeadlineMs: 5000}
+}
+
+// crashWorker starts a deadly job on a worker the given number of times, each time until
+// the worker crashes and is back.
+func crashWorker(t *testing.T, w *worker, job string, times int) {
+	for range times {
+		status, _ := w.start(1, deadlyRequest(job, 1))
+		assert.Equal(t, status, jobs.CallOK)
+		assert.Assert(t, w.advance(time.Now().Add(deadlyDelay)))
+		status, _ = w.start(1, deadlyRequest(job, 1))
+		assert.Equal(t, status, jobs.CallNoAnswer)
+		w.comeBack(w.id + "-new")
+	}
+}
+
+// Guards against a checker that blames tasks that are given up in time, that share workers
+// with them or whose workers crash for another reason.
+func TestAllowedEndsOfDeadlyTasksAreNoViolation(t *testing.T) {
+	chk := newChecker()
+	a := newWorker(chk, "w-00", workerCapacity, 1)
+	innocent := &trackedJob{accepted: true, spec: &jobs.Spec{ID: "j", Payload: "100", Steps: []jobs.Step{{Count: 1, Size: model.Size{MilliCPU: 1000}}}}}
+	chk.jobs["j"], chk.jobs["early"], chk.jobs["late"] = innocent, deadlyJob("early"), deadlyJob("late")
+	for run := range int64(maxCrashes + startsAfterCrashes - 1) {
+		a.start(1, &jobs.StartRequest{Task: jobs.TaskRef{Job: "j"}, Run: run + 1, Payload: "100", LeaseDeadlineMs: 5000})
+		if run < minCrashes {
+			crashWorker(t, a, "early", 1)
+		}
+		crashWorker(t, a, "late", 1)
+	}
+	task := jobs.TaskRef{Job: "j"}
+	a.start(1, &jobs.StartRequest{Task: task, Run: 9, Payload: "100", LeaseDeadlineMs: 5000})
+	a.endRun(task, a.runs[task], jobs.EndDone)
+	chk.checkReported(innocent, jobs.ViewCompleted)
+	chk.checkReported(chk.jobs["early"], jobs.ViewFailed)
+	chk.checkReported(chk.jobs["late"], jobs.ViewFailed)
+	chk.checkUnfinished(chk.unfinished())
+	assert.Equal(t, len(chk.violations), 0, "%v", chk.violations)
+	assert.Equal(t, chk.crashes, minCrashes+maxCrashes+startsAfterCrashes-1)
+}
+
 // Guards against a checker that reports allowed behaviour as a violation.
 func TestAllowedBehaviourIsNoViolation(t *testing.T) {
 	chk := newChecker()
--- a/internal/cellsoak/load.go
+++ b/internal/cellsoak/load.go
@@ -136,9 +136,11 @@
 // awaitFinalStates queries all accepted jobs until each has a final state. When ctx ends,
 // it adds a violation for each job without one.
 func (l *load) awaitFinalStates(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(1, 2))
+	rng, chk := rand.New(rand.NewPCG(1, 2)), l.cell.checker
 	for {
-		unfinished := l.unfinished()
+		chk.mu.Lock()
+		unfinished := chk.unfinished()
+		chk.mu.Unlock()
 		if len(unfinished) == 0 {
 			return
 		}
@@ -146,7 +148,9 @@
 			l.queryState(ctx, rng, j)
 		}
 		if !pause.For(ctx, pollInterval) {
-			l.reportUnfinished(unfinished)
+			chk.mu.Lock()
+			defer chk.mu.Unlock()
+			chk.checkUnfinished(unfinished)
 			return
 		}
 	}
@@ -155,28 +159,6 @@
 // pollInterval is the time between two rounds of queries.
 const pollInterval = 300 * time.Millisecond
 
-// reportUnfinished adds a violation for each of the given jobs.
-func (l *load) reportUnfinished(unfinished []*trackedJob) {
-	l.cell.checker.mu.Lock()
-	defer l.cell.checker.mu.Unlock()
-	for _, j := range unfinished {
-		l.cell.checker.addViolation("LOST: job %s was accepted and has no final state", j.spec.ID)
-	}
-}
-
-// unfinished returns the accepted jobs without a final state.
-func (l *load) unfinished() []*trackedJob {
-	l.cell.checker.mu.Lock()
-	defer l.cell.checker.mu.Unlock()
-	var out []*trackedJob
-	for _, j := range l.cell.checker.jobs {
-		if j.accepted && j.finalState == "" {
-			out = append(out, j)
-		}
-	}
-	return out
-}
-
 // queryState queries the state of one job at a random daemon and checks it. A call without
 // an answer is ignored, since awaitFinalStates repeats it.
 func (l *load) queryState(ctx context.Context, rng *rand.Rand, j *trackedJob) {
--- a/internal/cellsoak/worker.go
+++ b/internal/cellsoak/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,6 +38,8 @@
 	// slowClockRate is the rate of the clocks of half of the workers relative to real
 	// time.
 	slowClockRate = 0.98
+	// deadlyDelay is the time from the start of a deadly task to the crash of its worker.
+	deadlyDelay = 10 * time.Millisecond
 	// endsPerPage is the largest number of ended runs in one response.
 	endsPerPage = 500
 	// failShare is the fraction of runs that fail on a healthy worker.
@@ -64,7 +67,10 @@
 	unackedEnds []jobs.RunEnd // ended runs that the cell has not acknowledged
 	lastEndSeq  int64
 	fault       workerFault
-	rng         *rand.Rand
+	// down is set from a crash under a task until the worker is back. No call is executed
+	// or answered meanwhile.
+	down bool
+	rng  *rand.Rand
 	// changed is closed and replaced whenever a run ends.
 	changed chan struct{}
 }
@@ -82,6 +88,8 @@
 	// stopAt is when a requested stop takes effect; zero without a request.
 	stopAt   time.Time
 	willFail bool
+	// deadly is set if the run crashes the worker.
+	deadly bool
 }
 
 func newWorker(c *checker, id model.WorkerID, capacity model.Size, seed uint64) *worker {
@@ -106,8 +114,25 @@
 	w.runs, w.highestRun, w.unackedEnds, w.lastEndSeq = map[jobs.TaskRef]*workerRun{}, map[jobs.TaskRef]int64{}, nil, 0
 }
 
+// crash ends the worker's process because of a run on it, until comeBack.
+func (w *worker) crash() {
+	w.checker.workerCrashed(w)
+	w.restart()
+	w.down = true
+}
+
+// comeBack begins a new incarnation with the given ID after a crash.
+func (w *worker) comeBack(id model.WorkerID) {
+	w.restart()
+	w.id, w.down = id, false
+}
+
 // ID implements platform.SimulatedWorker.
-func (w *worker) ID() model.WorkerID { return w.id }
+func (w *worker) ID() model.WorkerID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.id
+}
 
 // Incarnation implements platform.SimulatedWorker.
 func (w *worker) Incarnation() int64 { return w.incarnationStart.UnixMilli() }
@@ -145,7 +170,7 @@
 
 // Start implements platform.SimulatedWorker.
 func (w *worker) Start(_ context.Context, token uint64, req jobs.StartRequest) jobs.StartResult {
-	r := jobs.StartResult{Worker: w.id, Task: req.Task, Run: req.Run, Status: jobs.CallNoAnswer}
+	r := jobs.StartResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Status: jobs.CallNoAnswer}
 	if w.delayStart(token, &req) {
 		return r
 	}
@@ -158,6 +183,9 @@
 // start executes a start request and returns its status and the worker's clock in
 // milliseconds. The caller holds the checker's lock.
 func (w *worker) start(token uint64, req *jobs.StartRequest) (jobs.CallStatus, int64) {
+	if w.down {
+		return jobs.CallNoAnswer, 0
+	}
 	if token < w.token {
 		return jobs.CallFenced, w.clockMs()
 	}
@@ -180,7 +208,7 @@
 }
 
 func (w *worker) newRun(req *jobs.StartRequest) *workerRun {
-	r := &workerRun{number: req.Run, startedAt: time.Now(), workTime: parseWorkTime(req.Payload), willFail: w.rng.Float64() < failShare || poisoned(req.Payload)}
+	r := &workerRun{number: req.Run, startedAt: time.Now(), workTime: parseWorkTime(req.Payload), willFail: w.rng.Float64() < failShare || poisoned(req.Payload), deadly: w.checker.deadly(req.Task)}
 	if step := w.checker.step(req.Task); step != nil {
 		r.size = step.Size
 		if step.Gang {
@@ -204,6 +232,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	r := jobs.StopResult{Worker: w.id, Task: req.Task, Run: req.Run, Status: jobs.CallFenced, ClockMs: w.clockMs()}
+	if w.down {
+		r.Status = jobs.CallNoAnswer
+		return r
+	}
 	if token < w.token {
 		return r
 	}
@@ -246,6 +278,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	r := jobs.SyncResult{Worker: w.id, Status: jobs.CallFenced, ClockMs: w.clockMs(), Incarnation: w.Incarnation()}
+	if w.down {
+		r.Status = jobs.CallNoAnswer
+		return r, w.changed
+	}
 	if token < w.token {
 		return r, w.changed
 	}
@@ -268,9 +304,15 @@
 	return r, w.changed
 }
 
-// advance advances the worker's runs by tickInterval and ends those that are due. The
-// caller holds the checker's lock.
-func (w *worker) advance(now time.Time) {
+// advance advances the worker's runs by tickInterval, ends those that are due and reports
+// whether one crashed the worker. The caller holds the checker's lock.
+func (w *worker) advance(now time.Time) (crashed bool) {
+	for _, r := range w.runs {
+		if r.deadly && now.Sub(r.startedAt) >= deadlyDelay {
+			w.crash()
+			return true
+		}
+	}
 	leaseExpired := w.clockMs() > w.leaseUntil
 	if leaseExpired {
 		for i := range w.unackedEnds {
@@ -296,6 +338,7 @@
 			}
 		}
 	}
+	return false
 }
 
 // gangComplete reports whether all members of a gang run on workers.
@@ -368,12 +411,19 @@
 // poisoned reports whether the runs of a job with the payload always fail.
 func poisoned(payload string) bool { return payload != "" && payload[0] == '!' }
 
+// Marks in front of the payload of a deadly job: the first task of its last step, or each
+// task of that step, crashes the worker that starts it.
+const (
+	firstDeadlyMark = "*"
+	allDeadlyMark   = "#"
+)
+
+// deadlyPayload returns a payload with a mark of a deadly job instead of its own.
+func deadlyPayload(mark, payload string) string { return mark + strings.TrimPrefix(payload, "!") }
+
 // parseWorkTime returns the run time in a payload, and 0 for an invalid one.
 func parseWorkTime(payload string) time.Duration {
-	if poisoned(payload) {
-		payload = payload[1:]
-	}
-	ms, err := strconv.Atoi(payload)
+	ms, err := strconv.Atoi(strings.TrimLeft(payload, "!"+firstDeadlyMark+allDeadlyMark))
 	if err != nil {
 		return 0
 	}
