Count failures in the soak once the cell was told of them

Cause: the checker counted a failed run only when the cell acknowledged its end. A job may be shown as failed before the last acknowledgement arrives, or the worker may crash before it.

Change: for a job shown as failed, ends count from the first response in which the worker reported them. BUDGET still counts acknowledged ends. An end that was in no response still does not count (case "failed before its ends were reported").

Measured: TestFailuresCountOnceReported and the cases of TestEachBrokenPromiseIsSeen pass.

--- a/internal/cellsoak/checker.go
+++ b/internal/cellsoak/checker.go
@@ -65,7 +65,9 @@
 	// mayRestart is set once the lease or the incarnation of a worker ended before the
 	// cell had acknowledged the end of the task. The cell may start it again then.
 	mayRestart bool
-	failures   int
+	// failures counts the failed runs whose ends the cell has acknowledged,
+	// reportedFailures those whose ends were in a response to the cell.
+	failures, reportedFailures int
 	// crashes counts the workers that crashed while they ran the task, and
 	// startsAfterCrashes its starts after maxCrashes of them.
 	crashes, startsAfterCrashes int
@@ -202,6 +204,13 @@
 	}
 }
 
+// reported records that the end of a run was in a response to the cell for the first time.
+func (c *checker) reported(e *jobs.RunEnd) {
+	if e.Kind == jobs.EndFailed {
+		c.task(e.Task).reportedFailures++
+	}
+}
+
 // acknowledged records that the cell has acknowledged the end of a run.
 func (c *checker) acknowledged(e *jobs.RunEnd) {
 	t := c.task(e.Task)
@@ -266,7 +275,7 @@
 }
 
 // attemptsExhausted reports whether a task of the job, or the tasks of a gang together,
-// failed maxAttempts times.
+// were reported to the cell as failed maxAttempts times.
 func (c *checker) attemptsExhausted(j *trackedJob) bool {
 	for s := range j.spec.Steps {
 		sum := 0
@@ -275,10 +284,10 @@
 			if t == nil {
 				continue
 			}
-			if t.failures >= maxAttempts {
+			if t.reportedFailures >= maxAttempts {
 				return true
 			}
-			sum += t.failures
+			sum += t.reportedFailures
 		}
 		if j.spec.Steps[s].Gang && sum >= maxAttempts {
 			return true
--- a/internal/cellsoak/checker_test.go
+++ b/internal/cellsoak/checker_test.go
@@ -64,7 +64,11 @@
 		}},
 		"completed early":      {"MIXED", func(chk *checker, _, _ *worker, j *trackedJob) { chk.checkReported(j, jobs.ViewCompleted) }},
 		"failed without cause": {"LOST", func(chk *checker, _, _ *worker, j *trackedJob) { chk.checkReported(j, jobs.ViewFailed) }},
-		"cancelled by nobody":  {"LOST", func(chk *checker, _, _ *worker, j *trackedJob) { chk.checkReported(j, jobs.ViewCancelled) }},
+		"failed before its ends were reported": {"LOST", func(chk *checker, a, _ *worker, j *trackedJob) {
+			failRuns(a, task, maxAttempts)
+			chk.checkReported(j, jobs.ViewFailed)
+		}},
+		"cancelled by nobody": {"LOST", func(chk *checker, _, _ *worker, j *trackedJob) { chk.checkReported(j, jobs.ViewCancelled) }},
 		"three starts after three crashes": {"BUDGET", func(_ *checker, a, _ *worker, j *trackedJob) {
 			j.spec = deadlyJob("j").spec
 			crashWorker(t, a, "j", maxCrashes+startsAfterCrashes-1)
@@ -139,6 +143,31 @@
 	}
 }
 
+// failRuns starts runs of a task one after another and ends each as failed.
+func failRuns(w *worker, task jobs.TaskRef, runs int) {
+	for range runs {
+		w.start(1, &jobs.StartRequest{Task: task, Run: w.highestRun[task] + 1, Payload: "100", LeaseDeadlineMs: 5000})
+		w.endRun(task, w.runs[task], jobs.EndFailed)
+	}
+}
+
+// Guards against a checker that counts failures only once they are acknowledged, so that a
+// crash before that makes the report of a failed job look wrong.
+func TestFailuresCountOnceReported(t *testing.T) {
+	chk := newChecker()
+	a := newWorker(chk, "w-00", workerCapacity, 1)
+	j := &trackedJob{accepted: true, spec: &jobs.Spec{ID: "j", Payload: "100", Steps: []jobs.Step{{Count: 1, Size: model.Size{MilliCPU: 1000}}}}}
+	chk.jobs["j"] = j
+	failRuns(a, jobs.TaskRef{Job: "j"}, maxAttempts)
+	for range 2 {
+		a.syncResult(1, &jobs.SyncRequest{LeaseDeadlineMs: 5000}, true)
+	}
+	assert.Equal(t, chk.task(jobs.TaskRef{Job: "j"}).reportedFailures, maxAttempts)
+	a.crash()
+	chk.checkReported(j, jobs.ViewFailed)
+	assert.Equal(t, len(chk.violations), 0, "%v", chk.violations)
+}
+
 // Guards against a checker that blames tasks that are given up in time, that share workers
 // with them or whose workers crash for another reason.
 func TestAllowedEndsOfDeadlyTasksAreNoViolation(t *testing.T) {
--- a/internal/cellsoak/worker.go
+++ b/internal/cellsoak/worker.go
@@ -66,6 +66,8 @@
 	highestRun  map[jobs.TaskRef]int64
 	unackedEnds []jobs.RunEnd // ended runs that the cell has not acknowledged
 	lastEndSeq  int64
+	// reportedSeq is the number of the last end that was in a response.
+	reportedSeq int64
 	fault       workerFault
 	// down is set from a crash under a task until the worker is back. No call is executed
 	// or answered meanwhile.
@@ -111,7 +113,8 @@
 		w.checker.recordLostEnd(&w.unackedEnds[i])
 	}
 	w.incarnationStart, w.token, w.leaseUntil = time.Now(), 0, 0
-	w.runs, w.highestRun, w.unackedEnds, w.lastEndSeq = map[jobs.TaskRef]*workerRun{}, map[jobs.TaskRef]int64{}, nil, 0
+	w.runs, w.highestRun, w.unackedEnds = map[jobs.TaskRef]*workerRun{}, map[jobs.TaskRef]int64{}, nil
+	w.lastEndSeq, w.reportedSeq = 0, 0
 }
 
 // crash ends the worker's process because of a run on it, until comeBack.
@@ -301,6 +304,12 @@
 		r.Running = append(r.Running, jobs.RunReport{Task: ref, Run: run.number, Percent: percent})
 	}
 	r.Ends = append(r.Ends, w.unackedEnds[:min(len(w.unackedEnds), endsPerPage)]...)
+	for i := range r.Ends {
+		if r.Ends[i].Seq > w.reportedSeq {
+			w.reportedSeq = r.Ends[i].Seq
+			w.checker.reported(&r.Ends[i])
+		}
+	}
 	return r, w.changed
 }
 
