Add deadly jobs to the soak of the platform

Change: with -deadly (make platform-soak DEADLY=1) a schedule of its own submits deadly jobs for 10 s of each 20 s: single tasks, several tasks, two steps and gangs, with one guilty task or with all of them. A crashed worker refuses connections for 1.5 to 4.5 s. It is back under its own ID or, half of the times, under a new one at the same address; the entry of the old ID stays 3 s longer. Meanwhile the leader is killed just after a crash, two workers are cut off, the store is away and two workers are killed. The report counts the crashes, the new IDs and the innocent tasks on two or more crashed workers. Schedules and load without the option are drawn as before.

--- a/Makefile
+++ b/Makefile
@@ -46,9 +46,10 @@
 soak: build
 	./bin/soak -seconds $(SECONDS) -seed $(SEED)
 
-# Runs daemons on stand-ins of the users' platform under faults.
+# Runs daemons on stand-ins of the users' platform under faults; with DEADLY=1 some tasks
+# crash their workers.
 platform-soak: build
-	./bin/soak -platform -seconds $(SECONDS) -seed $(SEED)
+	./bin/soak -platform -seconds $(SECONDS) -seed $(SEED) $(if $(DEADLY),-deadly)
 
 # Needs protoc; the generated code is committed, so that builds need no generator.
 generate:
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -22,13 +22,14 @@
 	onPlatform := flag.Bool("platform", false, "run daemons on stand-ins of the users' platform")
 	daemons := flag.Int("daemons", cellsoak.DefaultDaemons, "number of daemons, with -platform")
 	workers := flag.Int("workers", cellsoak.DefaultWorkers, "number of workers, with -platform")
+	deadly := flag.Bool("deadly", false, "submit tasks that crash their workers, with -platform")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	ok := false
 	if *onPlatform {
 		ok = runPlatform(ctx, cellsoak.Options{Seconds: o.Seconds, Seed: o.Seed, Rate: cmp.Or(o.Rate, cellsoak.DefaultRate),
-			Daemons: *daemons, Workers: *workers, Out: os.Stdout})
+			Daemons: *daemons, Workers: *workers, Deadly: *deadly, Out: os.Stdout})
 	} else {
 		ok = run(ctx, o)
 	}
--- a/internal/cellsoak/cell.go
+++ b/internal/cellsoak/cell.go
@@ -4,19 +4,26 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/cell"
+	"catkinvalve/internal/cellpb"
 	"catkinvalve/internal/core/jobs"
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/faultproxy"
+	"catkinvalve/internal/pause"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/testbed"
 	"catkinvalve/platform"
@@ -65,6 +72,10 @@
 	configMu sync.Mutex
 	config   ports.CellConfig
 	caller   platform.Caller
+	// deadlyJobs is set while a share of the new jobs is deadly.
+	deadlyJobs atomic.Bool
+	// newIDs counts the workers that were back under a new ID after a crash under a task.
+	newIDs atomic.Int64
 }
 
 // soakWorker is a simulated worker with the proxy in front of its server and its entry
@@ -179,9 +190,9 @@
 // daemons read it.
 func (c *soakCell) register(w *soakWorker) error {
 	c.checker.mu.Lock()
-	w.entry.Incarnation = w.Incarnation()
-	c.checker.mu.Unlock()
+	w.entry.ID, w.entry.Incarnation = w.id, w.Incarnation()
 	record, err := platform.WorkerRecord(&w.entry)
+	c.checker.mu.Unlock()
 	if err != nil {
 		return err
 	}
@@ -320,13 +331,60 @@
 		case now := <-t.C:
 			c.checker.mu.Lock()
 			for _, w := range c.workers {
-				w.advance(now)
+				if w.advance(now) {
+					go c.restoreWorker(ctx, w)
+				}
 			}
 			c.checker.mu.Unlock()
 		}
 	}
 }
 
+const (
+	// minDowntime and maxDowntime bound the time from a crash under a task until the
+	// worker is back.
+	minDowntime = 1500 * time.Millisecond
+	maxDowntime = 4500 * time.Millisecond
+	// entryLinger is how long the entry of the old ID stays in the store after the worker
+	// is back under a new one.
+	entryLinger = 3 * time.Second
+)
+
+// restoreWorker brings a worker back after a crash under a task, half of the times under a
+// new ID at the same address.
+func (c *soakCell) restoreWorker(ctx context.Context, w *soakWorker) {
+	w.proxy.Refuse()
+	if !pause.For(ctx, minDowntime+rand.N(maxDowntime-minDowntime)) {
+		return
+	}
+	c.checker.mu.Lock()
+	oldID, newID := w.id, w.id
+	if rand.IntN(2) == 0 {
+		newID = model.WorkerID(fmt.Sprintf("%.4s-%d", oldID, c.newIDs.Add(1)))
+	}
+	w.comeBack(newID)
+	c.checker.mu.Unlock()
+	err := errors.Join(c.register(w), w.proxy.Resume())
+	if newID != oldID && pause.For(ctx, entryLinger) {
+		err = errors.Join(err, c.appendRecord(platform.WorkerTopic(), ports.KeyedRecord{Key: string(oldID)}))
+	}
+	if err != nil {
+		c.addViolation("FAULT: %s cannot come back: %v", oldID, err)
+	}
+}
+
+// leader returns the index of the daemon that the newest leader record names, and -1
+// without one.
+func (c *soakCell) leader() int {
+	for _, r := range c.store.topic(platform.LeaderTopic()).Newest("", 1).Records {
+		var node cellpb.StoredNode
+		if proto.Unmarshal(r.Value, &node) == nil {
+			return slices.IndexFunc(c.daemons, func(d *soakDaemon) bool { return d.settings.Node == node.Node })
+		}
+	}
+	return -1
+}
+
 // stop kills the daemons, also suspended ones, closes all servers and proxies and releases
 // the network.
 func (c *soakCell) stop() error {
--- a/internal/cellsoak/cellsoak_test.go
+++ b/internal/cellsoak/cellsoak_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -25,10 +26,7 @@
 // lost, started twice, started without a submission or after a refusal, and no worker is
 // overloaded.
 func TestCellSoak(t *testing.T) {
-	bin, err := filepath.Abs("../../bin")
-	assert.NilError(t, err)
-	_, err = os.Stat(filepath.Join(bin, "catkinvalved"))
-	assert.NilError(t, err, "run make build first")
+	bin := builtPrograms(t)
 	for seed, cause := range soakSeeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
@@ -43,3 +41,49 @@
 		})
 	}
 }
+
+// builtPrograms returns the directory of the built programs.
+func builtPrograms(t *testing.T) string {
+	t.Helper()
+	bin, err := filepath.Abs("../../bin")
+	assert.NilError(t, err)
+	_, err = os.Stat(filepath.Join(bin, "catkinvalved"))
+	assert.NilError(t, err, "run make build first")
+	return bin
+}
+
+// Guards against tasks that crash server after server, and against innocent jobs that are
+// given up or starve beside them.
+func TestTasksThatCrashWorkersAreGivenUp(t *testing.T) {
+	bin := builtPrograms(t)
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			var out bytes.Buffer
+			rep, err := Run(context.Background(), Options{Bin: bin, Seconds: 20, Seed: seed, Rate: DefaultRate, Daemons: DefaultDaemons, Workers: DefaultWorkers, Deadly: true, Out: &out})
+			rep.Print(&out)
+			if err != nil || len(rep.Violations) > 0 {
+				t.Fatalf("%v\n%s", err, out.String())
+			}
+			assert.Assert(t, rep.Accepted > 60, "%d jobs accepted", rep.Accepted)
+			assert.Assert(t, rep.Crashes > 5, "%d crashes", rep.Crashes)
+			assert.Assert(t, rep.NewIDs > 0 && rep.NewIDs < rep.Crashes, "%d of %d workers back under a new ID", rep.NewIDs, rep.Crashes)
+			assert.Equal(t, len(rep.Faults), 5, "%v", rep.Faults)
+		})
+	}
+}
+
+// Guards against a schedule without one of the faults during which tasks crash workers.
+func TestDeadlySchedulesAreDrawnFromTheSeed(t *testing.T) {
+	const length = time.Minute
+	first := deadlySchedule(7, length, 8)
+	assert.DeepEqual(t, first, deadlySchedule(7, length, 8))
+	seen := map[Kind]int{}
+	for _, f := range first {
+		seen[f.Kind]++
+	}
+	for _, kind := range []Kind{DeadlyJobs, KillLeader, WorkerPartition, WorkerCrash} {
+		assert.Equal(t, seen[kind], 3, "%s", kind)
+	}
+	assert.Equal(t, seen[StoreRefuses]+seen[StoreSilent], 3)
+}
--- a/internal/cellsoak/inject.go
+++ b/internal/cellsoak/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"syscall"
@@ -73,10 +74,36 @@
 		return nil
 	case WorkerCrash, WorkerLeaves:
 		return in.restartWorkers(ctx, f)
+	case DeadlyJobs:
+		in.cell.deadlyJobs.Store(true)
+		pause.For(ctx, f.For)
+		in.cell.deadlyJobs.Store(false)
+		return nil
+	case KillLeader:
+		in.awaitCrash(ctx)
+		if f.First = in.cell.leader(); f.First < 0 {
+			return errors.New("the store names no leader")
+		}
 	}
 	return in.signalDaemons(ctx, f)
 }
 
+// crashTimeout bounds the wait of awaitCrash.
+const crashTimeout = 8 * time.Second
+
+// awaitCrash waits until the next worker crashes under a task, at most crashTimeout.
+func (in *injector) awaitCrash(ctx context.Context) {
+	crashes := func() int {
+		in.cell.checker.mu.Lock()
+		defer in.cell.checker.mu.Unlock()
+		return in.cell.checker.crashes
+	}
+	ctx, cancel := context.WithTimeout(ctx, crashTimeout)
+	defer cancel()
+	for before := crashes(); crashes() == before && pause.For(ctx, tickInterval); {
+	}
+}
+
 func (in *injector) setWorkerFault(f Fault, fault workerFault) {
 	in.cell.checker.mu.Lock()
 	defer in.cell.checker.mu.Unlock()
@@ -113,7 +140,7 @@
 func (in *injector) restartWorkers(ctx context.Context, f Fault) error {
 	for _, w := range in.workers(f) {
 		if f.Kind == WorkerLeaves {
-			w.entry.Draining, w.entry.RemainingTime = true, drainDuration
+			in.setDraining(w, drainDuration)
 			if err := in.cell.register(w); err != nil {
 				return err
 			}
@@ -127,7 +154,7 @@
 		in.cell.checker.mu.Lock()
 		w.restart()
 		in.cell.checker.mu.Unlock()
-		w.entry.Draining, w.entry.RemainingTime = false, 0
+		in.setDraining(w, 0)
 		if err := in.cell.register(w); err != nil {
 			return err
 		}
@@ -136,6 +163,13 @@
 	return nil
 }
 
+// setDraining changes a worker's entry to draining for the given time, or to ready for 0.
+func (in *injector) setDraining(w *soakWorker, remaining time.Duration) {
+	in.cell.checker.mu.Lock()
+	defer in.cell.checker.mu.Unlock()
+	w.entry.Draining, w.entry.RemainingTime = remaining > 0, remaining
+}
+
 // reserve reserves a daemon for a fault. It reports false if another fault acts on it.
 func (in *injector) reserve(d *soakDaemon) bool {
 	in.mu.Lock()
--- a/internal/cellsoak/load.go
+++ b/internal/cellsoak/load.go
@@ -23,14 +23,19 @@
 	// that are cancelled, submitted again after their answer, always fail, and fit
 	// on no worker.
 	cancelShare, repeatShare, poisonShare, hugeShare = 0.08, 0.1, 0.02, 0.02
+	// deadlyShare is the fraction of deadly jobs during DeadlyJobs. In a quarter of them
+	// all tasks of the last step are deadly, in the others one.
+	deadlyShare = 0.1
 )
 
 // load submits jobs like many independent callers.
 type load struct {
-	cell    *soakCell
-	rng     *rand.Rand
-	callers sync.WaitGroup
-	lastID  int
+	cell *soakCell
+	rng  *rand.Rand
+	// deadlyRng draws the deadly jobs, so that the others do not depend on them.
+	deadlyRng *rand.Rand
+	callers   sync.WaitGroup
+	lastID    int
 }
 
 // run submits perSecond jobs per second on average until ctx ends, and waits for their
@@ -67,6 +72,13 @@
 	if l.rng.Float64() < hugeShare {
 		spec.Steps[0].Size.MilliCPU = 2 * workerCapacity.MilliCPU
 	}
+	if l.cell.deadlyJobs.Load() && l.deadlyRng.Float64() < deadlyShare {
+		mark := firstDeadlyMark
+		if l.deadlyRng.IntN(4) == 0 {
+			mark = allDeadlyMark
+		}
+		spec.Payload = deadlyPayload(mark, spec.Payload)
+	}
 	j := &trackedJob{spec: spec}
 	l.cell.checker.mu.Lock()
 	l.cell.checker.jobs[spec.ID] = j
--- a/internal/cellsoak/run.go
+++ b/internal/cellsoak/run.go
@@ -28,6 +28,8 @@
 	Rate float64
 	// Daemons and Workers are from 1 to 200.
 	Daemons, Workers int
+	// Deadly selects a schedule of jobs whose tasks crash their workers.
+	Deadly bool
 	// Out receives the schedule and the progress.
 	Out io.Writer
 }
@@ -59,8 +61,12 @@
 	Accepted int
 	// Completed counts the jobs with a final state, also those that failed or were
 	// cancelled, and Starts the starts of tasks.
-	Completed  int
-	Starts     int
+	Completed int
+	Starts    int
+	// Crashes counts the workers that crashed under tasks, NewIDs those of them that were
+	// back under a new ID, and Bystanders the innocent tasks under which several crashed.
+	Crashes, NewIDs, Bystanders int
+
 	Violations []string
 	// LogDir holds the logs; it is removed after a run without violations or
 	// failed injections.
@@ -99,8 +105,11 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout+length+2*settleTimeout)
 	defer cancel()
 	go c.runWorkers(ctx)
-	l := &load{cell: c, rng: rand.New(rand.NewPCG(o.Seed, 2))}
+	l := &load{cell: c, rng: rand.New(rand.NewPCG(o.Seed, 2)), deadlyRng: rand.New(rand.NewPCG(o.Seed, 3))}
 	schedule := newSchedule(o.Seed, length, o.Daemons, o.Workers)
+	if o.Deadly {
+		schedule = deadlySchedule(o.Seed, length, o.Workers)
+	}
 	for _, f := range schedule {
 		fmt.Fprintln(o.Out, f)
 	}
@@ -137,6 +146,12 @@
 	c.checker.mu.Lock()
 	defer c.checker.mu.Unlock()
 	rep.Faults, rep.Jobs, rep.Starts = in.injected, len(c.checker.jobs), c.checker.starts
+	rep.Crashes, rep.NewIDs = c.checker.crashes, int(c.newIDs.Load())
+	for ref, t := range c.checker.tasks {
+		if t.crashes >= minCrashes && !c.checker.deadly(ref) {
+			rep.Bystanders++
+		}
+	}
 	rep.Violations = slices.Clone(c.checker.violations)
 	for _, j := range c.checker.jobs {
 		if j.accepted {
@@ -151,6 +166,9 @@
 // Print writes the report.
 func (r *Report) Print(out io.Writer) {
 	fmt.Fprintf(out, "%d jobs, %d accepted, %d with a final state, %d starts, faults %v\n", r.Jobs, r.Accepted, r.Completed, r.Starts, r.Faults)
+	if r.Crashes > 0 {
+		fmt.Fprintf(out, "%d crashes of workers under tasks, %d times back under a new ID, %d innocent tasks on two or more of them\n", r.Crashes, r.NewIDs, r.Bystanders)
+	}
 	for _, v := range r.Violations {
 		fmt.Fprintln(out, v)
 	}
--- a/internal/cellsoak/schedule.go
+++ b/internal/cellsoak/schedule.go
@@ -37,9 +37,13 @@
 	WorkerExecutesLate  Kind = "worker_executes_late"
 	WorkerLeaves        Kind = "worker_leaves"
 	PublishConfig       Kind = "publish"
+	// DeadlyJobs: a share of the new jobs has tasks that crash their workers.
+	DeadlyJobs Kind = "deadly_jobs"
+	// KillLeader kills the leader just after the next crash of a worker under a task.
+	KillLeader Kind = "kill_leader"
 )
 
-// allKinds lists all kinds of faults.
+// allKinds lists the kinds of faults of newSchedule.
 var allKinds = []Kind{Kill, KillAll, Pause, Terminate, RollingTerminate, Hangup, StoreRefuses, StoreSilent, StoreSlow, StoreDropsResponses, StoreExecutesLate,
 	StorePartition, WorkerPartition, WorkerCrash, WorkerFailsAll, WorkerStalls, WorkerExecutesLate, WorkerLeaves, PublishConfig}
 
@@ -96,3 +100,30 @@
 	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
+
+const (
+	// deadlyRound is the time between the starts of two rounds of deadlySchedule, and
+	// deadlyDuration the duration of DeadlyJobs in each.
+	deadlyRound    = 20 * time.Second
+	deadlyDuration = 10 * time.Second
+)
+
+// deadlySchedule draws the faults of a run with deadly jobs. In each round the leader is
+// killed, workers are cut off, the store is away and workers are killed while workers crash
+// under tasks.
+func deadlySchedule(seed uint64, length time.Duration, workers int) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 0xdead))
+	between := func(from, to time.Duration) time.Duration { return from + time.Duration(rng.Int64N(int64(to-from))) }
+	var out []Fault
+	for at := quietPeriod; at < length; at += deadlyRound {
+		store := []Kind{StoreRefuses, StoreSilent}[rng.IntN(2)]
+		out = append(out,
+			Fault{At: at, For: deadlyDuration, Kind: DeadlyJobs},
+			Fault{At: at + between(2*time.Second, 3*time.Second), For: between(minFaultDuration, 3*time.Second), Kind: KillLeader, Count: 1},
+			Fault{At: at + between(3*time.Second, 5*time.Second), For: between(2*time.Second, 4*time.Second), Kind: WorkerPartition,
+				First: rng.IntN(workers), Count: 2, Mode: faultproxy.Delay + faultproxy.Mode(rng.IntN(int(faultproxy.Reset)))},
+			Fault{At: at + between(6*time.Second, 8*time.Second), For: between(2*time.Second, 4*time.Second), Kind: store, Count: 1},
+			Fault{At: at + between(9*time.Second, 11*time.Second), For: between(time.Second, 3*time.Second), Kind: WorkerCrash, First: rng.IntN(workers), Count: 2})
+	}
+	return out
+}
--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -39,10 +39,12 @@
 
 // Proxy forwards the connections of one listener to one server.
 type Proxy struct {
-	listener net.Listener
-	target   string
-	// mu guards mode, conns and their stalled fields.
-	mu         sync.Mutex
+	address, target string
+	// mu guards the fields below and the stalled fields of conns.
+	mu sync.Mutex
+	// listener is nil while new connections are refused.
+	listener   net.Listener
+	closed     bool
 	mode       Mode
 	conns      map[*connPair]bool
 	goroutines sync.WaitGroup
@@ -62,13 +64,41 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, conns: map[*connPair]bool{}}
-	p.goroutines.Go(p.accept)
+	p := &Proxy{address: l.Addr().String(), listener: l, target: target, conns: map[*connPair]bool{}}
+	p.goroutines.Go(func() { p.accept(l) })
 	return p, nil
 }
 
 // Address returns the address that the proxy listens on.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
+
+// Refuse resets all connections and refuses new ones, until Resume.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+	p.mu.Unlock()
+	p.SetMode(Reset)
+}
+
+// Resume listens again after Refuse, unless the proxy is closed, in mode Pass.
+func (p *Proxy) Resume() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = Pass
+	if p.closed || p.listener != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.listener = l
+	p.goroutines.Go(func() { p.accept(l) })
+	return nil
+}
 
 // SetMode changes the mode for open and new connections.
 func (p *Proxy) SetMode(m Mode) {
@@ -84,8 +114,11 @@
 
 // Close stops listening, resets all connections and waits for the proxy's goroutines.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
 	p.mu.Lock()
+	p.closed = true
+	if p.listener != nil {
+		_ = p.listener.Close()
+	}
 	for c := range p.conns {
 		c.reset()
 	}
@@ -93,9 +126,9 @@
 	p.goroutines.Wait()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
