Derive the new ID of a soak worker from its whole name

Cause: the new ID kept only the first four characters of the old one, so that with more than 100 workers the name pointed to another worker.

Change: the ID is the first name, a dot and a number.

--- a/internal/cellsoak/cell.go
+++ b/internal/cellsoak/cell.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -360,7 +361,8 @@
 	c.checker.mu.Lock()
 	oldID, newID := w.id, w.id
 	if rand.IntN(2) == 0 {
-		newID = model.WorkerID(fmt.Sprintf("%.4s-%d", oldID, c.newIDs.Add(1)))
+		name, _, _ := strings.Cut(string(oldID), ".")
+		newID = model.WorkerID(fmt.Sprintf("%s.%d", name, c.newIDs.Add(1)))
 	}
 	w.comeBack(newID)
 	c.checker.mu.Unlock()
