Count crashes of workers under tasks, start suspects apart, give up the guilty ones

Cause: nothing counted a run that ended with its worker. The run was lost, its task pending again, first in the order and beside the next innocent tasks; the count would not have outlived the leader either. Class of fault: a retry without limit and without attribution. Change: a crash, certain once another process answers at the address or under the ID, counts for each run that was there, is stored with the progress before the task starts again, and is known to the next leader also from the record of a silent worker. Suspects start where no other job has just started anything. Ruled out: that the leader change alone loses the count (runs 3 to 9 of one task had one leader).

--- a/internal/cellpb/convert.go
+++ b/internal/cellpb/convert.go
@@ -150,6 +150,9 @@
 	for _, f := range s.Failures {
 		p.Failures = append(p.Failures, &StoredFailures{Index: f.Index, Runs: f.Runs})
 	}
+	for _, r := range s.Crashes {
+		p.Crashes = append(p.Crashes, &StoredCrashes{Index: r.Index, Runs: r.Runs, AtStart: int32(r.AtStart)})
+	}
 	return p
 }
 
@@ -175,6 +178,9 @@
 	for _, f := range p.Failures {
 		s.Failures = append(s.Failures, jobs.TaskFailures{Index: f.Index, Runs: f.Runs})
 	}
+	for _, r := range p.Crashes {
+		s.Crashes = append(s.Crashes, jobs.TaskCrashes{Index: r.Index, Runs: r.Runs, AtStart: int(r.AtStart)})
+	}
 	return s
 }
 
@@ -184,6 +190,11 @@
 	for _, ref := range r.Tasks {
 		p.Tasks = append(p.Tasks, fromRun(ref, 0))
 	}
+	p.Incarnation = r.Incarnation
+	for i := range r.Runs {
+		run := &r.Runs[i]
+		p.Runs = append(p.Runs, &InterruptedRun{Run: fromRun(run.Task, run.Run), AgeUs: run.Age.Microseconds(), Unclear: run.Unclear})
+	}
 	return p
 }
 
@@ -193,6 +204,10 @@
 	for _, t := range p.Tasks {
 		r.Tasks = append(r.Tasks, t.ref())
 	}
+	r.Incarnation = p.Incarnation
+	for _, run := range p.Runs {
+		r.Runs = append(r.Runs, jobs.InterruptedRun{Task: run.GetRun().ref(), Run: run.GetRun().GetRun(), Age: microseconds(run.AgeUs), Unclear: run.Unclear})
+	}
 	return r
 }
 
--- a/internal/core/jobs/advice_test.go
+++ b/internal/core/jobs/advice_test.go
@@ -92,6 +92,7 @@
 	b.addWorkers("w2", "w3", "w4", "w5", "w6")
 	b.core.relays.observe("q", 4, 10)
 	b.core.handleReplacedWorker(b.now, b.core.workers["w1"])
+	b.storeBatch()
 	requests := b.advance(10 * time.Millisecond).Advice
 	assert.Equal(t, len(requests), 1)
 	assert.Assert(t, len(requests[0].Workers) >= 3, "asks about %v", requests[0].Workers)
--- a/internal/core/jobs/batch.go
+++ b/internal/core/jobs/batch.go
@@ -156,7 +156,7 @@
 func (c *Core) publishOutcome(now time.Time, j *job) {
 	j.outcomeStored, j.endedAt = true, now
 	c.endedJobs = append(c.endedJobs, j)
-	c.event(Event{Name: EventJobEnded, Job: j.spec.ID, Queue: j.queue.Name, Detail: j.outcome.String(), Age: now.Sub(j.acceptedAt)})
+	c.event(Event{Name: EventJobEnded, Job: j.spec.ID, Queue: j.queue.Name, Detail: j.outcome.String(), Reason: j.endReason, Age: now.Sub(j.acceptedAt)})
 	j.occurrences = map[int32]*occurrence{}
 }
 
@@ -178,15 +178,16 @@
 	return p
 }
 
-// progress returns the steps in which a task has succeeded or failed.
+// progress returns the steps in which a task has succeeded or failed, or crashed a worker.
 func (o *occurrence) progress() []StepProgress {
 	var out []StepProgress
 	for _, s := range o.steps {
 		p := StepProgress{Step: s.index, Finished: s.unfinished == 0}
 		if !p.Finished {
 			p.Done, p.Failures = s.progress()
+			p.Crashes = s.crashes()
 		}
-		if p.Finished || len(p.Done) > 0 || len(p.Failures) > 0 {
+		if p.Finished || len(p.Done)+len(p.Failures)+len(p.Crashes) > 0 {
 			out = append(out, p)
 		}
 	}
@@ -214,6 +215,17 @@
 	return done, failures
 }
 
+// crashes returns the tasks under which workers have crashed.
+func (s *step) crashes() []TaskCrashes {
+	var out []TaskCrashes
+	for i := range s.tasks {
+		if h := &s.tasks[i].crashes; len(h.runs) > 0 {
+			out = append(out, TaskCrashes{Index: s.tasks[i].index, Runs: h.runs, AtStart: h.atStart})
+		}
+	}
+	return out
+}
+
 // dropExpiredJobs drops jobs that ended longer ago than the retention.
 func (c *Core) dropExpiredJobs(now time.Time) {
 	for len(c.endedJobs) > 0 && now.Sub(c.endedJobs[0].endedAt) > c.cfg.Retention {
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -81,7 +81,10 @@
 	// stoppingRuns lists the runs whose stop was requested.
 	stoppingRuns []*run
 	health       *retry.Health
-	recovery     recovery
+	// departed holds the workers whose lease ended and that may have crashed, by
+	// address.
+	departed map[string]departedWorker
+	recovery recovery
 	// previousLeaderEnd is the latest time at which an earlier leader may have
 	// extended leases.
 	previousLeaderEnd time.Time
@@ -118,7 +121,7 @@
 	return &Core{
 		cfg: cfg, queues: map[string]*Queue{}, jobs: map[string]*job{},
 		workers: map[model.WorkerID]*worker{}, pools: map[string]*pool{}, poolsStale: true,
-		health: retry.NewHealth(cfg.Health), recovery: newRecovery(),
+		health: retry.NewHealth(cfg.Health), recovery: newRecovery(), departed: map[string]departedWorker{},
 		batch: newBatchState(), relays: newRelays(), estimator: newDurationEstimator(),
 	}
 }
@@ -362,8 +365,8 @@
 	}
 }
 
-// restore applies the stored progress of a step. It ignores failures of tasks
-// that the step does not have.
+// restore applies the stored progress of a step. It ignores failures and crashes of
+// tasks that the step does not have.
 func (s *step) restore(p *StepProgress) {
 	for i := range s.tasks {
 		done := p.Finished || i/8 < len(p.Done) && p.Done[i/8]&(1<<(i%8)) != 0
@@ -383,6 +386,11 @@
 			s.tasks[f.Index].failed = f.Runs
 		}
 	}
+	for _, r := range p.Crashes {
+		if r.Index >= 0 && int(r.Index) < len(s.tasks) {
+			s.tasks[r.Index].crashes = crashHistory{runs: r.Runs, atStart: r.AtStart}
+		}
+	}
 }
 
 // due returns the wall-clock time at which an occurrence is due; the zero time
--- a/internal/core/jobs/events.go
+++ b/internal/core/jobs/events.go
@@ -28,6 +28,7 @@
 	EventAdviceAnswered   EventName = "advice_answered"
 	EventWorkerState      EventName = "worker_state"
 	EventWorkerRestarted  EventName = "worker_new_life"
+	EventWorkerCrashed    EventName = "worker_crashed"
 	EventWorkerLeaseEnded EventName = "worker_lease_ended"
 	EventRecoveryComplete EventName = "recovery_complete"
 	EventTokenRefused     EventName = "token_refused"
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"catkinvalve/internal/core/model"
 )
 
 // job is a submitted job.
@@ -22,6 +24,8 @@
 	// have started its tasks on workers that have not answered this one yet.
 	restored bool
 	outcome  Outcome
+	// endReason is why the job failed, if not by failed runs.
+	endReason model.Reason
 	// outcomeStored is set once the outcome is durable and may be reported.
 	outcomeStored bool
 	endedAt       time.Time
@@ -124,8 +128,8 @@
 	// runCount counts the runs that this leader numbered.
 	runCount int64
 	// checkpoint is the latest checkpoint from which the task can resume.
-	checkpoint   string
-	backoffUntil time.Time
+	checkpoint string
+	crashes    crashHistory
 	// run is the current run; nil when there is none.
 	run *run
 }
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -63,6 +63,7 @@
 	// Done is a bit set of the tasks that succeeded; empty if Finished.
 	Done     []byte
 	Failures []TaskFailures
+	Crashes  []TaskCrashes
 }
 
 // TaskFailures lists the numbers of the failed runs of one task, so that an end
@@ -73,6 +74,14 @@
 	Runs  []int64
 }
 
+// TaskCrashes lists the numbers of the runs of one task that ended with a crash of their
+// worker. AtStart counts those that had just started.
+type TaskCrashes struct {
+	Index   int32
+	Runs    []int64
+	AtStart int
+}
+
 // WorkerRecord tells later leaders that tasks of the cell may run on a worker.
 type WorkerRecord struct {
 	ID      model.WorkerID
@@ -84,6 +93,10 @@
 	Jobs   []string
 	// Tasks is empty in records of earlier versions.
 	Tasks []TaskRef
+	// Incarnation is that of the process on which the tasks may have runs, and Runs are
+	// these runs. Both are empty for a draining worker and in records of earlier versions.
+	Incarnation int64
+	Runs        []InterruptedRun
 }
 
 // Batch is what has to be stored in one append before its effects become
--- a/internal/core/jobs/recovery.go
+++ b/internal/core/jobs/recovery.go
@@ -31,6 +31,9 @@
 	known bool
 	jobs  []string
 	tasks []TaskRef
+	// incarnation and runs are those of the worker's record.
+	incarnation int64
+	runs        []InterruptedRun
 }
 
 func newRecovery() recovery {
@@ -39,7 +42,7 @@
 
 // add makes recovery wait for the worker of a record.
 func (rec *recovery) add(r *WorkerRecord) {
-	previous := previousRuns{known: r.Silent, jobs: r.Jobs, tasks: r.Tasks}
+	previous := previousRuns{known: r.Silent, jobs: r.Jobs, tasks: r.Tasks, incarnation: r.Incarnation, runs: r.Runs}
 	rec.workers[r.ID] = previous
 	rec.count(&previous, 1)
 }
--- a/internal/core/jobs/runs.go
+++ b/internal/core/jobs/runs.go
@@ -43,6 +43,9 @@
 	r := &run{ref: t.ref(), number: number, worker: w, size: s.def.Size, state: runStarting, sentAt: now, pace: paceState{applied: fullPace, wanted: fullPace}}
 	c.attach(t, r)
 	w.addRun(r)
+	if t.crashes.repeated() {
+		w.isolation = isolation{job: s.job(), until: now.Add(isolationTime), run: r}
+	}
 	if len(w.runs) == 1 {
 		w.lastProgress = now
 		c.scheduleSync(now, w)
@@ -200,6 +203,7 @@
 	c.poolsStale, c.reservationsStale = true, true
 	c.expirePreviousLeases(now)
 	c.expireAdviceCalls(now)
+	c.dropOldDepartures(now)
 	c.reportWaits(now)
 }
 
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -171,20 +171,29 @@
 }
 
 // placeTasks starts tasks one by one, each on the best worker.
-func (c *Core) placeTasks(now time.Time, s *step) model.Reason {
+func (c *Core) placeTasks(now time.Time, s *step) (reason model.Reason) {
 	options := c.options(now, s)
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != taskPending || now.Before(t.backoffUntil) || c.recovery.blocksTask(t) {
+		if t.state != taskPending || c.recovery.blocksTask(t) {
 			continue
 		}
-		w := c.bestWorker(now, s, options)
-		if w == nil {
+		if !c.crashesStored(t) {
+			reason = waitForCrashRecord
+			continue
+		}
+		options = c.withCapacity(now, s, options)
+		if len(options) == 0 {
 			return c.requestAdvice(now, s)
 		}
+		w := c.chooseWorker(now, t, options)
+		if w == nil {
+			reason = waitForIsolation
+			continue
+		}
 		c.start(now, t, w, c.nextRunNumber(s.job(), &t.runCount), s.advice.ticketFor(w))
 	}
-	return ""
+	return reason
 }
 
 // placeGang starts all tasks of a gang or none.
@@ -204,6 +213,12 @@
 	if len(chosen) < len(s.tasks) {
 		return c.requestAdvice(now, s)
 	}
+	if slices.ContainsFunc(s.tasks, func(t task) bool { return !c.crashesStored(&t) }) {
+		return waitForCrashRecord
+	}
+	if chosen = s.isolateSuspects(now, chosen); chosen == nil {
+		return waitForIsolation
+	}
 	c.release(s)
 	number := c.nextRunNumber(s.job(), &s.gang.runCount)
 	for i := range s.tasks {
@@ -234,23 +249,22 @@
 // eligible reports whether the constraints of the step, except its size, allow
 // the worker.
 func (c *Core) eligible(now time.Time, s *step, w *worker) bool {
-	return w.state == WorkerUsable && w.hasLabel(s.def.Label) && w.remainingPerWorker(s) > 0 && !(s.def.Filler && now.Before(w.noFillersUntil))
+	return w.state == WorkerUsable && w.hasLabel(s.def.Label) && w.remainingPerWorker(s) > 0 && !w.isolation.blocks(now, s.job()) &&
+		!(s.def.Filler && now.Before(w.noFillersUntil))
 }
 
-// bestWorker returns the option with the lowest score that still has capacity,
-// or nil.
-func (c *Core) bestWorker(now time.Time, s *step, options []*worker) *worker {
-	var chosen *worker
-	lowest := 0.0
-	for _, w := range options {
-		if c.availableCopies(now, s, w) == 0 || w.remainingPerWorker(s) <= 0 {
-			continue
-		}
-		if sc := score(s, w); chosen == nil || sc < lowest {
-			chosen, lowest = w, sc
-		}
+// chooseWorker returns the worker on which a task starts, or nil if it may crash its worker and none
+// of the options can take it apart from other jobs yet. options must not be empty.
+func (c *Core) chooseWorker(now time.Time, t *task, options []*worker) *worker {
+	if t.crashes.suspect() {
+		return isolatedWorker(now, t.step.job(), options)
 	}
-	return chosen
+	return bestWorker(t.step, options)
+}
+
+// bestWorker returns the option with the lowest score. options must not be empty.
+func bestWorker(s *step, options []*worker) *worker {
+	return slices.MinFunc(options, func(a, b *worker) int { return cmp.Compare(score(s, a), score(s, b)) })
 }
 
 const (
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -131,11 +131,15 @@
 		return
 	}
 	c.poolsStale = c.poolsStale || w.missedSyncs > 0 || w.leaseExpired || !w.answered || res.Incarnation != w.incarnation
-	w.missedSyncs = 0
 	if w.answered && res.Incarnation != w.incarnation {
 		c.handleWorkerRestart(received, w, res)
 	}
+	w.missedSyncs, w.failedAt, w.lastFailure = 0, time.Time{}, CallOK
+	c.resolveDeparture(received, w, res.Incarnation)
 	if !w.answered {
+		if known := c.recovery.workers[w.ID].incarnation; known != 0 && known != res.Incarnation {
+			c.recordPreviousCrash(received, w.ID)
+		}
 		// Assume that an earlier leader granted the same lease as this one
 		// would.
 		w.answered, w.incarnation, w.clockMs, w.clockReadAt = true, res.Incarnation, res.ClockMs, received
@@ -178,7 +182,11 @@
 	if w.missedSyncs == 0 && w.answered {
 		c.event(Event{Name: EventWorkerState, Worker: w.ID, Detail: WorkerSilent.String(), Reason: model.Reason(status.String()), Age: now.Sub(w.lastContact)})
 	}
+	if w.missedSyncs == 0 {
+		w.failedAt = now
+	}
 	w.missedSyncs++
+	w.lastFailure = status
 	c.poolsStale = true
 	w.nextSync = now.Add(retryDelay(w.missedSyncs))
 	if status == CallWrongIncarnation {
@@ -210,6 +218,8 @@
 // another worker. Calls that name the former worker have no effect there.
 func (c *Core) handleReplacedWorker(now time.Time, w *worker) {
 	c.event(Event{Name: EventWorkerRestarted, Worker: w.ID, Count: len(w.runs), Age: now.Sub(w.lastContact), Detail: "its address now belongs to another worker"})
+	c.recordWorkerCrash(now, w, w.interruptedRuns(now))
+	c.recordPreviousCrash(now, w.ID)
 	for _, r := range slices.Clone(w.runs) {
 		c.loseRun(now, r, "the address now belongs to another worker")
 	}
@@ -240,6 +250,10 @@
 	// far ahead of the new incarnation's clock.
 	w.lateGrantsUntil = now.Add(c.cfg.MaxCallDelay)
 	w.processedEnd, w.ackedEnd, w.ackAfterBatch = 0, 0, 0
+	if w.failedAt.IsZero() {
+		w.failedAt = res.SentAt
+	}
+	c.recordWorkerCrash(now, w, slices.DeleteFunc(w.interruptedRuns(now), func(r InterruptedRun) bool { return listed[r.Task] == r.Run }))
 	for _, r := range slices.Clone(w.runs) {
 		if listed[r.ref] == r.number {
 			continue
@@ -386,7 +400,7 @@
 // earlier leader started it; it is stopped if its task does not need it.
 func (c *Core) adopt(now time.Time, w *worker, report *RunReport) *run {
 	t := c.task(report.Task)
-	r := &run{ref: report.Task, number: report.Run, worker: w, state: runActive, sentAt: now, confirmedAt: now, reportedAt: now, progressAt: now, slowdownSampled: true, pace: paceState{applied: paceUnknown, wanted: fullPace}}
+	r := &run{ref: report.Task, number: report.Run, worker: w, state: runActive, sentAt: now, confirmedAt: now, reportedAt: now, progressAt: now, slowdownSampled: true, adopted: true, pace: paceState{applied: paceUnknown, wanted: fullPace}}
 	wanted := t != nil && t.step.job().outcome == OutcomeUnfinished && t.state == taskPending && t.run == nil
 	if wanted && t.step.def.Gang {
 		g := &t.step.gang
@@ -460,6 +474,7 @@
 func (c *Core) expireLease(now time.Time, w *worker) {
 	c.event(Event{Name: EventWorkerLeaseEnded, Worker: w.ID, Count: len(w.runs), Age: now.Sub(w.lastContact)})
 	w.leaseExpired, c.poolsStale = true, true
+	c.noteDeparture(now, w)
 	for _, r := range slices.Clone(w.runs) {
 		c.loseRun(now, r, "the worker's lease ended")
 	}
--- a/internal/core/jobs/waiting.go
+++ b/internal/core/jobs/waiting.go
@@ -27,6 +27,11 @@
 	waitForRelay     model.Reason = "no_adviser_free"
 	waitForCandidate model.Reason = "no_worker_to_ask_about"
 	waitForTicket    model.Reason = "advice_asked"
+	// waitForCrashRecord: crashes under its tasks are not stored yet.
+	waitForCrashRecord model.Reason = "crash_not_stored"
+	// waitForIsolation: tasks that may crash their worker wait until they can start apart
+	// from other jobs.
+	waitForIsolation model.Reason = "no_isolated_worker"
 )
 
 // waitState says since when and why a ready step has no run.
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -60,6 +60,10 @@
 	// queued is set while the worker is in Core.dueSyncs.
 	queued      bool
 	missedSyncs int
+	// failedAt is when the first of the missed syncs failed, and lastFailure how the
+	// last one did.
+	failedAt    time.Time
+	lastFailure CallStatus
 	// probing is set while a sync to the worker counts towards
 	// Core.probesInFlight.
 	probing bool
@@ -103,6 +107,7 @@
 	// pacedAt is when the pace of the worker's fillers was last decided. The
 	// worker gets no more fillers before noFillersUntil.
 	pacedAt, noFillersUntil time.Time
+	isolation               isolation
 }
 
 // WorkerState says whether a worker accepts tasks, and why not.
@@ -206,6 +211,8 @@
 	// lastListedAt is when the sync was sent in whose answer the worker last
 	// listed the run.
 	lastListedAt time.Time
+	// adopted is set for a run that an earlier leader started.
+	adopted bool
 	// gone is set once the worker certainly does not have the run.
 	gone bool
 }
--- a/internal/core/jobs/worker_record.go
+++ b/internal/core/jobs/worker_record.go
@@ -47,6 +47,9 @@
 	if !r.Silent {
 		return r
 	}
+	if !w.Draining {
+		r.Incarnation, r.Runs = w.incarnation, w.interruptedRuns(w.lastContact)
+	}
 	for _, run := range w.runs {
 		r.Tasks = append(r.Tasks, run.ref)
 		if !slices.Contains(r.Jobs, run.ref.Job) {
