Let tasks wait for a gang only while the pool is short of capacity

Cause: noteWaitingGang counted each gang that was admitted and not placed, whatever it waited for: also one whose policy allows too few workers, which can never start, one that waits for advice, and one that waits for a single worker in an idle pool. All steps of a lower priority then waited for half of the time until their latest start, however much was free.

Change: a waiting gang counts only while at least two thirds of the pool are in use and the waiting gangs together need all that is free.

--- a/internal/core/jobs/gang_advice.go
+++ b/internal/core/jobs/gang_advice.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		p := c.pool(s)
-		s.admitted = p.free.MilliCPU > 0 && p.free.MemMB > 0
+		s.admitted = p.hasSpare()
 		p.free = p.free.Sub(s.def.Size.Times(int64(s.pending)))
 	}
 }
--- a/internal/core/jobs/helpers_test.go
+++ b/internal/core/jobs/helpers_test.go
@@ -31,6 +31,8 @@
 	core *Core
 	now  time.Time
 	out  Actions
+	// deniedJob is the job that step allows on no worker.
+	deniedJob string
 }
 
 func newTestBench(t *testing.T, queues ...Queue) *testBench {
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -92,10 +92,13 @@
 	workers []*worker
 	// largest is, in each dimension, the largest free capacity of any worker.
 	largest model.Size
-	// free is the sum of the free capacity of all workers.
+	// free is the sum of the free capacity of all workers, in which the demand of the waiting
+	// gangs is then subtracted.
 	free model.Size
+	// scarce is set while less than 1-scarceShare of the capacity is free.
+	scarce bool
 	// gangWaits is set once a gang of priority gangPriority was not placed in the current
-	// round although its turn had come.
+	// round although its turn had come, and the pool is short of capacity.
 	gangWaits    bool
 	gangPriority int
 	// next is the index at which the next sample begins.
@@ -105,13 +108,20 @@
 // startRound recomputes the free capacity and forgets the waiting gangs of the last round.
 func (p *pool) startRound() {
 	p.largest, p.free, p.gangWaits = model.Size{}, model.Size{}, false
+	var used, total model.Size
 	for _, w := range p.workers {
 		free := w.resources.free()
 		p.largest = p.largest.Max(free)
 		p.free = p.free.Add(free)
+		used, total = used.Add(w.resources.used), total.Add(w.resources.capacity)
 	}
+	p.scarce = used.DominantShare(total) >= scarceShare
 }
 
+// hasSpare reports whether free capacity remains beyond the demand of the waiting gangs
+// that were admitted.
+func (p *pool) hasSpare() bool { return p.free.MilliCPU > 0 && p.free.MemMB > 0 }
+
 // refreshPools recomputes which workers accept tasks.
 func (c *Core) refreshPools(now time.Time) {
 	c.poolsStale = false
--- a/internal/core/jobs/yield.go
+++ b/internal/core/jobs/yield.go
@@ -6,12 +6,20 @@
 // urgent gangs go first.
 const yieldShare = 0.5
 
-// noteWaitingGang records that a gang was not placed although its turn had come.
+// scarceShare is the share of a pool's capacity in use below which a gang that waits does
+// not lack capacity, but advice or workers that its policy allows.
+const scarceShare = 2.0 / 3
+
+// noteWaitingGang records that a gang was not placed although its turn had come. A gang in a
+// pool with enough free capacity does not count: it gains nothing if other steps wait.
 func (c *Core) noteWaitingGang(s *step) {
 	if !s.def.Gang || !s.admitted || !c.placeable(s) {
 		return
 	}
 	p := c.pool(s)
+	if !p.scarce || p.hasSpare() {
+		return
+	}
 	p.gangWaits, p.gangPriority = true, s.job().queue.Priority
 }
 
