Let a gang ask for as many workers as it takes to be allowed one

Cause: freeOnUnknown asks for workers until their expected capacity suffices. A gang that lacks one or two places asks for one or two workers with much free room, of which none is allowed more often than not; the decision time of the call is paid each time.

Change: a call for further workers names at least as many as give one that is allowed with a probability of 95%, at the share of allowed workers of the queue.

TestGangAsksForEnoughWorkersToBeAllowedOne failed before: the call could allow none with probability 0.17.

--- a/internal/core/jobs/gang_advice.go
+++ b/internal/core/jobs/gang_advice.go
@@ -167,7 +167,7 @@
 	var out []*worker
 	wanted, expected := candidateSurplus*float64(needed), 0.0
 	for _, o := range options {
-		if expected >= wanted {
+		if expected >= wanted && len(out) >= minCandidates(rate) {
 			break
 		}
 		out = append(out, o.worker)
@@ -176,6 +176,16 @@
 	return out, expected
 }
 
+// minCandidates returns the number of workers of which at least one is allowed with the
+// probability candidateConfidence, at a share of allowed workers. The expected capacity says
+// little where a few workers would do.
+func minCandidates(rate float64) int {
+	return int(math.Ceil(math.Log(1-candidateConfidence) / math.Log(1-min(rate, candidateConfidence))))
+}
+
+// candidateConfidence is the probability that an advice call for further workers allows one.
+const candidateConfidence = 0.95
+
 // soonFreeOnUnknown chooses workers that have free capacity or will have it soon, among
 // those whose permission is not known.
 func (c *Core) soonFreeOnUnknown(now time.Time, s *step) []*worker {
--- a/internal/core/jobs/gang_advice_test.go
+++ b/internal/core/jobs/gang_advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -151,3 +152,20 @@
 	assert.Equal(t, len(starts), 2)
 	assert.Equal(t, starts[0].Task.Job, "first")
 }
+
+// Guards against a gang that asks for one or two workers at a time, is denied, and so does
+// not start for seconds in a pool with most of its capacity free.
+func TestGangAsksForEnoughWorkersToBeAllowedOne(t *testing.T) {
+	b := newAdviceBench(t)
+	b.core.SetWorkers(b.now, workerEntries(20))
+	b.answerSyncs(b.advance(0), nil)
+	b.storeBatch()
+	b.core.relays.observe("q", 3, 10)
+	gang := smallStep(2)
+	gang.Gang = true
+	b.submit("gang", gang)
+	requests := b.advance(10 * time.Millisecond).Advice
+	assert.Equal(t, len(requests), 1)
+	denied := math.Pow(1-0.3, float64(len(requests[0].Workers)))
+	assert.Assert(t, denied <= 0.05, "the call for %d workers allows none with probability %.2f", len(requests[0].Workers), denied)
+}
