Acknowledge no ends to a worker that missed a call

Cause: a worker crashed and returned under the same ID. The lease renewal after the missed one carried the acknowledgement for the ends of the earlier incarnation; the new incarnation, whose ends count from 1 again, dropped the end of a run that it had just executed. The leader took the run as lost and started the task again.

Change: the call after an unanswered one acknowledges nothing. The next one does, if the incarnation is the same.

TestSilentWorkerGetsNoAcknowledgement failed before: the call acknowledged end 1.

--- a/internal/core/jobs/lease_test.go
+++ b/internal/core/jobs/lease_test.go
@@ -74,3 +74,26 @@
 	assert.Assert(t, next.core.Recovered())
 	assert.DeepEqual(t, dropped, map[model.WorkerID]bool{"gone": true})
 }
+
+// Guards against a task that runs twice because a restarted worker drops its ends up to the
+// acknowledgement that was meant for its earlier incarnation.
+func TestSilentWorkerGetsNoAcknowledgement(t *testing.T) {
+	b := newTestBench(t)
+	b.addWorkers("w1")
+	b.submit("j1", smallStep(1))
+	out := b.advance(0)
+	b.confirmStarts(out.Starts)
+	end := RunEnd{Seq: 1, Task: out.Starts[0].Task, Run: out.Starts[0].Run, Kind: EndDone}
+	b.answerSyncs(out, map[model.WorkerID]SyncResult{"w1": {Ends: []RunEnd{end}}})
+	b.storeBatch()
+	out = b.advance(time.Second)
+	assert.Equal(t, len(out.Syncs), 1)
+	assert.Equal(t, out.Syncs[0].AckCursor, int64(1))
+	b.core.HandleSyncResult(b.now, &SyncResult{Worker: "w1", SentAt: b.now, Status: CallNoAnswer})
+	out = b.advance(time.Second)
+	assert.Equal(t, len(out.Syncs), 1)
+	assert.Equal(t, out.Syncs[0].AckCursor, int64(0))
+	b.answerSyncs(out, nil)
+	out = b.advance(time.Second)
+	assert.Equal(t, out.Syncs[0].AckCursor, int64(1))
+}
--- a/internal/core/jobs/sync_schedule.go
+++ b/internal/core/jobs/sync_schedule.go
@@ -85,8 +85,11 @@
 			continue
 		}
 		c.countProbe(w)
-		req := SyncRequest{Worker: w.ID, Address: w.Address, AckCursor: w.ackedEnd}
-		if w.answered && w.missedSyncs == 0 {
+		req := SyncRequest{Worker: w.ID, Address: w.Address}
+		if w.responsive() {
+			// A worker that did not answer may have restarted: its ends then have other
+			// sequence numbers.
+			req.AckCursor = w.ackedEnd
 			// A worker that did not answer gets no extension; otherwise the
 			// lease of a failed worker would never end.
 			req.LeaseDeadlineMs = c.extendLease(now, w)
