Let a gang ask for spare places when it asks for further workers

Cause: each call names workers for the places that are missing at that moment. Tasks of a higher priority take places that the gang holds while its calls are in flight, so each answer leaves it a few places short, and it asks for these few in the next call.

Change: a call for further workers allows for one in eight of the gang's places to be lost.

--- a/internal/core/jobs/gang_advice.go
+++ b/internal/core/jobs/gang_advice.go
@@ -20,6 +20,9 @@
 	// soonFreeShare is the fraction of a worker's whole capacity that is assumed to
 	// become free in time for a gang.
 	soonFreeShare = 0.3
+	// lostPlacesDivisor determines how many of the places of a gang are assumed to be taken
+	// by more urgent tasks while its calls are in flight: one of this many.
+	lostPlacesDivisor = 8
 )
 
 // admitGangs determines which gangs may look for capacity: the most urgent ones, until
@@ -54,7 +57,7 @@
 	if copies >= len(s.tasks) {
 		return c.renew(now, s, known)
 	}
-	fresh, expected := c.freeOnUnknown(now, s, len(s.tasks)-copies)
+	fresh, expected := c.freeOnUnknown(now, s, len(s.tasks)-copies+len(s.tasks)/lostPlacesDivisor)
 	if float64(copies)+expected >= float64(len(s.tasks)) {
 		return append(c.renew(now, s, known), fresh...)
 	}
