Check in the simulation that no job starves

Cause: TestSimFaults checked only that each accepted job had ended 60 s after the traffic. The users' rule is stricter: from 14 s after the end of the traffic, a job may not have nothing running for 3 s although the turn of a step has come, its policy allows workers with room for two of its tasks (or its whole gang), and less than half of the capacity is in use.

Change: all simulations check this each 100 ms, and also before the end of the traffic once all faults have ended 4 s before. A violation is labelled LOST and shows what the core knows of the step. Further faults: crashed workers return under another ID (calls are refused until then, and name the wrong worker afterwards), advice relays are lost, advice is slow. TestSimFaultsInGrownCell plays the faults with 350 workers.

--- a/internal/core/jobs/sim_test.go
+++ b/internal/core/jobs/sim_test.go
@@ -26,10 +26,14 @@
 	workers        []*simWorker
 	byID           map[model.WorkerID]*simWorker
 	relayBusyUntil map[string]time.Time // by relay
+	relays         []string
 	classes        []simClass
 	seed           uint64
 	jobs           map[string]*simJob
 	submitted      []*simJob
+	// watched lists the jobs that may still starve.
+	watched        []*simJob
+	trafficEndedAt time.Time
 	waiting        map[CallID]*simJob
 	nextCall       CallID
 	violations     []string
@@ -55,8 +59,14 @@
 	lost float64
 	// lastChange is when a fault last began or ended; zero if there was none.
 	lastChange time.Time
+	// lastEnd is when the last fault ends that has begun so far; zero if there was none.
+	lastEnd time.Time
 	// lateUntil is the latest time at which a late request may be executed.
 	lateUntil time.Time
+	// lostRelays are the advice relays whose connection is lost.
+	lostRelays map[string]bool
+	// adviceSlowdown multiplies the time of a call to the advice service if it is above 1.
+	adviceSlowdown float64
 	// trafficStopped stops new submissions.
 	trafficStopped bool
 }
@@ -105,6 +115,10 @@
 	// cancelledAt is when the client cancelled, and cancelAckedAt when that was
 	// confirmed.
 	cancelledAt, cancelAckedAt time.Time
+	// starvingSince is when the job began to have nothing running although it could; zero
+	// if it does not starve.
+	starvingSince      time.Time
+	starvationReported bool
 }
 
 // simTask is the actual state of a task.
@@ -205,6 +219,9 @@
 	for i := range workers {
 		s.addWorker(fmt.Sprintf("w%03d", i), i, capacity)
 	}
+	for i := range max(6, workers/9) {
+		s.relays = append(s.relays, fmt.Sprintf("a%d", i))
+	}
 	s.startLeader()
 	for i := range classes {
 		// Each class has its own random numbers, so that the jobs do not depend
@@ -214,6 +231,7 @@
 	}
 	s.after(simTick, s.tick)
 	s.after(0, s.pollList)
+	s.after(simStarvationPeriod, s.checkStarvation)
 	return s
 }
 
@@ -230,17 +248,32 @@
 	s.core.SetQueues(queues)
 	s.core.Restore(s.now, s.now, s.store.snapshot())
 	s.core.SetPreviousLeaderEnd(s.now)
-	var relays []string
-	for i := range max(6, len(s.workers)/9) {
-		relays = append(relays, fmt.Sprintf("a%d", i))
-	}
-	s.core.SetAdviceRelays(relays)
+	s.core.SetAdviceRelays(s.availableRelays())
 	s.hasLeader = true
 	s.store.inFlight = nil
 	s.waiting = map[CallID]*simJob{}
 	s.setWorkers()
 }
 
+// availableRelays returns the advice relays that are not lost.
+func (s *sim) availableRelays() []string {
+	var out []string
+	for _, r := range s.relays {
+		if !s.faults.lostRelays[r] {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// setRelays tells the leader which relays are available.
+func (s *sim) setRelays() {
+	if s.hasLeader {
+		s.core.SetAdviceRelays(s.availableRelays())
+		s.scheduleRound()
+	}
+}
+
 // stopLeader stops the leader; the next one starts after d.
 func (s *sim) stopLeader(d time.Duration) {
 	s.hasLeader = false
@@ -340,9 +373,12 @@
 	if busy := s.relayBusyUntil[req.Relay]; busy.After(begin) {
 		begin = busy
 	}
-	end := begin.Add(adviceCfg.DecisionTime + time.Duration(len(req.Workers))*adviceCfg.TimePerWorker)
+	end := begin.Add(time.Duration(max(1, s.faults.adviceSlowdown) * float64(adviceCfg.callTime(len(req.Workers)))))
 	s.relayBusyUntil[req.Relay] = end
 	s.after(end.Sub(s.now)+simNetworkDelay, s.ifSameLeader(func() {
+		if s.faults.lostRelays[req.Relay] {
+			return
+		}
 		r := &AdviceResult{Seq: req.Seq, OK: true, Validity: adviceCfg.Validity}
 		for _, id := range req.Workers {
 			if simAllowed(req.Step, id, j.class.allowedShare) {
@@ -454,7 +490,7 @@
 
 func (s *sim) submit(j *simJob) {
 	s.jobs[j.spec.ID] = j
-	s.submitted = append(s.submitted, j)
+	s.submitted, s.watched = append(s.submitted, j), append(s.watched, j)
 	j.submittedAt = s.now
 	s.submitWithRetries(j, 0)
 	if j.class.rng.Float64() < j.class.cancel {
--- a/internal/core/jobs/simfaults_test.go
+++ b/internal/core/jobs/simfaults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"math/rand/v2"
 	"os"
 	"testing"
@@ -49,6 +50,37 @@
 			}
 		}
 	}},
+	{"crashed workers return under another ID", func(s *sim, rng *rand.Rand, _ time.Duration) {
+		for _, w := range s.pickWorkers(rng, max(5, len(s.workers)/20)) {
+			if !w.crashed && !w.removed {
+				absence := 3*time.Second + time.Duration(rng.Float64()*1.5*float64(time.Second))
+				w.crashAndReplace(absence)
+				s.faults.lastEnd = later(s.faults.lastEnd, s.now.Add(absence))
+			}
+		}
+	}},
+	{"advice relays are lost", func(s *sim, rng *rand.Rand, duration time.Duration) {
+		lost := map[string]bool{}
+		for range 1 + rng.IntN(len(s.relays)-1) {
+			lost[s.relays[1+rng.IntN(len(s.relays)-1)]] = true
+		}
+		s.faults.lostRelays = lost
+		s.setRelays()
+		noticed := rng.IntN(2) == 0
+		for _, name := range s.relays {
+			if s.hasLeader && lost[name] && noticed {
+				s.core.HandleRelayLost(s.now, name)
+			}
+		}
+		s.after(duration, func() {
+			s.faults.lostRelays = nil
+			s.setRelays()
+		})
+	}},
+	{"advice is slow", func(s *sim, rng *rand.Rand, duration time.Duration) {
+		s.faults.adviceSlowdown = 1.5 + 2.5*rng.Float64()
+		s.after(duration, func() { s.faults.adviceSlowdown = 1 })
+	}},
 	{"workers are partitioned and keep running", func(s *sim, rng *rand.Rand, duration time.Duration) {
 		listed := rng.IntN(2) == 0
 		for _, w := range s.pickWorkers(rng, 5) {
@@ -65,6 +97,7 @@
 	{"workers drain and leave", func(s *sim, rng *rand.Rand, duration time.Duration) {
 		for _, w := range s.pickWorkers(rng, 2) {
 			w.draining = true
+			s.faults.lastEnd = later(s.faults.lastEnd, s.now.Add(2500*time.Millisecond+duration))
 			s.after(2500*time.Millisecond+duration, func() {
 				w.loseRuns()
 				w.removed = true
@@ -109,10 +142,11 @@
 		s.after(at, func() {
 			t.Logf("%7.3f s %s (%v)", s.now.Sub(startTime).Seconds(), f.name, duration.Round(time.Millisecond))
 			s.faults.lastChange = s.now.Add(duration)
+			s.faults.lastEnd = later(s.faults.lastEnd, s.faults.lastChange)
 			f.inject(s, rng, duration)
 		})
 	}
-	s.after(simFaultPeriod, func() { s.faults.trafficStopped = true })
+	s.after(simFaultPeriod, func() { s.faults.trafficStopped, s.trafficEndedAt = true, s.now })
 }
 
 // checkAllEnded reports accepted jobs that have no final state.
@@ -150,27 +184,52 @@
 // TestSimFaults simulates runs with faults in random order and at the same
 // time. It checks after every event that no worker exceeds its capacity, that
 // no task runs twice or out of order, that attempts stay within the limit, that
-// refused jobs never run, and that every accepted job ends. SIM_SEEDS sets the
-// number of runs, SIM_SEED the first seed; SIM_TRACE prints the events of a job
-// or worker.
+// refused jobs never run, that no job starves, and that every accepted job ends.
+// SIM_SEEDS sets the number of runs, SIM_SEED the first seed; SIM_TRACE prints the
+// events of a job or worker.
 func TestSimFaults(t *testing.T) {
-	runs, first := int(envFloat("SIM_SEEDS", 12)), uint64(envFloat("SIM_SEED", 1))
 	names := []string{"dispatch", "voice"}
-	for i := range runs {
-		seed := first + uint64(i)
+	for seed := range simSeeds(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			name := names[seed%2]
-			workers, capacity, classes := simLoads[name](0.35)
-			s := newSim(seed, workers, capacity, classes)
-			s.traceTarget = os.Getenv("SIM_TRACE")
-			s.scheduleFaults(t, seed, 2+int(seed%11))
-			s.run(simRunTime)
-			s.checkAllEnded()
-			for _, line := range s.trace {
-				t.Log(line)
-			}
-			s.report(t, name, simFaultPeriod+20*time.Second)
+			simulateFaults(t, seed, names[seed%2], 0.35)
 		})
 	}
 }
+
+// TestSimFaultsInGrownCell does the same with 350 workers.
+func TestSimFaultsInGrownCell(t *testing.T) {
+	names := []string{"grown", "grownvoice"}
+	for seed := range simSeeds(2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			simulateFaults(t, seed, names[seed%2], 0.35+0.05*float64(seed%10))
+		})
+	}
+}
+
+// simSeeds yields the seeds to simulate.
+func simSeeds(runs int) iter.Seq[uint64] {
+	first := uint64(envFloat("SIM_SEED", 1))
+	return func(yield func(uint64) bool) {
+		for i := range int(envFloat("SIM_SEEDS", float64(runs))) {
+			if !yield(first + uint64(i)) {
+				return
+			}
+		}
+	}
+}
+
+// simulateFaults simulates one run with faults at a scale of a load.
+func simulateFaults(t *testing.T, seed uint64, name string, scale float64) {
+	workers, capacity, classes := simLoads[name](scale)
+	s := newSim(seed, workers, capacity, classes)
+	s.traceTarget = os.Getenv("SIM_TRACE")
+	s.scheduleFaults(t, seed, 2+int(seed%11))
+	s.run(simRunTime)
+	s.checkAllEnded()
+	for _, line := range s.trace {
+		t.Log(line)
+	}
+	s.report(t, name, simFaultPeriod+20*time.Second)
+}
--- a/internal/core/jobs/simworld_test.go
+++ b/internal/core/jobs/simworld_test.go
@@ -123,6 +123,7 @@
 type simWorker struct {
 	s        *sim
 	id       model.WorkerID
+	address  string
 	labels   []string
 	capacity model.Size
 	speed    float64
@@ -142,13 +143,18 @@
 	lastEndSeq int64
 	// partitioned workers receive no calls and answer none.
 	partitioned bool
-	crashed     bool
-	removed     bool
-	draining    bool
-	unlisted    bool
-	failing     bool
-	stalled     bool
-	pollers     []func()
+	// crashed workers run nothing. Calls to one are refused if refusing is set; otherwise
+	// they are not answered.
+	crashed  bool
+	refusing bool
+	// replaced workers have another worker at their address, which refuses calls for them.
+	replaced bool
+	removed  bool
+	draining bool
+	unlisted bool
+	failing  bool
+	stalled  bool
+	pollers  []func()
 	// lastLeaseEndSeq is the sequence number of the last end that existed when
 	// the lease expired.
 	lastLeaseEndSeq int64
@@ -170,17 +176,18 @@
 	incarnation   int64
 }
 
-func (s *sim) addWorker(id string, i int, capacity model.Size) {
+func (s *sim) addWorker(id string, i int, capacity model.Size) *simWorker {
 	speeds := []float64{0.8, 1, 1.25}
-	w := &simWorker{s: s, id: model.WorkerID(id), labels: []string{[]string{"a", "b"}[i%2], fmt.Sprintf("r%d", i/8)}, capacity: capacity,
+	w := &simWorker{s: s, id: model.WorkerID(id), address: id, labels: []string{[]string{"a", "b"}[i%2], fmt.Sprintf("r%d", i/8)}, capacity: capacity,
 		speed: speeds[i%3], slowdown: 1, clockRate: 1 - 0.02*s.rng.Float64(), incarnation: int64(i + 1), startedAt: s.now.Add(-time.Minute), runs: map[TaskRef]*simRun{}, highestRun: map[TaskRef]int64{}, ends: map[int64]*simEnd{}}
 	s.workers = append(s.workers, w)
 	s.byID[w.id] = w
 	w.checkLease()
+	return w
 }
 
 func (w *simWorker) entry() WorkerEntry {
-	return WorkerEntry{ID: w.id, Address: string(w.id), Service: "s", Labels: w.labels, Capacity: w.capacity, Draining: w.draining, Incarnation: w.incarnation}
+	return WorkerEntry{ID: w.id, Address: w.address, Service: "s", Labels: w.labels, Capacity: w.capacity, Draining: w.draining, Incarnation: w.incarnation}
 }
 
 func (w *simWorker) clockMs() int64 {
@@ -216,6 +223,29 @@
 	w.s.after(d, func() { w.restart() })
 }
 
+// crashAndReplace ends all runs without reporting their ends. After d another worker with
+// the same properties is at the address.
+func (w *simWorker) crashAndReplace(d time.Duration) {
+	w.crashed, w.refusing = true, true
+	w.loseRuns()
+	w.s.after(d, func() {
+		w.removed, w.replaced = true, true
+		n := w.s.addWorker(fmt.Sprintf("%s+", w.id), 0, w.capacity)
+		n.address, n.labels, n.speed, n.incarnation, n.startedAt = w.address, w.labels, w.speed, w.incarnation+1000, w.s.now
+	})
+}
+
+// refusal returns how calls for a crashed worker fail at once, if they do.
+func (w *simWorker) refusal() (CallStatus, bool) {
+	switch {
+	case w.replaced:
+		return CallWrongIncarnation, true
+	case w.refusing && w.crashed:
+		return CallNotSent, true
+	}
+	return CallOK, false
+}
+
 func (w *simWorker) loseRuns() {
 	for _, ref := range w.refs() {
 		r := w.runs[ref]
@@ -302,20 +332,27 @@
 
 // call delivers a request to a worker and its answer back, subject to the
 // active faults. Late requests are executed seconds later and never answered.
-func (s *sim) call(w *simWorker, incarnation int64, execute func() bool, answer func(ok bool), wait time.Duration) {
+// The status passed to answer is CallOK, CallNoAnswer or that of a refusal.
+func (s *sim) call(w *simWorker, incarnation int64, execute func() bool, answer func(status CallStatus), wait time.Duration) {
 	late := s.rng.Float64() < s.faults.late
 	delay := simNetworkDelay
 	if late {
 		delay = 2*time.Second + time.Duration(s.rng.Float64()*10*float64(time.Second))
 	}
 	answered := false
+	status := CallOK
 	reply := s.ifSameLeader(func() {
 		if !answered {
 			answered = true
-			answer(true)
+			answer(status)
 		}
 	})
 	s.after(delay, func() {
+		if refused, ok := w.refusal(); ok {
+			status = refused
+			s.after(simNetworkDelay, reply)
+			return
+		}
 		if w.unreachable() || w.incarnation != incarnation || !execute() || late || s.rng.Float64() < s.faults.lost {
 			return
 		}
@@ -324,7 +361,7 @@
 	s.after(wait, s.ifSameLeader(func() {
 		if !answered {
 			answered = true
-			answer(false)
+			answer(CallNoAnswer)
 		}
 	}))
 }
@@ -356,6 +393,11 @@
 		s.after(simNetworkDelay, finish)
 	}
 	s.after(simNetworkDelay, func() {
+		if refused, ok := w.refusal(); ok {
+			result = SyncResult{Worker: req.Worker, Status: refused}
+			s.after(simNetworkDelay, finish)
+			return
+		}
 		if w.unreachable() {
 			return
 		}
@@ -451,25 +493,29 @@
 	w := s.byID[req.Worker]
 	token, incarnation := s.token, w.incarnation
 	status := CallOK
-	attempt := func(execute func() bool, answer func(bool), wait time.Duration) {
-		s.call(w, incarnation, execute, answer, wait)
-	}
 	execute := func() bool {
 		status = w.startNow(req, token)
 		return true
 	}
+	unanswered, begin, pause := false, s.now, simStartRetryPause
 	var try func(n int)
 	try = func(n int) {
-		attempt(execute, func(ok bool) {
-			if !ok && n < maxStartRetries {
+		s.call(w, incarnation, execute, func(outcome CallStatus) {
+			if outcome == CallNoAnswer && n < maxStartRetries {
+				unanswered = true
 				try(n + 1)
 				return
 			}
-			r := &StartResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Status: CallNoAnswer}
-			if ok {
+			if outcome == CallNotSent && s.now.Sub(begin) < simStartRetryLimit {
+				pause *= 2
+				s.after(pause/2, s.ifSameLeader(func() { try(n) }))
+				return
+			}
+			r := &StartResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Status: outcome}
+			if outcome == CallOK {
 				r.Status, r.ClockMs = status, w.clockMs()
 			}
-			if n > 0 && r.Status != CallOK {
+			if unanswered && r.Status != CallOK && r.Status != CallWrongIncarnation {
 				r.Status = CallNoAnswer
 			}
 			s.core.HandleStartResult(s.now, r)
@@ -478,6 +524,13 @@
 	try(0)
 }
 
+const (
+	// simStartRetryPause is the pause after a start that could not be sent; it doubles.
+	simStartRetryPause = 15 * time.Millisecond
+	// simStartRetryLimit is how long a start that cannot be sent is repeated.
+	simStartRetryLimit = 1200 * time.Millisecond
+)
+
 // startNow starts a run and checks the invariants.
 func (w *simWorker) startNow(req StartRequest, token uint64) CallStatus {
 	s := w.s
@@ -661,9 +714,9 @@
 			})
 		}
 		return true
-	}, func(ok bool) {
-		r := &StopResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Status: CallNoAnswer}
-		if ok {
+	}, func(outcome CallStatus) {
+		r := &StopResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Status: outcome}
+		if outcome == CallOK {
 			r.Status, r.ClockMs = status, w.clockMs()
 		}
 		s.core.HandleStopResult(s.now, r)
