--- a/internal/core/jobs/gang_advice.go
+++ b/internal/core/jobs/gang_advice.go
@@ -20,6 +20,9 @@
 	// soonFreeShare is the fraction of a worker's whole capacity that is assumed to
 	// become free in time for a gang.
 	soonFreeShare = 0.3
+	// lostPlacesDivisor determines how many of the places of a gang are assumed to be taken
+	// by more urgent tasks while its calls are in flight: one of this many.
+	lostPlacesDivisor = 8
 )
 
 // admitGangs determines which gangs may look for capacity: the most urgent ones, until
@@ -31,7 +34,7 @@
 			continue
 		}
 		p := c.pool(s)
-		s.admitted = p.free.MilliCPU > 0 && p.free.MemMB > 0
+		s.admitted = p.hasSpare()
 		p.free = p.free.Sub(s.def.Size.Times(int64(s.pending)))
 	}
 }
@@ -54,7 +57,7 @@
 	if copies >= len(s.tasks) {
 		return c.renew(now, s, known)
 	}
-	fresh, expected := c.freeOnUnknown(now, s, len(s.tasks)-copies)
+	fresh, expected := c.freeOnUnknown(now, s, len(s.tasks)-copies+len(s.tasks)/lostPlacesDivisor)
 	if float64(copies)+expected >= float64(len(s.tasks)) {
 		return append(c.renew(now, s, known), fresh...)
 	}
@@ -167,7 +170,7 @@
 	var out []*worker
 	wanted, expected := candidateSurplus*float64(needed), 0.0
 	for _, o := range options {
-		if expected >= wanted {
+		if expected >= wanted && len(out) >= minCandidates(rate) {
 			break
 		}
 		out = append(out, o.worker)
@@ -176,6 +179,16 @@
 	return out, expected
 }
 
+// minCandidates returns the number of workers of which at least one is allowed with the
+// probability candidateConfidence, at a share of allowed workers. The expected capacity says
+// little where a few workers would do.
+func minCandidates(rate float64) int {
+	return int(math.Ceil(math.Log(1-candidateConfidence) / math.Log(1-min(rate, candidateConfidence))))
+}
+
+// candidateConfidence is the probability that an advice call for further workers allows one.
+const candidateConfidence = 0.95
+
 // soonFreeOnUnknown chooses workers that have free capacity or will have it soon, among
 // those whose permission is not known.
 func (c *Core) soonFreeOnUnknown(now time.Time, s *step) []*worker {
