Write no record for a worker whose connection only broke

Cause: a missed sync makes the leader store what runs on the worker once it has been silent for 0.3 s. The silence was measured from the last answer, so a long poll that broke after 0.9 s counted at once: the worker was not used until two further records were stored, and not at all while the store was away, although it answered again after some milliseconds. Change: the time counts from the missed sync. TestBrokenConnectionNeedsNoRecord failed before (a record is written).

--- a/internal/core/jobs/core_test.go
+++ b/internal/core/jobs/core_test.go
@@ -212,3 +212,18 @@
 	b.answerSyncs(out, nil)
 	assert.Equal(t, len(b.advance(0).Starts), 1, "not started although the worker answers again")
 }
+
+// Guards against a worker that answers again at once after its connection broke, and yet gets no tasks
+// until a record of it is stored.
+func TestBrokenConnectionNeedsNoRecord(t *testing.T) {
+	b := newTestBench(t)
+	b.addWorkers("w1")
+	out := b.advance(10 * time.Millisecond)
+	b.now = b.now.Add(3 * recordSilenceAfter)
+	b.core.HandleSyncResult(b.now, &SyncResult{Worker: "w1", Status: CallNoAnswer, SentAt: b.now})
+	assert.Equal(t, len(out.Syncs), 1)
+	b.answerSyncs(b.advance(firstSyncRetryDelay), nil)
+	assert.Assert(t, b.core.TakeBatch() == nil, "a record of the worker is written")
+	b.advance(0)
+	assert.Equal(t, b.core.workers["w1"].state, WorkerUsable)
+}
--- a/internal/core/jobs/worker_record.go
+++ b/internal/core/jobs/worker_record.go
@@ -7,8 +7,8 @@
 	"catkinvalve/internal/core/model"
 )
 
-// recordSilenceAfter is the time without an answer after which the jobs that
-// may run on a worker are stored in its record.
+// recordSilenceAfter is the time after a missed sync after which the jobs that may
+// run on a worker are stored in its record, if it has not answered since.
 const recordSilenceAfter = 300 * time.Millisecond
 
 // registerWorker puts the record of a listed worker that is not draining into
@@ -48,7 +48,7 @@
 		return r
 	}
 	if !w.Draining {
-		r.Incarnation, r.Runs = w.incarnation, w.interruptedRuns(w.lastContact)
+		r.Incarnation, r.Runs = w.incarnation, w.interruptedRuns(w.failedAt)
 	}
 	for _, run := range w.runs {
 		r.Tasks = append(r.Tasks, run.ref)
@@ -68,7 +68,7 @@
 	switch {
 	case w.missedSyncs == 0 && w.Draining && len(w.runs) == 0:
 		c.deregisterWorker(w)
-	case w.recordState == recordStored && !c.storeStalled && (w.Draining || w.missedSyncs > 0 && now.Sub(w.lastContact) >= recordSilenceAfter):
+	case w.recordState == recordStored && !c.storeStalled && (w.Draining || w.missedSyncs > 0 && now.Sub(w.failedAt) >= recordSilenceAfter):
 		w.recordState = recordSilent
 		c.poolsStale = true
 		c.queueRecord(w)
