Let gangs without room ask for enough workers to be allowed one

Change: a worker counts for no more members than the gang has, and a call names at least as many workers as give one that is allowed with a probability of 95%. TestGangWithoutRoomAsksForEnoughWorkersToBeAllowedOne failed before (1 worker, 0.70).

--- a/internal/core/jobs/gang_advice.go
+++ b/internal/core/jobs/gang_advice.go
@@ -201,16 +201,17 @@
 		if !c.eligible(now, s, w) || s.advice.denied[w.ID] || s.advice.find(w.ID) != nil || !s.def.Size.Fits(w.resources.capacity) {
 			continue
 		}
-		soon := copiesIn(w.resources.capacity, s.def.Size)
-		options = append(options, option{w, float64(w.resources.copies(s.def.Size)) + soonFreeShare*float64(soon)})
+		soon := float64(w.resources.copies(s.def.Size)) + soonFreeShare*float64(copiesIn(w.resources.capacity, s.def.Size))
+		options = append(options, option{w, min(soon, float64(len(s.tasks)))})
 	}
 	slices.SortStableFunc(options, func(a, b option) int {
 		return cmp.Or(cmp.Compare(b.copies, a.copies), cmp.Compare(a.worker.slowdownFactor(), b.worker.slowdownFactor()))
 	})
-	needed := float64(len(s.tasks)) * candidateSurplus / c.relays.expectedAllowRate(s.job().queue.Name)
+	rate := c.relays.expectedAllowRate(s.job().queue.Name)
+	needed := float64(len(s.tasks)) * candidateSurplus / rate
 	var candidates []*worker
 	for _, o := range options {
-		if needed <= 0 || len(candidates) == maxAdviceWorkers {
+		if needed <= 0 && len(candidates) >= minCandidates(rate) || len(candidates) == maxAdviceWorkers {
 			break
 		}
 		candidates = append(candidates, o.worker)
--- a/internal/core/jobs/gang_advice_test.go
+++ b/internal/core/jobs/gang_advice_test.go
@@ -169,3 +169,19 @@
 	denied := math.Pow(1-0.3, float64(len(requests[0].Workers)))
 	assert.Assert(t, denied <= 0.05, "the call for %d workers allows none with probability %.2f", len(requests[0].Workers), denied)
 }
+
+// Guards against a small gang without room that asks about one worker at a time.
+func TestGangWithoutRoomAsksForEnoughWorkersToBeAllowedOne(t *testing.T) {
+	b := newAdviceBench(t)
+	b.core.SetWorkers(b.now, workerEntries(20))
+	b.answerSyncs(b.advance(0), nil)
+	b.storeBatch()
+	b.core.relays.observe("q", 3, 10)
+	gang := smallStep(2)
+	gang.Gang = true
+	b.submit("gang", gang)
+	b.core.refreshPools(b.now)
+	candidates := b.core.soonFreeOnUnknown(b.now, b.core.ready[0])
+	denied := math.Pow(1-0.3, float64(len(candidates)))
+	assert.Assert(t, denied <= 0.05, "the call for %d workers allows none with probability %.2f", len(candidates), denied)
+}
