Let steps without a run come first while most of the capacity is free

Cause: advice is asked for in the order of the steps, urgent ones first and those that are late last. While advice is scarce, steps that are still on time use up all of it, and a late step is never asked about: the review showed one without a call in 20 s in a pool with 15 of 64 cores in use. Change: a step that has had no run for 1.5 s comes before all others while less than half of its pool is in use, the longest waiting first. Above that the order is as before. TestStarvingStepComesFirst fails when a step is never taken for starving (mutation).

--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -76,6 +76,9 @@
 	startBy time.Time
 	// late is set when the step is expected to miss its objective.
 	late bool
+	// starving is set when the step has had no run for long in a pool with much free
+	// capacity.
+	starving bool
 	// gang holds the state that the tasks of a gang share.
 	gang   gang
 	advice stepAdvice
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -26,7 +26,7 @@
 	}
 	if c.reservationsStale {
 		c.reservationsStale = false
-		c.markLate(now)
+		c.updateOrder(now)
 		c.refreshReservations(now)
 	}
 	c.admitGangs()
@@ -55,8 +55,12 @@
 // compareSteps orders steps by the priority of their queues, then by the time
 // by which they have to start. Steps that are late already come after those
 // that can still be on time; otherwise every job would be late under overload.
+// Starving steps come before all others, in the order in which they wait.
 func compareSteps(a, b *step) int {
-	return cmp.Or(cmp.Compare(a.job().queue.Priority, b.job().queue.Priority), compareBool(a.late, b.late),
+	if a.starving && b.starving {
+		return cmp.Or(a.wait.since.Compare(b.wait.since), cmp.Compare(a.seq, b.seq))
+	}
+	return cmp.Or(compareBool(!a.starving, !b.starving), cmp.Compare(a.job().queue.Priority, b.job().queue.Priority), compareBool(a.late, b.late),
 		a.startBy.Compare(b.startBy), cmp.Compare(a.seq, b.seq))
 }
 
@@ -75,11 +79,20 @@
 // as a fraction of its expected duration: durations are only estimates.
 const lateGrace = 1.0
 
-// markLate updates which steps are late and restores the order of the ready
-// list.
-func (c *Core) markLate(now time.Time) {
+// starvationTime is how long a step may have no run in a pool with much free
+// capacity before it comes first.
+const starvationTime = 1500 * time.Millisecond
+
+// updateOrder updates which steps are late or starving and restores the order of the
+// ready list. In a pool with much free capacity steps wait for advice, of which
+// those before them may use up all.
+func (c *Core) updateOrder(now time.Time) {
 	changed := false
 	for _, s := range c.ready {
+		starving := !s.wait.since.IsZero() && now.Sub(s.wait.since) >= starvationTime && c.pool(s).usedShare < idleShare
+		if starving != s.starving {
+			s.starving, changed = starving, true
+		}
 		grace := time.Duration(lateGrace * float64(c.estimator.expected(s.job().queue.Name, s.def)))
 		if late := now.After(s.startBy.Add(grace)); late != s.late {
 			s.late, changed = late, true
@@ -98,8 +111,8 @@
 	// free is the sum of the free capacity of all workers, in which the demand of the waiting
 	// gangs is then subtracted.
 	free model.Size
-	// scarce is set while less than 1-scarceShare of the capacity is free.
-	scarce bool
+	// usedShare is the used share of the scarcest resource.
+	usedShare float64
 	// gangWaits is set once a gang of priority gangPriority was not placed in the current
 	// round although its turn had come, and the pool is short of capacity.
 	gangWaits    bool
@@ -118,7 +131,7 @@
 		p.free = p.free.Add(free)
 		used, total = used.Add(w.resources.used), total.Add(w.resources.capacity)
 	}
-	p.scarce = used.DominantShare(total) >= scarceShare
+	p.usedShare = used.DominantShare(total)
 }
 
 // hasSpare reports whether free capacity remains beyond the demand of the waiting gangs
--- a/internal/core/jobs/waiting_test.go
+++ b/internal/core/jobs/waiting_test.go
@@ -27,3 +27,21 @@
 	assert.Equal(t, b.out.Events[i].Reason, waitForCapacity)
 	assert.Assert(t, !slices.ContainsFunc(b.out.Events, func(e Event) bool { return e.Name == EventStepWaiting && e.Job == "first" }), "reported although it runs")
 }
+
+// Guards against a late step that never gets advice because steps that are on time come first, although
+// most of the capacity is free.
+func TestStarvingStepComesFirst(t *testing.T) {
+	b := newAdviceBench(t)
+	b.addWorkers("w1", "w2")
+	b.core.SetAdviceRelays(nil)
+	b.submit("late", smallStep(1))
+	b.core.ready[0].startBy = b.now.Add(-time.Minute)
+	b.advance(0)
+	b.advance(starvationTime)
+	b.submit("punctual", smallStep(1))
+	b.advance(0)
+	b.core.SetAdviceRelays([]string{"self"})
+	requests := b.advance(scheduleInterval).Advice
+	assert.Assert(t, len(requests) > 0)
+	assert.Equal(t, requests[0].Step.Job, "late")
+}
--- a/internal/core/jobs/yield.go
+++ b/internal/core/jobs/yield.go
@@ -10,6 +10,10 @@
 // not lack capacity, but advice or workers that its policy allows.
 const scarceShare = 2.0 / 3
 
+// idleShare is the share of a pool's capacity in use below which no step should lack a run for
+// long.
+const idleShare = 0.5
+
 // noteWaitingGang records that a gang was not placed although its turn had come. A gang in a
 // pool with enough free capacity does not count: it gains nothing if other steps wait.
 func (c *Core) noteWaitingGang(s *step) {
@@ -17,7 +21,7 @@
 		return
 	}
 	p := c.pool(s)
-	if !p.scarce || p.hasSpare() {
+	if p.usedShare < scarceShare || p.hasSpare() {
 		return
 	}
 	p.gangWaits, p.gangPriority = true, s.job().queue.Priority
