--- a/internal/cell/workercalls.go
+++ b/internal/cell/workercalls.go
@@ -79,7 +79,7 @@
 // statusAfterUnanswered returns the status of a start whose last attempt failed with the
 // given status after an earlier attempt was not answered.
 func statusAfterUnanswered(last jobs.CallStatus) jobs.CallStatus {
-	if last == jobs.CallFenced || last == jobs.CallWrongIncarnation {
+	if last == jobs.CallFenced {
 		return last
 	}
 	return jobs.CallNoAnswer
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -81,9 +81,8 @@
 	// stoppingRuns lists the runs whose stop was requested.
 	stoppingRuns []*run
 	health       *retry.Health
-	// departed holds the workers whose lease ended and that may have crashed, by
-	// address.
-	departed map[string]departedWorker
+	// expired holds the workers whose lease ended and that may have crashed, by address.
+	expired  map[string]expiredWorker
 	recovery recovery
 	// previousLeaderEnd is the latest time at which an earlier leader may have
 	// extended leases.
@@ -121,7 +120,7 @@
 	return &Core{
 		cfg: cfg, queues: map[string]*Queue{}, jobs: map[string]*job{},
 		workers: map[model.WorkerID]*worker{}, pools: map[string]*pool{}, poolsStale: true,
-		health: retry.NewHealth(cfg.Health), recovery: newRecovery(), departed: map[string]departedWorker{},
+		health: retry.NewHealth(cfg.Health), recovery: newRecovery(), expired: map[string]expiredWorker{},
 		batch: newBatchState(), relays: newRelays(), estimator: newDurationEstimator(),
 	}
 }
--- a/internal/core/jobs/crashes.go
+++ b/internal/core/jobs/crashes.go
@@ -23,9 +23,12 @@
 	// maxAnswerDelay is how long after the crash of a worker its answer to a start may
 	// arrive. A later one is that of another process.
 	maxAnswerDelay = 100 * time.Millisecond
-	// maxDepartedAge is how long the runs of a removed worker are kept, to be counted
-	// if a restarted worker appears at its address.
-	maxDepartedAge = 30 * time.Second
+	// maxExpiredAge is how long the runs of a worker whose lease has ended are kept, to be
+	// counted if another process answers at its address.
+	maxExpiredAge = 30 * time.Second
+	// otherProcess stands for the incarnation of a process that is not known, other than
+	// that of the worker.
+	otherProcess = -1
 )
 
 // reasonCrashes is why a job fails one of whose tasks crashes the workers that start it.
@@ -37,19 +40,34 @@
 	runs []int64
 	// atStart counts those of them that had started less than startCrashWindow before.
 	atStart int
-	// suspected is set when a run of an earlier leader may have crashed its worker.
-	suspected bool
+	// possible is set when a run of the task may have crashed its worker, but is not
+	// known to have been there.
+	possible bool
+	// since is when the task was last suspected; zero if that is not known.
+	since time.Time
 	// batch is the sequence number of the batch with the latest crash.
 	batch uint64
 }
 
 // suspect reports whether the task may be what crashes its workers.
 func (h *crashHistory) suspect() bool {
-	return h.suspected || h.atStart > 0 || h.repeated()
+	return h.possible || h.atStart > 0 || h.nextIsLast()
 }
 
-// repeated reports whether one more crash would be the last.
-func (h *crashHistory) repeated() bool { return len(h.runs) >= maxCrashes-1 }
+// nextIsLast reports whether the task is given up after one more crash.
+func (h *crashHistory) nextIsLast() bool { return len(h.runs) >= maxCrashes-1 }
+
+// mayBeGuilty makes the task a suspect without counting a crash.
+func (h *crashHistory) mayBeGuilty(now time.Time) { h.possible, h.since = true, now }
+
+// overdue reports whether a suspect has waited so long for a start apart from other jobs that it starts
+// beside them. A task that has crashed workers at its start twice waits on.
+func (h *crashHistory) overdue(now time.Time) bool {
+	if h.since.IsZero() {
+		h.since = now
+	}
+	return h.atStart < maxStartCrashes && now.Sub(h.since) > maxIsolationWait
+}
 
 // InterruptedRun is a run on a worker that has stopped answering. It ended if the worker crashed.
 type InterruptedRun struct {
@@ -71,7 +89,7 @@
 	}
 	var out []InterruptedRun
 	for _, r := range w.runs {
-		if r.task == nil || r.sentAt.After(failedAt) {
+		if r.sentAt.After(failedAt) {
 			continue
 		}
 		age := failedAt.Sub(r.confirmedAt)
@@ -84,11 +102,17 @@
 // recordWorkerCrash counts the crash of a worker whose process was replaced. A worker that left as
 // announced did not crash.
 func (c *Core) recordWorkerCrash(now time.Time, w *worker, runs []InterruptedRun) {
-	if !w.Draining {
+	if !w.leaving() {
 		c.recordCrash(now, w.ID, runs)
 	}
 }
 
+// leaving reports whether the process that last answered has announced that it leaves. The entry of
+// the worker may be that of a later process already.
+func (w *worker) leaving() bool {
+	return w.Draining && w.WorkerEntry.Incarnation == w.incarnation || w.drainedIncarnation != 0 && w.drainedIncarnation == w.incarnation
+}
+
 // recordCrash counts a crash of a worker for the tasks that ran on it.
 func (c *Core) recordCrash(now time.Time, id model.WorkerID, runs []InterruptedRun) {
 	starting := startingJobs(runs)
@@ -97,11 +121,11 @@
 		t := c.task(r.Task)
 		switch {
 		case t == nil || t.state == taskDone || t.step.job().outcome != OutcomeUnfinished:
-		case r.Unclear:
-			t.crashes.suspected = true
-		case r.Age < crashBlameWindow:
+		case r.Unclear && len(starting) > 1:
+			t.crashes.mayBeGuilty(now)
+		case r.Unclear || r.Age < crashBlameWindow:
 			c.countCrash(now, id, t, r, starting)
-		case len(t.crashes.runs) > 0:
+		case t.crashes.suspect():
 			t.crashes = crashHistory{}
 			c.markDirty(t.step.job())
 		}
@@ -130,10 +154,14 @@
 	h.runs = append(h.runs, r.Run)
 	h.batch = c.batch.next
 	alone := !slices.ContainsFunc(starting, func(job string) bool { return job != r.Task.Job })
-	atStart := r.Age < startCrashWindow
+	atStart := !r.Unclear && r.Age < startCrashWindow
 	if atStart {
 		h.atStart++
 	}
+	if r.Unclear {
+		h.mayBeGuilty(now)
+	}
+	h.since = now
 	detail := "runs of other jobs had just started"
 	if alone {
 		detail = "no run of another job had just started"
@@ -151,63 +179,58 @@
 // recordPreviousCrash counts the crash of a worker that stopped answering an earlier leader and was
 // replaced before it answered this one.
 func (c *Core) recordPreviousCrash(now time.Time, id model.WorkerID) {
-	previous := c.recovery.workers[id]
-	for _, ref := range previous.tasks {
-		if t := c.task(ref); t != nil {
-			t.crashes.suspected = true
-		}
+	if previous := c.recovery.workers[id]; previous.incarnation != 0 {
+		c.recordCrash(now, id, previous.runs)
 	}
-	c.recordCrash(now, id, previous.runs)
 }
 
-// departedWorker holds the runs of a worker whose lease ended after it refused connections: it has
+// expiredWorker holds the runs of a worker whose lease ended after it had refused connections: it has
 // crashed if another process answers at its address.
-type departedWorker struct {
+type expiredWorker struct {
 	id          model.WorkerID
 	incarnation int64
 	runs        []InterruptedRun
 	at          time.Time
 }
 
-// noteDeparture keeps the runs of a worker whose lease has ended, and suspects their tasks. A worker
-// that does not refuse connections may be cut off and is not taken for a crashed one.
-func (c *Core) noteDeparture(now time.Time, w *worker) {
-	if w.lastFailure != CallNotSent || w.Draining {
+// keepExpired keeps the runs of a worker whose lease has ended. Tasks that had just started may be
+// to blame. A worker that has not refused connections may be cut off and is not taken for a crashed one.
+func (c *Core) keepExpired(now time.Time, w *worker, incarnation int64, runs []InterruptedRun) {
+	if !w.refused || w.leaving() || len(runs) == 0 {
 		return
 	}
-	d := departedWorker{id: w.ID, incarnation: w.incarnation, runs: w.interruptedRuns(now), at: now}
-	for _, r := range d.runs {
-		if t := c.task(r.Task); t != nil {
-			t.crashes.suspected = true
+	for i := range runs {
+		if t := c.task(runs[i].Task); t != nil && (runs[i].Unclear || runs[i].Age < startCrashWindow) {
+			t.crashes.mayBeGuilty(now)
 		}
 	}
-	c.departed[w.Address] = d
+	c.expired[w.Address] = expiredWorker{id: w.ID, incarnation: incarnation, runs: runs, at: now}
 }
 
-// resolveDeparture counts the crash of the worker that had the address before, unless that is the
-// process that answers.
-func (c *Core) resolveDeparture(now time.Time, w *worker, incarnation int64) {
-	d, ok := c.departed[w.Address]
+// resolveExpired counts the crash of the worker that had an address before, unless that is the process
+// that answers there now.
+func (c *Core) resolveExpired(now time.Time, w *worker, incarnation int64) {
+	e, ok := c.expired[w.Address]
 	if !ok {
 		return
 	}
-	delete(c.departed, w.Address)
-	if d.id != w.ID || d.incarnation != incarnation {
-		c.recordCrash(now, d.id, d.runs)
+	delete(c.expired, w.Address)
+	if e.id != w.ID || e.incarnation != incarnation {
+		c.recordCrash(now, e.id, e.runs)
 	}
 }
 
-// dropOldDepartures drops what was kept of workers that did not return.
-func (c *Core) dropOldDepartures(now time.Time) {
-	for address, d := range c.departed {
-		if now.Sub(d.at) > maxDepartedAge {
-			delete(c.departed, address)
+// dropOldExpired drops what was kept of workers that did not return.
+func (c *Core) dropOldExpired(now time.Time) {
+	for address, e := range c.expired {
+		if now.Sub(e.at) > maxExpiredAge {
+			delete(c.expired, address)
 		}
 	}
 }
 
-// crashesStored reports whether the crashes under a task are stored, so that a later leader knows
+// crashesStored reports whether the crashes under a suspect task are stored, so that a later leader knows
 // them before the task starts again.
 func (c *Core) crashesStored(t *task) bool {
-	return len(t.crashes.runs) == 0 || t.crashes.batch < c.batch.oldestUnstored()
+	return !t.crashes.suspect() || t.crashes.batch < c.batch.oldestUnstored()
 }
--- a/internal/core/jobs/isolation.go
+++ b/internal/core/jobs/isolation.go
@@ -6,36 +6,51 @@
 	"time"
 )
 
-// isolationTime is how long after the start of a suspect no other job starts tasks on its worker. It
-// is longer than startCrashWindow, because the start takes time to arrive.
-const isolationTime = startCrashWindow + 100*time.Millisecond
+const (
+	// isolationTime is how long after the start of a suspect no other job starts tasks on
+	// its worker. It is longer than startCrashWindow, because the start takes time to
+	// arrive.
+	isolationTime = startCrashWindow + 100*time.Millisecond
+	// lastIsolationTime is the same for a task that is given up after the next crash.
+	lastIsolationTime = 2 * time.Second
+	// maxIsolationWait is how long a suspect waits for a start apart from other jobs.
+	maxIsolationWait = 1500 * time.Millisecond
+	// unclearRunWindow is how long a start without an answer may still be carried out,
+	// usually.
+	unclearRunWindow = 2 * time.Second
+	// maxIsolatedDivisor limits the workers of a pool that are isolated at a time: one of
+	// this many, at least one.
+	maxIsolatedDivisor = 2
+)
 
 // isolation keeps the starts of other jobs away from a worker. If the worker crashes meanwhile,
 // the crash is known to be caused by the one job.
 type isolation struct {
 	job   *job
 	until time.Time
-	// run extends the isolation until it has ended; nil if none does.
-	run *run
 }
 
 // blocks reports whether a job may not start tasks on the isolated worker.
 func (i *isolation) blocks(now time.Time, j *job) bool {
-	return i.job != nil && i.job != j && (now.Before(i.until) || i.run != nil && !i.run.gone)
+	return i.job != nil && i.job != j && now.Before(i.until)
 }
 
 // isolate keeps the starts of other jobs away from a worker for a while.
-func (w *worker) isolate(now time.Time, j *job) {
-	if w.isolation.job != j {
-		w.isolation = isolation{job: j}
+func (w *worker) isolate(now time.Time, j *job, length time.Duration) {
+	until := now.Add(length)
+	if w.isolation.job == j {
+		until = later(until, w.isolation.until)
 	}
-	w.isolation.until = now.Add(isolationTime)
+	w.isolation = isolation{job: j, until: until}
 }
 
 // quiet reports whether no run of another job on the worker has started recently.
 func (w *worker) quiet(now time.Time, j *job) bool {
 	for _, r := range w.runs {
-		if r.ref.Job != j.spec.ID && (r.state != runActive || now.Sub(r.confirmedAt) < startCrashWindow) {
+		if r.ref.Job == j.spec.ID {
+			continue
+		}
+		if r.state == runActive && now.Sub(r.confirmedAt) < startCrashWindow || r.state != runActive && now.Sub(r.sentAt) < unclearRunWindow {
 			return false
 		}
 	}
@@ -43,21 +58,41 @@
 }
 
 // isolatedWorker returns the worker on which a suspect task starts apart from other jobs. It prefers a
-// worker that the job has to itself already, then the one with the least work to lose. If the
-// best option has started something else recently, it is kept for the job and nil is returned. options must
-// not be empty.
-func isolatedWorker(now time.Time, j *job, options []*worker) *worker {
+// worker that the job has to itself already, then the rack of its data, then the one with the least work to
+// lose. If the best option has started something else recently, it is kept for the job and nil is returned; also
+// if too many workers are isolated. options must not be empty.
+func (c *Core) isolatedWorker(now time.Time, s *step, options []*worker) *worker {
+	j := s.job()
 	best := slices.MinFunc(options, func(a, b *worker) int {
 		return cmp.Or(compareBool(!a.quiet(now, j), !b.quiet(now, j)), compareBool(a.isolation.job != j, b.isolation.job != j),
-			cmp.Compare(a.usedShare(), b.usedShare()))
+			compareBool(s.remote(a), s.remote(b)), cmp.Compare(a.usedShare(), b.usedShare()))
 	})
-	best.isolate(now, j)
+	if best.isolation.job != j && !c.mayIsolate(now, s) {
+		return nil
+	}
+	best.isolate(now, j, isolationTime)
 	if !best.quiet(now, j) {
 		return nil
 	}
 	return best
 }
 
+// mayIsolate reports whether another worker of the step's pool may be isolated: the others stay
+// available to jobs without suspects.
+func (c *Core) mayIsolate(now time.Time, s *step) bool {
+	workers := c.pool(s).workers
+	isolated := 0
+	for _, w := range workers {
+		if now.Before(w.isolation.until) {
+			isolated++
+		}
+	}
+	return isolated < max(1, len(workers)/maxIsolatedDivisor)
+}
+
+// remote reports whether the worker is not in the rack of the step's data.
+func (s *step) remote(w *worker) bool { return s.def.DataRack != "" && !w.hasLabel(s.def.DataRack) }
+
 // usedShare returns the used share of the worker's scarcest resource.
 func (w *worker) usedShare() float64 {
 	return w.resources.used.DominantShare(w.resources.capacity)
@@ -74,7 +109,7 @@
 // have started nothing else recently. If there are not enough of these yet, the missing ones are
 // kept for the job and nil is returned.
 func (s *step) isolateSuspects(now time.Time, chosen []*worker) []*worker {
-	suspects := s.suspects()
+	suspects := s.suspects(now)
 	if len(suspects) == 0 {
 		return chosen
 	}
@@ -84,7 +119,7 @@
 	quiet := true
 	out := make([]*worker, len(chosen))
 	for i, index := range suspects {
-		chosen[i].isolate(now, s.job())
+		chosen[i].isolate(now, s.job(), isolationTime)
 		quiet = quiet && chosen[i].quiet(now, s.job())
 		out[index] = chosen[i]
 	}
@@ -100,11 +135,12 @@
 	return out
 }
 
-// suspects returns the indexes of the pending tasks that may crash their workers.
-func (s *step) suspects() []int32 {
+// suspects returns the indexes of the pending tasks that may crash their workers and have to start apart
+// from other jobs.
+func (s *step) suspects(now time.Time) []int32 {
 	var out []int32
 	for i := range s.tasks {
-		if s.tasks[i].state == taskPending && s.tasks[i].crashes.suspect() {
+		if t := &s.tasks[i]; t.state == taskPending && t.crashes.suspect() && !t.crashes.overdue(now) {
 			out = append(out, int32(i))
 		}
 	}
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -36,14 +36,14 @@
 	Accepted time.Time
 }
 
-// ProgressRecord is the stored form of everything final about a job. Each
-// record replaces the previous one.
+// ProgressRecord is the stored form of everything final about a job, and of the crashes
+// of workers under its tasks. Each record replaces the previous one.
 type ProgressRecord struct {
 	Job     string
 	Queue   string
 	Outcome Outcome
-	// Occurrences lists the occurrences in which any task has ended; empty once
-	// the job has ended.
+	// Occurrences lists the occurrences in which any task has ended or a worker
+	// crashed; empty once the job has ended.
 	Occurrences []OccurrenceProgress
 }
 
--- a/internal/core/jobs/recovery.go
+++ b/internal/core/jobs/recovery.go
@@ -166,8 +166,9 @@
 		return
 	}
 	c.event(Event{Name: EventWorkerLeaseEnded, Detail: "leases of an earlier leader", Count: len(c.recovery.workers)})
-	for id := range c.recovery.workers {
+	for id, previous := range c.recovery.workers {
 		if w := c.workers[id]; w != nil && !w.answered {
+			c.keepExpired(now, w, previous.incarnation, previous.runs)
 			c.deregisterWorker(w)
 		}
 	}
--- a/internal/core/jobs/runs.go
+++ b/internal/core/jobs/runs.go
@@ -43,8 +43,8 @@
 	r := &run{ref: t.ref(), number: number, worker: w, size: s.def.Size, state: runStarting, sentAt: now, pace: paceState{applied: fullPace, wanted: fullPace}}
 	c.attach(t, r)
 	w.addRun(r)
-	if t.crashes.repeated() {
-		w.isolation = isolation{job: s.job(), until: now.Add(isolationTime), run: r}
+	if t.crashes.nextIsLast() {
+		w.isolate(now, s.job(), lastIsolationTime)
 	}
 	if len(w.runs) == 1 {
 		w.lastProgress = now
@@ -118,6 +118,8 @@
 	case CallNotSent, CallNoCapacity, CallDeadlinePassed, CallMalformed:
 		w.backoffUntil, c.poolsStale = now.Add(refusalBackoff), true
 	case CallWrongIncarnation:
+		w.removeRun(r)
+		c.handleRunGone(now, r)
 		c.handleReplacedWorker(now, w)
 		return
 	case CallTicketInvalid:
@@ -203,7 +205,7 @@
 	c.poolsStale, c.reservationsStale = true, true
 	c.expirePreviousLeases(now)
 	c.expireAdviceCalls(now)
-	c.dropOldDepartures(now)
+	c.dropOldExpired(now)
 	c.reportWaits(now)
 }
 
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -279,8 +279,8 @@
 // chooseWorker returns the worker on which a task starts, or nil if it may crash its worker and none
 // of the options can take it apart from other jobs yet. options must not be empty.
 func (c *Core) chooseWorker(now time.Time, t *task, options []*worker) *worker {
-	if t.crashes.suspect() {
-		return isolatedWorker(now, t.step.job(), options)
+	if t.crashes.suspect() && !t.crashes.overdue(now) {
+		return c.isolatedWorker(now, t.step, options)
 	}
 	return bestWorker(t.step, options)
 }
@@ -307,7 +307,7 @@
 	if len(w.reservations) > 0 {
 		sc += reservedPenalty
 	}
-	if s.def.DataRack != "" && !w.hasLabel(s.def.DataRack) {
+	if s.remote(w) {
 		sc += remotePenalty
 	}
 	return sc
@@ -349,6 +349,9 @@
 		return
 	}
 	w.WorkerEntry, w.listed = *e, true
+	if e.Draining {
+		w.drainedIncarnation = e.Incarnation
+	}
 	w.resources.capacity = e.Capacity
 	if w.answered && !w.leaseExpired {
 		c.registerWorker(w)
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -134,8 +134,8 @@
 	if w.answered && res.Incarnation != w.incarnation {
 		c.handleWorkerRestart(received, w, res)
 	}
-	w.missedSyncs, w.failedAt, w.lastFailure = 0, time.Time{}, CallOK
-	c.resolveDeparture(received, w, res.Incarnation)
+	w.missedSyncs, w.failedAt, w.refused = 0, time.Time{}, false
+	c.resolveExpired(received, w, res.Incarnation)
 	if !w.answered {
 		if known := c.recovery.workers[w.ID].incarnation; known != 0 && known != res.Incarnation {
 			c.recordPreviousCrash(received, w.ID)
@@ -186,7 +186,7 @@
 		w.failedAt = now
 	}
 	w.missedSyncs++
-	w.lastFailure = status
+	w.refused = w.refused || status == CallNotSent
 	c.poolsStale = true
 	w.nextSync = now.Add(retryDelay(w.missedSyncs))
 	if status == CallWrongIncarnation {
@@ -220,6 +220,7 @@
 	c.event(Event{Name: EventWorkerRestarted, Worker: w.ID, Count: len(w.runs), Age: now.Sub(w.lastContact), Detail: "its address now belongs to another worker"})
 	c.recordWorkerCrash(now, w, w.interruptedRuns(now))
 	c.recordPreviousCrash(now, w.ID)
+	c.resolveExpired(now, w, otherProcess)
 	for _, r := range slices.Clone(w.runs) {
 		c.loseRun(now, r, "the address now belongs to another worker")
 	}
@@ -245,15 +246,15 @@
 	for i := range res.Running {
 		listed[res.Running[i].Task] = res.Running[i].Run
 	}
+	if w.failedAt.IsZero() {
+		w.failedAt = res.SentAt
+	}
+	c.recordWorkerCrash(now, w, slices.DeleteFunc(w.interruptedRuns(now), func(r InterruptedRun) bool { return listed[r.Task] == r.Run }))
 	w.incarnation, w.clockMs, w.clockReadAt, w.maxDeadlineMs = res.Incarnation, res.ClockMs, now, res.ClockMs+c.cfg.LeaseDuration.Milliseconds()
 	// Calls to the earlier incarnation may still arrive. Their deadlines are
 	// far ahead of the new incarnation's clock.
 	w.lateGrantsUntil = now.Add(c.cfg.MaxCallDelay)
 	w.processedEnd, w.ackedEnd, w.ackAfterBatch = 0, 0, 0
-	if w.failedAt.IsZero() {
-		w.failedAt = res.SentAt
-	}
-	c.recordWorkerCrash(now, w, slices.DeleteFunc(w.interruptedRuns(now), func(r InterruptedRun) bool { return listed[r.Task] == r.Run }))
 	for _, r := range slices.Clone(w.runs) {
 		if listed[r.ref] == r.number {
 			continue
@@ -474,7 +475,7 @@
 func (c *Core) expireLease(now time.Time, w *worker) {
 	c.event(Event{Name: EventWorkerLeaseEnded, Worker: w.ID, Count: len(w.runs), Age: now.Sub(w.lastContact)})
 	w.leaseExpired, c.poolsStale = true, true
-	c.noteDeparture(now, w)
+	c.keepExpired(now, w, w.incarnation, w.interruptedRuns(now))
 	for _, r := range slices.Clone(w.runs) {
 		c.loseRun(now, r, "the worker's lease ended")
 	}
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -60,10 +60,12 @@
 	// queued is set while the worker is in Core.dueSyncs.
 	queued      bool
 	missedSyncs int
-	// failedAt is when the first of the missed syncs failed, and lastFailure how the
-	// last one did.
-	failedAt    time.Time
-	lastFailure CallStatus
+	// failedAt is when the first of the missed syncs failed. refused is set if one of them
+	// could not be sent because no connection could be opened.
+	failedAt time.Time
+	refused  bool
+	// drainedIncarnation is the last incarnation that was listed as draining.
+	drainedIncarnation int64
 	// probing is set while a sync to the worker counts towards
 	// Core.probesInFlight.
 	probing bool
