Keep a soak worker down for the whole of an injected crash

Cause: an injected crash (cell.go restoreWorker, inject.go restartWorkers) and the return of a worker from a crash under a task both controlled the proxy and the incarnation of the worker. w-03 had crashed under a task when an injected crash of 1.9 s began. It came back 0.9 s later and took starts, and the end of the injected crash replaced its process again, on open connections: a long poll begun at 18:23:04.541 was answered by the next incarnation at 18:23:05.541. No real process can do this, and the leader took the crash for one 130 ms after the start of the run instead of about 470 ms (restart at 15.72 s of the load).

Why the fix works: the worker returns only after the injected crash, and each end of a process resets its connections first, also when the end of a cut has opened the proxy meanwhile. No check changes and no fault is dropped.

--- a/internal/cellsoak/cell.go
+++ b/internal/cellsoak/cell.go
@@ -83,8 +83,11 @@
 // in the store.
 type soakWorker struct {
 	*worker
-	proxy *faultproxy.Proxy
-	entry jobs.WorkerEntry
+	// crashing is held while an injected crash keeps the worker down, also one that has
+	// crashed under a task before.
+	crashing sync.Mutex
+	proxy    *faultproxy.Proxy
+	entry    jobs.WorkerEntry
 }
 
 // soakDaemon is a daemon process with the proxy in front of its connections to the store.
@@ -358,6 +361,7 @@
 	if !pause.For(ctx, minDowntime+rand.N(maxDowntime-minDowntime)) {
 		return
 	}
+	w.crashing.Lock()
 	c.checker.mu.Lock()
 	oldID, newID := w.id, w.id
 	if rand.IntN(2) == 0 {
@@ -367,6 +371,7 @@
 	w.comeBack(newID)
 	c.checker.mu.Unlock()
 	err := errors.Join(c.register(w), w.proxy.Resume())
+	w.crashing.Unlock()
 	if newID != oldID && pause.For(ctx, entryLinger) {
 		err = errors.Join(err, c.appendRecord(platform.WorkerTopic(), ports.KeyedRecord{Key: string(oldID)}))
 	}
--- a/internal/cellsoak/cellsoak_test.go
+++ b/internal/cellsoak/cellsoak_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -87,3 +88,32 @@
 	}
 	assert.Equal(t, seen[StoreRefuses]+seen[StoreSilent], 3)
 }
+
+// Guards against a worker that comes back from a crash under a task while an injected crash keeps it
+// down: the end of the injected crash would end its new runs too, on open connections.
+func TestInjectedCrashKeepsCrashedWorkerDown(t *testing.T) {
+	t.Parallel()
+	c, err := newCell("", t.TempDir(), 0, 1, 1)
+	defer func() { assert.NilError(t, c.stop()) }()
+	assert.NilError(t, err)
+	w := c.workers[0]
+	down := func() bool {
+		c.checker.mu.Lock()
+		defer c.checker.mu.Unlock()
+		return w.down
+	}
+	c.checker.mu.Lock()
+	w.crash()
+	c.checker.mu.Unlock()
+	ctx := context.Background()
+	var done sync.WaitGroup
+	done.Go(func() { c.restoreWorker(ctx, w) })
+	done.Go(func() {
+		in := &injector{cell: c}
+		assert.Check(t, in.restartWorkers(ctx, Fault{Kind: WorkerCrash, For: maxDowntime + time.Second, Count: 1}))
+	})
+	time.Sleep(maxDowntime + time.Second/2)
+	assert.Assert(t, down(), "the worker was back during the injected crash")
+	done.Wait()
+	assert.Assert(t, !down())
+}
--- a/internal/cellsoak/inject.go
+++ b/internal/cellsoak/inject.go
@@ -146,23 +146,38 @@
 			}
 			pause.For(ctx, drainDuration)
 		}
-		w.proxy.SetMode(faultproxy.Reset)
-		in.cell.checker.mu.Lock()
-		w.restart()
-		in.cell.checker.mu.Unlock()
-		pause.For(ctx, f.For)
-		in.cell.checker.mu.Lock()
-		w.restart()
-		in.cell.checker.mu.Unlock()
-		in.setDraining(w, 0)
-		if err := in.cell.register(w); err != nil {
+		if err := in.restartWorker(ctx, f, w); err != nil {
 			return err
 		}
-		w.proxy.SetMode(faultproxy.Pass)
 	}
 	return nil
 }
 
+// restartWorker ends a worker's process and registers the next one after the duration of
+// the fault. The worker stays down meanwhile, unless another fault ends on its proxy; then
+// it crashes once more.
+func (in *injector) restartWorker(ctx context.Context, f Fault, w *soakWorker) error {
+	w.crashing.Lock()
+	defer w.crashing.Unlock()
+	in.endProcess(w)
+	pause.For(ctx, f.For)
+	in.endProcess(w)
+	in.setDraining(w, 0)
+	if err := in.cell.register(w); err != nil {
+		return err
+	}
+	w.proxy.SetMode(faultproxy.Pass)
+	return nil
+}
+
+// endProcess resets a worker's connections and begins its next incarnation.
+func (in *injector) endProcess(w *soakWorker) {
+	w.proxy.SetMode(faultproxy.Reset)
+	in.cell.checker.mu.Lock()
+	defer in.cell.checker.mu.Unlock()
+	w.restart()
+}
+
 // setDraining changes a worker's entry to draining for the given time, or to ready for 0.
 func (in *injector) setDraining(w *soakWorker, remaining time.Duration) {
 	in.cell.checker.mu.Lock()
