Give up a task for two crashes at its start only if both were without other starts

Cause: countCrash (jobs/crashes.go) gave a task up at the second crash within 0.5 s of its start if no other job had just started a run on the second worker. The first crash may have been caused by another task that had just started beside it (logged as "runs of other jobs had just started"); the suspect then started apart, and one crash from outside within 0.5 s looked like its second one.

Why the fix works: a shared crash now makes a task suspect, but two crashes give it up only if both had no other start beside them, or the third one does.

--- a/internal/cellpb/convert.go
+++ b/internal/cellpb/convert.go
@@ -151,7 +151,7 @@
 		p.Failures = append(p.Failures, &StoredFailures{Index: f.Index, Runs: f.Runs})
 	}
 	for _, r := range s.Crashes {
-		p.Crashes = append(p.Crashes, &StoredCrashes{Index: r.Index, Runs: r.Runs, AtStart: int32(r.AtStart)})
+		p.Crashes = append(p.Crashes, &StoredCrashes{Index: r.Index, Runs: r.Runs, AtStart: int32(r.AtStart), Alone: int32(r.Alone)})
 	}
 	return p
 }
@@ -179,7 +179,7 @@
 		s.Failures = append(s.Failures, jobs.TaskFailures{Index: f.Index, Runs: f.Runs})
 	}
 	for _, r := range p.Crashes {
-		s.Crashes = append(s.Crashes, jobs.TaskCrashes{Index: r.Index, Runs: r.Runs, AtStart: int(r.AtStart)})
+		s.Crashes = append(s.Crashes, jobs.TaskCrashes{Index: r.Index, Runs: r.Runs, AtStart: int(r.AtStart), Alone: int(r.Alone)})
 	}
 	return s
 }
--- a/internal/core/jobs/batch.go
+++ b/internal/core/jobs/batch.go
@@ -220,7 +220,7 @@
 	var out []TaskCrashes
 	for i := range s.tasks {
 		if h := &s.tasks[i].crashes; len(h.runs) > 0 {
-			out = append(out, TaskCrashes{Index: s.tasks[i].index, Runs: h.runs, AtStart: h.atStart})
+			out = append(out, TaskCrashes{Index: s.tasks[i].index, Runs: h.runs, AtStart: h.atStart, Alone: h.alone})
 		}
 	}
 	return out
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -388,7 +388,7 @@
 	}
 	for _, r := range p.Crashes {
 		if r.Index >= 0 && int(r.Index) < len(s.tasks) {
-			s.tasks[r.Index].crashes = crashHistory{runs: r.Runs, atStart: r.AtStart}
+			s.tasks[r.Index].crashes = crashHistory{runs: r.Runs, atStart: r.AtStart, alone: r.Alone}
 		}
 	}
 }
--- a/internal/core/jobs/crashes.go
+++ b/internal/core/jobs/crashes.go
@@ -15,10 +15,12 @@
 	// suspected when its worker crashes.
 	crashBlameWindow = 30 * time.Second
 	// maxStartCrashes is the number of crashes soon after a start with which a task is
-	// given up, if no other job had just started a run on the last worker.
+	// given up, if no other job had just started a run on any of the workers.
 	maxStartCrashes = 2
+	// maxSharedStartCrashes is the same number if that holds for the last worker only.
+	maxSharedStartCrashes = 3
 	// maxCrashes is the number of crashes at any time with which a task is given up, under
-	// the same condition. One more is the last without it.
+	// the condition of maxSharedStartCrashes. One more is the last without it.
 	maxCrashes = 4
 	// maxAnswerDelay is how long after the crash of a worker its answer to a start may
 	// arrive. A later one is that of another process.
@@ -37,6 +39,8 @@
 	runs []int64
 	// atStart counts those of them that had started less than startCrashWindow before.
 	atStart int
+	// alone counts those of atStart on whose worker no other job had just started a run.
+	alone int
 	// suspected is set when a run of an earlier leader may have crashed its worker.
 	suspected bool
 	// batch is the sequence number of the batch with the latest crash.
@@ -48,6 +52,18 @@
 	return h.suspected || h.atStart > 0 || h.repeated()
 }
 
+// enough reports whether the latest crash is the last that the task may cause. alone and atStart tell
+// whether no other job had just started a run on the worker, and whether the task's own had.
+func (h *crashHistory) enough(alone, atStart bool) bool {
+	switch {
+	case len(h.runs) > maxCrashes:
+		return true
+	case !alone:
+		return false
+	}
+	return len(h.runs) >= maxCrashes || atStart && (h.alone >= maxStartCrashes || h.atStart >= maxSharedStartCrashes)
+}
+
 // repeated reports whether one more crash would be the last.
 func (h *crashHistory) repeated() bool { return len(h.runs) >= maxCrashes-1 }
 
@@ -133,6 +149,9 @@
 	atStart := r.Age < startCrashWindow
 	if atStart {
 		h.atStart++
+		if alone {
+			h.alone++
+		}
 	}
 	detail := "runs of other jobs had just started"
 	if alone {
@@ -141,8 +160,7 @@
 	ref := r.Task
 	c.event(Event{Name: EventWorkerCrashed, Job: ref.Job, Task: &ref, Run: r.Run, Worker: id, Age: r.Age, Count: len(h.runs), Detail: detail})
 	c.markDirty(j)
-	givenUp := atStart && h.atStart >= maxStartCrashes || len(h.runs) >= maxCrashes
-	if givenUp && (alone || len(h.runs) > maxCrashes) {
+	if h.enough(alone, atStart) {
 		j.endReason = reasonCrashes
 		c.endJob(now, j, OutcomeFailed)
 	}
--- a/internal/core/jobs/crashes_test.go
+++ b/internal/core/jobs/crashes_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -178,6 +179,7 @@
 	for _, s := range starts {
 		assert.DeepEqual(t, next.core.task(s.Task).crashes.runs, []int64{s.Run})
 		assert.Equal(t, next.core.task(s.Task).crashes.atStart, 1)
+		assert.Equal(t, next.core.task(s.Task).crashes.alone, 1)
 	}
 }
 
@@ -306,3 +308,24 @@
 	b.storeBatch()
 	assert.Equal(t, len(b.starts()), 1)
 }
+
+// Guards against giving up a task for one crash beside a run of another job that had just started and
+// one from outside, also under a leader that knows the first crash from the progress.
+func TestOneCrashWithoutOtherStartsDoesNotGiveTaskUp(t *testing.T) {
+	b := newCrashBench(t, "w1")
+	own, other := TaskRef{Job: "innocent"}, TaskRef{Job: "other"}
+	spec := Spec{ID: own.Job, Queue: "q", Steps: []Step{smallStep(1)}}
+	accepted := AcceptedRecord{Spec: spec, Queue: Queue{Name: "q", Service: "s"}, Token: 1, Accepted: b.now}
+	b.submit(own.Job, spec.Steps...)
+	b.submit(other.Job, smallStep(1))
+	b.core.recordCrash(b.now, "w1", []InterruptedRun{{Task: own, Run: 1, Age: crashDelay}, {Task: other, Run: 1, Age: crashDelay}})
+	b.core.recordCrash(b.now, "w2", []InterruptedRun{{Task: own, Run: 2, Age: crashDelay}})
+	assert.Equal(t, jobView(t, b.core, own.Job), ViewQueued)
+
+	progress := slices.DeleteFunc(b.storeBatch().Progress, func(p ProgressRecord) bool { return p.Job != own.Job })
+	next := b.newLeader(2, Snapshot{Accepted: []AcceptedRecord{accepted}, Progress: progress})
+	assert.Equal(t, jobView(t, next.core, own.Job), ViewQueued)
+	next.core.recordCrash(next.now, "w1", []InterruptedRun{{Task: own, Run: 1001, Age: crashDelay}})
+	next.storeBatch()
+	assert.Equal(t, jobView(t, next.core, own.Job), ViewFailed)
+}
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -75,11 +75,12 @@
 }
 
 // TaskCrashes lists the numbers of the runs of one task that ended with a crash of their
-// worker. AtStart counts those that had just started.
+// worker. AtStart counts those that had just started, and Alone those of them on whose worker
+// no other job had just started a run.
 type TaskCrashes struct {
-	Index   int32
-	Runs    []int64
-	AtStart int
+	Index          int32
+	Runs           []int64
+	AtStart, Alone int
 }
 
 // WorkerRecord tells later leaders that tasks of the cell may run on a worker.
