Let the soak's advice not depend on the new IDs of workers

Cause: the stand-in of the advice service (cell.go advise) denied workers by the last character of the ID. Each new ID after a crash drew that anew, and the same third of the characters was denied for every step. At the end only two of the eight workers were still given such work.

From 18:32:10 all starts were on w-00.29 and w-07.30 (the others with known IDs were w-03.21, w-04.11 and w-06.1), while the leader listed 8 workers and used 7500 of 64000.

Why the fix works: a worker is allowed under its new IDs as under its first one, so about two thirds of the workers stay allowed for each step, as intended. No check changes, and runs without new IDs see the same advice as before.

--- a/internal/cellsoak/cell.go
+++ b/internal/cellsoak/cell.go
@@ -262,8 +262,9 @@
 	c.checker.addViolation(format, args...)
 }
 
-// advise is the advice service. It allows about two thirds of the workers for each step.
-// It reports false if ctx ends first.
+// advise is the advice service. It allows about two thirds of the workers for each step,
+// a worker under its new IDs wherever it was allowed before. It reports false if ctx ends
+// first.
 func (c *soakCell) advise(ctx context.Context, step string, workers []model.WorkerID) (ports.AdviceAnswer, bool) {
 	a := ports.AdviceAnswer{Validity: 2 * time.Second}
 	select {
@@ -272,7 +273,8 @@
 		return a, false
 	}
 	for _, w := range workers {
-		if (int(w[len(w)-1])+len(step))%3 != 0 {
+		name := originalName(w)
+		if (int(name[len(name)-1])+len(step))%3 != 0 {
 			a.Allowed = append(a.Allowed, jobs.Allowance{Worker: w, Ticket: "t"})
 		}
 	}
@@ -365,8 +367,7 @@
 	c.checker.mu.Lock()
 	oldID, newID := w.id, w.id
 	if rand.IntN(2) == 0 {
-		name, _, _ := strings.Cut(string(oldID), ".")
-		newID = model.WorkerID(fmt.Sprintf("%s.%d", name, c.newIDs.Add(1)))
+		newID = model.WorkerID(fmt.Sprintf("%s.%d", originalName(oldID), c.newIDs.Add(1)))
 	}
 	w.comeBack(newID)
 	c.checker.mu.Unlock()
@@ -380,6 +381,12 @@
 	}
 }
 
+// originalName returns the ID that a worker had before its first crash.
+func originalName(id model.WorkerID) string {
+	name, _, _ := strings.Cut(string(id), ".")
+	return name
+}
+
 // leader returns the index of the daemon that the newest leader record names, and -1
 // without one.
 func (c *soakCell) leader() int {
--- a/internal/cellsoak/cellsoak_test.go
+++ b/internal/cellsoak/cellsoak_test.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
 )
 
 // soakSeeds holds the seeds that CI runs. All but the first once reported a violation,
@@ -117,3 +120,24 @@
 	done.Wait()
 	assert.Assert(t, !down())
 }
+
+// Guards against new IDs with which fewer and fewer workers are allowed for any step, until jobs
+// that need advice cannot end in time.
+func TestAdviceIsTheSameUnderNewIDs(t *testing.T) {
+	c := &soakCell{}
+	const step = "0000000000000001.0.0"
+	allowed := func(format string) []bool {
+		var out []bool
+		for i := range DefaultWorkers {
+			a, ok := c.advise(context.Background(), step, []model.WorkerID{model.WorkerID(fmt.Sprintf(format, i))})
+			assert.Assert(t, ok)
+			out = append(out, len(a.Allowed) == 1)
+		}
+		return out
+	}
+	before := allowed("w-%02d")
+	assert.Assert(t, slices.Contains(before, true) && slices.Contains(before, false), "%v", before)
+	for suffix := range 3 {
+		assert.DeepEqual(t, allowed("w-%02d."+fmt.Sprint(suffix)), before)
+	}
+}
