--- a/internal/cellsoak/cellsoak_test.go
+++ b/internal/cellsoak/cellsoak_test.go
@@ -6,10 +6,14 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
 )
 
 // soakSeeds holds the seeds that CI runs. All but the first once reported a violation,
@@ -87,3 +91,53 @@
 	}
 	assert.Equal(t, seen[StoreRefuses]+seen[StoreSilent], 3)
 }
+
+// Guards against a worker that comes back from a crash under a task while an injected crash keeps it
+// down: the end of the injected crash would end its new runs too, on open connections.
+func TestInjectedCrashKeepsCrashedWorkerDown(t *testing.T) {
+	t.Parallel()
+	c, err := newCell("", t.TempDir(), 0, 1, 1)
+	defer func() { assert.NilError(t, c.stop()) }()
+	assert.NilError(t, err)
+	w := c.workers[0]
+	down := func() bool {
+		c.checker.mu.Lock()
+		defer c.checker.mu.Unlock()
+		return w.down
+	}
+	c.checker.mu.Lock()
+	w.crash()
+	c.checker.mu.Unlock()
+	ctx := context.Background()
+	var done sync.WaitGroup
+	done.Go(func() { c.restoreWorker(ctx, w) })
+	done.Go(func() {
+		in := &injector{cell: c}
+		assert.Check(t, in.restartWorkers(ctx, Fault{Kind: WorkerCrash, For: maxDowntime + time.Second, Count: 1}))
+	})
+	time.Sleep(maxDowntime + time.Second/2)
+	assert.Assert(t, down(), "the worker was back during the injected crash")
+	done.Wait()
+	assert.Assert(t, !down())
+}
+
+// Guards against new IDs with which fewer and fewer workers are allowed for any step, until jobs
+// that need advice cannot end in time.
+func TestAdviceIsTheSameUnderNewIDs(t *testing.T) {
+	c := &soakCell{}
+	const step = "0000000000000001.0.0"
+	allowed := func(format string) []bool {
+		var out []bool
+		for i := range DefaultWorkers {
+			a, ok := c.advise(context.Background(), step, []model.WorkerID{model.WorkerID(fmt.Sprintf(format, i))})
+			assert.Assert(t, ok)
+			out = append(out, len(a.Allowed) == 1)
+		}
+		return out
+	}
+	before := allowed("w-%02d")
+	assert.Assert(t, slices.Contains(before, true) && slices.Contains(before, false), "%v", before)
+	for suffix := range 3 {
+		assert.DeepEqual(t, allowed("w-%02d."+fmt.Sprint(suffix)), before)
+	}
+}
