--- a/internal/core/jobs/yield.go
+++ b/internal/core/jobs/yield.go
@@ -10,8 +10,8 @@
 // not lack capacity, but advice or workers that its policy allows.
 const scarceShare = 2.0 / 3
 
-// idleShare is the share of a pool's capacity in use below which no step should lack a run for
-// long.
+// idleShare is the share of a pool's capacity in use below which it is mostly idle: no step should
+// lack a run for long.
 const idleShare = 0.5
 
 // noteWaitingGang records that a gang was not placed although its turn had come. A gang in a
