Reserve no idle capacity for a gang that starts only later

Cause: reserveForGang reserved all places of a gang of 43 tasks on the same workers while it waited for three of them, with a planned start 4.6 s ahead. The places stayed empty, and the smaller gang, which would have ended later, could not use them. The wait is as long as the longest run on these workers, up to 16 s, and the load does not matter.

Change: while less than half of a pool is in use, a gang reserves capacity only if it is planned to start within 1.5 s. Above that, where the capacity that becomes free is contended, nothing changes.

TestFarReservationKeepsNoIdleCapacity failed before: the gang started after 2.85 s, not within 1 s.

--- a/internal/core/jobs/reservations.go
+++ b/internal/core/jobs/reservations.go
@@ -11,6 +11,10 @@
 // maxReservingGangs limits the waiting gangs that get reservations.
 const maxReservingGangs = 16
 
+// maxIdleReservation is the longest planned wait for which a gang reserves capacity in a
+// pool that is mostly idle.
+const maxIdleReservation = 1500 * time.Millisecond
+
 // reservation is capacity of a worker that is reserved for a waiting gang. Less
 // urgent tasks may use it only if they end before the gang starts.
 type reservation struct {
@@ -67,7 +71,7 @@
 
 // reserveForGang reserves the capacity with which a gang can start earliest and
 // sets its planned start. It reserves nothing if the workers that the gang may
-// use do not suffice.
+// use do not suffice, or if the start is far off and the pool mostly idle.
 func (c *Core) reserveForGang(now time.Time, s *step) {
 	slots := c.futureSlots(now, s)
 	s.plannedStart = time.Time{}
@@ -79,6 +83,9 @@
 	})
 	slots = slots[:len(s.tasks)]
 	s.plannedStart = slots[len(slots)-1].at
+	if c.pool(s).usedShare < idleShare && s.plannedStart.Sub(now) > maxIdleReservation {
+		return
+	}
 	for _, slot := range slots {
 		w := slot.worker
 		if n := len(w.reservations); n > 0 && w.reservations[n-1].step == s {
--- /dev/null
+++ b/internal/core/jobs/reservations_test.go
@@ -0,0 +1,35 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a gang that does not start in a pool with most of its capacity free because
+// that is reserved for a wider one, which waits for the last of its workers.
+func TestFarReservationKeepsNoIdleCapacity(t *testing.T) {
+	const label, labelled = "x", 4
+	b := newTestBench(t)
+	entries := workerEntries(2 * labelled)
+	for i := range labelled {
+		entries[i].Labels = []string{label}
+	}
+	b.core.SetWorkers(b.now, entries)
+	b.answerSyncs(b.advance(0), nil)
+	b.storeBatch()
+	submit := func(id string, members int, milliCPU int64) {
+		step := wholeWorkerStep(members, time.Minute)
+		step.Size.MilliCPU, step.Gang, step.Label = milliCPU, members > 1, label
+		b.submit(id, step)
+	}
+	submit("blocker", 1, 4000)
+	b.step()
+	b.step()
+	submit("wide", labelled, 8000)
+	b.step()
+	submit("narrow", labelled/2, 8000)
+	started := b.startedAfter("narrow", 10*time.Second)
+	assert.Assert(t, started < time.Second, "the gang started after %v", started)
+}
