Handle signals before the daemon reads its settings

Cause: the daemon installed its signal handler after it had read its settings (in both modes), so SIGTERM or SIGINT while it started killed it with the signal instead of exit code 0, which install.md promises. SIGHUP, which reloads on the platform, killed it until the servers listened.

Change: Main installs the handler first. SIGHUP is received before the platform's settings are read.

--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -33,12 +34,50 @@
 	exitUsage    = 2
 )
 
-// Main runs catkinvalved and returns its exit code: 0, 1 after a failure at run
-// time, or 2 when the flags or the settings are not valid.
+var (
+	// errStopped means that a signal ended the daemon before it served.
+	errStopped = errors.New("stopped by a signal while starting")
+	// errSettings means that the settings are not valid; the faults are printed
+	// already.
+	errSettings = errors.New("the settings are not valid")
+)
+
+// options are the flags of the command line.
+type options struct {
+	settingsPath      string
+	check, onPlatform bool
+	// started tells errors in the flags from later ones.
+	started bool
+}
+
+// Main runs catkinvalved and returns its exit code: 0, also when a signal ends it while
+// it starts, 1 after a failure at run time, or 2 when the flags or the settings are not
+// valid.
 func Main() int {
-	var path string
-	var check, onPlatform bool
-	code := exitOK
+	// From here on these signals do not kill the process, but end it in order.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var o options
+	err := newCommand(&o).ExecuteContext(ctx)
+	if errors.Is(err, errStopped) {
+		err = errStopped // Without the remedies of a failed start.
+	}
+	if err != nil && !errors.Is(err, errSettings) {
+		fmt.Fprintln(os.Stderr, "catkinvalved:", err)
+	}
+	switch {
+	case err == nil, err == errStopped && !o.check:
+		return exitOK
+	case !o.started:
+		return exitUsage
+	case errors.Is(err, errSettings):
+		return exitSettings
+	}
+	return exitFailure
+}
+
+// newCommand returns the command, which stores its flags in o.
+func newCommand(o *options) *cobra.Command {
 	cmd := &cobra.Command{
 		Use:           "catkinvalved",
 		Short:         "Entry daemon of the catkinvalve cluster scheduler",
@@ -46,49 +85,58 @@
 		Args:          cobra.NoArgs,
 		SilenceErrors: true, SilenceUsage: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if onPlatform {
-				set, ok := loadPlatform()
-				if !ok {
-					code = exitSettings
-					return nil
-				}
-				if check {
-					return nil
-				}
-				return runPlatform(cmd.Context(), *set)
-			}
-			set, ok := loadSettings(path)
-			if !ok {
-				code = exitSettings
-				return nil
-			}
-			if check {
-				return nil
+			o.started = true
+			if o.onPlatform {
+				return startPlatform(cmd.Context(), o.check)
 			}
-			return run(cmd.Context(), *set)
+			return start(cmd.Context(), o.settingsPath, o.check)
 		},
 	}
-	cmd.Flags().StringVar(&path, "settings", "", "settings file in JSON with comments (required)")
-	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
-	cmd.Flags().BoolVar(&onPlatform, "platform", false, "run on the users' platform, with the settings that it provides")
+	cmd.Flags().StringVar(&o.settingsPath, "settings", "", "settings file in JSON with comments (required)")
+	cmd.Flags().BoolVar(&o.check, "check", false, "check the settings and exit")
+	cmd.Flags().BoolVar(&o.onPlatform, "platform", false, "run on the users' platform, with the settings that it provides")
 	cmd.MarkFlagsOneRequired("settings", "platform")
 	cmd.MarkFlagsMutuallyExclusive("settings", "platform")
-	// started tells errors in the flags, which cobra reports before it calls RunE,
-	// from failures at run time.
-	started := false
-	runE := cmd.RunE
-	cmd.RunE = func(cmd *cobra.Command, args []string) error {
-		started = true
-		return runE(cmd, args)
-	}
-	if err := cmd.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "catkinvalved:", err)
-		if !started {
-			return exitUsage
+	return cmd
+}
+
+// start reads the settings file and, unless it only checks it, runs the daemon.
+func start(ctx context.Context, settingsPath string, check bool) error {
+	set, err := load(ctx, func() (*settings.Settings, bool) { return loadSettings(settingsPath) })
+	if err != nil || check {
+		return err
+	}
+	return run(ctx, *set)
+}
+
+// load returns the settings that read returns, or errSettings if it returns false. If
+// ctx ends first it returns errStopped at once, since a file system can block read.
+func load[S any](ctx context.Context, read func() (*S, bool)) (*S, error) {
+	loaded := make(chan *S, 1)
+	go func() {
+		defer close(loaded)
+		if set, ok := read(); ok {
+			loaded <- set
+		}
+	}()
+	select {
+	case set, ok := <-loaded:
+		if !ok {
+			return nil, errSettings
 		}
-		return exitFailure
+		return set, nil
+	case <-ctx.Done():
+		return nil, errStopped
+	}
+}
+
+// openListener listens on a TCP address. It returns errStopped if ctx has ended, so that
+// a daemon that does not serve gets no connections.
+func openListener(ctx context.Context, address string) (net.Listener, error) {
+	if ctx.Err() != nil {
+		return nil, errStopped
 	}
-	return code
+	return net.Listen("tcp", address)
 }
 
 // loadSettings reads the settings file and prints all of its problems to standard
@@ -119,11 +167,9 @@
 	}
 }
 
-// run runs the daemon with its own settings file until a signal.
+// run runs the daemon with its own settings file until ctx ends.
 func run(ctx context.Context, set settings.Settings) error {
 	limitProcs()
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	log, err := telemetry.NewLogger(os.Stderr, set.LogLevel, set.DaemonID, string(set.DataCentre))
 	if err != nil {
 		return err
@@ -139,7 +185,7 @@
 	}
 	var faults *daemon.LinkFaults
 	if set.Addresses.FaultListen != "" {
-		if faults, err = serveFaults(set.Addresses.FaultListen); err != nil {
+		if faults, err = serveFaults(ctx, set.Addresses.FaultListen); err != nil {
 			return err
 		}
 		log.Warn("fault injection is enabled; do not use addresses.fault_listen in production")
@@ -151,11 +197,11 @@
 	if err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", set.Addresses.CallerListen)
+	callers, err := openListener(ctx, set.Addresses.CallerListen)
 	if err != nil {
 		return fmt.Errorf("cannot listen for callers: %w; free the address or change addresses.caller_listen", err)
 	}
-	peers, err := net.Listen("tcp", set.Addresses.PeerListen)
+	peers, err := openListener(ctx, set.Addresses.PeerListen)
 	if err != nil {
 		return fmt.Errorf("cannot listen for peers: %w; free the address or change addresses.peer_listen", err)
 	}
@@ -163,8 +209,8 @@
 }
 
 // serveFaults serves the port for fault injection in the background.
-func serveFaults(addr string) (*daemon.LinkFaults, error) {
-	l, err := net.Listen("tcp", addr)
+func serveFaults(ctx context.Context, addr string) (*daemon.LinkFaults, error) {
+	l, err := openListener(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("cannot listen for fault injection: %w; remove addresses.fault_listen", err)
 	}
--- a/internal/daemon/command/platform.go
+++ b/internal/daemon/command/platform.go
@@ -40,15 +40,27 @@
 	return set, true
 }
 
-// runPlatform runs the daemon on the users' platform until a signal.
-func runPlatform(ctx context.Context, set cell.Settings) error {
+// startPlatform reads the platform's settings and, unless it only checks them, runs the
+// daemon.
+func startPlatform(ctx context.Context, check bool) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	set, err := load(ctx, loadPlatform)
+	if err != nil || check {
+		return err
+	}
+	return runPlatform(ctx, *set, hangups)
+}
+
+// runPlatform runs the daemon on the users' platform until ctx ends. The channel
+// hangups receives SIGHUP.
+func runPlatform(ctx context.Context, set cell.Settings, hangups <-chan os.Signal) error {
 	limitProcs()
 	debug.SetGCPercent(gcPercent)
 	if set.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(set.MemoryMB<<20)))
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	registry := metrics.NewRegistry()
 	lines := telemetry.NewLineWriter(os.Stdout, registry)
 	defer lines.Close()
@@ -71,11 +83,11 @@
 		deps.AdviceService = platform.NewAdviceClient(client, set.AdviceAddress)
 	}
 	d := cell.New(set, deps)
-	servers, err := listen(set, d, registry)
+	servers, err := listen(ctx, set, d, registry)
 	if err != nil {
 		return err
 	}
-	go watchSettings(ctx, log)
+	go watchSettings(ctx, log, hangups)
 	err = d.Run(ctx, *servers)
 	log.WithFields(logrus.Fields{"event": "stop", "error": fmt.Sprint(err)}).Info("daemon stopped")
 	return err
@@ -83,11 +95,11 @@
 
 // listen opens the listeners of the daemon and sets up their handlers. The error
 // joins those of all addresses that could not be opened.
-func listen(set cell.Settings, d *cell.Daemon, registry metrics.Registry) (*cell.Servers, error) {
+func listen(ctx context.Context, set cell.Settings, d *cell.Daemon, registry metrics.Registry) (*cell.Servers, error) {
 	s := &cell.Servers{CallerHandler: platform.NewCallerHandler(d.API()), ReadinessHandler: platform.NewReadinessHandler(d.API())}
 	var errs []error
 	open := func(purpose, address string) net.Listener {
-		l, err := net.Listen("tcp", address)
+		l, err := openListener(ctx, address)
 		if err != nil {
 			errs = append(errs, fmt.Errorf("cannot listen for %s: %w; free the address", purpose, err))
 		}
@@ -111,11 +123,9 @@
 const settingsPollInterval = time.Second
 
 // watchSettings logs changes of the settings file until ctx ends. They take effect
-// only with the next start. SIGHUP makes it log the file even without a change.
-func watchSettings(ctx context.Context, log *logrus.Entry) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// only with the next start. A signal from hangups makes it log the file even without a
+// change.
+func watchSettings(ctx context.Context, log *logrus.Entry, hangups <-chan os.Signal) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	last, _ := os.ReadFile(os.Getenv(platform.SettingsPathEnv))
@@ -124,7 +134,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-hangups:
 			cause = "signal"
 		case <-ticker.C:
 		}
