Let the platform soak signal a daemon only after its start

Its settings were written at 45.014 s (file time, in steps of 4 ms), SIGTERM was sent at 45.022 s, and the daemons that were started with it logged their start at 45.0228 s and 45.0234 s; daemon-3 logged nothing. Until main of a Go program runs, no code of it can handle signals.

Change: before SIGTERM and SIGHUP the soak waits until the process has logged its start or has ended; a process that does not log it within 20 s is an error. The check of the exit code is unchanged. Signals during the rest of the start, in main, are covered by the tests of internal/daemon/command.

--- a/internal/cellsoak/cell.go
+++ b/internal/cellsoak/cell.go
@@ -1,6 +1,7 @@
 package cellsoak
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -83,6 +84,8 @@
 	proxy        *faultproxy.Proxy
 	// starts counts the starts of the process.
 	starts int
+	// logOffset is the size of the log file when the process was started.
+	logOffset int64
 	// reserved is set while a fault acts on the process.
 	reserved bool
 }
@@ -295,12 +298,46 @@
 	if err := c.writeSettings(d); err != nil {
 		return err
 	}
+	if info, err := os.Stat(c.logPath(d)); err == nil {
+		d.logOffset = info.Size()
+	}
 	var err error
 	d.process, err = testbed.StartLogged(c.bin, c.dir, d.settings.Node, "catkinvalved", []string{platform.SettingsPathEnv + "=" + d.settingsPath}, "--platform")
 	d.starts++
 	return err
 }
 
+// logPath returns the path of a daemon's log file.
+func (c *soakCell) logPath(d *soakDaemon) string {
+	return filepath.Join(c.dir, d.settings.Node+".log")
+}
+
+const (
+	// startLogTimeout bounds the time from the start of a process until it has logged its
+	// start, also on a busy machine.
+	startLogTimeout = 20 * time.Second
+	// startLogPollInterval is the interval at which the log is read until then.
+	startLogPollInterval = 2 * time.Millisecond
+)
+
+// startEvent is in the line that a daemon logs after it has installed its signal handlers.
+var startEvent = []byte(`"event":"start"`)
+
+// awaitStart waits until the daemon's process has logged its start or has ended. A signal
+// that arrives while the runtime of the program starts, before main, kills any process.
+func (c *soakCell) awaitStart(d *soakDaemon) error {
+	for deadline := time.Now().Add(startLogTimeout); d.process.Alive(); time.Sleep(startLogPollInterval) {
+		log, err := os.ReadFile(c.logPath(d))
+		if err != nil || bytes.Contains(log[d.logOffset:], startEvent) {
+			return err
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s did not log its start within %s", d.settings.Node, startLogTimeout)
+		}
+	}
+	return nil
+}
+
 func (c *soakCell) writeSettings(d *soakDaemon) error {
 	data, err := platform.EncodeSettings(&d.settings)
 	if err != nil {
--- a/internal/cellsoak/cellsoak_test.go
+++ b/internal/cellsoak/cellsoak_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -25,10 +26,7 @@
 // lost, started twice, started without a submission or after a refusal, and no worker is
 // overloaded.
 func TestCellSoak(t *testing.T) {
-	bin, err := filepath.Abs("../../bin")
-	assert.NilError(t, err)
-	_, err = os.Stat(filepath.Join(bin, "catkinvalved"))
-	assert.NilError(t, err, "run make build first")
+	bin := programDir(t)
 	for seed, cause := range soakSeeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
@@ -43,3 +41,28 @@
 		})
 	}
 }
+
+// programDir returns the directory of the built programs.
+func programDir(t *testing.T) string {
+	bin, err := filepath.Abs("../../bin")
+	assert.NilError(t, err)
+	_, err = os.Stat(filepath.Join(bin, "catkinvalved"))
+	assert.NilError(t, err, "run make build first")
+	return bin
+}
+
+// Guards against a soak that signals a daemon before main of its program and reports the
+// death of the process as a failure of the daemon.
+func TestSignalsWaitForStartOfDaemon(t *testing.T) {
+	t.Parallel()
+	c, err := newCell(programDir(t), t.TempDir(), 1, 1, 1)
+	if c != nil {
+		t.Cleanup(func() { assert.NilError(t, c.stop()) })
+	}
+	assert.NilError(t, err)
+	in := &injector{cell: c, startTime: time.Now(), logf: t.Logf, injected: map[Kind]int{}}
+	for _, kind := range []Kind{Hangup, Terminate, RollingTerminate} {
+		assert.NilError(t, in.signalDaemon(context.Background(), Fault{Kind: kind, Count: 1}, c.daemons[0]))
+	}
+	assert.Equal(t, c.daemons[0].starts, 3)
+}
--- a/internal/cellsoak/inject.go
+++ b/internal/cellsoak/inject.go
@@ -198,8 +198,14 @@
 		if err := in.cell.writeSettings(d); err != nil {
 			return err
 		}
+		if err := in.cell.awaitStart(d); err != nil {
+			return err
+		}
 		return d.process.Signal(syscall.SIGHUP)
 	case Terminate, RollingTerminate:
+		if err := in.cell.awaitStart(d); err != nil {
+			return err
+		}
 		if err := d.process.Terminate(stopTimeout); err != nil {
 			return err
 		}
