Give daemons of the cell tests the listener of their link port

Change: each daemon listens on its link port first, at its own address and with port 0, and keeps this listener. The daemons of a cell need no common port, because they find each other by their records in the store.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -29,7 +29,6 @@
 	store   *fakeStore
 	workers *fakeWorkers
 	daemons []*testDaemon
-	port    int
 	// addressPrefix is the common prefix of the cell's loopback addresses. Each cell has
 	// its own, so that parallel tests do not use each other's ports.
 	addressPrefix string
@@ -51,7 +50,7 @@
 var cellCount atomic.Int64
 
 func newTestCell(t *testing.T, daemons int) *testCell {
-	c := &testCell{t: t, store: newFakeStore(), workers: newFakeWorkers("w1", "w2", "w3"), port: freePort(t),
+	c := &testCell{t: t, store: newFakeStore(), workers: newFakeWorkers("w1", "w2", "w3"),
 		addressPrefix: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, cellCount.Add(1)%250), maxDirect: maxDirectWorkers}
 	c.config = fakeConfig{&ports.CellConfig{Version: 1, Routes: []ports.Route{{Host: "host", Prefix: "/q/", Queue: jobs.Queue{
 		Name: "q", Service: "service", MaxAttempts: 2, Slack: 2, Target: time.Second}}}}}
@@ -62,20 +61,22 @@
 	return c
 }
 
-// freePort returns a port that is free on the loopback addresses.
-func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { assert.NilError(t, l.Close()) }()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
 // add starts a daemon on the next loopback address.
 func (c *testCell) add() *testDaemon {
 	n := len(c.daemons) + 1
+	ip := fmt.Sprintf("%s.%d", c.addressPrefix, n)
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", ip+":0")
+		assert.NilError(c.t, err)
+		return l
+	}
+	// The daemon gets the listener of its link port, so that no other process can take
+	// the port in between.
+	links := listen()
+	linkPort := links.Addr().(*net.TCPAddr).Port
 	settings := Settings{
-		Node: fmt.Sprintf("daemon-%d", n), IP: fmt.Sprintf("%s.%d", c.addressPrefix, n), DataCentre: "dc", Region: "region",
-		Regions: map[model.DataCentre]string{"dc": "region"}, FirstPort: c.port, LastPort: c.port, CPUShare: 1,
+		Node: fmt.Sprintf("daemon-%d", n), IP: ip, DataCentre: "dc", Region: "region",
+		Regions: map[model.DataCentre]string{"dc": "region"}, FirstPort: linkPort, LastPort: linkPort, CPUShare: 1,
 		Bounds: Bounds{MaxLease: 10 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
 			ShutdownGrace: 5 * time.Second, StatusRetention: 2 * time.Minute},
 	}
@@ -86,12 +87,7 @@
 	d.Daemon = New(settings, Deps{Store: storeClient, Config: c.config, List: c.workers, Workers: d.workerCalls, CloseIdleConns: func() {},
 		Log: logrus.NewEntry(log), Registry: metrics.NewRegistry()})
 	d.maxDirectWorkers = c.maxDirect
-	listen := func(address string) net.Listener {
-		l, err := net.Listen("tcp", address)
-		assert.NilError(c.t, err)
-		return l
-	}
-	servers := Servers{Callers: listen(settings.IP + ":0"), Readiness: listen(settings.IP + ":0"), Links: listen(settings.LinkAddress()), Metrics: listen(settings.IP + ":0"),
+	servers := Servers{Callers: listen(), Readiness: listen(), Links: links, Metrics: listen(),
 		CallerHandler: http.NotFoundHandler(), ReadinessHandler: http.NotFoundHandler(), MetricsHandler: http.NotFoundHandler()}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
