Let callers of graceful_stop wait longer than their task may queue

Cause of "callers of klang-a:in-4 were told [running], want done": the caller asks once and lets the daemon wait 2 s for the fate; after that the daemon answers with the present one, as the API says. The task runs for 1.5 s, which leaves 0.5 s from the acceptance to the start. Traced in 11 slow runs on a copy with log lines added (load average 9): the request is accepted in 0.6 to 4 ms, and the call ends 1.5 s after the start; in the 3 of them with lines at the owner it waits 0.14, 0.15 and 0.32 s in the owner's queue behind requests of the scenario's load. Longest call 1.98 s. The stop has no part in it. With tasks of 1.9 s on the copy, 1 of 2 runs fails with the same message, after 2.003 s.

The check is as strict: each caller makes one call and must be told done by it, so a daemon that answers waiting calls early still fails. The scenario states no bound on the time until the start.

--- a/test/scenarios/requests_test.go
+++ b/test/scenarios/requests_test.go
@@ -13,12 +13,14 @@
 )
 
 // cmdSubmit submits requests: submit [options] KEY... It waits for each final fate
-// unless -bg (in the background) or -once (a single call) is given.
+// unless -bg (in the background) or -once (a single call) is given. A call waits up to
+// -wait for the final fate; then it is answered with the present one.
 func cmdSubmit(ts *testscript.TestScript, _ bool, args []string) {
 	sc := scenarioOf(ts)
 	f := newFlagSet("submit")
 	service, via := f.String("service", "plan", ""), f.String("via", "all", "")
 	run, deadline := f.Duration("run", 300*time.Millisecond, ""), f.Duration("deadline", 0, "")
+	wait := f.Duration("wait", callWait, "")
 	tasks := f.Int("tasks", 1, "")
 	bg, once := f.Bool("bg", false, ""), f.Bool("once", false, "")
 	limit := f.Duration("limit", waitTimeout, "")
@@ -26,6 +28,7 @@
 	*via = sc.via(ts, *via)
 	for _, key := range keys {
 		req := request(key, *service, run.Milliseconds(), *tasks, *deadline)
+		req.WaitMS = wait.Milliseconds()
 		// A key that was used before repeats the earlier request.
 		if rec, ok := sc.callers.snapshot()[key]; ok {
 			req = rec.req
