--- a/internal/cellsoak/cellsoak_test.go
+++ b/internal/cellsoak/cellsoak_test.go
@@ -141,3 +141,19 @@
 		assert.DeepEqual(t, allowed("w-%02d."+fmt.Sprint(suffix)), before)
 	}
 }
+
+// Guards against a soak that signals a daemon before main of its program and reports the
+// death of the process as a failure of the daemon.
+func TestSignalsWaitForStartOfDaemon(t *testing.T) {
+	t.Parallel()
+	c, err := newCell(builtPrograms(t), t.TempDir(), 1, 1, 1)
+	if c != nil {
+		t.Cleanup(func() { assert.NilError(t, c.stop()) })
+	}
+	assert.NilError(t, err)
+	in := &injector{cell: c, startTime: time.Now(), logf: t.Logf, injected: map[Kind]int{}}
+	for _, kind := range []Kind{Hangup, Terminate, RollingTerminate} {
+		assert.NilError(t, in.signalDaemon(context.Background(), Fault{Kind: kind, Count: 1}, c.daemons[0]))
+	}
+	assert.Equal(t, c.daemons[0].starts, 3)
+}
