Count the tasks of a request apart from deciding its final fate

finalizeIfEnded had 61 lines: it counted tasks in seven variables, one of them (done) unread, decided whether the request had ended, and derived the fate. countTasks counts, finalizeEnded derives the fate, and the decision in between is one switch whose cases stand in the order of the former returns.

Behaviour is the same: each case does what the branch with that condition did.

--- a/internal/core/scheduler/fate.go
+++ b/internal/core/scheduler/fate.go
@@ -6,63 +6,79 @@
 	"catkinvalve/internal/core/model"
 )
 
-// finalizeIfEnded gives the request its final fate once all tasks have ended. A
-// gang of which a task has to run again is requeued instead.
-func (c *Core) finalizeIfEnded(now time.Time, e *entry) {
-	if e.rec.Fate.Terminal() {
-		return
-	}
-	var done, failed, lost, stopped, waiting, assigned, size int
-	for i := range e.rec.Tasks {
-		t := &e.rec.Tasks[i]
-		switch t.State {
+// taskCounts counts the tasks of a request that are not done, by state.
+type taskCounts struct {
+	failed, lost, stopped int
+	// waiting tasks are queued, assigned ones are with a worker.
+	waiting, assigned int
+	// answerBytes is the size of the answers of all tasks.
+	answerBytes int
+}
+
+// countTasks returns the counts of the tasks of a request.
+func countTasks(tasks []model.TaskRecord) taskCounts {
+	var n taskCounts
+	for i := range tasks {
+		switch tasks[i].State {
 		case model.TaskDone:
-			done++
 		case model.TaskFailed:
-			failed++
+			n.failed++
 		case model.TaskLost:
-			lost++
+			n.lost++
 		case model.TaskStopped:
-			stopped++
+			n.stopped++
 		case model.TaskQueued:
-			waiting++
+			n.waiting++
 		default:
-			assigned++
+			n.assigned++
 		}
-		size += len(t.Answer)
+		n.answerBytes += len(tasks[i].Answer)
 	}
-	if waiting > 0 && (c.mergingInventories || e.rec.PayloadMissing) {
-		// An inventory that was not merged yet may list the tasks that are recorded as
-		// waiting.
+	return n
+}
+
+// finalizeIfEnded gives the request its final fate once all tasks have ended. A
+// gang of which a task has to run again is requeued instead.
+func (c *Core) finalizeIfEnded(now time.Time, e *entry) {
+	if e.rec.Fate.Terminal() {
 		return
 	}
-	if waiting > 0 && assigned == 0 && e.rec.Request.Class == model.AllAtOnce {
+	n := countTasks(e.rec.Tasks)
+	switch {
+	case n.waiting > 0 && (c.mergingInventories || e.rec.PayloadMissing):
+		// An inventory that was not merged yet may list the tasks that are recorded as
+		// waiting.
+	case n.waiting > 0 && n.assigned == 0 && e.rec.Request.Class == model.AllAtOnce:
 		c.requeue(now, e, 0, 0)
 		if !e.rec.Fate.Terminal() {
 			c.replicate(e)
 		}
-		return
-	}
-	if waiting+assigned > 0 {
+	case n.waiting+n.assigned > 0:
 		// Workers forget ended tasks after a while, so the standbys have to know
 		// the outcome.
 		c.replicate(e)
-		return
+	default:
+		c.finalizeEnded(now, e, n)
 	}
-	e.rec.Answer = joinAnswers(e.rec.Tasks, size)
+}
+
+// finalizeEnded gives a request whose tasks have all ended the fate that follows from
+// their outcomes.
+func (c *Core) finalizeEnded(now time.Time, e *entry, n taskCounts) {
+	e.rec.Answer = joinAnswers(e.rec.Tasks, n.answerBytes)
 	switch {
-	case lost > 0:
+	case n.lost > 0:
 		c.finalize(now, e, model.Unknown, e.reasonOr(model.ReasonWorkerLost))
 	case e.rec.Started.IsZero():
 		c.finalize(now, e, model.NotRun, e.reasonOr(model.ReasonCancelled))
-	case stopped > 0:
+	case n.stopped > 0:
 		reason := e.rec.Reason
 		if reason == model.ReasonCancelled {
 			reason = ""
 		}
 		c.finalize(now, e, model.Cancelled, reason)
 	default:
-		e.rec.OK = failed == 0
+		e.rec.OK = n.failed == 0
 		reason := e.rec.Reason
 		if e.rec.OK {
 			reason = ""
