linkrpc: drop Link.Dialed, which nobody reads

The field and the parameter of newLink said which side had opened the link; nothing in the repository read it. Behaviour is the same.

--- a/internal/adapters/linkrpc/link.go
+++ b/internal/adapters/linkrpc/link.go
@@ -44,8 +44,6 @@
 	PeerHello *cellpb.Hello
 	// HelloReceivedAt is the time when PeerHello arrived.
 	HelloReceivedAt time.Time
-	// Dialed is true when this daemon opened the link.
-	Dialed bool
 
 	stream stream
 	conn   net.Conn
@@ -68,8 +66,8 @@
 	LinkClosed(*Link)
 }
 
-func newLink(s stream, conn net.Conn, dialed bool, registry metrics.Registry) *Link {
-	l := &Link{stream: s, conn: conn, Dialed: dialed, done: make(chan struct{}),
+func newLink(s stream, conn net.Conn, registry metrics.Registry) *Link {
+	l := &Link{stream: s, conn: conn, done: make(chan struct{}),
 		queue: ring.New[*cellpb.Frame]("link", maxQueuedFrames, registry)}
 	l.markReceived()
 	return l
