daemon: drop submitMsg.wait and replicateMsg.owner

No caller set submitMsg.wait, so its comment promised a wait that never came; a submission passes false to ownerLoop.reply. Nobody read replicateMsg.owner. The owner stays in the wire message. Behaviour is the same.

Test run: gofmt, go vet, staticcheck, go test -race of internal/daemon.

--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -14,10 +14,8 @@
 	req model.Request
 	// home and term are set only when another data centre delegates the request:
 	// its name and the term of its owner.
-	home model.DataCentre
-	term uint64
-	// With wait set, the reply comes when the fate is final.
-	wait  bool
+	home  model.DataCentre
+	term  uint64
 	reply chan recordReply
 }
 
@@ -32,7 +30,7 @@
 	default:
 		rec, err = l.core.Submit(now, m.req)
 	}
-	l.reply(m.req.Key, m.wait, rec, err, m.reply)
+	l.reply(m.req.Key, false, rec, err, m.reply)
 }
 
 func errDraining() *fault.Error {
--- a/internal/daemon/messages_records.go
+++ b/internal/daemon/messages_records.go
@@ -49,7 +49,6 @@
 
 // replicateMsg carries records that the owner replicates to this daemon.
 type replicateMsg struct {
-	owner   string
 	term    uint64
 	records []model.Record
 	reply   chan *peerpb.ReplicateResponse
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -119,7 +119,7 @@
 // it knows.
 func (s *peerService) Replicate(ctx context.Context, r *peerpb.ReplicateRequest) (*peerpb.ReplicateResponse, error) {
 	reply := make(chan *peerpb.ReplicateResponse, 1)
-	s.d.sendControl(replicateMsg{owner: r.Owner, term: r.Term, records: recordsFromProto(r.Records), reply: reply})
+	s.d.sendControl(replicateMsg{term: r.Term, records: recordsFromProto(r.Records), reply: reply})
 	select {
 	case resp := <-reply:
 		return resp, nil
