testbed: start and reap processes in one place

startProcess and StartLogged both opened the log file, started the command, worded its failure and made the Process, and its end was recorded in two places. openLog, logPath, start and wait serve both now. The program's name in the error is the last element of the command's path, which all callers pass as it is.

Behaviour is the same.

--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -33,46 +33,61 @@
 // startProcess starts a program from the directory bin. Its standard error is appended
 // to a log file in dir. It returns the standard output; the caller must call reap.
 func startProcess(bin, dir, name, program string, args ...string) (*Process, io.Reader, error) {
-	logFile, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := openLog(dir, name)
 	if err != nil {
 		return nil, nil, err
 	}
-	defer logFile.Close()
+	defer log.Close()
 	cmd := command(bin, program, args...)
-	cmd.Stderr = logFile
+	cmd.Stderr = log
 	out, err := cmd.StdoutPipe()
 	if err != nil {
 		return nil, nil, err
 	}
-	if err := cmd.Start(); err != nil {
-		return nil, nil, fmt.Errorf("start %s: %w; run make build first", program, err)
-	}
-	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
-	return p, out, nil
+	p, err := start(cmd, name)
+	return p, out, err
 }
 
 // StartLogged starts a program from the directory bin with additional environment
 // variables. Its output is appended to the log file name.log in dir.
 func StartLogged(bin, dir, name, program string, env []string, args ...string) (*Process, error) {
-	logFile, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := openLog(dir, name)
 	if err != nil {
 		return nil, err
 	}
-	defer logFile.Close()
+	defer log.Close()
 	cmd := command(bin, program, args...)
-	cmd.Stdout, cmd.Stderr = logFile, logFile
+	cmd.Stdout, cmd.Stderr = log, log
 	cmd.Env = append(os.Environ(), env...)
-	if err := cmd.Start(); err != nil {
-		return nil, fmt.Errorf("start %s: %w; run make build first", program, err)
+	p, err := start(cmd, name)
+	if err != nil {
+		return nil, err
 	}
-	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
-	go func() {
-		p.err = cmd.Wait()
-		close(p.done)
-	}()
+	go p.wait()
 	return p, nil
 }
 
+// openLog opens the log file of a process in dir, to which its output is appended.
+func openLog(dir, name string) (*os.File, error) {
+	return os.OpenFile(logPath(dir, name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+}
+
+func logPath(dir, name string) string { return filepath.Join(dir, name+".log") }
+
+// start starts the process of cmd. The caller must see to it that wait is called.
+func start(cmd *exec.Cmd, name string) (*Process, error) {
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w; run make build first", filepath.Base(cmd.Path), err)
+	}
+	return &Process{Name: name, cmd: cmd, done: make(chan struct{})}, nil
+}
+
+// wait waits for the end of the process and records its result.
+func (p *Process) wait() {
+	p.err = p.cmd.Wait()
+	close(p.done)
+}
+
 // command returns a command whose process is killed when the test process ends, even if
 // that is killed itself.
 func command(bin, program string, args ...string) *exec.Cmd {
@@ -86,8 +101,7 @@
 func (p *Process) reap(rest io.Reader) {
 	go func() {
 		_, _ = io.Copy(io.Discard, rest)
-		p.err = p.cmd.Wait()
-		close(p.done)
+		p.wait()
 	}()
 }
 
@@ -109,7 +123,7 @@
 	p.reap(reader)
 	if err != nil {
 		_ = p.Kill()
-		return nil, ready, fmt.Errorf("stand-in %s: %w; see %s", name, err, filepath.Join(dir, name+".log"))
+		return nil, ready, fmt.Errorf("stand-in %s: %w; see %s", name, err, logPath(dir, name))
 	}
 	return p, ready, nil
 }
