--- a/internal/core/jobs/crashcases_test.go
+++ b/internal/core/jobs/crashcases_test.go
@@ -257,7 +257,7 @@
 	b := newCrashBench(t, "w1", "w2", "w3", "w4")
 	for _, id := range []string{"s1", "s2", "s3", "s4"} {
 		b.submit(id, smallStep(1))
-		b.core.task(TaskRef{Job: id}).crashes.mayBeGuilty(b.now)
+		b.core.task(TaskRef{Job: id}).crashes.markPossible(b.now)
 	}
 	b.submit("other", smallStep(1))
 	var started []string
@@ -273,6 +273,6 @@
 	b.submit("other", smallStep(1))
 	b.starts()
 	b.submit("suspect", smallStep(1))
-	b.core.task(TaskRef{Job: "suspect"}).crashes.mayBeGuilty(b.now.Add(-maxIsolationWait))
+	b.core.task(TaskRef{Job: "suspect"}).crashes.markPossible(b.now.Add(-maxIsolationWait))
 	assert.Equal(t, len(b.advance(10*time.Millisecond).Starts), 1)
 }
--- a/internal/core/jobs/crashes.go
+++ b/internal/core/jobs/crashes.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// startCrashWindow is the time after its start within which a crash of the worker
-	// is most likely caused by the run.
+	// startCrashWindow is the time after its start within which a run is the likely cause
+	// of a crash of its worker.
 	startCrashWindow = 500 * time.Millisecond
 	// crashBlameWindow is the time after its start from which a run is no longer
 	// suspected when its worker crashes.
@@ -28,8 +28,8 @@
 	// maxExpiredAge is how long the runs of a worker whose lease has ended are kept, to be
 	// counted if another process answers at its address.
 	maxExpiredAge = 30 * time.Second
-	// otherProcess stands for the incarnation of a process that is not known, other than
-	// that of the worker.
+	// otherProcess stands for the unknown incarnation of a process that is not the
+	// worker's.
 	otherProcess = -1
 )
 
@@ -47,7 +47,7 @@
 	// possible is set when a run of the task may have crashed its worker, but is not
 	// known to have been there.
 	possible bool
-	// since is when the task was last suspected; zero if that is not known.
+	// since is when the task was last suspected; zero if its history was restored.
 	since time.Time
 	// batch is the sequence number of the batch with the latest crash.
 	batch uint64
@@ -58,9 +58,9 @@
 	return h.possible || h.atStart > 0 || h.nextIsLast()
 }
 
-// enough reports whether the latest crash is the last that the task may cause. alone and atStart tell
+// exhausted reports whether the task is given up after the latest crash. alone and atStart tell
 // whether no other job had just started a run on the worker, and whether the task's own had.
-func (h *crashHistory) enough(alone, atStart bool) bool {
+func (h *crashHistory) exhausted(alone, atStart bool) bool {
 	switch {
 	case len(h.runs) > maxCrashes:
 		return true
@@ -73,11 +73,12 @@
 // nextIsLast reports whether the task is given up after one more crash.
 func (h *crashHistory) nextIsLast() bool { return len(h.runs) >= maxCrashes-1 }
 
-// mayBeGuilty makes the task a suspect without counting a crash.
-func (h *crashHistory) mayBeGuilty(now time.Time) { h.possible, h.since = true, now }
+// markPossible makes the task a suspect without counting a crash.
+func (h *crashHistory) markPossible(now time.Time) { h.possible, h.since = true, now }
 
 // overdue reports whether a suspect has waited so long for a start apart from other jobs that it starts
-// beside them. A task that has crashed workers at its start twice waits on.
+// beside them. A task that has crashed workers at its start twice waits on. The wait of a task whose
+// history was restored begins with the first call.
 func (h *crashHistory) overdue(now time.Time) bool {
 	if h.since.IsZero() {
 		h.since = now
@@ -138,7 +139,7 @@
 		switch {
 		case t == nil || t.state == taskDone || t.step.job().outcome != OutcomeUnfinished:
 		case r.Unclear && len(starting) > 1:
-			t.crashes.mayBeGuilty(now)
+			t.crashes.markPossible(now)
 		case r.Unclear || r.Age < crashBlameWindow:
 			c.countCrash(now, id, t, r, starting)
 		case t.crashes.suspect():
@@ -178,7 +179,7 @@
 		}
 	}
 	if r.Unclear {
-		h.mayBeGuilty(now)
+		h.markPossible(now)
 	}
 	h.since = now
 	detail := "runs of other jobs had just started"
@@ -188,7 +189,7 @@
 	ref := r.Task
 	c.event(Event{Name: EventWorkerCrashed, Job: ref.Job, Task: &ref, Run: r.Run, Worker: id, Age: r.Age, Count: len(h.runs), Detail: detail})
 	c.markDirty(j)
-	if h.enough(alone, atStart) {
+	if h.exhausted(alone, atStart) {
 		j.endReason = reasonCrashes
 		c.endJob(now, j, OutcomeFailed)
 	}
@@ -219,7 +220,7 @@
 	}
 	for i := range runs {
 		if t := c.task(runs[i].Task); t != nil && (runs[i].Unclear || runs[i].Age < startCrashWindow) {
-			t.crashes.mayBeGuilty(now)
+			t.crashes.markPossible(now)
 		}
 	}
 	c.expired[w.Address] = expiredWorker{id: w.ID, incarnation: incarnation, runs: runs, at: now}
--- a/internal/core/jobs/crashes_test.go
+++ b/internal/core/jobs/crashes_test.go
@@ -278,7 +278,7 @@
 	b.submit("other", smallStep(1))
 	assert.Equal(t, len(b.starts()), 1)
 	b.submit("suspect", smallStep(1))
-	b.core.task(TaskRef{Job: "suspect"}).crashes.mayBeGuilty(b.now)
+	b.core.task(TaskRef{Job: "suspect"}).crashes.markPossible(b.now)
 	begin := b.now
 	assert.Equal(t, len(b.starts()), 1)
 	assert.Assert(t, b.now.Sub(begin) >= startCrashWindow-100*time.Millisecond, "started after %v", b.now.Sub(begin))
