--- a/internal/cellsoak/cellsoak_test.go
+++ b/internal/cellsoak/cellsoak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -121,6 +122,19 @@
 	assert.Assert(t, !down())
 }
 
+// Guards against a mixed schedule that lacks a fault of one of its parts, changes one, or is not
+// ordered, so that faults start late.
+func TestMixedScheduleHoldsBothSchedules(t *testing.T) {
+	const length, daemons, workers = time.Minute, 5, 8
+	mixed := mixedSchedule(7, length, daemons, workers)
+	assert.Assert(t, slices.IsSortedFunc(mixed, func(a, b Fault) int { return cmp.Compare(a.At, b.At) }))
+	parts := append(deadlySchedule(7, length, workers), newSchedule(7, length, daemons, workers)...)
+	assert.Equal(t, len(mixed), len(parts))
+	for _, f := range parts {
+		assert.Assert(t, slices.Contains(mixed, f), "%v", f)
+	}
+}
+
 // Guards against new IDs with which fewer and fewer workers are allowed for any step, until jobs
 // that need advice cannot end in time.
 func TestAdviceIsTheSameUnderNewIDs(t *testing.T) {
--- a/internal/cellsoak/run.go
+++ b/internal/cellsoak/run.go
@@ -30,6 +30,8 @@
 	Daemons, Workers int
 	// Deadly selects a schedule of jobs whose tasks crash their workers.
 	Deadly bool
+	// Mixed adds the faults of a run without Deadly to that schedule.
+	Mixed bool
 	// Out receives the schedule and the progress.
 	Out io.Writer
 }
@@ -81,10 +83,23 @@
 		return fmt.Errorf("rate must be above 0 and at most %d", maxRate)
 	case o.Daemons < 1 || o.Daemons > maxDaemons || o.Workers < 1 || o.Workers > maxWorkers:
 		return fmt.Errorf("daemons and workers must be from 1 to %d", maxDaemons)
+	case o.Mixed && !o.Deadly:
+		return errors.New("mixed needs deadly")
 	}
 	return nil
 }
 
+// schedule draws the faults of the run.
+func (o *Options) schedule(length time.Duration) []Fault {
+	switch {
+	case o.Mixed:
+		return mixedSchedule(o.Seed, length, o.Daemons, o.Workers)
+	case o.Deadly:
+		return deadlySchedule(o.Seed, length, o.Workers)
+	}
+	return newSchedule(o.Seed, length, o.Daemons, o.Workers)
+}
+
 // Run runs a cell under load and faults and checks it. An error means that the run itself
 // failed; violations of the platform's rules are in the report.
 func Run(ctx context.Context, o Options) (rep Report, err error) {
@@ -106,10 +121,7 @@
 	defer cancel()
 	go c.runWorkers(ctx)
 	l := &load{cell: c, rng: rand.New(rand.NewPCG(o.Seed, 2)), deadlyRng: rand.New(rand.NewPCG(o.Seed, 3))}
-	schedule := newSchedule(o.Seed, length, o.Daemons, o.Workers)
-	if o.Deadly {
-		schedule = deadlySchedule(o.Seed, length, o.Workers)
-	}
+	schedule := o.schedule(length)
 	for _, f := range schedule {
 		fmt.Fprintln(o.Out, f)
 	}
--- a/internal/cellsoak/schedule.go
+++ b/internal/cellsoak/schedule.go
@@ -97,7 +97,7 @@
 		f.Mode = faultproxy.Delay + faultproxy.Mode(rng.IntN(int(faultproxy.Reset)))
 		out = append(out, f)
 	}
-	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	sortByTime(out)
 	return out
 }
 
@@ -127,3 +127,14 @@
 	}
 	return out
 }
+
+// mixedSchedule draws the faults of deadlySchedule and those of newSchedule, ordered by time.
+func mixedSchedule(seed uint64, length time.Duration, daemons, workers int) []Fault {
+	out := append(deadlySchedule(seed, length, workers), newSchedule(seed, length, daemons, workers)...)
+	sortByTime(out)
+	return out
+}
+
+func sortByTime(schedule []Fault) {
+	slices.SortStableFunc(schedule, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+}
