Play tasks that crash their worker in the simulation, and count silent crashes

Causes: the crash was dated to the moment when a call timed out, up to 1.5 s late, so no run seemed to have just started; runs of a worker that had only been silent were not counted at its return; other jobs started on an isolated worker whose crash was not noticed yet; starts without an answer from long before counted as just started. Change: if a call times out the crash is dated to the worker's last answer; runs whose lease ended count as soon as another process answers at the address; isolation lasts until the worker was heard after it; a start that was sent 2 s before is no longer one that may have just arrived. TestTaskBeforeItsLastCrashHasWorkerToItself lets the isolation end before its last check, which it met by chance before.

--- a/internal/core/jobs/crashes.go
+++ b/internal/core/jobs/crashes.go
@@ -90,7 +90,8 @@
 type InterruptedRun struct {
 	Task TaskRef
 	Run  int64
-	// Age is the time from the confirmed start until the worker stopped answering.
+	// Age is the time from the confirmed start, or else from the sending of the start, until
+	// the worker was last known to work.
 	Age time.Duration
 	// Unclear is set if the worker is not known to have had the run, or if the run's age
 	// is not known because an earlier leader started it.
@@ -100,18 +101,23 @@
 // interruptedRuns returns the runs of a worker that has stopped answering, at now if it is not known
 // when.
 func (w *worker) interruptedRuns(now time.Time) []InterruptedRun {
-	failedAt := w.failedAt
+	failedAt, aliveUntil := w.failedAt, w.aliveUntil
 	if failedAt.IsZero() {
-		failedAt = now
+		failedAt, aliveUntil = now, now
 	}
 	var out []InterruptedRun
 	for _, r := range w.runs {
 		if r.sentAt.After(failedAt) {
 			continue
 		}
-		age := failedAt.Sub(r.confirmedAt)
-		confirmed := r.state == runActive && -age < maxAnswerDelay
-		out = append(out, InterruptedRun{Task: r.ref, Run: r.number, Age: max(age, 0), Unclear: !confirmed || r.adopted && age < startCrashWindow})
+		i := InterruptedRun{Task: r.ref, Run: r.number}
+		if r.state == runActive && r.confirmedAt.Sub(failedAt) < maxAnswerDelay {
+			i.Age = max(aliveUntil.Sub(r.confirmedAt), 0)
+			i.Unclear = r.adopted && i.Age < startCrashWindow
+		} else {
+			i.Age, i.Unclear = max(aliveUntil.Sub(r.sentAt), 0), true
+		}
+		out = append(out, i)
 	}
 	return out
 }
@@ -138,7 +144,7 @@
 		t := c.task(r.Task)
 		switch {
 		case t == nil || t.state == taskDone || t.step.job().outcome != OutcomeUnfinished:
-		case r.Unclear && len(starting) > 1:
+		case r.Unclear && (len(starting) > 1 || !r.starting()):
 			t.crashes.markPossible(now)
 		case r.Unclear || r.Age < crashBlameWindow:
 			c.countCrash(now, id, t, r, starting)
@@ -149,12 +155,19 @@
 	}
 }
 
-// startingJobs returns the jobs of which a run may have started less than startCrashWindow before the
-// crash.
+// starting reports whether the run may have started just before the crash.
+func (r *InterruptedRun) starting() bool {
+	if r.Unclear {
+		return r.Age < unclearRunWindow
+	}
+	return r.Age < startCrashWindow
+}
+
+// startingJobs returns the jobs of which a run may have started just before the crash.
 func startingJobs(runs []InterruptedRun) []string {
 	var jobs []string
-	for _, r := range runs {
-		if (r.Unclear || r.Age < startCrashWindow) && !slices.Contains(jobs, r.Task.Job) {
+	for i := range runs {
+		if r := &runs[i]; r.starting() && !slices.Contains(jobs, r.Task.Job) {
 			jobs = append(jobs, r.Task.Job)
 		}
 	}
@@ -171,7 +184,7 @@
 	h.runs = append(h.runs, r.Run)
 	h.batch = c.batch.next
 	alone := !slices.ContainsFunc(starting, func(job string) bool { return job != r.Task.Job })
-	atStart := !r.Unclear && r.Age < startCrashWindow
+	atStart := !r.Unclear && r.starting()
 	if atStart {
 		h.atStart++
 		if alone {
@@ -203,8 +216,8 @@
 	}
 }
 
-// expiredWorker holds the runs of a worker whose lease ended after it had refused connections: it has
-// crashed if another process answers at its address.
+// expiredWorker holds the runs of a worker whose lease ended: it has crashed if another process answers
+// at its address.
 type expiredWorker struct {
 	id          model.WorkerID
 	incarnation int64
@@ -213,13 +226,13 @@
 }
 
 // keepExpired keeps the runs of a worker whose lease has ended. Tasks that had just started may be
-// to blame. A worker that has not refused connections may be cut off and is not taken for a crashed one.
+// to blame, unless the worker has not refused connections and may only be cut off.
 func (c *Core) keepExpired(now time.Time, w *worker, incarnation int64, runs []InterruptedRun) {
-	if !w.refused || w.leaving() || len(runs) == 0 {
+	if w.leaving() || len(runs) == 0 {
 		return
 	}
 	for i := range runs {
-		if t := c.task(runs[i].Task); t != nil && (runs[i].Unclear || runs[i].Age < startCrashWindow) {
+		if t := c.task(runs[i].Task); t != nil && w.refused && (runs[i].Unclear || runs[i].Age < startCrashWindow) {
 			t.crashes.markPossible(now)
 		}
 	}
--- a/internal/core/jobs/crashes_test.go
+++ b/internal/core/jobs/crashes_test.go
@@ -306,6 +306,7 @@
 	b.core.loseRun(b.now, suspect.run, "test")
 	b.core.Cancel(b.now, "suspect", 2)
 	b.storeBatch()
+	b.now = b.now.Add(lastIsolationTime)
 	assert.Equal(t, len(b.starts()), 1)
 }
 
--- a/internal/core/jobs/isolation.go
+++ b/internal/core/jobs/isolation.go
@@ -15,6 +15,9 @@
 	lastIsolationTime = 2 * time.Second
 	// maxIsolationWait is how long a suspect waits for a start apart from other jobs.
 	maxIsolationWait = 1500 * time.Millisecond
+	// maxContactWait is how long an isolated worker is waited for at the end of the
+	// isolation.
+	maxContactWait = 1500 * time.Millisecond
 	// unclearRunWindow is how long a start without an answer may still be carried out,
 	// usually.
 	unclearRunWindow = 2 * time.Second
@@ -30,9 +33,14 @@
 	until time.Time
 }
 
-// blocks reports whether a job may not start tasks on the isolated worker.
-func (i *isolation) blocks(now time.Time, j *job) bool {
-	return i.job != nil && i.job != j && now.Before(i.until)
+// isolatedFrom reports whether a job may not start tasks on the worker. The isolation lasts until the
+// worker has been heard after its end, so that a crash during it is noticed before others start.
+func (w *worker) isolatedFrom(now time.Time, j *job) bool {
+	i := &w.isolation
+	if i.job == nil || i.job == j {
+		return false
+	}
+	return now.Before(i.until) || w.lastContact.Before(i.until) && now.Before(i.until.Add(maxContactWait))
 }
 
 // isolate keeps the starts of other jobs away from a worker for a while.
--- a/internal/core/jobs/loss.go
+++ b/internal/core/jobs/loss.go
@@ -40,7 +40,7 @@
 		listed[res.Running[i].Task] = res.Running[i].Run
 	}
 	if w.failedAt.IsZero() {
-		w.failedAt = res.SentAt
+		w.failedAt, w.aliveUntil = res.SentAt, res.SentAt
 	}
 	c.recordWorkerCrash(now, w, slices.DeleteFunc(w.interruptedRuns(now), func(r InterruptedRun) bool { return listed[r.Task] == r.Run }))
 	w.incarnation, w.clockMs, w.clockReadAt, w.maxDeadlineMs = res.Incarnation, res.ClockMs, now, res.ClockMs+c.cfg.LeaseDuration.Milliseconds()
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -272,7 +272,7 @@
 // eligible reports whether the constraints of the step, except its size, allow
 // the worker.
 func (c *Core) eligible(now time.Time, s *step, w *worker) bool {
-	return w.state == WorkerUsable && w.hasLabel(s.def.Label) && w.remainingPerWorker(s) > 0 && !w.isolation.blocks(now, s.job()) &&
+	return w.state == WorkerUsable && w.hasLabel(s.def.Label) && w.remainingPerWorker(s) > 0 && !w.isolatedFrom(now, s.job()) &&
 		!(s.def.Filler && now.Before(w.noFillersUntil))
 }
 
--- a/internal/core/jobs/sim_test.go
+++ b/internal/core/jobs/sim_test.go
@@ -19,6 +19,9 @@
 	events eventHeap
 	seq    int
 
+	// drawDeadly draws whether the next job is deadly; nil if none is.
+	drawDeadly func() bool
+
 	core           *Core
 	token          uint64
 	hasLeader      bool
@@ -105,6 +108,7 @@
 	accepted    bool
 	refused     bool
 	poison      bool // the first task fails in every run
+	deadly      bool // the first task crashes each worker that starts it
 	tasks       map[TaskRef]*simTask
 	credit      float64
 	maxCredit   float64
@@ -134,6 +138,9 @@
 	// failures lists the failed ends; lastStartAt is when a run last began.
 	failures    []*simEnd
 	lastStartAt time.Time
+	// crashes counts the workers that the task crashed, startsAfterCrashes its starts after
+	// three of them.
+	crashes, startsAfterCrashes int
 }
 
 // simEnd is an end that a worker reported. acked is set once the leader has
@@ -492,6 +499,7 @@
 	s.jobs[j.spec.ID] = j
 	s.submitted, s.watched = append(s.submitted, j), append(s.watched, j)
 	j.submittedAt = s.now
+	j.deadly = s.drawDeadly != nil && s.drawDeadly()
 	s.submitWithRetries(j, 0)
 	if j.class.rng.Float64() < j.class.cancel {
 		s.after(time.Duration(j.class.rng.Float64()*4*float64(time.Second)), func() { s.cancel(j) })
@@ -608,6 +616,9 @@
 func (j *simJob) attemptsExhausted() bool {
 	gangs := map[int]int{}
 	for _, t := range j.tasks {
+		if t.crashes >= 2 {
+			return true
+		}
 		gangs[t.step] += t.failed
 		if t.failed >= j.class.queue.MaxAttempts || j.spec.Steps[t.step].Gang && gangs[t.step] >= j.class.queue.MaxAttempts {
 			return true
--- a/internal/core/jobs/simworld_test.go
+++ b/internal/core/jobs/simworld_test.go
@@ -577,6 +577,11 @@
 		s.recordViolation("TWICE", "%v is done", req.Task)
 	}
 	t.lastStartAt = s.now
+	if t.crashes >= 3 {
+		if t.startsAfterCrashes++; t.startsAfterCrashes == 3 {
+			s.recordViolation("BUDGET", "%v started three times more after it had crashed three workers", req.Task)
+		}
+	}
 	if t.overBudget() {
 		s.recordViolation("BUDGET", "%v has failed %d times", req.Task, t.failed)
 	}
@@ -641,6 +646,13 @@
 		})
 	}
 	switch {
+	case t.crashesWorker(req.Task):
+		s.after(simCrashDelay, func() {
+			if w.runs[req.Task] == r {
+				w.crashUnderTask()
+			}
+		})
+		return
 	case r.stuck && !r.gang():
 		return
 	case !r.gang():
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -127,14 +127,14 @@
 	w.syncing = false
 	c.uncountProbe(w)
 	if res.Status != CallOK {
-		c.handleSyncFailure(received, w, res.Status)
+		c.handleSyncFailure(received, w, res)
 		return
 	}
 	c.poolsStale = c.poolsStale || w.missedSyncs > 0 || w.leaseExpired || !w.answered || res.Incarnation != w.incarnation
 	if w.answered && res.Incarnation != w.incarnation {
 		c.handleWorkerRestart(received, w, res)
 	}
-	w.missedSyncs, w.failedAt, w.refused = 0, time.Time{}, false
+	w.missedSyncs, w.failedAt, w.aliveUntil, w.refused = 0, time.Time{}, time.Time{}, false
 	c.resolveExpired(received, w, res.Incarnation)
 	if !w.answered {
 		if known := c.recovery.workers[w.ID].incarnation; known != 0 && known != res.Incarnation {
@@ -173,9 +173,9 @@
 	}
 }
 
-// handleSyncFailure handles a sync that failed with the given status, and
-// schedules the next attempt.
-func (c *Core) handleSyncFailure(now time.Time, w *worker, status CallStatus) {
+// handleSyncFailure handles a sync that failed, and schedules the next attempt.
+func (c *Core) handleSyncFailure(now time.Time, w *worker, res *SyncResult) {
+	status := res.Status
 	if status == CallFenced {
 		c.recordFenced(w)
 	}
@@ -183,7 +183,11 @@
 		c.event(Event{Name: EventWorkerState, Worker: w.ID, Detail: WorkerSilent.String(), Reason: model.Reason(status.String()), Age: now.Sub(w.lastContact)})
 	}
 	if w.missedSyncs == 0 {
-		w.failedAt = now
+		w.failedAt, w.aliveUntil = now, now
+		if now.Sub(res.SentAt) > w.syncWait {
+			// The connection did not break, so it is not known when the worker failed.
+			w.aliveUntil = w.lastContact
+		}
 	}
 	w.missedSyncs++
 	w.refused = w.refused || status == CallNotSent
--- a/internal/core/jobs/sync_schedule.go
+++ b/internal/core/jobs/sync_schedule.go
@@ -96,17 +96,18 @@
 			if w.ackedEnd == w.processedEnd {
 				req.Wait = c.cfg.SyncWait
 			}
-			if w.hasUnconfirmedRuns() {
+			if w.hasUnconfirmedRuns() || now.Before(w.isolation.until) {
 				req.Wait = min(req.Wait, confirmationWait)
 			}
 		}
-		w.syncing = true
+		w.syncing, w.syncWait = true, req.Wait
 		c.out.Syncs = append(c.out.Syncs, req)
 	}
 }
 
 // confirmationWait is how long a sync waits for an end while a run has to be
-// confirmed as gone: no end may ever be listed for it.
+// confirmed as gone, for which no end may ever be listed, or while the worker is
+// isolated and has to be heard soon.
 const confirmationWait = 150 * time.Millisecond
 
 // hasUnconfirmedRuns reports whether a run waits to be confirmed as gone.
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -55,15 +55,18 @@
 	// incarnation may arrive and extend the lease.
 	lateGrantsUntil time.Time
 
-	syncing  bool
+	syncing bool
+	// syncWait is how long the worker may delay its answer to the last sync.
+	syncWait time.Duration
 	nextSync time.Time
 	// queued is set while the worker is in Core.dueSyncs.
 	queued      bool
 	missedSyncs int
-	// failedAt is when the first of the missed syncs failed. refused is set if one of them
-	// could not be sent because no connection could be opened.
-	failedAt time.Time
-	refused  bool
+	// failedAt is when the first of the missed syncs failed, and aliveUntil the latest time
+	// at which the worker is known to have worked. refused is set if one of the syncs could
+	// not be sent because no connection could be opened.
+	failedAt, aliveUntil time.Time
+	refused              bool
 	// drainedIncarnation is the last incarnation that was listed as draining.
 	drainedIncarnation int64
 	// probing is set while a sync to the worker counts towards
