Clear the crashes of a task whose run ends by itself

Change: a run that ended as failed has not crashed its worker, so the history begins anew. A task that crashes each worker that starts it never has such a run. TestRunThatEndsByItselfClearsItsTask failed before (failed, want active).

--- a/internal/core/jobs/crashcases_test.go
+++ b/internal/core/jobs/crashcases_test.go
@@ -276,3 +276,18 @@
 	b.core.task(TaskRef{Job: "suspect"}).crashes.markPossible(b.now.Add(-maxIsolationWait))
 	assert.Equal(t, len(b.advance(10*time.Millisecond).Starts), 1)
 }
+
+// Guards against giving up a task for crashes before and after a run that ended by itself.
+func TestRunThatEndsByItselfClearsItsTask(t *testing.T) {
+	b := newCrashBench(t, "w1", "w2", "w3", "w4")
+	b.submit("j1", smallStep(1))
+	b.crash(b.starts()[0].Worker, crashDelay)
+	failed := b.starts()[0]
+	w := b.core.workers[failed.Worker]
+	w.syncing = true
+	b.core.HandleSyncResult(b.now, &SyncResult{Worker: w.ID, SentAt: b.now, Incarnation: w.incarnation, ClockMs: b.clockMs(),
+		Ends: []RunEnd{{Seq: 1, Task: failed.Task, Run: failed.Run, Kind: EndFailed}}})
+	b.storeBatch()
+	b.crash(b.starts()[0].Worker, crashDelay)
+	assert.Equal(t, jobView(t, b.core, "j1"), ViewActive)
+}
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -257,6 +257,8 @@
 		w.ackAfterBatch = c.batch.next
 	case EndFailed:
 		c.health.RecordFailure(now, w.ID, e.Task.Job)
+		// The run has not crashed its worker.
+		t.crashes = crashHistory{}
 		c.recordFailure(now, t, e.Run)
 		w.ackAfterBatch = c.batch.next
 	}
