--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -30,7 +30,7 @@
 // case could not run.
 func runCase(name, folder string) int {
 	cases := map[string]func(*cellUnderTest, bool) (string, error){
-		"stages": stages, "ended": ended, "hopeless": hopeless, "crashes": crashes, "cancel": cancel, "outage": outage,
+		"stages": stages, "ended": ended, "hopeless": hopeless, "crashes": crashes, "cancel": cancel, "outage": outage, "long": long,
 	}
 	f := cases[name]
 	if f == nil {
@@ -109,6 +109,8 @@
 	DependsOn   []int `json:"dependsOn,omitempty"`
 	Gang        bool  `json:"gang,omitempty"`
 	LongRunning bool  `json:"longRunning,omitempty"`
+	// Label is the label that a worker needs.
+	Label string `json:"requiredLabel,omitempty"`
 }
 
 func jobBody(s script, steps ...step) string {
@@ -449,3 +451,42 @@
 }
 
 func clock(t time.Time) string { return t.Format("15:04:05.000") }
+
+// long: a task comes that works for minutes, on the one worker that has the label it needs.
+func long(c *cellUnderTest, trouble bool) (string, error) {
+	length := 20 * time.Second
+	if trouble {
+		length = 240 * time.Second
+	}
+	if _, err := c.begin(8, 6, true, 1); err != nil {
+		return "", err
+	}
+	ms := int(length.Milliseconds())
+	if !c.submit(adviedPrefix, jobID(0), jobBody(script{Ms: ms, Ticket: true}, step{Count: 1, CPU: 4500, MemMb: 6400, EstimatedMs: ms, Label: "b"})) {
+		return "", fmt.Errorf("the job was not accepted")
+	}
+	c.note("the traffic ends")
+	from := time.Now().Add(finishTime)
+	time.Sleep(finishTime + 30*time.Second)
+	until := time.Now()
+	state := c.state(adviedPrefix, jobID(0))
+	runs := c.taskRuns(jobID(0) + ".0.0.0")
+	idle, gaps := time.Duration(0), 0
+	for i, r := range runs {
+		next := until
+		if i+1 < len(runs) {
+			next = runs[i+1].begun
+		}
+		if r.how == "done" || r.ended.IsZero() || r.ended.Before(from) {
+			continue
+		}
+		if gap := next.Sub(r.ended); gap >= idleTime {
+			gaps++
+			idle = max(idle, gap)
+		}
+	}
+	if gaps > 0 {
+		return fmt.Sprintf("the job (shown as %q) had nothing running %d times for 3 s or more (%.2f s), though the one worker that it may use was empty; its task has been started %d times, and stopped as often", state, gaps, idle.Seconds(), len(runs)), nil
+	}
+	return "", nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -48,7 +48,7 @@
 	case "workers":
 		var workers []*worker
 		for i := *first; i < *first+*count; i++ {
-			workers = append(workers, &worker{id: fmt.Sprintf("i-%04d", i), address: workerAddress(*network, i), rack: fmt.Sprintf("r1-%d", i/8), zone: *zone, cpu: *cpu, memMb: *memMb, maxLeaseMs: *lease})
+			workers = append(workers, &worker{id: fmt.Sprintf("i-%04d", i), address: workerAddress(*network, i), kind: kindOf(i), rack: fmt.Sprintf("r1-%d", i/8), zone: *zone, cpu: *cpu, memMb: *memMb, maxLeaseMs: *lease})
 		}
 		err = serveWorkers(*storeAddress, workers)
 	case "case":
@@ -58,6 +58,14 @@
 	os.Exit(2)
 }
 
+// kindOf returns the kind of a worker: the first one is of a kind of its own.
+func kindOf(i int) string {
+	if i == 0 {
+		return "b"
+	}
+	return "a"
+}
+
 func workerAddress(network, i int) string { return fmt.Sprintf("127.%d.2.%d:8080", network, i+1) }
 
 // appendRecord appends a keyed record to a topic of the store.
@@ -77,10 +85,10 @@
 	return nil
 }
 
-// Times of the advice service and of its tickets.
+// Times of the advice service and of its tickets, as of the queue `retrain`.
 const (
-	decisionMs = 42.0
-	periodMs   = 0.6
+	decisionMs = 470.0
+	periodMs   = 6.8
 	validityMs = 1500
 )
 
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -52,7 +52,8 @@
 type worker struct {
 	fleet       *fleet
 	id, address string
-	zone, rack  string
+	zone        string
+	kind, rack  string
 	born        time.Time
 	token       uint64
 	leaseEndMs  int64
@@ -100,7 +101,7 @@
 	for {
 		w.seqNum++
 		value, _ := json.Marshal(map[string]any{"service": service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
-			"coldRemainingMs": 0, "capacity": map[string]int64{"cpu": w.cpu, "memMb": w.memMb}, "labels": []string{"a", w.rack},
+			"coldRemainingMs": 0, "capacity": map[string]int64{"cpu": w.cpu, "memMb": w.memMb}, "labels": []string{w.kind, w.rack},
 			"clockMs": w.clockMs(), "seqNum": w.seqNum, "born": w.born.UnixMilli()})
 		_ = appendRecord(storeAddress, "keyed.servers", w.id, value)
 		time.Sleep(heartbeat)
