--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -404,7 +404,7 @@
 	if _, err := c.begin(workers, 6, true, 1); err != nil {
 		return "", err
 	}
-	body := jobBody(script{Ms: 600}, step{Count: width, CPU: 500, MemMb: 256, EstimatedMs: 900})
+	body := jobBody(script{Ms: 400}, step{Count: width, CPU: 500, MemMb: 256, EstimatedMs: 900})
 	var wg sync.WaitGroup
 	for n := range jobs {
 		wg.Go(func() {
