Review, case 3: clients with connections that stay open

Cause: the script did not say why a cancel reaches the frozen daemon. Change: each client has a connection to it from before; workers listen on a port that is less likely to be taken.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"strings"
@@ -355,6 +356,11 @@
 			return "", err
 		}
 		c.note("daemon %d leads", leader)
+		// Each client has a connection to that daemon, which stays open.
+		var open [clients]http.Transport
+		for i := range open {
+			c.callOver(&open[i], "GET", leader, plainPrefix, "")
+		}
 		if trouble {
 			_ = c.daemons[leader].cmd.Process.Signal(syscall.SIGSTOP)
 			c.note("daemon %d is stopped", leader)
@@ -369,7 +375,7 @@
 				}
 				for try := range 5 {
 					at := (leader + try) % len(c.daemons)
-					if status, _ := c.call("DELETE", at, plainPrefix+id, ""); status == 200 || status == 410 {
+					if status, _ := c.callOver(&open[i], "DELETE", at, plainPrefix+id, ""); status == 200 || status == 410 {
 						acked <- cancelled{id, time.Now(), status, at}
 						return
 					}
--- a/review/standin/cell.go
+++ b/review/standin/cell.go
@@ -372,6 +372,11 @@
 
 // call makes one request of a client to a daemon. The status is 0 without an answer.
 func (c *cellUnderTest) call(method string, daemon int, path, body string) (int, string) {
+	return c.callOver(http.DefaultTransport, method, daemon, path, body)
+}
+
+// callOver makes a request over the connections of a transport.
+func (c *cellUnderTest) callOver(connections http.RoundTripper, method string, daemon int, path, body string) (int, string) {
 	req, err := http.NewRequest(method, "http://"+c.daemonIP(daemon)+":8161"+path, strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
@@ -379,7 +384,7 @@
 	req.Host = host
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Deadline-Ms", "3000")
-	client := http.Client{Timeout: 3 * time.Second}
+	client := http.Client{Timeout: 3 * time.Second, Transport: connections}
 	resp, err := client.Do(req)
 	if err != nil {
 		c.note("client: %s %s at daemon %d: no answer", method, path, daemon)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -66,7 +66,7 @@
 	return "a"
 }
 
-func workerAddress(network, i int) string { return fmt.Sprintf("127.%d.2.%d:8080", network, i+1) }
+func workerAddress(network, i int) string { return fmt.Sprintf("127.%d.2.%d:18423", network, i+1) }
 
 // appendRecord appends a keyed record to a topic of the store.
 func appendRecord(address, topic, key string, value []byte) error {
