Log when a gang waits for its turn

That reason has three meanings: all workers were denied, all were asked about, or the turn of the gang has not come.

Change: a gang that is not admitted yet has a reason of its own, gangs_before_need_all.

--- a/internal/core/jobs/gang_advice_test.go
+++ b/internal/core/jobs/gang_advice_test.go
@@ -153,6 +153,27 @@
 	assert.Equal(t, starts[0].Task.Job, "first")
 }
 
+// Guards against a log in which a gang that waits for its turn looks like one that was denied
+// all workers.
+func TestGangWhoseTurnHasNotComeSaysSo(t *testing.T) {
+	b := newAdviceBench(t)
+	b.core.SetAdviceRelays([]string{"d1", "d2", "d3"})
+	b.addWorkers("w1", "w2")
+	for _, id := range []string{"first", "second"} {
+		gang := wholeWorkerStep(2, time.Minute)
+		gang.Gang = true
+		b.submit(id, gang)
+	}
+	for range 10 {
+		for _, req := range b.advance(candidateRetryDelay).Advice {
+			if req.Step.Job == "second" {
+				b.allow(req, anyWorker)
+			}
+		}
+	}
+	assert.Equal(t, b.core.jobs["second"].occurrences[0].steps[0].wait.reason, waitForTurn)
+}
+
 // Guards against a gang that asks for one or two workers at a time, is denied, and so does
 // not start for seconds in a pool with most of its capacity free.
 func TestGangAsksForEnoughWorkersToBeAllowedOne(t *testing.T) {
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -222,7 +222,10 @@
 // placeGang starts all tasks of a gang or none.
 func (c *Core) placeGang(now time.Time, s *step) model.Reason {
 	if s.job().queue.Advice != nil && !s.admitted {
-		return c.requestAdvice(now, s)
+		if reason := c.requestAdvice(now, s); reason != waitForCandidate {
+			return reason
+		}
+		return waitForTurn
 	}
 	options := c.options(now, s)
 	slices.SortStableFunc(options, func(a, b *worker) int { return cmp.Compare(score(s, a), score(s, b)) })
--- a/internal/core/jobs/waiting.go
+++ b/internal/core/jobs/waiting.go
@@ -18,11 +18,13 @@
 
 // Reasons why a ready step was not started in the last round.
 const (
-	waitForRecovery  model.Reason = "runs_of_earlier_leader"
-	waitForStops     model.Reason = "gang_members_stopping"
-	waitForBackoff   model.Reason = "backoff"
-	waitForCapacity  model.Reason = "no_worker_with_room"
-	waitForGang      model.Reason = "yields_to_gang"
+	waitForRecovery model.Reason = "runs_of_earlier_leader"
+	waitForStops    model.Reason = "gang_members_stopping"
+	waitForBackoff  model.Reason = "backoff"
+	waitForCapacity model.Reason = "no_worker_with_room"
+	waitForGang     model.Reason = "yields_to_gang"
+	// waitForTurn: the gangs before this one need all free capacity.
+	waitForTurn      model.Reason = "gangs_before_need_all"
 	waitForAdvice    model.Reason = "advice_in_flight"
 	waitForRelay     model.Reason = "no_adviser_free"
 	waitForCandidate model.Reason = "no_worker_to_ask_about"
