Keep no capacity for gangs that cannot start

Cause: admitGangs subtracts the demand of every waiting gang from the free capacity, in the order of urgency, and admits the gangs until nothing is left. A gang that can never start counted like any other, and in an idle pool it starves and so comes first for ever. Not only its size can keep a gang from starting: members that do not fit on the workers as they are, a label, a limit per worker, denied advice, lasting tasks on the workers. In a busier pool less urgent tasks yielded to such a gang too.

Change: each waiting gang knows whether it fits now, fits once runs have ended, or never fits on the usable workers that may run it. One that never fits claims nothing, asks for no advice, does not starve and makes nobody yield; in a pool that is mostly idle only a gang that fits now claims capacity, since no step should wait there for runs of others to end.

--- a/internal/core/jobs/gang_advice.go
+++ b/internal/core/jobs/gang_advice.go
@@ -27,15 +27,18 @@
 
 // admitGangs determines which gangs may look for capacity: the most urgent ones, until
 // together they need all that is free. The others would only ask for advice in vain and
-// delay the calls of the more urgent ones.
+// delay the calls of the more urgent ones. A gang that cannot start does not count, however
+// urgent it is.
 func (c *Core) admitGangs() {
 	for _, s := range c.ready {
 		if !s.def.Gang || s.job().queue.Advice == nil || !c.placeable(s) {
 			continue
 		}
 		p := c.pool(s)
-		s.admitted = p.hasSpare()
-		p.free = p.free.Sub(s.def.Size.Times(int64(s.pending)))
+		s.admitted = p.hasSpare() && s.fit.fit != fitsNever
+		if s.claimsCapacity(p) {
+			p.free = p.free.Sub(s.def.Size.Times(int64(s.pending)))
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/core/jobs/gang_fit.go
@@ -0,0 +1,97 @@
+package jobs
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+// gangFit says whether the usable workers that may run a waiting gang have enough capacity
+// for all its members.
+type gangFit uint8
+
+const (
+	// fitsNow means that enough capacity is free.
+	fitsNow gangFit = iota
+	// fitsLater means that there is enough capacity once runs have ended.
+	fitsLater
+	// fitsNever means that there is not enough capacity even then. That changes only with
+	// the workers or with the lasting tasks on them.
+	fitsNever
+)
+
+// updateGangFits updates the fits of the waiting gangs.
+func (c *Core) updateGangFits(now time.Time) {
+	for _, s := range c.ready {
+		if !s.def.Gang {
+			continue
+		}
+		workers := len(c.pool(s).workers)
+		if workers == s.fit.workers && now.Before(s.fit.checkAt) {
+			continue
+		}
+		s.fit = fitState{fit: c.gangFit(s), workers: workers, checkAt: now.Add(scheduleInterval)}
+	}
+}
+
+// fitState is the last known fit of a gang.
+type fitState struct {
+	fit gangFit
+	// workers is the number of usable workers for which the fit was determined.
+	workers int
+	// checkAt is when the fit is determined again, even if the number has not changed.
+	checkAt time.Time
+}
+
+// gangFit determines the fit of a gang.
+func (c *Core) gangFit(s *step) gangFit {
+	switch {
+	case c.gangFitsInto(s, (*worker).free):
+		return fitsNow
+	case c.gangFitsInto(s, (*worker).freeOnceIdle):
+		return fitsLater
+	}
+	return fitsNever
+}
+
+// gangFitsInto reports whether all members of a gang fit into the capacity that room returns of
+// each worker. Workers that advice has denied do not count, those whose permission is not known do.
+func (c *Core) gangFitsInto(s *step, room func(*worker) model.Size) bool {
+	missing := len(s.tasks)
+	for _, w := range c.pool(s).workers {
+		if missing <= 0 {
+			break
+		}
+		if w.hasLabel(s.def.Label) && !s.advice.denied[w.ID] {
+			missing -= max(0, min(copiesIn(room(w), s.def.Size), w.remainingPerWorker(s)))
+		}
+	}
+	return missing <= 0
+}
+
+// free returns the free capacity of the worker.
+func (w *worker) free() model.Size { return w.resources.free() }
+
+// freeOnceIdle returns the capacity that is free when all runs that end by themselves, or are
+// being stopped, have ended.
+func (w *worker) freeOnceIdle() model.Size {
+	free := w.resources.capacity
+	for _, r := range w.runs {
+		if r.lasting() {
+			free = free.Sub(r.size)
+		}
+	}
+	return free
+}
+
+// lasting reports whether the run does not end by itself.
+func (r *run) lasting() bool {
+	return r.task != nil && r.task.step.def.LongRunning && !r.stop.wanted
+}
+
+// claimsCapacity reports whether free capacity is kept for a gang by admitting fewer of the
+// gangs after it. In a pool that is mostly idle the others do not wait until runs have
+// ended: no step should lack a run for long there.
+func (s *step) claimsCapacity(p *pool) bool {
+	return s.fit.fit == fitsNow || s.fit.fit == fitsLater && p.usedShare >= idleShare
+}
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -88,6 +88,8 @@
 	// plannedStart is when a waiting gang is expected to find capacity; zero if
 	// that is not known.
 	plannedStart time.Time
+	// fit says whether a waiting gang can start. It is zero for any other step.
+	fit fitState
 	// admitted is set while a gang may look for capacity.
 	admitted bool
 	// held lists the capacity that a gang keeps while its tickets are renewed.
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -24,6 +24,7 @@
 	for _, p := range c.pools {
 		p.startRound()
 	}
+	c.updateGangFits(now)
 	if c.reservationsStale {
 		c.reservationsStale = false
 		c.updateOrder(now)
@@ -89,7 +90,7 @@
 func (c *Core) updateOrder(now time.Time) {
 	changed := false
 	for _, s := range c.ready {
-		starving := !s.wait.since.IsZero() && now.Sub(s.wait.since) >= starvationTime && c.pool(s).usedShare < idleShare
+		starving := !s.wait.since.IsZero() && now.Sub(s.wait.since) >= starvationTime && c.pool(s).usedShare < idleShare && s.fit.fit != fitsNever
 		if starving != s.starving {
 			s.starving, changed = starving, true
 		}
@@ -108,8 +109,8 @@
 	workers []*worker
 	// largest is, in each dimension, the largest free capacity of any worker.
 	largest model.Size
-	// free is the sum of the free capacity of all workers, in which the demand of the waiting
-	// gangs is then subtracted.
+	// free is the sum of the free capacity of all workers, from which the demand of the waiting
+	// gangs that claim capacity is then subtracted.
 	free model.Size
 	// usedShare is the used share of the scarcest resource.
 	usedShare float64
@@ -185,6 +186,8 @@
 		return waitForRecovery
 	case s.def.Gang && s.pending != s.unfinished:
 		return waitForStops
+	case s.def.Gang && s.fit.fit == fitsNever:
+		return waitForWorkers
 	case !s.def.Size.Fits(c.pool(s).largest):
 		return waitForCapacity
 	case s.def.Gang:
