Give no turn for a reservation to gangs that cannot start

With 16 gangs that can never start before it, a gang had no capacity reserved, and less urgent tasks took each piece that became free.

Cause: refreshReservations counts every waiting gang as one of the maxReservingGangs, also one for which it reserves nothing.

Result: TestHopelessGangsUseUpNoReservations failed on the code before and holds.

--- a/internal/core/jobs/reservations.go
+++ b/internal/core/jobs/reservations.go
@@ -36,7 +36,7 @@
 	ticketExpires time.Time
 }
 
-// refreshReservations chooses, for the most urgent waiting gangs, the workers
+// refreshReservations chooses, for the most urgent waiting gangs that can start, the workers
 // on which they have capacity first. Without reservations, less urgent tasks
 // take each piece of capacity as it becomes free, and a large gang never
 // starts.
@@ -54,7 +54,7 @@
 	}
 	remaining := maxReservingGangs
 	for _, s := range c.ready {
-		if !s.def.Gang || !c.placeable(s) || len(s.held) > 0 {
+		if !s.def.Gang || !c.placeable(s) || s.fit.fit == fitsNever || len(s.held) > 0 {
 			continue
 		}
 		if remaining--; remaining < 0 {
--- a/internal/core/jobs/reservations_test.go
+++ b/internal/core/jobs/reservations_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -33,3 +34,24 @@
 	started := b.startedAfter("narrow", 10*time.Second)
 	assert.Assert(t, started < time.Second, "the gang started after %v", started)
 }
+
+// Guards against gangs that can never start and use up the reservations, so that less urgent
+// tasks take each piece of capacity for which another gang waits.
+func TestHopelessGangsUseUpNoReservations(t *testing.T) {
+	b := newTestBench(t)
+	b.core.SetWorkers(b.now, nil)
+	for i := range maxReservingGangs {
+		b.submit(fmt.Sprintf("hopeless%02d", i), gangStep(3, 8000))
+	}
+	b.addWorkers("w1", "w2")
+	blocker := smallStep(1)
+	blocker.Size.MilliCPU, blocker.Estimate = 6000, time.Second
+	b.submit("blocker", blocker)
+	b.step()
+	b.step()
+	b.submit("gang", gangStep(2, 8000))
+	b.step()
+	b.step()
+	waiting := b.core.jobs["gang"].occurrences[0].steps[0]
+	assert.Assert(t, !waiting.plannedStart.IsZero(), "the gang has no reservation")
+}
