Reserve no capacity until lasting tasks end

A gang for which lasting tasks keep part of its workers occupied kept idle workers reserved, so that later work did not start there for as long as the gang waited.

Cause: futureSlotsOn expects every run to end, also that of a task which lasts until its job is cancelled. Such a run shows 100%, so its end was always expected at once, and the reservation was always a near one.

Lasting tasks of the tests report 100% now, as they do on the platform.

--- a/internal/core/jobs/reservations.go
+++ b/internal/core/jobs/reservations.go
@@ -130,7 +130,7 @@
 }
 
 // futureSlotsOn appends the slots of one worker to out: those that are free now
-// and those that become free when its runs end.
+// and those that become free when its runs end. Lasting tasks do not end.
 func (c *Core) futureSlotsOn(now time.Time, s *step, w *worker, ticketExpires time.Time, out []taskSlot) []taskSlot {
 	if !c.eligible(now, s, w) {
 		return out
@@ -146,7 +146,9 @@
 	}
 	ends := make([]expectedEnd, 0, len(w.runs))
 	for _, r := range w.runs {
-		ends = append(ends, expectedEnd{now.Add(c.remainingTime(now, r)), r.size})
+		if !r.lasting() {
+			ends = append(ends, expectedEnd{now.Add(c.remainingTime(now, r)), r.size})
+		}
 	}
 	slices.SortFunc(ends, func(a, b expectedEnd) int { return a.at.Compare(b.at) })
 	for _, e := range ends {
--- a/internal/core/jobs/reservations_test.go
+++ b/internal/core/jobs/reservations_test.go
@@ -55,3 +55,20 @@
 	waiting := b.core.jobs["gang"].occurrences[0].steps[0]
 	assert.Assert(t, !waiting.plannedStart.IsZero(), "the gang has no reservation")
 }
+
+// Guards against capacity that is reserved for a gang until a lasting task ends, which it
+// never does.
+func TestGangDoesNotWaitForLastingTasksToEnd(t *testing.T) {
+	b := newTestBench(t)
+	b.addWorkers("w1", "w2")
+	b.submit("lasting", lastingStep(1))
+	b.step()
+	b.step()
+	b.submit("hopeless", gangStep(2, 8000))
+	for range 40 {
+		b.step()
+	}
+	b.submit("later", wholeWorkerStep(1, time.Minute))
+	started := b.startedAfter("later", 5*time.Second)
+	assert.Assert(t, started < time.Second, "the task started after %v", started)
+}
--- a/internal/core/jobs/yield_test.go
+++ b/internal/core/jobs/yield_test.go
@@ -48,13 +48,18 @@
 	return out.Starts
 }
 
-// runningResults returns answers to syncs in which all runs of each worker make progress.
+// runningResults returns answers to syncs in which all runs of each worker make progress and
+// lasting tasks are at work.
 func (b *testBench) runningResults() map[model.WorkerID]SyncResult {
 	out := map[model.WorkerID]SyncResult{}
 	for _, w := range b.core.workerList {
 		var r SyncResult
 		for _, run := range w.runs {
-			r.Running = append(r.Running, RunReport{Task: run.ref, Run: run.number, Percent: int(b.now.Sub(startTime) / time.Second)})
+			percent := int(b.now.Sub(startTime) / time.Second)
+			if run.task != nil && run.task.step.def.LongRunning {
+				percent = 100
+			}
+			r.Running = append(r.Running, RunReport{Task: run.ref, Run: run.number, Percent: percent})
 		}
 		out[w.ID] = r
 	}
