Refuse gangs that are larger than all workers together

Cause: admit checked only whether a single task fits on some worker.

Change: a gang is refused at once with never_fits and the same Retry-After as a task that fits nowhere, if its members do not all fit on the workers at the same time, with their labels and the limit per worker. Workers that left without notice less than a minute ago count, so that nothing is refused while many of them restart.

--- a/internal/core/jobs/admit.go
+++ b/internal/core/jobs/admit.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"maps"
 	"time"
 
 	"catkinvalve/internal/core/model"
@@ -12,7 +13,7 @@
 	if c.unfinishedJobs >= c.cfg.MaxUnfinishedJobs {
 		return model.ReasonQueueFull, retryAfterFull, false
 	}
-	if c.neverFits(spec, q) {
+	if c.neverFits(now, spec, q) {
 		return model.ReasonNeverFits, retryAfterNeverFits, false
 	}
 	return "", 0, true
@@ -22,11 +23,12 @@
 // that no worker could run; a suitable worker may have been added by then.
 const retryAfterNeverFits = 30 * time.Second
 
-// neverFits reports whether a step of the job fits on no worker of its service,
-// even on an empty one.
-func (c *Core) neverFits(spec *Spec, q *Queue) bool {
+// neverFits reports whether a step of the job could not run even if nothing else did: a task
+// fits on no worker of its service, or the members of a gang do not all fit at the same time.
+func (c *Core) neverFits(now time.Time, spec *Spec, q *Queue) bool {
 	for i := range spec.Steps {
-		if def := &spec.Steps[i]; !c.fitsAnyWorker(def, q) {
+		def := &spec.Steps[i]
+		if !c.fitsAnyWorker(def, q) || def.Gang && !c.gangFitsAllWorkers(now, def, q) {
 			return true
 		}
 	}
@@ -48,3 +50,64 @@
 	}
 	return !known
 }
+
+// absenceTime is how long a worker that has left without notice may be expected to come back.
+const absenceTime = time.Minute
+
+// absentWorker is a worker that left without notice.
+type absentWorker struct {
+	entry  WorkerEntry
+	leftAt time.Time
+}
+
+// recordAbsences records which workers have left without notice since the last list of
+// workers, in which previous were listed.
+func (c *Core) recordAbsences(now time.Time, previous []*worker) {
+	maps.DeleteFunc(c.absent, func(id model.WorkerID, a absentWorker) bool {
+		w := c.workers[id]
+		return w != nil && w.listed || now.Sub(a.leftAt) > absenceTime
+	})
+	for _, w := range previous {
+		if !w.listed && !w.Draining {
+			c.absent[w.ID] = absentWorker{w.WorkerEntry, now}
+		}
+	}
+}
+
+// gangFitsAllWorkers reports whether all members of a gang fit on the workers of its service at
+// the same time when these are empty. Absent workers count: while many of them restart, a wide
+// gang is not hopeless. It returns true while no worker of the service is known.
+func (c *Core) gangFitsAllWorkers(now time.Time, def *Step, q *Queue) bool {
+	known, missing := false, def.Count
+	add := func(e *WorkerEntry) {
+		if e.Service != q.Service {
+			return
+		}
+		known = true
+		if e.hasLabel(def.Label) {
+			missing -= min(copiesIn(e.Capacity, def.Size), maxPerWorker(def))
+		}
+	}
+	for _, w := range c.workerList {
+		if missing <= 0 {
+			return true
+		}
+		if w.listed {
+			add(&w.WorkerEntry)
+		}
+	}
+	for _, a := range c.absent {
+		if now.Sub(a.leftAt) <= absenceTime {
+			add(&a.entry)
+		}
+	}
+	return !known || missing <= 0
+}
+
+// maxPerWorker returns how many tasks of a step one worker may have at the same time.
+func maxPerWorker(def *Step) int {
+	if def.MaxPerWorker == 0 {
+		return def.Count
+	}
+	return def.MaxPerWorker
+}
--- a/internal/core/jobs/admit_test.go
+++ b/internal/core/jobs/admit_test.go
@@ -96,3 +96,64 @@
 	b.storeBatch()
 	assert.Equal(t, jobView(t, b.core, "j1"), ViewQueued)
 }
+
+// Guards against accepting a gang of which each member fits on a worker, but not all of them at
+// the same time: it would never start.
+func TestGangLargerThanAllWorkersIsRefused(t *testing.T) {
+	apart := gangStep(3, 1000)
+	apart.MaxPerWorker = 1
+	labelled := gangStep(2, 8000)
+	labelled.Label = "big"
+	for _, tc := range []struct {
+		name    string
+		step    Step
+		refused bool
+	}{
+		{"fits exactly", gangStep(2, 8000), false},
+		{"larger than all workers", gangStep(3, 8000), true},
+		{"fits only if it could be split", gangStep(3, 5300), true},
+		{"one member per worker", apart, true},
+		{"too few workers with the label", labelled, true},
+		{"many tasks that need not run together", smallStep(100), false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newTestBench(t)
+			big, plain := workerEntry("w1"), workerEntry("w2")
+			big.Labels = []string{"big"}
+			b.core.SetWorkers(b.now, []WorkerEntry{big, plain})
+			resp := b.core.Submit(b.now, &Spec{ID: "j1", Queue: "q", Steps: []Step{smallStep(1), tc.step}}, 7)
+			assert.Equal(t, resp != nil, tc.refused)
+			if tc.refused {
+				assert.Equal(t, resp.Kind, ResponseRefused)
+				assert.Equal(t, resp.Reason, model.ReasonNeverFits)
+				assert.Assert(t, resp.RetryAfter >= time.Second)
+			}
+		})
+	}
+}
+
+// Guards against refusing wide gangs while workers restart, and against accepting them for
+// ever after workers have left.
+func TestWideGangIsAcceptedWhileWorkersRestart(t *testing.T) {
+	draining := workerEntry("w2")
+	draining.Draining = true
+	for _, tc := range []struct {
+		name    string
+		last    WorkerEntry
+		away    time.Duration
+		refused bool
+	}{
+		{"left without notice", workerEntry("w2"), time.Second, false},
+		{"does not return", workerEntry("w2"), absenceTime + time.Second, true},
+		{"left as planned", draining, time.Second, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newTestBench(t)
+			b.core.SetWorkers(b.now, []WorkerEntry{workerEntry("w1"), tc.last})
+			b.core.SetWorkers(b.now, []WorkerEntry{workerEntry("w1")})
+			b.advance(tc.away)
+			resp := b.core.Submit(b.now, &Spec{ID: "j1", Queue: "q", Steps: []Step{gangStep(2, 8000)}}, 1)
+			assert.Equal(t, resp != nil, tc.refused)
+		})
+	}
+}
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -82,7 +82,9 @@
 	stoppingRuns []*run
 	health       *retry.Health
 	// expired holds the workers whose lease ended and that may have crashed, by address.
-	expired  map[string]expiredWorker
+	expired map[string]expiredWorker
+	// absent holds the workers that left without notice within absenceTime.
+	absent   map[model.WorkerID]absentWorker
 	recovery recovery
 	// previousLeaderEnd is the latest time at which an earlier leader may have
 	// extended leases.
@@ -120,7 +122,7 @@
 	return &Core{
 		cfg: cfg, queues: map[string]*Queue{}, jobs: map[string]*job{},
 		workers: map[model.WorkerID]*worker{}, pools: map[string]*pool{}, poolsStale: true,
-		health: retry.NewHealth(cfg.Health), recovery: newRecovery(), expired: map[string]expiredWorker{},
+		health: retry.NewHealth(cfg.Health), recovery: newRecovery(), expired: map[string]expiredWorker{}, absent: map[model.WorkerID]absentWorker{},
 		batch: newBatchState(), relays: newRelays(), estimator: newDurationEstimator(),
 	}
 }
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -332,13 +332,18 @@
 // SetWorkers replaces the list of workers. Workers that are no longer listed
 // get no new tasks.
 func (c *Core) SetWorkers(now time.Time, entries []WorkerEntry) {
+	var previous []*worker
 	for _, w := range c.workerList {
+		if w.listed {
+			previous = append(previous, w)
+		}
 		w.listed = false
 	}
 	c.poolsStale = true
 	for i := range entries {
 		c.setWorker(now, &entries[i])
 	}
+	c.recordAbsences(now, previous)
 	c.placementsStale, c.workerListRead = true, true
 	c.decideDeferred(now)
 }
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -280,7 +280,9 @@
 
 // hasLabel reports whether the worker has a label; every worker has the empty
 // one.
-func (w *worker) hasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
+func (e *WorkerEntry) hasLabel(label string) bool {
+	return label == "" || slices.Contains(e.Labels, label)
+}
 
 // findRun returns the worker's run of a task, or nil.
 func (w *worker) findRun(ref TaskRef) *run {
@@ -296,10 +298,10 @@
 // under the step's limit per worker. Runs of an earlier leader and runs that
 // are being stopped count.
 func (w *worker) remainingPerWorker(s *step) int {
+	n := maxPerWorker(s.def)
 	if s.def.MaxPerWorker == 0 {
-		return len(s.tasks)
+		return n
 	}
-	n := s.def.MaxPerWorker
 	for _, r := range w.runs {
 		if r.ref.Job == s.job().spec.ID && r.ref.Occurrence == s.occ.ordinal && r.ref.Step == s.index {
 			n--
