Let no malformed text close the link between daemons

What callers saw: nothing reported; found while asking what else one odd entry decides. A GET or DELETE of a job ID that is not valid UTF-8 (PREFIX%ff) makes the daemon that takes it useless until the caller's deadline.

Cause: the ID went unchecked into a message to the leader. Such a message cannot be encoded, the link closes with the error, all calls in flight fail, and the call is sent again on the next link.

A link sends what can be encoded and drops the frame that cannot, with a log line and a counter (link.frames_dropped).

--- a/internal/adapters/linkrpc/link.go
+++ b/internal/adapters/linkrpc/link.go
@@ -11,10 +11,13 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
 
 	"catkinvalve/internal/cellpb"
 	"catkinvalve/internal/ring"
+	"catkinvalve/internal/telemetry"
 )
 
 const (
@@ -48,6 +51,9 @@
 	stream stream
 	conn   net.Conn
 	queue  *ring.Ring[*cellpb.Frame]
+	log    *logrus.Entry
+	// dropped counts the frames that could not be encoded.
+	dropped metrics.Counter
 	// lastRecv is the time of the last received frame, in nanoseconds since clockOrigin.
 	lastRecv  atomic.Int64
 	closeOnce sync.Once
@@ -66,9 +72,10 @@
 	LinkClosed(*Link)
 }
 
-func newLink(s stream, conn net.Conn, registry metrics.Registry) *Link {
-	l := &Link{stream: s, conn: conn, done: make(chan struct{}),
-		queue: ring.New[*cellpb.Frame]("link", maxQueuedFrames, registry)}
+func (t *Transport) newLink(s stream, conn net.Conn) *Link {
+	l := &Link{stream: s, conn: conn, done: make(chan struct{}), log: t.Log,
+		queue:   ring.New[*cellpb.Frame]("link", maxQueuedFrames, t.Registry),
+		dropped: telemetry.Counter(t.Registry, "link.frames_dropped")}
 	l.markReceived()
 	return l
 }
@@ -141,12 +148,39 @@
 		case f := <-l.queue.C():
 			waiting = l.queue.DrainInto(append(waiting[:0], f), maxMergedFrames)
 		}
-		if err := l.stream.Send(mergeFrames(waiting)); err != nil {
+		if err := l.send(waiting); err != nil {
 			return
 		}
 	}
 }
 
+// send sends frames as one. If that cannot be encoded, it sends those that can one by one and
+// drops the others: one malformed text must not close the link for all.
+func (l *Link) send(frames []*cellpb.Frame) error {
+	err := l.stream.Send(mergeFrames(frames))
+	if err == nil || !slices.ContainsFunc(frames, func(f *cellpb.Frame) bool { return encodingError(f) != nil }) {
+		return err
+	}
+	for _, f := range frames {
+		if err := encodingError(f); err != nil {
+			l.dropped.Inc(1)
+			l.log.WithError(err).WithFields(logrus.Fields{"event": "frame_dropped", "peer": l.PeerHello.GetNode()}).Error("a frame cannot be encoded and is not sent")
+			continue
+		}
+		if err := l.stream.Send(f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// encodingError returns why a frame cannot be encoded, for example because a text is not valid
+// UTF-8.
+func encodingError(f *cellpb.Frame) error {
+	_, err := proto.Marshal(f)
+	return err
+}
+
 // mergeFrames merges frames into one. Of heartbeats, reports and handovers it keeps the last
 // one. A heartbeat states nodes and the configuration only once, so these are kept from
 // earlier heartbeats.
--- a/internal/adapters/linkrpc/transport.go
+++ b/internal/adapters/linkrpc/transport.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
-	l := newLink(s, conn, t.Registry)
+	l := t.newLink(s, conn)
 	if err := t.exchangeHello(l); err != nil {
 		l.Close()
 		return nil, err
@@ -144,7 +144,7 @@
 	if !ok {
 		return fmt.Errorf("the stream has no connection")
 	}
-	l := newLink(st, conn, s.t.Registry)
+	l := s.t.newLink(st, conn)
 	if err := s.t.exchangeHello(l); err != nil {
 		l.Close()
 		return err
