Offer the shapes that a queue cycle left out first in the next one

With 32 or more waiting sizes of one team and class that fit nowhere, none of its other requests was ever offered, although workers were idle.

Cause: a cycle visits at most maxShapes shapes of a group, always the oldest ones.

Change: if a cycle leaves shapes out, those that it visited in vain come after the others in the next cycle; once all are visited, the order of age holds again. Schedule runs again when shapes were left out.

Result: TestShapesThatNeverFitLetOthersBeOffered failed on the code before (not offered in 10 cycles) and holds. TestManyShapesAreBounded holds as it is.

--- a/internal/core/queue/cycle.go
+++ b/internal/core/queue/cycle.go
@@ -6,7 +6,8 @@
 
 // maxShapes is the maximum number of shapes of one team and class that a cycle
 // visits. Callers choose sizes freely, so without a bound a cycle could visit every
-// item. A team with more shapes delays only its own items of the same class.
+// item. A team with more shapes delays only its own items of the same class: the next
+// cycle begins with the shapes that were left out.
 const maxShapes = 32
 
 // Tiers of offers, in the order in which they are offered.
@@ -85,19 +86,21 @@
 // on borrowed quota come last, in the same order, so that a team borrows only
 // capacity that no team within its quota is waiting for. A team without Quota.Borrow
 // never exceeds its quota, not even with urgent items.
-func (q *Queue) RunCycle(now time.Time, try func(Item) OfferResult) {
+//
+// RunCycle reports whether it left out shapes that the next cycle begins with.
+func (q *Queue) RunCycle(now time.Time, try func(Item) OfferResult) (leftOut bool) {
 	if q.inCycle {
-		return
+		return false
 	}
 	q.markDueReady(now)
 	c := &q.cycle
 	c.begin(now)
-	defer c.end()
 	for cur := c.firstOffer(); cur != nil; cur = c.firstOffer() {
 		if !c.offer(cur, try) {
-			return
+			break
 		}
 	}
+	return c.end()
 }
 
 func newCycle(q *Queue) cycle {
@@ -252,24 +255,33 @@
 	cur.skipped = append(cur.skipped, n)
 }
 
-// end makes all items that still wait available to the next cycle.
-func (c *cycle) end() {
+// end makes all items that still wait available to the next cycle, and reports whether
+// shapes were left out.
+func (c *cycle) end() (leftOut bool) {
 	for c.cursors.len() > 0 {
 		c.cursors.remove(c.cursors.items[c.cursors.len()-1])
 	}
 	for _, cur := range c.all {
-		cur.restore()
+		leftOut = cur.restore() || leftOut
 	}
 	clear(c.all)
 	c.all, c.queue.inCycle = c.all[:0], false
+	return leftOut
 }
 
-// restore returns withheld shapes and skipped items to the group.
-func (cur *cursor) restore() {
+// restore returns withheld shapes and skipped items to the group, and reports whether shapes
+// were left out. These come before the withheld ones in the next cycle; otherwise shapes that
+// fit nowhere would keep them from being offered for ever.
+func (cur *cursor) restore() (leftOut bool) {
+	g := cur.group
+	leftOut = cur.seenShapes >= maxShapes && g.shapesByAge.len() > 0
 	for cur.borrowing.len() > 0 {
 		cur.borrowing.top().moveTo(&cur.group.shapesByAge)
 	}
 	for _, s := range cur.withheld {
+		if leftOut {
+			s.turn++
+		}
 		if s.fifo.len() > 0 {
 			s.moveTo(&cur.group.shapesByAge)
 		}
@@ -283,4 +295,10 @@
 	clear(cur.skipped)
 	cur.withheld, cur.skipped = cur.withheld[:0], cur.skipped[:0]
 	cur.seenShapes, cur.shape = 0, nil
+	if leftOut {
+		g.takesTurns = true
+	} else {
+		g.resetTurns()
+	}
+	return leftOut
 }
--- a/internal/core/queue/group.go
+++ b/internal/core/queue/group.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"slices"
 	"time"
 
 	"catkinvalve/internal/core/model"
@@ -60,7 +61,9 @@
 	id shapeID
 	// totalSize is the size of all tasks of one item.
 	totalSize model.Size
-	fifo      indexedHeap[*node]
+	// turn counts the cycles that visited the shape in vain and left out others.
+	turn int
+	fifo indexedHeap[*node]
 	// heap is the heap that contains the shape; nil while the shape is withheld.
 	heap *indexedHeap[*shape]
 	pos  int
@@ -78,11 +81,16 @@
 	}
 }
 
-// newShapeHeap returns a heap of shapes, ordered by their oldest items.
+// newShapeHeap returns a heap of shapes, ordered by their turns, then by their oldest items.
 func newShapeHeap() indexedHeap[*shape] {
 	return indexedHeap[*shape]{
-		less: func(a, b *shape) bool { return older(a.fifo.top(), b.fifo.top()) },
-		pos:  func(s *shape) *int { return &s.pos },
+		less: func(a, b *shape) bool {
+			if a.turn != b.turn {
+				return a.turn < b.turn
+			}
+			return older(a.fifo.top(), b.fifo.top())
+		},
+		pos: func(s *shape) *int { return &s.pos },
 	}
 }
 
@@ -100,10 +108,12 @@
 	// oldest and newest hold all items, ready or not, ordered by age.
 	oldest, newest indexedHeap[*node]
 	shapes         map[shapeID]*shape
-	// shapesByAge orders the shapes by their oldest items.
+	// shapesByAge orders the shapes by their oldest items, those with a lower turn first.
 	shapesByAge indexedHeap[*shape]
-	cursor      cursor
-	pos         int
+	// takesTurns is set while the turns of the shapes may differ.
+	takesTurns bool
+	cursor     cursor
+	pos        int
 }
 
 func newGroup(t *team, class model.Class) *group {
@@ -133,7 +143,7 @@
 	id := shapeID{n.item.Size, max(n.item.Tasks, 1)}
 	s := g.shapes[id]
 	if s == nil {
-		s = &shape{id: id, totalSize: n.item.TotalSize()}
+		s = &shape{id: id, totalSize: n.item.TotalSize(), turn: g.lowestTurn()}
 		s.fifo = indexedHeap[*node]{less: older, pos: func(n *node) *int { return &n.posShape }}
 		g.shapes[id] = s
 	}
@@ -164,3 +174,29 @@
 		s.heap.fix(s)
 	}
 }
+
+// lowestTurn returns the turn of a new shape, which is neither before nor after all others.
+func (g *group) lowestTurn() int {
+	if g.shapesByAge.len() == 0 {
+		return 0
+	}
+	return g.shapesByAge.top().turn
+}
+
+// resetTurns orders the shapes by age again.
+func (g *group) resetTurns() {
+	if !g.takesTurns {
+		return
+	}
+	g.takesTurns = false
+	inHeap := slices.Clone(g.shapesByAge.items)
+	for _, s := range inHeap {
+		s.moveTo(nil)
+	}
+	for _, s := range g.shapes {
+		s.turn = 0
+	}
+	for _, s := range inHeap {
+		s.moveTo(&g.shapesByAge)
+	}
+}
--- a/internal/core/queue/queue_test.go
+++ b/internal/core/queue/queue_test.go
@@ -285,6 +285,34 @@
 	assert.Assert(t, visits <= maxShapes, "%d visits", visits)
 }
 
+// Shapes that fit nowhere must not keep a shape that fits from being offered for ever, however many
+// of them are older. Once few shapes are left, the oldest comes first again.
+func TestShapesThatNeverFitLetOthersBeOffered(t *testing.T) {
+	q := newQueue()
+	const hopeless = 5 * maxShapes
+	for i := range hopeless {
+		admit(t, q, t0, newItem(fmt.Sprint("hopeless", i), "a", model.Batch, func(it *Item) { it.Size.MemMB = int64(i + 1) }))
+	}
+	admit(t, q, at(1), newItem("fits", "a", model.Batch))
+	cycles, placed := 0, false
+	for ; cycles < 2*hopeless/maxShapes && !placed; cycles++ {
+		leftOut := q.RunCycle(at(2), func(it Item) OfferResult {
+			if it.Key != "fits" {
+				return NoFit
+			}
+			placed = true
+			return Placed
+		})
+		assert.Assert(t, leftOut || placed, "the cycle does not say that it left out shapes")
+	}
+	assert.Assert(t, placed, "not offered in %d cycles", cycles)
+	for i := 2; i < hopeless; i++ {
+		q.RemoveKey(fmt.Sprint("hopeless", i))
+	}
+	q.RunCycle(at(3), func(Item) OfferResult { return NoFit })
+	assert.DeepEqual(t, placedKeys(q, at(3), 9), []string{"hopeless0", "hopeless1"})
+}
+
 // Requeued items may exceed the bound of the queue. When shedding cannot make room for
 // a new item, nothing may be shed.
 func TestRefusedItemShedsNothing(t *testing.T) {
--- a/internal/core/scheduler/schedule.go
+++ b/internal/core/scheduler/schedule.go
@@ -52,7 +52,9 @@
 	if now.After(c.gangReservation.expires) {
 		c.gangReservation = backfillReservation{}
 	}
-	c.queue.RunCycle(now, func(it queue.Item) queue.OfferResult { return c.tryPlace(now, it) })
+	if c.queue.RunCycle(now, func(it queue.Item) queue.OfferResult { return c.tryPlace(now, it) }) {
+		c.dirty = true
+	}
 }
 
 // tryPlace places a queue item on a worker, or delegates it or preempts other
