Reserve no workers for a gang that waits for a service to end

A gang that fits only once a task of a service has ended kept its workers reserved, and batch requests without a run time did not start on them, for as long as it waited.

Cause: estimateEnd gave a task without a run time an end after the retention, also that of a service, which lasts. EarliestStart takes the zero time for tasks that are not expected to end.

Result: TestGangBehindServiceReservesNoWorkers failed on the code before (still queued after 1 s on idle workers) and holds.

--- a/internal/core/scheduler/gang_test.go
+++ b/internal/core/scheduler/gang_test.go
@@ -94,3 +94,24 @@
 	f.report("dc-a:g", 0, model.TaskFailed)
 	assert.Equal(t, len(f.stops["w1"])+len(f.stops["w2"]), 3)
 }
+
+// A gang that would have to wait for a service to end, which lasts, must not keep workers from
+// batch tasks.
+func TestGangBehindServiceReservesNoWorkers(t *testing.T) {
+	f := newFixture(t, "w1", "w2")
+	f.publish(func(c *text.Config) {
+		for i := range c.Services {
+			c.Services[i].RunMS = 0
+		}
+	})
+	f.submit("dc-a:s", "web")
+	f.report("dc-a:s", 0, model.TaskRunning)
+	r := f.request("dc-a:g", "gang")
+	r.Tasks = 4
+	_, err := f.c.Submit(f.now, r)
+	assert.Assert(t, err == nil, "%v", err)
+	f.run()
+	f.submit("dc-a:b", "batch")
+	f.tick(time.Second)
+	f.wantTask("dc-a:b", 0, model.TaskStarting)
+}
--- a/internal/core/scheduler/schedule.go
+++ b/internal/core/scheduler/schedule.go
@@ -128,10 +128,16 @@
 
 // estimateEnd estimates when a running task ends. A task past its declared run
 // time is assumed to run as long again as it already has. A task without a run time
-// is assumed to end after the retention.
+// is assumed to end after the retention, unless it belongs to a service: services last,
+// so the result is the zero time.
 func (c *Core) estimateEnd(now time.Time, id model.TaskID) time.Time {
 	e := c.entries[id.Key]
-	if e == nil || id.Index >= len(e.tasks) || e.rec.Request.RunTime <= 0 {
+	switch {
+	case e == nil || id.Index >= len(e.tasks):
+		return now.Add(c.cfg.Retention)
+	case e.rec.Request.RunTime <= 0 && e.rec.Request.Class == model.Service:
+		return time.Time{}
+	case e.rec.Request.RunTime <= 0:
 		return now.Add(c.cfg.Retention)
 	}
 	startedAt := e.tasks[id.Index].startedAt
