Let a gang without free capacity claim none only once it starves

Cause: since a gang that does not fit into the free capacity of a mostly idle pool claimed nothing from the start, so that gangs after it were admitted and asked for advice in vain. It also searched all workers of a full pool for each waiting gang ten times a second.

Change: such a gang stops claiming only when it starves, which is when it holds others back beyond what LOST allows, and only then the free capacity is searched.

The order of its set-up is fixed now.

--- a/internal/core/jobs/gang_advice.go
+++ b/internal/core/jobs/gang_advice.go
@@ -36,7 +36,7 @@
 		}
 		p := c.pool(s)
 		s.admitted = p.hasSpare() && s.fit.fit != fitsNever
-		if s.claimsCapacity(p) {
+		if s.claimsCapacity() {
 			p.free = p.free.Sub(s.def.Size.Times(int64(s.pending)))
 		}
 	}
--- a/internal/core/jobs/gang_fit.go
+++ b/internal/core/jobs/gang_fit.go
@@ -11,12 +11,12 @@
 type gangFit uint8
 
 const (
-	// fitsNow means that enough capacity is free.
-	fitsNow gangFit = iota
-	// fitsLater means that there is enough capacity once runs have ended.
-	fitsLater
-	// fitsNever means that there is not enough capacity even then. That changes only with
-	// the workers or with the lasting tasks on them.
+	// fitsWorkers means that there is enough capacity, now or once runs have ended.
+	fitsWorkers gangFit = iota
+	// lacksFreeCapacity means the same, but the gang starves, and too little capacity is free.
+	lacksFreeCapacity
+	// fitsNever means that there is not enough capacity even once runs have ended. That changes
+	// only with the workers or with the lasting tasks on them.
 	fitsNever
 )
 
@@ -46,12 +46,12 @@
 // gangFit determines the fit of a gang.
 func (c *Core) gangFit(s *step) gangFit {
 	switch {
-	case c.gangFitsInto(s, (*worker).free):
-		return fitsNow
-	case c.gangFitsInto(s, (*worker).freeOnceIdle):
-		return fitsLater
+	case !c.gangFitsInto(s, (*worker).freeOnceIdle):
+		return fitsNever
+	case s.starving && !c.gangFitsInto(s, (*worker).free):
+		return lacksFreeCapacity
 	}
-	return fitsNever
+	return fitsWorkers
 }
 
 // gangFitsInto reports whether all members of a gang fit into the capacity that room returns of
@@ -90,8 +90,6 @@
 }
 
 // claimsCapacity reports whether free capacity is kept for a gang by admitting fewer of the
-// gangs after it. In a pool that is mostly idle the others do not wait until runs have
+// gangs after it. In a pool that is mostly idle the others do not wait for long until runs have
 // ended: no step should lack a run for long there.
-func (s *step) claimsCapacity(p *pool) bool {
-	return s.fit.fit == fitsNow || s.fit.fit == fitsLater && p.usedShare >= idleShare
-}
+func (s *step) claimsCapacity() bool { return s.fit.fit == fitsWorkers }
--- a/internal/core/jobs/gang_fit_test.go
+++ b/internal/core/jobs/gang_fit_test.go
@@ -22,43 +22,49 @@
 	return s
 }
 
-// newHopelessGangBench returns a bench with four workers of 8 cores and a queue with advice. Jobs of the
-// given steps were accepted before any worker was known, and are tried for some seconds. Advice
-// denies the workers to the job "hopeless".
-func newHopelessGangBench(t *testing.T, jobs map[string]Step) *testBench {
-	t.Helper()
-	b := newAdviceBench(t)
-	b.core.SetAdviceRelays([]string{"d1", "d2", "d3"})
-	b.deniedJob = "hopeless"
-	b.core.SetWorkers(b.now, nil)
-	for id, step := range jobs {
-		b.submit(id, step)
-	}
-	b.addWorkers("w1", "w2", "w3", "w4")
-	for range 60 {
-		b.step()
-	}
-	return b
-}
-
-// Guards against a gang that can never start and keeps all later gangs of its service waiting
-// on idle workers.
+// Guards against a gang that cannot start and keeps all later gangs of its service waiting on
+// idle workers.
 func TestHopelessGangKeepsNoOthersWaiting(t *testing.T) {
 	labelled := gangStep(4, 8000)
 	labelled.Label = "r2"
 	apart := gangStep(8, 4000)
 	apart.MaxPerWorker = 1
-	for name, jobs := range map[string]map[string]Step{
-		"larger than all workers":                  {"large": gangStep(8, 8000)},
-		"fits only if it could be split":           {"split": gangStep(5, 6400)},
-		"limited to one member per worker":         {"apart": apart},
-		"no worker has the label":                  {"labelled": labelled},
-		"advice denies its workers":                {"hopeless": gangStep(4, 8000)},
-		"lasting tasks keep part of its workers":   {"lasting": lastingStep(4), "large": gangStep(4, 8000)},
-		"several that together need more than all": {"first": gangStep(5, 8000), "second": gangStep(5, 8000)},
+	busy := smallStep(4)
+	busy.Estimate, busy.MaxPerWorker = time.Minute, 1
+	for _, tc := range []struct {
+		name string
+		// occupying runs on the four workers of 8 cores before the gangs come, if it has tasks.
+		occupying Step
+		gangs     map[string]Step
+	}{
+		{"larger than all workers", Step{}, map[string]Step{"large": gangStep(8, 8000)}},
+		{"fits only if it could be split", Step{}, map[string]Step{"split": gangStep(5, 6400)}},
+		{"limited to one member per worker", Step{}, map[string]Step{"apart": apart}},
+		{"no worker has the label", Step{}, map[string]Step{"labelled": labelled}},
+		{"advice denies its workers", Step{}, map[string]Step{"denied": gangStep(4, 8000)}},
+		{"lasting tasks keep part of its workers", lastingStep(4), map[string]Step{"large": gangStep(4, 8000)}},
+		{"runs of others keep part of its workers", busy, map[string]Step{"large": gangStep(4, 8000)}},
+		{"several that together need more than all", Step{}, map[string]Step{"first": gangStep(5, 8000), "second": gangStep(5, 8000)}},
 	} {
-		t.Run(name, func(t *testing.T) {
-			b := newHopelessGangBench(t, jobs)
+		t.Run(tc.name, func(t *testing.T) {
+			b := newAdviceBench(t)
+			b.core.SetAdviceRelays([]string{"d1", "d2", "d3"})
+			b.deniedJob = "denied"
+			b.core.SetWorkers(b.now, nil)
+			if tc.occupying.Count > 0 {
+				b.submit("occupying", tc.occupying)
+				b.addWorkers("w1", "w2", "w3", "w4")
+				b.step()
+				b.step()
+			}
+			for id, gang := range tc.gangs {
+				// While no worker is known, each gang is accepted.
+				b.submit(id, gang)
+			}
+			b.addWorkers("w1", "w2", "w3", "w4")
+			for range 60 {
+				b.step()
+			}
 			b.submit("ordinary", gangStep(2, 4500))
 			started := b.startedAfter("ordinary", 5*time.Second)
 			assert.Assert(t, started < time.Second, "the gang started after %v", started)
