Accept no job on the strength of a worker that never answered

Related to the odd worker entry: an entry that a worker could have written, but at whose address nobody answers, decided by its capacity and labels that jobs are accepted which no worker can run; they stayed queued for ever.

Change: a listed worker that has left this leader's calls without any answer for 10 s does not count for admission. One that has answered before counts, also while it is silent.

Result: TestWorkerThatNeverAnsweredDoesNotCountForAdmission failed with the condition taken out (the job is accepted) and holds.

--- a/internal/core/jobs/admit.go
+++ b/internal/core/jobs/admit.go
@@ -28,7 +28,7 @@
 func (c *Core) neverFits(now time.Time, spec *Spec, q *Queue) bool {
 	for i := range spec.Steps {
 		def := &spec.Steps[i]
-		if !c.fitsAnyWorker(def, q) || def.Gang && !c.gangFitsAllWorkers(now, def, q) {
+		if !c.fitsAnyWorker(now, def, q) || def.Gang && !c.gangFitsAllWorkers(now, def, q) {
 			return true
 		}
 	}
@@ -37,10 +37,10 @@
 
 // fitsAnyWorker reports whether a task of a step fits on some worker when that
 // is empty. It returns true while no worker of the service is known.
-func (c *Core) fitsAnyWorker(def *Step, q *Queue) bool {
+func (c *Core) fitsAnyWorker(now time.Time, def *Step, q *Queue) bool {
 	known := false
 	for _, w := range c.workerList {
-		if !w.listed || w.Service != q.Service {
+		if !w.countsForAdmission(now) || w.Service != q.Service {
 			continue
 		}
 		known = true
@@ -51,6 +51,15 @@
 	return !known
 }
 
+// firstAnswerTime is how long a listed worker may leave this leader's first calls without an answer
+// before its entry no longer counts: nothing shows then that there is such a worker.
+const firstAnswerTime = 10 * time.Second
+
+// countsForAdmission reports whether jobs may be accepted because they fit on the worker.
+func (w *worker) countsForAdmission(now time.Time) bool {
+	return w.listed && (w.answered || w.failedAt.IsZero() || now.Sub(w.failedAt) < firstAnswerTime)
+}
+
 // absenceTime is how long a worker that has left without notice may be expected to come back.
 const absenceTime = time.Minute
 
@@ -92,7 +101,7 @@
 		if missing <= 0 {
 			return true
 		}
-		if w.listed {
+		if w.countsForAdmission(now) {
 			add(&w.WorkerEntry)
 		}
 	}
--- a/internal/core/jobs/admit_test.go
+++ b/internal/core/jobs/admit_test.go
@@ -157,3 +157,32 @@
 		})
 	}
 }
+
+// Guards against one entry of the worker list, at whose address nobody answers, on whose
+// capacity jobs are accepted that no worker can run.
+func TestWorkerThatNeverAnsweredDoesNotCountForAdmission(t *testing.T) {
+	b := newTestBench(t)
+	b.addWorkers("w1")
+	silent := workerEntry("w2")
+	silent.Capacity.MilliCPU *= 100
+	b.core.SetWorkers(b.now, []WorkerEntry{workerEntry("w1"), silent})
+	submit := func(id string) *Response {
+		return b.core.Submit(b.now, &Spec{ID: id, Queue: "q", Steps: []Step{wholeWorkerStep(1, time.Second), {Count: 1, Size: silent.Capacity}}}, 1)
+	}
+	fail := func(d time.Duration) {
+		for end := b.now.Add(d); b.now.Before(end); {
+			for _, req := range b.advance(100 * time.Millisecond).Syncs {
+				r := SyncResult{Worker: req.Worker, SentAt: b.now, Status: CallNoAnswer}
+				if req.Worker == "w1" {
+					r = SyncResult{Worker: req.Worker, SentAt: b.now, Incarnation: 1, ClockMs: b.clockMs()}
+				}
+				b.core.HandleSyncResult(b.now, &r)
+			}
+		}
+	}
+	fail(firstAnswerTime / 2)
+	assert.Assert(t, submit("early") == nil, "a job is refused although its worker may still answer")
+	fail(firstAnswerTime)
+	refused := submit("late")
+	assert.Assert(t, refused != nil && refused.Reason == model.ReasonNeverFits)
+}
