Find the longest chain of steps in linear time

Cause: criticalPathFrom called itself once for each path through the dependencies, in the leader's loop, for each step that becomes ready. The number of paths grows exponentially with the stages.

Change: one walk from the last step to the first, which visits each dependency once.

--- a/internal/core/jobs/durations.go
+++ b/internal/core/jobs/durations.go
@@ -204,8 +204,8 @@
 // of dependent steps.
 func (c *Core) criticalPath(o *occurrence) time.Duration {
 	longest := time.Duration(0)
-	for i := range o.steps {
-		longest = max(longest, o.criticalPathFrom(i, c.stepDuration))
+	for _, chain := range o.chains(c.stepDuration) {
+		longest = max(longest, chain)
 	}
 	return longest
 }
@@ -226,5 +226,5 @@
 // latestStart returns the time by which a step has to start for its job to meet
 // its objective.
 func (c *Core) latestStart(s *step) time.Time {
-	return c.objective(s.occ).Add(-s.occ.criticalPathFrom(int(s.index), c.stepDuration))
+	return c.objective(s.occ).Add(-s.occ.chains(c.stepDuration)[s.index])
 }
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -188,18 +188,18 @@
 	return o
 }
 
-// criticalPathFrom returns the expected duration of the longest chain of
-// dependent steps that begins with step i; duration returns that of one step.
-func (o *occurrence) criticalPathFrom(i int, duration func(*step) time.Duration) time.Duration {
-	longest := time.Duration(0)
-	for _, s := range o.steps[i+1:] {
+// chains returns, for each step, the expected duration of the longest chain of dependent steps
+// that begins with it; duration returns that of one step. The time is linear in the number of
+// steps and dependencies, since a step depends only on earlier ones.
+func (o *occurrence) chains(duration func(*step) time.Duration) []time.Duration {
+	out := make([]time.Duration, len(o.steps))
+	for i, s := range slices.Backward(o.steps) {
+		out[i] += duration(s)
 		for _, dep := range s.def.After {
-			if dep == i {
-				longest = max(longest, o.criticalPathFrom(int(s.index), duration))
-			}
+			out[dep] = max(out[dep], out[i])
 		}
 	}
-	return longest + duration(o.steps[i])
+	return out
 }
 
 // task returns the task that ref identifies, or nil.
