Replace a leader whose loop makes no progress

No daemon answered.

Cause: Daemon.View answers for a leader with a heartbeat age of 0, whatever its loop does.

Change: the loop records the end of each round. After 3 s without one the view gives that time as the age of the heartbeat, so that the daemons without heartbeats elect another leader.

Not covered: a job that stalled one leader may stall the next one.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -485,3 +485,28 @@
 	assert.NilError(t, d.shutdown(server, cancelCalls))
 	assert.Equal(t, <-status, http.StatusGatewayTimeout)
 }
+
+// blockLoopMsg blocks the leader loop until unblock is closed.
+type blockLoopMsg struct{ unblock chan struct{} }
+
+func (m blockLoopMsg) apply(*leader, time.Time) { <-m.unblock }
+
+// Guards against a leader whose loop makes no progress, while its process and its links live, and
+// that nobody replaces: no daemon would answer for any job.
+func TestStalledLeaderIsReplaced(t *testing.T) {
+	t.Parallel()
+	c := newTestCell(t, 3)
+	stalled := c.leader(nil)
+	id, reply := c.submit(stalled)
+	assert.Equal(t, reply.Verdict, VerdictOK, "%s", reply.Reason)
+	unblock := make(chan struct{})
+	defer close(unblock)
+	stalled.activeLeader.Load().push(blockLoopMsg{unblock})
+
+	next := c.leader(stalled)
+	c.waitForCompletion(next, id)
+	id, reply = c.submit(next)
+	assert.Equal(t, reply.Verdict, VerdictOK, "%s", reply.Reason)
+	c.waitForCompletion(next, id)
+	c.checkNoDoubleRuns()
+}
--- a/internal/cell/daemon.go
+++ b/internal/cell/daemon.go
@@ -251,7 +251,11 @@
 	}
 	switch {
 	case s.isLeader:
-		v.HeardAgeMs, v.LeaderAddress, v.Linked = 0, d.settings.LinkAddress(), true
+		v.LeaderAddress, v.Linked = d.settings.LinkAddress(), true
+		v.HeardAgeMs = 0
+		if l := d.activeLeader.Load(); l != nil {
+			v.HeardAgeMs = l.silence().Milliseconds()
+		}
 	case s.leader != "":
 		v.Linked = s.linked
 		v.HeardAgeMs, v.LeaderAddress = s.heartbeatAge.Milliseconds(), d.members.otherAddresses()[s.leader]
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -124,6 +125,28 @@
 	queues          *queueMetrics
 	// stopReason is why the leadership ends; empty until then.
 	stopReason string
+	// roundEndedAt is when the loop last ended a round, in nanoseconds since clockOrigin. Any
+	// goroutine may read it.
+	roundEndedAt atomic.Int64
+}
+
+// clockOrigin is the origin of monotonic times.
+var clockOrigin = time.Now()
+
+// maxRoundTime is the time without the end of a round from which the leader counts as stalled: its
+// process lives, but it decides nothing. It is far above that of a round under overload.
+const maxRoundTime = 3 * time.Second
+
+// recordRound records that the loop has ended a round.
+func (l *leader) recordRound() { l.roundEndedAt.Store(int64(time.Since(clockOrigin))) }
+
+// silence returns how long the leader is to be taken as silent by other daemons: since the end of
+// its last round if it is stalled, otherwise 0.
+func (l *leader) silence() time.Duration {
+	if silence := time.Since(clockOrigin) - time.Duration(l.roundEndedAt.Load()); silence > maxRoundTime {
+		return silence
+	}
+	return 0
 }
 
 // callOrigin is where the answer to a call goes: to the daemon at the other end of
@@ -199,6 +222,7 @@
 	l.goroutines.Go(l.pollWorkerList)
 	l.goroutines.Go(l.readNodes)
 	l.goroutines.Go(l.maintainConfigCopy)
+	l.recordRound()
 	l.d.activeLeader.Store(l)
 	l.d.members.becomeLeader(l.token)
 	l.loop()
@@ -247,6 +271,7 @@
 		if wait := l.nextFlushIn(time.Now()); wait > 0 {
 			flushTimer.Reset(wait)
 		}
+		l.recordRound()
 		telemetry.ObserveSince(l.metrics.round, start)
 		l.roundTime += time.Since(start)
 	}
@@ -265,6 +290,12 @@
 	}
 	l.core.SetStoreStalled(now, l.journal.stalled(now))
 	l.core.Schedule(now)
+	if time.Since(now) > isolatedLeaderTimeout {
+		// Another daemon may have taken over meanwhile.
+		if l.checkLeadership(time.Now()); l.stopReason != "" {
+			return
+		}
+	}
 	l.dispatch(now, l.core.TakeActions())
 	l.flush(now)
 	l.sendHeartbeats(now)
