Determine the fit of waiting gangs twice a second

It was determined ten times a second for each. It is determined at once when the number of usable workers, a denial or starving changes it, so only lasting tasks that come and go are noticed later.

--- a/internal/core/jobs/advice.go
+++ b/internal/core/jobs/advice.go
@@ -279,6 +279,7 @@
 		}
 		t.worker, t.text, t.incarnation, t.expires = c.worker(id), text, call.incarnations[i], now.Add(r.Validity-ticketMargin)
 	}
+	call.step.fit.checkAt = time.Time{}
 	c.relays.observe(call.queue, newlyAllowed, newlyRequested)
 }
 
--- a/internal/core/jobs/gang_fit.go
+++ b/internal/core/jobs/gang_fit.go
@@ -20,6 +20,10 @@
 	fitsNever
 )
 
+// gangFitInterval is the time after which the fit of a gang is determined again if nothing has
+// changed that is known to matter: lasting tasks come and go.
+const gangFitInterval = 500 * time.Millisecond
+
 // updateGangFits updates the fits of the waiting gangs.
 func (c *Core) updateGangFits(now time.Time) {
 	for _, s := range c.ready {
@@ -30,7 +34,7 @@
 		if workers == s.fit.workers && now.Before(s.fit.checkAt) {
 			continue
 		}
-		s.fit = fitState{fit: c.gangFit(s), workers: workers, checkAt: now.Add(scheduleInterval)}
+		s.fit = fitState{fit: c.gangFit(s), workers: workers, checkAt: now.Add(gangFitInterval)}
 	}
 }
 
@@ -39,7 +43,8 @@
 	fit gangFit
 	// workers is the number of usable workers for which the fit was determined.
 	workers int
-	// checkAt is when the fit is determined again, even if the number has not changed.
+	// checkAt is when the fit is determined again, even if the number has not changed. It is zero
+	// to do so in the next round.
 	checkAt time.Time
 }
 
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -93,6 +93,7 @@
 		starving := !s.wait.since.IsZero() && now.Sub(s.wait.since) >= starvationTime && c.pool(s).usedShare < idleShare && s.fit.fit != fitsNever
 		if starving != s.starving {
 			s.starving, changed = starving, true
+			s.fit.checkAt = time.Time{}
 		}
 		grace := time.Duration(lateGrace * float64(c.estimator.expected(s.job().queue.Name, s.def)))
 		if late := now.After(s.startBy.Add(grace)); late != s.late {
