Take no run for lost while its worker may have more ends to list

Cause: while the store takes no records, ends are not acknowledged, and a worker lists at most 500, always the first. A run whose end is the 501st is in neither list; reconcileMissing took it for lost.

Change: after a full page of ends nothing is concluded from a run that is not listed, as handleWorkerReport already knew.

--- a/internal/core/jobs/recovery.go
+++ b/internal/core/jobs/recovery.go
@@ -104,7 +104,7 @@
 // handleWorkerReport stops waiting for a worker that has reported all its ends:
 // a full page of ends may be followed by more.
 func (c *Core) handleWorkerReport(now time.Time, w *worker, res *SyncResult) {
-	if len(res.Ends) < c.cfg.EndsPerPage {
+	if !c.moreEnds(res) {
 		c.stopAwaiting(now, w.ID)
 	}
 }
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -293,6 +293,11 @@
 	for i := range res.Running {
 		c.reconcileListed(now, w, res, &res.Running[i])
 	}
+	if c.moreEnds(res) {
+		// A run that is not listed may be among the ends that are still to come. While the
+		// store takes no records, ends are not acknowledged, so they do not come.
+		return
+	}
 	for _, r := range slices.Clone(w.runs) {
 		if !r.lastListedAt.Equal(res.SentAt) {
 			c.reconcileMissing(now, r, res)
@@ -300,6 +305,9 @@
 	}
 }
 
+// moreEnds reports whether the worker may have more ends than its answer lists.
+func (c *Core) moreEnds(res *SyncResult) bool { return len(res.Ends) >= c.cfg.EndsPerPage }
+
 // reconcileListed processes one run that the worker reports.
 func (c *Core) reconcileListed(now time.Time, w *worker, res *SyncResult, report *RunReport) {
 	r := w.findRun(report.Task)
