Start lasting tasks again however they end, and acknowledge their ends

Besides, ends of lasting tasks were acknowledged only once something else was stored, in a cell without other work never.

Cause: processEnd took the end of a lasting task for its success, and delayed its acknowledgement until a batch in which nothing of it is.

--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -229,7 +229,7 @@
 }
 
 // processEnd processes one end. Ends that change stored progress delay the
-// acknowledgement until the next batch is stored.
+// acknowledgement until the next batch is stored. Those of lasting tasks change none.
 func (c *Core) processEnd(now time.Time, w *worker, e *RunEnd) {
 	r := w.findRun(e.Task)
 	if r != nil && r.number == e.Run {
@@ -247,20 +247,27 @@
 	}
 	t.step.job().started = true
 	c.recordCheckpoint(t, e.Checkpoint)
-	switch e.Kind {
-	case EndDone:
+	lasting := t.step.def.LongRunning
+	switch {
+	case e.Kind == EndDone && lasting:
+		// The task is started again however its run ends.
+		w.lastProgress = now
+		c.health.RecordSuccess(now, w.ID)
+	case e.Kind == EndDone:
 		c.observeRunTime(now, w, r)
 		w.lastProgress = now
 		c.health.RecordSuccess(now, w.ID)
 		c.taskDone(now, t)
 		c.stopOtherRun(now, t, r)
 		w.ackAfterBatch = c.batch.next
-	case EndFailed:
+	case e.Kind == EndFailed:
 		c.health.RecordFailure(now, w.ID, e.Task.Job)
 		// The run has not crashed its worker.
 		t.crashes = crashHistory{}
 		c.recordFailure(now, t, e.Run)
-		w.ackAfterBatch = c.batch.next
+		if !lasting {
+			w.ackAfterBatch = c.batch.next
+		}
 	}
 	if r != nil {
 		c.handleRunGone(now, r)
