Do not take a task that works for minutes for a stalled one

Cause: progress is reported in whole percent, so that of a long task stands still for longer than stallTimeout.

Change: a run counts as stuck once it stands still for the time of 3% of its expected duration, or of what its own progress shows, at least stallTimeout; 10 s before the first percent if no duration is known.

--- a/internal/core/jobs/durations.go
+++ b/internal/core/jobs/durations.go
@@ -104,6 +104,12 @@
 	// stallTimeout is the time without any progress after which a worker counts
 	// as stalled.
 	stallTimeout = 1300 * time.Millisecond
+	// stallPercents is the progress, in percent, that a run makes within its stall timeout if
+	// that is longer than stallTimeout. Progress is reported as a whole number.
+	stallPercents = 3
+	// unknownStallTimeout is the stall timeout of a run of unknown duration that has made no
+	// progress yet.
+	unknownStallTimeout = 10 * time.Second
 	// stallBackoff is how long a stalled worker gets no tasks.
 	stallBackoff = 3 * time.Second
 	// gangWaitPercent is the progress from which a gang's member may be waiting
@@ -158,7 +164,7 @@
 	}
 	stuck := 0
 	for _, r := range w.runs {
-		if r.state != runActive || r.task == nil || r.stop.wanted || r.task.step.def.LongRunning || r.isFiller() || r.reportedAt.Sub(r.progressAt) < stallTimeout {
+		if r.state != runActive || r.task == nil || r.stop.wanted || r.task.step.def.LongRunning || r.isFiller() || r.reportedAt.Sub(r.progressAt) < c.stallTimeoutOf(r) {
 			continue
 		}
 		// A member of a gang waits for the others at its start and at its end.
@@ -180,6 +186,19 @@
 	}
 }
 
+// stallTimeoutOf returns the time without progress after which a run counts as stuck. The progress of a
+// task that works for minutes stands still for seconds, because it is a whole number.
+func (c *Core) stallTimeoutOf(r *run) time.Duration {
+	total := c.estimator.expected(r.task.step.job().queue.Name, r.task.step.def)
+	if r.percent > 0 {
+		total = max(total, r.progressAt.Sub(r.confirmedAt)*100/time.Duration(r.percent))
+	}
+	if total <= 0 {
+		return unknownStallTimeout
+	}
+	return max(stallTimeout, total*stallPercents/100)
+}
+
 // allActive reports whether all members of a gang are running.
 func (s *step) allActive() bool {
 	for i := range s.tasks {
