Answer that a job does not exist only while the store confirms the lead

Cause: a leader that has lost the lead without knowing it answered from its memory, if the store had confirmed the lead within the last 2 s. Takeovers take less.

Change: the answer waits until the store confirms an append that was sent after the call had arrived; it is requested at once. Without one within 2 s the cell is not available; when the lead is lost the call goes to the next leader. The same for states of unknown jobs.

--- a/internal/cell/authority.go
+++ b/internal/cell/authority.go
@@ -19,9 +19,9 @@
 	// connectedLeaderTimeout is how long a leader stays leader without an answer from
 	// the store while it hears from most daemons, which would report a new leader.
 	connectedLeaderTimeout = 12 * time.Second
-	// maxConfirmationAge is the maximum age of the store's last confirmation of the
-	// leadership with which the leader may answer that a job does not exist.
-	maxConfirmationAge = 2 * time.Second
+	// maxConfirmationWait is how long the answer that a job does not exist waits for the store's
+	// confirmation of the leadership.
+	maxConfirmationWait = 2 * time.Second
 )
 
 // previousLeadersEnd returns the time until which any previous leader may have
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -510,3 +510,30 @@
 	c.waitForCompletion(next, id)
 	c.checkNoDoubleRuns()
 }
+
+// Guards against a former leader that does not know yet that there is another one, and answers that
+// a job does not exist which that one has accepted: the cancel of the job would be lost.
+func TestFormerLeaderDoesNotAnswerThatJobsAreUnknown(t *testing.T) {
+	t.Parallel()
+	for name, call := range map[string]func(API, context.Context) Reply{
+		"cancel": func(api API, ctx context.Context) Reply { return api.Cancel(ctx, "q", "00000000000000ff") },
+		"state":  func(api API, ctx context.Context) Reply { return api.State(ctx, "q", "00000000000000ff") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCell(t, 1)
+			d := c.leader(nil)
+			former := d.activeLeader.Load()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			assert.Equal(t, call(d.API(), ctx).Verdict, VerdictNoJob)
+
+			// Another daemon takes over in the store.
+			_, err := c.store.append(ports.Append{Topic: ports.JobsTopic, Fence: &ports.Fence{Producer: producer, Epoch: former.token + 1}})
+			assert.NilError(t, err)
+			reply := call(d.API(), ctx)
+			l := d.activeLeader.Load()
+			answeredByFormer := l == nil || l.token <= former.token
+			assert.Assert(t, reply.Verdict != VerdictNoJob || !answeredByFormer, "the former leader answered %v", reply)
+		})
+	}
+}
--- a/internal/cell/journal.go
+++ b/internal/cell/journal.go
@@ -46,6 +46,8 @@
 type journal struct {
 	l       *leader
 	batches chan *jobs.Batch
+	// confirmations requests confirmations of the leadership.
+	confirmations chan struct{}
 	// mu guards inFlight and the refused fields of its appends.
 	mu sync.Mutex
 	// inFlight lists the appends without an answer, oldest first.
@@ -71,7 +73,7 @@
 
 func newJournal(l *leader) *journal {
 	r := l.d.registry
-	return &journal{l: l, seq: firstSeq, batches: make(chan *jobs.Batch, maxAppendsInFlight),
+	return &journal{l: l, seq: firstSeq, batches: make(chan *jobs.Batch, maxAppendsInFlight), confirmations: make(chan struct{}, 1),
 		latency: telemetry.NewHistograms(r, telemetry.DefaultMaxPairs).Latency("store_append"),
 		appends: telemetry.Counter(r, "store.appends"), bytes: telemetry.Counter(r, "store.append_bytes"),
 		failures: telemetry.Counter(r, "store.append_failures")}
@@ -123,6 +125,8 @@
 			return
 		case b := <-j.batches:
 			j.appendBatch(b)
+		case <-j.confirmations:
+			j.appendConfirmation()
 		case <-timer.C:
 			j.confirmLeadership()
 		}
@@ -160,9 +164,21 @@
 	j.mu.Lock()
 	busy := len(j.inFlight) > 0
 	j.mu.Unlock()
-	if busy {
-		return
+	if !busy {
+		j.appendConfirmation()
+	}
+}
+
+// requestConfirmation makes run append a confirmation, whatever is in flight.
+func (j *journal) requestConfirmation() {
+	select {
+	case j.confirmations <- struct{}{}:
+	default: // one is requested already
 	}
+}
+
+// appendConfirmation appends a small record, which confirms the leadership.
+func (j *journal) appendConfirmation() {
 	j.startAppend([]ports.KeyedRecord{{Key: aliveKey, Value: []byte{1}}}, func(sent time.Time) message { return confirmedMsg{sent} })
 }
 
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -86,6 +86,7 @@
 	// lastBatchAt is when the last batch was passed to the journal.
 	lastBatchAt  time.Time
 	confirmation confirmation
+	absent       absentJobs
 	// callOrigins maps the calls that the core has not answered to their origins.
 	callOrigins map[jobs.CallID]callOrigin
 	lastCallID  jobs.CallID
@@ -228,6 +229,7 @@
 	l.loop()
 	l.d.activeLeader.Store(nil)
 	l.d.members.stepDown()
+	l.returnUnconfirmed()
 	l.d.forwarder.failLocalCalls()
 	l.cancel()
 	l.goroutines.Wait()
@@ -286,6 +288,7 @@
 		l.core.Tick(now, now)
 		l.core.SetAdviceRelays(l.adviceRelays())
 		l.checkRelays(now)
+		l.refuseUnconfirmed(now)
 		l.logLoad(now)
 	}
 	l.core.SetStoreStalled(now, l.journal.stalled(now))
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -30,11 +30,16 @@
 	case cellpb.CallKind_CANCEL:
 		l.lastCallID++
 		l.callOrigins[l.lastCallID] = m.origin
-		if a := l.core.Cancel(now, m.call.Job, l.lastCallID); a != nil {
+		switch a := l.core.Cancel(now, m.call.Job, l.lastCallID); {
+		case a == nil:
+		case a.Kind == jobs.ResponseNoSuchJob:
+			delete(l.callOrigins, a.Call)
+			l.replyNoJob(m.origin, m.receivedAt)
+		default:
 			l.answer(*a)
 		}
 	case cellpb.CallKind_STATE:
-		l.replyWithState(m, now)
+		l.replyWithState(m)
 	case cellpb.CallKind_PENDING:
 		l.reply(m.origin, Reply{Pending: l.core.Pending(m.call.Queue)})
 	}
@@ -64,23 +69,17 @@
 	}
 }
 
-// replyWithState answers with a job's state. It answers that a job does not exist only
-// if the store confirmed the leadership within maxConfirmationAge, because another
-// leader might have accepted the job.
-func (l *leader) replyWithState(m callMsg, now time.Time) {
+// replyWithState answers with a job's state.
+func (l *leader) replyWithState(m callMsg) {
 	view, known := l.core.State(m.call.Job)
-	switch {
-	case known:
-		l.reply(m.origin, Reply{View: view})
-	case l.confirmation.age(now) < maxConfirmationAge:
-		l.reply(m.origin, Reply{Verdict: VerdictNoJob})
-	default:
-		l.reply(m.origin, Reply{Verdict: VerdictUnavailable, Reason: "lead_not_confirmed", RetryAfter: noLeaderRetryAfter})
+	if !known {
+		l.replyNoJob(m.origin, m.receivedAt)
+		return
 	}
+	l.reply(m.origin, Reply{View: view})
 }
 
-// answer sends the core's response to a call to the call's origin. Like replyWithState, it
-// states that a job does not exist only if the leadership was confirmed recently.
+// answer sends the core's response to a call to the call's origin.
 func (l *leader) answer(a jobs.Response) {
 	origin, known := l.callOrigins[a.Call]
 	if !known {
@@ -89,11 +88,6 @@
 	delete(l.callOrigins, a.Call)
 	r := Reply{Reason: string(a.Reason), RetryAfter: a.RetryAfter}
 	switch a.Kind {
-	case jobs.ResponseNoSuchJob:
-		r.Verdict = VerdictNoJob
-		if l.confirmation.age(time.Now()) >= maxConfirmationAge {
-			r = Reply{Verdict: VerdictUnavailable, Reason: "lead_not_confirmed", RetryAfter: noLeaderRetryAfter}
-		}
 	case jobs.ResponseRefused:
 		r.Verdict = VerdictOverloaded
 		l.metrics.refused.Inc(1)
@@ -174,14 +168,14 @@
 }
 
 func (m batchStoredMsg) apply(l *leader, now time.Time) {
-	l.confirmation.confirm(m.sentAt)
+	l.confirm(now, m.sentAt)
 	l.core.HandleBatchStored(now, m.seq)
 }
 
 // confirmedMsg reports that the store confirmed the leadership without a batch.
 type confirmedMsg struct{ sentAt time.Time }
 
-func (m confirmedMsg) apply(l *leader, _ time.Time) { l.confirmation.confirm(m.sentAt) }
+func (m confirmedMsg) apply(l *leader, now time.Time) { l.confirm(now, m.sentAt) }
 
 // workerListMsg is the complete list of workers.
 type workerListMsg struct{ entries []jobs.WorkerEntry }
