--- a/internal/core/jobs/waiting.go
+++ b/internal/core/jobs/waiting.go
@@ -23,8 +23,8 @@
 	waitForBackoff  model.Reason = "backoff"
 	waitForCapacity model.Reason = "no_worker_with_room"
 	waitForGang     model.Reason = "yields_to_gang"
-	// waitForWorkers: the workers that may run the gang are too few or too small for all its
-	// members, even if nothing else ran there.
+	// waitForWorkers: the usable workers that may run the gang are too few or too small for all
+	// its members, even once all runs but those of lasting tasks have ended.
 	waitForWorkers model.Reason = "gang_exceeds_workers"
 	// waitForTurn: the gangs before this one need all free capacity.
 	waitForTurn      model.Reason = "gangs_before_need_all"
