--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -131,25 +131,6 @@
 	roundEndedAt atomic.Int64
 }
 
-// clockOrigin is the origin of monotonic times.
-var clockOrigin = time.Now()
-
-// maxRoundTime is the time without the end of a round from which the leader counts as stalled: its
-// process lives, but it decides nothing. It is far above that of a round under overload.
-const maxRoundTime = 3 * time.Second
-
-// recordRound records that the loop has ended a round.
-func (l *leader) recordRound() { l.roundEndedAt.Store(int64(time.Since(clockOrigin))) }
-
-// silence returns how long the leader is to be taken as silent by other daemons: since the end of
-// its last round if it is stalled, otherwise 0.
-func (l *leader) silence() time.Duration {
-	if silence := time.Since(clockOrigin) - time.Duration(l.roundEndedAt.Load()); silence > maxRoundTime {
-		return silence
-	}
-	return 0
-}
-
 // callOrigin is where the answer to a call goes: to the daemon at the other end of
 // link, or to this daemon's forwarder when link is nil.
 type callOrigin struct {
@@ -305,19 +286,6 @@
 	l.checkLeadership(now)
 }
 
-// logLoad logs the leader's load if that is due.
-func (l *leader) logLoad(now time.Time) {
-	if now.Sub(l.lastLoadAt) < loadInterval {
-		return
-	}
-	load := l.core.Load()
-	l.log.WithFields(logrus.Fields{"event": "leader_load", "workers": load.Workers, "used_milli_cpu": load.UsedMilliCPU,
-		"capacity_milli_cpu": load.CapacityMilliCPU, "jobs": load.UnfinishedJobs, "gangs_waiting": load.WaitingGangs,
-		"steps_waiting": load.WaitingSteps, "advice_calls": load.AdviceCalls, "relayed_calls": len(l.relayed.inFlight),
-		"rounds_ms": l.roundTime.Milliseconds()}).Info("load of the leader")
-	l.lastLoadAt, l.roundTime = now, 0
-}
-
 // stop makes the leader loop end. The first reason is kept.
 func (l *leader) stop(stopReason string) {
 	if l.stopReason == "" {
