Wording of comments, one redundant call

Calls that wait for a confirmation too long are refused by the tick of the loop alone; confirm did it a second time. Tests of internal/cell on former leaders and handovers pass.

--- a/internal/cell/absentjobs.go
+++ b/internal/cell/absentjobs.go
@@ -40,12 +40,11 @@
 
 // confirm records that the store confirmed the leadership by a call that was sent at the given time,
 // and sends the replies that waited for it.
-func (l *leader) confirm(now, sentAt time.Time) {
+func (l *leader) confirm(sentAt time.Time) {
 	l.confirmation.confirm(sentAt)
 	if l.replyConfirmed(); len(l.absent.waiting) > 0 && !sentAt.Before(l.absent.requestedAt) {
 		l.requestConfirmation()
 	}
-	l.refuseUnconfirmed(now)
 }
 
 // replyConfirmed answers the calls that had arrived before the last confirmation was requested.
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -168,14 +168,14 @@
 }
 
 func (m batchStoredMsg) apply(l *leader, now time.Time) {
-	l.confirm(now, m.sentAt)
+	l.confirm(m.sentAt)
 	l.core.HandleBatchStored(now, m.seq)
 }
 
 // confirmedMsg reports that the store confirmed the leadership without a batch.
 type confirmedMsg struct{ sentAt time.Time }
 
-func (m confirmedMsg) apply(l *leader, now time.Time) { l.confirm(now, m.sentAt) }
+func (m confirmedMsg) apply(l *leader, _ time.Time) { l.confirm(m.sentAt) }
 
 // workerListMsg is the complete list of workers.
 type workerListMsg struct{ entries []jobs.WorkerEntry }
--- a/internal/core/jobs/recovery_test.go
+++ b/internal/core/jobs/recovery_test.go
@@ -101,7 +101,7 @@
 	assert.Assert(t, b.storeBatch() == nil, "the record is written again")
 }
 
-// Guards against a change of leader shortly after workers were told to leave: all
+// Guards against a change of leader shortly after workers began to drain: all
 // restored jobs would wait for the leases of the workers that are gone.
 func TestRunsOnDrainingWorkerAreStored(t *testing.T) {
 	b := newTestBench(t)
--- a/internal/core/jobs/yield_test.go
+++ b/internal/core/jobs/yield_test.go
@@ -10,8 +10,8 @@
 	"catkinvalve/internal/core/model"
 )
 
-// newYieldBench returns a bench with two workers of 8 cores, of which a run of each given
-// size in millicores keeps a part busy, and a gang that waits. Advice denies deniedJob.
+// newYieldBench returns a bench with two workers of 8 cores and a gang that waits. Each of blockers
+// is the size, in millicores, of a task that runs there. Advice denies deniedJob.
 func newYieldBench(t *testing.T, gang Step, deniedJob string, blockers ...int64) *testBench {
 	advice := &AdviceConfig{DecisionTime: 10 * time.Millisecond, TimePerWorker: time.Millisecond, Validity: 2 * time.Second}
 	b := newTestBench(t, Queue{Name: "q", Service: "s", Priority: 1, MaxAttempts: 2, Slack: 2, Target: time.Second, Advice: advice},
--- a/internal/core/scheduler/fate.go
+++ b/internal/core/scheduler/fate.go
@@ -109,8 +109,8 @@
 	return out
 }
 
-// finalize gives the request a final fate. Callers are told once the standbys have
-// it.
+// finalize gives the request a final fate. Callers are notified once the
+// standbys have it.
 func (c *Core) finalize(now time.Time, e *entry, f model.Fate, reason model.Reason) {
 	if e.rec.Fate.Terminal() {
 		return
--- a/internal/core/scheduler/usage.go
+++ b/internal/core/scheduler/usage.go
@@ -6,7 +6,8 @@
 	"catkinvalve/internal/core/model"
 )
 
-// HandleUsageReport corrects size estimates and reservations from measured usage.
+// HandleUsageReport corrects size estimates and reservations from the usage that a worker
+// reports.
 func (c *Core) HandleUsageReport(now time.Time, w model.WorkerID, usage []model.Usage) {
 	if !c.serving {
 		return
--- a/internal/testbed/status.go
+++ b/internal/testbed/status.go
@@ -65,8 +65,8 @@
 	return nil
 }
 
-// WaitOwners waits up to limit for each data centre until it has an owner that is not
-// in doubt, that is, one with complete records.
+// WaitOwners waits up to limit for each data centre until it has an owner whose records are
+// complete.
 func (c *Cluster) WaitOwners(ctx context.Context, limit time.Duration) error {
 	for _, dc := range c.Opts.DCs {
 		if err := WaitFor(ctx, limit, "owner of "+dc.Name, func() bool {
