Wait for further ends of a worker beyond the leases of earlier leaders

What callers would see: tasks that are done run again, if a leader is lost and the store is down or slow for its successor soon after the takeover, with more ends on a worker than one answer lists.

Change: only workers that have not answered are given up then. One with further ends is awaited until it has listed them or its lease, which this leader renews, has ended.

Result: TestEndsOnLaterPagesOutliveLeasesOfEarlierLeader fails with the condition taken out (the task whose end is on the second page starts again) and holds.

--- /dev/null
+++ b/internal/core/jobs/absence_test.go
@@ -0,0 +1,81 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
+)
+
+// The tests in this file guard against conclusions from what an answer, a list or a record does
+// not contain, or does not contain yet.
+
+// acceptedRecord is the stored form of a job whose only step is the given one.
+func acceptedRecord(b *testBench, id string, s Step) AcceptedRecord {
+	return AcceptedRecord{Spec: Spec{ID: id, Queue: "q", Steps: []Step{s}}, Queue: Queue{Name: "q", Service: "s", MaxAttempts: 2}, Token: 1, Accepted: b.now}
+}
+
+// doneEnds are ends of the first runs of the tasks 0 to count-1 of a job's only step.
+func doneEnds(job string, count int) []RunEnd {
+	var ends []RunEnd
+	for i := range count {
+		ends = append(ends, RunEnd{Seq: int64(i + 1), Task: TaskRef{Job: job, Index: int32(i)}, Run: 1, Kind: EndDone})
+	}
+	return ends
+}
+
+// Guards against tasks that run again although they are done: a new leader, whose store is down soon
+// after the takeover, waited for the further ends of a worker only until the leases of the earlier
+// leader had ended, and the worker lists always the first ones.
+func TestEndsOnLaterPagesOutliveLeasesOfEarlierLeader(t *testing.T) {
+	b := newTestBench(t)
+	b.core.cfg.EndsPerPage = 2
+	next := b.newLeader(2, Snapshot{Accepted: []AcceptedRecord{acceptedRecord(b, "j1", smallStep(3))}, Workers: []WorkerRecord{{ID: "w1", Address: "w1:1", Service: "s"}}})
+	next.core.cfg.EndsPerPage = 2
+	next.core.SetPreviousLeaderEnd(next.now)
+	next.core.SetWorkers(next.now, []WorkerEntry{workerEntry("w1")})
+	ends := doneEnds("j1", 3)
+	page := map[model.WorkerID]SyncResult{"w1": {Ends: ends[:2]}}
+	for range 100 {
+		out := next.advance(100 * time.Millisecond)
+		assert.Equal(t, len(out.Starts), 0, "%v", startNames(out))
+		next.answerSyncs(out, page)
+	}
+	assert.Assert(t, next.now.After(next.core.previousLeaseEnd()))
+
+	// The store is back.
+	next.storeBatch()
+	page["w1"] = SyncResult{Ends: ends[2:]}
+	for range 20 {
+		out := next.advance(100 * time.Millisecond)
+		assert.Equal(t, len(out.Starts), 0, "%v", startNames(out))
+		next.answerSyncs(out, page)
+		next.storeBatch()
+	}
+	assert.Equal(t, jobView(t, next.core, "j1"), ViewCompleted)
+	assert.Assert(t, next.core.Recovered())
+}
+
+// Guards against jobs that wait for ever for further ends of a worker that has become silent: they
+// are lost with its lease.
+func TestSilentWorkerWithFurtherEndsIsAwaitedForItsLeaseOnly(t *testing.T) {
+	b := newTestBench(t)
+	next := b.newLeader(2, Snapshot{Accepted: []AcceptedRecord{acceptedRecord(b, "j1", smallStep(3))}, Workers: []WorkerRecord{{ID: "w1", Address: "w1:1", Service: "s"}}})
+	next.core.cfg.EndsPerPage = 2
+	next.core.SetPreviousLeaderEnd(next.now)
+	next.core.SetWorkers(next.now, []WorkerEntry{workerEntry("w1"), workerEntry("w2")})
+	next.answerSyncs(next.advance(0), map[model.WorkerID]SyncResult{"w1": {Ends: doneEnds("j1", 2)}})
+	next.storeBatch()
+	started := 0
+	for range 100 {
+		out := next.advance(100 * time.Millisecond)
+		started += len(out.Starts)
+		next.answerExcept(out, "w1")
+		next.confirmStarts(out.Starts)
+		next.storeBatch()
+	}
+	assert.Assert(t, started > 0, "the task whose end was not listed does not start again")
+	assert.Assert(t, next.core.Recovered())
+}
--- a/internal/core/jobs/loss.go
+++ b/internal/core/jobs/loss.go
@@ -101,7 +101,8 @@
 	}
 }
 
-// expireLease drops all runs on a worker whose lease has certainly ended.
+// expireLease drops all runs on a worker whose lease has certainly ended. What the
+// worker has not listed until then has ended with the lease.
 func (c *Core) expireLease(now time.Time, w *worker) {
 	c.event(Event{Name: EventWorkerLeaseEnded, Worker: w.ID, Count: len(w.runs), Age: now.Sub(w.lastContact)})
 	w.leaseExpired, c.poolsStale = true, true
@@ -109,6 +110,7 @@
 	for _, r := range slices.Clone(w.runs) {
 		c.loseRun(now, r, "the worker's lease ended")
 	}
+	c.stopAwaiting(now, w.ID)
 	c.deregisterWorker(w)
 	if !w.listed {
 		c.removeWorker(w)
--- a/internal/core/jobs/recovery.go
+++ b/internal/core/jobs/recovery.go
@@ -160,20 +160,28 @@
 // expirePreviousLeases stops waiting for the workers that have not answered,
 // once the last lease that an earlier leader granted has certainly ended. This
 // leader started nothing there, so the next leader need not wait for them
-// either.
+// either. A worker that has more ends to list is still awaited: what ended there as
+// done must not start again.
 func (c *Core) expirePreviousLeases(now time.Time) {
 	if len(c.recovery.workers) == 0 || !now.After(c.previousLeaseEnd()) {
 		return
 	}
-	c.event(Event{Name: EventWorkerLeaseEnded, Detail: "leases of an earlier leader", Count: len(c.recovery.workers)})
-	for id, previous := range c.recovery.workers {
-		if w := c.workers[id]; w != nil && !w.answered {
+	expired := 0
+	for _, id := range slices.Sorted(maps.Keys(c.recovery.workers)) {
+		w := c.workers[id]
+		if w != nil && w.answered && w.moreEnds {
+			continue
+		}
+		if previous := c.recovery.workers[id]; w != nil && !w.answered {
 			c.keepExpired(now, w, previous.incarnation, previous.runs)
 			c.deregisterWorker(w)
 		}
+		c.stopAwaiting(now, id)
+		expired++
+	}
+	if expired > 0 {
+		c.event(Event{Name: EventWorkerLeaseEnded, Detail: "leases of an earlier leader", Count: expired})
 	}
-	c.recovery = newRecovery()
-	c.completeRecovery(now)
 }
 
 // previousLeaseEnd returns when the last lease that an earlier leader granted
--- a/internal/core/jobs/sim_test.go
+++ b/internal/core/jobs/sim_test.go
@@ -22,6 +22,9 @@
 	// drawDeadly draws whether the next job is deadly; nil if none is.
 	drawDeadly func() bool
 
+	// endsPerPage is how many ends one answer of a worker lists.
+	endsPerPage int
+
 	core           *Core
 	token          uint64
 	hasLeader      bool
@@ -222,7 +225,8 @@
 
 func newSim(seed uint64, workers int, capacity model.Size, classes []simClass) *sim {
 	s := &sim{seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), now: startTime, byID: map[model.WorkerID]*simWorker{}, relayBusyUntil: map[string]time.Time{},
-		jobs: map[string]*simJob{}, waiting: map[CallID]*simJob{}, gangMembers: map[gangRun][]gangMember{}, classes: classes, store: newSimStore()}
+		endsPerPage: testConfig().EndsPerPage,
+		jobs:        map[string]*simJob{}, waiting: map[CallID]*simJob{}, gangMembers: map[gangRun][]gangMember{}, classes: classes, store: newSimStore()}
 	for i := range workers {
 		s.addWorker(fmt.Sprintf("w%03d", i), i, capacity)
 	}
@@ -242,11 +246,17 @@
 	return s
 }
 
+// setEndsPerPage sets how many ends one answer of a worker lists.
+func (s *sim) setEndsPerPage(n int) {
+	s.endsPerPage = n
+	s.core.cfg.EndsPerPage = n
+}
+
 // startLeader creates a new leader from the contents of the store.
 func (s *sim) startLeader() {
 	s.token++
 	cfg := testConfig()
-	cfg.Token, cfg.MaxUnfinishedJobs = s.token, 20_000
+	cfg.Token, cfg.MaxUnfinishedJobs, cfg.EndsPerPage = s.token, 20_000, s.endsPerPage
 	s.core = New(cfg)
 	var queues []Queue
 	for i := range s.classes {
--- a/internal/core/jobs/simfaults_test.go
+++ b/internal/core/jobs/simfaults_test.go
@@ -234,6 +234,21 @@
 	}
 }
 
+// Guards against conclusions from an answer that lists only the first ends of a worker: with short
+// pages, faults of every kind meet such answers.
+func TestSimFaultsWithShortPages(t *testing.T) {
+	names := []string{"dispatch", "voice"}
+	for seed := range simSeeds(1, 6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			workers, capacity, classes := simLoads[names[seed%2]](0.35)
+			s := newSim(seed, workers, capacity, classes)
+			s.setEndsPerPage(1 + int(seed%4))
+			simulateFaults(t, s, simFaults, 2+int(seed%11), names[seed%2])
+		})
+	}
+}
+
 // simSeeds yields the seeds to simulate.
 func simSeeds(first, runs int) iter.Seq[uint64] {
 	first = int(envFloat("SIM_SEED", float64(first)))
--- a/internal/core/jobs/simworld_test.go
+++ b/internal/core/jobs/simworld_test.go
@@ -389,7 +389,7 @@
 		for _, ref := range w.refs() {
 			result.Running = append(result.Running, RunReport{Task: ref, Run: w.runs[ref].run, Percent: w.runs[ref].percent(s.now)})
 		}
-		result.Ends = slices.Clone(w.unackedEnds)
+		result.Ends = slices.Clone(w.unackedEnds[:min(len(w.unackedEnds), s.endsPerPage)])
 		s.after(simNetworkDelay, finish)
 	}
 	s.after(simNetworkDelay, func() {
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -149,6 +149,10 @@
 	c.registerAgain(w)
 	c.processEnds(received, w, res)
 	c.reconcileRuns(received, w, res)
+	w.moreEnds = c.moreEnds(res)
+	if len(res.RowErrors) == 0 {
+		w.listedAt = res.SentAt
+	}
 	c.handleWorkerReport(received, w, res)
 	switch {
 	case w.processedEnd != w.ackedEnd:
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -79,6 +79,10 @@
 	processedEnd  int64
 	ackedEnd      int64
 	ackAfterBatch uint64
+	// moreEnds is set while the worker may have more ends than it listed last.
+	moreEnds bool
+	// listedAt is when the last sync was sent whose answer listed all running runs.
+	listedAt time.Time
 
 	recordState recordState
 	// recordBatch is the batch with the latest record of the worker.
