Conclude nothing from an answer with a row that could not be read

A new leader also ended its wait for such a worker.

Change: such an answer counts as incomplete. A new leader waits for a complete one until the leases of earlier leaders have ended: one bad row must not hold up all jobs for ever.

Result: TestUnreadableRowProvesNoRunLost and TestUnreadableRowDoesNotEndRecovery fail on the code before (the task starts again) and hold.

--- a/internal/core/jobs/absence_test.go
+++ b/internal/core/jobs/absence_test.go
@@ -79,3 +79,41 @@
 	assert.Assert(t, started > 0, "the task whose end was not listed does not start again")
 	assert.Assert(t, next.core.Recovered())
 }
+
+// Guards against a run that is taken for lost because the row about it, among the running or the
+// ended ones, could not be read.
+func TestUnreadableRowProvesNoRunLost(t *testing.T) {
+	b := newTestBench(t)
+	b.addWorkers("w1")
+	b.submit("j1", smallStep(1))
+	assert.Equal(t, len(b.step()), 1)
+	b.step()
+	unreadable := map[model.WorkerID]SyncResult{"w1": {RowErrors: []string{"row has no run number"}}}
+	for range 20 {
+		out := b.advance(stepTime)
+		assert.Equal(t, len(out.Starts), 0, "%v", startNames(out))
+		b.answerSyncs(out, unreadable)
+		b.storeBatch()
+	}
+	for range 20 {
+		b.answerSyncs(b.advance(stepTime), nil)
+		b.storeBatch()
+	}
+	assert.Assert(t, b.core.task(TaskRef{Job: "j1"}).run.number > 1, "the run that is in neither complete list is not taken for lost")
+}
+
+// Guards against a new leader that takes an answer with an unreadable row for the whole state of a
+// worker, and starts the task again whose row that was.
+func TestUnreadableRowDoesNotEndRecovery(t *testing.T) {
+	b := newTestBench(t)
+	next := b.newLeader(2, Snapshot{Accepted: []AcceptedRecord{acceptedRecord(b, "j1", smallStep(1))}, Workers: []WorkerRecord{{ID: "w1", Address: "w1:1", Service: "s"}}})
+	next.core.SetPreviousLeaderEnd(next.now)
+	next.core.SetWorkers(next.now, []WorkerEntry{workerEntry("w1")})
+	for range 20 {
+		out := next.advance(100 * time.Millisecond)
+		assert.Equal(t, len(out.Starts), 0, "%v", startNames(out))
+		next.answerSyncs(out, map[model.WorkerID]SyncResult{"w1": {RowErrors: []string{"row has no run number"}}})
+		next.storeBatch()
+	}
+	assert.Assert(t, !next.core.Recovered())
+}
--- a/internal/core/jobs/reconcile.go
+++ b/internal/core/jobs/reconcile.go
@@ -11,9 +11,7 @@
 	for i := range res.Running {
 		c.reconcileListed(now, w, res, &res.Running[i])
 	}
-	if c.moreEnds(res) {
-		// A run that is not listed may be among the ends that are still to come. While the
-		// store takes no records, ends are not acknowledged, so they do not come.
+	if c.listsIncomplete(res) {
 		return
 	}
 	for _, r := range slices.Clone(w.runs) {
@@ -23,8 +21,18 @@
 	}
 }
 
-// moreEnds reports whether the worker may have more ends than its answer lists.
-func (c *Core) moreEnds(res *SyncResult) bool { return len(res.Ends) >= c.cfg.EndsPerPage }
+// listsIncomplete reports whether the worker may have runs or ends that its answer does not
+// list, so that nothing follows from a run that is in neither list: a row that could not be
+// read may be about it, or its end is still to come.
+func (c *Core) listsIncomplete(res *SyncResult) bool {
+	return len(res.RowErrors) > 0 || c.moreEnds(res)
+}
+
+// moreEnds reports whether the worker may have more ends than its answer lists. While the
+// store takes no records, ends are not acknowledged, so the further ones do not come.
+func (c *Core) moreEnds(res *SyncResult) bool {
+	return len(res.Ends)+len(res.RowErrors) >= c.cfg.EndsPerPage
+}
 
 // reconcileListed processes one run that the worker reports.
 func (c *Core) reconcileListed(now time.Time, w *worker, res *SyncResult, report *RunReport) {
--- a/internal/core/jobs/recovery.go
+++ b/internal/core/jobs/recovery.go
@@ -101,10 +101,9 @@
 	return !c.recovery.blocks(s.job().spec.ID) && !(s.def.Gang && c.recovery.blocksAny(s))
 }
 
-// handleWorkerReport stops waiting for a worker that has reported all its ends:
-// a full page of ends may be followed by more.
+// handleWorkerReport stops waiting for a worker that has reported all its runs and ends.
 func (c *Core) handleWorkerReport(now time.Time, w *worker, res *SyncResult) {
-	if !c.moreEnds(res) {
+	if !c.listsIncomplete(res) {
 		c.stopAwaiting(now, w.ID)
 	}
 }
