Blame no task for a crash of its worker after its run had ended

Cause: a run that its worker listed as running no more, and whose end was on a later page, still counted as running when the worker crashed. Its task was counted among those that may have crashed it.

Change: a run that the last complete list of running ones did not contain had ended before the crash.

Result: TestTaskThatEndedBeforeCrashIsNotBlamed fails on the code before and holds.

--- a/internal/core/jobs/absence_test.go
+++ b/internal/core/jobs/absence_test.go
@@ -117,3 +117,18 @@
 	}
 	assert.Assert(t, !next.core.Recovered())
 }
+
+// Guards against a task that is blamed for a crash of its worker although its run had ended before:
+// the worker listed it as running no more, and its end was on a later page.
+func TestTaskThatEndedBeforeCrashIsNotBlamed(t *testing.T) {
+	b := newCrashBench(t, "w1")
+	b.core.cfg.EndsPerPage = 2
+	b.submit("j1", smallStep(3))
+	assert.Equal(t, len(b.starts()), 3)
+	b.now = b.now.Add(crashDelay)
+	w := b.core.workers["w1"]
+	w.syncing = true
+	b.core.HandleSyncResult(b.now, &SyncResult{Worker: "w1", SentAt: b.now, Incarnation: 1, ClockMs: b.clockMs(), Ends: doneEnds("j1", 2)})
+	b.crash("w1", crashDelay)
+	assert.Equal(t, len(b.core.task(TaskRef{Job: "j1", Index: 2}).crashes.runs), 0)
+}
--- a/internal/core/jobs/crashes.go
+++ b/internal/core/jobs/crashes.go
@@ -107,7 +107,7 @@
 	}
 	var out []InterruptedRun
 	for _, r := range w.runs {
-		if r.sentAt.After(failedAt) {
+		if r.sentAt.After(failedAt) || w.endedUnlisted(r) {
 			continue
 		}
 		i := InterruptedRun{Task: r.ref, Run: r.number}
@@ -122,6 +122,12 @@
 	return out
 }
 
+// endedUnlisted reports whether a run had ended before the worker's last answer, which did not
+// list its end yet.
+func (w *worker) endedUnlisted(r *run) bool {
+	return r.state == runActive && r.confirmedAt.Before(w.listedAt) && r.lastListedAt.Before(w.listedAt)
+}
+
 // recordWorkerCrash counts the crash of a worker whose process was replaced. A worker that left as
 // announced did not crash.
 func (c *Core) recordWorkerCrash(now time.Time, w *worker, runs []InterruptedRun) {
