Take no empty page that announces more for the last one

Cause: reading a list of the store ended at a page without records, also if that page said that more follow. A new leader would then not know the jobs and workers on the later pages.

--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -262,7 +262,7 @@
 			f(&page.Records[i])
 			after = page.Records[i].Key
 		}
-		if !page.More || len(page.Records) == 0 {
+		if !page.More {
 			return nil
 		}
 	}
--- a/internal/ports/cell.go
+++ b/internal/ports/cell.go
@@ -64,7 +64,8 @@
 // NewestPage is a page of the newest records of a topic, sorted by key.
 type NewestPage struct {
 	Records []NewestRecord
-	// More is true when there are keys after the last one of the page.
+	// More is true when there are keys after the last one of the page, which then has
+	// at least one record.
 	More bool
 	// End is the offset that the topic's next record will get.
 	End int64
