Ask for advice again about a worker that has restarted

Cause: a worker that advice denied for a step stayed denied under its ID for ever. The next process under that ID may be of another kind, so that a step could wait although it may run there.

Change: a denial holds for the incarnation that was asked about, like a ticket.

Result: TestDenialEndsWithIncarnation fails on the code before (nothing starts) and holds.

--- a/internal/core/jobs/absence_test.go
+++ b/internal/core/jobs/absence_test.go
@@ -132,3 +132,35 @@
 	b.crash("w1", crashDelay)
 	assert.Equal(t, len(b.core.task(TaskRef{Job: "j1", Index: 2}).crashes.runs), 0)
 }
+
+// Guards against a denial that is kept for the next process of a worker, which may be of another
+// kind: its step would wait although that one may run it.
+func TestDenialEndsWithIncarnation(t *testing.T) {
+	b := newAdviceBench(t)
+	b.addWorkers("w1")
+	b.submit("j1", smallStep(1))
+	none := func(model.WorkerID) bool { return false }
+	out := b.advance(10 * time.Millisecond)
+	b.allow(out.Advice[0], none)
+	b.answerSyncs(out, nil)
+	for range 5 {
+		out := b.advance(100 * time.Millisecond)
+		assert.Equal(t, len(out.Advice), 0, "asks again about a worker that was denied")
+		b.answerSyncs(out, nil)
+	}
+	restarted := workerEntry("w1")
+	restarted.Incarnation = 2
+	b.core.SetWorkers(b.now, []WorkerEntry{restarted})
+	started := 0
+	for range 30 {
+		out := b.advance(100 * time.Millisecond)
+		b.answerSyncs(out, map[model.WorkerID]SyncResult{"w1": {Incarnation: 2}})
+		b.storeBatch()
+		for _, req := range out.Advice {
+			b.allow(req, anyWorker)
+		}
+		started += len(out.Starts)
+		b.confirmStarts(out.Starts)
+	}
+	assert.Assert(t, started > 0)
+}
--- a/internal/core/jobs/advice.go
+++ b/internal/core/jobs/advice.go
@@ -23,8 +23,9 @@
 
 // stepAdvice is what the advice service answered about a step.
 type stepAdvice struct {
-	// denied lists the workers that may not run the step. A denial is final.
-	denied map[model.WorkerID]bool
+	// denied holds the workers that may not run the step, with the incarnation to which that
+	// applies: the next one may be a worker of another kind.
+	denied map[model.WorkerID]int64
 	// allowed lists the workers that may run the step, with their latest
 	// tickets.
 	allowed []*ticket
@@ -51,6 +52,21 @@
 	return t.text != "" && t.incarnation == t.worker.incarnation && now.Before(t.expires)
 }
 
+// denies reports whether the present incarnation of a worker may not run the step.
+func (a *stepAdvice) denies(w *worker) bool {
+	incarnation, denied := a.denied[w.ID]
+	return denied && incarnation == w.incarnation
+}
+
+// deny records that an incarnation of a worker may not run the step.
+func (a *stepAdvice) deny(id model.WorkerID, incarnation int64) {
+	if a.denied == nil {
+		a.denied = map[model.WorkerID]int64{}
+	}
+	a.denied[id] = incarnation
+	a.allowed = slices.DeleteFunc(a.allowed, func(t *ticket) bool { return t.worker.ID == id })
+}
+
 // find returns the ticket for a worker, or nil.
 func (a *stepAdvice) find(id model.WorkerID) *ticket {
 	for _, t := range a.allowed {
@@ -249,12 +265,10 @@
 }
 
 // recordAdvice records which candidates of a call were allowed, with their
-// tickets, and which were denied. A worker that was allowed once stays allowed.
+// tickets, and which were denied. A worker that was allowed once stays allowed until it
+// restarts.
 func (c *Core) recordAdvice(now time.Time, call *adviceCall, r *AdviceResult) {
 	a := &call.step.advice
-	if a.denied == nil {
-		a.denied = map[model.WorkerID]bool{}
-	}
 	tickets := make(map[model.WorkerID]string, len(r.Allowed))
 	for _, allowance := range r.Allowed {
 		tickets[allowance.Worker] = allowance.Ticket
@@ -267,8 +281,8 @@
 			newlyRequested++
 		}
 		switch {
-		case !allowed && t == nil:
-			a.denied[id] = true
+		case !allowed && (t == nil || t.incarnation != call.incarnations[i]):
+			a.deny(id, call.incarnations[i])
 			continue
 		case !allowed:
 			continue
--- a/internal/core/jobs/advice_candidates.go
+++ b/internal/core/jobs/advice_candidates.go
@@ -41,7 +41,7 @@
 func (c *Core) taskCandidates(now time.Time, s *step) []*worker {
 	var options []*worker
 	for _, w := range c.sample(c.pool(s)) {
-		if !w.resources.fits(s.def.Size) || !c.eligible(now, s, w) || s.advice.denied[w.ID] || c.availableCopies(now, s, w) == 0 {
+		if !w.resources.fits(s.def.Size) || !c.eligible(now, s, w) || s.advice.denies(w) || c.availableCopies(now, s, w) == 0 {
 			continue
 		}
 		if t := s.advice.find(w.ID); t == nil || !t.valid(now) {
--- a/internal/core/jobs/gang_advice.go
+++ b/internal/core/jobs/gang_advice.go
@@ -159,7 +159,7 @@
 	rate := c.relays.expectedAllowRate(s.job().queue.Name)
 	var options []option
 	for _, w := range c.pool(s).workers {
-		if !w.resources.fits(s.def.Size) || !c.eligible(now, s, w) || s.advice.denied[w.ID] || s.advice.find(w.ID) != nil {
+		if !w.resources.fits(s.def.Size) || !c.eligible(now, s, w) || s.advice.denies(w) || s.advice.find(w.ID) != nil {
 			continue
 		}
 		n := min(c.availableCopies(now, s, w), w.remainingPerWorker(s))
@@ -201,7 +201,7 @@
 	}
 	var options []option
 	for _, w := range c.sample(c.pool(s)) {
-		if !c.eligible(now, s, w) || s.advice.denied[w.ID] || s.advice.find(w.ID) != nil || !s.def.Size.Fits(w.resources.capacity) {
+		if !c.eligible(now, s, w) || s.advice.denies(w) || s.advice.find(w.ID) != nil || !s.def.Size.Fits(w.resources.capacity) {
 			continue
 		}
 		soon := float64(w.resources.copies(s.def.Size)) + soonFreeShare*float64(copiesIn(w.resources.capacity, s.def.Size))
--- a/internal/core/jobs/gang_fit.go
+++ b/internal/core/jobs/gang_fit.go
@@ -67,7 +67,7 @@
 		if missing <= 0 {
 			break
 		}
-		if w.hasLabel(s.def.Label) && !s.advice.denied[w.ID] {
+		if w.hasLabel(s.def.Label) && !s.advice.denies(w) {
 			missing -= max(0, min(copiesIn(room(w), s.def.Size), w.remainingPerWorker(s)))
 		}
 	}
