Do not call a job hopeless because workers are missing from the list

What callers would see: 429 with a Retry-After of 30 s for a job that only some workers fit, while these are missing from the list for the two seconds after an outage of the store, or restart.

Cause: absent workers counted for gangs only; and a new leader that reads the list in these seconds knows from the records that workers are missing, but not what fits them.

Change: absent workers count for single tasks as for gangs. A new leader refuses with a Retry-After of 2 s for the first 2.5 s of its list, as long as a recorded worker of the service is missing.

Result: TestJobForAbsentWorkerIsNotHopeless fails with either change taken out and holds.

--- a/internal/core/jobs/absence_test.go
+++ b/internal/core/jobs/absence_test.go
@@ -164,3 +164,31 @@
 	}
 	assert.Assert(t, started > 0)
 }
+
+// Guards against a job that is refused as hopeless because the only workers that fit it are missing
+// from the list for some seconds, as after an outage of the store.
+func TestJobForAbsentWorkerIsNotHopeless(t *testing.T) {
+	large := smallStep(1)
+	large.Label = "large"
+	labelled := workerEntry("w2")
+	labelled.Labels = []string{"large"}
+
+	b := newTestBench(t)
+	b.core.SetWorkers(b.now, []WorkerEntry{workerEntry("w1"), labelled})
+	b.answerSyncs(b.advance(0), nil)
+	b.core.SetWorkers(b.now, []WorkerEntry{workerEntry("w1")})
+	assert.Assert(t, b.core.Submit(b.now, &Spec{ID: "j1", Queue: "q", Steps: []Step{large}}, 1) == nil, "refused while the worker is absent")
+	b.now = b.now.Add(absenceTime + time.Second)
+	resp := b.core.Submit(b.now, &Spec{ID: "j2", Queue: "q", Steps: []Step{large}}, 2)
+	assert.Assert(t, resp != nil && resp.RetryAfter == retryAfterNeverFits, "%v", resp)
+
+	// A new leader knows from the records that a worker is missing, but not whether the job fits it.
+	next := b.newLeader(2, Snapshot{Workers: []WorkerRecord{{ID: "w1", Address: "w1:1", Service: "s"}, {ID: "w2", Address: "w2:1", Service: "s"}}})
+	next.core.SetPreviousLeaderEnd(next.now)
+	next.core.SetWorkers(next.now, []WorkerEntry{workerEntry("w1")})
+	resp = next.core.Submit(next.now, &Spec{ID: "j3", Queue: "q", Steps: []Step{large}}, 3)
+	assert.Assert(t, resp != nil && resp.RetryAfter == retryAfterIncompleteList, "%v", resp)
+	next.now = next.now.Add(listReturnTime)
+	resp = next.core.Submit(next.now, &Spec{ID: "j4", Queue: "q", Steps: []Step{large}}, 4)
+	assert.Assert(t, resp != nil && resp.RetryAfter == retryAfterNeverFits, "%v", resp)
+}
--- a/internal/core/jobs/admit.go
+++ b/internal/core/jobs/admit.go
@@ -1,7 +1,9 @@
 package jobs
 
 import (
+	"iter"
 	"maps"
+	"slices"
 	"time"
 
 	"catkinvalve/internal/core/model"
@@ -14,6 +16,9 @@
 		return model.ReasonQueueFull, retryAfterFull, false
 	}
 	if c.neverFits(now, spec, q) {
+		if c.listMayBeIncomplete(now, q) {
+			return model.ReasonNeverFits, retryAfterIncompleteList, false
+		}
 		return model.ReasonNeverFits, retryAfterNeverFits, false
 	}
 	return "", 0, true
@@ -23,6 +28,22 @@
 // that no worker could run; a suitable worker may have been added by then.
 const retryAfterNeverFits = 30 * time.Second
 
+const (
+	// listReturnTime is how long after its first reading the list of workers may lack entries
+	// that expired while the store was unavailable.
+	listReturnTime = 2500 * time.Millisecond
+	// retryAfterIncompleteList replaces retryAfterNeverFits for that time.
+	retryAfterIncompleteList = 2 * time.Second
+)
+
+// listMayBeIncomplete reports whether a worker of the queue's service may be missing from the
+// list: an earlier leader has recorded it, and the list was first read only a short time ago.
+func (c *Core) listMayBeIncomplete(now time.Time, q *Queue) bool {
+	return now.Sub(c.listFirstReadAt) < listReturnTime && slices.ContainsFunc(c.workerList, func(w *worker) bool {
+		return !w.listed && w.recordState != recordNone && w.Service == q.Service
+	})
+}
+
 // neverFits reports whether a step of the job could not run even if nothing else did: a task
 // fits on no worker of its service, or the members of a gang do not all fit at the same time.
 func (c *Core) neverFits(now time.Time, spec *Spec, q *Queue) bool {
@@ -39,18 +60,33 @@
 // is empty. It returns true while no worker of the service is known.
 func (c *Core) fitsAnyWorker(now time.Time, def *Step, q *Queue) bool {
 	known := false
-	for _, w := range c.workerList {
-		if !w.countsForAdmission(now) || w.Service != q.Service {
-			continue
-		}
+	for e := range c.admissionWorkers(now, q.Service) {
 		known = true
-		if def.Size.Fits(w.resources.capacity) && w.hasLabel(def.Label) {
+		if def.Size.Fits(e.Capacity) && e.hasLabel(def.Label) {
 			return true
 		}
 	}
 	return !known
 }
 
+// admissionWorkers returns the workers of a service on which a job may count when it is accepted:
+// the listed ones and those that may come back. While many restart, or their entries have expired
+// with the store, a job that needs them is not hopeless.
+func (c *Core) admissionWorkers(now time.Time, service string) iter.Seq[*WorkerEntry] {
+	return func(yield func(*WorkerEntry) bool) {
+		for _, w := range c.workerList {
+			if w.countsForAdmission(now) && w.Service == service && !yield(&w.WorkerEntry) {
+				return
+			}
+		}
+		for _, a := range c.absent {
+			if now.Sub(a.leftAt) <= absenceTime && a.entry.Service == service && !yield(&a.entry) {
+				return
+			}
+		}
+	}
+}
+
 // firstAnswerTime is how long a listed worker may leave this leader's first calls without an answer
 // before its entry no longer counts: nothing shows then that there is such a worker.
 const firstAnswerTime = 10 * time.Second
@@ -84,33 +120,19 @@
 }
 
 // gangFitsAllWorkers reports whether all members of a gang fit on the workers of its service at
-// the same time when these are empty. Absent workers count: while many of them restart, a wide
-// gang is not hopeless. It returns true while no worker of the service is known.
+// the same time when these are empty. It returns true while no worker of the service is known.
 func (c *Core) gangFitsAllWorkers(now time.Time, def *Step, q *Queue) bool {
 	known, missing := false, def.Count
-	add := func(e *WorkerEntry) {
-		if e.Service != q.Service {
-			return
-		}
+	for e := range c.admissionWorkers(now, q.Service) {
 		known = true
 		if e.hasLabel(def.Label) {
 			missing -= min(copiesIn(e.Capacity, def.Size), maxPerWorker(def))
 		}
-	}
-	for _, w := range c.workerList {
 		if missing <= 0 {
 			return true
 		}
-		if w.countsForAdmission(now) {
-			add(&w.WorkerEntry)
-		}
-	}
-	for _, a := range c.absent {
-		if now.Sub(a.leftAt) <= absenceTime {
-			add(&a.entry)
-		}
 	}
-	return !known || missing <= 0
+	return !known
 }
 
 // maxPerWorker returns how many tasks of a step one worker may have at the same time.
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -95,8 +95,9 @@
 	endedJobs      []*job // in order of endedAt
 	recurringJobs  []*job // jobs with occurrences still to come
 	unfinishedJobs int
-	// workerListRead is set by the first SetWorkers.
-	workerListRead bool
+	// workerListRead is set by the first SetWorkers, and listFirstReadAt is its time.
+	workerListRead  bool
+	listFirstReadAt time.Time
 	// deferredSubmissions lists the submissions that wait for the list of
 	// workers.
 	deferredSubmissions []submission
--- a/internal/core/jobs/worker_list.go
+++ b/internal/core/jobs/worker_list.go
@@ -19,6 +19,9 @@
 		c.setWorker(now, &entries[i])
 	}
 	c.recordAbsences(now, previous)
+	if !c.workerListRead {
+		c.listFirstReadAt = now
+	}
 	c.placementsStale, c.workerListRead = true, true
 	c.decideDeferred(now)
 }
