Take no answer to an earlier stop for one to the last stop

Cause: after a restart of its worker, a run whose start may still arrive is stopped again. The answer to the stop before, by the former process, counted for the new one: the run was taken for stopped and its task started again, while the first start could still be executed.

Change: the result of a stop carries when it was sent; results of earlier stops are ignored.

Result: TestStopAnswerOfFormerProcessProvesNothing fails without the condition (the task starts again) and holds.

--- a/internal/cell/relayedcalls.go
+++ b/internal/cell/relayedcalls.go
@@ -117,7 +117,7 @@
 	c := &relayedCall{relay: relay, worker: req.Worker, sentAt: now, deadline: now.Add(stopTimeout + relaySlack)}
 	worker, task, run := req.Worker, req.Task, req.Run
 	c.result = func(status jobs.CallStatus, clockMs int64, receivedAt time.Time) message {
-		return stopResultMsg{jobs.StopResult{Worker: worker, Task: task, Run: run, Status: status, ClockMs: clockMs}, receivedAt}
+		return stopResultMsg{jobs.StopResult{Worker: worker, Task: task, Run: run, Status: status, SentAt: now, ClockMs: clockMs}, receivedAt}
 	}
 	id, group := r.add(c)
 	group.AddStop(id, req)
--- a/internal/cell/workercalls.go
+++ b/internal/cell/workercalls.go
@@ -87,12 +87,15 @@
 
 // stop makes one attempt to stop a run.
 func (c *workerCaller) stop(ctx context.Context, req jobs.StopRequest) jobs.StopResult {
+	sent := time.Now()
 	if c.superseded() {
-		return jobs.StopResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Status: jobs.CallFenced}
+		return jobs.StopResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Status: jobs.CallFenced, SentAt: sent}
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	return c.client.Stop(ctx, c.token, req)
+	result := c.client.Stop(ctx, c.token, req)
+	result.SentAt = sent
+	return result
 }
 
 // pace makes one attempt to change the pace of a run.
--- a/internal/core/jobs/absence_test.go
+++ b/internal/core/jobs/absence_test.go
@@ -192,3 +192,57 @@
 	resp = next.core.Submit(next.now, &Spec{ID: "j4", Queue: "q", Steps: []Step{large}}, 4)
 	assert.Assert(t, resp != nil && resp.RetryAfter == retryAfterNeverFits, "%v", resp)
 }
+
+// restartWith lets w1 answer as a new process on which nothing runs.
+func (b *testBench) restartWith(incarnation int64) {
+	b.t.Helper()
+	entry := workerEntry("w1")
+	entry.Incarnation = incarnation
+	b.core.SetWorkers(b.now, []WorkerEntry{entry})
+	w := b.core.workers["w1"]
+	w.syncing = true
+	b.core.HandleSyncResult(b.now, &SyncResult{Worker: "w1", SentAt: b.now, Incarnation: incarnation, ClockMs: b.clockMs()})
+	b.storeBatch()
+}
+
+// Guards against a start that may still reach the new process of a worker, and that is taken for
+// stopped there because the former process answered an earlier stop.
+func TestStopAnswerOfFormerProcessProvesNothing(t *testing.T) {
+	b := newTestBench(t)
+	b.addWorkers("w1")
+	b.submit("j1", smallStep(1))
+	first := b.advance(0)
+	start := first.Starts[0]
+	b.answerSyncs(first, nil)
+	b.core.HandleStartResult(b.now, &StartResult{Worker: "w1", Task: start.Task, Run: start.Run, Status: CallNoAnswer})
+	var stops []StopRequest
+	for range 5 {
+		out := b.advance(50 * time.Millisecond)
+		stops = append(stops, out.Stops...)
+		b.answerSyncs(out, nil)
+	}
+	stops = append(stops, b.core.TakeActions().Stops...)
+	assert.Equal(t, len(stops), 1)
+	sentAt := b.core.task(start.Task).run.stop.sentAt
+	answer := StopResult{Worker: "w1", Task: start.Task, Run: start.Run, Status: CallOK, SentAt: sentAt, ClockMs: b.clockMs()}
+
+	b.now = b.now.Add(100 * time.Millisecond)
+	b.restartWith(2)
+	b.core.HandleStopResult(b.now, &answer)
+	idle := map[model.WorkerID]SyncResult{"w1": {Incarnation: 2}}
+	for range 10 {
+		out := b.advance(50 * time.Millisecond)
+		assert.Equal(t, len(out.Starts), 0, "started again while the first start may still arrive")
+		b.answerSyncs(out, idle)
+	}
+	answer.SentAt = b.now
+	b.core.HandleStopResult(b.now, &answer)
+	started := 0
+	for range 60 {
+		out := b.advance(50 * time.Millisecond)
+		started += len(out.Starts)
+		b.answerSyncs(out, idle)
+		b.storeBatch()
+	}
+	assert.Assert(t, started > 0, "does not start again")
+}
--- a/internal/core/jobs/core_test.go
+++ b/internal/core/jobs/core_test.go
@@ -89,7 +89,7 @@
 		b.storeBatch()
 		for _, req := range out.Stops {
 			stopped = true
-			b.core.HandleStopResult(b.now, &StopResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Status: CallOK, ClockMs: b.clockMs()})
+			b.core.HandleStopResult(b.now, &StopResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Status: CallOK, SentAt: b.now, ClockMs: b.clockMs()})
 		}
 	}
 	assert.Assert(t, stopped, "the start is not stopped on the new incarnation")
--- a/internal/core/jobs/crashes_test.go
+++ b/internal/core/jobs/crashes_test.go
@@ -243,7 +243,7 @@
 		b.crash(starts[0].Worker, crashDelay)
 		// The other member was aborted.
 		for _, req := range b.advance(0).Stops {
-			b.core.HandleStopResult(b.now, &StopResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Status: CallOK, ClockMs: b.clockMs()})
+			b.core.HandleStopResult(b.now, &StopResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Status: CallOK, SentAt: b.now, ClockMs: b.clockMs()})
 			w := b.core.workers[req.Worker]
 			w.syncing = true
 			b.now = b.now.Add(time.Millisecond)
--- a/internal/core/jobs/runs.go
+++ b/internal/core/jobs/runs.go
@@ -34,6 +34,7 @@
 	Task    TaskRef
 	Run     int64
 	Status  CallStatus
+	SentAt  time.Time
 	ClockMs int64
 }
 
@@ -151,10 +152,11 @@
 	c.runEvent(EventRunStopSent, r, now.Sub(r.sentAt), "")
 }
 
-// HandleStopResult processes the result of a StopRequest.
+// HandleStopResult processes the result of a StopRequest. The answer to an earlier request than
+// the last one may be that of an earlier incarnation and is ignored.
 func (c *Core) HandleStopResult(now time.Time, res *StopResult) {
 	r := c.findAnsweredRun(res.Worker, res.Task, res.Run, res.Status)
-	if r == nil {
+	if r == nil || res.SentAt.Before(r.stop.sentAt) {
 		return
 	}
 	r.stop.inFlight = false
--- a/internal/core/jobs/simworld_test.go
+++ b/internal/core/jobs/simworld_test.go
@@ -708,7 +708,7 @@
 
 func (s *sim) stop(req StopRequest) {
 	w := s.byID[req.Worker]
-	token := s.token
+	token, sentAt := s.token, s.now
 	status := CallOK
 	s.call(w, w.incarnation, func() bool {
 		if token < w.token {
@@ -727,7 +727,7 @@
 		}
 		return true
 	}, func(outcome CallStatus) {
-		r := &StopResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Status: outcome}
+		r := &StopResult{Worker: req.Worker, Task: req.Task, Run: req.Run, Status: outcome, SentAt: sentAt}
 		if outcome == CallOK {
 			r.Status, r.ClockMs = status, w.clockMs()
 		}
