Take no refusal at a former address for the loss of a worker

Cause: 421 to a start means that the address now belongs to another worker, and all runs of the worker were dropped. A start that was sent before the worker restarted at another address may be answered so later; the runs of the present process were then dropped, and their tasks started again.

Change: such a refusal concerns the run alone.

Result: TestRefusalAtFormerAddressProvesNothing fails on the code before and holds.

--- a/internal/core/jobs/absence_test.go
+++ b/internal/core/jobs/absence_test.go
@@ -246,3 +246,21 @@
 	}
 	assert.Assert(t, started > 0, "does not start again")
 }
+
+// Guards against runs that are taken for gone, and started again, because a start that was sent to
+// the former address of their worker is answered by another worker.
+func TestRefusalAtFormerAddressProvesNothing(t *testing.T) {
+	b := newTestBench(t)
+	b.addWorkers("w1")
+	b.submit("late", smallStep(1))
+	late := b.advance(0).Starts[0]
+	b.now = b.now.Add(time.Second)
+	b.restartWith(2)
+	b.submit("running", smallStep(1))
+	out := b.advance(50 * time.Millisecond)
+	assert.Equal(t, len(out.Starts), 1)
+	b.confirmStarts(out.Starts)
+	b.core.HandleStartResult(b.now, &StartResult{Worker: "w1", Task: late.Task, Run: late.Run, Status: CallWrongIncarnation})
+	r := b.core.task(TaskRef{Job: "running"}).run
+	assert.Assert(t, r != nil && !r.gone, "the run of the present process is taken for gone")
+}
--- a/internal/core/jobs/loss.go
+++ b/internal/core/jobs/loss.go
@@ -43,7 +43,8 @@
 		w.failedAt, w.aliveUntil = res.SentAt, res.SentAt
 	}
 	c.recordWorkerCrash(now, w, slices.DeleteFunc(w.interruptedRuns(now), func(r InterruptedRun) bool { return listed[r.Task] == r.Run }))
-	w.incarnation, w.clockMs, w.clockReadAt, w.maxDeadlineMs = res.Incarnation, res.ClockMs, now, res.ClockMs+c.cfg.LeaseDuration.Milliseconds()
+	w.incarnation, w.incarnationSince, w.clockMs, w.clockReadAt = res.Incarnation, now, res.ClockMs, now
+	w.maxDeadlineMs = res.ClockMs + c.cfg.LeaseDuration.Milliseconds()
 	// Calls to the earlier incarnation may still arrive. Their deadlines are
 	// far ahead of the new incarnation's clock.
 	w.lateGrantsUntil = now.Add(c.cfg.MaxCallDelay)
--- a/internal/core/jobs/runs.go
+++ b/internal/core/jobs/runs.go
@@ -121,7 +121,10 @@
 	case CallWrongIncarnation:
 		w.removeRun(r)
 		c.handleRunGone(now, r)
-		c.handleReplacedWorker(now, w)
+		// A start that was sent to an earlier incarnation says nothing about the present one.
+		if !r.sentAt.Before(w.incarnationSince) {
+			c.handleReplacedWorker(now, w)
+		}
 		return
 	case CallTicketInvalid:
 		if r.task != nil {
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -141,7 +141,7 @@
 		}
 		// Assume that an earlier leader granted the same lease as this one
 		// would.
-		w.answered, w.incarnation, w.clockMs, w.clockReadAt = true, res.Incarnation, res.ClockMs, received
+		w.answered, w.incarnation, w.incarnationSince, w.clockMs, w.clockReadAt = true, res.Incarnation, received, res.ClockMs, received
 		w.maxDeadlineMs = res.ClockMs + c.cfg.LeaseDuration.Milliseconds()
 	}
 	c.recordContact(received, w, res.ClockMs)
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -43,6 +43,8 @@
 	// leader.
 	answered    bool
 	incarnation int64
+	// incarnationSince is when this incarnation was first known to answer this leader.
+	incarnationSince time.Time
 	// clockMs is a reading of the worker's own clock in ms, taken at
 	// clockReadAt or earlier.
 	clockMs     int64
