Do not take records that cannot be decoded for absent

Cause: a worker's record that could not be decoded was left out, so that a new leader did not wait for what may run there; with an unreadable record of the last term it did not wait for its leader either.

Change: such a worker is awaited as one on which anything may run, and such a term as one of any leader.

--- a/internal/cell/authority.go
+++ b/internal/cell/authority.go
@@ -28,6 +28,8 @@
 // extended the leases of workers.
 func (l *leader) previousLeadersEnd() time.Time {
 	switch {
+	case l.previousTermsUnknown:
+		return l.claim.at.Add(connectedLeaderTimeout)
 	case len(l.previousTerms) == 0:
 		return l.claim.at
 	case len(l.previousTerms) >= maxPreviousTerms:
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -100,6 +100,8 @@
 	acknowledgedAt map[string]time.Time
 	// previousTerms lists the terms whose leaders may have extended leases of workers.
 	previousTerms []*cellpb.Lead
+	// previousTermsUnknown is set when the record of these terms cannot be decoded.
+	previousTermsUnknown bool
 	// nodes maps the names of daemons to their link addresses.
 	nodes map[string]string
 	// nodeChanges lists the daemons in the order in which they were added or moved.
@@ -170,7 +172,7 @@
 	l := &leader{
 		d: d, token: c.token, claim: c, core: jobs.New(cfg), log: d.log.WithField("token", c.token),
 		inbox: ring.New[message]("leader", inboxSize, d.registry), callOrigins: map[jobs.CallID]callOrigin{},
-		reports: map[string]report{}, acknowledgedAt: map[string]time.Time{}, probeLatencies: map[string]time.Duration{}, previousTerms: s.previousTerms(), nodes: map[string]string{}, lastSent: map[*linkrpc.Link]sentVersions{},
+		reports: map[string]report{}, acknowledgedAt: map[string]time.Time{}, probeLatencies: map[string]time.Duration{}, previousTerms: s.previousTerms(), previousTermsUnknown: s.termUnreadable, nodes: map[string]string{}, lastSent: map[*linkrpc.Link]sentVersions{},
 		queues: newQueueMetrics(d.registry),
 		metrics: leaderMetrics{
 			starts: telemetry.Counter(d.registry, "leader.starts"), ends: telemetry.Counter(d.registry, "leader.ends"),
--- a/internal/cell/store_records.go
+++ b/internal/cell/store_records.go
@@ -10,6 +10,7 @@
 
 	"catkinvalve/internal/cellpb"
 	"catkinvalve/internal/core/jobs"
+	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/ports"
 )
 
@@ -79,6 +80,8 @@
 	recoveredToken uint64
 	// lastTerm is the record of the last term; nil when there was none.
 	lastTerm *cellpb.StoredLead
+	// termUnreadable is set when that record cannot be decoded, so that any daemon may have led.
+	termUnreadable bool
 }
 
 // previousTerms returns the terms whose leaders a new leader has to take into account:
@@ -96,7 +99,8 @@
 }
 
 // loadState reads the state from the jobs topic. Records that cannot be decoded are
-// logged and left out.
+// logged. The leader then waits as long as if anything might run on such a worker, and as
+// if any daemon might have led in such a term.
 func (d *Daemon) loadState(ctx context.Context) (storedState, error) {
 	var s storedState
 	err := d.forEachRecord(ctx, ports.JobsTopic, func(r *ports.NewestRecord) {
@@ -136,6 +140,7 @@
 	case strings.HasPrefix(key, workerPrefix):
 		p := &cellpb.StoredWorker{}
 		if err := proto.Unmarshal(value, p); err != nil {
+			snap.Workers = append(snap.Workers, jobs.WorkerRecord{ID: model.WorkerID(strings.TrimPrefix(key, workerPrefix))})
 			return err
 		}
 		snap.Workers = append(snap.Workers, p.ToWorkerRecord())
@@ -148,6 +153,7 @@
 	case key == termKey:
 		p := &cellpb.StoredLead{}
 		if err := proto.Unmarshal(value, p); err != nil {
+			s.termUnreadable = true
 			return err
 		}
 		s.lastTerm = p
