Know occurrences that were due by the clock of an earlier leader

Change: a worker's report creates the occurrence. Its further tasks wait until it is due by the leader's own clock, also if it is known from the stored progress.

--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -53,6 +53,9 @@
 	steps []*step
 	// unfinished counts the steps that have unfinished tasks.
 	unfinished int
+	// early is set while the occurrence is not due by this leader's clock. An earlier leader,
+	// by whose clock it was, has started tasks of it.
+	early bool
 }
 
 // step is one step of an occurrence.
@@ -202,6 +205,17 @@
 	return out
 }
 
+// reportedTask returns the task that a worker reports, or nil. If its occurrence is not due yet by
+// this leader's clock, it was by that of an earlier leader, and is created.
+func (c *Core) reportedTask(ref TaskRef) *task {
+	j := c.jobs[ref.Job]
+	if j != nil && j.outcome == OutcomeUnfinished && int(ref.Occurrence) >= j.createdOccurrences && int(ref.Occurrence) < j.spec.OccurrenceCount() &&
+		j.occurrences[ref.Occurrence] == nil && !j.finished[ref.Occurrence] {
+		j.newOccurrence(ref.Occurrence, j.due(ref.Occurrence)).early = true
+	}
+	return c.task(ref)
+}
+
 // task returns the task that ref identifies, or nil.
 func (c *Core) task(ref TaskRef) *task {
 	j := c.jobs[ref.Job]
--- a/internal/core/jobs/progress.go
+++ b/internal/core/jobs/progress.go
@@ -17,7 +17,9 @@
 			break
 		}
 		j.createdOccurrences++
-		if !j.finished[ordinal] && j.occurrences[ordinal] == nil {
+		if o := j.occurrences[ordinal]; o != nil {
+			o.early = false
+		} else if !j.finished[ordinal] {
 			j.newOccurrence(ordinal, due)
 		}
 	}
@@ -51,7 +53,7 @@
 
 // queueStep adds a step to the ready list if it may start tasks.
 func (c *Core) queueStep(s *step) {
-	if s.queued || s.unfinishedDeps > 0 || s.pending == 0 || !s.canStart() || !s.job().stored {
+	if s.queued || s.occ.early || s.unfinishedDeps > 0 || s.pending == 0 || !s.canStart() || !s.job().stored {
 		return
 	}
 	s.queued = true
--- a/internal/core/jobs/reconcile.go
+++ b/internal/core/jobs/reconcile.go
@@ -81,7 +81,7 @@
 // adopt adds a run that the worker reports and this leader does not know. An
 // earlier leader started it; it is stopped if its task does not need it.
 func (c *Core) adopt(now time.Time, w *worker, report *RunReport) *run {
-	t := c.task(report.Task)
+	t := c.reportedTask(report.Task)
 	r := &run{ref: report.Task, number: report.Run, worker: w, state: runActive, sentAt: now, confirmedAt: now, reportedAt: now, progressAt: now, slowdownSampled: true, adopted: true, pace: paceState{applied: paceUnknown, wanted: fullPace}}
 	wanted := t != nil && t.step.job().outcome == OutcomeUnfinished && t.state == taskPending && t.run == nil
 	if wanted && t.step.def.Gang {
--- a/internal/core/jobs/restore.go
+++ b/internal/core/jobs/restore.go
@@ -77,13 +77,15 @@
 	}
 }
 
-// restoreOccurrence creates an unfinished occurrence with its stored progress.
+// restoreOccurrence creates an unfinished occurrence with its stored progress. Whether it is due
+// by this leader's clock is determined afterwards.
 func (j *job) restoreOccurrence(p *OccurrenceProgress) {
 	if p.Finished {
 		j.finished[p.Occurrence] = true
 		return
 	}
 	o := j.newOccurrence(p.Occurrence, j.due(p.Occurrence))
+	o.early = true
 	for i := range p.Steps {
 		sp := &p.Steps[i]
 		if sp.Step >= 0 && int(sp.Step) < len(o.steps) {
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -241,7 +241,7 @@
 	} else {
 		r = nil
 	}
-	t := c.task(e.Task)
+	t := c.reportedTask(e.Task)
 	if r != nil && r.task != nil {
 		t = r.task
 	}
