--- a/internal/cell/daemon.go
+++ b/internal/cell/daemon.go
@@ -336,7 +336,7 @@
 			active.push(workerResultsMsg{r, time.Now()})
 		}
 		if f.Report != nil {
-			active.push(reportMsg{l.PeerHello.Node, f.Report})
+			active.push(reportMsg{l.PeerHello.Node, l.PeerHello.Incarnation, f.Report})
 		}
 	}
 	if f.Probe {
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -69,7 +69,7 @@
 func (l *leader) heartbeat(link *linkrpc.Link) *cellpb.Heartbeat {
 	h := &cellpb.Heartbeat{Token: l.token, Successors: l.heartbeatSuccessors, ConfigVersion: l.configVersion, ConfigAgeMs: l.d.config.ageMs(time.Now())}
 	lastSent := l.lastSent[link]
-	if lastSent.config < l.configVersion && l.reports[link.PeerHello.Node].GetConfigVersion() < l.configVersion {
+	if lastSent.config < l.configVersion && l.reportOver(link).GetConfigVersion() < l.configVersion {
 		h.ConfigGzip = l.compressedConfig()
 	}
 	for _, name := range l.nodeChanges[min(lastSent.nodes, len(l.nodeChanges)):] {
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -140,10 +140,21 @@
 	id   uint64
 }
 
-// report is the last report of another daemon.
+// report is the last report of another daemon, from the process with the given incarnation.
 type report struct {
 	*cellpb.NodeReport
-	receivedAt time.Time
+	incarnation int64
+	receivedAt  time.Time
+}
+
+// reportOver returns the last report of the process at the other end of a link; nil if it has sent
+// none. What an earlier process of that daemon reported says nothing about it.
+func (l *leader) reportOver(link *linkrpc.Link) *cellpb.NodeReport {
+	r, reported := l.reports[link.PeerHello.Node]
+	if !reported || r.incarnation != link.PeerHello.Incarnation {
+		return nil
+	}
+	return r.NodeReport
 }
 
 // sentVersions is what was sent over a link: the version of the configuration and the
@@ -323,7 +334,7 @@
 	}
 	names := []string{l.d.settings.Node}
 	for _, link := range l.d.members.peerLinks() {
-		if name := link.PeerHello.Node; !l.reports[name].GetLeaving() {
+		if name := link.PeerHello.Node; !l.reportOver(link).GetLeaving() {
 			names = append(names, name)
 		}
 	}
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -223,12 +223,17 @@
 
 // reportMsg is a report of another daemon.
 type reportMsg struct {
-	node   string
-	report *cellpb.NodeReport
+	node        string
+	incarnation int64
+	report      *cellpb.NodeReport
 }
 
 func (m reportMsg) apply(l *leader, now time.Time) {
-	l.reports[m.node] = report{m.report, now}
+	if l.reports[m.node].incarnation > m.incarnation {
+		// A later process has reported already.
+		return
+	}
+	l.reports[m.node] = report{m.report, m.incarnation, now}
 	if _, known := l.acknowledgedAt[m.node]; !known && m.report.Token >= l.token {
 		l.acknowledgedAt[m.node] = now
 	}
--- a/internal/cell/relayedcalls.go
+++ b/internal/cell/relayedcalls.go
@@ -229,8 +229,8 @@
 	var out []callrouting.Daemon
 	for _, link := range l.d.members.peerLinks() {
 		name := link.PeerHello.Node
-		report, reported := l.reports[name]
-		if !reported || report.Leaving || now.Before(l.relayed.backoffUntil[name]) {
+		report := l.reportOver(link)
+		if report == nil || report.Leaving || now.Before(l.relayed.backoffUntil[name]) {
 			continue
 		}
 		out = append(out, callrouting.Daemon{Name: name, DataCentre: model.DataCentre(link.PeerHello.DataCentre), CPUShare: report.CpuShare})
