Let a leader miss no configuration and go back to none

Beside it: each configuration is sent by a goroutine of its own, so that an older one could come later.

Change: the leader looks once it can be reached, and ignores older versions.

Result: TestLeaderHasTheNewestConfiguration fails with either change taken out and holds.

--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -219,6 +219,7 @@
 	l.goroutines.Go(l.maintainConfigCopy)
 	l.recordRound()
 	l.d.activeLeader.Store(l)
+	l.catchUpConfig()
 	l.d.members.becomeLeader(l.token)
 	l.loop()
 	l.d.activeLeader.Store(nil)
@@ -231,6 +232,9 @@
 	l.log.WithFields(logrus.Fields{"event": "leader_ended", "reason": l.stopReason}).Info("this daemon is no longer the leader")
 }
 
+// catchUpConfig applies the configuration that arrived since newLeader, which no message brings.
+func (l *leader) catchUpConfig() { configMsg{l.d.config.current.Load()}.apply(l, time.Now()) }
+
 // loop handles messages and runs rounds until the leader stops.
 func (l *leader) loop() {
 	tick := time.NewTicker(loopTick)
--- a/internal/cell/leaderconfig_test.go
+++ b/internal/cell/leaderconfig_test.go
@@ -11,6 +11,7 @@
 
 	"catkinvalve/internal/adapters/linkrpc"
 	"catkinvalve/internal/cellpb"
+	"catkinvalve/internal/core/jobs"
 	"catkinvalve/internal/ports"
 )
 
@@ -32,6 +33,25 @@
 	assert.Equal(t, len(l.heartbeat(linkOf(2)).ConfigGzip), 0, "a late report of the former process counts")
 }
 
+// Guards against a leader that goes back to an older configuration, whose message arrives later, or
+// that misses one which arrives while it takes over.
+func TestLeaderHasTheNewestConfiguration(t *testing.T) {
+	queue := func(version int64, name string) *ports.CellConfig {
+		return &ports.CellConfig{Version: version, Routes: []ports.Route{{Host: "host", Prefix: "/", Queue: jobs.Queue{Name: name, Service: "s"}}}}
+	}
+	d := New(Settings{Node: "leader"}, Deps{Log: discardedLog(), Registry: metrics.NewRegistry()})
+	d.config.applyIfNewer(queue(1, "first"), "test")
+	l := newLeader(d, claim{token: 1, at: time.Now()}, &storedState{})
+	configMsg{queue(3, "third")}.apply(l, time.Now())
+	configMsg{queue(2, "second")}.apply(l, time.Now())
+	assert.Assert(t, l.core.HasQueue("third"))
+	assert.Equal(t, l.configVersion, int64(3))
+
+	d.config.applyIfNewer(queue(4, "fourth"), "test")
+	l.catchUpConfig()
+	assert.Assert(t, l.core.HasQueue("fourth"))
+}
+
 func discardedLog() *logrus.Entry {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -185,10 +185,13 @@
 	l.core.SetWorkers(now, m.entries)
 }
 
-// configMsg is a new configuration.
+// configMsg is a configuration, which may be older than the leader's.
 type configMsg struct{ config *ports.CellConfig }
 
 func (m configMsg) apply(l *leader, _ time.Time) {
+	if m.config == nil || m.config.Version <= l.configVersion {
+		return
+	}
 	l.core.SetQueues(queuesOf(m.config))
 	l.configVersion = m.config.Version
 	l.lastHeartbeatAt = time.Time{} // the current round sends heartbeats
