Start lasting tasks before those that can still be in time

Change: a lasting task is never late.

Result: TestLastingTaskStartsBeforeOthersInFullCell fails on the code before (another job's task starts first) and holds.

--- a/internal/core/jobs/occurrences_test.go
+++ b/internal/core/jobs/occurrences_test.go
@@ -65,3 +65,24 @@
 	assert.Assert(t, !startedAt.Before(due), "started %v before its time", due.Sub(startedAt))
 	assert.Assert(t, !startedAt.IsZero(), "never started")
 }
+
+// Guards against a lasting task that waits in a full cell behind all tasks that can still be in time,
+// although its users need it at once.
+func TestLastingTaskStartsBeforeOthersInFullCell(t *testing.T) {
+	b := newCrashBench(t, "w1")
+	lasting := lastingStep(1)
+	lasting.Size.MilliCPU = 8000
+	b.submit("lasting", lasting)
+	first := b.starts()
+	assert.Equal(t, len(first), 1)
+	for range 120 {
+		b.answerWith(b.advance(500*time.Millisecond), CallOK)
+	}
+	for _, id := range []string{"j1", "j2", "j3"} {
+		b.submit(id, wholeWorkerStep(1, time.Second))
+	}
+	b.answerSyncs(b.advance(stepTime), map[model.WorkerID]SyncResult{"w1": {Ends: []RunEnd{{Seq: 1, Task: first[0].Task, Run: first[0].Run, Kind: EndFailed}}}})
+	out := b.advance(scheduleInterval)
+	assert.Equal(t, len(out.Starts), 1)
+	assert.Equal(t, out.Starts[0].Task.Job, "lasting")
+}
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -84,7 +84,7 @@
 const starvationTime = 1500 * time.Millisecond
 
 // updateOrder updates which steps are late or starving and restores the order of the
-// ready list. In a pool with much free capacity steps wait for advice, of which
+// ready list. A lasting task has no time to be late for: it is needed again at once. In a pool with much free capacity steps wait for advice, of which
 // those before them may use up all.
 func (c *Core) updateOrder(now time.Time) {
 	changed := false
@@ -95,7 +95,7 @@
 			s.fit.checkAt = time.Time{}
 		}
 		grace := time.Duration(lateGrace * float64(c.estimator.expected(s.job().queue.Name, s.def)))
-		if late := now.After(s.startBy.Add(grace)); late != s.late {
+		if late := !s.def.LongRunning && now.After(s.startBy.Add(grace)); late != s.late {
 			s.late, changed = late, true
 		}
 	}
