Confirm the leadership with the next batch

Cause: since the answer that a job does not exist waits for a confirmation by the store, for which an append of its own was made at once, again and again while such calls wait. The partition takes one append at a time, so that each batch of accepted jobs and ends waited for a confirmation as well.

Change: any append that is sent after a call confirms the leadership for it. One for that alone is made only when there is no batch, at the pace of batches.

TestCallsAboutUnknownJobsMakeFewAppendsOfTheirOwn failed on the code before (28 of 56 appends only confirmed) and holds.

--- a/internal/cell/absentjobs.go
+++ b/internal/cell/absentjobs.go
@@ -16,8 +16,9 @@
 // absentJobs holds the replies that wait, in the order of the calls.
 type absentJobs struct {
 	waiting []absentJobReply
-	// requestedAt is when a confirmation was last requested for them.
-	requestedAt time.Time
+	// unconfirmed is set while no append has been passed to the journal since the first of them
+	// arrived.
+	unconfirmed bool
 }
 
 // replyNoJob answers that a job does not exist, once the leadership is confirmed.
@@ -27,24 +28,14 @@
 		return
 	}
 	l.absent.waiting = append(l.absent.waiting, absentJobReply{origin, receivedAt})
-	if len(l.absent.waiting) == 1 {
-		l.requestConfirmation()
-	}
-}
-
-// requestConfirmation makes the journal confirm the leadership now.
-func (l *leader) requestConfirmation() {
-	l.absent.requestedAt = time.Now()
-	l.journal.requestConfirmation()
+	l.absent.unconfirmed = true
 }
 
 // confirm records that the store confirmed the leadership by a call that was sent at the given time,
 // and sends the replies that waited for it.
 func (l *leader) confirm(sentAt time.Time) {
 	l.confirmation.confirm(sentAt)
-	if l.replyConfirmed(); len(l.absent.waiting) > 0 && !sentAt.Before(l.absent.requestedAt) {
-		l.requestConfirmation()
-	}
+	l.replyConfirmed()
 }
 
 // replyConfirmed answers the calls that had arrived before the last confirmation was requested.
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -310,21 +310,27 @@
 	}
 }
 
-// flush passes the next batch to the journal if it is due and the journal accepts it.
+// flush passes the next batch to the journal if it is due and the journal accepts it. The append of a
+// batch also confirms the leadership; only without a batch is one made for that alone.
 func (l *leader) flush(now time.Time) {
 	if now.Sub(l.lastBatchAt) < minBatchInterval || !l.journal.acceptsBatch(now) {
 		return
 	}
-	if b := l.core.TakeBatch(); b != nil {
-		l.lastBatchAt = now
+	switch b := l.core.TakeBatch(); {
+	case b != nil:
 		l.journal.enqueue(b)
+	case l.absent.unconfirmed:
+		l.journal.requestConfirmation()
+	default:
+		return
 	}
+	l.lastBatchAt, l.absent.unconfirmed = now, false
 }
 
 // nextFlushIn returns the time until the next attempt to flush a batch, or 0 when there
 // is no batch.
 func (l *leader) nextFlushIn(now time.Time) time.Duration {
-	if !l.core.HasBatch() {
+	if !l.core.HasBatch() && !l.absent.unconfirmed {
 		return 0
 	}
 	return max(minBatchInterval-now.Sub(l.lastBatchAt), flushRetryDelay)
