Count the voters of a term instead of all daemons that ever registered

The next leader starts none of the accepted jobs for over 14 s, on idle workers.

Cause: a new leader waits 12 s instead of 3 s for its predecessor unless it has links to most daemons; those that had left were counted for ever. Beside it, links that are open now were taken for links since the claim, so that the wait could also end too soon when daemons come over late.

Change: each leader records in the store which daemons vote in its term; it and its successor count these. A daemon without a report for 5 s stops voting. While a change is not answered, the leader needs enough voters of both sets. The wait of the successor counts from when too few voters are left for the former leader. Decided in core/voters, without a network.

TestTermIsStoredBeforeFirstStart: the first append of a term may contain records of voters beside the term, and still nothing else.

--- a/internal/cell/authority.go
+++ b/internal/cell/authority.go
@@ -61,12 +61,25 @@
 		// with a token at least as high.
 		return l.acknowledgedAt[term.Node]
 	}
+	if l.previousVoters != nil {
+		if at, superseded := l.supersededAt(term.Node); superseded {
+			return later(l.claim.at.Add(isolatedLeaderTimeout), at).Add(newLeaderNoticeDelay)
+		}
+		return l.claim.at.Add(connectedLeaderTimeout)
+	}
 	if linkedCount, known := l.d.members.linkedCount(); 2*(linkedCount+1) > known+1 {
 		return l.claim.at.Add(isolatedLeaderTimeout + newLeaderNoticeDelay)
 	}
 	return l.claim.at.Add(connectedLeaderTimeout)
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // checkLeadership stops the leader when the store has not confirmed the leadership for
 // too long, when an append failed permanently or when a higher token was seen. It also
 // starts a handover when the store does not serve this daemon.
@@ -163,18 +176,6 @@
 // a handover.
 const minProbeSpeedup = 4
 
-// hearsMajority reports whether the daemons that sent a report within linkIdleTimeout are
-// at least half of the known ones. Together with this daemon they are a majority.
-func (l *leader) hearsMajority(now time.Time) bool {
-	recent := 0
-	for _, r := range l.reports {
-		if now.Sub(r.receivedAt) < linkIdleTimeout {
-			recent++
-		}
-	}
-	return 2*recent >= len(l.nodes)
-}
-
 // successors returns the names of the daemons that could take over, the best first.
 func (l *leader) successors(now time.Time) []string {
 	var candidates []succession.Candidate
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -294,7 +296,8 @@
 			assert.Assert(t, known && !a.start.Before(end), "append %d of epoch %d overtakes the first one", a.fence.Seq, a.fence.Epoch)
 			continue
 		}
-		assert.DeepEqual(t, a.keys, []string{termKey})
+		keys := slices.DeleteFunc(a.keys, func(key string) bool { return strings.HasPrefix(key, voterPrefix) })
+		assert.DeepEqual(t, keys, []string{termKey})
 		termStoredAt[a.fence.Epoch] = a.end
 	}
 	assert.Assert(t, len(termStoredAt) >= 2, "%d terms", len(termStoredAt))
--- a/internal/cell/claim.go
+++ b/internal/cell/claim.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -129,16 +131,21 @@
 // number first, and the following ones must continue from it.
 const firstSeq = 1
 
-// storeTerm stores the term of this daemon together with the previous ones. This
-// happens before the leader makes its first call to a worker.
+// storeTerm stores the term of this daemon together with the previous ones, and the voters of
+// the last term as its own. This happens before the leader makes its first call to a worker.
 func (d *Daemon) storeTerm(ctx context.Context, token uint64, s *storedState) error {
 	own := &cellpb.Lead{Node: d.settings.Node, Incarnation: d.incarnation, Token: token}
 	value, err := proto.Marshal(&cellpb.StoredLead{Lead: own, Former: s.previousTerms()})
 	if err != nil {
 		return err
 	}
+	records, err := voterRecords(token, slices.Collect(maps.Keys(s.voters())), nil)
+	if err != nil {
+		return err
+	}
+	records = append(records, ports.KeyedRecord{Key: termKey, Value: value})
 	_, err = retryTransient(ctx, d, func(ctx context.Context) (int64, error) {
-		return d.deps.Store.Append(ctx, ports.Append{Topic: ports.JobsTopic, Records: []ports.KeyedRecord{{Key: termKey, Value: value}},
+		return d.deps.Store.Append(ctx, ports.Append{Topic: ports.JobsTopic, Records: records,
 			Fence: &ports.Fence{Producer: producer, Epoch: token, Seq: firstSeq}})
 	})
 	if err != nil && !alreadyExecuted(err, firstSeq) {
--- a/internal/cell/journal.go
+++ b/internal/cell/journal.go
@@ -45,7 +45,7 @@
 // is in flight. While the store is slow, further appends are sent before it answers.
 type journal struct {
 	l       *leader
-	batches chan *jobs.Batch
+	batches chan journalEntry
 	// confirmations requests confirmations of the leadership.
 	confirmations chan struct{}
 	// mu guards inFlight and the refused fields of its appends.
@@ -63,6 +63,12 @@
 	failures       metrics.Counter
 }
 
+// journalEntry is what one append stores: a batch, which may be nil, and the change of the voters.
+type journalEntry struct {
+	batch  *jobs.Batch
+	voters []ports.KeyedRecord
+}
+
 // pendingAppend is an append that the store has not answered yet.
 type pendingAppend struct {
 	seq       uint64
@@ -73,7 +79,7 @@
 
 func newJournal(l *leader) *journal {
 	r := l.d.registry
-	return &journal{l: l, seq: firstSeq, batches: make(chan *jobs.Batch, maxAppendsInFlight), confirmations: make(chan struct{}, 1),
+	return &journal{l: l, seq: firstSeq, batches: make(chan journalEntry, maxAppendsInFlight), confirmations: make(chan struct{}, 1),
 		latency: telemetry.NewHistograms(r, telemetry.DefaultMaxPairs).Latency("store_append"),
 		appends: telemetry.Counter(r, "store.appends"), bytes: telemetry.Counter(r, "store.append_bytes"),
 		failures: telemetry.Counter(r, "store.append_failures")}
@@ -89,8 +95,8 @@
 	return n == 0 || n < maxAppendsInFlight && len(j.inFlight) > 0 && now.Sub(j.inFlight[len(j.inFlight)-1].startedAt) >= overlapDelay
 }
 
-// enqueue passes a batch to the journal. It may block unless acceptsBatch returned true.
-func (j *journal) enqueue(b *jobs.Batch) { j.batches <- b }
+// enqueue passes an entry to the journal. It may block unless acceptsBatch returned true.
+func (j *journal) enqueue(e journalEntry) { j.batches <- e }
 
 // oldestAppendWait returns how long the oldest append in flight has waited and whether
 // the store refused an attempt of it. It returns 0 when no append is in flight.
@@ -123,8 +129,8 @@
 		select {
 		case <-j.l.ctx.Done():
 			return
-		case b := <-j.batches:
-			j.appendBatch(b)
+		case e := <-j.batches:
+			j.appendEntry(e)
 		case <-j.confirmations:
 			j.appendConfirmation()
 		case <-timer.C:
@@ -133,15 +139,24 @@
 	}
 }
 
-// appendBatch starts the append of a batch.
-func (j *journal) appendBatch(b *jobs.Batch) {
-	records, err := encodeBatch(b)
-	if err != nil {
-		j.l.log.WithFields(logrus.Fields{"event": "batch_unstorable", "error": err.Error()}).Error("cannot encode a batch")
-		j.permanentError.Store(true)
-		return
+// appendEntry starts the append of an entry. A change of the voters is in the same append as the batch
+// before it, or in a later one.
+func (j *journal) appendEntry(e journalEntry) {
+	records := slices.Clone(e.voters)
+	stored := entryStoredMsg{voters: len(e.voters) > 0}
+	if e.batch != nil {
+		batch, err := encodeBatch(e.batch)
+		if err != nil {
+			j.l.log.WithFields(logrus.Fields{"event": "batch_unstorable", "error": err.Error()}).Error("cannot encode a batch")
+			j.permanentError.Store(true)
+			return
+		}
+		records, stored.batchSeq = append(records, batch...), e.batch.Seq
 	}
-	j.startAppend(records, func(sent time.Time) message { return batchStoredMsg{b.Seq, sent} })
+	j.startAppend(records, func(sent time.Time) message {
+		stored.sentAt = sent
+		return stored
+	})
 }
 
 // startAppend starts the next append of the sequence in a goroutine. When the append is
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -15,7 +15,9 @@
 	"catkinvalve/internal/cellpb"
 	"catkinvalve/internal/core/jobs"
 	"catkinvalve/internal/core/retry"
+	"catkinvalve/internal/core/voters"
 	"catkinvalve/internal/pause"
+	"catkinvalve/internal/ports"
 	"catkinvalve/internal/ring"
 	"catkinvalve/internal/telemetry"
 )
@@ -100,6 +102,13 @@
 	acknowledgedAt map[string]time.Time
 	// previousTerms lists the terms whose leaders may have extended leases of workers.
 	previousTerms []*cellpb.Lead
+	// previousVoters are the voters of the last term; nil if its leader recorded none.
+	previousVoters voters.Set
+	// voters are the voters of this term, and voterRecords the change of them that is not passed
+	// to the journal yet.
+	voters          voters.Membership
+	voterRecords    []ports.KeyedRecord
+	votersCheckedAt time.Time
 	// previousTermsUnknown is set when the record of these terms cannot be decoded.
 	previousTermsUnknown bool
 	// nodes maps the names of daemons to their link addresses.
@@ -183,7 +192,8 @@
 	l := &leader{
 		d: d, token: c.token, claim: c, core: jobs.New(cfg), log: d.log.WithField("token", c.token),
 		inbox: ring.New[message]("leader", inboxSize, d.registry), callOrigins: map[jobs.CallID]callOrigin{},
-		reports: map[string]report{}, acknowledgedAt: map[string]time.Time{}, probeLatencies: map[string]time.Duration{}, previousTerms: s.previousTerms(), previousTermsUnknown: s.termUnreadable, nodes: map[string]string{}, lastSent: map[*linkrpc.Link]sentVersions{},
+		reports: map[string]report{}, acknowledgedAt: map[string]time.Time{}, probeLatencies: map[string]time.Duration{}, previousTerms: s.previousTerms(), previousTermsUnknown: s.termUnreadable,
+		previousVoters: s.voters(), voters: voters.Membership{Current: s.voters()}, nodes: map[string]string{}, lastSent: map[*linkrpc.Link]sentVersions{},
 		queues: newQueueMetrics(d.registry),
 		metrics: leaderMetrics{
 			starts: telemetry.Counter(d.registry, "leader.starts"), ends: telemetry.Counter(d.registry, "leader.ends"),
@@ -286,6 +296,7 @@
 		l.core.Tick(now, now)
 		l.core.SetAdviceRelays(l.adviceRelays())
 		l.checkRelays(now)
+		l.changeVoters(now)
 		l.refuseUnconfirmed(now)
 		l.logLoad(now)
 	}
@@ -310,15 +321,16 @@
 	}
 }
 
-// flush passes the next batch to the journal if it is due and the journal accepts it. The append of a
-// batch also confirms the leadership; only without a batch is one made for that alone.
+// flush passes the next batch, with a change of the voters, to the journal if it is due and the journal
+// accepts it. That append also confirms the leadership; only without it is one made for that alone.
 func (l *leader) flush(now time.Time) {
 	if now.Sub(l.lastBatchAt) < minBatchInterval || !l.journal.acceptsBatch(now) {
 		return
 	}
 	switch b := l.core.TakeBatch(); {
-	case b != nil:
-		l.journal.enqueue(b)
+	case b != nil || l.voterRecords != nil:
+		l.journal.enqueue(journalEntry{b, l.voterRecords})
+		l.voterRecords = nil
 	case l.absent.unconfirmed:
 		l.journal.requestConfirmation()
 	default:
@@ -330,7 +342,7 @@
 // nextFlushIn returns the time until the next attempt to flush a batch, or 0 when there
 // is no batch.
 func (l *leader) nextFlushIn(now time.Time) time.Duration {
-	if !l.core.HasBatch() && !l.absent.unconfirmed {
+	if !l.core.HasBatch() && !l.absent.unconfirmed && l.voterRecords == nil {
 		return 0
 	}
 	return max(minBatchInterval-now.Sub(l.lastBatchAt), flushRetryDelay)
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -161,15 +161,20 @@
 
 func (m adviceResultMsg) apply(l *leader, now time.Time) { l.core.HandleAdviceResult(now, m.result) }
 
-// batchStoredMsg reports that a batch is durable.
-type batchStoredMsg struct {
-	seq    uint64
-	sentAt time.Time
+// entryStoredMsg reports that an entry of the journal is durable: a batch, unless batchSeq is 0, and
+// a change of the voters if voters is set.
+type entryStoredMsg struct {
+	batchSeq uint64
+	voters   bool
+	sentAt   time.Time
 }
 
-func (m batchStoredMsg) apply(l *leader, now time.Time) {
+func (m entryStoredMsg) apply(l *leader, now time.Time) {
 	l.confirm(m.sentAt)
-	l.core.HandleBatchStored(now, m.seq)
+	if m.voters {
+		l.voters.HandleStored()
+	}
+	l.core.HandleBatchStored(now, m.batchSeq)
 }
 
 // confirmedMsg reports that the store confirmed the leadership without a batch.
--- a/internal/cell/store_records.go
+++ b/internal/cell/store_records.go
@@ -11,6 +11,7 @@
 	"catkinvalve/internal/cellpb"
 	"catkinvalve/internal/core/jobs"
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/voters"
 	"catkinvalve/internal/ports"
 )
 
@@ -80,6 +81,8 @@
 	recoveredToken uint64
 	// lastTerm is the record of the last term; nil when there was none.
 	lastTerm *cellpb.StoredLead
+	// votersByToken holds the voters by the token of their term.
+	votersByToken map[uint64]voters.Set
 	// termUnreadable is set when that record cannot be decoded, so that any daemon may have led.
 	termUnreadable bool
 }
@@ -144,6 +147,8 @@
 			return err
 		}
 		snap.Workers = append(snap.Workers, p.ToWorkerRecord())
+	case strings.HasPrefix(key, voterPrefix):
+		return s.decodeVoter(strings.TrimPrefix(key, voterPrefix), value)
 	case key == recoveredKey:
 		p := &cellpb.StoredRecovery{}
 		if err := proto.Unmarshal(value, p); err != nil {
