--- a/internal/adapters/linkrpc/link.go
+++ b/internal/adapters/linkrpc/link.go
@@ -7,7 +7,6 @@
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -16,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"catkinvalve/internal/cellpb"
+	"catkinvalve/internal/lastseen"
 	"catkinvalve/internal/ring"
 	"catkinvalve/internal/telemetry"
 )
@@ -54,8 +54,8 @@
 	log    *logrus.Entry
 	// dropped counts the frames that could not be encoded.
 	dropped metrics.Counter
-	// lastRecv is the time of the last received frame, in nanoseconds since clockOrigin.
-	lastRecv  atomic.Int64
+	// received is the time of the last received frame.
+	received  lastseen.Mark
 	closeOnce sync.Once
 	done      chan struct{}
 }
@@ -76,7 +76,7 @@
 	l := &Link{stream: s, conn: conn, done: make(chan struct{}), log: t.Log,
 		queue:   ring.New[*cellpb.Frame]("link", maxQueuedFrames, t.Registry),
 		dropped: telemetry.Counter(t.Registry, "link.frames_dropped")}
-	l.markReceived()
+	l.received.Now()
 	return l
 }
 
@@ -90,16 +90,9 @@
 	return true
 }
 
-// clockOrigin is the origin of monotonic times, which are not affected by changes of the
-// wall clock.
-var clockOrigin = time.Now()
-
-// markReceived records that a frame was received now.
-func (l *Link) markReceived() { l.lastRecv.Store(int64(time.Since(clockOrigin))) }
-
 // IdleTime returns the time since the last frame was received.
 func (l *Link) IdleTime() time.Duration {
-	return time.Since(clockOrigin) - time.Duration(l.lastRecv.Load())
+	return l.received.Age()
 }
 
 // Done returns a channel that is closed when the link is closed.
@@ -131,7 +124,7 @@
 		if err != nil {
 			return
 		}
-		l.markReceived()
+		l.received.Now()
 		h.Frame(l, f)
 	}
 }
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -16,6 +15,7 @@
 	"catkinvalve/internal/core/jobs"
 	"catkinvalve/internal/core/retry"
 	"catkinvalve/internal/core/voters"
+	"catkinvalve/internal/lastseen"
 	"catkinvalve/internal/pause"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/ring"
@@ -34,13 +34,6 @@
 	// minRoundInterval is the minimum time between the starts of two rounds, so that
 	// messages that arrive close together are handled in one scheduling decision.
 	minRoundInterval = 4 * time.Millisecond
-	// minBatchInterval is the minimum time between two batches.
-	minBatchInterval = 15 * time.Millisecond
-
-	// flushRetryDelay is the minimum time until a batch that the journal did not accept
-	// is tried again.
-	flushRetryDelay = 10 * time.Millisecond
-
 	// workerLeaseDuration is the lease that each call to a worker grants. It must last
 	// longer than a takeover by another leader.
 	workerLeaseDuration = 4500 * time.Millisecond
@@ -137,9 +130,8 @@
 	queues          *queueMetrics
 	// stopReason is why the leadership ends; empty until then.
 	stopReason string
-	// roundEndedAt is when the loop last ended a round, in nanoseconds since clockOrigin. Any
-	// goroutine may read it.
-	roundEndedAt atomic.Int64
+	// roundEnd is when the loop last ended a round.
+	roundEnd lastseen.Mark
 }
 
 // callOrigin is where the answer to a call goes: to the daemon at the other end of
@@ -321,33 +313,6 @@
 	}
 }
 
-// flush passes the next batch, with a change of the voters, to the journal if it is due and the journal
-// accepts it. That append also confirms the leadership; only without it is one made for that alone.
-func (l *leader) flush(now time.Time) {
-	if now.Sub(l.lastBatchAt) < minBatchInterval || !l.journal.acceptsBatch(now) {
-		return
-	}
-	switch b := l.core.TakeBatch(); {
-	case b != nil || l.voterRecords != nil:
-		l.journal.enqueue(journalEntry{b, l.voterRecords})
-		l.voterRecords = nil
-	case l.absent.unconfirmed:
-		l.journal.requestConfirmation()
-	default:
-		return
-	}
-	l.lastBatchAt, l.absent.unconfirmed = now, false
-}
-
-// nextFlushIn returns the time until the next attempt to flush a batch, or 0 when there
-// is no batch.
-func (l *leader) nextFlushIn(now time.Time) time.Duration {
-	if !l.core.HasBatch() && !l.absent.unconfirmed && l.voterRecords == nil {
-		return 0
-	}
-	return max(minBatchInterval-now.Sub(l.lastBatchAt), flushRetryDelay)
-}
-
 // adviceRelays returns the daemons that can call the advice service, this one first. It
 // returns nil when there is no advice service.
 func (l *leader) adviceRelays() []string {
--- a/internal/cell/leaderprogress.go
+++ b/internal/cell/leaderprogress.go
@@ -6,20 +6,17 @@
 	"github.com/sirupsen/logrus"
 )
 
-// clockOrigin is the origin of monotonic times.
-var clockOrigin = time.Now()
-
 // maxRoundTime is the time without the end of a round from which the leader counts as stalled: its
 // process lives, but it decides nothing. It is far above that of a round under overload.
 const maxRoundTime = 3 * time.Second
 
 // recordRound records that the loop has ended a round.
-func (l *leader) recordRound() { l.roundEndedAt.Store(int64(time.Since(clockOrigin))) }
+func (l *leader) recordRound() { l.roundEnd.Now() }
 
 // silence returns how long the leader is to be taken as silent by other daemons: since the end of
 // its last round if it is stalled, otherwise 0.
 func (l *leader) silence() time.Duration {
-	if silence := time.Since(clockOrigin) - time.Duration(l.roundEndedAt.Load()); silence > maxRoundTime {
+	if silence := l.roundEnd.Age(); silence > maxRoundTime {
 		return silence
 	}
 	return 0
