--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -208,14 +208,18 @@
 // reportedTask returns the task that a worker reports, or nil. If its occurrence is not due yet by
 // this leader's clock, it was by that of an earlier leader, and is created.
 func (c *Core) reportedTask(ref TaskRef) *task {
-	j := c.jobs[ref.Job]
-	if j != nil && j.outcome == OutcomeUnfinished && int(ref.Occurrence) >= j.createdOccurrences && int(ref.Occurrence) < j.spec.OccurrenceCount() &&
-		j.occurrences[ref.Occurrence] == nil && !j.finished[ref.Occurrence] {
+	if j := c.jobs[ref.Job]; j != nil && j.outcome == OutcomeUnfinished && j.isAhead(ref.Occurrence) {
 		j.newOccurrence(ref.Occurrence, j.due(ref.Occurrence)).early = true
 	}
 	return c.task(ref)
 }
 
+// isAhead reports whether the job has an occurrence that is neither created nor finished.
+func (j *job) isAhead(ordinal int32) bool {
+	return int(ordinal) >= j.createdOccurrences && int(ordinal) < j.spec.OccurrenceCount() &&
+		j.occurrences[ordinal] == nil && !j.finished[ordinal]
+}
+
 // task returns the task that ref identifies, or nil.
 func (c *Core) task(ref TaskRef) *task {
 	j := c.jobs[ref.Job]
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -84,8 +84,9 @@
 const starvationTime = 1500 * time.Millisecond
 
 // updateOrder updates which steps are late or starving and restores the order of the
-// ready list. A lasting task has no time to be late for: it is needed again at once. In a pool with much free capacity steps wait for advice, of which
-// those before them may use up all.
+// ready list. A lasting task has no time to be late for: it is needed again at once. In a
+// pool with much free capacity steps wait for advice, of which those before them may use
+// up all.
 func (c *Core) updateOrder(now time.Time) {
 	changed := false
 	for _, s := range c.ready {
