Give a relayed stop the time at which it is sent

Only cells with relays.

Result: TestRelayedStopIsSentAfterItsDecision failed on the code before and holds.

--- a/internal/cell/relayedcalls.go
+++ b/internal/cell/relayedcalls.go
@@ -116,8 +116,10 @@
 func (r *relayedCalls) stop(now time.Time, relay string, req *jobs.StopRequest) {
 	c := &relayedCall{relay: relay, worker: req.Worker, sentAt: now, deadline: now.Add(stopTimeout + relaySlack)}
 	worker, task, run := req.Worker, req.Task, req.Run
+	// The round began at now, before some of the messages arrived that it handles.
+	sentAt := time.Now()
 	c.result = func(status jobs.CallStatus, clockMs int64, receivedAt time.Time) message {
-		return stopResultMsg{jobs.StopResult{Worker: worker, Task: task, Run: run, Status: status, SentAt: now, ClockMs: clockMs}, receivedAt}
+		return stopResultMsg{jobs.StopResult{Worker: worker, Task: task, Run: run, Status: status, SentAt: sentAt, ClockMs: clockMs}, receivedAt}
 	}
 	id, group := r.add(c)
 	group.AddStop(id, req)
