Hear a daemon whose clock was set back before it restarted

The incarnation is the wall-clock time of the start, so that a daemon whose clock is set back would have been ignored for the rest of the term.

--- a/internal/cell/absentjobs.go
+++ b/internal/cell/absentjobs.go
@@ -16,7 +16,7 @@
 // absentJobs holds the replies that wait, in the order of the calls.
 type absentJobs struct {
 	waiting []absentJobReply
-	// unconfirmed is set while no append has been passed to the journal since the first of them
+	// unconfirmed is set while no append has been passed to the journal since the last of them
 	// arrived.
 	unconfirmed bool
 }
--- a/internal/cell/authority.go
+++ b/internal/cell/authority.go
@@ -73,6 +73,7 @@
 	return l.claim.at.Add(connectedLeaderTimeout)
 }
 
+// later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -237,10 +237,6 @@
 }
 
 func (m reportMsg) apply(l *leader, now time.Time) {
-	if l.reports[m.node].incarnation > m.incarnation {
-		// A later process has reported already.
-		return
-	}
 	l.reports[m.node] = report{m.report, m.incarnation, now}
 	if _, known := l.acknowledgedAt[m.node]; !known && m.report.Token >= l.token {
 		l.acknowledgedAt[m.node] = now
