--- a/review/standin-2/oddentry.go
+++ b/review/standin-2/oddentry.go
@@ -25,18 +25,11 @@
 	}
 	time.Sleep(2 * time.Second)
 	if trouble {
-		w := c.holder(job, 0)
-		c.mu.Lock()
-		other := c.workers[0]
+		w, other := c.holder(job, 0), c.workers[0]
 		if other == w {
 			other = c.workers[1]
 		}
-		value := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"zone-a","version":"v1","slots":"eight","state":"ready","coldRemainingMs":0,`+
-			`"capacity":{"cpu":32000,"memMb":131072,"gpu":0},"labels":["r0"],"seqNum":4,"born":%d}`, service, other.address, w.born.UnixMilli())
-		_, err := c.topic(platform.WorkerTopic()).Append(appendOf(ports.KeyedRecord{Key: string(w.id), Value: []byte(value)}))
-		c.note("another writer writes servers/%s: %s", w.id, value)
-		c.mu.Unlock()
-		if err != nil {
+		if err := c.writeOddEntries(w, other); err != nil {
 			return err
 		}
 	}
@@ -47,3 +40,18 @@
 	c.checkTwice()
 	return nil
 }
+
+// writeOddEntries writes an odd entry under the ID of a worker three times, as that worker may replace it by its own before
+// it is read.
+func (c *cluster) writeOddEntries(w, other *worker) error {
+	value := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"zone-a","version":"v1","slots":"eight","state":"ready","coldRemainingMs":0,`+
+		`"capacity":{"cpu":32000,"memMb":131072,"gpu":0},"labels":["r0"],"seqNum":4,"born":%d}`, service, other.address, w.Incarnation())
+	for range 3 {
+		c.note("another writer writes servers/%s: %s", w.id, value)
+		if _, err := c.topic(platform.WorkerTopic()).Append(appendOf(ports.KeyedRecord{Key: string(w.id), Value: []byte(value)})); err != nil {
+			return err
+		}
+		time.Sleep(700 * time.Millisecond)
+	}
+	return nil
+}
