--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -51,6 +51,9 @@
 	cut      bool // no call arrives and no answer leaves; the runs go on
 	draining bool
 	dark     bool // without power: its connections are silent
+	// lapses are the times at which a lease lapsed.
+	lapses []time.Time
+	lapsed bool
 	// life counts the lives; a connection of an earlier one is reset once the worker is back.
 	life int
 }
@@ -322,6 +325,10 @@
 		return
 	}
 	lapsed := w.clock() > w.lease
+	if lapsed && !w.lapsed {
+		w.lapses = append(w.lapses, now)
+	}
+	w.lapsed = lapsed
 	for ref, r := range w.runs {
 		switch {
 		case w.runs[ref] != r:
