review: accepted work stands still after the leader is lost beside a slow store (case 9)

Cause: an end that changes nothing is acknowledged with the next batch only. If a page of 500 ends holds nothing else, there is none, and the recovery waits for the further pages without end.

--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -17,6 +17,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -51,6 +52,11 @@
 	daemons []*daemon
 	http    *http.Client
 
+	// slow is set while the store takes sixty times as long to answer.
+	slow atomic.Bool
+	// fullPage gets a value when a worker answers with a full page of ends.
+	fullPage chan struct{}
+
 	topicsMu sync.Mutex
 	topics   map[string]*cellstore.Topic
 
@@ -102,7 +108,7 @@
 		return nil, err
 	}
 	c := &cluster{dir: tmp, began: time.Now(), record: record, topics: map[string]*cellstore.Topic{},
-		endsOf: map[jobs.TaskRef][]endEvent{}, running: map[jobs.TaskRef]int{}, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+		endsOf: map[jobs.TaskRef][]endEvent{}, running: map[jobs.TaskRef]int{}, fullPage: make(chan struct{}, 1), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	for i := range 60 {
 		c.network = 130 + (os.Getpid()+i)%60
 		if c.lock, err = net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", c.network, port)); err == nil {
@@ -154,6 +160,9 @@
 	answer := func(_ context.Context, _ bool, execute func()) platform.StoreOutcome {
 		time.Sleep(storeTime)
 		execute()
+		if c.slow.Load() {
+			time.Sleep(59 * storeTime)
+		}
 		return platform.OutcomeAnswered
 	}
 	s := &http.Server{Handler: platform.StandinStoreHandler(c.topic, answer)}
@@ -303,6 +312,12 @@
 	return nil
 }
 
+func (c *cluster) kill(d *daemon) {
+	c.note("%s killed", d.name)
+	_ = d.cmd.Process.Signal(syscall.SIGKILL)
+	<-d.done
+}
+
 func (c *cluster) signal(d *daemon, s syscall.Signal) {
 	c.note("%s gets signal %v", d.name, s)
 	_ = d.cmd.Process.Signal(s)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -25,7 +25,7 @@
 
 var plays = map[string]play{
 	"odd-entry":    oddEntry,
-	"rack-crashes": rackCrashes,
+	"full-page":    fullPage,
 	"long-lease":   longLease,
 	"stale-config": staleConfig,
 	"crash-loop":   crashLoop,
