Calls to a worker reach only the incarnation that they are meant for

Cause: a start that was repeated while the worker had no power reached the next process over a new connection. Its deadline was a time on the earlier clock, so the lease became the longest one, of which only the lost leader knew.

Change: adapters/boundhttp sends a bound call only over a connection on which the intended incarnation has answered; a new connection is asked first, without a lease. Starts, stops, paces and renewals with a lease are bound, also through relays. This works because a connection ends with its process. Ruled out: the age of the life by its clock, which begins anywhere; waits at each handover.

--- a/internal/adapters/jsonhttp/jsonhttp.go
+++ b/internal/adapters/jsonhttp/jsonhttp.go
@@ -57,8 +57,11 @@
 
 // Client sends HTTP requests over one transport, which keeps connections for reuse.
 type Client struct {
-	http          *http.Client
-	transport     *http.Transport
+	http      *http.Client
+	transport *http.Transport
+	// dialer opens the connections of Dial. It has no limit per host: the transport would count
+	// their ends against the limit, but not their beginnings.
+	dialer        *http.Transport
 	daemon        string
 	timeout       time.Duration
 	maxReplyBytes int64
@@ -116,8 +119,10 @@
 		WriteBufferSize:        bufferBytes,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
+	unlimited := t.Clone()
+	unlimited.MaxConnsPerHost = 0
 	return &Client{
-		http: &http.Client{Transport: t}, transport: t, daemon: o.Daemon,
+		http: &http.Client{Transport: t}, transport: t, dialer: unlimited, daemon: o.Daemon,
 		timeout:       orDefault(o.Timeout, defaultTimeout),
 		maxReplyBytes: orDefault(o.MaxReplyBytes, defaultMaxReplyBytes),
 	}, nil
@@ -181,6 +186,11 @@
 
 // Send sends a request and returns the response, whatever its status is.
 func (c *Client) Send(ctx context.Context, r Request) (Reply, error) {
+	return c.exchange(ctx, &r, c.http.Do)
+}
+
+// exchange sends a request with do and reads the response.
+func (c *Client) exchange(ctx context.Context, r *Request, do func(*http.Request) (*http.Response, error)) (Reply, error) {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, c.timeout)
@@ -193,13 +203,28 @@
 		defer cancel()
 		stopTimer = time.AfterFunc(r.HeaderTimeout, cancel).Stop
 	}
+	req, err := c.newRequest(ctx, r)
+	if err != nil {
+		return Reply{}, err
+	}
+	resp, err := do(req)
+	stopTimer()
+	if err != nil {
+		return Reply{}, err
+	}
+	defer resp.Body.Close()
+	return c.readBody(resp)
+}
+
+// newRequest returns the HTTP request for r.
+func (c *Client) newRequest(ctx context.Context, r *Request) (*http.Request, error) {
 	var body io.Reader
 	if r.Body != nil {
 		body = bytes.NewReader(r.Body)
 	}
 	req, err := http.NewRequestWithContext(ctx, r.Method, r.URL, body)
 	if err != nil {
-		return Reply{}, err
+		return nil, err
 	}
 	req.Host = r.Host
 	for name, values := range r.Header {
@@ -212,13 +237,7 @@
 	if c.daemon != "" {
 		req.Header.Set(standinapi.DaemonHeader, c.daemon)
 	}
-	resp, err := c.http.Do(req)
-	stopTimer()
-	if err != nil {
-		return Reply{}, err
-	}
-	defer resp.Body.Close()
-	return c.readBody(resp)
+	return req, nil
 }
 
 // readBody reads the whole body, because the connection is reused only then. A 2xx response
--- a/internal/cellpb/workercalls.go
+++ b/internal/cellpb/workercalls.go
@@ -10,7 +10,7 @@
 
 // AddSync adds a sync to the calls.
 func (p *WorkerCalls) AddSync(id uint64, req *jobs.SyncRequest) {
-	p.Syncs = append(p.Syncs, &SyncCall{Target: newTarget(id, req.Worker, req.Address), LeaseDeadlineMs: req.LeaseDeadlineMs,
+	p.Syncs = append(p.Syncs, &SyncCall{Target: newTarget(id, req.Worker, req.Address, req.Incarnation), LeaseDeadlineMs: req.LeaseDeadlineMs,
 		AckCursor: req.AckCursor, WaitMs: req.Wait.Milliseconds()})
 }
 
@@ -24,22 +24,22 @@
 		payload = len(p.Payloads)
 		p.Payloads = append(p.Payloads, req.Payload)
 	}
-	p.Starts = append(p.Starts, &StartCall{Target: newTarget(id, req.Worker, req.Address), Run: fromRun(req.Task, req.Run), Payload: int32(payload),
+	p.Starts = append(p.Starts, &StartCall{Target: newTarget(id, req.Worker, req.Address, req.Incarnation), Run: fromRun(req.Task, req.Run), Payload: int32(payload),
 		LeaseDeadlineMs: req.LeaseDeadlineMs, Checkpoint: req.Checkpoint, Ticket: req.Ticket, TimeoutMs: req.Timeout.Milliseconds()})
 }
 
 // AddStop adds a stop to the calls.
 func (p *WorkerCalls) AddStop(id uint64, req *jobs.StopRequest) {
-	p.Stops = append(p.Stops, &StopCall{Target: newTarget(id, req.Worker, req.Address), Run: fromRun(req.Task, req.Run)})
+	p.Stops = append(p.Stops, &StopCall{Target: newTarget(id, req.Worker, req.Address, req.Incarnation), Run: fromRun(req.Task, req.Run)})
 }
 
 // AddPace adds a change of pace to the calls.
 func (p *WorkerCalls) AddPace(id uint64, req *jobs.PaceRequest) {
-	p.Paces = append(p.Paces, &PaceCall{Target: newTarget(id, req.Worker, req.Address), Run: fromRun(req.Task, req.Run), Percent: int32(req.Percent)})
+	p.Paces = append(p.Paces, &PaceCall{Target: newTarget(id, req.Worker, req.Address, req.Incarnation), Run: fromRun(req.Task, req.Run), Percent: int32(req.Percent)})
 }
 
-func newTarget(id uint64, worker model.WorkerID, address string) *CallTarget {
-	return &CallTarget{Id: id, Worker: string(worker), Address: address}
+func newTarget(id uint64, worker model.WorkerID, address string, incarnation int64) *CallTarget {
+	return &CallTarget{Id: id, Worker: string(worker), Address: address, Incarnation: incarnation}
 }
 
 func fromRun(ref jobs.TaskRef, run int64) *TaskRun {
@@ -54,7 +54,7 @@
 
 // ToRequest returns the sync of a message.
 func (p *SyncCall) ToRequest() jobs.SyncRequest {
-	return jobs.SyncRequest{Worker: p.Target.workerID(), Address: p.Target.GetAddress(), LeaseDeadlineMs: p.LeaseDeadlineMs,
+	return jobs.SyncRequest{Worker: p.Target.workerID(), Address: p.Target.GetAddress(), Incarnation: p.Target.GetIncarnation(), LeaseDeadlineMs: p.LeaseDeadlineMs,
 		AckCursor: p.AckCursor, Wait: milliseconds(p.WaitMs)}
 }
 
@@ -64,18 +64,18 @@
 	if p.Payload < 0 || int(p.Payload) >= len(payloads) {
 		return jobs.StartRequest{}, false
 	}
-	return jobs.StartRequest{Worker: p.Target.workerID(), Address: p.Target.GetAddress(), Task: p.Run.ref(), Run: p.Run.GetRun(),
+	return jobs.StartRequest{Worker: p.Target.workerID(), Address: p.Target.GetAddress(), Incarnation: p.Target.GetIncarnation(), Task: p.Run.ref(), Run: p.Run.GetRun(),
 		Payload: payloads[p.Payload], LeaseDeadlineMs: p.LeaseDeadlineMs, Checkpoint: p.Checkpoint, Ticket: p.Ticket, Timeout: milliseconds(p.TimeoutMs)}, true
 }
 
 // ToRequest returns the stop of a message.
 func (p *StopCall) ToRequest() jobs.StopRequest {
-	return jobs.StopRequest{Worker: p.Target.workerID(), Address: p.Target.GetAddress(), Task: p.Run.ref(), Run: p.Run.GetRun()}
+	return jobs.StopRequest{Worker: p.Target.workerID(), Address: p.Target.GetAddress(), Incarnation: p.Target.GetIncarnation(), Task: p.Run.ref(), Run: p.Run.GetRun()}
 }
 
 // ToRequest returns the change of pace of a message.
 func (p *PaceCall) ToRequest() jobs.PaceRequest {
-	return jobs.PaceRequest{Worker: p.Target.workerID(), Address: p.Target.GetAddress(), Task: p.Run.ref(), Run: p.Run.GetRun(), Percent: int(p.Percent)}
+	return jobs.PaceRequest{Worker: p.Target.workerID(), Address: p.Target.GetAddress(), Incarnation: p.Target.GetIncarnation(), Task: p.Run.ref(), Run: p.Run.GetRun(), Percent: int(p.Percent)}
 }
 
 // milliseconds returns a duration of ms milliseconds.
@@ -115,7 +115,7 @@
 func (p *CallResult) CallStatus() jobs.CallStatus { return toStatus(p.Status) }
 
 func toStatus(n uint32) jobs.CallStatus {
-	if n > uint32(jobs.CallMalformed) {
+	if n > uint32(jobs.CallRestarted) {
 		return jobs.CallNoAnswer
 	}
 	return jobs.CallStatus(n)
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -143,6 +143,9 @@
 type SyncRequest struct {
 	Worker  model.WorkerID
 	Address string
+	// Incarnation is the incarnation of the worker that may receive the request. It is 0, for
+	// any, only in requests that extend no lease and acknowledge nothing.
+	Incarnation int64
 	// LeaseDeadlineMs is the new end of the lease on the worker's clock in ms;
 	// 0 extends nothing.
 	LeaseDeadlineMs int64
@@ -156,7 +159,10 @@
 type StartRequest struct {
 	Worker  model.WorkerID
 	Address string
-	Task    TaskRef
+	// Incarnation is the incarnation of the worker that may receive the request. Another one
+	// would take LeaseDeadlineMs for a time on its own clock.
+	Incarnation int64
+	Task        TaskRef
 	// Run is the run number. A worker refuses a new run of a task whose number is
 	// not higher than all that it has seen.
 	Run     int64
@@ -175,8 +181,10 @@
 type StopRequest struct {
 	Worker  model.WorkerID
 	Address string
-	Task    TaskRef
-	Run     int64
+	// Incarnation is the incarnation of the worker that may receive the request.
+	Incarnation int64
+	Task        TaskRef
+	Run         int64
 }
 
 // ResponseKind is the kind of a response to a client's call.
--- a/internal/core/jobs/pace.go
+++ b/internal/core/jobs/pace.go
@@ -45,9 +45,11 @@
 type PaceRequest struct {
 	Worker  model.WorkerID
 	Address string
-	Task    TaskRef
-	Run     int64
-	Percent int
+	// Incarnation is the incarnation of the worker that may receive the request.
+	Incarnation int64
+	Task        TaskRef
+	Run         int64
+	Percent     int
 }
 
 // PaceResult is a worker's answer to a PaceRequest.
@@ -182,7 +184,7 @@
 		return
 	}
 	p.inFlight, p.sentAt = true, now
-	c.out.Paces = append(c.out.Paces, PaceRequest{Worker: r.worker.ID, Address: r.worker.Address, Task: r.ref, Run: r.number, Percent: p.wanted})
+	c.out.Paces = append(c.out.Paces, PaceRequest{Worker: r.worker.ID, Address: r.worker.Address, Incarnation: r.worker.incarnation, Task: r.ref, Run: r.number, Percent: p.wanted})
 }
 
 // movable reports whether a worker without serving tasks has capacity for a
--- a/internal/core/jobs/runs.go
+++ b/internal/core/jobs/runs.go
@@ -56,7 +56,7 @@
 		checkpoint = s.gang.checkpoint
 	}
 	c.out.Starts = append(c.out.Starts, StartRequest{
-		Worker: w.ID, Address: w.Address, Task: r.ref, Run: number, Payload: s.job().spec.Payload,
+		Worker: w.ID, Address: w.Address, Incarnation: w.incarnation, Task: r.ref, Run: number, Payload: s.job().spec.Payload,
 		LeaseDeadlineMs: c.extendLease(now, w), Checkpoint: checkpoint, Ticket: ticket, Timeout: c.cfg.StartTimeout,
 	})
 	c.event(Event{Name: EventRunStarted, Job: r.ref.Job, Queue: s.job().queue.Name, Task: &r.ref, Run: number, Worker: w.ID, Age: now.Sub(s.job().acceptedAt)})
@@ -116,6 +116,9 @@
 	case CallUnhealthy:
 		c.health.RecordFailure(now, w.ID, r.ref.Job)
 		w.backoffUntil, c.poolsStale = now.Add(refusalBackoff), true
+	case CallRestarted:
+		w.backoffUntil, c.poolsStale = now.Add(refusalBackoff), true
+		c.scheduleSync(now, w)
 	case CallNotSent, CallNoCapacity, CallDeadlinePassed, CallMalformed:
 		w.backoffUntil, c.poolsStale = now.Add(refusalBackoff), true
 	case CallWrongIncarnation:
@@ -151,7 +154,7 @@
 		return
 	}
 	r.stop.inFlight, r.stop.sentAt = true, now
-	c.out.Stops = append(c.out.Stops, StopRequest{Worker: r.worker.ID, Address: r.worker.Address, Task: r.ref, Run: r.number})
+	c.out.Stops = append(c.out.Stops, StopRequest{Worker: r.worker.ID, Address: r.worker.Address, Incarnation: r.worker.incarnation, Task: r.ref, Run: r.number})
 	c.runEvent(EventRunStopSent, r, now.Sub(r.sentAt), "")
 }
 
--- a/internal/core/jobs/simworld_test.go
+++ b/internal/core/jobs/simworld_test.go
@@ -264,7 +264,7 @@
 	w.crashed, w.token, w.leaseDeadlineMs, w.unackedEnds, w.lastEndSeq, w.ackCursor, w.lastLeaseEndSeq = false, 0, 0, nil, 0, 0, 0
 	w.highestRun, w.ends = map[TaskRef]int64{}, map[int64]*simEnd{}
 	w.incarnation += 1000
-	w.startedAt = w.s.now
+	w.startedAt = w.s.now.Add(-w.restartClock())
 }
 
 // finish ends a run and adds it to the reported ends.
@@ -331,10 +331,12 @@
 func (m gangMember) present() bool { return m.worker.runs[m.ref] == m.run }
 
 // call delivers a request to a worker and its answer back, subject to the
-// active faults. Late requests are executed seconds later and never answered.
-// The status passed to answer is CallOK, CallNoAnswer or that of a refusal.
+// active faults. Late requests are executed seconds later and never answered, unless the
+// process that received them has ended. A request that names no incarnation reaches whichever
+// process is there. The status passed to answer is CallOK, CallNoAnswer or that of a refusal.
 func (s *sim) call(w *simWorker, incarnation int64, execute func() bool, answer func(status CallStatus), wait time.Duration) {
 	late := s.rng.Float64() < s.faults.late
+	receiver := w.incarnation
 	delay := simNetworkDelay
 	if late {
 		delay = 2*time.Second + time.Duration(s.rng.Float64()*10*float64(time.Second))
@@ -353,7 +355,15 @@
 			s.after(simNetworkDelay, reply)
 			return
 		}
-		if w.unreachable() || w.incarnation != incarnation || !execute() || late || s.rng.Float64() < s.faults.lost {
+		if w.unreachable() || late && w.incarnation != receiver {
+			return
+		}
+		if incarnation != 0 && w.incarnation != incarnation {
+			status = CallRestarted
+			s.after(simNetworkDelay, reply)
+			return
+		}
+		if !execute() || late || s.rng.Float64() < s.faults.lost {
 			return
 		}
 		s.after(simNetworkDelay, reply)
@@ -401,6 +411,11 @@
 		if w.unreachable() {
 			return
 		}
+		if req.Incarnation != 0 && req.Incarnation != w.incarnation {
+			result = SyncResult{Worker: req.Worker, Status: CallRestarted}
+			s.after(simNetworkDelay, finish)
+			return
+		}
 		if token >= w.token {
 			w.token = token
 			w.ack(req.AckCursor)
@@ -491,7 +506,7 @@
 
 func (s *sim) start(req StartRequest) {
 	w := s.byID[req.Worker]
-	token, incarnation := s.token, w.incarnation
+	token := s.token
 	status := CallOK
 	execute := func() bool {
 		status = w.startNow(req, token)
@@ -500,7 +515,7 @@
 	unanswered, begin, pause := false, s.now, simStartRetryPause
 	var try func(n int)
 	try = func(n int) {
-		s.call(w, incarnation, execute, func(outcome CallStatus) {
+		s.call(w, req.Incarnation, execute, func(outcome CallStatus) {
 			if outcome == CallNoAnswer && n < maxStartRetries {
 				unanswered = true
 				try(n + 1)
@@ -710,7 +725,7 @@
 	w := s.byID[req.Worker]
 	token, sentAt := s.token, s.now
 	status := CallOK
-	s.call(w, w.incarnation, func() bool {
+	s.call(w, req.Incarnation, func() bool {
 		if token < w.token {
 			status = CallFenced
 			return true
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -95,11 +95,14 @@
 	CallTicketInvalid
 	// CallMalformed means that the worker could not decode the call.
 	CallMalformed
+	// CallRestarted means that the worker is another incarnation than the one that the call
+	// was meant for. The call was not sent.
+	CallRestarted
 )
 
 // String returns the status's name.
 func (s CallStatus) String() string {
-	return [...]string{"ok", "no_answer", "not_sent", "fenced", "wrong_life", "unhealthy", "old", "late", "no_room", "no_ticket", "malformed"}[s]
+	return [...]string{"ok", "no_answer", "not_sent", "fenced", "wrong_life", "unhealthy", "old", "late", "no_room", "no_ticket", "malformed", "restarted"}[s]
 }
 
 // SyncResult is the result of a SyncRequest. The fields after SentAt are set
--- a/internal/core/jobs/sync_schedule.go
+++ b/internal/core/jobs/sync_schedule.go
@@ -92,7 +92,7 @@
 			req.AckCursor = w.ackedEnd
 			// A worker that did not answer gets no extension; otherwise the
 			// lease of a failed worker would never end.
-			req.LeaseDeadlineMs = c.extendLease(now, w)
+			req.LeaseDeadlineMs, req.Incarnation = c.extendLease(now, w), w.incarnation
 			if w.ackedEnd == w.processedEnd {
 				req.Wait = c.cfg.SyncWait
 			}
--- a/internal/daemon/command/platform.go
+++ b/internal/daemon/command/platform.go
@@ -75,9 +75,11 @@
 	}
 	defer client.Close()
 	store := platform.NewStore(client, set.StoreAddress)
+	workers := platform.NewWorkerClient(client, set.MaxFiles)
+	defer workers.CloseIdle()
 	deps := cell.Deps{
 		Store: store, Config: platform.NewConfigSource(store), List: platform.NewWorkerList(store),
-		Workers: platform.NewWorkerClient(client), CloseIdleConns: client.Close, Log: log, Registry: registry,
+		Workers: workers, CloseIdleConns: workers.CloseIdle, Log: log, Registry: registry,
 	}
 	if set.AdviceAddress != "" {
 		deps.AdviceService = platform.NewAdviceClient(client, set.AdviceAddress)
