A dial that is not answered in time does not count as refused

A silent worker then counted as one whose process had ended, and its tasks as what may have crashed it.

--- a/internal/adapters/jsonhttp/conn.go
+++ b/internal/adapters/jsonhttp/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 )
 
@@ -16,11 +18,12 @@
 // that the server refused the connection.
 func (c *Client) Dial(ctx context.Context, address string) (*Conn, error) {
 	conn, err := c.dialer.NewClientConn(ctx, "http", address)
+	var network net.Error
+	if errors.As(err, &network) && network.Timeout() {
+		// The server did not refuse the connection; it did not answer.
+		return nil, context.DeadlineExceeded
+	}
 	if err != nil {
-		// A dial that takes too long does not count as refused.
-		if ctx.Err() != nil {
-			return nil, ctx.Err()
-		}
 		return nil, err
 	}
 	return &Conn{client: c, conn: conn}, nil
