A configuration that a daemon does not confirm is sent again

Cause: the leader took a configuration that it had sent over a link for received, and never sent it again, though the reports of the daemon named the older version. Change: a report that comes 2 s or more after the sending and names an older version makes the next heartbeat include the configuration again. 2 s cover the transfer of a long configuration, so that a slow link is not filled with repeats. Test: TestUnconfirmedConfigurationIsSentAgain fails with the condition taken out.

--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -37,7 +37,7 @@
 	l.heartbeatRounds++
 	for _, link := range l.d.members.peerLinks() {
 		if l.heartbeatDue(link.PeerHello.Node) {
-			l.sendHeartbeat(link)
+			l.sendHeartbeat(now, link)
 		}
 	}
 	if now.Sub(l.lastDialAt) >= dialInterval {
@@ -58,30 +58,49 @@
 }
 
 // sendHeartbeat sends a heartbeat to one daemon.
-func (l *leader) sendHeartbeat(link *linkrpc.Link) {
-	link.Send(&cellpb.Frame{Heartbeat: l.heartbeat(link)})
+func (l *leader) sendHeartbeat(now time.Time, link *linkrpc.Link) {
+	link.Send(&cellpb.Frame{Heartbeat: l.heartbeat(now, link)})
 }
 
 // heartbeat returns the heartbeat for one daemon and records what it contains. The
-// heartbeat includes the daemons that were added or moved, and the configuration, only if
-// they were not sent over the link yet. The configuration is also left out if the daemon
-// has reported that it has it.
-func (l *leader) heartbeat(link *linkrpc.Link) *cellpb.Heartbeat {
+// heartbeat includes the daemons that were added or moved only if they were not sent over the
+// link yet, and the configuration only if the daemon needs it.
+func (l *leader) heartbeat(now time.Time, link *linkrpc.Link) *cellpb.Heartbeat {
 	h := &cellpb.Heartbeat{Token: l.token, Successors: l.heartbeatSuccessors, ConfigVersion: l.configVersion, ConfigAgeMs: l.d.config.ageMs(time.Now())}
-	lastSent := l.lastSent[link]
-	if lastSent.config < l.configVersion && l.reportOver(link).GetConfigVersion() < l.configVersion {
+	sent, known := l.lastSent[link]
+	if !known {
+		l.removeClosedLinks()
+	}
+	if l.configDue(link, sent) {
 		h.ConfigGzip = l.compressedConfig()
+		sent.config, sent.configAt = l.configVersion, now
 	}
-	for _, name := range l.nodeChanges[min(lastSent.nodes, len(l.nodeChanges)):] {
+	for _, name := range l.nodeChanges[min(sent.nodes, len(l.nodeChanges)):] {
 		h.Nodes = append(h.Nodes, &cellpb.StoredNode{Node: name, Address: l.nodes[name]})
 	}
-	if _, known := l.lastSent[link]; !known {
-		l.removeClosedLinks()
-	}
-	l.lastSent[link] = sentVersions{config: l.configVersion, nodes: len(l.nodeChanges)}
+	sent.nodes = len(l.nodeChanges)
+	l.lastSent[link] = sent
 	return h
 }
 
+// configConfirmTimeout is the time after the sending of a configuration from which on a report
+// without it shows that it did not take effect. It covers the transfer of a long configuration
+// over a link between regions.
+const configConfirmTimeout = 2 * time.Second
+
+// configDue reports whether a heartbeat includes the configuration: if it was not sent over the
+// link yet, or was sent and is not confirmed by the daemon's later reports.
+func (l *leader) configDue(link *linkrpc.Link, sent sentVersions) bool {
+	report := l.reportOver(link)
+	switch {
+	case report.GetConfigVersion() >= l.configVersion:
+		return false
+	case sent.config < l.configVersion:
+		return true
+	}
+	return report != nil && l.reports[link.PeerHello.Node].receivedAt.Sub(sent.configAt) >= configConfirmTimeout
+}
+
 // compressedConfig returns the configuration in the form in which heartbeats contain it. It
 // is compressed once per version: in a cell of many daemons a long configuration would
 // otherwise fill the links between regions.
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -158,11 +158,12 @@
 	return r.NodeReport
 }
 
-// sentVersions is what was sent over a link: the version of the configuration and the
-// number of entries of leader.nodeChanges.
+// sentVersions is what was sent over a link: the version of the configuration, the time of its
+// last sending, and the number of entries of leader.nodeChanges.
 type sentVersions struct {
-	config int64
-	nodes  int
+	config   int64
+	configAt time.Time
+	nodes    int
 }
 
 // leaderMetrics are the leader's counters and histograms.
--- a/internal/cell/leaderconfig_test.go
+++ b/internal/cell/leaderconfig_test.go
@@ -26,10 +26,33 @@
 		return &linkrpc.Link{PeerHello: &cellpb.Hello{Node: "peer", Incarnation: incarnation}}
 	}
 	reportMsg{"peer", 1, &cellpb.NodeReport{ConfigVersion: 7}}.apply(l, time.Now())
-	assert.Equal(t, len(l.heartbeat(linkOf(1)).ConfigGzip), 0, "sent to a daemon that has it")
-	assert.Assert(t, len(l.heartbeat(linkOf(2)).ConfigGzip) > 0, "not sent to the new process")
+	assert.Equal(t, len(l.heartbeat(time.Now(), linkOf(1)).ConfigGzip), 0, "sent to a daemon that has it")
+	assert.Assert(t, len(l.heartbeat(time.Now(), linkOf(2)).ConfigGzip) > 0, "not sent to the new process")
 	reportMsg{"peer", 2, &cellpb.NodeReport{ConfigVersion: 7}}.apply(l, time.Now())
-	assert.Equal(t, len(l.heartbeat(linkOf(2)).ConfigGzip), 0, "sent to the new process although it has it")
+	assert.Equal(t, len(l.heartbeat(time.Now(), linkOf(2)).ConfigGzip), 0, "sent to the new process although it has it")
+}
+
+// Guards against a daemon that keeps an old configuration because the new one was sent to it once,
+// at a moment at which it could not take it.
+func TestUnconfirmedConfigurationIsSentAgain(t *testing.T) {
+	d := New(Settings{Node: "leader"}, Deps{Log: discardedLog(), Registry: metrics.NewRegistry()})
+	d.config.applyIfNewer(&ports.CellConfig{Version: 7}, "test")
+	now := time.Now()
+	l := newLeader(d, claim{token: 1, at: now}, &storedState{})
+	link := &linkrpc.Link{PeerHello: &cellpb.Hello{Node: "peer", Incarnation: 1}}
+	sends := func(after time.Duration) bool { return len(l.heartbeat(now.Add(after), link).ConfigGzip) > 0 }
+	report := func(after time.Duration, version int64) {
+		reportMsg{"peer", 1, &cellpb.NodeReport{ConfigVersion: version}}.apply(l, now.Add(after))
+	}
+	assert.Assert(t, sends(0))
+	assert.Assert(t, !sends(5*time.Second), "sent again without any report")
+	report(configConfirmTimeout-time.Millisecond, 6)
+	assert.Assert(t, !sends(5*time.Second), "sent again on a report that may be older")
+	report(configConfirmTimeout, 6)
+	assert.Assert(t, sends(5*time.Second), "not sent again")
+	assert.Assert(t, !sends(5*time.Second), "sent again at once")
+	report(9*time.Second, 7)
+	assert.Assert(t, !sends(9*time.Second), "sent to a daemon that has it")
 }
 
 // Guards against a daemon that is ignored after a restart because its clock was set back meanwhile: its
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -216,9 +216,9 @@
 // linkOpenedMsg reports an opened link.
 type linkOpenedMsg struct{ link *linkrpc.Link }
 
-func (m linkOpenedMsg) apply(l *leader, _ time.Time) {
+func (m linkOpenedMsg) apply(l *leader, now time.Time) {
 	l.addNode(m.link.PeerHello.Node, m.link.PeerHello.Address)
-	l.sendHeartbeat(m.link)
+	l.sendHeartbeat(now, m.link)
 }
 
 // linkClosedMsg reports that a link to a daemon was closed.
