A deposed leader takes the heartbeats of its successor

Cause: the first heartbeat of the successor raised the highest known token while the daemon still counted as leader; the following ones were then ignored as if they were its own, with the configuration that they held. Change: members keep the token of the daemon's own term apart from the highest known one. As leader it ignores only what is not above its own. TestDeposedLeaderTakesHeartbeatsOfItsSuccessor fails without the change.

--- a/internal/cell/leaderconfig_test.go
+++ b/internal/cell/leaderconfig_test.go
@@ -55,6 +55,21 @@
 	assert.Assert(t, !sends(9*time.Second), "sent to a daemon that has it")
 }
 
+// Guards against a daemon that keeps an old configuration after it was the leader: the new leader's
+// heartbeats came before it had stepped down, and all but the first were ignored.
+func TestDeposedLeaderTakesHeartbeatsOfItsSuccessor(t *testing.T) {
+	m := newMembers("deposed", time.Now())
+	m.becomeLeader(5)
+	link := &linkrpc.Link{PeerHello: &cellpb.Hello{Node: "successor"}}
+	assert.Assert(t, !m.handleHeartbeat(link, &cellpb.Heartbeat{Token: 5}), "took a heartbeat with its own token")
+	for range 3 {
+		assert.Assert(t, m.handleHeartbeat(link, &cellpb.Heartbeat{Token: 6}), "ignored a heartbeat of its successor")
+	}
+	assert.Assert(t, !m.handleHeartbeat(link, &cellpb.Heartbeat{Token: 5}))
+	m.stepDown()
+	assert.Equal(t, m.linkToLeader(), link)
+}
+
 // Guards against a daemon that is ignored after a restart because its clock was set back meanwhile: its
 // incarnation, the time of its start, is then lower than that of the process before.
 func TestDaemonWithClockSetBackIsHeard(t *testing.T) {
--- a/internal/cell/members.go
+++ b/internal/cell/members.go
@@ -30,8 +30,10 @@
 	leader string
 	// leaderLink is the link to the leader; nil when there is none.
 	leaderLink *linkrpc.Link
-	// isLeader reports whether this daemon is the leader.
+	// isLeader reports whether this daemon is the leader, with ownToken. It still is for a
+	// moment after another daemon was heard with a higher token.
 	isLeader bool
+	ownToken uint64
 	// leaderHeardAt is when the leader was last known to lead: its last heartbeat, the
 	// end of this daemon's own leadership, or at first the start of this daemon.
 	leaderHeardAt time.Time
@@ -104,10 +106,16 @@
 	}
 }
 
-// setLeader records the daemon at the other end of l as the leader, unless a leader
-// with a higher token is known. mu must be held.
+// outdated reports whether a token is lower than that of the known leader, or not higher than
+// this daemon's own while it is the leader. mu must be held.
+func (m *members) outdated(token uint64) bool {
+	return token < m.token || m.isLeader && token <= m.ownToken
+}
+
+// setLeader records the daemon at the other end of l as the leader, unless its token is
+// outdated. mu must be held.
 func (m *members) setLeader(l *linkrpc.Link, token uint64) {
-	if token < m.token || m.isLeader && token <= m.token {
+	if m.outdated(token) {
 		return
 	}
 	if m.leader != l.PeerHello.Node {
@@ -149,7 +157,7 @@
 func (m *members) handleHeartbeat(l *linkrpc.Link, h *cellpb.Heartbeat) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if h.Token < m.token || m.isLeader && h.Token <= m.token {
+	if m.outdated(h.Token) {
 		return false
 	}
 	m.setLeader(l, h.Token)
@@ -177,7 +185,7 @@
 	if token < m.token {
 		return
 	}
-	m.token, m.leader, m.isLeader, m.leaderLink, m.leaderHeardAt = token, m.self, true, nil, time.Now()
+	m.token, m.leader, m.isLeader, m.ownToken, m.leaderLink, m.leaderHeardAt = token, m.self, true, token, nil, time.Now()
 	m.notifyLeaderChanged()
 }
 
