Ends that are stored already are acknowledged at once

Cause: the acknowledgement of every end waited for the next batch, also where the end changed nothing. With a full page of such ends nobody makes a batch, the worker lists the same page for ever, and the recovery waits for its further ends. Change: an end waits for the batch with the latest progress of its job, which exists if anything changed. This holds also for an end whose task is gone with its ended job. A recovery that outlasts the former leases is logged (recovery_delayed) and is a gauge.

--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -170,6 +170,9 @@
 type leaderMetrics struct {
 	starts, ends, refused, advice metrics.Counter
 	round                         metrics.Histogram
+	// recoveryDelay is by how much the recovery has outlasted the leases of earlier leaders,
+	// in ms.
+	recoveryDelay metrics.Gauge
 }
 
 // newLeader returns the leader of a claimed term with the state that previous leaders
@@ -191,7 +194,8 @@
 		metrics: leaderMetrics{
 			starts: telemetry.Counter(d.registry, "leader.starts"), ends: telemetry.Counter(d.registry, "leader.ends"),
 			refused: telemetry.Counter(d.registry, "leader.refused"), advice: telemetry.Counter(d.registry, "leader.advice_calls"),
-			round: telemetry.NewHistograms(d.registry, telemetry.DefaultMaxPairs).Latency("leader_round"),
+			round:         telemetry.NewHistograms(d.registry, telemetry.DefaultMaxPairs).Latency("leader_round"),
+			recoveryDelay: telemetry.Gauge(d.registry, "leader.recovery_delay_ms"),
 		},
 	}
 	l.caller = &workerCaller{client: d.deps.Workers, token: c.token, superseded: func() bool { return d.superseded(c.token) }}
@@ -227,6 +231,7 @@
 	l.loop()
 	l.d.activeLeader.Store(nil)
 	l.d.members.stepDown()
+	l.metrics.recoveryDelay.Update(0)
 	l.returnUnconfirmed()
 	l.d.forwarder.failLocalCalls()
 	l.cancel()
--- a/internal/core/jobs/events.go
+++ b/internal/core/jobs/events.go
@@ -31,6 +31,7 @@
 	EventWorkerCrashed    EventName = "worker_crashed"
 	EventWorkerLeaseEnded EventName = "worker_lease_ended"
 	EventRecoveryComplete EventName = "recovery_complete"
+	EventRecoveryDelayed  EventName = "recovery_delayed"
 	EventTokenRefused     EventName = "token_refused"
 	EventAnomaly          EventName = "anomaly"
 )
--- a/internal/core/jobs/recovery.go
+++ b/internal/core/jobs/recovery.go
@@ -23,6 +23,8 @@
 	tasks map[TaskRef]int
 	// complete is set once each worker has reported or its lease has ended.
 	complete bool
+	// delayReportedAt is when a recovery that takes longer than the leases was last reported.
+	delayReportedAt time.Time
 }
 
 // previousRuns is what an earlier leader may have started on a worker.
@@ -188,3 +190,32 @@
 func (c *Core) previousLeaseEnd() time.Time {
 	return c.previousLeaderEnd.Add(time.Duration(float64(c.cfg.LeaseDuration)/(1-c.cfg.ClockDrift)) + leaseMargin)
 }
+
+// recoveryReportInterval is the time between two reports on a recovery that takes longer than
+// the leases of earlier leaders.
+const recoveryReportInterval = time.Second
+
+// RecoveryDelay returns by how much the recovery has outlasted the leases of earlier leaders; 0
+// if it has not, or is complete.
+func (c *Core) RecoveryDelay(now time.Time) time.Duration {
+	if c.recovery.complete {
+		return 0
+	}
+	return max(now.Sub(c.previousLeaseEnd()), 0)
+}
+
+// reportRecoveryDelay reports a recovery that takes longer than the leases of earlier leaders.
+func (c *Core) reportRecoveryDelay(now time.Time) {
+	delay := c.RecoveryDelay(now)
+	if delay == 0 || now.Sub(c.recovery.delayReportedAt) < recoveryReportInterval {
+		return
+	}
+	c.recovery.delayReportedAt = now
+	e := Event{Name: EventRecoveryDelayed, Age: delay, Count: len(c.recovery.workers), Reason: waitForEnds}
+	e.Worker = slices.Min(slices.Collect(maps.Keys(c.recovery.workers)))
+	c.event(e)
+}
+
+// waitForEnds: workers have more ends to list than one answer holds, and the store has not taken the
+// first ones yet.
+const waitForEnds model.Reason = "further_ends"
--- a/internal/core/jobs/runs.go
+++ b/internal/core/jobs/runs.go
@@ -212,6 +212,7 @@
 	}
 	c.poolsStale, c.reservationsStale = true, true
 	c.expirePreviousLeases(now)
+	c.reportRecoveryDelay(now)
 	c.expireAdviceCalls(now)
 	c.dropOldExpired(now)
 	c.reportWaits(now)
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -234,8 +234,8 @@
 	}
 }
 
-// processEnd processes one end. Ends that change stored progress delay the
-// acknowledgement until the next batch is stored. Those of lasting tasks change none.
+// processEnd processes one end. Its acknowledgement waits for the latest progress of its job, if
+// that is not stored yet; otherwise the end has changed nothing. Ends of lasting tasks change none.
 func (c *Core) processEnd(now time.Time, w *worker, e *RunEnd) {
 	r := w.findRun(e.Task)
 	if r != nil && r.number == e.Run {
@@ -248,14 +248,20 @@
 	if r != nil && r.task != nil {
 		t = r.task
 	}
-	if t == nil {
-		return
+	if t != nil {
+		c.applyEnd(now, w, t, r, e)
+	}
+	if j := c.jobs[e.Task.Job]; j != nil && (e.Kind == EndDone || e.Kind == EndFailed) {
+		w.ackAfterBatch = max(w.ackAfterBatch, j.progressBatch)
 	}
+}
+
+// applyEnd applies an end to its task. r is the run that ended; nil if it is not known.
+func (c *Core) applyEnd(now time.Time, w *worker, t *task, r *run, e *RunEnd) {
 	t.step.job().started = true
 	c.recordCheckpoint(t, e.Checkpoint)
-	lasting := t.step.def.LongRunning
 	switch {
-	case e.Kind == EndDone && lasting:
+	case e.Kind == EndDone && t.step.def.LongRunning:
 		// The task is started again however its run ends.
 		w.lastProgress = now
 		c.health.RecordSuccess(now, w.ID)
@@ -265,15 +271,11 @@
 		c.health.RecordSuccess(now, w.ID)
 		c.taskDone(now, t)
 		c.stopOtherRun(now, t, r)
-		w.ackAfterBatch = c.batch.next
 	case e.Kind == EndFailed:
 		c.health.RecordFailure(now, w.ID, e.Task.Job)
 		// The run has not crashed its worker.
 		t.crashes = crashHistory{}
 		c.recordFailure(now, t, e.Run)
-		if !lasting {
-			w.ackAfterBatch = c.batch.next
-		}
 	}
 	if r != nil {
 		c.handleRunGone(now, r)
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -77,7 +77,7 @@
 
 	// processedEnd and ackedEnd are positions in the worker's list of ends:
 	// what this leader has processed, and what it may acknowledge. The
-	// acknowledgement waits for batch ackAfterBatch.
+	// acknowledgement waits for batch ackAfterBatch, which is in flight or has content.
 	processedEnd  int64
 	ackedEnd      int64
 	ackAfterBatch uint64
--- a/internal/telemetry/registry.go
+++ b/internal/telemetry/registry.go
@@ -13,6 +13,11 @@
 	return metrics.GetOrRegisterCounter(name, registry)
 }
 
+// Gauge returns the gauge with the given name. It registers the gauge if there is none.
+func Gauge(registry metrics.Registry, name string) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(name, registry)
+}
+
 // RegisterGauge registers a gauge that calls value each time the metrics are read. When
 // the name is already registered, the call has no effect.
 func RegisterGauge(registry metrics.Registry, name string, value func() int64) {
