An entry moves no process away from the address at which it answers

Cause: the entry replaced the address of a worker that answers, and the 421 of the worker at the other address was taken for proof that the first one had ended. An entry of a later incarnation elsewhere is followed while the process does not answer, so that a worker that really moved is found.

--- a/internal/core/jobs/crashes.go
+++ b/internal/core/jobs/crashes.go
@@ -242,17 +242,17 @@
 			t.crashes.markPossible(now)
 		}
 	}
-	c.expired[w.Address] = expiredWorker{id: w.ID, incarnation: incarnation, runs: runs, at: now}
+	c.expired[w.address()] = expiredWorker{id: w.ID, incarnation: incarnation, runs: runs, at: now}
 }
 
 // resolveExpired counts the crash of the worker that had an address before, unless that is the process
 // that answers there now.
 func (c *Core) resolveExpired(now time.Time, w *worker, incarnation int64) {
-	e, ok := c.expired[w.Address]
+	e, ok := c.expired[w.address()]
 	if !ok {
 		return
 	}
-	delete(c.expired, w.Address)
+	delete(c.expired, w.address())
 	if e.id != w.ID || e.incarnation != incarnation {
 		c.recordCrash(now, e.id, e.runs)
 	}
--- a/internal/core/jobs/loss.go
+++ b/internal/core/jobs/loss.go
@@ -15,8 +15,9 @@
 	}
 }
 
-// handleReplacedWorker drops all runs on a worker whose address now belongs to
-// another worker. Calls that name the former worker have no effect there.
+// handleReplacedWorker drops all runs on a worker whose confirmed address now belongs to
+// another worker. Calls that name the former worker have no effect there. That an address which
+// only an entry names belongs to another worker proves nothing.
 func (c *Core) handleReplacedWorker(now time.Time, w *worker) {
 	c.event(Event{Name: EventWorkerRestarted, Worker: w.ID, Count: len(w.runs), Age: now.Sub(w.lastContact), Detail: "its address now belongs to another worker"})
 	c.recordWorkerCrash(now, w, w.interruptedRuns(now))
@@ -25,7 +26,7 @@
 	for _, r := range slices.Clone(w.runs) {
 		c.loseRun(now, r, "the address now belongs to another worker")
 	}
-	w.answered, w.processedEnd, w.ackedEnd, w.ackAfterBatch = false, 0, 0, 0
+	w.answered, w.confirmedAddress, w.processedEnd, w.ackedEnd, w.ackAfterBatch = false, "", 0, 0, 0
 	c.poolsStale = true
 	c.stopAwaiting(now, w.ID)
 }
--- a/internal/core/jobs/pace.go
+++ b/internal/core/jobs/pace.go
@@ -184,7 +184,7 @@
 		return
 	}
 	p.inFlight, p.sentAt = true, now
-	c.out.Paces = append(c.out.Paces, PaceRequest{Worker: r.worker.ID, Address: r.worker.Address, Incarnation: r.worker.incarnation, Task: r.ref, Run: r.number, Percent: p.wanted})
+	c.out.Paces = append(c.out.Paces, PaceRequest{Worker: r.worker.ID, Address: r.worker.address(), Incarnation: r.worker.incarnation, Task: r.ref, Run: r.number, Percent: p.wanted})
 }
 
 // movable reports whether a worker without serving tasks has capacity for a
--- a/internal/core/jobs/reconcile.go
+++ b/internal/core/jobs/reconcile.go
@@ -42,7 +42,7 @@
 		r = c.adopt(now, w, report)
 	case r.number != report.Run:
 		c.runEvent(EventAnomaly, r, now.Sub(r.sentAt), "the worker reports another run of the task")
-		c.out.Stops = append(c.out.Stops, StopRequest{Worker: w.ID, Address: w.Address, Incarnation: w.incarnation, Task: report.Task, Run: report.Run})
+		c.out.Stops = append(c.out.Stops, StopRequest{Worker: w.ID, Address: w.address(), Incarnation: w.incarnation, Task: report.Task, Run: report.Run})
 		return
 	}
 	r.lastListedAt = res.SentAt
--- a/internal/core/jobs/restore.go
+++ b/internal/core/jobs/restore.go
@@ -27,7 +27,7 @@
 	for i := range s.Workers {
 		r := &s.Workers[i]
 		w := c.worker(r.ID)
-		w.Address, w.Service, w.recordState = r.Address, r.Service, recordStored
+		w.Address, w.confirmedAddress, w.Service, w.recordState = r.Address, r.Address, r.Service, recordStored
 		if r.Silent {
 			w.recordState = recordSilent
 		}
--- a/internal/core/jobs/runs.go
+++ b/internal/core/jobs/runs.go
@@ -56,7 +56,7 @@
 		checkpoint = s.gang.checkpoint
 	}
 	c.out.Starts = append(c.out.Starts, StartRequest{
-		Worker: w.ID, Address: w.Address, Incarnation: w.incarnation, Task: r.ref, Run: number, Payload: s.job().spec.Payload,
+		Worker: w.ID, Address: w.address(), Incarnation: w.incarnation, Task: r.ref, Run: number, Payload: s.job().spec.Payload,
 		LeaseDeadlineMs: c.extendLease(now, w), Checkpoint: checkpoint, Ticket: ticket, Timeout: c.cfg.StartTimeout,
 	})
 	c.event(Event{Name: EventRunStarted, Job: r.ref.Job, Queue: s.job().queue.Name, Task: &r.ref, Run: number, Worker: w.ID, Age: now.Sub(s.job().acceptedAt)})
@@ -154,7 +154,7 @@
 		return
 	}
 	r.stop.inFlight, r.stop.sentAt = true, now
-	c.out.Stops = append(c.out.Stops, StopRequest{Worker: r.worker.ID, Address: r.worker.Address, Incarnation: r.worker.incarnation, Task: r.ref, Run: r.number})
+	c.out.Stops = append(c.out.Stops, StopRequest{Worker: r.worker.ID, Address: r.worker.address(), Incarnation: r.worker.incarnation, Task: r.ref, Run: r.number})
 	c.runEvent(EventRunStopSent, r, now.Sub(r.sentAt), "")
 }
 
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -133,6 +133,7 @@
 		return
 	}
 	c.poolsStale = c.poolsStale || w.missedSyncs > 0 || w.leaseExpired || !w.answered || res.Incarnation != w.incarnation
+	w.confirmedAddress = w.syncAddress
 	if w.answered && res.Incarnation != w.incarnation {
 		c.handleWorkerRestart(received, w, res)
 	}
@@ -199,7 +200,7 @@
 	w.refused = w.refused || status == CallNotSent
 	c.poolsStale = true
 	w.nextSync = now.Add(retryDelay(w.missedSyncs))
-	if status == CallWrongIncarnation {
+	if status == CallWrongIncarnation && w.syncAddress == w.address() {
 		c.handleReplacedWorker(now, w)
 		return
 	}
--- a/internal/core/jobs/sync_schedule.go
+++ b/internal/core/jobs/sync_schedule.go
@@ -85,7 +85,8 @@
 			continue
 		}
 		c.countProbe(w)
-		req := SyncRequest{Worker: w.ID, Address: w.Address}
+		w.syncAddress = w.nextSyncAddress()
+		req := SyncRequest{Worker: w.ID, Address: w.syncAddress}
 		if w.responsive() {
 			// A worker that did not answer may have restarted: its ends then have other
 			// sequence numbers.
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -39,6 +39,12 @@
 type worker struct {
 	WorkerEntry
 	listed bool
+	// confirmedAddress is the address at which the worker last answered this leader or, before
+	// that, an earlier one; empty if it is not known to have answered. The entry may name
+	// another one: that of a later incarnation, or one that another writer made up.
+	confirmedAddress string
+	// syncAddress is the address to which the last sync was sent.
+	syncAddress string
 	// answered is set once this incarnation of the worker has answered this
 	// leader.
 	answered    bool
@@ -284,6 +290,23 @@
 	return WorkerUsable
 }
 
+// address returns the address of the process that the leader knows.
+func (w *worker) address() string {
+	if w.confirmedAddress != "" {
+		return w.confirmedAddress
+	}
+	return w.Address
+}
+
+// nextSyncAddress returns the address for the next sync. If the entry names another address than
+// the confirmed one, the two take turns while the worker does not answer.
+func (w *worker) nextSyncAddress() string {
+	if w.answered == (w.missedSyncs%2 == 0) {
+		return w.address()
+	}
+	return w.Address
+}
+
 // hasLabel reports whether the worker has a label; every worker has the empty
 // one.
 func (e *WorkerEntry) hasLabel(label string) bool {
--- a/internal/core/jobs/worker_list.go
+++ b/internal/core/jobs/worker_list.go
@@ -29,6 +29,12 @@
 // setWorker applies one entry of the instance list.
 func (c *Core) setWorker(now time.Time, e *WorkerEntry) {
 	w := c.worker(e.ID)
+	if w.answered && w.incarnation == e.Incarnation && w.confirmedAddress != e.Address {
+		// A process does not move: another writer made the entry, which says nothing.
+		c.event(Event{Name: EventAnomaly, Worker: e.ID, Detail: "the entry names another address than that at which the process answers"})
+		w.listed = true
+		return
+	}
 	if e.Draining && !w.Draining {
 		c.event(Event{Name: EventWorkerState, Worker: e.ID, Detail: WorkerDraining.String(), Age: e.RemainingTime})
 	}
