Run numbers beyond a leader's range are stored before they are used

Cause: nothing kept the numbers of one leader below the range of the next, so the worker rejected the successor's numbers (409, old), and each rejection led on by one. Change: a leader numbers runs up to a limit; further limits are in the job's progress record before they are used, and the next leader begins above them. A rejected number that is in no list leads on by 1,000, then twice as far each time. Ruled out: a larger range for each token (an end of its own, and numbers beyond 32 bits).

--- a/internal/cellpb/convert.go
+++ b/internal/cellpb/convert.go
@@ -133,7 +133,7 @@
 
 // FromProgress returns the message for the record of a job's progress.
 func FromProgress(r *jobs.ProgressRecord) *StoredProgress {
-	p := &StoredProgress{Job: r.Job, Queue: r.Queue, Outcome: uint32(r.Outcome)}
+	p := &StoredProgress{Job: r.Job, Queue: r.Queue, Outcome: uint32(r.Outcome), RunLimit: r.RunLimit}
 	for i := range r.Occurrences {
 		o := &r.Occurrences[i]
 		po := &StoredOccurrence{Occurrence: o.Occurrence, Finished: o.Finished}
@@ -162,7 +162,7 @@
 	if p.Job == "" || p.Outcome > uint32(jobs.OutcomeCancelled) {
 		return jobs.ProgressRecord{}, fmt.Errorf("progress record of job %q with outcome %d", p.Job, p.Outcome)
 	}
-	r := jobs.ProgressRecord{Job: p.Job, Queue: p.Queue, Outcome: jobs.Outcome(p.Outcome)}
+	r := jobs.ProgressRecord{Job: p.Job, Queue: p.Queue, Outcome: jobs.Outcome(p.Outcome), RunLimit: max(p.RunLimit, 0)}
 	for _, po := range p.Occurrences {
 		o := jobs.OccurrenceProgress{Occurrence: po.Occurrence, Finished: po.Finished}
 		for _, ps := range po.Steps {
--- a/internal/core/jobs/batch.go
+++ b/internal/core/jobs/batch.go
@@ -166,6 +166,7 @@
 	if j.outcome != OutcomeUnfinished {
 		return p
 	}
+	p.RunLimit = j.numbers.proposed
 	for ordinal := range j.finished {
 		p.Occurrences = append(p.Occurrences, OccurrenceProgress{Occurrence: ordinal, Finished: true})
 	}
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -36,6 +36,7 @@
 	// progressBatch is the sequence number of the batch with the latest
 	// progress.
 	progressBatch uint64
+	numbers       runNumbers
 	occurrences   map[int32]*occurrence
 	// finished holds the ordinals of the occurrences whose steps have all
 	// ended.
--- a/internal/core/jobs/reconcile.go
+++ b/internal/core/jobs/reconcile.go
@@ -73,6 +73,9 @@
 		c.loseRun(now, r, "stopped before it arrived")
 	case r.state == runActive && r.confirmedAt.Before(res.SentAt):
 		c.loseRun(now, r, "no longer reported by the worker")
+	case r.state == runUnclear && r.unclearSince.Before(res.SentAt) && r.rejected:
+		c.skipRunNumbers(r)
+		c.loseRun(now, r, "the worker has seen its number or a higher one")
 	case r.state == runUnclear && r.unclearSince.Before(res.SentAt):
 		c.requestStop(now, r)
 	}
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -45,6 +45,9 @@
 	// Occurrences lists the occurrences in which any task has ended or a worker
 	// crashed; empty once the job has ended.
 	Occurrences []OccurrenceProgress
+	// RunLimit is the highest run number that the leader may assign. With 0 it is that which
+	// follows from its token.
+	RunLimit int64
 }
 
 // OccurrenceProgress describes what has ended in one occurrence.
--- a/internal/core/jobs/restore.go
+++ b/internal/core/jobs/restore.go
@@ -72,6 +72,7 @@
 		delete(c.jobs, p.Job)
 		return
 	}
+	j.numbers = runNumbers{base: p.RunLimit, stored: p.RunLimit, proposed: p.RunLimit}
 	for i := range p.Occurrences {
 		j.restoreOccurrence(&p.Occurrences[i])
 	}
--- a/internal/core/jobs/runs.go
+++ b/internal/core/jobs/runs.go
@@ -62,18 +62,6 @@
 	c.event(Event{Name: EventRunStarted, Job: r.ref.Job, Queue: s.job().queue.Name, Task: &r.ref, Run: number, Worker: w.ID, Age: now.Sub(s.job().acceptedAt)})
 }
 
-// nextRunNumber increments the run count of a task or gang and returns the
-// number of its next run, which is higher than any that an earlier leader
-// assigned.
-func (c *Core) nextRunNumber(j *job, runCount *int64) int64 {
-	*runCount++
-	return int64(c.cfg.Token-j.token)*runsPerToken + *runCount
-}
-
-// runsPerToken is the limit of run numbers that one leader may assign to a
-// task.
-const runsPerToken = 1000
-
 // HandleStartResult processes the result of a StartRequest after all its
 // retries.
 func (c *Core) HandleStartResult(now time.Time, res *StartResult) {
@@ -99,8 +87,9 @@
 			c.abortUnclearGangs(now, w)
 		}
 	case CallStaleRun:
-		// The run was there and ended, or was stopped; the next sync shows it.
-		r.state, r.unclearSince = runUnclear, now
+		// The run was there and ended, or was stopped, or the worker has seen a higher number; the
+		// next sync shows it.
+		r.state, r.unclearSince, r.rejected = runUnclear, now, true
 	default:
 		c.handleStartRefusal(now, w, r, res.Status)
 	}
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -148,7 +148,12 @@
 			reason = waitForIsolation
 			continue
 		}
-		c.start(now, t, w, c.nextRunNumber(s.job(), &t.runCount), s.advice.ticketFor(w))
+		number, ok := c.nextRunNumber(s.job(), &t.runCount)
+		if !ok {
+			reason = waitForRunNumbers
+			continue
+		}
+		c.start(now, t, w, number, s.advice.ticketFor(w))
 	}
 	return reason
 }
@@ -179,8 +184,11 @@
 	if chosen = s.isolateSuspects(now, chosen); chosen == nil {
 		return waitForIsolation
 	}
+	number, ok := c.nextRunNumber(s.job(), &s.gang.runCount)
+	if !ok {
+		return waitForRunNumbers
+	}
 	c.release(s)
-	number := c.nextRunNumber(s.job(), &s.gang.runCount)
 	for i := range s.tasks {
 		c.start(now, &s.tasks[i], chosen[i], number, s.advice.ticketFor(chosen[i]))
 	}
--- a/internal/core/jobs/waiting.go
+++ b/internal/core/jobs/waiting.go
@@ -34,6 +34,8 @@
 	waitForTicket    model.Reason = "advice_asked"
 	// waitForCrashRecord: crashes under its tasks are not stored yet.
 	waitForCrashRecord model.Reason = "crash_not_stored"
+	// waitForRunNumbers: the next range of run numbers is not stored yet.
+	waitForRunNumbers model.Reason = "run_numbers_not_stored"
 	// waitForIsolation: tasks that may crash their worker wait until they can start apart
 	// from other jobs.
 	waitForIsolation model.Reason = "no_isolated_worker"
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -213,6 +213,9 @@
 	// unclearSince is when the last call that could start the run ended.
 	unclearSince time.Time
 	stop         stopState
+	// rejected is set if the worker refused the run because its number is not above all that it
+	// has seen.
+	rejected bool
 	// percent is the progress that the worker reported at reportedAt; it last
 	// changed at progressAt.
 	percent    int
