What belongs to one process of a worker stands in one type

Cause: fields of the leader's view of a worker were reset one by one when the worker restarted; listedAt and moreEnds of the former process stayed. Change: workerProcess holds address, incarnation, clock, lease and positions in the list of ends, and is replaced as a whole.

--- a/internal/core/jobs/loss.go
+++ b/internal/core/jobs/loss.go
@@ -26,7 +26,7 @@
 	for _, r := range slices.Clone(w.runs) {
 		c.loseRun(now, r, "the address now belongs to another worker")
 	}
-	w.answered, w.confirmedAddress, w.processedEnd, w.ackedEnd, w.ackAfterBatch = false, "", 0, 0, 0
+	w.workerProcess = workerProcess{}
 	c.poolsStale = true
 	c.stopAwaiting(now, w.ID)
 }
@@ -44,12 +44,10 @@
 		w.failedAt, w.aliveUntil = res.SentAt, res.SentAt
 	}
 	c.recordWorkerCrash(now, w, slices.DeleteFunc(w.interruptedRuns(now), func(r InterruptedRun) bool { return listed[r.Task] == r.Run }))
-	w.incarnation, w.incarnationSince, w.clockMs, w.clockReadAt = res.Incarnation, now, res.ClockMs, now
-	w.maxDeadlineMs = res.ClockMs + c.cfg.LeaseDuration.Milliseconds()
-	// Calls to the earlier incarnation may still arrive. Their deadlines are
-	// far ahead of the new incarnation's clock.
+	w.workerProcess = c.newWorkerProcess(now, w.syncAddress, res)
+	// Calls that the earlier process had received may still be carried out. Their deadlines are
+	// times on its clock.
 	w.lateGrantsUntil = now.Add(c.cfg.MaxCallDelay)
-	w.processedEnd, w.ackedEnd, w.ackAfterBatch = 0, 0, 0
 	for _, r := range slices.Clone(w.runs) {
 		if listed[r.ref] == r.number {
 			continue
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -143,10 +143,7 @@
 		if known := c.recovery.workers[w.ID].incarnation; known != 0 && known != res.Incarnation {
 			c.recordPreviousCrash(received, w.ID)
 		}
-		// Assume that an earlier leader granted the same lease as this one
-		// would.
-		w.answered, w.incarnation, w.incarnationSince, w.clockMs, w.clockReadAt = true, res.Incarnation, received, res.ClockMs, received
-		w.maxDeadlineMs = res.ClockMs + c.cfg.LeaseDuration.Milliseconds()
+		w.workerProcess = c.newWorkerProcess(received, w.syncAddress, res)
 	}
 	c.recordContact(received, w, res.ClockMs)
 	w.leaseExpired = false
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -35,33 +35,56 @@
 	recordSilent
 )
 
-// worker is the leader's view of a worker.
-type worker struct {
-	WorkerEntry
-	listed bool
-	// confirmedAddress is the address at which the worker last answered this leader or, before
-	// that, an earlier one; empty if it is not known to have answered. The entry may name
-	// another one: that of a later incarnation, or one that another writer made up.
+// workerProcess is what the leader knows of one process of a worker. It is replaced as a whole when
+// another process answers, or when this one is known to have ended: nothing in it holds for another
+// process with the same ID.
+type workerProcess struct {
+	// confirmedAddress is the address at which the process last answered this leader or, before
+	// that, an earlier one; empty if it is not known to have answered. The worker's entry may
+	// name another one: that of a later process, or one that another writer made up.
 	confirmedAddress string
-	// syncAddress is the address to which the last sync was sent.
-	syncAddress string
-	// answered is set once this incarnation of the worker has answered this
-	// leader.
+	// answered is set once the process has answered this leader.
 	answered    bool
 	incarnation int64
-	// incarnationSince is when this incarnation was first known to answer this leader.
+	// incarnationSince is when the process was first known to answer this leader.
 	incarnationSince time.Time
-	// clockMs is a reading of the worker's own clock in ms, taken at
-	// clockReadAt or earlier.
+	// clockMs is a reading of the process's own clock in ms, taken at clockReadAt or
+	// earlier.
 	clockMs     int64
 	clockReadAt time.Time
-	// maxDeadlineMs is the latest lease deadline, on the worker's clock in ms,
-	// of any call to this incarnation.
+	// maxDeadlineMs is the latest lease deadline, on that clock in ms, of any call to the
+	// process.
 	maxDeadlineMs int64
-	lastContact   time.Time
-	// lateGrantsUntil is the latest time at which a delayed call to an earlier
-	// incarnation may arrive and extend the lease.
+	// lateGrantsUntil is the latest time at which a delayed call to an earlier process may
+	// extend the lease.
 	lateGrantsUntil time.Time
+	// processedEnd and ackedEnd are positions in the list of ends: what this leader has
+	// processed, and what it may acknowledge. The acknowledgement waits for batch
+	// ackAfterBatch, which is in flight or has content.
+	processedEnd  int64
+	ackedEnd      int64
+	ackAfterBatch uint64
+	// moreEnds is set while the process may have more ends than it listed last.
+	moreEnds bool
+	// listedAt is when the last sync was sent whose answer listed all running runs.
+	listedAt time.Time
+}
+
+// newWorkerProcess returns the process that answered at an address at the time received. An earlier
+// leader is assumed to have granted the same lease as this one would.
+func (c *Core) newWorkerProcess(received time.Time, address string, res *SyncResult) workerProcess {
+	return workerProcess{confirmedAddress: address, answered: true, incarnation: res.Incarnation, incarnationSince: received,
+		clockMs: res.ClockMs, clockReadAt: received, maxDeadlineMs: res.ClockMs + c.cfg.LeaseDuration.Milliseconds()}
+}
+
+// worker is the leader's view of a worker.
+type worker struct {
+	WorkerEntry
+	listed bool
+	workerProcess
+	lastContact time.Time
+	// syncAddress is the address to which the last sync was sent.
+	syncAddress string
 
 	syncing bool
 	// syncWait is how long the worker may delay its answer to the last sync.
@@ -81,17 +104,6 @@
 	// Core.probesInFlight.
 	probing bool
 
-	// processedEnd and ackedEnd are positions in the worker's list of ends:
-	// what this leader has processed, and what it may acknowledge. The
-	// acknowledgement waits for batch ackAfterBatch, which is in flight or has content.
-	processedEnd  int64
-	ackedEnd      int64
-	ackAfterBatch uint64
-	// moreEnds is set while the worker may have more ends than it listed last.
-	moreEnds bool
-	// listedAt is when the last sync was sent whose answer listed all running runs.
-	listedAt time.Time
-
 	recordState recordState
 	// recordBatch is the batch with the latest record of the worker.
 	recordBatch uint64
