--- a/internal/core/jobs/recovery.go
+++ b/internal/core/jobs/recovery.go
@@ -211,9 +211,11 @@
 		return
 	}
 	c.recovery.delayReportedAt = now
-	e := Event{Name: EventRecoveryDelayed, Age: delay, Count: len(c.recovery.workers), Reason: waitForEnds}
-	e.Worker = slices.Min(slices.Collect(maps.Keys(c.recovery.workers)))
-	c.event(e)
+	awaited := slices.Sorted(maps.Keys(c.recovery.workers))
+	if len(awaited) == 0 {
+		return
+	}
+	c.event(Event{Name: EventRecoveryDelayed, Worker: awaited[0], Age: delay, Count: len(awaited), Reason: waitForEnds})
 }
 
 // waitForEnds: workers have more ends to list than one answer holds, and the store has not taken the
