--- a/internal/adapters/boundhttp/boundhttp.go
+++ b/internal/adapters/boundhttp/boundhttp.go
@@ -89,7 +89,7 @@
 type conn struct {
 	*jsonhttp.Conn
 	address string
-	// incarnation is 0 until the server has told it. It is guarded by Pool.mu.
+	// incarnation is 0 until the server has reported it. Pool.mu protects it.
 	incarnation int64
 	// element is the connection's place in Pool.idle, and timer ends its time there.
 	element *list.Element
--- a/internal/adapters/boundhttp/boundhttp_test.go
+++ b/internal/adapters/boundhttp/boundhttp_test.go
@@ -101,8 +101,8 @@
 	assert.DeepEqual(t, second.received, []string{"/c"})
 }
 
-// Guards against a probe on each connection: the reply to a call for any process may have told
-// who is there.
+// Guards against a probe on each connection: the reply to a call for any process may have named
+// the incarnation.
 func TestIdentifiedConnectionNeedsNoProbe(t *testing.T) {
 	s := startServer(t, "127.0.0.1:0", 7)
 	p := newPool(t)
@@ -115,7 +115,7 @@
 	assert.Equal(t, len(s.remotes), 1, "a second connection was opened")
 }
 
-// Guards against a call that is sent although the server refused the probe, or told no incarnation.
+// Guards against a call that is sent although the server refused the probe, or named no incarnation.
 func TestCallIsNotSentWithoutIdentification(t *testing.T) {
 	p := newPool(t)
 	refusing := startServer(t, "127.0.0.1:0", -1)
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
@@ -166,15 +165,6 @@
 	nodes    int
 }
 
-// leaderMetrics are the leader's counters and histograms.
-type leaderMetrics struct {
-	starts, ends, refused, advice metrics.Counter
-	round                         metrics.Histogram
-	// recoveryDelay is by how much the recovery has outlasted the leases of earlier leaders,
-	// in ms.
-	recoveryDelay metrics.Gauge
-}
-
 // newLeader returns the leader of a claimed term with the state that previous leaders
 // stored. Its journal is created by run.
 func newLeader(d *Daemon, c claim, s *storedState) *leader {
--- a/internal/cell/leaderprogress.go
+++ b/internal/cell/leaderprogress.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 )
 
@@ -35,3 +36,12 @@
 		"rounds_ms": l.roundTime.Milliseconds()}).Info("load of the leader")
 	l.lastLoadAt, l.roundTime = now, 0
 }
+
+// leaderMetrics are the leader's counters and histograms.
+type leaderMetrics struct {
+	starts, ends, refused, advice metrics.Counter
+	round                         metrics.Histogram
+	// recoveryDelay is by how much the recovery has outlasted the leases of earlier leaders,
+	// in ms.
+	recoveryDelay metrics.Gauge
+}
