Tenants: API keys, limits and shares on the platform

Cause: the cell read no tenants from the configuration. Requests with unknown or removed keys ran, nothing limited what a tenant had running, and one tenant that sent many times its usual load delayed all others.

Records of jobs, progress and workers carry what a successor needs. A configuration that a daemon of an earlier version passes on is not applied, as tenants may be missing from it.

--- a/internal/cell/absentjobs_test.go
+++ b/internal/cell/absentjobs_test.go
@@ -38,7 +38,7 @@
 		wg.Go(func() {
 			for time.Now().Before(until) {
 				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-				if d.API().State(ctx, "q", "00000000000000ff").Verdict == VerdictNoJob {
+				if d.API().State(ctx, Target{Queue: "q", JobID: "00000000000000ff"}).Verdict == VerdictNoJob {
 					answered[i]++
 				}
 				cancel()
--- a/internal/cell/api.go
+++ b/internal/cell/api.go
@@ -28,6 +28,10 @@
 	VerdictNoJob
 	// VerdictNoQueue means that no queue is configured for the host and path.
 	VerdictNoQueue
+	// VerdictUnauthorized means that the caller's key is not known. The call was not carried out.
+	VerdictUnauthorized
+	// VerdictConflict means that the ID of the submitted job is that of a job of another tenant.
+	VerdictConflict
 )
 
 // Reply is the answer to a call.
@@ -41,28 +45,41 @@
 	RetryAfter time.Duration
 	// Reason explains a failed call; empty when there is no more to say.
 	Reason string
+	// Report is a JSON document in the answer to API.Tenants.
+	Report []byte
+}
+
+// Target is what a request is about.
+type Target struct {
+	Queue string
+	// Tenant is the tenant whose key the caller has sent; empty on routes that need no key.
+	Tenant string
+	// JobID is the path after the queue's prefix. It is empty when the request is about the
+	// queue itself.
+	JobID string
 }
 
 // API is the interface through which callers use the cell. The host and the path of a
 // request select the queue. A call lasts until its answer or until shortly before the
 // deadline of ctx.
 type API interface {
-	// Queue returns the name of the queue for a request, and the rest of the path
-	// after the queue's prefix. If there is no queue, reply is not nil and contains
-	// the reason.
-	Queue(host, path string) (name, rest string, reply *Reply)
+	// Resolve returns what a request with a host, a path and an API key is about. If the request
+	// is refused, reply is not nil and contains the reason.
+	Resolve(host, path, key string) (target Target, reply *Reply)
 	// MaxBodyBytes returns the limit for the body of a request, or 0 when no limit is
 	// configured.
 	MaxBodyBytes() int64
 	// Submit submits a job. Repeated calls with the same job ID submit one job.
 	Submit(ctx context.Context, spec *jobs.Spec) Reply
 	// Cancel cancels a job.
-	Cancel(ctx context.Context, queue, id string) Reply
+	Cancel(ctx context.Context, t Target) Reply
 	// State returns the state of a job in Reply.View.
-	State(ctx context.Context, queue, id string) Reply
+	State(ctx context.Context, t Target) Reply
 	// Pending returns in Reply.Pending the number of a queue's jobs of which no task has
 	// started.
 	Pending(ctx context.Context, queue string) Reply
+	// Tenants returns in Reply.Report the state of all tenants, a list of jobs.TenantStatus.
+	Tenants(ctx context.Context) Reply
 	// Ready reports whether the load balancer should send requests to this daemon.
 	Ready() bool
 	// ShuttingDown reports whether the daemon is shutting down. Connections should
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -358,8 +358,12 @@
 func TestFormerLeaderDoesNotAnswerThatJobsAreUnknown(t *testing.T) {
 	t.Parallel()
 	for name, call := range map[string]func(API, context.Context) Reply{
-		"cancel": func(api API, ctx context.Context) Reply { return api.Cancel(ctx, "q", "00000000000000ff") },
-		"state":  func(api API, ctx context.Context) Reply { return api.State(ctx, "q", "00000000000000ff") },
+		"cancel": func(api API, ctx context.Context) Reply {
+			return api.Cancel(ctx, Target{Queue: "q", JobID: "00000000000000ff"})
+		},
+		"state": func(api API, ctx context.Context) Reply {
+			return api.State(ctx, Target{Queue: "q", JobID: "00000000000000ff"})
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newTestCell(t, 1)
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -91,12 +91,8 @@
 }
 
 // matchRoute returns the route of the host with the longest prefix that matches the
-// path, or nil when no route matches. The bool is false when there is no configuration.
-func (h *configHolder) matchRoute(host, path string) (*ports.Route, bool) {
-	c := h.current.Load()
-	if c == nil {
-		return nil, false
-	}
+// path, or nil when no route matches.
+func matchRoute(c *ports.CellConfig, host, path string) *ports.Route {
 	var best *ports.Route
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -104,7 +100,7 @@
 			best = r
 		}
 	}
-	return best, true
+	return best
 }
 
 // queuesOf returns the queues of a configuration, or nil when c is nil.
@@ -246,7 +242,7 @@
 // applyLeaderConfig applies the configuration in a heartbeat, if there is one.
 func (d *Daemon) applyLeaderConfig(h *cellpb.Heartbeat) {
 	if len(h.ConfigGzip) == 0 {
-		d.config.applyIfNewer(h.Config.ToConfig(), "leader")
+		d.applyPassedOn(h.Config, "leader")
 		return
 	}
 	c, err := cellpb.DecompressConfig(h.ConfigGzip)
@@ -254,7 +250,20 @@
 		d.log.WithFields(logrus.Fields{"event": "config_unreadable", "source": "leader", "error": err.Error()}).Error("cannot decode the configuration that the leader sent")
 		return
 	}
-	d.config.applyIfNewer(c, "leader")
+	d.applyPassedOn(c, "leader")
+}
+
+// applyPassedOn applies a configuration that another daemon has read, which may be nil. One from a
+// daemon of an earlier version may lack tenants; this daemon then reads the store itself.
+func (d *Daemon) applyPassedOn(c *cellpb.Config, source string) {
+	switch {
+	case c == nil:
+	case c.Complete():
+		d.config.applyIfNewer(c.ToConfig(), source)
+	case c.Version > d.config.version():
+		d.members.recordIncompleteConfig()
+		d.log.WithFields(logrus.Fields{"event": "config_incomplete", "version": c.Version, "source": source}).Warn("a configuration from a daemon of an earlier version is not applied")
+	}
 }
 
 // newerConfigInterval is the minimum time between two requests of a leader for a newer
@@ -274,7 +283,7 @@
 		defer cancel()
 		v, err := l.d.transport.FetchView(ctx, address, &cellpb.ViewRequest{Node: l.d.settings.Node, ConfigVersion: l.d.config.version()})
 		if err == nil {
-			l.d.config.applyIfNewer(v.Config.ToConfig(), "daemon")
+			l.d.applyPassedOn(v.Config, "daemon")
 		}
 	})
 }
--- a/internal/cell/configcopy.go
+++ b/internal/cell/configcopy.go
@@ -65,6 +65,6 @@
 			d.log.WithFields(logrus.Fields{"event": "record_unreadable", "key": r.Key, "error": err.Error()}).Error("cannot decode the copy of the configuration")
 			continue
 		}
-		d.config.applyIfNewer(copied.ToConfig(), "copy")
+		d.applyPassedOn(copied, "copy")
 	}
 }
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -214,7 +214,7 @@
 			if err != nil {
 				return
 			}
-			d.config.applyIfNewer(v.Config.ToConfig(), "daemon")
+			d.applyPassedOn(v.Config, "daemon")
 			mu.Lock()
 			defer mu.Unlock()
 			views = append(views, succession.LeaderView{Token: v.Token, HeartbeatAge: time.Duration(v.HeardAgeMs) * time.Millisecond, Linked: v.Linked, Address: v.LeaderAddress, Claimed: v.Claimed})
--- a/internal/cell/events.go
+++ b/internal/cell/events.go
@@ -25,6 +25,9 @@
 	if e.Worker != "" {
 		fields["worker"] = string(e.Worker)
 	}
+	if e.Tenant != "" {
+		fields["tenant"] = e.Tenant
+	}
 	if e.Reason != "" {
 		fields["reason"] = string(e.Reason)
 	}
--- a/internal/cell/forwarder.go
+++ b/internal/cell/forwarder.go
@@ -48,6 +48,7 @@
 	latencyByKind map[cellpb.CallKind]metrics.Histogram
 	refused       metrics.Counter
 	unknown       metrics.Counter
+	unauthorized  metrics.Counter
 }
 
 // waitingCall is a call without an answer.
@@ -60,7 +61,7 @@
 
 func newForwarder(d *Daemon) *forwarder {
 	f := &forwarder{d: d, waiting: map[uint64]*waitingCall{}, latencyByKind: map[cellpb.CallKind]metrics.Histogram{},
-		refused: telemetry.Counter(d.registry, "calls.refused"), unknown: telemetry.Counter(d.registry, "calls.unknown")}
+		refused: telemetry.Counter(d.registry, "calls.refused"), unknown: telemetry.Counter(d.registry, "calls.unknown"), unauthorized: telemetry.Counter(d.registry, "calls.unauthorized")}
 	histograms := telemetry.NewHistograms(d.registry, telemetry.DefaultMaxPairs)
 	for kind, name := range cellpb.CallKind_name {
 		f.latencyByKind[cellpb.CallKind(kind)] = histograms.Latency(name)
@@ -68,16 +69,33 @@
 	return f
 }
 
-// Queue implements API.
-func (f *forwarder) Queue(host, path string) (string, string, *Reply) {
-	route, known := f.d.config.matchRoute(host, path)
-	switch {
-	case !known:
-		return "", "", &Reply{Verdict: VerdictUnavailable, Reason: "no_configuration", RetryAfter: noLeaderRetryAfter}
-	case route == nil:
-		return "", "", &Reply{Verdict: VerdictNoQueue}
+// Resolve implements API.
+func (f *forwarder) Resolve(host, path, key string) (Target, *Reply) {
+	config := f.d.config.current.Load()
+	if config == nil {
+		return Target{}, &Reply{Verdict: VerdictUnavailable, Reason: "no_configuration", RetryAfter: noLeaderRetryAfter}
 	}
-	return route.Queue.Name, path[len(route.Prefix):], nil
+	route := matchRoute(config, host, path)
+	if route == nil {
+		return Target{}, &Reply{Verdict: VerdictNoQueue}
+	}
+	t := Target{Queue: route.Queue.Name, JobID: path[len(route.Prefix):]}
+	if config.Tenants == nil || route.Queue.Anonymous {
+		return t, nil
+	}
+	tenant, known := config.Tenants.ByKey(key)
+	if !known {
+		f.recordUnauthorized(t, config.Version)
+		return Target{}, &Reply{Verdict: VerdictUnauthorized, Reason: "key_unknown"}
+	}
+	t.Tenant = tenant
+	return t, nil
+}
+
+// recordUnauthorized logs and counts a request with an unknown key, which is not logged itself.
+func (f *forwarder) recordUnauthorized(t Target, configVersion int64) {
+	f.unauthorized.Inc(1)
+	f.d.log.WithFields(logrus.Fields{"event": "call_unauthorized", "job": t.JobID, "queue": t.Queue, "config_version": configVersion}).Info("a call has no key of a tenant")
 }
 
 // MaxBodyBytes implements API.
@@ -90,17 +108,17 @@
 
 // Submit implements API.
 func (f *forwarder) Submit(ctx context.Context, spec *jobs.Spec) Reply {
-	return f.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_SUBMIT, Queue: spec.Queue, Job: spec.ID, Spec: cellpb.FromSpec(spec)})
+	return f.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_SUBMIT, Queue: spec.Queue, Tenant: spec.Tenant, Job: spec.ID, Spec: cellpb.FromSpec(spec)})
 }
 
 // Cancel implements API.
-func (f *forwarder) Cancel(ctx context.Context, queue, id string) Reply {
-	return f.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_CANCEL, Queue: queue, Job: id})
+func (f *forwarder) Cancel(ctx context.Context, t Target) Reply {
+	return f.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_CANCEL, Queue: t.Queue, Tenant: t.Tenant, Job: t.JobID})
 }
 
 // State implements API.
-func (f *forwarder) State(ctx context.Context, queue, id string) Reply {
-	return f.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_STATE, Queue: queue, Job: id})
+func (f *forwarder) State(ctx context.Context, t Target) Reply {
+	return f.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_STATE, Queue: t.Queue, Tenant: t.Tenant, Job: t.JobID})
 }
 
 // Pending implements API.
@@ -108,6 +126,11 @@
 	return f.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_PENDING, Queue: queue})
 }
 
+// Tenants implements API.
+func (f *forwarder) Tenants(ctx context.Context) Reply {
+	return f.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_TENANTS})
+}
+
 // Ready implements API. A daemon is ready when it has a configuration and there was a
 // leader within readyWithoutLeader.
 func (f *forwarder) Ready() bool {
@@ -250,6 +273,6 @@
 // String returns the verdict's name, or an empty string for internal verdicts.
 func (v Verdict) String() string {
 	names := map[Verdict]string{VerdictOK: "ok", VerdictOverloaded: "overloaded", VerdictUnavailable: "unavailable",
-		VerdictUnknown: "unknown", VerdictNoJob: "no_job", VerdictNoQueue: "no_queue"}
+		VerdictUnknown: "unknown", VerdictNoJob: "no_job", VerdictNoQueue: "no_queue", VerdictUnauthorized: "unauthorized", VerdictConflict: "conflict"}
 	return names[v]
 }
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -195,6 +195,7 @@
 	l.core.SetQueues(queuesOf(config))
 	if config != nil {
 		l.configVersion = config.Version
+		l.core.SetTenants(now, config.Tenants)
 	}
 	l.core.Restore(now, now, s.snapshot)
 	l.core.SetPreviousLeaderEnd(l.previousLeadersEnd())
--- a/internal/cell/members.go
+++ b/internal/cell/members.go
@@ -40,6 +40,9 @@
 	// leaderConfigAge is the age of the leader's knowledge of the store's configuration at
 	// its last heartbeat; negative when not known.
 	leaderConfigAge time.Duration
+	// incompleteConfigToken is the token of a leader whose configuration lacks what this daemon
+	// needs, because it runs an earlier version; 0 if there is none.
+	incompleteConfigToken uint64
 	// successors lists the daemons that should take over, the best first, as in the
 	// last heartbeat.
 	successors []string
@@ -175,7 +178,15 @@
 func (m *members) leaderReadsConfig() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.isLeader && m.leaderLink != nil && m.leaderConfigAge >= 0 && m.leaderConfigAge+time.Since(m.leaderHeardAt) < maxLeaderConfigAge
+	return !m.isLeader && m.leaderLink != nil && m.incompleteConfigToken != m.token && m.leaderConfigAge >= 0 && m.leaderConfigAge+time.Since(m.leaderHeardAt) < maxLeaderConfigAge
+}
+
+// recordIncompleteConfig records that the configuration of the present leader lacks what this daemon
+// needs.
+func (m *members) recordIncompleteConfig() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.incompleteConfigToken = m.token
 }
 
 // becomeLeader records this daemon as the leader, unless a higher token is known.
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -28,6 +28,10 @@
 	case cellpb.CallKind_SUBMIT:
 		l.submit(m)
 	case cellpb.CallKind_CANCEL:
+		if !l.core.VisibleTo(m.call.Job, m.call.Tenant) {
+			l.replyNoJob(m.origin, m.receivedAt)
+			return
+		}
 		l.lastCallID++
 		l.callOrigins[l.lastCallID] = m.origin
 		switch a := l.core.Cancel(now, m.call.Job, l.lastCallID); {
@@ -42,6 +46,10 @@
 		l.replyWithState(m)
 	case cellpb.CallKind_PENDING:
 		l.reply(m.origin, Reply{Pending: l.core.Pending(m.call.Queue)})
+	case cellpb.CallKind_TENANTS:
+		l.replyWithTenants(m)
+	default:
+		l.reply(m.origin, Reply{Verdict: VerdictUnavailable, Reason: "call_unknown"})
 	}
 }
 
@@ -49,8 +57,8 @@
 // with the call's queue. Such a call comes from a daemon that has a newer configuration.
 const newerConfigTimeout = 1500 * time.Millisecond
 
-// submit passes a submitted job to the core. If the job's queue is unknown and the call
-// was made with a newer configuration, it tries again after configRetry.
+// submit passes a submitted job to the core. If the job's queue or tenant is unknown and the
+// call was made with a newer configuration, it tries again after configRetry.
 func (l *leader) submit(m callMsg) {
 	spec, err := m.call.Spec.ToSpec()
 	if err != nil {
@@ -58,10 +66,16 @@
 		l.reply(m.origin, Reply{Verdict: VerdictUnavailable, Reason: "unreadable"})
 		return
 	}
-	if m.call.ConfigVersion > l.configVersion && !l.core.HasQueue(spec.Queue) && time.Since(m.receivedAt) < newerConfigTimeout {
+	spec.Tenant = m.call.Tenant
+	known := l.core.HasQueue(spec.Queue) && l.core.HasTenant(spec.Tenant)
+	if m.call.ConfigVersion > l.configVersion && !known && time.Since(m.receivedAt) < newerConfigTimeout {
 		time.AfterFunc(configRetry, func() { l.push(m) })
 		return
 	}
+	if !l.core.HasTenant(spec.Tenant) {
+		l.reply(m.origin, Reply{Verdict: VerdictUnauthorized, Reason: "tenant_unknown"})
+		return
+	}
 	l.lastCallID++
 	l.callOrigins[l.lastCallID] = m.origin
 	if a := l.core.Submit(m.receivedAt, spec, l.lastCallID); a != nil {
@@ -72,7 +86,7 @@
 // replyWithState answers with a job's state.
 func (l *leader) replyWithState(m callMsg) {
 	view, known := l.core.State(m.call.Job)
-	if !known {
+	if !known || !l.core.VisibleTo(m.call.Job, m.call.Tenant) {
 		l.replyNoJob(m.origin, m.receivedAt)
 		return
 	}
@@ -94,6 +108,9 @@
 	case jobs.ResponseStoreUnavailable:
 		r.Verdict = VerdictUnavailable
 		l.metrics.refused.Inc(1)
+	case jobs.ResponseConflict:
+		r.Verdict = VerdictConflict
+		l.metrics.refused.Inc(1)
 	}
 	l.reply(origin, r)
 }
@@ -109,12 +126,12 @@
 
 func toProtoReply(id uint64, r Reply) *cellpb.Reply {
 	return &cellpb.Reply{Id: id, Verdict: uint32(r.Verdict), View: string(r.View), Pending: int64(r.Pending),
-		RetryAfterMs: r.RetryAfter.Milliseconds(), Reason: r.Reason}
+		RetryAfterMs: r.RetryAfter.Milliseconds(), Reason: r.Reason, Report: r.Report}
 }
 
 func fromProtoReply(p *cellpb.Reply) Reply {
 	return Reply{Verdict: Verdict(p.Verdict), View: jobs.View(p.View), Pending: int(p.Pending),
-		RetryAfter: time.Duration(p.RetryAfterMs) * time.Millisecond, Reason: p.Reason}
+		RetryAfter: time.Duration(p.RetryAfterMs) * time.Millisecond, Reason: p.Reason, Report: p.Report}
 }
 
 // syncResultMsg is the result of a lease renewal, with the worker's lists of runs.
@@ -193,11 +210,12 @@
 // configMsg is a configuration, which may be older than the leader's.
 type configMsg struct{ config *ports.CellConfig }
 
-func (m configMsg) apply(l *leader, _ time.Time) {
+func (m configMsg) apply(l *leader, now time.Time) {
 	if m.config == nil || m.config.Version <= l.configVersion {
 		return
 	}
 	l.core.SetQueues(queuesOf(m.config))
+	l.core.SetTenants(now, m.config.Tenants)
 	l.configVersion = m.config.Version
 	l.lastHeartbeatAt = time.Time{} // the current round sends heartbeats
 }
--- a/internal/cell/testcell_test.go
+++ b/internal/cell/testcell_test.go
@@ -159,7 +159,7 @@
 	c.eventually(20*time.Second, "job "+id+" is completed", func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
-		last = d.API().State(ctx, "q", id)
+		last = d.API().State(ctx, Target{Queue: "q", JobID: id})
 		if last.Verdict == VerdictNoJob {
 			c.t.Errorf("accepted job %s is not known", id)
 			return true
--- a/internal/cellpb/config.go
+++ b/internal/cellpb/config.go
@@ -31,7 +31,7 @@
 }
 
 // DecompressConfig is the inverse of CompressConfig.
-func DecompressConfig(data []byte) (*ports.CellConfig, error) {
+func DecompressConfig(data []byte) (*Config, error) {
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
 		return nil, err
@@ -47,5 +47,5 @@
 	if err := proto.Unmarshal(encoded, p); err != nil {
 		return nil, err
 	}
-	return p.ToConfig(), nil
+	return p, nil
 }
--- a/internal/cellpb/convert.go
+++ b/internal/cellpb/convert.go
@@ -6,6 +6,7 @@
 
 	"catkinvalve/internal/core/jobs"
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/tenant"
 	"catkinvalve/internal/ports"
 )
 
@@ -39,7 +40,7 @@
 
 func fromStep(s *jobs.Step) *Step {
 	p := &Step{
-		Count: int32(s.Count), Size: &Size{MilliCpu: s.Size.MilliCPU, MemMb: s.Size.MemMB, Accel: s.Size.Accel},
+		Count: int32(s.Count), Size: fromSize(s.Size),
 		EstimateUs: s.Estimate.Microseconds(), Gang: s.Gang, SameRack: s.SameRack, Label: s.Label, DataRack: s.DataRack,
 		MaxPerWorker: int32(s.MaxPerWorker), Checkpointing: s.Checkpointing, Speculative: s.Speculative,
 		LongRunning: s.LongRunning, Image: s.Image, TailTargetUs: s.TailLatencyTarget.Microseconds(), Filler: s.Filler,
@@ -53,7 +54,7 @@
 
 func (p *Step) toStep() jobs.Step {
 	s := jobs.Step{
-		Count: int(p.Count), Size: model.Size{MilliCPU: p.Size.GetMilliCpu(), MemMB: p.Size.GetMemMb(), Accel: p.Size.GetAccel()},
+		Count: int(p.Count), Size: p.Size.toSize(),
 		Estimate: microseconds(p.EstimateUs), Gang: p.Gang, SameRack: p.SameRack, Label: p.Label, DataRack: p.DataRack,
 		MaxPerWorker: int(p.MaxPerWorker), Checkpointing: p.Checkpointing, Speculative: p.Speculative,
 		LongRunning: p.LongRunning, Image: p.Image, TailLatencyTarget: microseconds(p.TailTargetUs), Filler: p.Filler,
@@ -96,14 +97,53 @@
 	if c == nil {
 		return nil
 	}
-	p := &Config{Version: c.Version, MaxBodyBytes: c.MaxBodyBytes, HeaderTimeoutUs: c.HeaderTimeout.Microseconds(), IdleTimeoutUs: c.IdleTimeout.Microseconds()}
+	p := &Config{Schema: configSchema, Version: c.Version, MaxBodyBytes: c.MaxBodyBytes, HeaderTimeoutUs: c.HeaderTimeout.Microseconds(), IdleTimeoutUs: c.IdleTimeout.Microseconds()}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		p.Routes = append(p.Routes, &Route{Host: r.Host, Prefix: r.Prefix, Queue: FromQueue(&r.Queue)})
+		p.Routes = append(p.Routes, &Route{Host: r.Host, Prefix: r.Prefix, Queue: FromQueue(&r.Queue), Anonymous: r.Queue.Anonymous})
+	}
+	p.ChecksKeys = c.Tenants != nil
+	if c.Tenants != nil {
+		for i := range c.Tenants.Tenants {
+			p.Tenants = append(p.Tenants, fromTenant(&c.Tenants.Tenants[i]))
+		}
+	}
+	return p
+}
+
+// configSchema is the version of Config that this daemon writes.
+const configSchema = 1
+
+// Complete reports whether a configuration contains all that this daemon needs. Daemons of earlier
+// versions pass configurations on without their tenants.
+func (p *Config) Complete() bool { return p.GetSchema() >= configSchema }
+
+func fromTenant(t *tenant.Config) *Tenant {
+	p := &Tenant{Name: t.Name, Weight: t.Weight, Limit: fromSize(t.Limit)}
+	for _, key := range t.Keys {
+		p.KeyDigests = append(p.KeyDigests, key[:])
 	}
 	return p
 }
 
+func (p *Tenant) toTenant() tenant.Config {
+	t := tenant.Config{Name: p.Name, Weight: p.Weight, Limit: p.Limit.toSize()}
+	for _, digest := range p.KeyDigests {
+		if len(digest) == len(tenant.KeyDigest{}) {
+			t.Keys = append(t.Keys, tenant.KeyDigest(digest))
+		}
+	}
+	return t
+}
+
+func fromSize(s model.Size) *Size {
+	return &Size{MilliCpu: s.MilliCPU, MemMb: s.MemMB, Accel: s.Accel}
+}
+
+func (p *Size) toSize() model.Size {
+	return model.Size{MilliCPU: p.GetMilliCpu(), MemMB: p.GetMemMb(), Accel: p.GetAccel()}
+}
+
 // ToConfig returns the configuration of a message, or nil when p is nil.
 func (p *Config) ToConfig() *ports.CellConfig {
 	if p == nil {
@@ -111,14 +151,28 @@
 	}
 	c := &ports.CellConfig{Version: p.Version, MaxBodyBytes: p.MaxBodyBytes, HeaderTimeout: microseconds(p.HeaderTimeoutUs), IdleTimeout: microseconds(p.IdleTimeoutUs)}
 	for _, r := range p.Routes {
-		c.Routes = append(c.Routes, ports.Route{Host: r.Host, Prefix: r.Prefix, Queue: r.Queue.ToQueue()})
+		q := r.Queue.ToQueue()
+		q.Anonymous = r.Anonymous
+		c.Routes = append(c.Routes, ports.Route{Host: r.Host, Prefix: r.Prefix, Queue: q})
+	}
+	if p.ChecksKeys {
+		tenants := make([]tenant.Config, 0, len(p.Tenants))
+		for _, t := range p.Tenants {
+			tenants = append(tenants, t.toTenant())
+		}
+		c.Tenants = tenant.NewSet(tenants)
 	}
 	return c
 }
 
 // FromAccepted returns the message for the record of an accepted job.
 func FromAccepted(r *jobs.AcceptedRecord) *StoredJob {
-	return &StoredJob{Job: FromSpec(&r.Spec), Queue: FromQueue(&r.Queue), Token: r.Token, AcceptedUnixMs: r.Accepted.UnixMilli()}
+	p := &StoredJob{Job: FromSpec(&r.Spec), Queue: FromQueue(&r.Queue), Token: r.Token, AcceptedUnixMs: r.Accepted.UnixMilli(),
+		Tenant: r.Spec.Tenant, Excess: r.Excess}
+	if r.TenantLimit != (model.Size{}) {
+		p.TenantLimit = fromSize(r.TenantLimit)
+	}
+	return p
 }
 
 // ToAccepted returns the record of an accepted job. It returns an error when the job is
@@ -128,12 +182,14 @@
 	if err != nil {
 		return jobs.AcceptedRecord{}, err
 	}
-	return jobs.AcceptedRecord{Spec: *spec, Queue: p.Queue.ToQueue(), Token: p.Token, Accepted: time.UnixMilli(p.AcceptedUnixMs)}, nil
+	spec.Tenant = p.Tenant
+	return jobs.AcceptedRecord{Spec: *spec, Queue: p.Queue.ToQueue(), Token: p.Token, Accepted: time.UnixMilli(p.AcceptedUnixMs),
+		Excess: p.Excess, TenantLimit: p.TenantLimit.toSize()}, nil
 }
 
 // FromProgress returns the message for the record of a job's progress.
 func FromProgress(r *jobs.ProgressRecord) *StoredProgress {
-	p := &StoredProgress{Job: r.Job, Queue: r.Queue, Outcome: uint32(r.Outcome), RunLimit: r.RunLimit}
+	p := &StoredProgress{Job: r.Job, Queue: r.Queue, Tenant: r.Tenant, Outcome: uint32(r.Outcome), RunLimit: r.RunLimit}
 	for i := range r.Occurrences {
 		o := &r.Occurrences[i]
 		po := &StoredOccurrence{Occurrence: o.Occurrence, Finished: o.Finished}
@@ -162,7 +218,7 @@
 	if p.Job == "" || p.Outcome > uint32(jobs.OutcomeCancelled) {
 		return jobs.ProgressRecord{}, fmt.Errorf("progress record of job %q with outcome %d", p.Job, p.Outcome)
 	}
-	r := jobs.ProgressRecord{Job: p.Job, Queue: p.Queue, Outcome: jobs.Outcome(p.Outcome), RunLimit: max(p.RunLimit, 0)}
+	r := jobs.ProgressRecord{Job: p.Job, Queue: p.Queue, Tenant: p.Tenant, Outcome: jobs.Outcome(p.Outcome), RunLimit: max(p.RunLimit, 0)}
 	for _, po := range p.Occurrences {
 		o := jobs.OccurrenceProgress{Occurrence: po.Occurrence, Finished: po.Finished}
 		for _, ps := range po.Steps {
@@ -186,7 +242,7 @@
 
 // FromWorkerRecord returns the message for the record of a worker.
 func FromWorkerRecord(r *jobs.WorkerRecord) *StoredWorker {
-	p := &StoredWorker{Id: string(r.ID), Address: r.Address, Service: r.Service, Silent: r.Silent, Jobs: r.Jobs}
+	p := &StoredWorker{Id: string(r.ID), Address: r.Address, Service: r.Service, Silent: r.Silent, Jobs: r.Jobs, Capacity: fromSize(r.Capacity)}
 	for _, ref := range r.Tasks {
 		p.Tasks = append(p.Tasks, fromRun(ref, 0))
 	}
@@ -200,7 +256,7 @@
 
 // ToWorkerRecord returns the record of a worker.
 func (p *StoredWorker) ToWorkerRecord() jobs.WorkerRecord {
-	r := jobs.WorkerRecord{ID: model.WorkerID(p.Id), Address: p.Address, Service: p.Service, Silent: p.Silent, Jobs: p.Jobs}
+	r := jobs.WorkerRecord{ID: model.WorkerID(p.Id), Address: p.Address, Service: p.Service, Silent: p.Silent, Jobs: p.Jobs, Capacity: p.Capacity.toSize()}
 	for _, t := range p.Tasks {
 		r.Tasks = append(r.Tasks, t.ref())
 	}
--- a/internal/core/jobs/batch.go
+++ b/internal/core/jobs/batch.go
@@ -45,7 +45,7 @@
 	out.Seq = b.next
 	var effects batchEffects
 	for _, j := range b.accepted {
-		out.Accepted = append(out.Accepted, AcceptedRecord{Spec: *j.spec, Queue: *j.queue, Token: j.token, Accepted: c.wall})
+		out.Accepted = append(out.Accepted, AcceptedRecord{Spec: *j.spec, Queue: *j.queue, Token: j.token, Accepted: c.wall, Excess: j.excess, TenantLimit: j.account.limit()})
 		effects.accepted = append(effects.accepted, j)
 	}
 	for _, j := range b.dirty {
@@ -162,7 +162,7 @@
 
 // progress returns the stored form of everything final about the job.
 func (j *job) progress() ProgressRecord {
-	p := ProgressRecord{Job: j.spec.ID, Queue: j.queue.Name, Outcome: j.outcome}
+	p := ProgressRecord{Job: j.spec.ID, Queue: j.queue.Name, Tenant: j.spec.Tenant, Outcome: j.outcome}
 	if j.outcome != OutcomeUnfinished {
 		return p
 	}
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -7,6 +7,7 @@
 
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/retry"
+	"catkinvalve/internal/core/tenant"
 )
 
 // leaseMargin is added to the computed end of a lease to cover the rounding of
@@ -95,6 +96,18 @@
 	endedJobs      []*job // in order of endedAt
 	recurringJobs  []*job // jobs with occurrences still to come
 	unfinishedJobs int
+	// tenants is nil while there are none.
+	tenants  *tenant.Set
+	accounts map[string]*account
+	// activeWeight is the sum of the weights of the tenants with unfinished jobs.
+	activeWeight float64
+	// reservedAccounts lists the accounts of which limit is reserved in the current round.
+	reservedAccounts []*account
+	// unprovenUse is what any one tenant may use on workers whose runs are not all known.
+	unprovenUse model.Size
+	refusedJobs refusedJobs
+	// capacity is the capacity of all workers that accept tasks.
+	capacity model.Size
 	// workerListRead is set by the first SetWorkers, and listFirstReadAt is its time.
 	workerListRead  bool
 	listFirstReadAt time.Time
@@ -124,6 +137,7 @@
 		workers: map[model.WorkerID]*worker{}, pools: map[string]*pool{}, poolsStale: true,
 		health: retry.NewHealth(cfg.Health), recovery: newRecovery(), expired: map[string]expiredWorker{}, absent: map[model.WorkerID]absentWorker{},
 		batch: newBatchState(), relays: newRelays(), estimator: newDurationEstimator(),
+		accounts: map[string]*account{}, refusedJobs: newRefusedJobs(),
 	}
 }
 
@@ -204,6 +218,9 @@
 	// ResponseStoreUnavailable means the same as ResponseRefused; the reason is
 	// that the store accepts no records at present.
 	ResponseStoreUnavailable
+	// ResponseConflict means that the ID is that of a job of another tenant. The submission
+	// has no effect.
+	ResponseConflict
 )
 
 // Response responds to a call.
@@ -253,7 +270,7 @@
 // refuseUnstored refuses a job that is in no batch yet.
 func (c *Core) refuseUnstored(now time.Time, j *job) {
 	delete(c.jobs, j.spec.ID)
-	c.unfinishedJobs--
+	c.countUnfinished(j, -1)
 	for _, call := range j.calls {
 		resp := c.refuse(now, j.spec, call, "store_unavailable", retryAfterStalled)
 		resp.Kind = ResponseStoreUnavailable
--- a/internal/core/jobs/events.go
+++ b/internal/core/jobs/events.go
@@ -45,6 +45,7 @@
 	Task   *TaskRef
 	Run    int64
 	Worker model.WorkerID
+	Tenant string
 	Reason model.Reason
 	Detail string
 	// Age is the time since what the event refers to: the submission of a job,
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -15,6 +15,10 @@
 	// token is the fencing token of the leader that accepted the job.
 	token      uint64
 	acceptedAt time.Time
+	// account is that of the job's tenant; nil if it has none.
+	account *account
+	// excess is set if the job exceeded the rate of its tenant when it was accepted.
+	excess bool
 	// calls lists the client calls that wait for the accepted record to be
 	// stored.
 	calls []CallID
--- a/internal/core/jobs/pool.go
+++ b/internal/core/jobs/pool.go
@@ -15,6 +15,8 @@
 	// free is the sum of the free capacity of all workers, from which the demand of the waiting
 	// gangs that claim capacity is then subtracted.
 	free model.Size
+	// total is the capacity of all workers.
+	total model.Size
 	// usedShare is the used share of the scarcest resource.
 	usedShare float64
 	// gangWaits is set once a gang of priority gangPriority was not placed in the current
@@ -35,7 +37,7 @@
 		p.free = p.free.Add(free)
 		used, total = used.Add(w.resources.used), total.Add(w.resources.capacity)
 	}
-	p.usedShare = used.DominantShare(total)
+	p.total, p.usedShare = total, used.DominantShare(total)
 }
 
 // hasSpare reports whether free capacity remains beyond the demand of the waiting gangs
--- a/internal/core/jobs/reconcile.go
+++ b/internal/core/jobs/reconcile.go
@@ -94,6 +94,9 @@
 	if t != nil {
 		r.size = t.step.def.Size
 	}
+	if j := c.jobs[report.Task.Job]; j != nil {
+		r.account = j.account
+	}
 	if wanted {
 		c.attach(t, r)
 		c.runEvent(EventRunAdopted, r, 0, "")
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -34,13 +34,19 @@
 	Token uint64
 	// Accepted is when the job was accepted, in wall-clock time.
 	Accepted time.Time
+	// Excess is set if the job exceeded the rate of its tenant, and TenantLimit is the tenant's
+	// limit at the time; 0 in a dimension is no limit. It applies while the tenant is not configured.
+	Excess      bool
+	TenantLimit model.Size
 }
 
 // ProgressRecord is the stored form of everything final about a job, and of the crashes
 // of workers under its tasks. Each record replaces the previous one.
 type ProgressRecord struct {
-	Job     string
-	Queue   string
+	Job   string
+	Queue string
+	// Tenant is the tenant that the job belongs to; empty if none.
+	Tenant  string
 	Outcome Outcome
 	// Occurrences lists the occurrences in which any task has ended or a worker
 	// crashed; empty once the job has ended.
@@ -101,6 +107,8 @@
 	// these runs. Both are empty for a draining worker and in records of earlier versions.
 	Incarnation int64
 	Runs        []InterruptedRun
+	// Capacity is the worker's capacity; the zero size in records of earlier versions.
+	Capacity model.Size
 }
 
 // Batch is what has to be stored in one append before its effects become
--- a/internal/core/jobs/recovery.go
+++ b/internal/core/jobs/recovery.go
@@ -36,6 +36,11 @@
 	// incarnation and runs are those of the worker's record.
 	incarnation int64
 	runs        []InterruptedRun
+	// capacity is that of the worker's record, and uses lists what tenants may have running
+	// there. sizesKnown is set if uses is complete.
+	capacity   model.Size
+	uses       []previousUse
+	sizesKnown bool
 }
 
 func newRecovery() recovery {
@@ -77,6 +82,7 @@
 	previous := rec.workers[id]
 	delete(rec.workers, id)
 	rec.count(&previous, -1)
+	previous.releaseUses()
 	return previous
 }
 
--- a/internal/core/jobs/reservations.go
+++ b/internal/core/jobs/reservations.go
@@ -64,9 +64,9 @@
 	}
 }
 
-// placeable reports whether a step has tasks that could be placed.
+// placeable reports whether a step has tasks that could be placed if there were capacity.
 func (c *Core) placeable(s *step) bool {
-	return s.canStart() && s.pending > 0 && c.runsKnown(s) && (!s.def.Gang || s.pending == s.unfinished)
+	return s.canStart() && s.pending > 0 && c.runsKnown(s) && (!s.def.Gang || s.pending == s.unfinished) && c.limitAllows(s)
 }
 
 // reserveForGang reserves the capacity with which a gang can start earliest and
--- a/internal/core/jobs/restore.go
+++ b/internal/core/jobs/restore.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"catkinvalve/internal/core/tenant"
 )
 
 // Restore loads what earlier leaders stored. It must be called once, before any
@@ -19,7 +21,7 @@
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		j := c.jobs[id]
 		if j.outcome == OutcomeUnfinished {
-			c.unfinishedJobs++
+			c.countUnfinished(j, 1)
 			c.createOccurrences(wall, j)
 			c.queueReadySteps(j)
 		}
@@ -32,6 +34,7 @@
 			w.recordState = recordSilent
 		}
 		c.recovery.add(r)
+		c.resolvePrevious(r)
 	}
 	c.placementsStale = true
 	c.completeRecovery(now)
@@ -47,7 +50,11 @@
 	spec := r.Spec
 	age := min(max(wall.Sub(r.Accepted), 0), c.cfg.Retention)
 	j := newJob(&spec, &q, r.Token, now.Add(-age))
-	j.stored, j.restored = true, true
+	j.stored, j.restored, j.excess = true, true, r.Excess
+	j.account = c.accountOf(now, &spec)
+	if j.account != nil && !j.account.configured {
+		j.account.room.capacity = tenant.Unlimited(r.TenantLimit)
+	}
 	c.notePacingNeeded(j)
 	c.jobs[spec.ID] = j
 }
@@ -58,8 +65,9 @@
 	j := c.jobs[p.Job]
 	if j == nil {
 		// The accepted record is deleted when a job ends.
-		j = newJob(&Spec{ID: p.Job, Queue: p.Queue}, &Queue{Name: p.Queue}, 0, now)
+		j = newJob(&Spec{ID: p.Job, Queue: p.Queue, Tenant: p.Tenant}, &Queue{Name: p.Queue}, 0, now)
 		j.stored, j.restored = true, true
+		j.account = c.accountOf(now, j.spec)
 		c.jobs[p.Job] = j
 	}
 	if p.Outcome != OutcomeUnfinished {
--- a/internal/core/jobs/runs.go
+++ b/internal/core/jobs/runs.go
@@ -41,7 +41,7 @@
 // start starts a new run of t on w. The caller has checked that it fits.
 func (c *Core) start(now time.Time, t *task, w *worker, number int64, ticket string) {
 	s := t.step
-	r := &run{ref: t.ref(), number: number, worker: w, size: s.def.Size, state: runStarting, sentAt: now, pace: paceState{applied: fullPace, wanted: fullPace}}
+	r := &run{ref: t.ref(), number: number, worker: w, size: s.def.Size, account: s.job().account, state: runStarting, sentAt: now, pace: paceState{applied: fullPace, wanted: fullPace}}
 	c.attach(t, r)
 	w.addRun(r)
 	if t.crashes.nextIsLast() {
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -20,9 +20,12 @@
 	if c.poolsStale {
 		c.refreshPools(now)
 	}
+	c.capacity = model.Size{}
 	for _, p := range c.pools {
 		p.startRound()
+		c.capacity = c.capacity.Add(p.total)
 	}
+	c.startLimitRound()
 	c.updateGangFits(now)
 	if c.reservationsStale {
 		c.reservationsStale = false
@@ -36,7 +39,7 @@
 			s.wait.reason = waitForGang
 		} else {
 			s.wait.reason = c.place(now, s)
-			c.noteWaitingGang(s)
+			c.noteWaiting(s)
 		}
 		s.updateWait(now)
 		s.queued = s.canStart() && s.pending > 0
@@ -55,13 +58,15 @@
 // compareSteps orders steps by the priority of their queues, then by the time
 // by which they have to start. Steps that are late already come after those
 // that can still be on time; otherwise every job would be late under overload.
-// Starving steps come before all others, in the order in which they wait.
+// Starving steps come before all others, in the order in which they wait. Within a
+// priority, jobs that exceed the rate of their tenant come last, and of the others those
+// of tenants that use more than their share come after the rest.
 func compareSteps(a, b *step) int {
 	if a.starving && b.starving {
 		return cmp.Or(a.wait.since.Compare(b.wait.since), cmp.Compare(a.seq, b.seq))
 	}
-	return cmp.Or(compareBool(!a.starving, !b.starving), cmp.Compare(a.job().queue.Priority, b.job().queue.Priority), compareBool(a.late, b.late),
-		a.startBy.Compare(b.startBy), cmp.Compare(a.seq, b.seq))
+	return cmp.Or(compareBool(!a.starving, !b.starving), cmp.Compare(a.job().queue.Priority, b.job().queue.Priority), compareBool(a.excess(), b.excess()), compareBool(a.late, b.late),
+		compareBool(a.overShare(), b.overShare()), a.startBy.Compare(b.startBy), cmp.Compare(a.seq, b.seq))
 }
 
 // compareBool orders false before true.
@@ -96,6 +101,9 @@
 			s.fit.checkAt = time.Time{}
 		}
 		grace := time.Duration(lateGrace * float64(c.estimator.expected(s.job().queue.Name, s.def)))
+		if c.updateShare(s.job().account) {
+			changed = true
+		}
 		if late := !s.def.LongRunning && now.After(s.startBy.Add(grace)); late != s.late {
 			s.late, changed = late, true
 		}
@@ -119,6 +127,8 @@
 		return waitForStops
 	case s.def.Gang && s.fit.fit == fitsNever:
 		return waitForWorkers
+	case !c.limitAllows(s):
+		return waitForLimit
 	case !s.def.Size.Fits(c.pool(s).largest):
 		return waitForCapacity
 	case s.def.Gang:
@@ -139,6 +149,9 @@
 			reason = waitForCrashRecord
 			continue
 		}
+		if c.limitCopies(s) == 0 {
+			return waitForLimit
+		}
 		options = c.withCapacity(now, s, options)
 		if len(options) == 0 {
 			return c.requestAdvice(now, s)
--- a/internal/core/jobs/spec.go
+++ b/internal/core/jobs/spec.go
@@ -53,6 +53,8 @@
 	Target time.Duration
 	// Advice is nil when the queue's tasks may run on any worker of the service.
 	Advice *AdviceConfig
+	// Anonymous means that callers need no key, and that all of them may see the queue's jobs.
+	Anonymous bool
 }
 
 // AdviceConfig describes the advice service of a queue. A call takes
@@ -107,8 +109,10 @@
 
 // Spec is a job as submitted.
 type Spec struct {
-	ID      string
-	Queue   string
+	ID    string
+	Queue string
+	// Tenant is the tenant that the job belongs to; empty if none.
+	Tenant  string
 	Payload string
 	Steps   []Step
 	// Repeat is the number of occurrences: occurrence k is due at FirstDue + k
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -80,6 +80,9 @@
 // the job is stored.
 func (c *Core) decide(now time.Time, spec *Spec, call CallID) *Response {
 	if j := c.jobs[spec.ID]; j != nil {
+		if !c.VisibleTo(spec.ID, spec.Tenant) {
+			return &Response{Call: call, Kind: ResponseConflict, Reason: "id_in_use"}
+		}
 		return c.handleRepeat(j, call)
 	}
 	q := c.queues[spec.Queue]
@@ -94,10 +97,15 @@
 	if reason, retryAfter, ok := c.admit(now, spec, q); !ok {
 		return c.refuse(now, spec, call, reason, retryAfter)
 	}
+	excess, reason, retryAfter := c.checkTenant(now, spec, q)
+	if reason != "" {
+		return c.refuse(now, spec, call, reason, retryAfter)
+	}
 	j := newJob(spec, q, c.cfg.Token, now)
+	j.account, j.excess = c.accountOf(now, spec), excess
 	c.notePacingNeeded(j)
 	c.jobs[spec.ID] = j
-	c.unfinishedJobs++
+	c.countUnfinished(j, 1)
 	c.batch.accepted = append(c.batch.accepted, j)
 	j.calls = append(j.calls, call)
 	return nil
@@ -116,7 +124,12 @@
 // refuse logs the refusal of a job and returns the response. The job is not
 // stored.
 func (c *Core) refuse(now time.Time, spec *Spec, call CallID, reason model.Reason, retryAfter time.Duration) *Response {
-	c.event(Event{Name: EventJobRefused, Job: spec.ID, Queue: spec.Queue, Reason: reason, Age: retryAfter, Count: c.unfinishedJobs})
+	e := Event{Name: EventJobRefused, Job: spec.ID, Queue: spec.Queue, Reason: reason, Age: retryAfter, Count: c.unfinishedJobs}
+	if a := c.accountOf(now, spec); a != nil {
+		a.refused[reason]++
+		e.Tenant, e.Detail = spec.Tenant, a.String()
+	}
+	c.event(e)
 	return &Response{Call: call, Kind: ResponseRefused, Reason: reason, RetryAfter: retryAfter}
 }
 
@@ -143,7 +156,7 @@
 // and stops the remaining runs of a job that did not complete.
 func (c *Core) endJob(now time.Time, j *job, o Outcome) {
 	j.outcome = o
-	c.unfinishedJobs--
+	c.countUnfinished(j, -1)
 	c.markDirty(j)
 	c.placementsStale = true
 	if o != OutcomeCompleted {
--- /dev/null
+++ b/internal/core/jobs/tenant_rate.go
@@ -0,0 +1,118 @@
+package jobs
+
+import (
+	"time"
+
+	"catkinvalve/internal/core/model"
+)
+
+const (
+	// shortShare is the share of a pool's capacity in use from which capacity counts as short for
+	// jobs that exceed their tenant's rate.
+	shortShare = 0.8
+	// shareTolerance is the fraction by which a tenant's use may leave its share before its jobs
+	// change their place in the order.
+	shareTolerance = 0.1
+)
+
+// checkTenant reports whether the tenant of a job may submit it now. If not, it returns the reason
+// and the delay after which the client may retry. excess is set if the job exceeds the tenant's
+// rate: it is accepted only while capacity is not short, and comes after all others then.
+func (c *Core) checkTenant(now time.Time, spec *Spec, q *Queue) (excess bool, reason model.Reason, retryAfter time.Duration) {
+	a := c.accountOf(now, spec)
+	if a == nil || c.tenants == nil {
+		return false, "", 0
+	}
+	for i := range spec.Steps {
+		if !spec.Steps[i].fitsLimit(a.room.capacity) {
+			return false, model.ReasonExceedsLimit, retryAfterNeverFits
+		}
+	}
+	returning := c.refusedJobs.contains(spec.ID)
+	if excess = returning || !a.rate.Take(now); !excess {
+		return false, "", 0
+	}
+	if p := c.pools[q.Service]; p == nil || p.usedShare < shortShare {
+		return true, "", 0
+	}
+	c.refusedJobs.add(spec.ID)
+	return true, model.ReasonTenantRate, a.rate.RetryAfter(now)
+}
+
+// fitsLimit reports whether a task of the step, or all tasks of a gang, fit into a limit.
+func (s *Step) fitsLimit(limit model.Size) bool {
+	size := s.Size
+	if s.Gang {
+		size = size.Times(int64(s.Count))
+	}
+	return size.Fits(limit)
+}
+
+// maxRefusedJobs limits the refused jobs that are remembered, over all tenants.
+const maxRefusedJobs = 4096
+
+// refusedJobs remembers the last jobs that were refused because of their tenant's rate. One that
+// comes back takes nothing of the rate from jobs that come for the first time.
+type refusedJobs struct {
+	ids map[string]bool
+	// order holds the IDs in a ring, at whose position next is the oldest.
+	order []string
+	next  int
+}
+
+func newRefusedJobs() refusedJobs { return refusedJobs{ids: map[string]bool{}} }
+
+func (r *refusedJobs) contains(id string) bool { return r.ids[id] }
+
+func (r *refusedJobs) add(id string) {
+	if r.ids[id] {
+		return
+	}
+	r.ids[id] = true
+	if len(r.order) < maxRefusedJobs {
+		r.order = append(r.order, id)
+		return
+	}
+	delete(r.ids, r.order[r.next])
+	r.order[r.next] = id
+	r.next = (r.next + 1) % maxRefusedJobs
+}
+
+// updateShare updates whether the tenant uses more than its fair share and reports whether that has
+// changed. It answers the load of tenants that together ask for more than there is.
+func (c *Core) updateShare(a *account) (changed bool) {
+	if a == nil || c.activeWeight <= 0 {
+		return false
+	}
+	limit := c.fairShare(a)
+	if a.overShare {
+		limit *= 1 - shareTolerance
+	} else {
+		limit *= 1 + shareTolerance
+	}
+	before := a.overShare
+	a.overShare = a.share(c.capacity) > limit
+	return a.overShare != before
+}
+
+// fairShare returns the part of all capacity that the tenant's weight gives it among the tenants
+// with unfinished jobs.
+func (c *Core) fairShare(a *account) float64 {
+	if c.activeWeight <= 0 {
+		return 0
+	}
+	return a.weight / c.activeWeight
+}
+
+// share returns the tenant's part of the capacity of all workers, in the dimension of which it uses
+// the largest part.
+func (a *account) share(capacity model.Size) float64 { return a.room.used.DominantShare(capacity) }
+
+// excess reports whether the step's job exceeds the rate of its tenant.
+func (s *step) excess() bool { return s.occ.job.excess }
+
+// overShare reports whether the tenant of the step's job uses more than its share.
+func (s *step) overShare() bool {
+	a := s.occ.job.account
+	return a != nil && a.overShare
+}
--- a/internal/core/jobs/waiting.go
+++ b/internal/core/jobs/waiting.go
@@ -22,7 +22,9 @@
 	waitForStops    model.Reason = "gang_members_stopping"
 	waitForBackoff  model.Reason = "backoff"
 	waitForCapacity model.Reason = "no_worker_with_room"
-	waitForGang     model.Reason = "yields_to_gang"
+	// waitForLimit: the tenant of the job has as much running as it may.
+	waitForLimit model.Reason = "tenant_cap"
+	waitForGang  model.Reason = "yields_to_gang"
 	// waitForWorkers: the usable workers that may run the gang are too few or too small for all
 	// its members, even once all runs but those of lasting tasks have ended.
 	waitForWorkers model.Reason = "gang_exceeds_workers"
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -176,8 +176,12 @@
 	number int64
 	worker *worker
 	size   model.Size
-	state  runState
-	sentAt time.Time
+	// account is that of the tenant to whose job the run belongs; nil if there is none.
+	account *account
+	// countedLasting is set while the run counts as lasting in account.
+	countedLasting bool
+	state          runState
+	sentAt         time.Time
 	// confirmedAt is when the worker was first known to have the run.
 	confirmedAt time.Time
 	// unclearSince is when the last call that could start the run ended.
@@ -275,6 +279,7 @@
 func (w *worker) addRun(r *run) {
 	w.runs = append(w.runs, r)
 	w.resources.used = w.resources.used.Add(r.size)
+	r.account.addUse(r)
 	if r.task == nil && r.size == (model.Size{}) {
 		w.unknownRuns++
 	}
@@ -289,6 +294,7 @@
 	w.runs = slices.Delete(w.runs, i, i+1)
 	r.gone = true
 	w.resources.used = w.resources.used.Sub(r.size)
+	r.account.removeUse(r)
 	if r.task == nil && r.size == (model.Size{}) {
 		w.unknownRuns--
 	}
--- a/internal/core/jobs/worker_record.go
+++ b/internal/core/jobs/worker_record.go
@@ -43,7 +43,7 @@
 
 // record returns the stored form of a worker.
 func (w *worker) record() WorkerRecord {
-	r := WorkerRecord{ID: w.ID, Address: w.address(), Service: w.Service, Silent: w.recordState == recordSilent}
+	r := WorkerRecord{ID: w.ID, Address: w.address(), Service: w.Service, Silent: w.recordState == recordSilent, Capacity: w.resources.capacity}
 	if !r.Silent {
 		return r
 	}
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -178,6 +178,8 @@
 	ReasonCancelled      Reason = "cancelled_before_start"
 	ReasonShed           Reason = "shed"
 	ReasonNeverFits      Reason = "can_never_run"
+	ReasonExceedsLimit   Reason = "exceeds_tenant_cap"
+	ReasonTenantRate     Reason = "tenant_rate"
 	ReasonBackoff        Reason = "retry_backoff"
 	ReasonGang           Reason = "not_all_tasks_fit"
 	ReasonAttempts       Reason = "attempts_exhausted"
--- a/internal/ports/cell.go
+++ b/internal/ports/cell.go
@@ -7,6 +7,7 @@
 
 	"catkinvalve/internal/core/jobs"
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/tenant"
 )
 
 // Topic is the name of a keyed topic of the cell in the metadata store. Of a keyed topic
@@ -167,6 +168,8 @@
 	MaxBodyBytes  int64
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
+	// Tenants is nil when requests need no key.
+	Tenants *tenant.Set
 }
 
 // ConfigSource reads the configuration that operators publish.
