Refused jobs of a tenant come back at its rate, and excess waits for no limit

Cause: in a burst of one tenant all refused clients got the same Retry-After of 1 s, because the next return was compared with a time that moves on. Jobs beyond the rate were accepted although the tenant had used up its limit, and waited.

Change: each refusal adds an interval to the next return. Jobs beyond the rate are refused while tasks of the tenant wait for its limit. Accepted and ended jobs are logged with their tenant.

--- a/internal/core/jobs/batch.go
+++ b/internal/core/jobs/batch.go
@@ -147,7 +147,7 @@
 		c.out.Responses = append(c.out.Responses, Response{Call: call, Kind: ResponseAccepted})
 	}
 	j.calls = nil
-	c.event(Event{Name: EventJobAccepted, Job: j.spec.ID, Queue: j.queue.Name, Age: now.Sub(j.acceptedAt)})
+	c.event(Event{Name: EventJobAccepted, Job: j.spec.ID, Queue: j.queue.Name, Tenant: j.spec.Tenant, Age: now.Sub(j.acceptedAt)})
 	c.createOccurrences(c.wall, j)
 	c.queueReadySteps(j)
 }
@@ -156,7 +156,7 @@
 func (c *Core) publishOutcome(now time.Time, j *job) {
 	j.outcomeStored, j.endedAt = true, now
 	c.endedJobs = append(c.endedJobs, j)
-	c.event(Event{Name: EventJobEnded, Job: j.spec.ID, Queue: j.queue.Name, Detail: j.outcome.String(), Reason: j.endReason, Age: now.Sub(j.acceptedAt)})
+	c.event(Event{Name: EventJobEnded, Job: j.spec.ID, Queue: j.queue.Name, Tenant: j.spec.Tenant, Detail: j.outcome.String(), Reason: j.endReason, Age: now.Sub(j.acceptedAt)})
 	j.occurrences = map[int32]*occurrence{}
 }
 
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -101,8 +101,8 @@
 	accounts map[string]*account
 	// activeWeight is the sum of the weights of the tenants with unfinished jobs.
 	activeWeight float64
-	// reservedAccounts lists the accounts of which limit is reserved in the current round.
-	reservedAccounts []*account
+	// limitedAccounts lists the accounts of which a task waited for the limit in the last round.
+	limitedAccounts []*account
 	// unprovenUse is what any one tenant may use on workers whose runs are not all known.
 	unprovenUse model.Size
 	refusedJobs refusedJobs
--- a/internal/core/jobs/tenant_limits.go
+++ b/internal/core/jobs/tenant_limits.go
@@ -71,35 +71,35 @@
 
 // noteWaiting records what a step that was not placed, although its turn had come, needs.
 func (c *Core) noteWaiting(s *step) {
-	if s.wait.reason == waitForLimit && s.def.Gang {
-		c.reserveLimit(s)
+	if s.wait.reason == waitForLimit {
+		c.noteLimitWait(s)
 		return
 	}
 	c.noteWaitingGang(s)
 }
 
-// reserveLimit keeps what a gang needs of the limit of its tenant, if the gang waits for that only
-// and can start once other runs have ended. Otherwise less urgent tasks of the tenant, one by one,
-// would take whatever becomes free.
-func (c *Core) reserveLimit(s *step) {
+// noteLimitWait records that a step waits for the limit of its tenant only. If it is a gang that can
+// start once other runs have ended, it reserves what it needs of the limit. Otherwise less urgent
+// tasks of the tenant, one by one, would take whatever becomes free.
+func (c *Core) noteLimitWait(s *step) {
 	a := s.job().account
-	size := s.def.Size.Times(int64(len(s.tasks)))
-	if !size.Fits(a.room.capacity.Sub(a.lasting)) {
-		return
+	if !a.limitWaits {
+		a.limitWaits = true
+		c.limitedAccounts = append(c.limitedAccounts, a)
 	}
-	if a.reserved == (model.Size{}) {
-		c.reservedAccounts = append(c.reservedAccounts, a)
+	size := s.def.Size.Times(int64(len(s.tasks)))
+	if s.def.Gang && size.Fits(a.room.capacity.Sub(a.lasting)) {
+		a.reserved = a.reserved.Add(size)
 	}
-	a.reserved = a.reserved.Add(size)
 }
 
 // startLimitRound forgets the reservations of the last round and determines what may run without
 // being known.
 func (c *Core) startLimitRound() {
-	for _, a := range c.reservedAccounts {
-		a.reserved = model.Size{}
+	for _, a := range c.limitedAccounts {
+		a.reserved, a.limitWaits = model.Size{}, false
 	}
-	c.reservedAccounts = c.reservedAccounts[:0]
+	c.limitedAccounts = c.limitedAccounts[:0]
 	c.unprovenUse = model.Size{}
 	if c.tenants == nil {
 		return
--- a/internal/core/jobs/tenant_rate.go
+++ b/internal/core/jobs/tenant_rate.go
@@ -32,7 +32,7 @@
 	if excess = returning || !a.rate.Take(now); !excess {
 		return false, "", 0
 	}
-	if p := c.pools[q.Service]; p == nil || p.usedShare < shortShare {
+	if p := c.pools[q.Service]; !a.limitWaits && (p == nil || p.usedShare < shortShare) {
 		return true, "", 0
 	}
 	c.refusedJobs.add(spec.ID)
--- a/internal/core/jobs/tenants.go
+++ b/internal/core/jobs/tenants.go
@@ -22,6 +22,8 @@
 	lasting model.Size
 	// reserved is kept in the current round for a gang that waits for the limit.
 	reserved model.Size
+	// limitWaits is set if a task waited for the limit in the last round.
+	limitWaits bool
 	// unfinishedJobs counts the tenant's accepted jobs that have not ended.
 	unfinishedJobs int
 	rate           *tenant.Rate
--- a/internal/core/tenant/rate.go
+++ b/internal/core/tenant/rate.go
@@ -53,10 +53,9 @@
 	if perSecond <= 0 {
 		return maxRetryAfter
 	}
+	r.nextReturn = r.nextReturn.Add(time.Duration(float64(time.Second) / perSecond))
 	if r.nextReturn.Before(first) {
 		r.nextReturn = first
-	} else {
-		r.nextReturn = r.nextReturn.Add(time.Duration(float64(time.Second) / perSecond))
 	}
 	if last := now.Add(maxRetryAfter); r.nextReturn.After(last) {
 		r.nextReturn = last
