Calls with little time left are answered in time or not sent

Cause: 100 ms are kept for the answer, so a caller with less time left, such as one that comes back after a refusal, was told after a few ms that the outcome is unknown, although its call had been sent and its job could run.

Change: at most a quarter of the remaining time is kept. With under 30 ms left the call is not sent; the answer is still that the outcome is unknown, since an earlier attempt may have run.

Tried and not kept: trying refused calls again on behalf of callers that cannot come back in time, and a shorter Retry-After for callers with little time left.

--- a/internal/cell/forwarder.go
+++ b/internal/cell/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,8 +17,11 @@
 )
 
 const (
-	// answerMargin is the time reserved between an answer and the caller's deadline.
+	// answerMargin is the time reserved between an answer and the caller's deadline, unless
+	// that is near.
 	answerMargin = 100 * time.Millisecond
+	// minCallTime is the time left to a caller below which a call is not sent.
+	minCallTime = 30 * time.Millisecond
 	// leaderlessWait is how long after the loss of the leader calls wait for the next
 	// leader. Later calls are refused immediately.
 	leaderlessWait = 2 * time.Second
@@ -149,7 +153,7 @@
 	start := time.Now()
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerMargin))
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-marginFor(time.Until(deadline))))
 		defer cancel()
 	}
 	c.ConfigVersion = f.d.config.version()
@@ -167,6 +171,11 @@
 // callLeader sends a call to the current leader and its successors until one of them
 // answers or ctx ends.
 func (f *forwarder) callLeader(ctx context.Context, c *cellpb.Call) Reply {
+	if remainingTime(ctx) < minCallTime {
+		// It is not sent, so that it does not run after its caller has left. An earlier attempt
+		// of the caller may have run, so this is no promise.
+		return Reply{Verdict: VerdictUnknown, Reason: "deadline_too_near"}
+	}
 	sent := false
 	for {
 		ok, reason := f.d.members.awaitLeader(ctx)
@@ -193,6 +202,22 @@
 	}
 }
 
+// marginFor returns the time that is kept for the answer of a call whose caller waits for another
+// remaining time. A caller with little time left, such as one that comes back after a refusal, keeps
+// most of it for the call.
+func marginFor(remaining time.Duration) time.Duration {
+	return min(answerMargin, max(remaining/4, 0))
+}
+
+// remainingTime returns the time until the deadline of ctx, or the longest duration if it has none.
+func remainingTime(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return math.MaxInt64
+	}
+	return time.Until(deadline)
+}
+
 // failureReply returns the reply for a call that the leader did not answer. Once a
 // call that submits or cancels a job was sent, its outcome is unknown. A call that was
 // never sent was not accepted.
