tenant: a rate starts full

Cause: the token bucket of a tenant began with no tokens, because a limiter without a burst has none and raising the burst adds none. Change: a rate that was 0 before starts with a full bucket.

--- a/internal/core/tenant/rate.go
+++ b/internal/core/tenant/rate.go
@@ -32,13 +32,18 @@
 	return r
 }
 
-// Set changes the rate, in jobs a second.
+// Set changes the rate, in jobs a second. A rate that was 0 before starts full, since a new leader
+// does not know what its predecessor has granted.
 func (r *Rate) Set(now time.Time, perSecond float64) {
-	r.limiter.SetLimitAt(now, rate.Limit(max(perSecond, 0)))
-	burst := 0
+	limit, burst := rate.Limit(max(perSecond, 0)), 0
 	if perSecond > 0 {
 		burst = max(1, int(perSecond*burstTime.Seconds()))
 	}
+	if r.limiter.Burst() == 0 {
+		r.limiter = rate.NewLimiter(limit, burst)
+		return
+	}
+	r.limiter.SetLimitAt(now, limit)
 	r.limiter.SetBurstAt(now, burst)
 }
 
