tenant: requests without a key belong to no tenant

Cause: a request without the header Api-Key is looked up with the empty key. A tenant with an empty string among its keys therefore admitted all such requests, and the keys of a tenant without a name made jobs that everybody may see. Change: the empty key and the keys of a nameless tenant are in no map; Problems names both. Measured: TestKeysAreLookedUp failed before (the empty key was known), passes now.

--- a/internal/core/tenant/tenant.go
+++ b/internal/core/tenant/tenant.go
@@ -35,18 +35,20 @@
 }
 
 // NewSet returns the set of the given tenants. A key that several of them have belongs to the
-// first one.
+// first one. The empty key, which is that of a request without one, and the keys of a tenant
+// without a name belong to none.
 func NewSet(tenants []Config) *Set {
 	s := &Set{Tenants: tenants, byKey: map[KeyDigest]string{}, byName: map[string]bool{}}
 	for i := range tenants {
 		t := &tenants[i]
 		s.byName[t.Name] = true
 		for _, key := range t.Keys {
-			if _, taken := s.byKey[key]; !taken {
+			if _, taken := s.byKey[key]; !taken && t.Name != "" {
 				s.byKey[key] = t.Name
 			}
 		}
 	}
+	delete(s.byKey, Digest(""))
 	return s
 }
 
@@ -86,8 +88,15 @@
 		if len(t.Keys) == 0 {
 			out = append(out, Problem{t.Name, "has no key", "add a key, or nobody can submit its jobs"})
 		}
+		if t.Name == "" {
+			out = append(out, Problem{t.Name, "has no name", "give it a name, or its keys are refused"})
+			continue
+		}
 		for _, key := range t.Keys {
-			if owner := s.byKey[key]; owner != t.Name {
+			switch owner, known := s.byKey[key]; {
+			case !known:
+				out = append(out, Problem{t.Name, "has an empty key", "remove the key; requests without a key are refused"})
+			case owner != t.Name:
 				out = append(out, Problem{t.Name, fmt.Sprintf("shares a key with tenant %q, to which the key belongs", owner), "remove the key from one of them"})
 			}
 		}
--- a/internal/core/tenant/tenant_test.go
+++ b/internal/core/tenant/tenant_test.go
@@ -57,6 +57,26 @@
 	assert.Equal(t, NewRate(testStart, 0).RetryAfter(testStart), maxRetryAfter, "without a rate")
 }
 
+// Guards against a key that is taken for one of another tenant, against a request without a key that
+// counts as one of a tenant, and against keys of a tenant without a name, whose jobs would be seen
+// by all.
+func TestKeysAreLookedUp(t *testing.T) {
+	s := NewSet([]Config{
+		{Name: "a", Keys: []KeyDigest{Digest("k1"), Digest("shared")}},
+		{Name: "b", Keys: []KeyDigest{Digest("k2"), Digest("shared"), Digest("")}},
+		{Name: "", Keys: []KeyDigest{Digest("k3")}},
+	})
+	for key, want := range map[string]string{"k1": "a", "shared": "a", "k2": "b"} {
+		name, known := s.ByKey(key)
+		assert.Assert(t, known, "%q", key)
+		assert.Equal(t, name, want)
+	}
+	for _, key := range []string{"", "k3", "k", "K1"} {
+		_, known := s.ByKey(key)
+		assert.Assert(t, !known, "%q is a key", key)
+	}
+}
+
 // Guards against configurations that are hardly meant and are not reported.
 func TestProblemsOfTenants(t *testing.T) {
 	key := Digest("k")
@@ -66,10 +86,12 @@
 		{Name: "small", Weight: 1, Keys: []KeyDigest{Digest("k2")}, Limit: model.Size{MilliCPU: 500}},
 		{Name: "no key", Weight: 1},
 		{Name: "same key", Weight: 1, Keys: []KeyDigest{key}},
+		{Name: "empty key", Weight: 1, Keys: []KeyDigest{Digest("")}},
+		{Weight: 1, Keys: []KeyDigest{Digest("k3")}},
 	})
 	var tenants []string
 	for _, p := range s.Problems(model.Size{MilliCPU: 1000, MemMB: 1 << 30}) {
 		tenants = append(tenants, p.Tenant)
 	}
-	assert.DeepEqual(t, tenants, []string{"no weight", "small", "no key", "same key"})
+	assert.DeepEqual(t, tenants, []string{"no weight", "small", "no key", "same key", "empty key", ""})
 }
