jobs: a tenant that returns keeps its use

Cause: the account of a removed tenant was deleted once it had neither unfinished jobs nor known runs. Tasks of cancelled jobs on silent workers were forgotten with it, and runs that a worker listed later were counted in the deleted account, so that the tenant could start as much again once it was configured again. Change: an account is kept while tasks of silent workers count in it, and an adopted run counts in the present account of its tenant. Measured: TestReturnedTenantKeepsItsUse failed before in both cases (3 tasks started beside 3 that may run, limit 3 cores), passes now.

--- a/internal/core/jobs/reconcile.go
+++ b/internal/core/jobs/reconcile.go
@@ -95,7 +95,8 @@
 		r.size = t.step.def.Size
 	}
 	if j := c.jobs[report.Task.Job]; j != nil {
-		r.account = j.account
+		// The account that the job began with may have been removed and created again.
+		r.account = c.accountOf(now, j.spec)
 	}
 	if wanted {
 		c.attach(t, r)
--- a/internal/core/jobs/tenant_accounts_test.go
+++ b/internal/core/jobs/tenant_accounts_test.go
@@ -159,3 +159,33 @@
 	assert.Equal(t, next.core.Tenants()[0].Limit, model.Size{MilliCPU: 2000})
 	assert.Equal(t, next.core.Tenants()[0].UnfinishedJobs, 2)
 }
+
+// Guards against a tenant that is removed and added again and whose runs from before are forgotten:
+// those on a silent worker, and those of a cancelled job that a worker lists only afterwards.
+func TestReturnedTenantKeepsItsUse(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		b := newTenantBench(t, limited("a", 3000))
+		b.addWorkers("w1")
+		assert.Assert(t, b.submitAs("a", "j", smallStep(3)) == nil)
+		starts := b.round("").Starts
+		if silent {
+			b.startsWithout("w1", "j", 2*time.Second)
+			assert.Assert(t, b.store.workers["w1"].Silent)
+		}
+		next := b.succeed([]WorkerEntry{workerEntry("w1"), workerEntry("w2")}, limited("a", 3000))
+		next.core.Cancel(next.now, "j", 2)
+		next.setTenants(limited("b", 0))
+		next.setTenants(limited("a", 3000), limited("b", 0))
+		silentWorker := model.WorkerID("w1")
+		if !silent {
+			var listed SyncResult
+			for _, s := range starts {
+				listed.Running = append(listed.Running, RunReport{Task: s.Task, Run: s.Run})
+			}
+			next.answerSyncs(next.advance(0), map[model.WorkerID]SyncResult{"w1": listed})
+			silentWorker = ""
+		}
+		assert.Assert(t, next.submitAs("a", "fresh", smallStep(3)) == nil)
+		assert.Equal(t, next.startsWithout(silentWorker, "fresh", time.Second), 0)
+	}
+}
--- a/internal/core/jobs/tenants.go
+++ b/internal/core/jobs/tenants.go
@@ -46,7 +46,7 @@
 	for name, a := range c.accounts {
 		switch {
 		case a.configured:
-		case a.unfinishedJobs == 0 && a.room.used == (model.Size{}):
+		case a.unfinishedJobs == 0 && a.room.used == (model.Size{}) && a.awaited == (model.Size{}):
 			delete(c.accounts, name)
 		default:
 			c.setWeight(now, a, 0)
