jobs: limits hold in full without configured tenants

Cause: what may run on workers that have not answered was counted only while the configuration has tenants. Jobs that were accepted before run on under the last limit of their tenant, but a successor started more beside unseen runs. Change: it is counted while any tenant is known. Measured: TestLimitHoldsAfterTenantsAreSwitchedOff failed before (1 start instead of 0), passes now.

--- a/internal/core/jobs/tenant_accounts_test.go
+++ b/internal/core/jobs/tenant_accounts_test.go
@@ -189,3 +189,17 @@
 		assert.Equal(t, next.startsWithout(silentWorker, "fresh", time.Second), 0)
 	}
 }
+
+// Guards against limits that hold only in part once the configuration has no tenants any more: jobs
+// that were accepted before run under the last limit of their tenant.
+func TestLimitHoldsAfterTenantsAreSwitchedOff(t *testing.T) {
+	b := newTenantBench(t, limited("a", 3000))
+	b.addWorkers("w1")
+	assert.Assert(t, b.submitAs("a", "j", smallStep(3)) == nil)
+	assert.Equal(t, len(b.round("w1").Starts), 3)
+	assert.Assert(t, b.submitAs("a", "waiting", smallStep(1)) == nil)
+	next := b.succeed([]WorkerEntry{workerEntry("w1"), workerEntry("w2")})
+	next.round("w1")
+	assert.Assert(t, next.submitAs("a", "fresh", smallStep(1)) == nil)
+	assert.Equal(t, next.startsWithout("w1", "fresh", time.Second), 0)
+}
--- a/internal/core/jobs/tenant_limits.go
+++ b/internal/core/jobs/tenant_limits.go
@@ -101,7 +101,7 @@
 	}
 	c.reservedAccounts = c.reservedAccounts[:0]
 	c.unprovenUse = model.Size{}
-	if c.tenants == nil {
+	if len(c.accounts) == 0 {
 		return
 	}
 	for id, previous := range c.recovery.workers {
