jobs: a removed tenant keeps its last limit over a change of leader

Cause: a successor takes the limit of a tenant that is not configured from the records of its jobs, and took that of the job with the highest ID, whenever that was accepted. Change: it takes that of the job that was accepted last.

--- a/internal/core/jobs/restore.go
+++ b/internal/core/jobs/restore.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"catkinvalve/internal/core/tenant"
 )
 
 // Restore loads what earlier leaders stored. It must be called once, before any
@@ -52,9 +50,7 @@
 	j := newJob(&spec, &q, r.Token, now.Add(-age))
 	j.stored, j.restored, j.excess = true, true, r.Excess
 	j.account = c.accountOf(now, &spec)
-	if j.account != nil && !j.account.configured {
-		j.account.room.capacity = tenant.Unlimited(r.TenantLimit)
-	}
+	j.account.restoreLimit(r)
 	c.notePacingNeeded(j)
 	c.jobs[spec.ID] = j
 }
--- a/internal/core/jobs/tenant_accounts_test.go
+++ b/internal/core/jobs/tenant_accounts_test.go
@@ -203,3 +203,17 @@
 	assert.Assert(t, next.submitAs("a", "fresh", smallStep(1)) == nil)
 	assert.Equal(t, next.startsWithout("w1", "fresh", time.Second), 0)
 }
+
+// Guards against a successor that takes an earlier limit of a removed tenant for its last one.
+func TestLastLimitOfRemovedTenantApplies(t *testing.T) {
+	for _, limits := range [][2]int64{{6000, 2000}, {2000, 6000}, {0, 2000}, {2000, 0}} {
+		b := newTenantBench(t, limited("a", limits[0]))
+		b.addWorkers("w1")
+		assert.Assert(t, b.submitAs("a", "z", smallStep(1)) == nil)
+		b.startsWithout("", "z", time.Second)
+		b.setTenants(limited("a", limits[1]))
+		assert.Assert(t, b.submitAs("a", "a", smallStep(1)) == nil)
+		next := b.succeed(nil, limited("b", 0))
+		assert.Equal(t, next.core.Tenants()[0].Limit, model.Size{MilliCPU: limits[1]}, "first %d", limits[0])
+	}
+}
--- a/internal/core/jobs/tenants.go
+++ b/internal/core/jobs/tenants.go
@@ -14,6 +14,9 @@
 	// configured is set while the configuration has the tenant.
 	configured bool
 	weight     float64
+	// limitFrom is when the job was accepted from whose record the limit of a tenant that is not
+	// configured comes.
+	limitFrom time.Time
 	// room is the tenant's limit and what its runs use of it, over all workers.
 	room resources
 	// awaited is what may run on silent workers that have not answered this leader yet.
@@ -89,6 +92,15 @@
 	return c.account(now, spec.Tenant)
 }
 
+// restoreLimit takes the limit of a tenant that is not configured from the record of a job, unless
+// that of a job that was accepted later is known.
+func (a *account) restoreLimit(r *AcceptedRecord) {
+	if a == nil || a.configured || r.Accepted.Before(a.limitFrom) {
+		return
+	}
+	a.limitFrom, a.room.capacity = r.Accepted, tenant.Unlimited(r.TenantLimit)
+}
+
 // countUnfinished adds n, 1 or -1, to the unfinished jobs of the leader and of the job's tenant.
 func (c *Core) countUnfinished(j *job, n int) {
 	c.unfinishedJobs += n
