jobs: a tenant cannot cancel another one's undecided submission

Cause: a job that waits for the first list of workers is not known yet, and an unknown job was visible to all, so that a cancellation by any tenant with its ID refused it. Change: submissions that wait for a decision are hidden from other tenants. Measured: TestDeferredSubmissionIsHiddenFromOtherTenants failed before, passes now.

--- a/internal/core/jobs/tenant_accounts_test.go
+++ b/internal/core/jobs/tenant_accounts_test.go
@@ -217,3 +217,15 @@
 		assert.Equal(t, next.core.Tenants()[0].Limit, model.Size{MilliCPU: limits[1]}, "first %d", limits[0])
 	}
 }
+
+// Guards against a caller who cancels a job of another tenant that a new leader has not decided on
+// yet, because it has not read the list of workers.
+func TestDeferredSubmissionIsHiddenFromOtherTenants(t *testing.T) {
+	b := newTenantBench(t, limited("a", 0), limited("b", 0))
+	assert.Assert(t, b.submitAs("a", "j", smallStep(1)) == nil)
+	assert.Assert(t, b.core.VisibleTo("j", "a"))
+	assert.Assert(t, !b.core.VisibleTo("j", "b"), "before the decision")
+	assert.Assert(t, !b.core.VisibleTo("j", ""), "before the decision, without a key")
+	b.addWorkers("w1")
+	assert.Assert(t, !b.core.VisibleTo("j", "b"), "after the decision")
+}
--- a/internal/core/jobs/tenants.go
+++ b/internal/core/jobs/tenants.go
@@ -119,10 +119,29 @@
 }
 
 // VisibleTo reports whether a job may be seen, cancelled and submitted again with the keys of a
-// tenant, which is empty on routes that need no key. A job that is not known is visible.
+// tenant, which is empty on routes that need no key. A job that is not known is visible, unless
+// only submissions of other tenants with its ID wait for a decision.
 func (c *Core) VisibleTo(id, tenant string) bool {
-	j := c.jobs[id]
-	return j == nil || c.tenants == nil || j.spec.Tenant == "" || j.spec.Tenant == tenant || j.queue.Anonymous
+	if j := c.jobs[id]; j != nil {
+		return c.specVisibleTo(j.spec, j.queue, tenant)
+	}
+	hidden := false
+	for i := range c.deferredSubmissions {
+		spec := c.deferredSubmissions[i].spec
+		if spec.ID != id {
+			continue
+		}
+		if c.specVisibleTo(spec, c.queues[spec.Queue], tenant) {
+			return true
+		}
+		hidden = true
+	}
+	return !hidden
+}
+
+// specVisibleTo reports whether a tenant may see a job of a queue, which may be nil.
+func (c *Core) specVisibleTo(spec *Spec, q *Queue, tenant string) bool {
+	return c.tenants == nil || spec.Tenant == "" || spec.Tenant == tenant || q != nil && q.Anonymous
 }
 
 // HasTenant reports whether jobs of a tenant may be submitted.
