--- a/internal/core/jobs/tenants.go
+++ b/internal/core/jobs/tenants.go
@@ -14,6 +14,9 @@
 	// configured is set while the configuration has the tenant.
 	configured bool
 	weight     float64
+	// limitFrom is when the job was accepted from whose record the limit of a tenant that is not
+	// configured comes.
+	limitFrom time.Time
 	// room is the tenant's limit and what its runs use of it, over all workers.
 	room resources
 	// awaited is what may run on silent workers that have not answered this leader yet.
@@ -48,7 +51,7 @@
 	for name, a := range c.accounts {
 		switch {
 		case a.configured:
-		case a.unfinishedJobs == 0 && a.room.used == (model.Size{}):
+		case a.unfinishedJobs == 0 && a.room.used == (model.Size{}) && a.awaited == (model.Size{}):
 			delete(c.accounts, name)
 		default:
 			c.setWeight(now, a, 0)
@@ -91,6 +94,15 @@
 	return c.account(now, spec.Tenant)
 }
 
+// restoreLimit takes the limit of a tenant that is not configured from the record of a job, unless
+// that of a job that was accepted later is known.
+func (a *account) restoreLimit(r *AcceptedRecord) {
+	if a == nil || a.configured || r.Accepted.Before(a.limitFrom) {
+		return
+	}
+	a.limitFrom, a.room.capacity = r.Accepted, tenant.Unlimited(r.TenantLimit)
+}
+
 // countUnfinished adds n, 1 or -1, to the unfinished jobs of the leader and of the job's tenant.
 func (c *Core) countUnfinished(j *job, n int) {
 	c.unfinishedJobs += n
@@ -109,10 +121,29 @@
 }
 
 // VisibleTo reports whether a job may be seen, cancelled and submitted again with the keys of a
-// tenant, which is empty on routes that need no key. A job that is not known is visible.
+// tenant, which is empty on routes that need no key. A job that is not known is visible, unless
+// only submissions of other tenants with its ID wait for a decision.
 func (c *Core) VisibleTo(id, tenant string) bool {
-	j := c.jobs[id]
-	return j == nil || c.tenants == nil || j.spec.Tenant == "" || j.spec.Tenant == tenant || j.queue.Anonymous
+	if j := c.jobs[id]; j != nil {
+		return c.specVisibleTo(j.spec, j.queue, tenant)
+	}
+	hidden := false
+	for i := range c.deferredSubmissions {
+		spec := c.deferredSubmissions[i].spec
+		if spec.ID != id {
+			continue
+		}
+		if c.specVisibleTo(spec, c.queues[spec.Queue], tenant) {
+			return true
+		}
+		hidden = true
+	}
+	return !hidden
+}
+
+// specVisibleTo reports whether a tenant may see a job of a queue, which may be nil.
+func (c *Core) specVisibleTo(spec *Spec, q *Queue, tenant string) bool {
+	return c.tenants == nil || spec.Tenant == "" || spec.Tenant == tenant || q != nil && q.Anonymous
 }
 
 // HasTenant reports whether jobs of a tenant may be submitted.
