Shares decide the order, and excess jobs are refused, only in a nearly full pool

Cause: from 80% in use on, jobs beyond a tenant's rate were refused although there was room, and half of the tenants counted as above their share, so that jobs that could still be in time went behind others.

Change: both begin at 92% in use, and the order by shares concerns tenants that use over one and a half times their share.

--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -101,7 +101,7 @@
 			s.fit.checkAt = time.Time{}
 		}
 		grace := time.Duration(lateGrace * float64(c.estimator.expected(s.job().queue.Name, s.def)))
-		if c.updateShare(s.job().account) {
+		if c.updateShare(s.job().account, c.pool(s)) {
 			changed = true
 		}
 		if late := !s.def.LongRunning && now.After(s.startBy.Add(grace)); late != s.late {
--- a/internal/core/jobs/tenant_rate.go
+++ b/internal/core/jobs/tenant_rate.go
@@ -7,12 +7,14 @@
 )
 
 const (
-	// shortShare is the share of a pool's capacity in use from which capacity counts as short for
-	// jobs that exceed their tenant's rate.
-	shortShare = 0.8
-	// shareTolerance is the fraction by which a tenant's use may leave its share before its jobs
-	// change their place in the order.
-	shareTolerance = 0.1
+	// shortShare is the share of a pool's capacity in use from which capacity counts as short: for
+	// jobs that exceed their tenant's rate, and for the order by shares.
+	shortShare = 0.92
+	// overShareFactor times its fair share is the use from which a tenant's jobs come after those
+	// of others, until it is below underShareFactor times that share. Below, the order by latest
+	// start serves all tenants better.
+	overShareFactor  = 1.5
+	underShareFactor = 1.25
 )
 
 // checkTenant reports whether the tenant of a job may submit it now. If not, it returns the reason
@@ -79,20 +81,19 @@
 }
 
 // updateShare updates whether the tenant uses more than its fair share and reports whether that has
-// changed. It answers the load of tenants that together ask for more than there is.
-func (c *Core) updateShare(a *account) (changed bool) {
-	if a == nil || c.activeWeight <= 0 {
+// changed. It answers the load of tenants that together ask for more than there is in a pool.
+func (c *Core) updateShare(a *account, p *pool) (changed bool) {
+	if a == nil {
 		return false
 	}
-	limit := c.fairShare(a)
+	factor := overShareFactor
 	if a.overShare {
-		limit *= 1 - shareTolerance
-	} else {
-		limit *= 1 + shareTolerance
+		factor = underShareFactor
 	}
-	before := a.overShare
-	a.overShare = a.share(c.capacity) > limit
-	return a.overShare != before
+	over := p.usedShare >= shortShare && a.share(c.capacity) > factor*c.fairShare(a)
+	changed = over != a.overShare
+	a.overShare = over
+	return changed
 }
 
 // fairShare returns the part of all capacity that the tenant's weight gives it among the tenants
