jobs: the simulation has tenants

Cause: no simulated run had tenants, so that limits were tested by hand-written cases only. Change: TestSimTenants draws tenants with limits and weights, changes them during the run (far below what runs, raised, removed, tenants switched off), adds a burst of one tenant and a fault that fails the leader while workers are cut off. After each start it checks QUOTA by what runs on the workers, without the slack of the rule; a tenant below half of its limit must not wait beside room. Random numbers are its own, so that runs without tenants do not change.

--- a/internal/core/jobs/sim_test.go
+++ b/internal/core/jobs/sim_test.go
@@ -54,6 +54,8 @@
 	faults            simActiveFaults
 	// gangMembers lists the members that started in each run of a gang.
 	gangMembers map[gangRun][]gangMember
+	// tenants is nil in a run without tenants.
+	tenants *simTenants
 }
 
 // simActiveFaults are the faults that are active at present.
@@ -263,6 +265,9 @@
 		queues = append(queues, s.classes[i].queue)
 	}
 	s.core.SetQueues(queues)
+	if s.tenants != nil {
+		s.core.SetTenants(s.now, s.tenants.set())
+	}
 	s.core.Restore(s.now, s.now, s.store.snapshot())
 	s.core.SetPreviousLeaderEnd(s.now)
 	s.core.SetAdviceRelays(s.availableRelays())
@@ -509,6 +514,7 @@
 	s.jobs[j.spec.ID] = j
 	s.submitted, s.watched = append(s.submitted, j), append(s.watched, j)
 	j.submittedAt = s.now
+	j.spec.Tenant = s.tenants.draw(j.class)
 	j.deadly = s.drawDeadly != nil && s.drawDeadly()
 	s.submitWithRetries(j, 0)
 	if j.class.rng.Float64() < j.class.cancel {
@@ -525,6 +531,9 @@
 		s.after(200*time.Millisecond, func() { s.submitWithRetries(j, attempt+1) })
 		return
 	}
+	if !s.core.HasTenant(j.spec.Tenant) {
+		return
+	}
 	s.nextCall++
 	spec := *j.spec
 	token := s.token
@@ -581,7 +590,7 @@
 	s.after(100*time.Millisecond, func() {
 		if s.hasLeader {
 			v, known := s.core.State(j.spec.ID)
-			if !known {
+			if !known || !s.core.VisibleTo(j.spec.ID, j.spec.Tenant) {
 				s.recordViolation("LOST", "job %s is not known", j.spec.ID)
 				return
 			}
--- a/internal/core/jobs/simfaults_test.go
+++ b/internal/core/jobs/simfaults_test.go
@@ -175,7 +175,7 @@
 			}
 			copies += n
 		}
-		if copies == 0 || def.Gang && copies < def.Count {
+		if copies == 0 || def.Gang && copies < def.Count || !s.tenants.holds(j, def) {
 			return false
 		}
 	}
--- a/internal/core/jobs/simstarvation_test.go
+++ b/internal/core/jobs/simstarvation_test.go
@@ -159,6 +159,9 @@
 	if def.Gang {
 		needed = def.Count
 	}
+	if !s.tenants.servesStep(j, step, needed) {
+		return false
+	}
 	ref := StepRef{Job: j.spec.ID, Step: int32(step)}
 	for _, w := range s.workers {
 		room, healthy := free[w.id]
--- a/internal/core/jobs/simworld_test.go
+++ b/internal/core/jobs/simworld_test.go
@@ -306,6 +306,7 @@
 		s.recordViolation("TWICE", "%v starts on %s while another run of it is there", req.Task, w.id)
 	}
 	w.checkStart(req, t)
+	s.tenants.checkQuota(w, req, t.job)
 	w.run(req, t)
 	return CallOK
 }
