Tests of client load that fail on the present code

Clients that send large, unfinished, or small but expensive requests end a daemon, and nothing tested that. The tests start three daemons with 96 MB and 500 descriptors, play one load each, and check that the processes live, that memory and descriptors are below these limits, and that an ordinary job is accepted afterwards.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 PACKAGES = ./...
 
-.PHONY: build demo test lint fmt bench soak platform-soak sim property fuzz generate
+.PHONY: build demo test client-load lint fmt bench soak platform-soak sim property fuzz generate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -19,9 +19,14 @@
 # Fuzz targets run on their committed seed corpus as part of the tests.
 test: build
 	@cat KNOWN-RED.txt 2>/dev/null || true
-	$(GO) test -race -count=1 -timeout 600s -skip '^TestSim$(if $(KNOWN_RED),|$(KNOWN_RED))' $(PACKAGES)
+	$(GO) test -race -count=1 -timeout 600s -skip '^TestSim|^TestClientLoad$(if $(KNOWN_RED),|$(KNOWN_RED))' $(PACKAGES)
 	$(GO) test -count=1 -timeout 300s -run '^TestSim' $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./internal/core/jobs
 	./bin/bench -quick > /dev/null
+	$(MAKE) client-load
+
+# Measures the memory of daemons under crowds of clients, so nothing else may run beside it.
+client-load:
+	$(GO) test -count=1 -timeout 900s -p 1 -run '^TestClientLoad' $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./test/clientload
 
 lint:
 	@unformatted=$$(gofmt -l cmd internal platform test 2>/dev/null); \
