Limit the memory and the connections that clients can make a daemon hold

Cause: bodies, headers and connections of clients had no common bound, and a small body could decode to many times its size or become a job that fills the leader's memory. Change: package intake holds a budget of bytes and connections for each listener, derived from memoryMb and maxFds. Bodies reserve before they are read; those without progress are evicted when the budget is exhausted; idle connections are closed before new ones are refused. The leader counts the memory of its jobs, refuses with memory_full, and creates occurrences as far as there is room. Links no longer merge frames above 1 MiB.

--- a/internal/adapters/linkrpc/link.go
+++ b/internal/adapters/linkrpc/link.go
@@ -31,6 +31,9 @@
 	// maxMergedFrames is the number of waiting frames, in addition to the first one, that
 	// are merged into one frame.
 	maxMergedFrames = 256
+	// maxMergedBytes limits the size of a merged frame, unless one of its parts is larger. The
+	// receiver closes the link after a message of more than 4 MiB.
+	maxMergedBytes = 1 << 20
 )
 
 // stream is the stream of a link, of the dialing or of the accepting side.
@@ -141,8 +144,12 @@
 		case f := <-l.queue.C():
 			waiting = l.queue.DrainInto(append(waiting[:0], f), maxMergedFrames)
 		}
-		if err := l.send(waiting); err != nil {
-			return
+		for rest := waiting; len(rest) > 0; {
+			n := mergeable(rest)
+			if err := l.send(rest[:n]); err != nil {
+				return
+			}
+			rest = rest[n:]
 		}
 	}
 }
@@ -174,6 +181,20 @@
 	return err
 }
 
+// mergeable returns how many of the first frames, at least one, may be merged.
+func mergeable(frames []*cellpb.Frame) int {
+	if len(frames) == 1 {
+		return 1
+	}
+	bytes := 0
+	for i, f := range frames {
+		if bytes += proto.Size(f); i > 0 && bytes > maxMergedBytes {
+			return i
+		}
+	}
+	return len(frames)
+}
+
 // mergeFrames merges frames into one. Of heartbeats, reports and handovers it keeps the last
 // one. A heartbeat states nodes and the configuration only once, so these are kept from
 // earlier heartbeats.
--- a/internal/cell/daemon.go
+++ b/internal/cell/daemon.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,102 +88,6 @@
 // API returns the interface through which callers use this daemon.
 func (d *Daemon) API() API { return d.forwarder }
 
-// Servers are the listeners of a daemon and their handlers.
-type Servers struct {
-	Callers, Readiness, Links, Metrics net.Listener
-	CallerHandler, ReadinessHandler    http.Handler
-	MetricsHandler                     http.Handler
-}
-
-const (
-	// drainDelay is how long a daemon that shuts down continues to accept connections,
-	// until the load balancer has noticed that it is not ready.
-	drainDelay = 3200 * time.Millisecond
-	// registerRetryInterval is the pause between attempts to register.
-	registerRetryInterval = 300 * time.Millisecond
-	// shutdownMargin is the time kept in reserve between the planned end of the process
-	// and SIGKILL.
-	shutdownMargin = 500 * time.Millisecond
-	// finalAnswerMargin is the time reserved for answering the calls whose outcome is
-	// still unknown when the process has to end.
-	finalAnswerMargin = 400 * time.Millisecond
-)
-
-// Run serves until ctx ends, and then until the calls in flight are answered. It
-// returns the error of a listener that failed, or an error when calls in flight did
-// not end within Bounds.ShutdownGrace.
-func (d *Daemon) Run(ctx context.Context, s Servers) error {
-	background, stop := context.WithCancel(context.Background())
-	defer stop()
-	callsCtx, cancelCalls := context.WithCancel(context.Background())
-	defer cancelCalls()
-	callerServer := &http.Server{Handler: s.CallerHandler, BaseContext: func(net.Listener) context.Context { return callsCtx }, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, ErrorLog: nil}
-	readinessServer := &http.Server{Handler: s.ReadinessHandler, ReadHeaderTimeout: 5 * time.Second}
-	metricsServer := &http.Server{Handler: s.MetricsHandler, ReadHeaderTimeout: 5 * time.Second}
-	var wg conc.WaitGroup
-	errs := make(chan error, 4)
-	serve := func(name string, f func() error) {
-		wg.Go(func() {
-			if err := f(); err != nil && err != http.ErrServerClosed {
-				errs <- fmt.Errorf("%s: %w", name, err)
-			}
-		})
-	}
-	serve("links", func() error { return d.transport.Serve(background, s.Links) })
-	serve("callers", func() error { return callerServer.Serve(s.Callers) })
-	serve("metrics", func() error { return metricsServer.Serve(s.Metrics) })
-	serve("readiness", func() error { return readinessServer.Serve(s.Readiness) })
-	wg.Go(func() { d.watchConfig(background) })
-	wg.Go(func() { d.register(background) })
-	wg.Go(func() { d.runElections(background) })
-	var err error
-	select {
-	case <-ctx.Done():
-		err = d.shutdown(callerServer, cancelCalls)
-	case err = <-errs:
-	}
-	_ = callerServer.Close()
-	_ = readinessServer.Close()
-	_ = metricsServer.Close()
-	stop()
-	for _, l := range d.members.peerLinks() {
-		l.Close()
-	}
-	wg.Wait()
-	d.linkGoroutines.Wait()
-	return err
-}
-
-// shutdown hands the leadership over and waits for the calls in flight. Calls that do
-// not end in time are cancelled, so that they are answered before the process ends and
-// their callers can retry.
-func (d *Daemon) shutdown(callerServer *http.Server, cancelCalls func()) error {
-	d.shuttingDown.Store(true)
-	d.log.WithField("event", "stopping").Info("shutting down")
-	if l := d.activeLeader.Load(); l != nil {
-		l.push(shutdownMsg{})
-	}
-	d.sendReport()
-	deadline := time.Now().Add(d.settings.Bounds.ShutdownGrace - shutdownMargin)
-	time.Sleep(min(drainDelay, time.Until(deadline)))
-	if shutdownBy(callerServer, deadline.Add(-finalAnswerMargin)) == nil {
-		return nil
-	}
-	cancelCalls()
-	if err := shutdownBy(callerServer, deadline); err != nil {
-		return fmt.Errorf("calls in flight did not end: %w", err)
-	}
-	return nil
-}
-
-// shutdownBy shuts a server down and waits until its calls have ended. It returns an
-// error when they have not ended at the deadline.
-func shutdownBy(s *http.Server, deadline time.Time) error {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	return s.Shutdown(ctx)
-}
-
 // register stores the record of this daemon, retrying until it succeeds or ctx ends,
 // and reads the records of the other daemons.
 func (d *Daemon) register(ctx context.Context) {
@@ -267,7 +168,7 @@
 // link in w. It reports whether the call was sent.
 func (d *Daemon) sendToLeader(c *cellpb.Call, w *waitingCall) bool {
 	if l := d.activeLeader.Load(); l != nil {
-		return l.inbox.TryPush(callMsg{callOrigin{nil, c.Id}, c, time.Now()})
+		return l.inbox.TryPush(callMsg{origin: callOrigin{nil, c.Id}, call: c, receivedAt: time.Now()})
 	}
 	link := d.members.linkToLeader()
 	if link == nil {
@@ -315,8 +216,8 @@
 	}
 	active := d.activeLeader.Load()
 	for _, c := range f.Calls {
-		if active == nil || !active.inbox.TryPush(callMsg{callOrigin{l, c.Id}, c, time.Now()}) {
-			l.Send(&cellpb.Frame{Replies: []*cellpb.Reply{toProtoReply(c.Id, Reply{Verdict: verdictNotLeader})}})
+		if refusal := active.receiveCall(l, c); refusal != nil {
+			l.Send(&cellpb.Frame{Replies: []*cellpb.Reply{toProtoReply(c.Id, *refusal)}})
 		}
 	}
 	for _, c := range f.AdviceCalls {
--- /dev/null
+++ b/internal/cell/intakereport.go
@@ -0,0 +1,59 @@
+package cell
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"catkinvalve/internal/intake"
+	"catkinvalve/internal/telemetry"
+)
+
+// intakeLogInterval is the least time between two log lines about the limits of one listener.
+const intakeLogInterval = time.Second
+
+// intakeReport shows what a limiter does in metrics and in the log.
+type intakeReport struct {
+	limiter *intake.Limiter
+	log     *logrus.Entry
+	// counters of what the limiter has done
+	refusedRequests, refusedConns, evicted, closedIdle metrics.Counter
+	// mu guards the fields below.
+	mu sync.Mutex
+	// counted is what the counters contain, and logged what the log does.
+	counted, logged intake.Stats
+	loggedAt        time.Time
+}
+
+// newIntakeReport registers the metrics intake.NAME.* of a listener.
+func newIntakeReport(registry metrics.Registry, log *logrus.Entry, listener string, limiter *intake.Limiter) *intakeReport {
+	counter := func(name string) metrics.Counter {
+		return telemetry.Counter(registry, "intake."+listener+"."+name)
+	}
+	telemetry.RegisterGauge(registry, "intake."+listener+".bytes", func() int64 { return limiter.Stats().Bytes })
+	telemetry.RegisterGauge(registry, "intake."+listener+".conns", func() int64 { return int64(limiter.Stats().Conns) })
+	return &intakeReport{limiter: limiter, log: log.WithFields(logrus.Fields{"event": "clients_limited", "listener": listener}),
+		refusedRequests: counter("refused_requests"), refusedConns: counter("refused_conns"), evicted: counter("evicted"), closedIdle: counter("closed_idle")}
+}
+
+// update counts what the limiter has done since the last update.
+func (r *intakeReport) update() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.limiter.Stats()
+	r.refusedRequests.Inc(s.RefusedRequests - r.counted.RefusedRequests)
+	r.refusedConns.Inc(s.RefusedConns - r.counted.RefusedConns)
+	r.evicted.Inc(s.EvictedRequests - r.counted.EvictedRequests)
+	r.closedIdle.Inc(s.ClosedIdle - r.counted.ClosedIdle)
+	r.counted = s
+	now := time.Now()
+	if now.Sub(r.loggedAt) < intakeLogInterval {
+		return
+	}
+	r.log.WithFields(logrus.Fields{"refused_requests": s.RefusedRequests - r.logged.RefusedRequests, "refused_conns": s.RefusedConns - r.logged.RefusedConns,
+		"evicted": s.EvictedRequests - r.logged.EvictedRequests, "closed_idle": s.ClosedIdle - r.logged.ClosedIdle,
+		"bytes": s.Bytes, "conns": s.Conns}).Warn("clients were refused or disconnected for lack of room")
+	r.logged, r.loggedAt = s, now
+}
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -65,7 +65,9 @@
 	claim claim
 	core  *jobs.Core
 	inbox *ring.Ring[message]
-	log   *logrus.Entry
+	// inboxBytes limits the calls of other daemons in inbox.
+	inboxBytes byteLimit
+	log        *logrus.Entry
 	// ctx ends when the leadership ends.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -172,7 +174,7 @@
 		Token: c.token, LeaseDuration: min(workerLeaseDuration, d.settings.Bounds.MaxLease), MaxWorkerLease: d.settings.Bounds.MaxLease, MaxCallDelay: maxCallDelay,
 		SyncWait: syncWait, ClockDrift: maxClockDrift, SilentAfter: silentAfter,
 		GangTimeout: d.settings.Bounds.GangTimeout, StartTimeout: startTimeout, Retention: d.settings.Bounds.StatusRetention + retentionSlack,
-		MaxUnfinishedJobs: maxUnfinishedJobs, EndsPerPage: endsPerPage,
+		MaxUnfinishedJobs: maxUnfinishedJobs, MaxJobBytes: d.settings.memoryPart(jobMemoryShare), EndsPerPage: endsPerPage,
 		Health: retry.HealthConfig{FailureThreshold: 2, BaseQuarantine: 2 * time.Second, MaxQuarantine: 8 * time.Second, MaxQuarantinedPercent: 25, MaxAttempts: 1 << 20, MaxKeys: 4096},
 	}
 	l := &leader{
@@ -185,9 +187,11 @@
 			starts: telemetry.Counter(d.registry, "leader.starts"), ends: telemetry.Counter(d.registry, "leader.ends"),
 			refused: telemetry.Counter(d.registry, "leader.refused"), advice: telemetry.Counter(d.registry, "leader.advice_calls"),
 			round:         telemetry.NewHistograms(d.registry, telemetry.DefaultMaxPairs).Latency("leader_round"),
+			jobBytes:      telemetry.Gauge(d.registry, "leader.job_bytes"),
 			recoveryDelay: telemetry.Gauge(d.registry, "leader.recovery_delay_ms"),
 		},
 	}
+	l.inboxBytes.limit, l.inboxBytes.refused = d.settings.memoryPart(inboxMemoryShare), telemetry.Counter(d.registry, "leader.inbox_refused")
 	l.caller = &workerCaller{client: d.deps.Workers, token: c.token, superseded: func() bool { return d.superseded(c.token) }}
 	l.relayed = newRelayedCalls(d.settings.Regions, d.maxDirectWorkers)
 	now := time.Now()
--- a/internal/cell/leaderprogress.go
+++ b/internal/cell/leaderprogress.go
@@ -29,11 +29,12 @@
 		return
 	}
 	load := l.core.Load()
+	l.metrics.jobBytes.Update(l.core.MemoryUsed())
 	l.metrics.recoveryDelay.Update(l.core.RecoveryDelay(now).Milliseconds())
 	l.log.WithFields(logrus.Fields{"event": "leader_load", "workers": load.Workers, "used_milli_cpu": load.UsedMilliCPU,
 		"capacity_milli_cpu": load.CapacityMilliCPU, "jobs": load.UnfinishedJobs, "gangs_waiting": load.WaitingGangs,
 		"steps_waiting": load.WaitingSteps, "advice_calls": load.AdviceCalls, "relayed_calls": len(l.relayed.inFlight),
-		"rounds_ms": l.roundTime.Milliseconds()}).Info("load of the leader")
+		"job_bytes": l.core.MemoryUsed(), "rounds_ms": l.roundTime.Milliseconds()}).Info("load of the leader")
 	l.lastLoadAt, l.roundTime = now, 0
 }
 
@@ -44,4 +45,6 @@
 	// recoveryDelay is by how much the recovery has outlasted the leases of earlier leaders,
 	// in ms.
 	recoveryDelay metrics.Gauge
+	// jobBytes is the estimated memory of the jobs.
+	jobBytes metrics.Gauge
 }
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -21,9 +21,13 @@
 	origin     callOrigin
 	call       *cellpb.Call
 	receivedAt time.Time
+	// bytes is what the call counts for in leader.inboxBytes.
+	bytes int64
 }
 
 func (m callMsg) apply(l *leader, now time.Time) {
+	l.inboxBytes.release(m.bytes)
+	m.bytes = 0
 	switch m.call.Kind {
 	case cellpb.CallKind_SUBMIT:
 		l.submit(m)
--- a/internal/core/jobs/batch.go
+++ b/internal/core/jobs/batch.go
@@ -143,6 +143,7 @@
 // handleAccepted makes a job eligible for placement once its record is stored.
 func (c *Core) handleAccepted(now time.Time, j *job) {
 	j.stored = true
+	c.addUnstored(j, -1)
 	for _, call := range j.calls {
 		c.out.Responses = append(c.out.Responses, Response{Call: call, Kind: ResponseAccepted})
 	}
@@ -157,7 +158,7 @@
 	j.outcomeStored, j.endedAt = true, now
 	c.endedJobs = append(c.endedJobs, j)
 	c.event(Event{Name: EventJobEnded, Job: j.spec.ID, Queue: j.queue.Name, Detail: j.outcome.String(), Reason: j.endReason, Age: now.Sub(j.acceptedAt)})
-	j.occurrences = map[int32]*occurrence{}
+	c.releaseEnded(j)
 }
 
 // progress returns the stored form of everything final about the job.
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -41,6 +41,9 @@
 	Retention time.Duration
 	// MaxUnfinishedJobs limits the accepted jobs that have not ended.
 	MaxUnfinishedJobs int
+	// MaxJobBytes limits the estimated memory of the jobs whose outcome is not stored; 0 means no
+	// limit.
+	MaxJobBytes int64
 	// EndsPerPage is the number of ends in a full answer to a sync; a full
 	// answer may be followed by more.
 	EndsPerPage int
@@ -96,6 +99,7 @@
 	endedJobs      []*job // in order of endedAt
 	recurringJobs  []*job // jobs with occurrences still to come
 	unfinishedJobs int
+	memory         memoryUse
 	// tenants is nil while there are none.
 	tenants  *tenant.Set
 	accounts map[string]*account
@@ -271,6 +275,8 @@
 func (c *Core) refuseUnstored(now time.Time, j *job) {
 	delete(c.jobs, j.spec.ID)
 	c.countUnfinished(j, -1)
+	c.addUnstored(j, -1)
+	c.memory.used -= j.heldBytes
 	for _, call := range j.calls {
 		resp := c.refuse(now, j.spec, call, "store_unavailable", retryAfterStalled)
 		resp.Kind = ResponseStoreUnavailable
--- a/internal/core/jobs/events.go
+++ b/internal/core/jobs/events.go
@@ -34,6 +34,8 @@
 	EventRecoveryDelayed  EventName = "recovery_delayed"
 	EventTokenRefused     EventName = "token_refused"
 	EventAnomaly          EventName = "anomaly"
+	// EventOccurrencesDeferred: due occurrences are created later, for lack of memory.
+	EventOccurrencesDeferred EventName = "occurrences_deferred"
 )
 
 // Event is one decision of the leader, or one change in its view of a worker or
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -47,6 +47,9 @@
 	finished map[int32]bool
 	// createdOccurrences is the number of occurrences created so far.
 	createdOccurrences int
+	// specBytes and occurrenceBytes are the estimated memory of the spec and of each occurrence,
+	// and heldBytes is what the job counts for at present.
+	specBytes, occurrenceBytes, heldBytes int64
 }
 
 // occurrence is one execution of the steps of a job.
@@ -163,7 +166,7 @@
 
 func newJob(spec *Spec, q *Queue, token uint64, acceptedAt time.Time) *job {
 	return &job{spec: spec, queue: q, token: token, acceptedAt: acceptedAt,
-		occurrences: map[int32]*occurrence{}, finished: map[int32]bool{}}
+		occurrences: map[int32]*occurrence{}, finished: map[int32]bool{}, specBytes: spec.Bytes(), occurrenceBytes: spec.occurrenceBytes()}
 }
 
 // sortedOccurrences returns the unfinished occurrences in order.
@@ -215,6 +218,7 @@
 func (c *Core) reportedTask(ref TaskRef) *task {
 	if j := c.jobs[ref.Job]; j != nil && j.outcome == OutcomeUnfinished && j.isAhead(ref.Occurrence) {
 		j.newOccurrence(ref.Occurrence, j.due(ref.Occurrence)).early = true
+		c.updateMemory(j)
 	}
 	return c.task(ref)
 }
--- a/internal/core/jobs/progress.go
+++ b/internal/core/jobs/progress.go
@@ -5,27 +5,36 @@
 	"time"
 )
 
-// createOccurrences creates the occurrences of a stored job that are due.
-func (c *Core) createOccurrences(wall time.Time, j *job) {
+// createOccurrences creates the occurrences of a stored job that are due, as far as there is memory
+// for them. It reports whether none could be created for lack of it.
+func (c *Core) createOccurrences(wall time.Time, j *job) (noneFits bool) {
 	if j.outcome != OutcomeUnfinished {
-		return
+		return false
 	}
+	first := j.createdOccurrences
 	for j.createdOccurrences < j.spec.OccurrenceCount() {
 		ordinal := int32(j.createdOccurrences)
 		due := j.due(ordinal)
 		if due.After(wall) {
 			break
 		}
+		if !j.finished[ordinal] && j.occurrences[ordinal] == nil && !c.occurrenceFits(j) {
+			noneFits = j.createdOccurrences == first
+			c.deferOccurrences(wall, j)
+			break
+		}
 		j.createdOccurrences++
 		if o := j.occurrences[ordinal]; o != nil {
 			o.early = false
 		} else if !j.finished[ordinal] {
 			j.newOccurrence(ordinal, due)
+			c.updateMemory(j)
 		}
 	}
 	if j.createdOccurrences < j.spec.OccurrenceCount() && !slices.Contains(c.recurringJobs, j) {
 		c.recurringJobs = append(c.recurringJobs, j)
 	}
+	return noneFits
 }
 
 // createDueOccurrences creates the occurrences of all recurring jobs that have
@@ -34,8 +43,9 @@
 	recurring := c.recurringJobs
 	c.recurringJobs = nil
 	for _, j := range recurring {
-		c.createOccurrences(wall, j)
-		c.queueReadySteps(j)
+		if noneFits := c.createOccurrences(wall, j); !noneFits {
+			c.queueReadySteps(j)
+		}
 	}
 }
 
@@ -109,6 +119,7 @@
 	j := o.job
 	j.finished[o.ordinal] = true
 	delete(j.occurrences, o.ordinal)
+	c.updateMemory(j)
 	if len(j.finished) == j.spec.OccurrenceCount() {
 		c.endJob(now, j, OutcomeCompleted)
 	}
--- a/internal/core/jobs/restore.go
+++ b/internal/core/jobs/restore.go
@@ -22,6 +22,7 @@
 		j := c.jobs[id]
 		if j.outcome == OutcomeUnfinished {
 			c.countUnfinished(j, 1)
+			c.updateMemory(j)
 			c.createOccurrences(wall, j)
 			c.queueReadySteps(j)
 		}
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -31,7 +31,10 @@
 // in a later Actions. The spec must be valid.
 func (c *Core) Submit(now time.Time, spec *Spec, call CallID) *Response {
 	if !c.workerListRead && c.jobs[spec.ID] == nil {
-		c.deferredSubmissions = append(c.deferredSubmissions, submission{spec, call, now})
+		if !c.deferralAllowed(spec) {
+			return c.refuse(now, spec, call, ReasonMemoryFull, retryAfterMemory)
+		}
+		c.deferSubmission(submission{spec, call, now})
 		return nil
 	}
 	return c.decide(now, spec, call)
@@ -45,6 +48,12 @@
 	receivedAt time.Time
 }
 
+// deferSubmission keeps a submission until the list of workers was read.
+func (c *Core) deferSubmission(s submission) {
+	c.deferredSubmissions = append(c.deferredSubmissions, s)
+	c.memory.deferred += s.spec.Bytes()
+}
+
 // workerListWait is how long a submission waits for the list of workers.
 const workerListWait = 500 * time.Millisecond
 
@@ -52,10 +61,10 @@
 // workers, once it was read or workerListWait has passed.
 func (c *Core) decideDeferred(now time.Time) {
 	waiting := c.deferredSubmissions
-	c.deferredSubmissions = nil
+	c.deferredSubmissions, c.memory.deferred = nil, 0
 	for _, s := range waiting {
 		if !c.workerListRead && now.Sub(s.receivedAt) < workerListWait {
-			c.deferredSubmissions = append(c.deferredSubmissions, s)
+			c.deferSubmission(s)
 			continue
 		}
 		if resp := c.decide(now, s.spec, s.call); resp != nil {
@@ -71,6 +80,7 @@
 		if s.spec.ID != id {
 			return false
 		}
+		c.memory.deferred -= s.spec.Bytes()
 		c.out.Responses = append(c.out.Responses, *c.refuse(now, s.spec, s.call, "cancelled", retryAfterFull))
 		return true
 	})
@@ -97,6 +107,9 @@
 	if reason, retryAfter, ok := c.admit(now, spec, q); !ok {
 		return c.refuse(now, spec, call, reason, retryAfter)
 	}
+	if !c.memoryAllows(spec) {
+		return c.refuse(now, spec, call, ReasonMemoryFull, retryAfterMemory)
+	}
 	excess, reason, retryAfter := c.checkTenant(now, spec, q)
 	if reason != "" {
 		return c.refuse(now, spec, call, reason, retryAfter)
@@ -106,6 +119,8 @@
 	c.notePacingNeeded(j)
 	c.jobs[spec.ID] = j
 	c.countUnfinished(j, 1)
+	c.updateMemory(j)
+	c.addUnstored(j, 1)
 	c.batch.accepted = append(c.batch.accepted, j)
 	j.calls = append(j.calls, call)
 	return nil
--- /dev/null
+++ b/internal/intake/client.go
@@ -0,0 +1,220 @@
+package intake
+
+import (
+	"container/list"
+	"time"
+)
+
+// phase is what a connection is doing.
+type phase uint8
+
+const (
+	// phaseIdle: no byte of the next request has arrived.
+	phaseIdle phase = iota
+	phaseHeader
+	phaseBody
+	// phaseServing: the request is complete, or its body is not read yet.
+	phaseServing
+	// phaseAnswer: the answer is being written.
+	phaseAnswer
+)
+
+// Client is the connection of a client with the memory that it holds. It serves one request after
+// the other. It is safe for concurrent use.
+type Client struct {
+	limiter *Limiter
+	conn    Conn
+	// element is the client's place in Limiter.clients; nil once it is closed.
+	element *list.Element
+	phase   phase
+	// since is when the phase began, or, in phaseBody, the time of the last progress.
+	since time.Time
+	// held is the memory reserved, ConnBytes included.
+	held int64
+	// headerBytes counts the bytes read in phaseHeader.
+	headerBytes int
+	// beforeAnswer is the phase to which the connection returns after phaseAnswer.
+	beforeAnswer phase
+	// evicted is set when the current request was evicted.
+	evicted bool
+	// bodyStart, deadline, expected and received describe the body being read. progress counts
+	// the bytes since the last progress.
+	bodyStart, deadline          time.Time
+	expected, received, progress int64
+}
+
+// hold changes the memory held by n bytes. The limiter's mu must be held.
+func (c *Client) hold(n int64) {
+	c.held += n
+	c.limiter.stats.Bytes += n
+}
+
+// enter begins a phase. The limiter's mu must be held.
+func (c *Client) enter(p phase, now time.Time) {
+	c.phase = p
+	c.touch(now)
+}
+
+// touch records progress. The limiter's mu must be held.
+func (c *Client) touch(now time.Time) {
+	c.since = now
+	if c.element != nil {
+		c.limiter.clients.MoveToBack(c.element)
+	}
+}
+
+// remove releases everything. The limiter's mu must be held.
+func (c *Client) remove() {
+	if c.element == nil {
+		return
+	}
+	c.limiter.clients.Remove(c.element)
+	c.element = nil
+	c.limiter.stats.Conns--
+	c.hold(-c.held)
+}
+
+// Close releases everything that the client holds. It may be called more than once.
+func (c *Client) Close() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.remove()
+}
+
+// Touch records that something has arrived on a connection that carries no requests.
+func (c *Client) Touch(now time.Time) {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.touch(now)
+}
+
+// Received records n bytes that have arrived. It returns a *RefusedError if they belong to a long
+// header for which there is no room.
+func (c *Client) Received(now time.Time, n int) error {
+	c.limiter.mu.Lock()
+	switch c.phase {
+	case phaseIdle:
+		c.enter(phaseHeader, now)
+		c.headerBytes = n
+	case phaseHeader:
+		c.headerBytes += n
+	case phaseBody:
+		c.receivedBody(now, int64(n))
+	}
+	reserve := c.phase == phaseHeader && c.headerBytes > ShortHeaderBytes && c.held == ConnBytes
+	c.limiter.mu.Unlock()
+	if reserve {
+		return c.Grow(now, LongHeaderBytes)
+	}
+	return nil
+}
+
+// receivedBody records n bytes of a body. The limiter's mu must be held.
+func (c *Client) receivedBody(now time.Time, n int64) {
+	c.received += n
+	c.progress += n
+	if c.progress >= minProgress {
+		c.progress = 0
+		c.touch(now)
+	}
+}
+
+// StartServing records that the header of a request is complete.
+func (c *Client) StartServing(now time.Time) {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.enter(phaseServing, now)
+}
+
+// StartBody records that the body is read from now on. Of expected bytes all must arrive before
+// the deadline.
+func (c *Client) StartBody(now, deadline time.Time, expected int64) {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.enter(phaseBody, now)
+	c.bodyStart, c.deadline, c.expected, c.received, c.progress = now, deadline, expected, 0, 0
+}
+
+// EndBody records that the body is complete. From now on the request is not evicted. It returns a
+// *RefusedError if it was before.
+func (c *Client) EndBody(now time.Time) error {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.enter(phaseServing, now)
+	if c.evicted {
+		return &RefusedError{RetryAfter: retryAfter, Evicted: true}
+	}
+	return nil
+}
+
+// StartAnswer records that an answer is being written, which may be an interim one in the middle
+// of a body.
+func (c *Client) StartAnswer(now time.Time) {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.beforeAnswer = c.phase
+	c.enter(phaseAnswer, now)
+}
+
+// EndAnswer records that an answer was written.
+func (c *Client) EndAnswer(now time.Time) {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	if c.phase == phaseAnswer {
+		c.enter(c.beforeAnswer, now)
+	}
+}
+
+// EndRequest releases what the request held. The connection remains open.
+func (c *Client) EndRequest(now time.Time) {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.enter(phaseIdle, now)
+	c.evicted = false
+	if c.element != nil {
+		c.hold(ConnBytes - c.held)
+	}
+}
+
+// Grow reserves n more bytes for the request, and evicts others for them if necessary. It returns
+// a *RefusedError if there is no room.
+func (c *Client) Grow(now time.Time, n int64) error {
+	l := c.limiter
+	l.mu.Lock()
+	if c.evicted || c.element == nil {
+		l.mu.Unlock()
+		return &RefusedError{RetryAfter: retryAfter, Evicted: true}
+	}
+	if l.limits.Bytes == 0 {
+		c.hold(n)
+		l.mu.Unlock()
+		return nil
+	}
+	limit := l.limits.Bytes
+	if c.held-ConnBytes+n > SmallRequestBytes {
+		limit -= l.limits.ReservedBytes
+	}
+	victims, ok := l.makeRoom(now, n, limit, c)
+	if ok {
+		c.hold(n)
+	} else {
+		l.stats.RefusedRequests++
+	}
+	l.mu.Unlock()
+	for _, v := range victims {
+		v.conn.InterruptRead()
+	}
+	if !ok {
+		return &RefusedError{RetryAfter: retryAfter}
+	}
+	return nil
+}
+
+// Shrink releases n bytes of the request.
+func (c *Client) Shrink(n int64) {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	if c.element != nil {
+		c.hold(-min(n, c.held-ConnBytes))
+	}
+}
--- /dev/null
+++ b/internal/intake/limits.go
@@ -0,0 +1,92 @@
+// Package intake decides how many connections and how much memory clients may make a daemon
+// hold: which request finds room, which is refused, and which client is evicted for another. It
+// has no network code, and time is an argument.
+package intake
+
+import "time"
+
+// Limits are the limits of one listener. A limit of 0 does not apply.
+type Limits struct {
+	// Bytes is the memory that all clients together may hold.
+	Bytes int64
+	// ReservedBytes is the part of Bytes that only small requests may use, so that they find
+	// room while large ones have used up the rest.
+	ReservedBytes int64
+	// Conns is the number of open connections.
+	Conns int
+	// MinIdle is how long a connection must have been idle before it may be closed for a new one.
+	MinIdle time.Duration
+}
+
+const (
+	// ConnBytes is reserved for each connection: goroutine stacks, buffers and a short header.
+	ConnBytes = 16 << 10
+	// ShortHeaderBytes is the length of a header up to which ConnBytes suffices. It is the size of
+	// the server's read buffer.
+	ShortHeaderBytes = 4 << 10
+	// LongHeaderBytes is reserved for a longer header: its buffer, which grows, and its values.
+	LongHeaderBytes = 40 << 10
+	// SmallRequestBytes is what a request may hold, besides ConnBytes, to count as small.
+	SmallRequestBytes = 16 << 10
+)
+
+// Shares of a process's memory and file descriptors. Descriptors that are in no share remain for
+// the store, for advice and for calls that relays make.
+const (
+	memoryShare     = 0.25
+	reservedShare   = 0.2
+	connMemoryShare = 0.5
+	callerFileShare = 0.4
+	linkFileShare   = 0.1
+	otherFileShare  = 0.02
+	// reservedFiles are the descriptors that are not for connections.
+	reservedFiles = 200
+)
+
+// Least numbers of connections, whatever the limit of descriptors is.
+const (
+	minCallerConns = 32
+	minLinkConns   = 64
+	minOtherConns  = 16
+)
+
+// Numbers of connections while the limit of descriptors is not known.
+const (
+	defaultLinkConns  = 1024
+	defaultOtherConns = 256
+)
+
+// silentLinkTime is how long a connection between daemons must have been silent before it may be
+// closed. Links carry several heartbeats in that time.
+const silentLinkTime = 2 * time.Second
+
+// CallerLimits returns the limits of the callers' listener of a process with the given memory and
+// number of file descriptors, which are 0 when not known.
+func CallerLimits(memoryMB int64, maxFiles int) Limits {
+	l := Limits{Bytes: int64(memoryShare * float64(memoryMB<<20))}
+	l.ReservedBytes = int64(reservedShare * float64(l.Bytes))
+	l.Conns = int(connMemoryShare * float64(l.Bytes) / ConnBytes)
+	if byFiles := connsOf(maxFiles, callerFileShare, minCallerConns, 0); l.Conns == 0 || byFiles > 0 && byFiles < l.Conns {
+		l.Conns = byFiles
+	}
+	return l
+}
+
+// LinkLimits returns the limits of the listener for other daemons.
+func LinkLimits(maxFiles int) Limits {
+	return Limits{Conns: connsOf(maxFiles, linkFileShare, minLinkConns, defaultLinkConns), MinIdle: silentLinkTime}
+}
+
+// OperatorLimits returns the limits of the listeners for the load balancer and for metrics.
+func OperatorLimits(maxFiles int) Limits {
+	return Limits{Conns: connsOf(maxFiles, otherFileShare, minOtherConns, defaultOtherConns)}
+}
+
+// connsOf returns a share of the descriptors for connections, but at least least, and unknown if
+// their number is not known.
+func connsOf(maxFiles int, share float64, least, unknown int) int {
+	if maxFiles == 0 {
+		return unknown
+	}
+	return max(int(share*float64(maxFiles-reservedFiles)), least)
+}
