Keep the history of a task only once there is one

Cause: a task needs 152 bytes, most of them for earlier runs, so the largest legal job (640,000 tasks) needs 97 MB and would not fit into the memory that a small leader has for jobs. Change: what is known of earlier runs is allocated with the first run, crash or failure, and dropped when the task is done. Tests read and write it by the new methods; what they check is the same.

--- a/internal/core/jobs/absence_test.go
+++ b/internal/core/jobs/absence_test.go
@@ -130,7 +130,7 @@
 	w.syncing = true
 	b.core.HandleSyncResult(b.now, &SyncResult{Worker: "w1", SentAt: b.now, Incarnation: 1, ClockMs: b.clockMs(), Ends: doneEnds("j1", 2)})
 	b.crash("w1", crashDelay)
-	assert.Equal(t, len(b.core.task(TaskRef{Job: "j1", Index: 2}).crashes.runs), 0)
+	assert.Equal(t, len(b.core.task(TaskRef{Job: "j1", Index: 2}).crashes().runs), 0)
 }
 
 // Guards against a denial that is kept for the next process of a worker, which may be of another
--- a/internal/core/jobs/batch.go
+++ b/internal/core/jobs/batch.go
@@ -210,8 +210,8 @@
 			}
 			done[i/8] |= 1 << (i % 8)
 		}
-		if len(t.failed) > 0 {
-			failures = append(failures, TaskFailures{Index: t.index, Runs: t.failed})
+		if runs := t.failedRuns(); len(runs) > 0 {
+			failures = append(failures, TaskFailures{Index: t.index, Runs: runs})
 		}
 	}
 	return done, failures
@@ -221,7 +221,7 @@
 func (s *step) crashes() []TaskCrashes {
 	var out []TaskCrashes
 	for i := range s.tasks {
-		if h := &s.tasks[i].crashes; len(h.runs) > 0 {
+		if h := s.tasks[i].crashes(); len(h.runs) > 0 {
 			out = append(out, TaskCrashes{Index: s.tasks[i].index, Runs: h.runs, AtStart: h.atStart, Alone: h.alone})
 		}
 	}
--- a/internal/core/jobs/crashcases_test.go
+++ b/internal/core/jobs/crashcases_test.go
@@ -50,7 +50,7 @@
 	service := smallStep(1)
 	service.LongRunning = true
 	b.submit("service", service)
-	b.core.task(TaskRef{Job: "service"}).crashes.runs = []int64{-3, -2, -1}
+	b.core.task(TaskRef{Job: "service"}).record().crashes.runs = []int64{-3, -2, -1}
 	assert.Equal(t, len(b.starts()), 1)
 	b.submit("other", smallStep(1))
 	begin := b.now
@@ -77,7 +77,7 @@
 	w := b.core.workers["w1"]
 	w.syncing = true
 	b.core.HandleSyncResult(b.now, &SyncResult{Worker: "w1", SentAt: b.now, Incarnation: 2, ClockMs: 1})
-	assert.Equal(t, len(b.core.task(TaskRef{Job: "j1"}).crashes.runs), 0)
+	assert.Equal(t, len(b.core.task(TaskRef{Job: "j1"}).crashes().runs), 0)
 }
 
 // Guards against a leader that suspects the tasks of a worker that left as announced.
@@ -102,7 +102,7 @@
 		}
 		next.core.HandleSyncResult(next.now, &r)
 	}
-	assert.Assert(t, !next.core.task(TaskRef{Job: "j1"}).crashes.suspect())
+	assert.Assert(t, !next.core.task(TaskRef{Job: "j1"}).crashes().suspect())
 }
 
 // Guards against a crash that is forgotten because the leader changed before the lease ended.
@@ -137,7 +137,7 @@
 	back.Address = "w1:1"
 	next.core.SetWorkers(next.now, []WorkerEntry{workerEntry("w2"), back})
 	next.answerWith(next.advance(10*time.Millisecond), CallOK)
-	assert.DeepEqual(t, next.core.task(first.Task).crashes.runs, []int64{first.Run})
+	assert.DeepEqual(t, next.core.task(first.Task).crashes().runs, []int64{first.Run})
 }
 
 // Guards against a crash that is not counted because the former address, not a listed worker, shows it.
@@ -153,7 +153,7 @@
 		b.answerWith(b.advance(50*time.Millisecond), CallWrongIncarnation)
 		b.storeBatch()
 	}
-	assert.Equal(t, len(b.core.task(TaskRef{Job: "j1"}).crashes.runs), 1)
+	assert.Equal(t, len(b.core.task(TaskRef{Job: "j1"}).crashes().runs), 1)
 }
 
 // Guards against a crash that is not counted because one of the last calls was lost on its way.
@@ -178,7 +178,7 @@
 	back.Address = "w1:1"
 	b.core.SetWorkers(b.now, []WorkerEntry{back})
 	b.answerWith(b.advance(0), CallOK)
-	assert.Equal(t, len(b.core.task(TaskRef{Job: "j1"}).crashes.runs), 1)
+	assert.Equal(t, len(b.core.task(TaskRef{Job: "j1"}).crashes().runs), 1)
 }
 
 // Guards against a task that is no suspect and waits for its crash to be stored.
@@ -195,7 +195,7 @@
 	w.syncing = true
 	b.core.HandleSyncResult(b.now, &SyncResult{Worker: id, Status: CallWrongIncarnation, SentAt: b.now})
 	begin := b.now
-	assert.Assert(t, !b.core.task(TaskRef{Job: "innocent"}).crashes.suspect())
+	assert.Assert(t, !b.core.task(TaskRef{Job: "innocent"}).crashes().suspect())
 	for b.now.Sub(begin) < 10*time.Second {
 		out := b.advance(50 * time.Millisecond)
 		b.answerWith(out, CallOK)
@@ -211,9 +211,9 @@
 	b := newCrashBench(t, "w1")
 	b.submit("service", smallStep(1))
 	ref := TaskRef{Job: "service"}
-	b.core.task(ref).crashes.possible = true
+	b.core.task(ref).record().crashes.possible = true
 	b.core.recordCrash(b.now, "w1", []InterruptedRun{{Task: ref, Run: 1, Age: time.Hour}})
-	assert.Assert(t, !b.core.task(ref).crashes.suspect())
+	assert.Assert(t, !b.core.task(ref).crashes().suspect())
 }
 
 // Guards against many bystanders that wait one after the other for a start apart from other jobs,
@@ -248,7 +248,7 @@
 	}
 	assert.Equal(t, started, 16)
 	for _, id := range []string{"j1", "j2", "j3", "j4"} {
-		assert.Assert(t, !b.core.task(TaskRef{Job: id}).crashes.suspect(), id)
+		assert.Assert(t, !b.core.task(TaskRef{Job: id}).crashes().suspect(), id)
 	}
 }
 
@@ -257,7 +257,7 @@
 	b := newCrashBench(t, "w1", "w2", "w3", "w4")
 	for _, id := range []string{"s1", "s2", "s3", "s4"} {
 		b.submit(id, smallStep(1))
-		b.core.task(TaskRef{Job: id}).crashes.markPossible(b.now)
+		b.core.task(TaskRef{Job: id}).record().crashes.markPossible(b.now)
 	}
 	b.submit("other", smallStep(1))
 	var started []string
@@ -273,7 +273,7 @@
 	b.submit("other", smallStep(1))
 	b.starts()
 	b.submit("suspect", smallStep(1))
-	b.core.task(TaskRef{Job: "suspect"}).crashes.markPossible(b.now.Add(-maxIsolationWait))
+	b.core.task(TaskRef{Job: "suspect"}).record().crashes.markPossible(b.now.Add(-maxIsolationWait))
 	assert.Equal(t, len(b.advance(10*time.Millisecond).Starts), 1)
 }
 
--- a/internal/core/jobs/crashes.go
+++ b/internal/core/jobs/crashes.go
@@ -151,11 +151,11 @@
 		switch {
 		case t == nil || t.state == taskDone || t.step.job().outcome != OutcomeUnfinished:
 		case r.Unclear && (len(starting) > 1 || !r.starting()):
-			t.crashes.markPossible(now)
+			t.record().crashes.markPossible(now)
 		case r.Unclear || r.Age < crashBlameWindow:
 			c.countCrash(now, id, t, r, starting)
-		case t.crashes.suspect():
-			t.crashes = crashHistory{}
+		case t.crashes().suspect():
+			t.clearCrashes()
 			c.markDirty(t.step.job())
 		}
 	}
@@ -183,7 +183,7 @@
 // countCrash counts a crash for one task, once for each run, and fails the job when the task has
 // crashed too many workers. starting lists the jobs that had just started runs on the worker.
 func (c *Core) countCrash(now time.Time, id model.WorkerID, t *task, r *InterruptedRun, starting []string) {
-	h, j := &t.crashes, t.step.job()
+	h, j := &t.record().crashes, t.step.job()
 	if slices.Contains(h.runs, r.Run) {
 		return
 	}
@@ -239,7 +239,7 @@
 	}
 	for i := range runs {
 		if t := c.task(runs[i].Task); t != nil && w.refused && (runs[i].Unclear || runs[i].Age < startCrashWindow) {
-			t.crashes.markPossible(now)
+			t.record().crashes.markPossible(now)
 		}
 	}
 	c.expired[w.address()] = expiredWorker{id: w.ID, incarnation: incarnation, runs: runs, at: now}
@@ -270,5 +270,5 @@
 // crashesStored reports whether the crashes under a suspect task are stored, so that a later leader knows
 // them before the task starts again.
 func (c *Core) crashesStored(t *task) bool {
-	return !t.crashes.suspect() || t.crashes.batch < c.batch.oldestUnstored()
+	return !t.crashes().suspect() || t.crashes().batch < c.batch.oldestUnstored()
 }
--- a/internal/core/jobs/crashes_test.go
+++ b/internal/core/jobs/crashes_test.go
@@ -114,7 +114,7 @@
 			b.starts()
 		}
 	}
-	assert.Equal(t, len(b.core.task(TaskRef{Job: "innocent"}).crashes.runs), 2)
+	assert.Equal(t, len(b.core.task(TaskRef{Job: "innocent"}).crashes().runs), 2)
 	assert.Equal(t, jobView(t, b.core, "innocent"), ViewActive)
 }
 
@@ -159,7 +159,7 @@
 		next.core.HandleSyncResult(next.now, &r)
 	}
 	next.storeBatch()
-	assert.DeepEqual(t, next.core.task(first.Task).crashes.runs, []int64{first.Run})
+	assert.DeepEqual(t, next.core.task(first.Task).crashes().runs, []int64{first.Run})
 	next.crash(next.starts()[0].Worker, crashDelay)
 	assert.Equal(t, jobView(t, next.core, "guilty"), ViewFailed)
 }
@@ -177,9 +177,9 @@
 	progress := b.storeBatch().Progress
 	next := b.newLeader(2, Snapshot{Accepted: []AcceptedRecord{{Spec: spec, Queue: Queue{Name: "q", Service: "s"}, Token: 1, Accepted: b.now}}, Progress: progress})
 	for _, s := range starts {
-		assert.DeepEqual(t, next.core.task(s.Task).crashes.runs, []int64{s.Run})
-		assert.Equal(t, next.core.task(s.Task).crashes.atStart, 1)
-		assert.Equal(t, next.core.task(s.Task).crashes.alone, 1)
+		assert.DeepEqual(t, next.core.task(s.Task).crashes().runs, []int64{s.Run})
+		assert.Equal(t, next.core.task(s.Task).crashes().atStart, 1)
+		assert.Equal(t, next.core.task(s.Task).crashes().alone, 1)
 	}
 }
 
@@ -202,7 +202,7 @@
 			}
 			assert.Assert(t, b.core.workers["w1"].leaseExpired)
 		}
-		h := b.core.task(TaskRef{Job: "j1"}).crashes
+		h := b.core.task(TaskRef{Job: "j1"}).crashes()
 		assert.Equal(t, len(h.runs), 0, name)
 		assert.Assert(t, !h.suspect(), name)
 	}
@@ -225,7 +225,7 @@
 	back.Address = "w1:1"
 	b.core.SetWorkers(b.now, []WorkerEntry{back})
 	b.answerWith(b.advance(0), CallOK)
-	assert.Equal(t, len(b.core.task(TaskRef{Job: "j1"}).crashes.runs), 1)
+	assert.Equal(t, len(b.core.task(TaskRef{Job: "j1"}).crashes().runs), 1)
 }
 
 // Guards against giving up a gang for crashes under different members.
@@ -278,7 +278,7 @@
 	b.submit("other", smallStep(1))
 	assert.Equal(t, len(b.starts()), 1)
 	b.submit("suspect", smallStep(1))
-	b.core.task(TaskRef{Job: "suspect"}).crashes.markPossible(b.now)
+	b.core.task(TaskRef{Job: "suspect"}).record().crashes.markPossible(b.now)
 	begin := b.now
 	assert.Equal(t, len(b.starts()), 1)
 	assert.Assert(t, b.now.Sub(begin) >= startCrashWindow-100*time.Millisecond, "started after %v", b.now.Sub(begin))
@@ -299,7 +299,7 @@
 	b := newCrashBench(t, "w1")
 	b.submit("suspect", smallStep(1))
 	suspect := b.core.task(TaskRef{Job: "suspect"})
-	suspect.crashes.runs = []int64{-3, -2, -1}
+	suspect.record().crashes.runs = []int64{-3, -2, -1}
 	assert.Equal(t, len(b.starts()), 1)
 	b.submit("other", smallStep(1))
 	assert.Equal(t, len(b.starts()), 0, "started beside the suspect")
--- a/internal/core/jobs/isolation.go
+++ b/internal/core/jobs/isolation.go
@@ -148,7 +148,7 @@
 func (s *step) suspects(now time.Time) []int32 {
 	var out []int32
 	for i := range s.tasks {
-		if t := &s.tasks[i]; t.state == taskPending && t.crashes.suspect() && !t.crashes.overdue(now) {
+		if t := &s.tasks[i]; t.state == taskPending && t.crashes().suspect() && !t.crashes().overdue(now) {
 			out = append(out, int32(i))
 		}
 	}
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -139,15 +139,11 @@
 	step  *step
 	index int32
 	state taskState
-	// failed lists the numbers of the failed runs.
-	failed []int64
-	// runCount counts the runs that this leader numbered.
-	runCount int64
-	// checkpoint is the latest checkpoint from which the task can resume.
-	checkpoint string
-	crashes    crashHistory
 	// run is the current run; nil when there is none.
 	run *run
+	// history is nil until there is something to record: a job may have very many tasks of
+	// which few have started.
+	history *taskHistory
 }
 
 func (t *task) ref() TaskRef {
--- a/internal/core/jobs/progress.go
+++ b/internal/core/jobs/progress.go
@@ -103,6 +103,7 @@
 		t.step.pending--
 	}
 	t.state = taskDone
+	t.releaseHistory()
 	t.step.unfinished--
 }
 
@@ -149,9 +150,9 @@
 	if j.outcome != OutcomeUnfinished || t.state == taskDone || s.def.LongRunning {
 		return
 	}
-	failed := &t.failed
-	if s.def.Gang {
-		failed = &s.gang.failed
+	failed := &s.gang.failed
+	if !s.def.Gang {
+		failed = &t.record().failed
 	}
 	// Workers report ends in any order, so a higher run number does not mean
 	// that a lower one was counted.
--- a/internal/core/jobs/restore.go
+++ b/internal/core/jobs/restore.go
@@ -127,12 +127,12 @@
 		if s.def.Gang {
 			s.gang.failed = f.Runs
 		} else {
-			s.tasks[f.Index].failed = f.Runs
+			s.tasks[f.Index].record().failed = f.Runs
 		}
 	}
 	for _, r := range p.Crashes {
 		if r.Index >= 0 && int(r.Index) < len(s.tasks) {
-			s.tasks[r.Index].crashes = crashHistory{runs: r.Runs, atStart: r.AtStart, alone: r.Alone}
+			s.tasks[r.Index].record().crashes = crashHistory{runs: r.Runs, atStart: r.AtStart, alone: r.Alone}
 		}
 	}
 }
--- a/internal/core/jobs/runnumbers.go
+++ b/internal/core/jobs/runnumbers.go
@@ -73,9 +73,9 @@
 		return
 	}
 	s := r.task.step
-	count := &r.task.runCount
-	if s.def.Gang {
-		count = &s.gang.runCount
+	count := &s.gang.runCount
+	if !s.def.Gang {
+		count = &r.task.record().runCount
 	}
 	if r.number == c.runBase(s.job())+*count {
 		*count = max(2**count, *count+runsPerToken)
--- a/internal/core/jobs/runs.go
+++ b/internal/core/jobs/runs.go
@@ -44,14 +44,14 @@
 	r := &run{ref: t.ref(), number: number, worker: w, size: s.def.Size, account: s.job().account, state: runStarting, sentAt: now, pace: paceState{applied: fullPace, wanted: fullPace}}
 	c.attach(t, r)
 	w.addRun(r)
-	if t.crashes.nextIsLast() {
+	if t.crashes().nextIsLast() {
 		w.isolate(now, s.job(), lastIsolationTime)
 	}
 	if len(w.runs) == 1 {
 		w.lastProgress = now
 		c.scheduleSync(now, w)
 	}
-	checkpoint := t.checkpoint
+	checkpoint := t.checkpoint()
 	if s.def.Gang {
 		checkpoint = s.gang.checkpoint
 	}
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -161,7 +161,7 @@
 			reason = waitForIsolation
 			continue
 		}
-		number, ok := c.nextRunNumber(s.job(), &t.runCount)
+		number, ok := c.nextRunNumber(s.job(), &t.record().runCount)
 		if !ok {
 			reason = waitForRunNumbers
 			continue
@@ -237,7 +237,7 @@
 // chooseWorker returns the worker on which a task starts, or nil if it may crash its worker and none
 // of the options can take it apart from other jobs yet. options must not be empty.
 func (c *Core) chooseWorker(now time.Time, t *task, options []*worker) *worker {
-	if t.crashes.suspect() && !t.crashes.overdue(now) {
+	if t.crashes().suspect() && !t.crashes().overdue(now) {
 		return c.isolatedWorker(now, t.step, options)
 	}
 	return bestWorker(t.step, options)
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -272,7 +272,7 @@
 	case e.Kind == EndFailed:
 		c.health.RecordFailure(now, w.ID, e.Task.Job)
 		// The run has not crashed its worker.
-		t.crashes = crashHistory{}
+		t.clearCrashes()
 		c.recordFailure(now, t, e.Run)
 	}
 	if r != nil {
@@ -296,6 +296,6 @@
 	if t.step.def.Gang {
 		t.step.gang.checkpoint = checkpoint
 	} else {
-		t.checkpoint = checkpoint
+		t.record().checkpoint = checkpoint
 	}
 }
