--- a/internal/cell/leaderlimits.go
+++ b/internal/cell/leaderlimits.go
@@ -9,7 +9,7 @@
 
 	"catkinvalve/internal/adapters/linkrpc"
 	"catkinvalve/internal/cellpb"
-	"catkinvalve/internal/core/jobs"
+	"catkinvalve/internal/core/model"
 )
 
 // Shares of the process's memory for what clients make the leader hold, in addition to the share
@@ -53,7 +53,7 @@
 	}
 	m := callMsg{origin: callOrigin{from, c.Id}, call: c, receivedAt: time.Now(), bytes: int64(proto.Size(c))}
 	if !l.inboxBytes.reserve(m.bytes) {
-		return &Reply{Verdict: VerdictOverloaded, Reason: string(jobs.ReasonMemoryFull), RetryAfter: inboxRetryAfter}
+		return &Reply{Verdict: VerdictOverloaded, Reason: string(model.ReasonMemoryFull), RetryAfter: inboxRetryAfter}
 	}
 	if !l.inbox.TryPush(m) {
 		l.inboxBytes.release(m.bytes)
--- a/internal/core/jobs/memory.go
+++ b/internal/core/jobs/memory.go
@@ -7,10 +7,8 @@
 	"catkinvalve/internal/core/model"
 )
 
-// ReasonMemoryFull is why a job is refused that would exceed Config.MaxJobBytes.
-const ReasonMemoryFull model.Reason = "memory_full"
-
-// retryAfterMemory is the delay after which a client may submit such a job again.
+// retryAfterMemory is the delay after which a client may submit a job again for which there was no
+// memory.
 const retryAfterMemory = 2 * time.Second
 
 const (
@@ -126,7 +124,7 @@
 		return
 	}
 	c.memory.reportedAt = wall
-	c.event(Event{Name: EventOccurrencesDeferred, Job: j.spec.ID, Queue: j.queue.Name, Reason: ReasonMemoryFull, Count: j.spec.OccurrenceCount() - j.createdOccurrences})
+	c.event(Event{Name: EventOccurrencesDeferred, Job: j.spec.ID, Queue: j.queue.Name, Reason: model.ReasonMemoryFull, Count: j.spec.OccurrenceCount() - j.createdOccurrences})
 }
 
 // deferReportInterval is the least time between two events about occurrences that are not created.
--- a/internal/core/jobs/memory_test.go
+++ b/internal/core/jobs/memory_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"catkinvalve/internal/core/model"
 )
 
 // newMemoryBench returns a test bench whose core has a limit of memory for jobs.
@@ -30,7 +32,7 @@
 	large.Image = strings.Repeat("x", 200<<10)
 	assert.Assert(t, submit("text", large) == nil)
 	refused := submit("unstored", large)
-	assert.Assert(t, refused != nil && refused.Reason == ReasonMemoryFull && refused.RetryAfter >= time.Second, "records that are not stored have no limit")
+	assert.Assert(t, refused != nil && refused.Reason == model.ReasonMemoryFull && refused.RetryAfter >= time.Second, "records that are not stored have no limit")
 	b.storeBatch()
 	assert.Assert(t, submit("text2", large) == nil)
 	b.storeBatch()
@@ -55,7 +57,7 @@
 	large := smallStep(1)
 	large.Image = strings.Repeat("x", 200<<10)
 	assert.Assert(t, b.core.Submit(b.now, &Spec{ID: "j1", Queue: "q", Steps: []Step{large}}, 1) == nil)
-	assert.Equal(t, b.core.Submit(b.now, &Spec{ID: "j2", Queue: "q", Steps: []Step{large}}, 2).Reason, ReasonMemoryFull)
+	assert.Equal(t, b.core.Submit(b.now, &Spec{ID: "j2", Queue: "q", Steps: []Step{large}}, 2).Reason, model.ReasonMemoryFull)
 	b.core.Cancel(b.now, "j1", 3)
 	assert.Equal(t, b.core.memory.deferred, int64(0))
 }
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -32,7 +32,7 @@
 func (c *Core) Submit(now time.Time, spec *Spec, call CallID) *Response {
 	if !c.workerListRead && c.jobs[spec.ID] == nil {
 		if !c.deferralAllowed(spec) {
-			return c.refuse(now, spec, call, ReasonMemoryFull, retryAfterMemory)
+			return c.refuse(now, spec, call, model.ReasonMemoryFull, retryAfterMemory)
 		}
 		c.deferSubmission(submission{spec, call, now})
 		return nil
@@ -108,7 +108,7 @@
 		return c.refuse(now, spec, call, reason, retryAfter)
 	}
 	if !c.memoryAllows(spec) {
-		return c.refuse(now, spec, call, ReasonMemoryFull, retryAfterMemory)
+		return c.refuse(now, spec, call, model.ReasonMemoryFull, retryAfterMemory)
 	}
 	excess, reason, retryAfter := c.checkTenant(now, spec, q)
 	if reason != "" {
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -180,6 +180,7 @@
 	ReasonNeverFits      Reason = "can_never_run"
 	ReasonExceedsLimit   Reason = "exceeds_tenant_cap"
 	ReasonTenantRate     Reason = "tenant_rate"
+	ReasonMemoryFull     Reason = "memory_full"
 	ReasonBackoff        Reason = "retry_backoff"
 	ReasonGang           Reason = "not_all_tasks_fit"
 	ReasonAttempts       Reason = "attempts_exhausted"
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -30,14 +30,14 @@
 	SmallRequestBytes = 16 << 10
 )
 
-// Shares of a process's memory and file descriptors. Descriptors that are in no share remain for
-// the store, for advice and for calls that relays make.
+// Shares of a process's memory and file descriptors. Idle connections to workers may use another
+// 0.4 of the descriptors. The rest remains for the store, for advice and for calls under way.
 const (
 	memoryShare     = 0.25
 	reservedShare   = 0.2
 	connMemoryShare = 0.5
-	callerFileShare = 0.4
-	linkFileShare   = 0.1
+	callerFileShare = 0.3
+	linkFileShare   = 0.2
 	otherFileShare  = 0.02
 	// reservedFiles are the descriptors that are not for connections.
 	reservedFiles = 200
--- a/test/clientload/clientload_test.go
+++ b/test/clientload/clientload_test.go
@@ -118,6 +118,9 @@
 		body := `{"steps":[{"count":1,"image":"` + strings.Repeat("x", maxBodyBytes-60) + `"}]}`
 		c.crowd(c.daemons[c.leader()].settings.CallerAddress, crowdSize, func(k *client) { k.submit(body) })
 	}},
+	{"large_jobs_at_follower", "large jobs that are passed on together end the link to the leader, or either daemon", atFollower(func(c *client) {
+		c.submit(`{"steps":[{"count":1,"image":"` + strings.Repeat("x", maxBodyBytes-60) + `"}]}`)
+	})},
 	{"stalled_bodies_at_leader", "clients of the leader's own listener end the leader", func(c *testCell) {
 		c.crowd(c.daemons[c.leader()].settings.CallerAddress, crowdSize, stalledWholeBody)
 	}},
