--- a/internal/core/jobs/batch.go
+++ b/internal/core/jobs/batch.go
@@ -143,6 +143,7 @@
 // handleAccepted makes a job eligible for placement once its record is stored.
 func (c *Core) handleAccepted(now time.Time, j *job) {
 	j.stored = true
+	c.addUnstored(j, -1)
 	for _, call := range j.calls {
 		c.out.Responses = append(c.out.Responses, Response{Call: call, Kind: ResponseAccepted})
 	}
@@ -157,7 +158,7 @@
 	j.outcomeStored, j.endedAt = true, now
 	c.endedJobs = append(c.endedJobs, j)
 	c.event(Event{Name: EventJobEnded, Job: j.spec.ID, Queue: j.queue.Name, Tenant: j.spec.Tenant, Detail: j.outcome.String(), Reason: j.endReason, Age: now.Sub(j.acceptedAt)})
-	j.occurrences = map[int32]*occurrence{}
+	c.releaseEnded(j)
 }
 
 // progress returns the stored form of everything final about the job.
@@ -209,8 +210,8 @@
 			}
 			done[i/8] |= 1 << (i % 8)
 		}
-		if len(t.failed) > 0 {
-			failures = append(failures, TaskFailures{Index: t.index, Runs: t.failed})
+		if runs := t.failedRuns(); len(runs) > 0 {
+			failures = append(failures, TaskFailures{Index: t.index, Runs: runs})
 		}
 	}
 	return done, failures
@@ -220,7 +221,7 @@
 func (s *step) crashes() []TaskCrashes {
 	var out []TaskCrashes
 	for i := range s.tasks {
-		if h := &s.tasks[i].crashes; len(h.runs) > 0 {
+		if h := s.tasks[i].crashes(); len(h.runs) > 0 {
 			out = append(out, TaskCrashes{Index: s.tasks[i].index, Runs: h.runs, AtStart: h.atStart, Alone: h.alone})
 		}
 	}
