Workers that fail at once do not use up the attempts of wide jobs

Cause: a worker that fails all that it starts within 50 ms always has room, and failures of one job do not quarantine it, so that tasks of a wide job failed there twice in a row and their job with them.

Change: workerQuality, part of what is known of a worker's process. After two failures in a row a worker gets one run at a time, after a pause, until one succeeds. A task that must not fail again waits up to 1.5 s for a worker on which the last run has not failed. Workers whose last run failed are tried last.

Tests of internal/core/jobs pass.

--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -99,6 +99,8 @@
 	// plannedStart is when a waiting gang is expected to find capacity; zero if
 	// that is not known.
 	plannedStart time.Time
+	// lastFailureAt is when a run of the step last failed.
+	lastFailureAt time.Time
 	// fit says whether a waiting gang can start. It is zero for any other step.
 	fit fitState
 	// admitted is set while a gang may look for capacity.
--- a/internal/core/jobs/progress.go
+++ b/internal/core/jobs/progress.go
@@ -160,6 +160,7 @@
 		return
 	}
 	*failed = append(*failed, number)
+	s.lastFailureAt = now
 	c.markDirty(j)
 	if len(*failed) >= max(1, j.queue.MaxAttempts) {
 		c.endJob(now, j, OutcomeFailed)
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -161,6 +161,10 @@
 			reason = waitForIsolation
 			continue
 		}
+		if t.awaitsSoundWorker(now, w) {
+			reason = waitForSoundWorker
+			continue
+		}
 		number, ok := c.nextRunNumber(s.job(), &t.record().runCount)
 		if !ok {
 			reason = waitForRunNumbers
@@ -168,6 +172,9 @@
 		}
 		c.start(now, t, w, number, s.advice.ticketFor(w))
 	}
+	if reason == waitForSoundWorker {
+		c.requestAdvice(now, s)
+	}
 	return reason
 }
 
@@ -180,7 +187,7 @@
 		return waitForTurn
 	}
 	options := c.options(now, s)
-	slices.SortStableFunc(options, func(a, b *worker) int { return cmp.Compare(score(s, a), score(s, b)) })
+	slices.SortStableFunc(options, func(a, b *worker) int { return compareWorkers(now, s, a, b) })
 	chosen := make([]*worker, 0, len(s.tasks))
 	for _, w := range options {
 		n := min(c.availableCopies(now, s, w), w.remainingPerWorker(s))
@@ -230,7 +237,7 @@
 // eligible reports whether the constraints of the step, except its size, allow
 // the worker.
 func (c *Core) eligible(now time.Time, s *step, w *worker) bool {
-	return w.state == WorkerUsable && w.hasLabel(s.def.Label) && w.remainingPerWorker(s) > 0 && !w.isolatedFrom(now, s.job()) &&
+	return w.state == WorkerUsable && w.hasLabel(s.def.Label) && w.remainingPerWorker(s) > 0 && !w.isolatedFrom(now, s.job()) && !w.onProbation(now) &&
 		!(s.def.Filler && now.Before(w.noFillersUntil))
 }
 
@@ -240,12 +247,13 @@
 	if t.crashes().suspect() && !t.crashes().overdue(now) {
 		return c.isolatedWorker(now, t.step, options)
 	}
-	return bestWorker(t.step, options)
+	return bestWorker(now, t, options)
 }
 
-// bestWorker returns the option with the lowest score. options must not be empty.
-func bestWorker(s *step, options []*worker) *worker {
-	return slices.MinFunc(options, func(a, b *worker) int { return cmp.Compare(score(s, a), score(s, b)) })
+// bestWorker returns the option with the lowest score, if possible one on which the last run has not
+// failed. options must not be empty.
+func bestWorker(now time.Time, t *task, options []*worker) *worker {
+	return slices.MinFunc(options, func(a, b *worker) int { return compareWorkers(now, t.step, a, b) })
 }
 
 const (
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -263,14 +263,17 @@
 		// The task is started again however its run ends.
 		w.lastProgress = now
 		c.health.RecordSuccess(now, w.ID)
+		w.quality.recordSuccess(now)
 	case e.Kind == EndDone:
 		c.observeRunTime(now, w, r)
 		w.lastProgress = now
 		c.health.RecordSuccess(now, w.ID)
+		w.quality.recordSuccess(now)
 		c.taskDone(now, t)
 		c.stopOtherRun(now, t, r)
 	case e.Kind == EndFailed:
 		c.health.RecordFailure(now, w.ID, e.Task.Job)
+		w.quality.recordFailure(now)
 		// The run has not crashed its worker.
 		t.clearCrashes()
 		c.recordFailure(now, t, e.Run)
--- a/internal/core/jobs/waiting.go
+++ b/internal/core/jobs/waiting.go
@@ -22,6 +22,9 @@
 	waitForStops    model.Reason = "gang_members_stopping"
 	waitForBackoff  model.Reason = "backoff"
 	waitForCapacity model.Reason = "no_worker_with_room"
+	// waitForSoundWorker: tasks that must not fail again wait for a worker on which the last run has
+	// not failed.
+	waitForSoundWorker model.Reason = "no_sound_worker"
 	// waitForLimit: the tenant of the job has as much running as it may.
 	waitForLimit model.Reason = "tenant_cap"
 	waitForGang  model.Reason = "yields_to_gang"
--- a/internal/core/jobs/workerprocess.go
+++ b/internal/core/jobs/workerprocess.go
@@ -35,6 +35,7 @@
 	moreEnds bool
 	// listedAt is when the last sync was sent whose answer listed all running runs.
 	listedAt time.Time
+	quality  workerQuality
 }
 
 // newWorkerProcess returns the process that answered at an address at the time received. An earlier
