Let refusals reach clients that are still sending

Cause: a connection was closed at once after a body was refused, so that a client that was still sending got a reset instead of the 503. Change: such a connection stays open for 500 ms after the answer, without the memory of its request, and is closed earlier for a new one.

--- a/internal/adapters/intakehttp/body.go
+++ b/internal/adapters/intakehttp/body.go
@@ -50,14 +50,14 @@
 // an error the rest of the body is not read, and the connection is closed after the answer.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*Body, error) {
 	if r.ContentLength > limit {
-		abandonBody(w)
+		abandonBody(w, r)
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
 	b := &Body{}
 	b.conn, _ = r.Context().Value(connKey{}).(*conn)
 	err := b.read(w, r, limit, deadline)
 	if err != nil {
-		abandonBody(w)
+		abandonBody(w, r)
 		return nil, err
 	}
 	return b, nil
@@ -165,7 +165,11 @@
 
 // abandonBody makes the server close the connection after the answer, without reading the rest of
 // the body.
-func abandonBody(w http.ResponseWriter) {
+func abandonBody(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		c.abandoned.Store(true)
+		c.client.Abandon()
+	}
 	w.Header().Set("Connection", "close")
 	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 }
@@ -178,6 +182,6 @@
 	case r.ContentLength > 0 && r.ContentLength <= smallBodyBytes:
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
 	default:
-		abandonBody(w)
+		abandonBody(w, r)
 	}
 }
--- a/internal/adapters/intakehttp/intakehttp_test.go
+++ b/internal/adapters/intakehttp/intakehttp_test.go
@@ -142,3 +142,20 @@
 	assert.Equal(t, status, http.StatusOK)
 	answer(t, dial(t, address, header(1)+"x"))
 }
+
+// Guards against refusals that a client does not receive because the server resets the connection
+// on which it is still sending.
+func TestRefusalReachesClientThatIsSending(t *testing.T) {
+	address, limiter := startServer(t, intake.Limits{Bytes: 64 << 10}, time.Minute)
+	c := dial(t, address, header(maxBodyBytes)+strings.Repeat("x", 100<<10))
+	for range 3 {
+		time.Sleep(50 * time.Millisecond)
+		send(t, c, strings.Repeat("x", 10<<10))
+	}
+	status, _ := answer(t, c)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	for limiter.Stats().Conns > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, limiter.Stats().Bytes, int64(0))
+}
--- a/internal/adapters/intakehttp/listener.go
+++ b/internal/adapters/intakehttp/listener.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"catkinvalve/internal/intake"
@@ -17,6 +18,8 @@
 	// refusalTimeout limits the write of a refusal to a new connection, which fits into the
 	// socket's buffer.
 	refusalTimeout = 50 * time.Millisecond
+	// lingerTime is how long a connection stays open for an answer to arrive.
+	lingerTime = 500 * time.Millisecond
 	// headerTimeout and idleTimeout are above what any configuration promises to callers.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = time.Minute
@@ -78,6 +81,8 @@
 	net.Conn
 	listener *Listener
 	client   *intake.Client
+	// abandoned is set when the rest of a body is not read.
+	abandoned atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -112,8 +117,13 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A client that may still be sending a body gets lingerTime to receive its
+// answer: a closed socket would reset the connection, and the answer would be lost.
 func (c *conn) Close() error {
+	if c.abandoned.CompareAndSwap(true, false) && c.CloseWrite() == nil {
+		time.AfterFunc(lingerTime, func() { _ = c.Close() })
+		return nil
+	}
 	c.client.Close()
 	return c.Conn.Close()
 }
--- a/internal/adapters/linkrpc/link_test.go
+++ b/internal/adapters/linkrpc/link_test.go
@@ -101,3 +101,15 @@
 	}
 	assert.Equal(t, link.dropped.Count(), int64(frames/10))
 }
+
+// Guards against merged frames so large that the receiver closes the link, and against frames that
+// are left out.
+func TestMergedFramesAreLimitedInSize(t *testing.T) {
+	large := &cellpb.Frame{Calls: []*cellpb.Call{{Job: string(make([]byte, maxMergedBytes/2))}}}
+	small := &cellpb.Frame{Calls: []*cellpb.Call{{Id: 1}}}
+	assert.Equal(t, mergeable([]*cellpb.Frame{large}), 1)
+	assert.Equal(t, mergeable([]*cellpb.Frame{small, large, small, large, small}), 3)
+	assert.Equal(t, mergeable([]*cellpb.Frame{small, small}), 2)
+	huge := &cellpb.Frame{Calls: []*cellpb.Call{{Job: string(make([]byte, 2*maxMergedBytes))}}}
+	assert.Equal(t, mergeable([]*cellpb.Frame{huge, small}), 1)
+}
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -147,6 +147,17 @@
 	return nil
 }
 
+// Abandon releases what the request holds, since the rest of it is not read. Its connection may be
+// closed for a new one.
+func (c *Client) Abandon() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.evicted = true
+	if c.element != nil {
+		c.hold(ConnBytes - c.held)
+	}
+}
+
 // StartAnswer records that an answer is being written, which may be an interim one in the middle
 // of a body.
 func (c *Client) StartAnswer(now time.Time) {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -131,7 +131,7 @@
 			n := rapid.IntRange(1, 100<<10).Draw(t, "bytes")
 			act := rapid.SampledFrom([]func(){
 				func() { _ = c.Received(now, n) }, func() { c.StartServing(now) }, func() { c.StartBody(now, now.Add(time.Second), int64(n)) },
-				func() { _ = c.Grow(now, int64(n)) }, func() { c.Shrink(int64(n)) }, func() { _ = c.EndBody(now) },
+				func() { _ = c.Grow(now, int64(n)) }, func() { c.Shrink(int64(n)) }, func() { _ = c.EndBody(now) }, c.Abandon,
 				func() { c.StartAnswer(now) }, func() { c.EndAnswer(now) }, func() { c.EndRequest(now) }, c.Close,
 			}).Draw(t, "act")
 			act()
