--- a/internal/core/jobs/sim_test.go
+++ b/internal/core/jobs/sim_test.go
@@ -56,6 +56,8 @@
 	gangMembers map[gangRun][]gangMember
 	// tenants is nil in a run without tenants.
 	tenants *simTenants
+	// retryRefused makes the clients of refused jobs come back when they are told to.
+	retryRefused bool
 }
 
 // simActiveFaults are the faults that are active at present.
@@ -112,6 +114,7 @@
 	submittedAt time.Time
 	accepted    bool
 	refused     bool
+	retries     int
 	poison      bool // the first task fails in every run
 	deadly      bool // the first task crashes each worker that starts it
 	tasks       map[TaskRef]*simTask
@@ -514,7 +517,9 @@
 	s.jobs[j.spec.ID] = j
 	s.submitted, s.watched = append(s.submitted, j), append(s.watched, j)
 	j.submittedAt = s.now
-	j.spec.Tenant = s.tenants.draw(j.class)
+	if j.spec.Tenant == "" {
+		j.spec.Tenant = s.tenants.draw(j.class)
+	}
 	j.deadly = s.drawDeadly != nil && s.drawDeadly()
 	s.submitWithRetries(j, 0)
 	if j.class.rng.Float64() < j.class.cancel {
@@ -564,6 +569,13 @@
 		s.pollState(j)
 	case ResponseRefused, ResponseStoreUnavailable:
 		j.refused = true
+		if s.retryRefused && j.retries < simMaxRetries {
+			j.retries++
+			s.after(resp.RetryAfter, func() {
+				j.refused = false
+				s.submitWithRetries(j, 0)
+			})
+		}
 	case ResponseCancelled:
 		if j.cancelAckedAt.IsZero() {
 			j.cancelAckedAt = s.now
