soak: tenants on the platform

Cause: the soak of daemon processes had no tenants, so that limits and keys were not tested with real daemons, stores and faults. Change: with -tenants (make platform-soak TENANTS=1) jobs have tenants, of which two keep their limits while limits, weights and keys of the others change. It checks QUOTA by what runs on the workers, and KEYS: removed and unknown keys are refused at the end of a run, and no tenant learns the state of another one's job. TestEachBrokenPromiseIsSeen has a case for QUOTA.

--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 # Runs daemons on stand-ins of the users' platform under faults; with DEADLY=1 some tasks
 # crash their workers.
 platform-soak: build
-	./bin/soak -platform -seconds $(SECONDS) -seed $(SEED) $(if $(DEADLY),-deadly)
+	./bin/soak -platform -seconds $(SECONDS) -seed $(SEED) $(if $(DEADLY),-deadly) $(if $(TENANTS),-tenants)
 
 # Needs protoc; the generated code is committed, so that builds need no generator.
 generate:
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -24,13 +24,14 @@
 	workers := flag.Int("workers", cellsoak.DefaultWorkers, "number of workers, with -platform")
 	deadly := flag.Bool("deadly", false, "submit tasks that crash their workers, with -platform")
 	mixed := flag.Bool("mixed", false, "add the other faults to those of -deadly")
+	tenants := flag.Bool("tenants", false, "give the jobs tenants with limits and keys that change, with -platform")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	ok := false
 	if *onPlatform {
 		ok = runPlatform(ctx, cellsoak.Options{Seconds: o.Seconds, Seed: o.Seed, Rate: cmp.Or(o.Rate, cellsoak.DefaultRate),
-			Daemons: *daemons, Workers: *workers, Deadly: *deadly, Mixed: *mixed, Out: os.Stdout})
+			Daemons: *daemons, Workers: *workers, Deadly: *deadly, Mixed: *mixed, Tenants: *tenants, Out: os.Stdout})
 	} else {
 		ok = run(ctx, o)
 	}
--- a/internal/cellsoak/cell.go
+++ b/internal/cellsoak/cell.go
@@ -74,6 +74,8 @@
 	configMu sync.Mutex
 	config   ports.CellConfig
 	caller   platform.Caller
+	// tenants is nil in a run without tenants.
+	tenants *tenants
 	// deadlyJobs is set while a share of the new jobs is deadly.
 	deadlyJobs atomic.Bool
 	// newIDs counts the workers that were back under a new ID after a crash under a task.
@@ -113,8 +115,11 @@
 
 // newCell starts the stand-ins and the daemons. On failure it may return an incomplete
 // cell that must be stopped, too.
-func newCell(bin, dir string, daemons, workers int, seed uint64) (*soakCell, error) {
+func newCell(bin, dir string, daemons, workers int, seed uint64, withTenants bool) (*soakCell, error) {
 	c := &soakCell{bin: bin, dir: dir, checker: newChecker(), store: newStore()}
+	if withTenants {
+		c.tenants = newTenants(seed, c.checker)
+	}
 	if err := c.claimNetwork(); err != nil {
 		return nil, err
 	}
@@ -233,13 +238,23 @@
 		c.config.Routes = []ports.Route{route(urgentPrefix, 0, nil), route(batchPrefix, 1, advice)}
 	}
 	c.config.Routes = append(c.config.Routes, route(extraPrefix(c.config.Version), 2, nil))
-	record, err := platform.ConfigRecord(&c.config)
+	record, err := c.configRecord()
 	if err != nil {
 		return err
 	}
 	return c.appendRecord(platform.OperatorTopic(), record)
 }
 
+// configRecord encodes the configuration with the present tenants.
+func (c *soakCell) configRecord() (ports.KeyedRecord, error) {
+	c.checker.mu.Lock()
+	defer c.checker.mu.Unlock()
+	if c.tenants == nil {
+		return platform.ConfigRecord(&c.config)
+	}
+	return platform.TenantConfigRecord(&c.config, c.tenants.list)
+}
+
 // extraPrefix returns the prefix of the route that a version adds.
 func extraPrefix(version int64) string { return fmt.Sprintf("/extra-%d/", version) }
 
@@ -247,12 +262,16 @@
 // newest configuration.
 func (c *soakCell) checkDaemons(ctx context.Context) {
 	newest := extraPrefix(c.config.Version)
+	caller := &c.caller
+	if c.tenants != nil {
+		caller = c.callerOf(c.tenants.list[0].Name)
+	}
 	for _, d := range c.daemons {
 		if !d.process.Alive() {
 			c.addViolation("FAULT: %s ended by itself", d.settings.Node)
 			continue
 		}
-		verdict, _, err := c.caller.State(ctx, d.settings.CallerAddress, newest, fmt.Sprintf("%016x", 0))
+		verdict, _, err := caller.State(ctx, d.settings.CallerAddress, newest, fmt.Sprintf("%016x", 0))
 		if err != nil || verdict != cell.VerdictNoJob {
 			c.addViolation("CONFIG: %s answers a request for a route of the newest version with verdict %d, %v", d.settings.Node, verdict, err)
 		}
--- a/internal/cellsoak/cellsoak_test.go
+++ b/internal/cellsoak/cellsoak_test.go
@@ -97,7 +97,7 @@
 // down: the end of the injected crash would end its new runs too, on open connections.
 func TestInjectedCrashKeepsCrashedWorkerDown(t *testing.T) {
 	t.Parallel()
-	c, err := newCell("", t.TempDir(), 0, 1, 1)
+	c, err := newCell("", t.TempDir(), 0, 1, 1, false)
 	defer func() { assert.NilError(t, c.stop()) }()
 	assert.NilError(t, err)
 	w := c.workers[0]
@@ -160,7 +160,7 @@
 // death of the process as a failure of the daemon.
 func TestSignalsWaitForStartOfDaemon(t *testing.T) {
 	t.Parallel()
-	c, err := newCell(builtPrograms(t), t.TempDir(), 1, 1, 1)
+	c, err := newCell(builtPrograms(t), t.TempDir(), 1, 1, 1, false)
 	if c != nil {
 		t.Cleanup(func() { assert.NilError(t, c.stop()) })
 	}
--- a/internal/cellsoak/checker.go
+++ b/internal/cellsoak/checker.go
@@ -35,11 +35,16 @@
 	starts     int
 	// crashes counts the workers that crashed under deadly tasks.
 	crashes int
+	// limits lists the limits that each tenant has had, and used holds what it has running.
+	limits map[string][]limitPeriod
+	used   map[string]model.Size
 }
 
 // trackedJob is a job as its caller observes it.
 type trackedJob struct {
 	spec *jobs.Spec
+	// tenant is the tenant whose key its caller sends; empty in a run without tenants.
+	tenant string
 	// accepted and uncertain are set once a submission was accepted or had an unknown
 	// outcome; refused counts the refused submissions.
 	accepted, uncertain bool
@@ -74,7 +79,8 @@
 }
 
 func newChecker() *checker {
-	return &checker{startTime: time.Now(), jobs: map[string]*trackedJob{}, tasks: map[jobs.TaskRef]*trackedTask{}}
+	return &checker{startTime: time.Now(), jobs: map[string]*trackedJob{}, tasks: map[jobs.TaskRef]*trackedTask{},
+		limits: map[string][]limitPeriod{}, used: map[string]model.Size{}}
 }
 
 func (c *checker) addViolation(format string, args ...any) {
@@ -140,7 +146,11 @@
 			c.addViolation("ORDER: %s starts %s before step %d is done", w.id, req.Task, dependency)
 		}
 	}
+	if _, again := t.running[w]; !again {
+		c.used[j.tenant] = c.used[j.tenant].Add(step.Size)
+	}
 	t.running[w] = req.Run
+	c.checkQuota(w, j, req.Task)
 }
 
 // checkRefused adds a violation if a job was started although all its submissions were
@@ -198,6 +208,10 @@
 // recordEnd records the end of a run on a worker.
 func (c *checker) recordEnd(w *worker, ref jobs.TaskRef, kind jobs.EndKind) {
 	t := c.task(ref)
+	if _, running := t.running[w]; running {
+		name := c.jobs[ref.Job].tenant
+		c.used[name] = c.used[name].Sub(c.step(ref).Size)
+	}
 	delete(t.running, w)
 	if kind == jobs.EndDone {
 		t.done = true
--- a/internal/cellsoak/checker_test.go
+++ b/internal/cellsoak/checker_test.go
@@ -40,6 +40,14 @@
 			a.start(1, &req)
 			a.start(1, &other)
 		}},
+		"beyond the limit of its tenant": {"QUOTA", func(chk *checker, a, b *worker, j *trackedJob) {
+			j.tenant = "t"
+			chk.limitChanged("t", model.Size{MilliCPU: 1500})
+			req, other := newRequest(1), newRequest(1)
+			other.Task.Index = 1
+			a.start(1, &req)
+			b.start(1, &other)
+		}},
 		"on two workers": {"TWICE", func(_ *checker, a, b *worker, _ *trackedJob) {
 			req, again := newRequest(1), newRequest(2)
 			a.start(1, &req)
@@ -212,6 +220,27 @@
 	assert.Equal(t, len(chk.violations), 0, "%v", chk.violations)
 }
 
+// Guards against a checker that counts ended runs of a tenant, or blames a start that an earlier, higher
+// limit still allows.
+func TestAllowedUseOfTenantIsNoViolation(t *testing.T) {
+	chk := newChecker()
+	a := newWorker(chk, "w-00", workerCapacity, 1)
+	chk.jobs["j"] = &trackedJob{accepted: true, tenant: "t", spec: &jobs.Spec{ID: "j", Payload: "100", Steps: []jobs.Step{{Count: 3, Size: model.Size{MilliCPU: 1000}}}}}
+	chk.limitChanged("t", model.Size{MilliCPU: 2000})
+	start := func(index int32) {
+		a.start(1, &jobs.StartRequest{Task: jobs.TaskRef{Job: "j", Index: index}, Run: 1, Payload: "100", LeaseDeadlineMs: 5000})
+	}
+	start(0)
+	first := jobs.TaskRef{Job: "j"}
+	a.endRun(first, a.runs[first], jobs.EndDone)
+	start(1)
+	chk.limitChanged("t", model.Size{MilliCPU: 500})
+	start(2)
+	assert.Equal(t, len(chk.violations), 0, "%v", chk.violations)
+	a.crash()
+	assert.Equal(t, chk.used["t"], model.Size{})
+}
+
 // Guards against a schedule that omits kinds of faults or differs between two runs of
 // one seed.
 func TestSchedulesAreDrawnFromTheSeed(t *testing.T) {
--- a/internal/cellsoak/load.go
+++ b/internal/cellsoak/load.go
@@ -81,6 +81,7 @@
 	}
 	j := &trackedJob{spec: spec}
 	l.cell.checker.mu.Lock()
+	j.tenant = l.cell.tenants.draw()
 	l.cell.checker.jobs[spec.ID] = j
 	l.cell.checker.mu.Unlock()
 	return j, prefix
@@ -107,7 +108,7 @@
 		j.cancelled = true
 		l.cell.checker.mu.Unlock()
 		for range submitAttempts {
-			if _, err := l.cell.caller.Cancel(ctx, l.randomDaemon(rng), prefix, j.spec.ID); err == nil {
+			if _, err := l.cell.callerOf(j.tenant).Cancel(ctx, l.randomDaemon(rng), prefix, j.spec.ID); err == nil {
 				return
 			}
 			pause.For(ctx, time.Duration(rng.ExpFloat64()*float64(meanRetryInterval)))
@@ -122,7 +123,7 @@
 	chk.mu.Lock()
 	j.unanswered++
 	chk.mu.Unlock()
-	v, err := l.cell.caller.Submit(ctx, l.randomDaemon(rng), prefix, j.spec)
+	v, err := l.cell.callerOf(j.tenant).Submit(ctx, l.randomDaemon(rng), prefix, j.spec)
 	chk.mu.Lock()
 	defer chk.mu.Unlock()
 	j.unanswered--
@@ -131,7 +132,7 @@
 		j.uncertain = true
 	case v == cell.VerdictOK:
 		j.accepted = true
-	case v == cell.VerdictOverloaded || v == cell.VerdictUnavailable:
+	case v == cell.VerdictOverloaded || v == cell.VerdictUnavailable || v == cell.VerdictUnauthorized && j.tenant != "":
 		j.refused++
 		chk.checkRefused(j)
 	default:
@@ -178,7 +179,10 @@
 	if len(j.spec.Steps) > 1 || j.spec.Steps[0].Gang {
 		prefix = batchPrefix
 	}
-	verdict, view, err := l.cell.caller.State(ctx, l.randomDaemon(rng), prefix, j.spec.ID)
+	if l.cell.tenants != nil && rng.IntN(foreignQueries) == 0 {
+		l.queryAsAnother(ctx, rng, j, prefix)
+	}
+	verdict, view, err := l.cell.callerOf(j.tenant).State(ctx, l.randomDaemon(rng), prefix, j.spec.ID)
 	if err != nil {
 		return
 	}
@@ -192,3 +196,17 @@
 		chk.addViolation("LOST: job %s was accepted and is not known", j.spec.ID)
 	}
 }
+
+// foreignQueries is how many queries there are for each query with the key of another tenant.
+const foreignQueries = 4
+
+// queryAsAnother queries the state of a job with the key of another tenant, which must not learn it.
+func (l *load) queryAsAnother(ctx context.Context, rng *rand.Rand, j *trackedJob, prefix string) {
+	other := l.cell.tenants.list[rng.IntN(len(l.cell.tenants.list))].Name
+	if other == j.tenant {
+		return
+	}
+	if verdict, view, err := l.cell.callerOf(other).State(ctx, l.randomDaemon(rng), prefix, j.spec.ID); err == nil && verdict == cell.VerdictOK {
+		l.cell.addViolation("KEYS: job %s of %s is %s for %s", j.spec.ID, j.tenant, view, other)
+	}
+}
--- a/internal/cellsoak/oddentries_test.go
+++ b/internal/cellsoak/oddentries_test.go
@@ -48,7 +48,7 @@
 	for _, atStart := range []bool{true, false} {
 		t.Run(fmt.Sprintf("at start %v", atStart), func(t *testing.T) {
 			t.Parallel()
-			c, err := newCell(builtPrograms(t), t.TempDir(), daemons, workers, 1)
+			c, err := newCell(builtPrograms(t), t.TempDir(), daemons, workers, 1, false)
 			if c != nil {
 				t.Cleanup(func() { assert.NilError(t, c.stop()) })
 			}
--- a/internal/cellsoak/run.go
+++ b/internal/cellsoak/run.go
@@ -32,6 +32,8 @@
 	Deadly bool
 	// Mixed adds the faults of a run without Deadly to that schedule.
 	Mixed bool
+	// Tenants gives the jobs tenants, with limits and keys that change during the run.
+	Tenants bool
 	// Out receives the schedule and the progress.
 	Out io.Writer
 }
@@ -109,7 +111,7 @@
 	if rep.LogDir, err = os.MkdirTemp("", "catkinvalve-cellsoak-"); err != nil {
 		return rep, err
 	}
-	c, err := newCell(o.Bin, rep.LogDir, o.Daemons, o.Workers, o.Seed)
+	c, err := newCell(o.Bin, rep.LogDir, o.Daemons, o.Workers, o.Seed, o.Tenants)
 	if c != nil {
 		defer func() { err = errors.Join(err, c.stop()) }()
 	}
@@ -140,12 +142,24 @@
 		defer close(faultsDone)
 		in.run(ctx, schedule)
 	}()
+	tenantsDone := make(chan error, 1)
+	go func() {
+		if o.Tenants {
+			tenantsDone <- c.changeTenants(loadCtx)
+			return
+		}
+		tenantsDone <- nil
+	}()
 	l.run(loadCtx, o.Rate)
 	<-faultsDone
+	if err := <-tenantsDone; err != nil {
+		return rep, err
+	}
 	settleCtx, stopSettle := context.WithTimeout(ctx, settleTimeout)
 	defer stopSettle()
 	l.awaitFinalStates(settleCtx)
 	c.checkDaemons(ctx)
+	c.checkKeys(ctx)
 	c.summarize(&rep, in)
 	if len(rep.Violations) == 0 && len(in.errs) == 0 {
 		return rep, os.RemoveAll(rep.LogDir)
