Operators: tenants command, report, metrics and configuration problems

Operators could not see why a tenant waits or is refused without reading the leader's state. The metrics listener now serves GET /tenants, which catkinvalve tenants prints as a table or JSON; without a leader it answers 503 with Retry-After. The leader computes a report at most once a second, and then not again for 100 times the time that it took; it encodes the report outside of its loop and sends it compressed, because 20,000 tenants would exceed the largest frame of a link. Each daemon keeps it for 1 s.

Up to 16 tenants with the largest share have four gauges each, the rest is summed as _other. The log line of calls without a valid key is limited to 2,000 a second, and the path in it to 64 bytes, since any client can send such calls.

--- a/internal/cell/daemon.go
+++ b/internal/cell/daemon.go
@@ -80,7 +80,7 @@
 		config: &configHolder{log: deps.Log}, store: &storeHealth{log: deps.Log}, members: newMembers(settings.Node, now), maxDirectWorkers: maxDirectWorkers, relays: map[*linkrpc.Link]*relay{}, electionWake: make(chan struct{}, 1)}
 	d.forwarder = newForwarder(d)
 	d.transport = &linkrpc.Transport{Hello: d.hello, Handler: d, Viewer: d, Registry: deps.Registry, Log: deps.Log}
-	d.config.onChange = append(d.config.onChange, func(c *ports.CellConfig) {
+	d.config.onChange = append(d.config.onChange, d.logConfigProblems, func(c *ports.CellConfig) {
 		if l := d.activeLeader.Load(); l != nil {
 			go l.push(configMsg{c})
 		}
--- a/internal/cell/forwarder.go
+++ b/internal/cell/forwarder.go
@@ -92,10 +92,13 @@
 	return t, nil
 }
 
+// maxLoggedID limits the part of a job ID that is logged before the ID is checked.
+const maxLoggedID = 64
+
 // recordUnauthorized logs and counts a request with an unknown key, which is not logged itself.
 func (f *forwarder) recordUnauthorized(t Target, configVersion int64) {
 	f.unauthorized.Inc(1)
-	f.d.log.WithFields(logrus.Fields{"event": "call_unauthorized", "job": t.JobID, "queue": t.Queue, "config_version": configVersion}).Info("a call has no key of a tenant")
+	f.d.log.WithFields(logrus.Fields{"event": "call_unauthorized", "job": t.JobID[:min(len(t.JobID), maxLoggedID)], "queue": t.Queue, "config_version": configVersion}).Info("a call has no key of a tenant")
 }
 
 // MaxBodyBytes implements API.
@@ -128,7 +131,7 @@
 
 // Tenants implements API.
 func (f *forwarder) Tenants(ctx context.Context) Reply {
-	return f.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_TENANTS})
+	return decompressReport(f.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_TENANTS}))
 }
 
 // Ready implements API. A daemon is ready when it has a configuration and there was a
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -127,6 +127,8 @@
 	configFetchedAt time.Time
 	metrics         leaderMetrics
 	queues          *queueMetrics
+	tenantReport    tenantReport
+	tenantMetrics   *tenantMetrics
 	// stopReason is why the leadership ends; empty until then.
 	stopReason string
 	// roundEnd is when the loop last ended a round.
@@ -180,7 +182,7 @@
 		inbox: ring.New[message]("leader", inboxSize, d.registry), callOrigins: map[jobs.CallID]callOrigin{},
 		reports: map[string]report{}, acknowledgedAt: map[string]time.Time{}, probeLatencies: map[string]time.Duration{}, previousTerms: s.previousTerms(), previousTermsUnknown: s.termUnreadable,
 		previousVoters: s.voters(), voters: voters.Membership{Current: s.voters()}, nodes: map[string]string{}, lastSent: map[*linkrpc.Link]sentVersions{},
-		queues: newQueueMetrics(d.registry),
+		queues: newQueueMetrics(d.registry), tenantMetrics: newTenantMetrics(d.registry),
 		metrics: leaderMetrics{
 			starts: telemetry.Counter(d.registry, "leader.starts"), ends: telemetry.Counter(d.registry, "leader.ends"),
 			refused: telemetry.Counter(d.registry, "leader.refused"), advice: telemetry.Counter(d.registry, "leader.advice_calls"),
@@ -223,6 +225,7 @@
 	l.d.activeLeader.Store(nil)
 	l.d.members.stepDown()
 	l.metrics.recoveryDelay.Update(0)
+	l.tenantMetrics.remove()
 	l.returnUnconfirmed()
 	l.d.forwarder.failLocalCalls()
 	l.cancel()
--- a/internal/cell/leaderprogress.go
+++ b/internal/cell/leaderprogress.go
@@ -34,6 +34,7 @@
 		"capacity_milli_cpu": load.CapacityMilliCPU, "jobs": load.UnfinishedJobs, "gangs_waiting": load.WaitingGangs,
 		"steps_waiting": load.WaitingSteps, "advice_calls": load.AdviceCalls, "relayed_calls": len(l.relayed.inFlight),
 		"rounds_ms": l.roundTime.Milliseconds()}).Info("load of the leader")
+	l.updateTenantMetrics(now)
 	l.lastLoadAt, l.roundTime = now, 0
 }
 
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -47,7 +47,7 @@
 	case cellpb.CallKind_PENDING:
 		l.reply(m.origin, Reply{Pending: l.core.Pending(m.call.Queue)})
 	case cellpb.CallKind_TENANTS:
-		l.replyWithTenants(m)
+		l.replyWithTenants(now, m)
 	default:
 		l.reply(m.origin, Reply{Verdict: VerdictUnavailable, Reason: "call_unknown"})
 	}
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -17,20 +17,26 @@
 }
 
 func newCheck(a *app) *cobra.Command {
-	var isSettings bool
+	var isSettings, isPlatform bool
 	cmd := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Report all problems of a configuration; needs no server",
-		Long: "Check prints each problem as file:line:column: problem; remedy.\n" +
+		Long: "Check prints each problem as file:line:column: problem; remedy. With --platform it\n" +
+			"reports what is probably wrong with the tenants, as file: problem; remedy.\n" +
 			"The exit code is 0 for a valid file and 2 otherwise.",
-		Example:           "  catkinvalve check cell.jsonc\n  catkinvalve check --settings daemon.jsonc\n  catkinvalve check -o json cell.jsonc",
+		Example:           "  catkinvalve check cell.jsonc\n  catkinvalve check --settings daemon.jsonc\n  catkinvalve check --platform config.json\n  catkinvalve check -o json cell.jsonc",
 		Args:              cobra.ExactArgs(1),
 		ValidArgsFunction: completeConfigFile,
 		RunE: func(_ *cobra.Command, args []string) error {
+			if isPlatform {
+				return a.checkPlatform(args[0])
+			}
 			return a.check(args[0], isSettings)
 		},
 	}
 	cmd.Flags().BoolVar(&isSettings, "settings", false, "the file holds the settings of a daemon")
+	cmd.Flags().BoolVar(&isPlatform, "platform", false, "the file holds a configuration of the users' platform (op/config)")
+	cmd.MarkFlagsMutuallyExclusive("settings", "platform")
 	return cmd
 }
 
--- a/internal/core/tenant/tenant.go
+++ b/internal/core/tenant/tenant.go
@@ -61,9 +61,9 @@
 
 // Problem is something in a configuration that is valid but hardly meant.
 type Problem struct {
-	Tenant string
-	Detail string
-	Remedy string
+	Tenant string `json:"tenant"`
+	Detail string `json:"detail"`
+	Remedy string `json:"remedy"`
 }
 
 // String returns the problem as one line.
--- a/internal/daemon/command/platform.go
+++ b/internal/daemon/command/platform.go
@@ -111,13 +111,18 @@
 	s.Readiness = open("the balancer", set.ReadinessAddress)
 	s.Links = open("daemons", set.LinkAddress())
 	s.Metrics = open("metrics", set.MetricsAddress())
-	s.MetricsHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s.MetricsHandler = platform.NewOperatorHandler(d.API(), metricsHandler(registry))
+	return s, errors.Join(errs...)
+}
+
+// metricsHandler returns a handler that responds with all metrics.
+func metricsHandler(registry metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		// An error means that the client has disconnected, so there is nobody to
 		// report it to.
 		_ = telemetry.WriteText(w, registry)
 	})
-	return s, errors.Join(errs...)
 }
 
 // settingsPollInterval is the interval at which the settings file is read, since it
--- a/internal/telemetry/shed.go
+++ b/internal/telemetry/shed.go
@@ -21,10 +21,10 @@
 	droppedField = "dropped_before"
 )
 
-// detailPrefixes are the prefixes of detail events, the single steps of processing a
-// request, which are dropped first. Lines on the outcome of a request, on leaders,
+// detailPrefixes are the prefixes of detail events, which are dropped first: the single steps of
+// processing a request, and calls without a valid key, which any client can send. Lines on the outcome of a request, on leaders,
 // dependencies and configurations are dropped only when the whole queue is full.
-var detailPrefixes = []string{"run_", "start_", "advice_", "link_", "worker_"}
+var detailPrefixes = []string{"run_", "start_", "advice_", "link_", "worker_", "call_unauthorized"}
 
 // sheddingFormatter formats log entries and drops those of detail events while there are
 // too many of them or the line queue is filling up.
--- a/internal/telemetry/shed_test.go
+++ b/internal/telemetry/shed_test.go
@@ -83,3 +83,19 @@
 	assert.Assert(t, strings.Contains(out.String(), `"dropped_before":7`), out.String())
 	assert.Assert(t, strings.Contains(out.String(), `"level":"info"`), out.String())
 }
+
+// Guards against clients without a key whose requests fill the log.
+func TestLinesOfUnauthorizedCallsAreLimited(t *testing.T) {
+	var out bytes.Buffer
+	lines := NewLineWriter(io.Discard, metrics.NewRegistry())
+	defer lines.Close()
+	log, err := NewLogger(&out, "info", "d", "dc")
+	assert.NilError(t, err)
+	s := newSheddingFormatter(log.Logger.Formatter, lines)
+	s.now = func() time.Time { return time.Unix(100, 0) }
+	log.Logger.SetFormatter(s)
+	for range maxDetailLinesPerSecond + 1 {
+		log.WithField("event", "call_unauthorized").Info()
+	}
+	assert.Equal(t, strings.Count(out.String(), "\n"), maxDetailLinesPerSecond)
+}
--- a/internal/telemetry/text.go
+++ b/internal/telemetry/text.go
@@ -21,7 +21,7 @@
 		}
 	}
 	registry.Each(func(name string, m any) {
-		name = "catkinvalve_" + strings.Map(sanitizeRune, name)
+		name = "catkinvalve_" + SanitizeName(name)
 		switch m := m.(type) {
 		case metrics.Counter:
 			line(name+"_total", "", m.Count())
@@ -38,6 +38,10 @@
 	return err
 }
 
+// SanitizeName replaces each character of a name that is not allowed in the name of a metric by an
+// underscore.
+func SanitizeName(name string) string { return strings.Map(sanitizeRune, name) }
+
 // sanitizeRune replaces a character that is not allowed in the name of a metric by an
 // underscore.
 func sanitizeRune(r rune) rune {
