Plan: what would happen to a job, without submitting it

Operators could not ask why a job would be refused or wait without submitting it. catkinvalve plan FILE sends the body of a submission to POST /plan of a metrics listener, which checks route, key and body as for a submission and asks the leader. Core.Plan decides with the functions of the real path: the refusals of Submit are now in Core.refusal and Core.tenantVerdict, which change nothing, and a gang's workers in gangWorkers. Tasks are placed on copies of workers and of the account.

--- a/internal/cell/api.go
+++ b/internal/cell/api.go
@@ -45,7 +45,7 @@
 	RetryAfter time.Duration
 	// Reason explains a failed call; empty when there is no more to say.
 	Reason string
-	// Report is a JSON document in the answer to API.Tenants.
+	// Report is a JSON document in the answer to API.Tenants and API.Plan.
 	Report []byte
 }
 
@@ -80,6 +80,8 @@
 	Pending(ctx context.Context, queue string) Reply
 	// Tenants returns in Reply.Report the state of all tenants, a list of jobs.TenantStatus.
 	Tenants(ctx context.Context) Reply
+	// Plan returns in Reply.Report what would happen to a job if it were submitted, a jobs.Plan.
+	Plan(ctx context.Context, spec *jobs.Spec) Reply
 	// Ready reports whether the load balancer should send requests to this daemon.
 	Ready() bool
 	// ShuttingDown reports whether the daemon is shutting down. Connections should
--- a/internal/cell/forwarder.go
+++ b/internal/cell/forwarder.go
@@ -134,6 +134,11 @@
 	return decompressReport(f.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_TENANTS}))
 }
 
+// Plan implements API.
+func (f *forwarder) Plan(ctx context.Context, spec *jobs.Spec) Reply {
+	return decompressReport(f.call(ctx, &cellpb.Call{Kind: cellpb.CallKind_PLAN, Queue: spec.Queue, Tenant: spec.Tenant, Job: spec.ID, Spec: cellpb.FromSpec(spec)}))
+}
+
 // Ready implements API. A daemon is ready when it has a configuration and there was a
 // leader within readyWithoutLeader.
 func (f *forwarder) Ready() bool {
--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
 
 	"catkinvalve/internal/adapters/linkrpc"
 	"catkinvalve/internal/cellpb"
@@ -128,6 +129,7 @@
 	metrics         leaderMetrics
 	queues          *queueMetrics
 	tenantReport    tenantReport
+	plans           *rate.Limiter
 	tenantMetrics   *tenantMetrics
 	// stopReason is why the leadership ends; empty until then.
 	stopReason string
@@ -182,7 +184,7 @@
 		inbox: ring.New[message]("leader", inboxSize, d.registry), callOrigins: map[jobs.CallID]callOrigin{},
 		reports: map[string]report{}, acknowledgedAt: map[string]time.Time{}, probeLatencies: map[string]time.Duration{}, previousTerms: s.previousTerms(), previousTermsUnknown: s.termUnreadable,
 		previousVoters: s.voters(), voters: voters.Membership{Current: s.voters()}, nodes: map[string]string{}, lastSent: map[*linkrpc.Link]sentVersions{},
-		queues: newQueueMetrics(d.registry), tenantMetrics: newTenantMetrics(d.registry),
+		queues: newQueueMetrics(d.registry), tenantMetrics: newTenantMetrics(d.registry), plans: rate.NewLimiter(plansPerSecond, plansPerSecond),
 		metrics: leaderMetrics{
 			starts: telemetry.Counter(d.registry, "leader.starts"), ends: telemetry.Counter(d.registry, "leader.ends"),
 			refused: telemetry.Counter(d.registry, "leader.refused"), advice: telemetry.Counter(d.registry, "leader.advice_calls"),
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -48,6 +48,8 @@
 		l.reply(m.origin, Reply{Pending: l.core.Pending(m.call.Queue)})
 	case cellpb.CallKind_TENANTS:
 		l.replyWithTenants(now, m)
+	case cellpb.CallKind_PLAN:
+		l.replyWithPlan(now, m)
 	default:
 		l.reply(m.origin, Reply{Verdict: VerdictUnavailable, Reason: "call_unknown"})
 	}
@@ -57,30 +59,40 @@
 // with the call's queue. Such a call comes from a daemon that has a newer configuration.
 const newerConfigTimeout = 1500 * time.Millisecond
 
-// submit passes a submitted job to the core. If the job's queue or tenant is unknown and the
-// call was made with a newer configuration, it tries again after configRetry.
+// submit passes a submitted job to the core.
 func (l *leader) submit(m callMsg) {
+	spec := l.decodeSpec(m)
+	if spec == nil {
+		return
+	}
+	l.lastCallID++
+	l.callOrigins[l.lastCallID] = m.origin
+	if a := l.core.Submit(m.receivedAt, spec, l.lastCallID); a != nil {
+		l.answer(*a)
+	}
+}
+
+// decodeSpec returns the job in a call, or nil after it has answered the call. If the job's queue or
+// tenant is unknown and the call was made with a newer configuration, it returns nil too and the
+// call is handled again after configRetry.
+func (l *leader) decodeSpec(m callMsg) *jobs.Spec {
 	spec, err := m.call.Spec.ToSpec()
 	if err != nil {
 		l.log.WithFields(logrus.Fields{"event": "call_unreadable", "job": m.call.Job, "error": err.Error()}).Error("a submitted job is invalid")
 		l.reply(m.origin, Reply{Verdict: VerdictUnavailable, Reason: "unreadable"})
-		return
+		return nil
 	}
 	spec.Tenant = m.call.Tenant
 	known := l.core.HasQueue(spec.Queue) && l.core.HasTenant(spec.Tenant)
 	if m.call.ConfigVersion > l.configVersion && !known && time.Since(m.receivedAt) < newerConfigTimeout {
 		time.AfterFunc(configRetry, func() { l.push(m) })
-		return
+		return nil
 	}
 	if !l.core.HasTenant(spec.Tenant) {
 		l.reply(m.origin, Reply{Verdict: VerdictUnauthorized, Reason: "tenant_unknown"})
-		return
-	}
-	l.lastCallID++
-	l.callOrigins[l.lastCallID] = m.origin
-	if a := l.core.Submit(m.receivedAt, spec, l.lastCallID); a != nil {
-		l.answer(*a)
+		return nil
 	}
+	return spec
 }
 
 // replyWithState answers with a job's state.
--- a/internal/cli/operatorclient.go
+++ b/internal/cli/operatorclient.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"catkinvalve/internal/api"
@@ -73,11 +74,13 @@
 	if json.Unmarshal(body, &failure) != nil {
 		failure.Reason = string(body)
 	}
-	reason := cmp.Or(failure.Reason, http.StatusText(resp.StatusCode))
+	reason := cmp.Or(strings.TrimSpace(failure.Reason), http.StatusText(resp.StatusCode))
 	retryAfter := resp.Header.Get("Retry-After")
 	switch {
 	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
 		return fault.New(fault.NotReady, "repeat the command in "+cmp.Or(retryAfter, "1")+" s", "the daemon cannot answer now: %s", reason)
+	case resp.StatusCode == http.StatusUnauthorized:
+		return fault.New(fault.Malformed, "check --key-file", "no tenant has this key")
 	case resp.StatusCode == http.StatusNotFound:
 		return fault.New(fault.NotFound, "check host and path against the routes of the configuration", "no route: %s", reason)
 	}
--- a/internal/cli/operators_test.go
+++ b/internal/cli/operators_test.go
@@ -43,6 +43,38 @@
 	assert.Equal(t, Execute(context.Background(), []string{"tenants", "--address", "localhost"}, &o, &e), ExitUsage)
 }
 
+// Guards against a key on the command line or in the output, and against exit codes that scripts cannot
+// tell apart.
+func TestPlan(t *testing.T) {
+	job, key := writeFile(t, `{"steps": []}`), writeFile(t, "SECRET\n")
+	args := []string{"plan", job, "--host", "h", "--path", "/p/00000000000000ff", "--key-file", key}
+	respondWith := func(status int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			assert.Check(t, r.Header.Get("Api-Key") == "SECRET" && r.URL.Query().Get("host") == "h" && r.URL.Query().Get("path") == "/p/00000000000000ff")
+			respond(status, body)(w, r)
+		}
+	}
+	for _, c := range []struct {
+		status int
+		body   string
+		want   int
+		text   string
+	}{
+		{200, `{"job": "ff", "queue": "q", "verdict": "accepted", "objective_ms": 1500, "tenant": {"name": "a"}, "steps": [{"tasks": 9, "starting": 8, "wait": "no_worker_with_room",
+			"workers": [{"worker": "w1", "tasks": 8}], "lacking": {"label": 2}}]}`, ExitOK, "label=2"},
+		{200, `{"verdict": "refused", "reason": "tenant_rate", "retry_after_ms": 1000}`, ExitRefused, "tenant_rate"},
+		{200, `{"verdict": "unavailable", "reason": "store_unavailable"}`, ExitTempFailure, "store_unavailable"},
+		{429, `{"reason": "too_many_plans"}`, ExitTempFailure, "too_many_plans"},
+		{401, `{"reason": "key_unknown"}`, ExitRefused, "check --key-file"},
+		{400, "malformed job: steps has none", ExitRefused, "malformed job"},
+	} {
+		code, out, errOut := runOperator(t, respondWith(c.status, c.body), args...)
+		assert.Equal(t, code, c.want, "%s%s", out, errOut)
+		assert.Assert(t, strings.Contains(out+errOut, c.text), "%s%s", out, errOut)
+		assert.Assert(t, !strings.Contains(out+errOut, "SECRET"))
+	}
+}
+
 // Guards against a check that misses a fault of the tenants, or prints an API key.
 func TestCheckPlatform(t *testing.T) {
 	name := writeFile(t, `{"tenants": [{"name": "a", "apiKeys": ["SECRET"], "weight": 1}, {"name": "b", "apiKeys": ["SECRET"]}]}`)
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -104,7 +104,7 @@
 	cobra.CheckErr(root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputTable, outputJSON}, cobra.ShellCompDirectiveNoFileComp)))
 	root.SetFlagErrorFunc(func(cmd *cobra.Command, err error) error { return usageError("%v", err) })
 	for _, command := range []func(*app) *cobra.Command{
-		newCheck, newDiff, newPublish, newHistory, newStatus, newSubmit, newFate, newCancel, newExplain, newDrain, newTrace, newTenants, newVersion,
+		newCheck, newDiff, newPublish, newHistory, newStatus, newSubmit, newFate, newCancel, newExplain, newDrain, newTrace, newTenants, newPlan, newVersion,
 	} {
 		root.AddCommand(command(a))
 	}
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -179,15 +179,7 @@
 		}
 		return waitForTurn
 	}
-	options := c.options(now, s)
-	slices.SortStableFunc(options, func(a, b *worker) int { return cmp.Compare(score(s, a), score(s, b)) })
-	chosen := make([]*worker, 0, len(s.tasks))
-	for _, w := range options {
-		n := min(c.availableCopies(now, s, w), w.remainingPerWorker(s))
-		for ; n > 0 && len(chosen) < len(s.tasks); n-- {
-			chosen = append(chosen, w)
-		}
-	}
+	chosen := c.gangWorkers(now, s, c.options(now, s))
 	if len(chosen) < len(s.tasks) {
 		return c.requestAdvice(now, s)
 	}
@@ -208,6 +200,20 @@
 	return ""
 }
 
+// gangWorkers returns a worker for each member of a gang, or for fewer if they do not all fit. It
+// changes the order of the options.
+func (c *Core) gangWorkers(now time.Time, s *step, options []*worker) []*worker {
+	slices.SortStableFunc(options, func(a, b *worker) int { return cmp.Compare(score(s, a), score(s, b)) })
+	chosen := make([]*worker, 0, len(s.tasks))
+	for _, w := range options {
+		n := min(c.availableCopies(now, s, w), w.remainingPerWorker(s))
+		for ; n > 0 && len(chosen) < len(s.tasks); n-- {
+			chosen = append(chosen, w)
+		}
+	}
+	return chosen
+}
+
 // options returns the workers on which a task of the step could start now.
 func (c *Core) options(now time.Time, s *step) []*worker {
 	var out []*worker
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -86,17 +86,11 @@
 		return c.handleRepeat(j, call)
 	}
 	q := c.queues[spec.Queue]
-	if q == nil {
-		return c.refuse(now, spec, call, "queue_unknown", retryAfterFull)
-	}
-	if c.storeStalled {
-		resp := c.refuse(now, spec, call, "store_unavailable", retryAfterStalled)
-		resp.Kind = ResponseStoreUnavailable
+	if r := c.refusal(now, spec, q); r != nil {
+		resp := c.refuse(now, spec, call, r.reason, r.retryAfter)
+		resp.Kind = r.kind
 		return resp
 	}
-	if reason, retryAfter, ok := c.admit(now, spec, q); !ok {
-		return c.refuse(now, spec, call, reason, retryAfter)
-	}
 	excess, reason, retryAfter := c.checkTenant(now, spec, q)
 	if reason != "" {
 		return c.refuse(now, spec, call, reason, retryAfter)
@@ -111,6 +105,28 @@
 	return nil
 }
 
+// refusal is why a job is refused, whichever tenant submits it.
+type refusal struct {
+	kind       ResponseKind
+	reason     model.Reason
+	retryAfter time.Duration
+}
+
+// refusal returns why a job that is not known is refused now, or nil if it is not. It changes
+// nothing. q is nil if the job's queue is not configured.
+func (c *Core) refusal(now time.Time, spec *Spec, q *Queue) *refusal {
+	switch {
+	case q == nil:
+		return &refusal{ResponseRefused, "queue_unknown", retryAfterFull}
+	case c.storeStalled:
+		return &refusal{ResponseStoreUnavailable, "store_unavailable", retryAfterStalled}
+	}
+	if reason, retryAfter, ok := c.admit(now, spec, q); !ok {
+		return &refusal{ResponseRefused, reason, retryAfter}
+	}
+	return nil
+}
+
 // handleRepeat answers a repeated submission of a known job. It returns nil if
 // the response follows once the job is stored.
 func (c *Core) handleRepeat(j *job, call CallID) *Response {
--- a/internal/core/jobs/tenant_rate.go
+++ b/internal/core/jobs/tenant_rate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/core/tenant"
 )
 
 const (
@@ -20,23 +21,36 @@
 // rate: it is accepted only while capacity is not short, and comes after all others then.
 func (c *Core) checkTenant(now time.Time, spec *Spec, q *Queue) (excess bool, reason model.Reason, retryAfter time.Duration) {
 	a := c.accountOf(now, spec)
+	switch excess, reason = c.tenantVerdict(now, spec, q, a, (*tenant.Rate).Take); reason {
+	case model.ReasonExceedsLimit:
+		retryAfter = retryAfterNeverFits
+	case model.ReasonTenantRate:
+		c.refusedJobs.add(spec.ID)
+		retryAfter = a.rate.RetryAfter(now)
+	}
+	return excess, reason, retryAfter
+}
+
+// tenantVerdict returns whether a job exceeds the rate of its tenant, whose account may be nil, and
+// why the job is refused because of its tenant, if it is. withinRate says whether the rate allows one
+// more job; it is called only for a job that counts against the rate.
+func (c *Core) tenantVerdict(now time.Time, spec *Spec, q *Queue, a *account, withinRate func(*tenant.Rate, time.Time) bool) (excess bool, reason model.Reason) {
 	if a == nil || c.tenants == nil {
-		return false, "", 0
+		return false, ""
 	}
 	for i := range spec.Steps {
 		if !spec.Steps[i].fitsLimit(a.room.capacity) {
-			return false, model.ReasonExceedsLimit, retryAfterNeverFits
+			return false, model.ReasonExceedsLimit
 		}
 	}
 	returning := c.refusedJobs.contains(spec.ID)
-	if excess = returning || !a.rate.Take(now); !excess {
-		return false, "", 0
+	if excess = returning || !withinRate(a.rate, now); !excess {
+		return false, ""
 	}
 	if p := c.pools[q.Service]; p == nil || p.usedShare < shortShare {
-		return true, "", 0
+		return true, ""
 	}
-	c.refusedJobs.add(spec.ID)
-	return true, model.ReasonTenantRate, a.rate.RetryAfter(now)
+	return true, model.ReasonTenantRate
 }
 
 // fitsLimit reports whether a task of the step, or all tasks of a gang, fit into a limit.
--- a/internal/core/jobs/tenants.go
+++ b/internal/core/jobs/tenants.go
@@ -75,12 +75,17 @@
 func (c *Core) account(now time.Time, name string) *account {
 	a := c.accounts[name]
 	if a == nil {
-		a = &account{name: name, room: resources{capacity: unlimitedSize}, rate: tenant.NewRate(now, 0), refused: map[model.Reason]int64{}}
+		a = newAccount(now, name)
 		c.accounts[name] = a
 	}
 	return a
 }
 
+// newAccount returns the account, without a limit, of a tenant that is not known.
+func newAccount(now time.Time, name string) *account {
+	return &account{name: name, room: resources{capacity: unlimitedSize}, rate: tenant.NewRate(now, 0), refused: map[model.Reason]int64{}}
+}
+
 // accountOf returns the account of the tenant to which a job belongs, or nil if it belongs to none.
 func (c *Core) accountOf(now time.Time, spec *Spec) *account {
 	if spec.Tenant == "" {
--- a/internal/core/tenant/rate.go
+++ b/internal/core/tenant/rate.go
@@ -45,21 +45,47 @@
 // Take reports whether a job that arrives at now is within the rate.
 func (r *Rate) Take(now time.Time) bool { return r.limiter.AllowN(now, 1) }
 
+// Allows reports what Take would return, without taking anything from the rate.
+func (r *Rate) Allows(now time.Time) bool {
+	if r.limiter.Burst() < 1 {
+		return false
+	}
+	missing := 1 - r.limiter.TokensAt(now)
+	// The limiter lets a job pass that it would delay by less than a nanosecond.
+	return missing <= 0 || missing/float64(r.limiter.Limit())*float64(time.Second) < 1
+}
+
 // RetryAfter returns when the client of a job that is refused at now may come back. The refused
 // clients of a tenant come back one after the other, at the tenant's rate.
 func (r *Rate) RetryAfter(now time.Time) time.Duration {
-	first := now.Add(minRetryAfter)
+	next := r.next(now)
+	if next.IsZero() {
+		return maxRetryAfter
+	}
+	r.nextReturn = next
+	return next.Sub(now)
+}
+
+// NextRetryAfter reports what RetryAfter would return, without counting a client.
+func (r *Rate) NextRetryAfter(now time.Time) time.Duration {
+	if next := r.next(now); !next.IsZero() {
+		return next.Sub(now)
+	}
+	return maxRetryAfter
+}
+
+// next returns when the next refused client may come back; zero if the tenant has no rate.
+func (r *Rate) next(now time.Time) time.Time {
 	perSecond := float64(r.limiter.Limit())
 	if perSecond <= 0 {
-		return maxRetryAfter
+		return time.Time{}
 	}
-	if r.nextReturn.Before(first) {
-		r.nextReturn = first
-	} else {
-		r.nextReturn = r.nextReturn.Add(time.Duration(float64(time.Second) / perSecond))
+	next := now.Add(minRetryAfter)
+	if !r.nextReturn.Before(next) {
+		next = r.nextReturn.Add(time.Duration(float64(time.Second) / perSecond))
 	}
-	if last := now.Add(maxRetryAfter); r.nextReturn.After(last) {
-		r.nextReturn = last
+	if last := now.Add(maxRetryAfter); next.After(last) {
+		next = last
 	}
-	return r.nextReturn.Sub(now)
+	return next
 }
