--- a/internal/core/jobs/plan_limits.go
+++ b/internal/core/jobs/plan_limits.go
@@ -29,7 +29,7 @@
 	free := a.room.free().Sub(p.c.unprovenUse).Sub(a.awaited)
 	for _, g := range gangs {
 		if copiesIn(free.Sub(reserved), g.def.Size) < len(g.tasks) {
-			reserved = reserved.Add(g.limitToReserve())
+			reserved = reserved.Add(a.limitToReserve(g))
 		}
 	}
 	return reserved
--- a/internal/core/jobs/plan_steps.go
+++ b/internal/core/jobs/plan_steps.go
@@ -270,7 +270,7 @@
 func (p *planner) assign(s *step, index int, w *worker) *worker {
 	copied := p.copyOf(w)
 	t := &task{step: s, index: int32(index)}
-	copied.addRun(&run{ref: t.ref(), task: t, worker: copied, size: s.def.Size, account: s.job().account})
+	copied.addRun(&run{ref: t.ref(), task: t, worker: copied, size: s.def.Size, account: s.job().account, sentAt: p.now})
 	return copied
 }
 
--- a/internal/core/jobs/tenant_limits.go
+++ b/internal/core/jobs/tenant_limits.go
@@ -82,7 +82,8 @@
 // and can start once other runs have ended. Otherwise less urgent tasks of the tenant, one by one,
 // would take whatever becomes free.
 func (c *Core) reserveLimit(s *step) {
-	a, size := s.job().account, s.limitToReserve()
+	a := s.job().account
+	size := a.limitToReserve(s)
 	if size == (model.Size{}) {
 		return
 	}
@@ -92,10 +93,9 @@
 	a.reserved = a.reserved.Add(size)
 }
 
-// limitToReserve returns what is kept of the limit of its tenant for a gang that waits for the limit;
-// the zero size if the gang cannot start even once other runs have ended.
-func (s *step) limitToReserve() model.Size {
-	a := s.job().account
+// limitToReserve returns what is kept of the tenant's limit for a gang that waits for the limit; the zero
+// size if the gang cannot start even once other runs have ended.
+func (a *account) limitToReserve(s *step) model.Size {
 	size := s.def.Size.Times(int64(len(s.tasks)))
 	if !size.Fits(a.room.capacity.Sub(a.lasting)) {
 		return model.Size{}
--- a/internal/core/jobs/tenant_status.go
+++ b/internal/core/jobs/tenant_status.go
@@ -31,13 +31,16 @@
 	Refused   map[model.Reason]int64 `json:"refused,omitempty"`
 }
 
-// Tenants returns the state of all tenants, in order of name.
+// Tenants returns the state of all tenants, in order of name. Removed ones are left out once they have
+// neither jobs nor runs.
 func (c *Core) Tenants() []TenantStatus {
 	out := make([]TenantStatus, 0, len(c.accounts))
 	at := make(map[*account]int, len(c.accounts))
 	accounts := make([]*account, 0, len(c.accounts))
 	for _, a := range c.accounts {
-		accounts = append(accounts, a)
+		if !a.unused() {
+			accounts = append(accounts, a)
+		}
 	}
 	slices.SortFunc(accounts, func(a, b *account) int { return cmp.Compare(a.name, b.name) })
 	for i, a := range accounts {
