--- a/internal/core/jobs/plan_test.go
+++ b/internal/core/jobs/plan_test.go
@@ -175,6 +175,27 @@
 	return out
 }
 
+// Guards against a plan that promises workers before the advice service was asked, that places what
+// is not due yet, or whose cost has no limit.
+func TestPlanOfStepsThatAreNotPlaced(t *testing.T) {
+	c := planBenchCore(5000)
+	step := Step{Count: 1, Size: model.Size{MilliCPU: 1}}
+	plan := c.Plan(startTime, &Spec{ID: "a", Queue: "advised", Steps: []Step{step}})
+	assert.Equal(t, plan.Steps[0].Wait, waitForTicket)
+	assert.DeepEqual(t, plan.Steps[0].Lacking, model.Counts{lacksAdvice: 5000})
+
+	plan = c.Plan(startTime, &Spec{ID: "a", Queue: "q", Steps: []Step{step}, Repeat: 2, FirstDue: startTime.Add(time.Minute), Interval: time.Minute})
+	assert.Equal(t, plan.Steps[0].Wait, planNotDue)
+	assert.Equal(t, plan.Steps[0].EarliestStartMS, time.Minute.Milliseconds())
+
+	step.Count = MaxTasksPerStep
+	plan = c.Plan(startTime, &Spec{ID: "a", Queue: "q", Steps: []Step{step, step}})
+	assert.Equal(t, plan.Steps[0].Wait, planNotExamined)
+	assert.Equal(t, plan.Steps[0].Starting, (planBudget-5000)/5000)
+	assert.Equal(t, plan.Steps[1].Wait, planNotExamined)
+	assert.Equal(t, plan.Steps[1].Starting, 0)
+}
+
 // Measures a plan of a job with many steps and tasks, whose cost planBudget limits, and of a small one.
 func BenchmarkPlan(b *testing.B) {
 	for _, workers := range []int{100, 1000, 5000} {
@@ -201,8 +222,8 @@
 // planBenchCore returns a leader with workers that accept tasks and are half used.
 func planBenchCore(workers int) *Core {
 	c := New(testConfig())
-	c.SetQueues([]Queue{{Name: "q", Service: "s", MaxAttempts: 2, Slack: 2, Target: time.Second}})
-	c.workerListRead = true
+	c.SetQueues([]Queue{{Name: "q", Service: "s", MaxAttempts: 2, Slack: 2, Target: time.Second}, {Name: "advised", Service: "s", Advice: &AdviceConfig{}}})
+	c.workerListRead, c.wall = true, startTime
 	p := &pool{}
 	for i := range workers {
 		w := c.worker(model.WorkerID(fmt.Sprintf("w%05d", i)))
