Reports: 20,000 tenants fit

A report on 20,000 tenants with random figures has 7.8 MB in JSON and 1.15 MB compressed, more than the limit of 1 MiB that was chosen without measuring: the command answered report_unencodable. The limit is now 2 MiB, half of the longest message of a link, and a test sends such a report.

--- a/internal/cell/reports.go
+++ b/internal/cell/reports.go
@@ -19,8 +19,9 @@
 	// reportTimeDivisor limits the part of the leader loop's time that a report of one kind takes:
 	// after a computation none follows for this many times its duration.
 	reportTimeDivisor = 100
-	// maxReportBytes limits a compressed report, which has to fit into one frame with other replies.
-	maxReportBytes = 1 << 20
+	// maxReportBytes limits a compressed report, which has to fit with other replies into one message
+	// of a link. These have at most 4 MiB; a longer one closes the link.
+	maxReportBytes = 2 << 20
 	// maxReportJSONBytes limits a decompressed report.
 	maxReportJSONBytes = 64 << 20
 )
--- a/internal/cell/tenantreports_test.go
+++ b/internal/cell/tenantreports_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"catkinvalve/internal/core/jobs"
+	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/tenant"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/telemetry"
@@ -53,6 +55,25 @@
 	assert.Assert(t, strings.Contains(out.String(), "count=1980"))
 }
 
+// Guards against a report that closes the link to the daemon that asks, and against one that cannot be
+// sent although there are no more tenants than a cell may have.
+func TestReportOnManyTenantsFits(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	size := func() model.Size { return model.Size{MilliCPU: rng.Int64N(100_000), MemMB: rng.Int64N(100_000)} }
+	tenants := make([]jobs.TenantStatus, 20_000)
+	for i := range tenants {
+		tenants[i] = jobs.TenantStatus{Name: fmt.Sprint("tenant-", i), Limit: size(), Running: size(), WaitingTasks: rng.IntN(1000), Share: rng.Float64(), FairShare: rng.Float64(),
+			Refused: map[model.Reason]int64{model.ReasonTenantRate: rng.Int64N(10_000), model.ReasonExceedsLimit: rng.Int64N(100)}}
+	}
+	report, err := encodeReport(tenants)
+	assert.NilError(t, err)
+	var decoded []jobs.TenantStatus
+	assert.NilError(t, json.Unmarshal(decompressReport(Reply{Report: report}).Report, &decoded))
+	assert.DeepEqual(t, decoded, tenants)
+	_, err = encodeReport(append(tenants, append(tenants, tenants...)...))
+	assert.ErrorContains(t, err, "remove tenants")
+}
+
 // loopFunc is a function that the leader loop calls.
 type loopFunc func(l *leader, now time.Time)
 
