--- a/internal/core/jobs/tenant_limits.go
+++ b/internal/core/jobs/tenant_limits.go
@@ -87,10 +87,19 @@
 		a.limitWaits = true
 		c.limitedAccounts = append(c.limitedAccounts, a)
 	}
+	if s.def.Gang {
+		a.reserved = a.reserved.Add(a.limitToReserve(s))
+	}
+}
+
+// limitToReserve returns what is kept of the tenant's limit for a gang that waits for the limit; the zero
+// size if the gang cannot start even once other runs have ended.
+func (a *account) limitToReserve(s *step) model.Size {
 	size := s.def.Size.Times(int64(len(s.tasks)))
-	if s.def.Gang && size.Fits(a.room.capacity.Sub(a.lasting)) {
-		a.reserved = a.reserved.Add(size)
+	if !size.Fits(a.room.capacity.Sub(a.lasting)) {
+		return model.Size{}
 	}
+	return size
 }
 
 // startLimitRound forgets the reservations of the last round and determines what may run without
