--- a/internal/core/jobs/plan_test.go
+++ b/internal/core/jobs/plan_test.go
@@ -175,8 +175,8 @@
 	return out
 }
 
-// Guards against a plan that promises workers before the advice service was asked, that places what
-// is not due yet, or whose cost has no limit.
+// Guards against a plan that promises workers before the advice service was asked or a more urgent gang
+// was placed, that places what is not due yet, or whose cost has no limit.
 func TestPlanOfStepsThatAreNotPlaced(t *testing.T) {
 	c := planBenchCore(5000)
 	step := Step{Count: 1, Size: model.Size{MilliCPU: 1}}
@@ -188,6 +188,11 @@
 	assert.Equal(t, plan.Steps[0].Wait, planNotDue)
 	assert.Equal(t, plan.Steps[0].EarliestStartMS, time.Minute.Milliseconds())
 
+	c.pools["s"].gangWaits, c.pools["s"].gangPriority = true, -1
+	plan = c.Plan(startTime, &Spec{ID: "a", Queue: "q", Steps: []Step{step}})
+	assert.Equal(t, plan.Steps[0].Wait, waitForGang)
+	c.pools["s"].gangWaits = false
+
 	step.Count = MaxTasksPerStep
 	plan = c.Plan(startTime, &Spec{ID: "a", Queue: "q", Steps: []Step{step, step}})
 	assert.Equal(t, plan.Steps[0].Wait, planNotExamined)
