Run times: learned quantiles by queue, tenant and shape

Cause: the leader predicted run times by a running mean, of which nothing was known about its spread, and which each new leader learned anew. Config.RunTimeModel switches it on.

--- a/internal/core/jobs/batch.go
+++ b/internal/core/jobs/batch.go
@@ -65,6 +65,7 @@
 	if out.Empty() {
 		return nil
 	}
+	c.addRunTimes(&out)
 	b.inFlight = append(b.inFlight, b.next)
 	b.next++
 	b.inFlightEffects[out.Seq] = effects
--- a/internal/core/jobs/core.go
+++ b/internal/core/jobs/core.go
@@ -44,6 +44,9 @@
 	// EndsPerPage is the number of ends in a full answer to a sync; a full
 	// answer may be followed by more.
 	EndsPerPage int
+	// RunTimeModel selects the prediction of run times by a model that successors take over. Without it
+	// it is a running mean of this leader.
+	RunTimeModel bool
 	// Health holds the limits for the quarantine of workers.
 	Health retry.HealthConfig
 }
@@ -90,9 +93,14 @@
 	// extended leases.
 	previousLeaderEnd time.Time
 
-	batch          batchState
-	relays         relays
-	estimator      durationEstimator
+	batch  batchState
+	relays relays
+	// runTimes predicts run times; learned is the same, or nil if the model is off.
+	runTimes       runTimeSource
+	learned        *learnedRunTimes
+	runTimeRecords runTimeRecords
+	// usualSlowdown is a running mean of the slowdowns of workers.
+	usualSlowdown  float64
 	endedJobs      []*job // in order of endedAt
 	recurringJobs  []*job // jobs with occurrences still to come
 	unfinishedJobs int
@@ -132,13 +140,15 @@
 
 // New returns the core of a new leader.
 func New(cfg Config) *Core {
-	return &Core{
+	c := &Core{
 		cfg: cfg, queues: map[string]*Queue{}, jobs: map[string]*job{},
 		workers: map[model.WorkerID]*worker{}, pools: map[string]*pool{}, poolsStale: true,
 		health: retry.NewHealth(cfg.Health), recovery: newRecovery(), expired: map[string]expiredWorker{}, absent: map[model.WorkerID]absentWorker{},
-		batch: newBatchState(), relays: newRelays(), estimator: newDurationEstimator(),
+		batch: newBatchState(), relays: newRelays(),
 		accounts: map[string]*account{}, refusedJobs: newRefusedJobs(),
 	}
+	c.runTimes = c.newRunTimeSource()
+	return c
 }
 
 // Actions is what the leader loop has to carry out.
--- a/internal/core/jobs/durations.go
+++ b/internal/core/jobs/durations.go
@@ -36,12 +36,17 @@
 	meanLogEstimate, meanLogTime, meanProduct, meanSquare float64
 }
 
-func newDurationEstimator() durationEstimator {
-	return durationEstimator{fits: map[string]*durationFit{}}
+func newDurationEstimator() *durationEstimator {
+	return &durationEstimator{fits: map[string]*durationFit{}}
 }
 
-// observe adds the run time of a finished task.
-func (d *durationEstimator) observe(queue string, s *Step, took time.Duration) {
+// observe adds the run time of a task that succeeded.
+func (d *durationEstimator) observe(o *observedRun) {
+	if !o.succeeded {
+		return
+	}
+	s, took := o.task.step.def, o.took
+	queue := o.task.step.job().queue.Name
 	fit := d.fits[queue]
 	if fit == nil {
 		fit = &durationFit{}
@@ -60,6 +65,22 @@
 	fit.meanSquare += weight * (x*x - fit.meanSquare)
 }
 
+// quantile returns the expected run time of the tasks of a step for every quantile; 0 when it is
+// not known.
+func (d *durationEstimator) quantile(s *step, _ runTimeQuantile) time.Duration {
+	return d.expected(s.job().queue.Name, s.def)
+}
+
+func (d *durationEstimator) remaining(s *step, elapsed time.Duration) time.Duration {
+	return remainingOf(d.expected(s.job().queue.Name, s.def), elapsed)
+}
+
+// remainingOf returns how long a run with an expected duration goes on. One that has exceeded it
+// may still take a part of it.
+func remainingOf(expected, elapsed time.Duration) time.Duration {
+	return max(expected-elapsed, expected/3)
+}
+
 // expected returns the expected run time of the tasks of a step; 0 when it is
 // not known.
 func (d *durationEstimator) expected(queue string, s *Step) time.Duration {
@@ -79,19 +100,6 @@
 	return time.Duration(math.Exp(fit.meanLogTime+slope*x) * float64(time.Second))
 }
 
-// observeRunTime records the run time of a task that succeeded. It ignores runs
-// that the worker reported as ended before their start was confirmed.
-func (c *Core) observeRunTime(now time.Time, w *worker, r *run) {
-	if r == nil || r.task == nil || r.confirmedAt.IsZero() {
-		return
-	}
-	took := now.Sub(r.confirmedAt)
-	if !r.task.step.def.Gang {
-		c.observeSlowdown(w, r, took)
-	}
-	c.estimator.observe(r.task.step.job().queue.Name, r.task.step.def, took)
-}
-
 const (
 	// slowdownSamplePercent is the progress at which a run's slowdown is
 	// sampled, once.
@@ -136,7 +144,7 @@
 		return
 	}
 	r.slowdownSampled = true
-	usual := c.estimator.expected(r.task.step.job().queue.Name, r.task.step.def)
+	usual := c.runTime(r.task.step, medianRunTime)
 	if usual <= 0 {
 		return
 	}
@@ -145,6 +153,7 @@
 		w.slowdown = 1
 	}
 	w.slowdown += slowdownSampleWeight * (sample - w.slowdown)
+	c.usualSlowdown += usualSlowdownWeight * (w.slowdown - c.usualSlowdown)
 }
 
 // slowdownFactor returns the worker's slowdown, 1 when it is not known.
@@ -189,7 +198,7 @@
 // stallTimeoutOf returns the time without progress after which a run counts as stuck. The progress of a
 // task that works for minutes stands still for seconds, because it is a whole number.
 func (c *Core) stallTimeoutOf(r *run) time.Duration {
-	total := c.estimator.expected(r.task.step.job().queue.Name, r.task.step.def)
+	total := c.runTime(r.task.step, highRunTime)
 	if r.percent > 0 {
 		total = max(total, r.progressAt.Sub(r.confirmedAt)*100/time.Duration(r.percent))
 	}
@@ -231,7 +240,7 @@
 
 // stepDuration returns the expected duration of a step, with its advice call.
 func (c *Core) stepDuration(s *step) time.Duration {
-	d := c.estimator.expected(s.job().queue.Name, s.def)
+	d := c.runTime(s, medianRunTime)
 	if adviceCfg := s.job().queue.Advice; adviceCfg != nil {
 		d += adviceCfg.DecisionTime + objectiveWorkers*adviceCfg.TimePerWorker
 	}
--- a/internal/core/jobs/events.go
+++ b/internal/core/jobs/events.go
@@ -33,6 +33,7 @@
 	EventRecoveryComplete EventName = "recovery_complete"
 	EventRecoveryDelayed  EventName = "recovery_delayed"
 	EventTokenRefused     EventName = "token_refused"
+	EventRunTimesUnusable EventName = "run_times_unusable"
 	EventAnomaly          EventName = "anomaly"
 )
 
--- a/internal/core/jobs/helpers_test.go
+++ b/internal/core/jobs/helpers_test.go
@@ -19,7 +19,7 @@
 		Token: 1, LeaseDuration: 4500 * time.Millisecond, MaxWorkerLease: 10 * time.Second, MaxCallDelay: 13 * time.Second, SyncWait: time.Second,
 		ClockDrift: 0.02, SilentAfter: 1700 * time.Millisecond,
 		GangTimeout: 3 * time.Second, StartTimeout: 350 * time.Millisecond, Retention: 150 * time.Second,
-		MaxUnfinishedJobs: 1000, EndsPerPage: 500,
+		MaxUnfinishedJobs: 1000, EndsPerPage: 500, RunTimeModel: true,
 		Health: retry.HealthConfig{FailureThreshold: 2, BaseQuarantine: 2 * time.Second, MaxQuarantine: 8 * time.Second, MaxQuarantinedPercent: 25, MaxAttempts: 1 << 20, MaxKeys: 4096},
 	}
 }
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -105,6 +105,7 @@
 	// heldUntil is when the gang is expected to start on the held capacity.
 	heldUntil time.Time
 	wait      waitState
+	predicted runTimeCache
 }
 
 // gang is the state that the tasks of a gang step share.
--- a/internal/core/jobs/loss.go
+++ b/internal/core/jobs/loss.go
@@ -67,6 +67,7 @@
 // loseRun records that a run is certainly gone although no end was reported.
 func (c *Core) loseRun(now time.Time, r *run, reason string) {
 	c.runEvent(EventRunLost, r, now.Sub(r.sentAt), reason)
+	c.observeInterrupted(r)
 	r.worker.removeRun(r)
 	c.handleRunGone(now, r)
 }
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -118,6 +118,9 @@
 	Accepted []AcceptedRecord
 	Progress []ProgressRecord
 	Workers  []WorkerRecord
+	// RunTimes and DropRunTimes are only part of batches that are not empty without them.
+	RunTimes     []RunTimeRecord
+	DropRunTimes []string
 	// DropAccepted, DropProgress and DropWorkers name records to delete.
 	DropAccepted []string
 	DropProgress []string
@@ -137,4 +140,5 @@
 	Accepted []AcceptedRecord
 	Progress []ProgressRecord
 	Workers  []WorkerRecord
+	RunTimes []RunTimeRecord
 }
--- a/internal/core/jobs/reservations.go
+++ b/internal/core/jobs/reservations.go
@@ -189,7 +189,7 @@
 		return w.resources.copies(s.def.Size)
 	}
 	free := w.resources.free()
-	end := now.Add(c.estimator.expected(s.job().queue.Name, s.def))
+	end := now.Add(c.runTime(s, highRunTime))
 	for i := range w.reservations {
 		if r := &w.reservations[i]; r.blocks(s, end) {
 			free = free.Sub(r.step.def.Size.Times(int64(r.copies)))
@@ -236,6 +236,5 @@
 	if r.task == nil {
 		return stopRetryInterval
 	}
-	expected := c.estimator.expected(r.task.step.job().queue.Name, r.task.step.def)
-	return max(expected-now.Sub(r.sentAt), expected/3)
+	return c.runTimes.remaining(r.task.step, now.Sub(r.sentAt))
 }
--- a/internal/core/jobs/restore.go
+++ b/internal/core/jobs/restore.go
@@ -12,6 +12,7 @@
 // other event.
 func (c *Core) Restore(now time.Time, wall time.Time, s Snapshot) {
 	c.wall = wall
+	c.restoreRunTimes(s.RunTimes)
 	for i := range s.Accepted {
 		c.restoreJob(now, wall, &s.Accepted[i])
 	}
--- a/internal/core/jobs/runs.go
+++ b/internal/core/jobs/runs.go
@@ -55,6 +55,7 @@
 	if s.def.Gang {
 		checkpoint = s.gang.checkpoint
 	}
+	r.resumed = checkpoint != ""
 	c.out.Starts = append(c.out.Starts, StartRequest{
 		Worker: w.ID, Address: w.address(), Incarnation: w.incarnation, Task: r.ref, Run: number, Payload: s.job().spec.Payload,
 		LeaseDeadlineMs: c.extendLease(now, w), Checkpoint: checkpoint, Ticket: ticket, Timeout: c.cfg.StartTimeout,
@@ -192,6 +193,7 @@
 // are due.
 func (c *Core) Tick(now, wall time.Time) {
 	c.wall = wall
+	c.runTimeRecords.tick(now)
 	c.decideDeferred(now)
 	c.createDueOccurrences(wall)
 	c.dropExpiredJobs(now)
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -264,7 +264,7 @@
 		w.lastProgress = now
 		c.health.RecordSuccess(now, w.ID)
 	case e.Kind == EndDone:
-		c.observeRunTime(now, w, r)
+		c.observeCompleted(now, w, r)
 		w.lastProgress = now
 		c.health.RecordSuccess(now, w.ID)
 		c.taskDone(now, t)
@@ -276,6 +276,9 @@
 		c.recordFailure(now, t, e.Run)
 	}
 	if r != nil {
+		if e.Kind != EndDone {
+			c.observeInterrupted(r)
+		}
 		c.handleRunGone(now, r)
 	}
 }
--- a/internal/core/jobs/worker.go
+++ b/internal/core/jobs/worker.go
@@ -207,6 +207,8 @@
 	lastListedAt time.Time
 	// adopted is set for a run that an earlier leader started.
 	adopted bool
+	// resumed is set for a run that continues from a checkpoint.
+	resumed bool
 	// gone is set once the worker certainly does not have the run.
 	gone bool
 }
