--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -127,6 +127,7 @@
 	configFetchedAt time.Time
 	metrics         leaderMetrics
 	queues          *queueMetrics
+	runTimes        runTimeMetrics
 	// stopReason is why the leadership ends; empty until then.
 	stopReason string
 	// roundEnd is when the loop last ended a round.
@@ -172,7 +173,7 @@
 		Token: c.token, LeaseDuration: min(workerLeaseDuration, d.settings.Bounds.MaxLease), MaxWorkerLease: d.settings.Bounds.MaxLease, MaxCallDelay: maxCallDelay,
 		SyncWait: syncWait, ClockDrift: maxClockDrift, SilentAfter: silentAfter,
 		GangTimeout: d.settings.Bounds.GangTimeout, StartTimeout: startTimeout, Retention: d.settings.Bounds.StatusRetention + retentionSlack,
-		MaxUnfinishedJobs: maxUnfinishedJobs, EndsPerPage: endsPerPage,
+		MaxUnfinishedJobs: maxUnfinishedJobs, EndsPerPage: endsPerPage, RunTimeModel: true,
 		Health: retry.HealthConfig{FailureThreshold: 2, BaseQuarantine: 2 * time.Second, MaxQuarantine: 8 * time.Second, MaxQuarantinedPercent: 25, MaxAttempts: 1 << 20, MaxKeys: 4096},
 	}
 	l := &leader{
@@ -180,7 +181,7 @@
 		inbox: ring.New[message]("leader", inboxSize, d.registry), callOrigins: map[jobs.CallID]callOrigin{},
 		reports: map[string]report{}, acknowledgedAt: map[string]time.Time{}, probeLatencies: map[string]time.Duration{}, previousTerms: s.previousTerms(), previousTermsUnknown: s.termUnreadable,
 		previousVoters: s.voters(), voters: voters.Membership{Current: s.voters()}, nodes: map[string]string{}, lastSent: map[*linkrpc.Link]sentVersions{},
-		queues: newQueueMetrics(d.registry),
+		queues: newQueueMetrics(d.registry), runTimes: runTimeMetrics{registry: d.registry},
 		metrics: leaderMetrics{
 			starts: telemetry.Counter(d.registry, "leader.starts"), ends: telemetry.Counter(d.registry, "leader.ends"),
 			refused: telemetry.Counter(d.registry, "leader.refused"), advice: telemetry.Counter(d.registry, "leader.advice_calls"),
@@ -223,6 +224,7 @@
 	l.d.activeLeader.Store(nil)
 	l.d.members.stepDown()
 	l.metrics.recoveryDelay.Update(0)
+	l.runTimes.update(nil)
 	l.returnUnconfirmed()
 	l.d.forwarder.failLocalCalls()
 	l.cancel()
--- a/internal/cell/leaderprogress.go
+++ b/internal/cell/leaderprogress.go
@@ -29,6 +29,7 @@
 		return
 	}
 	load := l.core.Load()
+	l.runTimes.update(l.core.RunTimes())
 	l.metrics.recoveryDelay.Update(l.core.RecoveryDelay(now).Milliseconds())
 	l.log.WithFields(logrus.Fields{"event": "leader_load", "workers": load.Workers, "used_milli_cpu": load.UsedMilliCPU,
 		"capacity_milli_cpu": load.CapacityMilliCPU, "jobs": load.UnfinishedJobs, "gangs_waiting": load.WaitingGangs,
--- a/internal/cell/store_records.go
+++ b/internal/cell/store_records.go
@@ -20,6 +20,7 @@
 	jobPrefix      = "j:"
 	progressPrefix = "p:"
 	workerPrefix   = "w:"
+	runTimePrefix  = "d:"
 	// recoveredKey is the key of the token of the last leader that completed its
 	// recovery, after which it knew what every worker ran.
 	recoveredKey = "recovered"
@@ -57,6 +58,11 @@
 			return nil, err
 		}
 	}
+	for i := range b.RunTimes {
+		if err := put(runTimePrefix+b.RunTimes[i].Queue, cellpb.FromRunTimes(&b.RunTimes[i])); err != nil {
+			return nil, err
+		}
+	}
 	if b.RecoveredToken != 0 {
 		if err := put(recoveredKey, &cellpb.StoredRecovery{Token: b.RecoveredToken}); err != nil {
 			return nil, err
@@ -71,6 +77,9 @@
 	for _, id := range b.DropWorkers {
 		out = append(out, ports.KeyedRecord{Key: workerPrefix + string(id)})
 	}
+	for _, queue := range b.DropRunTimes {
+		out = append(out, ports.KeyedRecord{Key: runTimePrefix + queue})
+	}
 	return out, nil
 }
 
@@ -147,6 +156,12 @@
 			return err
 		}
 		snap.Workers = append(snap.Workers, p.ToWorkerRecord())
+	case strings.HasPrefix(key, runTimePrefix):
+		p := &cellpb.StoredRunTimes{}
+		if err := proto.Unmarshal(value, p); err != nil {
+			return err
+		}
+		snap.RunTimes = append(snap.RunTimes, p.ToRunTimes())
 	case strings.HasPrefix(key, voterPrefix):
 		return s.decodeVoter(strings.TrimPrefix(key, voterPrefix), value)
 	case key == recoveredKey:
--- a/internal/core/jobs/run_times.go
+++ b/internal/core/jobs/run_times.go
@@ -184,7 +184,7 @@
 	}
 	var out []RunTimeStatus
 	for _, name := range c.learned.model.Queues() {
-		median, high := c.learned.model.Median(name, quantileShares[highRunTime])
+		median, high := c.learned.model.Usual(name, quantileShares[highRunTime])
 		out = append(out, RunTimeStatus{Queue: name, Median: median.Time, High: high.Time, Runs: median.Runs})
 	}
 	return out
--- a/internal/core/jobs/simstore_test.go
+++ b/internal/core/jobs/simstore_test.go
@@ -13,6 +13,7 @@
 	accepted   map[string]AcceptedRecord
 	progress   map[string]ProgressRecord
 	workers    map[model.WorkerID]WorkerRecord
+	runTimes   map[string]RunTimeRecord
 	inFlight   *Batch
 	lastAppend time.Time
 	down       bool
@@ -21,7 +22,7 @@
 }
 
 func newSimStore() *simStore {
-	return &simStore{accepted: map[string]AcceptedRecord{}, progress: map[string]ProgressRecord{}, workers: map[model.WorkerID]WorkerRecord{}}
+	return &simStore{accepted: map[string]AcceptedRecord{}, progress: map[string]ProgressRecord{}, workers: map[model.WorkerID]WorkerRecord{}, runTimes: map[string]RunTimeRecord{}}
 }
 
 func (st *simStore) apply(b *Batch) {
@@ -35,6 +36,12 @@
 	for _, r := range b.Workers {
 		st.workers[r.ID] = r
 	}
+	for _, r := range b.RunTimes {
+		st.runTimes[r.Queue] = r
+	}
+	for _, queue := range b.DropRunTimes {
+		delete(st.runTimes, queue)
+	}
 	for _, id := range b.DropAccepted {
 		delete(st.accepted, id)
 	}
@@ -75,6 +82,9 @@
 	for _, id := range slices.Sorted(maps.Keys(st.workers)) {
 		s.Workers = append(s.Workers, st.workers[id])
 	}
+	for _, queue := range slices.Sorted(maps.Keys(st.runTimes)) {
+		s.RunTimes = append(s.RunTimes, st.runTimes[queue])
+	}
 	return s
 }
 
--- a/internal/core/runtimes/model.go
+++ b/internal/core/runtimes/model.go
@@ -207,8 +207,8 @@
 	return 0
 }
 
-// Median returns the median and the given quantile of a queue's run times for a usual estimate.
-func (m *Model) Median(queue string, share float64) (median, quantile Prediction) {
+// Usual returns the median and the given quantile of a queue's run times for a usual estimate.
+func (m *Model) Usual(queue string, share float64) (median, quantile Prediction) {
 	q := m.queues[queue]
 	if q == nil || q.all.curve.complete < minRuns {
 		return Prediction{}, Prediction{}
