Run times: shapes refine a queue only where their runs differ

Cause: quantiles of a group come from fewer runs than those of the queue. Change: a group by shape is used once its median or 90th percentile differs by two standard errors. The remaining time of a run that has just started comes from the median that the step keeps. Result: tests of core/runtimes (10 draws) and core/jobs without simulations pass.

--- a/internal/core/jobs/run_times.go
+++ b/internal/core/jobs/run_times.go
@@ -16,11 +16,13 @@
 	// highRunTime serves decisions that fail if a run takes longer: whether a task ends before a
 	// gang needs its capacity, and how long a run may stand still.
 	highRunTime
+	// lowRunTime tells that a run has hardly any chance to have ended.
+	lowRunTime
 	runTimeQuantiles
 )
 
 // quantileShares holds the shares of the runs that the quantiles stand for.
-var quantileShares = [runTimeQuantiles]float64{medianRunTime: 0.5, highRunTime: 0.9}
+var quantileShares = [runTimeQuantiles]float64{medianRunTime: 0.5, highRunTime: 0.9, lowRunTime: 0.05}
 
 // runTimeSource predicts how long tasks run.
 type runTimeSource interface {
@@ -160,6 +162,12 @@
 const overdueShare = 0.1
 
 func (l *learnedRunTimes) remaining(s *step, elapsed time.Duration) time.Duration {
+	// The median of all runs, which the step keeps, serves while nearly all go on. It takes a fraction
+	// of the time, and the leader asks for each run beside a waiting gang.
+	low, median := l.quantile(s, lowRunTime), l.quantile(s, medianRunTime)
+	if elapsed < low && low < median {
+		return median - elapsed
+	}
 	key := s.runTimeKey()
 	left := l.model.Remaining(*key, elapsed, quantileShares[medianRunTime])
 	if left.Runs == 0 {
--- a/internal/core/runtimes/codec.go
+++ b/internal/core/runtimes/codec.go
@@ -162,6 +162,14 @@
 	case len(q.groups) != groups:
 		return nil, &DamagedError{"a group is there twice"}
 	}
+	for key, g := range q.groups {
+		if key.anyShape {
+			g.refines = q.refines(key, g)
+		}
+	}
+	for key, g := range q.groups {
+		g.refines = q.refines(key, g)
+	}
 	q.version = 1
 	return q, nil
 }
--- a/internal/core/runtimes/curve.go
+++ b/internal/core/runtimes/curve.go
@@ -142,6 +142,33 @@
 	return c.slope * (math.Log(estimate.Seconds()) - c.meanEstimate)
 }
 
+const (
+	// testedErrors is by how many standard errors two quantiles must differ.
+	testedErrors = 2.0
+	// medianError and highError are the standard errors of the median and of the 90th percentile of a normal
+	// distribution, as multiples of its standard deviation over the root of the number of runs.
+	medianError = 1.25
+	highError   = 1.71
+	// highDeviation is the 90th percentile of the standard normal distribution.
+	highDeviation = 1.28
+)
+
+// differs reports whether the run times differ, in the median or the 90th percentile, from those of a wider
+// distribution by more than chance explains. Both are compared for the mean estimate of c.
+func (c *curve) differs(wider *curve) bool {
+	if c.runs == 0 || wider.runs == 0 {
+		return false
+	}
+	shift := 0.0
+	if c.fitted && wider.fitted {
+		shift = wider.slope * (c.meanEstimate - wider.meanEstimate)
+	}
+	median, high := wider.quantile(0.5), wider.quantile(0.9)
+	deviation := (high - median) / highDeviation / math.Sqrt(c.runs)
+	return math.Abs(c.quantile(0.5)-median-shift) > testedErrors*medianError*deviation ||
+		math.Abs(c.quantile(0.9)-high-shift) > testedErrors*highError*deviation
+}
+
 // quantile returns the value that a share of the runs do not exceed, between two points by linear
 // interpolation.
 func (c *curve) quantile(share float64) float64 {
