Run times: test that the median is as close as the fit before it

Cause: deployments without tenants must not be served worse. Change: a test compares the median with the former fit on drawn estimates.

--- a/internal/core/jobs/run_times_test.go
+++ b/internal/core/jobs/run_times_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -139,3 +141,28 @@
 	c.usualSlowdown = 4
 	assert.Equal(t, c.usualTime(&worker{slowdown: 4}, 4*time.Second), 4*time.Second)
 }
+
+// Guards against a median that is further from the run times than the fit which it replaces, for estimates
+// of different quality.
+func TestMedianIsAsCloseAsTheFit(t *testing.T) {
+	for _, spread := range []float64{0, 0.2, 0.5, 0.9} {
+		rng := rand.New(rand.NewPCG(1, 1))
+		learned, fit := &learnedRunTimes{model: runtimes.New()}, newDurationEstimator()
+		learnedError, fitError := 0.0, 0.0
+		for i := range 3000 {
+			took := 2 * math.Exp(0.5*rng.NormFloat64())
+			def := smallStep(1)
+			def.Estimate = time.Duration(took * math.Exp(spread*rng.NormFloat64()) * float64(time.Second))
+			s := newJob(&Spec{ID: "j", Steps: []Step{def}}, &Queue{Name: "q"}, 1, startTime).newOccurrence(0, startTime).steps[0]
+			if i >= 100 {
+				learnedError += math.Abs(math.Log(learned.quantile(s, medianRunTime).Seconds() / took))
+				fitError += math.Abs(math.Log(fit.quantile(s, medianRunTime).Seconds() / took))
+			}
+			o := observedRun{task: &s.tasks[0], took: time.Duration(took * float64(time.Second)), succeeded: true}
+			learned.observe(&o)
+			fit.observe(&o)
+		}
+		t.Logf("estimates with spread %.1f: mean error of the logarithm %.3f, that of the fit %.3f", spread, learnedError/2900, fitError/2900)
+		assert.Assert(t, learnedError <= 1.05*fitError+0.01*2900)
+	}
+}
