Run times: starts beside reserved capacity use the median

Cause: with the 90th percentile callers got less above the capacity. Change: backfillRunTime is the median. Queues with names of more than 200 bytes are not learned, since the store would refuse the whole batch.

--- a/internal/core/jobs/reservations.go
+++ b/internal/core/jobs/reservations.go
@@ -189,7 +189,7 @@
 		return w.resources.copies(s.def.Size)
 	}
 	free := w.resources.free()
-	end := now.Add(c.runTime(s, highRunTime))
+	end := now.Add(c.runTime(s, backfillRunTime))
 	for i := range w.reservations {
 		if r := &w.reservations[i]; r.blocks(s, end) {
 			free = free.Sub(r.step.def.Size.Times(int64(r.copies)))
--- a/internal/core/jobs/run_times.go
+++ b/internal/core/jobs/run_times.go
@@ -13,14 +13,17 @@
 	// medianRunTime serves the order of steps and the objectives of jobs, where too long a time
 	// costs as much as too short a one.
 	medianRunTime runTimeQuantile = iota
-	// highRunTime serves decisions that fail if a run takes longer: whether a task ends before a
-	// gang needs its capacity, and how long a run may stand still.
+	// highRunTime serves decisions that lose work if a run takes longer: how long one may stand still.
 	highRunTime
 	// lowRunTime tells that a run has hardly any chance to have ended.
 	lowRunTime
 	runTimeQuantiles
 )
 
+// backfillRunTime decides whether a task ends before a gang needs its capacity. The start of the gang is
+// itself a median, and with a higher quantile capacity stays idle more often than gangs have to wait.
+const backfillRunTime = medianRunTime
+
 // quantileShares holds the shares of the runs that the quantiles stand for.
 var quantileShares = [runTimeQuantiles]float64{medianRunTime: 0.5, highRunTime: 0.9, lowRunTime: 0.05}
 
@@ -77,9 +80,13 @@
 	c.observe(&observedRun{task: r.task, took: c.usualTime(r.worker, r.progressAt.Sub(r.confirmedAt)), partial: r.adopted || r.resumed})
 }
 
-// observe records a run, unless its queue is not configured any more.
+// maxRunTimeQueueBytes limits the names of the queues whose run times are learned. The store takes keys of up
+// to 255 bytes, and a batch with a longer one is never stored.
+const maxRunTimeQueueBytes = 200
+
+// observe records a run, unless its queue is not configured any more or its name is too long.
 func (c *Core) observe(o *observedRun) {
-	if c.queues[o.task.step.job().queue.Name] != nil {
+	if name := o.task.step.job().queue.Name; c.queues[name] != nil && len(name) <= maxRunTimeQueueBytes {
 		c.runTimes.observe(o)
 	}
 }
