--- a/internal/cell/leader.go
+++ b/internal/cell/leader.go
@@ -133,6 +133,7 @@
 	tenantReport    tenantReport
 	plans           *rate.Limiter
 	tenantMetrics   *tenantMetrics
+	runTimes        runTimeMetrics
 	// stopReason is why the leadership ends; empty until then.
 	stopReason string
 	// roundEnd is when the loop last ended a round.
@@ -178,7 +179,7 @@
 		Token: c.token, LeaseDuration: min(workerLeaseDuration, d.settings.Bounds.MaxLease), MaxWorkerLease: d.settings.Bounds.MaxLease, MaxCallDelay: maxCallDelay,
 		SyncWait: syncWait, ClockDrift: maxClockDrift, SilentAfter: silentAfter,
 		GangTimeout: d.settings.Bounds.GangTimeout, StartTimeout: startTimeout, Retention: d.settings.Bounds.StatusRetention + retentionSlack,
-		MaxUnfinishedJobs: maxUnfinishedJobs, MaxJobBytes: d.settings.memoryPart(jobMemoryShare), EndsPerPage: endsPerPage,
+		MaxUnfinishedJobs: maxUnfinishedJobs, MaxJobBytes: d.settings.memoryPart(jobMemoryShare), EndsPerPage: endsPerPage, RunTimeModel: true,
 		Health: retry.HealthConfig{FailureThreshold: 2, BaseQuarantine: 2 * time.Second, MaxQuarantine: 8 * time.Second, MaxQuarantinedPercent: 25, MaxAttempts: 1 << 20, MaxKeys: 4096},
 	}
 	l := &leader{
@@ -187,6 +188,7 @@
 		reports: map[string]report{}, acknowledgedAt: map[string]time.Time{}, probeLatencies: map[string]time.Duration{}, previousTerms: s.previousTerms(), previousTermsUnknown: s.termUnreadable,
 		previousVoters: s.voters(), voters: voters.Membership{Current: s.voters()}, nodes: map[string]string{}, lastSent: map[*linkrpc.Link]sentVersions{},
 		queues: newQueueMetrics(d.registry), tenantMetrics: newTenantMetrics(d.registry), plans: rate.NewLimiter(plansPerSecond, plansPerSecond),
+		runTimes: runTimeMetrics{registry: d.registry},
 		metrics: leaderMetrics{
 			starts: telemetry.Counter(d.registry, "leader.starts"), ends: telemetry.Counter(d.registry, "leader.ends"),
 			refused: telemetry.Counter(d.registry, "leader.refused"), advice: telemetry.Counter(d.registry, "leader.advice_calls"),
@@ -232,6 +234,7 @@
 	l.d.members.stepDown()
 	l.metrics.recoveryDelay.Update(0)
 	l.tenantMetrics.remove()
+	l.runTimes.update(nil)
 	l.returnUnconfirmed()
 	l.d.forwarder.failLocalCalls()
 	l.cancel()
--- a/internal/core/jobs/events.go
+++ b/internal/core/jobs/events.go
@@ -33,6 +33,7 @@
 	EventRecoveryComplete EventName = "recovery_complete"
 	EventRecoveryDelayed  EventName = "recovery_delayed"
 	EventTokenRefused     EventName = "token_refused"
+	EventRunTimesUnusable EventName = "run_times_unusable"
 	EventAnomaly          EventName = "anomaly"
 	// EventOccurrencesDeferred: due occurrences are created later, for lack of memory.
 	EventOccurrencesDeferred EventName = "occurrences_deferred"
--- a/internal/core/jobs/plan_steps.go
+++ b/internal/core/jobs/plan_steps.go
@@ -45,7 +45,7 @@
 		s.startBy = c.objective(o).Add(-chains[i])
 		plan.Steps = append(plan.Steps, PlanStep{Step: i, Tasks: s.def.Count, Gang: s.def.Gang, After: s.def.After,
 			EarliestStartMS: p.earliestStart(o, i).Milliseconds(), LatestStartMS: s.startBy.Sub(now).Milliseconds(),
-			RunMS: c.estimator.expected(q.Name, s.def).Milliseconds()})
+			RunMS: c.runTime(s, medianRunTime).Milliseconds()})
 	}
 	for _, s := range slices.SortedStableFunc(slices.Values(o.steps), compareSteps) {
 		p.place(s, &plan.Steps[s.index])
--- a/internal/core/jobs/sync.go
+++ b/internal/core/jobs/sync.go
@@ -265,7 +265,7 @@
 		c.health.RecordSuccess(now, w.ID)
 		w.quality.recordSuccess(now)
 	case e.Kind == EndDone:
-		c.observeRunTime(now, w, r)
+		c.observeCompleted(now, w, r)
 		w.lastProgress = now
 		c.health.RecordSuccess(now, w.ID)
 		w.quality.recordSuccess(now)
@@ -279,6 +279,9 @@
 		c.recordFailure(now, t, e.Run)
 	}
 	if r != nil {
+		if e.Kind != EndDone {
+			c.observeInterrupted(r)
+		}
 		c.handleRunGone(now, r)
 	}
 }
