--- a/internal/cellsoak/cellsoak_test.go
+++ b/internal/cellsoak/cellsoak_test.go
@@ -47,6 +47,19 @@
 	}
 }
 
+// Guards the limits and the keys of tenants under faults, with real daemon processes, while limits,
+// weights and keys change.
+func TestTenantsUnderFaults(t *testing.T) {
+	t.Parallel()
+	var out bytes.Buffer
+	rep, err := Run(context.Background(), Options{Bin: builtPrograms(t), Seconds: 20, Seed: 2, Rate: DefaultRate, Daemons: DefaultDaemons, Workers: DefaultWorkers, Tenants: true, Out: &out})
+	rep.Print(&out)
+	if err != nil || len(rep.Violations) > 0 {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	assert.Assert(t, rep.Accepted > 60, "%d jobs accepted", rep.Accepted)
+}
+
 // builtPrograms returns the directory of the built programs.
 func builtPrograms(t *testing.T) string {
 	t.Helper()
