--- a/internal/core/jobs/tenant_limits_test.go
+++ b/internal/core/jobs/tenant_limits_test.go
@@ -228,6 +228,22 @@
 	assert.Equal(t, next.startsWithout("w1", "fresh", time.Second), 1)
 }
 
+// Guards against starts beside a run of a job that the leader does not know any more: it may be of any
+// tenant and as large as its worker.
+func TestUnknownRunCountsWithItsWholeWorker(t *testing.T) {
+	b := newTenantBench(t, limited("a", 3000), limited("b", 0))
+	b.addWorkers("w1", "w2")
+	unknown := SyncResult{Running: []RunReport{{Task: TaskRef{Job: "forgotten"}, Run: 1}}}
+	b.answerSyncs(b.advance(2*time.Second), map[model.WorkerID]SyncResult{"w1": unknown})
+	assert.Assert(t, b.submitAs("a", "j", smallStep(1)) == nil)
+	assert.Assert(t, b.submitAs("b", "other", smallStep(1)) == nil)
+	out := b.round("")
+	assert.Equal(t, startsOf(out, "other"), 1)
+	assert.Equal(t, startsOf(out, "j")+b.startsWithout("", "j", time.Second), 0)
+	b.ends["w1"] = []RunEnd{{Seq: 1, Task: TaskRef{Job: "forgotten"}, Run: 1, Kind: EndStopped}}
+	assert.Equal(t, b.startsWithout("", "j", time.Second), 1)
+}
+
 // Guards against jobs that are accepted although the limit can never hold one of their tasks, or all
 // tasks of a gang.
 func TestJobLargerThanLimitIsRefused(t *testing.T) {
