jobs: a negative weight counts as none

Cause: a negative weight was added to the sum of the weights, so that the shares of all other tenants were wrong. Change: weights below 0 count as 0. Measured: TestNegativeWeightIsNone failed before (share 0 instead of 1), passes now.

--- a/internal/core/jobs/tenant_accounts_test.go
+++ b/internal/core/jobs/tenant_accounts_test.go
@@ -229,3 +229,14 @@
 	b.addWorkers("w1")
 	assert.Assert(t, !b.core.VisibleTo("j", "b"), "after the decision")
 }
+
+// Guards against a negative weight that takes the share of the other tenants.
+func TestNegativeWeightIsNone(t *testing.T) {
+	b := newTenantBench(t, tenant.Config{Name: "a", Weight: -1}, tenant.Config{Name: "b", Weight: 1})
+	b.addWorkers("w1")
+	assert.Assert(t, b.submitAs("a", "j1", smallStep(1)) == nil)
+	assert.Assert(t, b.submitAs("b", "j2", smallStep(1)) == nil)
+	status := b.core.Tenants()
+	assert.Equal(t, status[0].FairShare, 0.0)
+	assert.Equal(t, status[1].FairShare, 1.0)
+}
--- a/internal/core/jobs/tenants.go
+++ b/internal/core/jobs/tenants.go
@@ -62,7 +62,7 @@
 	a := c.account(now, t.Name)
 	a.configured = true
 	a.room.capacity = tenant.Unlimited(t.Limit)
-	c.setWeight(now, a, t.Weight)
+	c.setWeight(now, a, max(t.Weight, 0))
 }
 
 // setWeight changes the weight of a tenant.
