--- a/internal/core/jobs/tenant_limits.go
+++ b/internal/core/jobs/tenant_limits.go
@@ -56,17 +56,26 @@
 	if a == nil {
 		return unlimitedCopies
 	}
-	return copiesIn(a.room.free().Sub(c.unprovenUse).Sub(a.awaited).Sub(a.reserved), s.def.Size)
+	return copiesIn(c.freeLimit(a), s.def.Size)
+}
+
+// freeLimit returns what is left of a tenant's limit; a dimension may be negative.
+func (c *Core) freeLimit(a *account) model.Size {
+	return a.room.free().Sub(c.unprovenUse).Sub(a.awaited).Sub(a.reserved)
 }
 
 // limitAllows reports whether the limit of the tenant allows a task of the step to start, or all
 // tasks of a gang.
 func (c *Core) limitAllows(s *step) bool {
-	needed := 1
+	a := s.job().account
+	if a == nil {
+		return true
+	}
+	needed := s.def.Size
 	if s.def.Gang {
-		needed = len(s.tasks)
+		needed = needed.Times(int64(len(s.tasks)))
 	}
-	return c.limitCopies(s) >= needed
+	return needed.Fits(c.freeLimit(a))
 }
 
 // noteWaiting records what a step that was not placed, although its turn had come, needs.
