Run times: steps are planned with the 60th percentile

Cause: a step ends with the last of its tasks, so that the median is a little short for objectives, latest starts and plans. Change: usualRunTime, the 60th percentile, serves these; the median only the comparison of single runs.

--- a/internal/core/jobs/durations.go
+++ b/internal/core/jobs/durations.go
@@ -240,7 +240,7 @@
 
 // stepDuration returns the expected duration of a step, with its advice call.
 func (c *Core) stepDuration(s *step) time.Duration {
-	d := c.runTime(s, medianRunTime)
+	d := c.runTime(s, usualRunTime)
 	if adviceCfg := s.job().queue.Advice; adviceCfg != nil {
 		d += adviceCfg.DecisionTime + objectiveWorkers*adviceCfg.TimePerWorker
 	}
--- a/internal/core/jobs/run_times.go
+++ b/internal/core/jobs/run_times.go
@@ -10,9 +10,11 @@
 type runTimeQuantile uint8
 
 const (
-	// medianRunTime serves the order of steps and the objectives of jobs, where too long a time
-	// costs as much as too short a one.
+	// medianRunTime serves the comparison of a run with others of its kind.
 	medianRunTime runTimeQuantile = iota
+	// usualRunTime serves the objectives of jobs, the order of steps and plans. It is a little above the
+	// median, because a step ends with the last of its tasks.
+	usualRunTime
 	// highRunTime serves decisions that lose work if a run takes longer: how long one may stand still.
 	highRunTime
 	// lowRunTime tells that a run has hardly any chance to have ended.
@@ -21,18 +23,18 @@
 )
 
 // backfillRunTime decides whether a task ends before a gang needs its capacity. The start of the gang is
-// itself a median, and with a higher quantile capacity stays idle more often than gangs have to wait.
-const backfillRunTime = medianRunTime
+// itself planned with usual run times, and with a higher quantile capacity stays idle more often than gangs have to wait.
+const backfillRunTime = usualRunTime
 
 // quantileShares holds the shares of the runs that the quantiles stand for.
-var quantileShares = [runTimeQuantiles]float64{medianRunTime: 0.5, highRunTime: 0.9, lowRunTime: 0.05}
+var quantileShares = [runTimeQuantiles]float64{medianRunTime: 0.5, usualRunTime: 0.6, highRunTime: 0.9, lowRunTime: 0.05}
 
 // runTimeSource predicts how long tasks run.
 type runTimeSource interface {
 	observe(o *observedRun)
 	// quantile returns a quantile of the run time of a task; 0 if it is not known.
 	quantile(s *step, q runTimeQuantile) time.Duration
-	// remaining returns the median of the remaining time of a run that has taken the time elapsed.
+	// remaining returns the usual remaining time of a run that has taken the time elapsed.
 	remaining(s *step, elapsed time.Duration) time.Duration
 }
 
@@ -169,14 +171,14 @@
 const overdueShare = 0.1
 
 func (l *learnedRunTimes) remaining(s *step, elapsed time.Duration) time.Duration {
-	// The median of all runs, which the step keeps, serves while nearly all go on. It takes a fraction
+	// The usual time of all runs, which the step keeps, serves while nearly all go on. It takes a fraction
 	// of the time, and the leader asks for each run beside a waiting gang.
-	low, median := l.quantile(s, lowRunTime), l.quantile(s, medianRunTime)
-	if elapsed < low && low < median {
-		return median - elapsed
+	low, usual := l.quantile(s, lowRunTime), l.quantile(s, usualRunTime)
+	if elapsed < low && low < usual {
+		return usual - elapsed
 	}
 	key := s.runTimeKey()
-	left := l.model.Remaining(*key, elapsed, quantileShares[medianRunTime])
+	left := l.model.Remaining(*key, elapsed, quantileShares[usualRunTime])
 	if left.Runs == 0 {
 		return remainingOf(key.Estimate, elapsed)
 	}
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -100,7 +100,7 @@
 			s.starving, changed = starving, true
 			s.fit.checkAt = time.Time{}
 		}
-		grace := time.Duration(lateGrace * float64(c.runTime(s, medianRunTime)))
+		grace := time.Duration(lateGrace * float64(c.runTime(s, usualRunTime)))
 		if c.updateShare(s.job().account) {
 			changed = true
 		}
