--- a/internal/core/jobs/run_times.go
+++ b/internal/core/jobs/run_times.go
@@ -23,7 +23,7 @@
 )
 
 // backfillRunTime decides whether a task ends before a gang needs its capacity. The start of the gang is
-// itself planned with usual run times, and with a higher quantile capacity stays idle more often than gangs have to wait.
+// itself planned with usual run times, and a higher quantile leaves capacity idle.
 const backfillRunTime = usualRunTime
 
 // quantileShares holds the shares of the runs that the quantiles stand for.
