--- a/internal/core/tenant/tenant.go
+++ b/internal/core/tenant/tenant.go
@@ -77,8 +77,13 @@
 // expected, or the zero size if that is not known.
 func (s *Set) Problems(largest model.Size) []Problem {
 	var out []Problem
+	names := map[string]bool{}
 	for i := range s.Tenants {
 		t := &s.Tenants[i]
+		if names[t.Name] {
+			out = append(out, Problem{t.Name, "stands twice", "remove one of the two; the limit and weight of the last one apply"})
+		}
+		names[t.Name] = true
 		if t.Weight <= 0 {
 			out = append(out, Problem{t.Name, "has no weight", "set a weight above 0, or its jobs are refused whenever capacity is short"})
 		}
