Tenants with few jobs may send a few at a time

Cause: the rate of a tenant added up to one second's worth, which is one job for small tenants, so that two jobs that came together by chance counted as excess and came after all others while capacity was short.

Change: at least five jobs add up.

--- a/internal/core/jobs/tenant_accounts_test.go
+++ b/internal/core/jobs/tenant_accounts_test.go
@@ -66,11 +66,21 @@
 	b.step()
 }
 
+// useUpRate leaves the tenants, with a weight of 1, rate for one job each.
+func (b *tenantBench) useUpRate(names ...string) {
+	for _, name := range names {
+		for b.core.accounts[name].rate.Take(b.now) {
+		}
+	}
+	b.now = b.now.Add(time.Second)
+}
+
 // Guards against a refused job that comes back and takes the rate from jobs that come for the first
 // time, and against refused clients that are told to come back together.
 func TestReturningJobTakesNoRate(t *testing.T) {
 	b := newTenantBench(t, limited("a", 0), limited("b", 0))
 	b.fillPool("b")
+	b.useUpRate("a")
 	assert.Assert(t, b.submitAs("a", "within", smallStep(1)) == nil)
 	for i := range 4 {
 		resp := b.submitAs("a", fmt.Sprint("excess", i), smallStep(1))
@@ -102,6 +112,7 @@
 func TestExcessJobsUseFreeCapacity(t *testing.T) {
 	b := newTenantBench(t, limited("a", 0))
 	b.addWorkers("w1")
+	b.useUpRate("a")
 	for i := range 4 {
 		id := fmt.Sprint("j", i)
 		assert.Assert(t, b.submitAs("a", id, smallStep(1)) == nil)
@@ -150,6 +161,7 @@
 func TestSuccessorRestoresTenants(t *testing.T) {
 	b := newTenantBench(t, limited("a", 2000))
 	b.addWorkers("w1", "w2")
+	b.useUpRate("a")
 	assert.Assert(t, b.submitAs("a", "j1", smallStep(1)) == nil)
 	assert.Assert(t, b.submitAs("a", "j2", smallStep(6)) == nil)
 	next := b.succeed([]WorkerEntry{workerEntry("w1"), workerEntry("w2")}, limited("b", 0))
--- a/internal/core/tenant/rate.go
+++ b/internal/core/tenant/rate.go
@@ -9,6 +9,9 @@
 const (
 	// burstTime is the time over which unused rate adds up.
 	burstTime = time.Second
+	// minBurst is the number of jobs that add up at least. A tenant that sends a job now and then
+	// sends a few at a time, by chance.
+	minBurst = 5
 	// minRetryAfter is the shortest time after which a refused client may come back: capacity
 	// that is short does not become free at once.
 	minRetryAfter = time.Second
@@ -37,7 +40,7 @@
 func (r *Rate) Set(now time.Time, perSecond float64) {
 	limit, burst := rate.Limit(max(perSecond, 0)), 0
 	if perSecond > 0 {
-		burst = max(1, int(perSecond*burstTime.Seconds()))
+		burst = max(minBurst, int(perSecond*burstTime.Seconds()))
 	}
 	if r.limiter.Burst() == 0 {
 		r.limiter = rate.NewLimiter(limit, burst)
