A store that is slow for all daemons causes no handover

Cause: in a store that takes 50 times as long, appends of the leader queue for 0.8 s and more while probes of other daemons take 0.2 s, a quarter, which counted as a store that does not serve the leader. The takeover needs appends too, so that nobody led for up to 2 s in the middle of a burst.

Change: a probe that takes over six times the daemon's usual time counts only if the append has waited for 16 times as long. The inputs of a handover are logged.

--- a/internal/cell/authority.go
+++ b/internal/cell/authority.go
@@ -127,12 +127,13 @@
 	if now.Sub(l.confirmation.handoverRequestedAt) < handoverRetryInterval {
 		return
 	}
-	maxLatency := waited
+	probe := succession.Probe{Elapsed: now.Sub(l.confirmation.probedAt), Latencies: l.probeLatencies, MaxLatency: waited}
 	if !refused {
-		maxLatency = waited / minProbeSpeedup
+		probe.Latencies = l.servedLatencies(waited)
 	}
-	probe := succession.Probe{Elapsed: now.Sub(l.confirmation.probedAt), Latencies: l.probeLatencies, MaxLatency: maxLatency}
 	if next := probe.Choose(l.successors(now)); next != "" {
+		l.log.WithFields(logrus.Fields{"event": "store_probed", "peer": next, "waited_ms": waited.Milliseconds(), "refused": refused,
+			"probe_ms": l.probeLatencies[next].Milliseconds(), "usual_ms": l.reports[next].GetStoreRttUs() / 1000}).Info("the store answers another daemon")
 		l.confirmation.handoverRequestedAt = now
 		clear(l.probeLatencies)
 		l.handOver(next, "the store does not serve this daemon")
@@ -172,10 +173,19 @@
 	}
 }
 
-// minProbeSpeedup is how many times faster the store must answer another daemon than
-// this daemon has been waiting. A store that is slow for all daemons is no reason for
-// a handover.
-const minProbeSpeedup = 4
+// servedLatencies returns the results of the probes with those left out that do not show that the store
+// serves the daemon. A store that is slow for all daemons is no reason for a handover.
+func (l *leader) servedLatencies(waited time.Duration) map[string]time.Duration {
+	out := make(map[string]time.Duration, len(l.probeLatencies))
+	for name, took := range l.probeLatencies {
+		usual := time.Duration(l.reports[name].GetStoreRttUs()) * time.Microsecond
+		if !succession.Served(took, usual, waited) {
+			took = waited + 1
+		}
+		out[name] = took
+	}
+	return out
+}
 
 // successors returns the names of the daemons that could take over, the best first.
 func (l *leader) successors(now time.Time) []string {
--- a/internal/core/succession/succession.go
+++ b/internal/core/succession/succession.go
@@ -220,6 +220,28 @@
 	MaxLatency time.Duration
 }
 
+const (
+	// minProbeSpeedup is how many times faster the store must answer another daemon than an append of
+	// the leader has been waiting.
+	minProbeSpeedup = 4
+	// slowStoreFactor is how many times its usual response time a probe takes in a store that is slow
+	// for all daemons, and slowStoreSpeedup replaces minProbeSpeedup there: appends queue in such a
+	// store, probes do not, and a handover would only add a takeover in it.
+	slowStoreFactor  = 6
+	slowStoreSpeedup = 16
+)
+
+// Served reports whether a probe, which took some time, shows that the store serves another daemon
+// while an append of the leader has been waiting without an answer. usual is the daemon's usual response
+// time of the store, or 0 if it is not known.
+func Served(took, usual, waited time.Duration) bool {
+	speedup := time.Duration(minProbeSpeedup)
+	if usual > 0 && took > slowStoreFactor*usual {
+		speedup = slowStoreSpeedup
+	}
+	return took*speedup <= waited
+}
+
 // Choose returns the best candidate with working access to the store. It returns
 // "" if there is none yet, or if a better candidate may still report. The
 // argument is the result of Order.
--- a/internal/core/succession/succession_test.go
+++ b/internal/core/succession/succession_test.go
@@ -94,6 +94,17 @@
 	assert.Assert(t, wide.WorthHandover(candidate("narrow", 10).LeaderResources))
 }
 
+// Guards against a handover in a store that is slow for all daemons: probes are faster than appends there,
+// which queue, and the takeover needs appends as well.
+func TestSlowStoreIsNoReasonForHandover(t *testing.T) {
+	const usual = 10 * time.Millisecond
+	assert.Assert(t, Served(usual, usual, 800*time.Millisecond), "the store serves the other daemon as usual")
+	assert.Assert(t, !Served(300*time.Millisecond, usual, 800*time.Millisecond), "hardly faster")
+	assert.Assert(t, !Served(200*time.Millisecond, usual, 1200*time.Millisecond), "the store is slow for the other daemon too")
+	assert.Assert(t, Served(200*time.Millisecond, usual, 3200*time.Millisecond), "the store does not answer the leader at all")
+	assert.Assert(t, Served(200*time.Millisecond, 0, 800*time.Millisecond), "the usual time is not known")
+}
+
 // A handover must not go to the daemon that reports first while a better one may
 // still report.
 func TestProbeChoosesBestCandidate(t *testing.T) {
