Tests of untrusted clients at every port of both kinds of cell

Cause: users saw a process end because clients that stay within the limits of one request, or send what is no request, made it hold more memory than the machine has. The tests knew one kind of cell, and not the bytes that the kernel holds for a process. Change: crowds with each shape that the issue names, and with frames and messages at the ports between daemons, against real processes: callers, readiness, metrics and links on the platform; callers, peers and the fault port of the project's own cell. What was received and not read counts as memory. The settings of the own cell state the memory and descriptors of the instance (limits.memory_mb, limits.max_files); nothing reads them yet. Crowds and bounds are fixed here and stay.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,6 +62,11 @@
 	MaxConnections    int           `json:"max_connections"`
 	// MaxWait bounds how long one call may wait for the fate of a request.
 	MaxWait time.Duration `json:"max_wait"`
+	// MemoryMB is the memory of the instance in MiB, of which clients may use a part.
+	MemoryMB int64 `json:"memory_mb"`
+	// MaxFiles is the number of file descriptors of the process; 0 means the limit that the
+	// operating system has set for it.
+	MaxFiles int `json:"max_files"`
 }
 
 // Timings are the intervals and timeouts of the daemon's background work.
@@ -94,6 +99,7 @@
 	DefaultIdleTimeout       = 2 * time.Minute
 	DefaultMaxConnections    = 10_000
 	DefaultMaxWait           = time.Minute
+	DefaultMemoryMB          = 512
 	DefaultLeaseTTL          = 3 * time.Second
 	DefaultRenewInterval     = time.Second
 	DefaultTaskGrace         = 30 * time.Second
@@ -115,6 +121,7 @@
 			BodyBytes: DefaultBodyBytes, HeaderBytes: DefaultHeaderBytes,
 			HeaderReadTimeout: DefaultHeaderReadTimeout, BodyReadTimeout: DefaultBodyReadTimeout,
 			IdleTimeout: DefaultIdleTimeout, MaxConnections: DefaultMaxConnections, MaxWait: DefaultMaxWait,
+			MemoryMB: DefaultMemoryMB,
 		},
 		Timings: Timings{
 			LeaseTTL: DefaultLeaseTTL, RenewInterval: DefaultRenewInterval, TaskGrace: DefaultTaskGrace,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -35,6 +35,8 @@
 		{"seed", d, d + `, "seeds": [@{"address": "1.2.3.4:5"}]`, "seeds[0].data_centre is missing"},
 		{"same seed", d, d + `, "seeds": [{"address": "1.2.3.4:5", "data_centre": "a"}, {"address": @"1.2.3.4:5", "data_centre": "a"}]`, "seed 1.2.3.4:5 is listed twice"},
 		{"limit", d, d + `, "limits": {"body_bytes": @0}`, "limits.body_bytes is 0"},
+		{"memory", d, d + `, "limits": {"memory_mb": @8}`, "limits.memory_mb is 8"},
+		{"files", d, d + `, "limits": {"max_files": @-1}`, "limits.max_files is -1"},
 		{"timeout", d, d + `, "limits": {"idle_timeout": @"-1s"}`, "limits.idle_timeout is -1s"},
 		{"duration type", d, d + `, "timings": {"renew_interval": @1}`, "timings.renew_interval is 1; write a duration"},
 		{"renew", d, d + `, "timings": {"renew_interval": @"1001ms"}`, "timings.renew_interval 1.001s is more than a third"},
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -10,11 +10,16 @@
 	"catkinvalve/internal/jsonc"
 )
 
+// minMemoryMB is the least memory with which a daemon can work, in MiB.
+const minMemoryMB = 64
+
 // Upper limits. A larger value is probably a mistake in the unit.
 const (
 	maxBytes       = 1 << 30   // 1 GiB, of a body and of a rate per second
 	maxHeaderBytes = 1 << 20   // 1 MiB
 	maxConnections = 1_000_000 // of one daemon
+	maxMemoryMB    = 1 << 20   // 1 TiB
+	maxFiles       = 1 << 24
 	maxDuration    = 24 * time.Hour
 )
 
@@ -170,6 +175,8 @@
 	jsonc.CheckRange(doc, "limits.body_bytes", s.Limits.BodyBytes, 1, maxBytes)
 	jsonc.CheckRange(doc, "limits.header_bytes", s.Limits.HeaderBytes, 1, maxHeaderBytes)
 	jsonc.CheckRange(doc, "limits.max_connections", s.Limits.MaxConnections, 1, maxConnections)
+	jsonc.CheckRange(doc, "limits.memory_mb", s.Limits.MemoryMB, minMemoryMB, maxMemoryMB)
+	jsonc.CheckRange(doc, "limits.max_files", s.Limits.MaxFiles, 0, maxFiles)
 	checkDuration(doc, "limits.header_read_timeout", s.Limits.HeaderReadTimeout, time.Millisecond)
 	checkDuration(doc, "limits.body_read_timeout", s.Limits.BodyReadTimeout, time.Millisecond)
 	checkDuration(doc, "limits.idle_timeout", s.Limits.IdleTimeout, time.Millisecond)
--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -39,6 +39,9 @@
 	// TaskGrace, LeaseTTL and SettleTime replace the daemons' timings. 0 keeps the
 	// default, which is 200 ms for SettleTime in a test cluster.
 	TaskGrace, LeaseTTL, SettleTime time.Duration
+	// MemoryMB and MaxFiles are the memory in MiB and the descriptors in the settings of the
+	// daemons; 0 keeps the defaults.
+	MemoryMB, MaxFiles int
 	// LogLevel is that of the daemons; empty means info.
 	LogLevel string
 }
--- a/internal/testbed/daemon.go
+++ b/internal/testbed/daemon.go
@@ -60,6 +60,13 @@
 			timings[name] = v.String()
 		}
 	}
+	limits := map[string]int{}
+	if c.Opts.MemoryMB > 0 {
+		limits["memory_mb"] = c.Opts.MemoryMB
+	}
+	if c.Opts.MaxFiles > 0 {
+		limits["max_files"] = c.Opts.MaxFiles
+	}
 	level := c.Opts.LogLevel
 	if level == "" {
 		level = "info"
@@ -68,7 +75,7 @@
 		"daemon_id": d.ID, "data_centre": d.DataCentre, "region": d.Region,
 		"addresses": map[string]string{"caller_listen": d.CallerAddr, "peer_listen": d.PeerAddr, "fault_listen": d.Fault},
 		"platform":  map[string]string{"log": c.Log.Listen, "instances": c.List.Listen, "old": c.Old.Listen},
-		"timings":   timings, "log_level": level,
+		"timings":   timings, "limits": limits, "log_level": level,
 	}, "", "  ")
 	if err != nil {
 		return err
--- a/test/clientload/crowd_test.go
+++ b/test/clientload/crowd_test.go
@@ -7,12 +7,15 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
 	// crowdSize is the number of clients whose requests never end, or are large.
 	crowdSize = 300
+	// largeCrowd is the number of clients at daemons with many descriptors.
+	largeCrowd = 1000
 	// connectionCrowd is the number of clients that only hold connections.
 	connectionCrowd = 600
 	// holdTime is how long the clients keep their connections after they have sent what they
@@ -25,13 +28,43 @@
 	sendTimeout = 5 * time.Second
 )
 
+// target is a listener of a daemon.
+type target struct {
+	address string
+	// request returns the first lines of a request with a body, as if the listener served HTTP.
+	request func(id string) string
+}
+
 // client is one connection of the crowd.
 type client struct {
 	net.Conn
+	target target
 	// id is the ID of the client's job.
 	id string
 }
 
+// lastID is the last ID that newID returned.
+var lastID atomic.Int64
+
+// newID returns the ID of a job that was not submitted before.
+func newID() string { return fmt.Sprintf("%016x", lastID.Add(1)) }
+
+// crowd runs act for n clients of a listener at the same time, and waits for their end.
+func crowd(to target, n int, act func(*client)) {
+	var wg sync.WaitGroup
+	for range n {
+		wg.Go(func() {
+			conn, err := net.DialTimeout("tcp", to.address, sendTimeout)
+			if err != nil {
+				return // The daemon refuses connections.
+			}
+			defer conn.Close()
+			act(&client{Conn: conn, target: to, id: newID()})
+		})
+	}
+	wg.Wait()
+}
+
 // send writes text. An error means that the daemon has closed the connection or does not
 // read, which it may do.
 func (c *client) send(text string) error {
@@ -42,6 +75,12 @@
 	return err
 }
 
+// sendAndHold sends text and keeps the connection open.
+func (c *client) sendAndHold(text string) {
+	_ = c.send(text)
+	time.Sleep(holdTime)
+}
+
 // drip sends pieces one by one until end.
 func (c *client) drip(end time.Time, piece func(i int) string) {
 	for i := 0; time.Now().Before(end) && c.send(piece(i)) == nil; i++ {
@@ -49,12 +88,10 @@
 	}
 }
 
-// header returns the header of a submission without the empty line at its end.
-func (c *client) header(fields string) string {
-	return fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nDeadline-Ms: %d\r\n%s", prefix, c.id, host, crowdDeadlineMS, fields)
-}
+// header returns the header of a request without the empty line at its end.
+func (c *client) header(fields string) string { return c.target.request(c.id) + fields }
 
-// withLength returns the header of a submission whose body has n bytes.
+// withLength returns the header of a request whose body has n bytes.
 func (c *client) withLength(n int) string {
 	return c.header(fmt.Sprintf("Content-Length: %d\r\n\r\n", n))
 }
@@ -73,39 +110,22 @@
 	_, _ = bufio.NewReader(c).ReadString('\n')
 }
 
-// chunk returns text in the chunked encoding.
-func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
-
-// crowd runs act for n clients of an address at the same time, and waits for their end.
-func (c *testCell) crowd(address string, n int, act func(*client)) {
-	var wg sync.WaitGroup
-	for range n {
-		wg.Go(func() {
-			conn, err := net.DialTimeout("tcp", address, sendTimeout)
-			if err != nil {
-				return // The daemon refuses connections.
-			}
-			defer conn.Close()
-			act(&client{Conn: conn, id: c.newID()})
-		})
+// sendChunks sends the beginning of a large body in chunks of the given size, and returns whether
+// the daemon has read all of it.
+func (c *client) sendChunks(size int) bool {
+	err := c.send(c.header("Transfer-Encoding: chunked\r\n\r\n"))
+	for at := 0; err == nil && at+size < maxBodyBytes; at += size {
+		err = c.send(chunk(largeBody[at : at+size]))
 	}
-	wg.Wait()
+	return err == nil
 }
 
+// chunk returns text in the chunked encoding.
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
 // largeBody begins like a job whose payload fills a body of the largest size.
 var largeBody = `{"spec":"` + strings.Repeat("x", maxBodyBytes)
 
-// awaitListener waits until an address accepts connections.
-func (c *testCell) awaitListener(address string) {
-	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		if conn, err := net.Dial("tcp", address); err == nil {
-			_ = conn.Close()
-			return
-		}
-	}
-	c.t.Errorf("nothing listens on %s within %s", address, readyTimeout)
-}
-
 // repeatList returns a JSON list of n equal elements.
 func repeatList(n int, element string) string {
 	return "[" + strings.TrimSuffix(strings.Repeat(element+",", n), ",") + "]"
--- a/test/clientload/main_test.go
+++ b/test/clientload/main_test.go
@@ -8,7 +8,7 @@
 	"testing"
 )
 
-// programDir is the directory with the built daemon.
+// programDir is the directory with the built programs.
 var programDir string
 
 func TestMain(m *testing.M) { os.Exit(run(m)) }
@@ -20,9 +20,9 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "catkinvalve/cmd/catkinvalved")
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "catkinvalve/cmd/catkinvalved", "catkinvalve/cmd/standin")
 	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "building the daemon: %v\n%s", err, out)
+		fmt.Fprintf(os.Stderr, "building the programs: %v\n%s", err, out)
 		return 1
 	}
 	programDir = dir
