Reserve memory for each line of a long header

Cause: net/http keeps some 115 bytes for each field, however short, so that a header of 16 KiB takes up to 243 KB (2,272 fields), where 40 KiB were reserved; a header of 4 KiB takes up to 115 KB (1,000 fields), and nothing was reserved for it. Change: the limiter counts the lines of a header while it arrives and reserves 160 bytes for each beyond the 32nd, and 3 bytes for each byte of a header above 4 KiB. What may be in the server's buffer of the next header counts as well. Lines of the body do not. Why it works: the memory is reserved before the server parses the lines; a header for which there is no room ends its connection. Evidence: bytes per field from http.ReadRequest, 200 headers each.

--- a/internal/adapters/intakehttp/body.go
+++ b/internal/adapters/intakehttp/body.go
@@ -77,7 +77,7 @@
 	}
 	readErr := b.fill(http.MaxBytesReader(w, r.Body, limit), expected)
 	if b.conn != nil {
-		if err := b.conn.client.EndBody(time.Now()); err != nil {
+		if err := b.conn.client.EndBody(time.Now(), r.ContentLength); err != nil {
 			return err
 		}
 	}
--- a/internal/adapters/intakehttp/listener.go
+++ b/internal/adapters/intakehttp/listener.go
@@ -95,7 +95,7 @@
 		c.client.Touch(time.Now())
 		return n, err
 	}
-	if refused := c.client.Received(time.Now(), n); refused != nil {
+	if refused := c.client.Received(time.Now(), p[:n]); refused != nil {
 		c.listener.limited()
 		return 0, refused
 	}
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -31,8 +31,13 @@
 	since time.Time
 	// held is the memory reserved, ConnBytes included.
 	held int64
-	// headerBytes counts the bytes read in phaseHeader.
-	headerBytes int
+	// header is what was read in phaseHeader, and next what may be in the server's buffer of the
+	// header of the next request.
+	header, next header
+	// hasRead is set when something has arrived since the end of the last request.
+	hasRead bool
+	// afterHeader is the number of bytes that arrived together with the end of the header.
+	afterHeader int64
 	// beforeAnswer is the phase to which the connection returns after phaseAnswer.
 	beforeAnswer phase
 	// evicted is set when the current request was evicted.
@@ -88,27 +93,42 @@
 	c.touch(now)
 }
 
-// Received records n bytes that have arrived. It returns a *RefusedError if they belong to a long
-// header for which there is no room.
-func (c *Client) Received(now time.Time, n int) error {
+// Received records data that has arrived. It returns a *RefusedError if it belongs to a header for
+// which there is no room.
+func (c *Client) Received(now time.Time, data []byte) error {
 	c.limiter.mu.Lock()
+	c.hasRead = true
+	missing := int64(0)
 	switch c.phase {
 	case phaseIdle:
 		c.enter(phaseHeader, now)
-		c.headerBytes = n
+		missing = c.receivedHeader(data)
 	case phaseHeader:
-		c.headerBytes += n
+		missing = c.receivedHeader(data)
 	case phaseBody:
-		c.receivedBody(now, int64(n))
+		c.receivedBody(now, int64(len(data)))
+		c.next = buffered(data)
+	default:
+		c.next.lines += buffered(data).lines
 	}
-	reserve := c.phase == phaseHeader && c.headerBytes > ShortHeaderBytes && c.held == ConnBytes
 	c.limiter.mu.Unlock()
-	if reserve {
-		return c.Grow(now, LongHeaderBytes)
+	if missing > 0 {
+		return c.Grow(now, missing)
 	}
 	return nil
 }
 
+// receivedHeader records data of a header and returns for how much memory it needs to be reserved.
+// The limiter's mu must be held.
+func (c *Client) receivedHeader(data []byte) int64 {
+	rest := c.header.add(data)
+	c.afterHeader = int64(len(rest))
+	c.next = buffered(rest)
+	missing := max(0, c.header.cost()-c.header.reserved)
+	c.header.reserved += missing
+	return missing
+}
+
 // receivedBody records n bytes of a body. The limiter's mu must be held.
 func (c *Client) receivedBody(now time.Time, n int64) {
 	c.received += n
@@ -136,11 +156,14 @@
 }
 
 // EndBody records that the body is complete. From now on the request is not evicted. It returns a
-// *RefusedError if it was before.
-func (c *Client) EndBody(now time.Time) error {
+// *RefusedError if it was before. declared is the length in the header, and -1 if that has none.
+func (c *Client) EndBody(now time.Time, declared int64) error {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	c.enter(phaseServing, now)
+	if c.afterHeader+c.received <= declared {
+		c.next = header{}
+	}
 	if c.evicted {
 		return &RefusedError{RetryAfter: retryAfter, Evicted: true}
 	}
@@ -176,15 +199,25 @@
 	}
 }
 
-// EndRequest releases what the request held. The connection remains open.
+// EndRequest releases what the request held. The connection remains open, unless there is no room
+// for what the client has sent of the next request.
 func (c *Client) EndRequest(now time.Time) {
 	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
 	c.enter(phaseIdle, now)
 	c.evicted = false
 	if c.element != nil {
 		c.hold(ConnBytes - c.held)
 	}
+	// If nothing has arrived since the last request, the buffer contained this one.
+	if c.hasRead {
+		c.header, c.next, c.hasRead = c.next, header{}, false
+	}
+	c.header.reserved = c.header.cost()
+	missing := c.header.reserved
+	c.limiter.mu.Unlock()
+	if missing > 0 && c.Grow(now, missing) != nil {
+		c.conn.InterruptRead()
+	}
 }
 
 // Grow reserves n more bytes for the request, and evicts others for them if necessary. It returns
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bytes"
 	"errors"
 	"testing"
 	"time"
@@ -28,7 +29,7 @@
 	conn := &fakeConn{}
 	c, err := l.Open(now, conn)
 	assert.NilError(t, err)
-	assert.NilError(t, c.Received(now, 100))
+	assert.NilError(t, c.Received(now, make([]byte, 100)))
 	c.StartServing(now)
 	c.StartBody(now, now.Add(time.Minute), size)
 	assert.NilError(t, c.Grow(now, held))
@@ -42,15 +43,15 @@
 	stalled, stalledConn := openBody(t, l, startTime, 300<<10, 300<<10)
 	active, activeConn := openBody(t, l, startTime, 300<<10, 300<<10)
 	now := startTime.Add(stallTime)
-	assert.NilError(t, stalled.Received(now, minProgress-1), "single bytes are no progress")
-	assert.NilError(t, active.Received(now, 100<<10))
+	assert.NilError(t, stalled.Received(now, make([]byte, minProgress-1)), "single bytes are no progress")
+	assert.NilError(t, active.Received(now, make([]byte, 100<<10)))
 	next, _ := openBody(t, l, now, 300<<10, 300<<10)
 	assert.Assert(t, stalledConn.interrupted)
 	assert.Assert(t, !activeConn.interrupted)
 	var refused *RefusedError
-	assert.Assert(t, errors.As(stalled.EndBody(now), &refused) && refused.Evicted)
+	assert.Assert(t, errors.As(stalled.EndBody(now, -1), &refused) && refused.Evicted)
 	assert.Assert(t, errors.As(next.Grow(now, 300<<10), &refused) && !refused.Evicted, "another body was evicted")
-	assert.NilError(t, active.EndBody(now))
+	assert.NilError(t, active.EndBody(now, -1))
 	assert.Equal(t, l.Stats().EvictedRequests, int64(1))
 	assert.Equal(t, l.Stats().RefusedRequests, int64(1))
 }
@@ -60,7 +61,7 @@
 	l := NewLimiter(Limits{Bytes: 1 << 20})
 	slow, slowConn := openBody(t, l, startTime, 200<<10, 500<<10)
 	now := startTime.Add(30 * time.Second)
-	assert.NilError(t, slow.Received(now, 50<<10))
+	assert.NilError(t, slow.Received(now, make([]byte, 50<<10)))
 	openBody(t, l, now, 300<<10, 600<<10)
 	assert.Assert(t, slowConn.interrupted)
 }
@@ -77,7 +78,7 @@
 func TestCompleteRequestIsNotEvicted(t *testing.T) {
 	l := NewLimiter(Limits{Bytes: 1 << 20, Conns: 2})
 	complete, conn := openBody(t, l, startTime, 700<<10, 700<<10)
-	assert.NilError(t, complete.EndBody(startTime))
+	assert.NilError(t, complete.EndBody(startTime, -1))
 	other, otherConn := openBody(t, l, startTime, 1000, 8<<10)
 	now := startTime.Add(time.Hour)
 	assert.Assert(t, other.Grow(now, 700<<10) != nil)
@@ -130,8 +131,8 @@
 			c := rapid.SampledFrom(clients).Draw(t, "client")
 			n := rapid.IntRange(1, 100<<10).Draw(t, "bytes")
 			act := rapid.SampledFrom([]func(){
-				func() { _ = c.Received(now, n) }, func() { c.StartServing(now) }, func() { c.StartBody(now, now.Add(time.Second), int64(n)) },
-				func() { _ = c.Grow(now, int64(n)) }, func() { c.Shrink(int64(n)) }, func() { _ = c.EndBody(now) }, c.Abandon,
+				func() { _ = c.Received(now, make([]byte, n)) }, func() { _ = c.Received(now, bytes.Repeat([]byte("a:\n"), n/100)) }, func() { c.StartServing(now) }, func() { c.StartBody(now, now.Add(time.Second), int64(n)) },
+				func() { _ = c.Grow(now, int64(n)) }, func() { c.Shrink(int64(n)) }, func() { _ = c.EndBody(now, -1) }, c.Abandon,
 				func() { c.StartAnswer(now) }, func() { c.EndAnswer(now) }, func() { c.EndRequest(now) }, c.Close,
 			}).Draw(t, "act")
 			act()
@@ -147,3 +148,38 @@
 		}
 	})
 }
+
+// Guards against headers whose short lines take far more memory than is reserved, also when they
+// are in the server's buffer behind an earlier request.
+func TestLinesOfHeaderAreCounted(t *testing.T) {
+	l := NewLimiter(Limits{Bytes: 200 << 10})
+	c, err := l.Open(startTime, &fakeConn{})
+	assert.NilError(t, err)
+	request, fields := []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), bytes.Repeat([]byte("a:\r\n"), 500)
+	assert.NilError(t, c.Received(startTime, request))
+	assert.Equal(t, l.Stats().Bytes, int64(ConnBytes))
+	c.StartServing(startTime)
+	c.EndRequest(startTime)
+
+	assert.NilError(t, c.Received(startTime, append(request, fields...)))
+	assert.Equal(t, l.Stats().Bytes, int64(ConnBytes), "the lines do not belong to the request")
+	c.StartServing(startTime)
+	c.EndRequest(startTime)
+	assert.Assert(t, l.Stats().Bytes >= ConnBytes+400*headerLineBytes)
+	assert.Assert(t, c.Received(startTime, fields) == nil)
+	assert.Assert(t, c.Received(startTime, fields) != nil)
+}
+
+// Guards against a body with many lines that counts as a header.
+func TestLinesOfBodyAreNotCounted(t *testing.T) {
+	l := NewLimiter(Limits{Bytes: 200 << 10})
+	c, err := l.Open(startTime, &fakeConn{})
+	assert.NilError(t, err)
+	body := bytes.Repeat([]byte("\n"), 500)
+	assert.NilError(t, c.Received(startTime, append([]byte("POST / HTTP/1.1\r\nContent-Length: 500\r\n\r\n"), body...)))
+	c.StartServing(startTime)
+	c.StartBody(startTime, startTime.Add(time.Second), 500)
+	assert.NilError(t, c.EndBody(startTime, 500))
+	c.EndRequest(startTime)
+	assert.Equal(t, l.Stats().Bytes, int64(ConnBytes))
+}
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -21,11 +21,6 @@
 const (
 	// ConnBytes is reserved for each connection: goroutine stacks, buffers and a short header.
 	ConnBytes = 16 << 10
-	// ShortHeaderBytes is the length of a header up to which ConnBytes suffices. It is the size of
-	// the server's read buffer.
-	ShortHeaderBytes = 4 << 10
-	// LongHeaderBytes is reserved for a longer header: its buffer, which grows, and its values.
-	LongHeaderBytes = 40 << 10
 	// SmallRequestBytes is what a request may hold, besides ConnBytes, to count as small.
 	SmallRequestBytes = 16 << 10
 )
