Limit what strangers make a daemon hold at the port for links

What callers saw: 300 connections to the links' port of a daemon with 284 MB, each with an unfinished frame of 4 MB, took it to 1,213 MB, above which the platform kills it. Cause: drpc keeps a message and its buffers until it is complete, up to 4 MiB each, and keeps the buffers afterwards. Only the number of connections was limited, and nothing ended a connection whose peer never said which daemon it is. Change: intakedrpc follows the frames of a connection and reserves memory for each message while it arrives, from a budget of 12.5% of the memory. A message for which there is no room waits, so that a daemon's link does not end because of others, while messages without progress are evicted. Listener and report that both kinds of connections share are in intakenet.

--- a/internal/adapters/intakehttp/body.go
+++ b/internal/adapters/intakehttp/body.go
@@ -50,14 +50,14 @@
 // an error the rest of the body is not read, and the connection is closed after the answer.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*Body, error) {
 	if r.ContentLength > limit {
-		abandonBody(w, r)
+		AbandonBody(w, r)
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
 	b := &Body{}
 	b.conn, _ = r.Context().Value(connKey{}).(*conn)
 	err := b.read(w, r, limit, deadline)
 	if err != nil {
-		abandonBody(w, r)
+		AbandonBody(w, r)
 		return nil, err
 	}
 	return b, nil
@@ -73,11 +73,11 @@
 	// Test servers may not support deadlines.
 	_ = control.SetReadDeadline(deadline)
 	if b.conn != nil {
-		b.conn.client.StartBody(time.Now(), deadline, expected)
+		b.conn.Client.StartBody(time.Now(), deadline, expected)
 	}
 	readErr := b.fill(http.MaxBytesReader(w, r.Body, limit), expected)
 	if b.conn != nil {
-		if err := b.conn.client.EndBody(time.Now(), r.ContentLength); err != nil {
+		if err := b.conn.Client.EndBody(time.Now(), r.ContentLength); err != nil {
 			return err
 		}
 	}
@@ -141,8 +141,8 @@
 	if b.conn == nil {
 		return nil
 	}
-	if err := b.conn.client.Grow(time.Now(), bytesPerBodyByte*n); err != nil {
-		b.conn.listener.limited()
+	if err := b.conn.Client.Grow(time.Now(), bytesPerBodyByte*n); err != nil {
+		b.conn.Limited()
 		return err
 	}
 	b.reserved += bytesPerBodyByte * n
@@ -159,16 +159,16 @@
 	size := decode(b.Data)
 	b.Data = nil
 	if b.conn != nil && size < b.reserved {
-		b.conn.client.Shrink(b.reserved - size)
+		b.conn.Client.Shrink(b.reserved - size)
 	}
 }
 
-// abandonBody makes the server close the connection after the answer, without reading the rest of
+// AbandonBody makes the server close the connection after the answer, without reading the rest of
 // the body.
-func abandonBody(w http.ResponseWriter, r *http.Request) {
+func AbandonBody(w http.ResponseWriter, r *http.Request) {
 	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 		c.abandoned.Store(true)
-		c.client.Abandon()
+		c.Client.Abandon()
 	}
 	w.Header().Set("Connection", "close")
 	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
@@ -182,6 +182,6 @@
 	case r.ContentLength > 0 && r.ContentLength <= smallBodyBytes:
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
 	default:
-		abandonBody(w, r)
+		AbandonBody(w, r)
 	}
 }
--- a/internal/adapters/intakehttp/listener.go
+++ b/internal/adapters/intakehttp/listener.go
@@ -9,15 +9,13 @@
 	"sync/atomic"
 	"time"
 
+	"catkinvalve/internal/adapters/intakenet"
 	"catkinvalve/internal/intake"
 )
 
 const (
 	// answerTimeout limits one write to a client that does not read.
 	answerTimeout = 10 * time.Second
-	// refusalTimeout limits the write of a refusal to a new connection, which fits into the
-	// socket's buffer.
-	refusalTimeout = 50 * time.Millisecond
 	// lingerTime is how long a connection stays open for an answer to arrive.
 	lingerTime = 500 * time.Millisecond
 	// headerTimeout and idleTimeout are above what any configuration promises to callers.
@@ -32,55 +30,20 @@
 // connRefusal answers a connection that is refused.
 const connRefusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
-// Listener limits the connections that it accepts.
-type Listener struct {
-	net.Listener
-	limiter *intake.Limiter
-	// http is set if the connections carry HTTP, and not the links of daemons.
-	http bool
-	// limited is called after a client was refused or evicted.
-	limited func()
+// NewListener returns a listener for a server of NewServer or Limit.
+func NewListener(l net.Listener, limiter *intake.Limiter, limited func()) net.Listener {
+	return NewListenerWithRefusal(l, limiter, []byte(connRefusal), limited)
 }
 
-// NewListener returns a listener for a server of NewServer.
-func NewListener(l net.Listener, limiter *intake.Limiter, limited func()) *Listener {
-	return &Listener{Listener: l, limiter: limiter, http: true, limited: limited}
-}
-
-// NewLinkListener returns a listener for links between daemons.
-func NewLinkListener(l net.Listener, limiter *intake.Limiter, limited func()) *Listener {
-	return &Listener{Listener: l, limiter: limiter, limited: limited}
-}
-
-// Accept implements net.Listener. It returns only connections for which there is room.
-func (l *Listener) Accept() (net.Conn, error) {
-	for {
-		raw, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		c := &conn{Conn: raw, listener: l}
-		if c.client, err = l.limiter.Open(time.Now(), c); err == nil {
-			return c, nil
-		}
-		l.refuse(raw)
-	}
-}
-
-// refuse closes a new connection.
-func (l *Listener) refuse(c net.Conn) {
-	if l.http && c.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
-		_, _ = c.Write([]byte(connRefusal)) // The client may have disconnected.
-	}
-	_ = c.Close()
-	l.limited()
+// NewListenerWithRefusal is NewListener with the answer that refused connections get.
+func NewListenerWithRefusal(l net.Listener, limiter *intake.Limiter, refusal []byte, limited func()) net.Listener {
+	return intakenet.NewListener(l, intakenet.Options{Limiter: limiter, Refusal: refusal, Limited: limited,
+		Wrap: func(c *intakenet.Conn) net.Conn { return &conn{Conn: c} }})
 }
 
 // conn is an accepted connection.
 type conn struct {
-	net.Conn
-	listener *Listener
-	client   *intake.Client
+	*intakenet.Conn
 	// abandoned is set when the rest of a body is not read.
 	abandoned atomic.Bool
 }
@@ -91,12 +54,8 @@
 	if n == 0 {
 		return n, err
 	}
-	if !c.listener.http {
-		c.client.Touch(time.Now())
-		return n, err
-	}
-	if refused := c.client.Received(time.Now(), p[:n]); refused != nil {
-		c.listener.limited()
+	if refused := c.Client.Received(time.Now(), p[:n]); refused != nil {
+		c.Limited()
 		return 0, refused
 	}
 	return n, err
@@ -104,16 +63,13 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	if !c.listener.http {
-		return c.Conn.Write(p)
-	}
 	now := time.Now()
 	if err := c.SetWriteDeadline(now.Add(answerTimeout)); err != nil {
 		return 0, err
 	}
-	c.client.StartAnswer(now)
+	c.Client.StartAnswer(now)
 	n, err := c.Conn.Write(p)
-	c.client.EndAnswer(time.Now())
+	c.Client.EndAnswer(time.Now())
 	return n, err
 }
 
@@ -124,42 +80,36 @@
 		time.AfterFunc(lingerTime, func() { _ = c.Close() })
 		return nil
 	}
-	c.client.Close()
 	return c.Conn.Close()
 }
 
 // CloseWrite closes the sending side, so that a client that is still sending gets its answer.
 func (c *conn) CloseWrite() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.Conn.(*net.TCPConn); ok {
 		return tcp.CloseWrite()
 	}
 	return nil
 }
 
-// Disconnect implements intake.Conn.
-func (c *conn) Disconnect() {
-	_ = c.Conn.Close()
-	c.listener.limited()
-}
-
-// InterruptRead implements intake.Conn.
-func (c *conn) InterruptRead() {
-	_ = c.SetReadDeadline(time.Unix(1, 0))
-	c.listener.limited()
-}
-
 // connKey is the key of a request's *conn in its context.
 type connKey struct{}
 
-// NewServer returns a server for callers. Its listener must be a *Listener.
+// Limit makes a server pass the state of its connections to the limiter. The server must be set up
+// otherwise, and its listener must be one of this package.
+func Limit(s *http.Server) {
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	s.ConnState = recordState
+}
+
+// NewServer returns a server for callers. Its listener must be one of this package.
 func NewServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
-		ConnState:   recordState}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	Limit(s)
+	return s
 }
 
-// NewOperatorServer returns a server for requests without payload. Its listener must be a
-// *Listener.
+// NewOperatorServer returns a server for requests without payload. Its listener must be one of this
+// package.
 func NewOperatorServer(h http.Handler) *http.Server {
 	s := NewServer(h)
 	s.ReadTimeout = operatorTimeout
@@ -174,8 +124,8 @@
 	}
 	switch s {
 	case http.StateActive:
-		accepted.client.StartServing(time.Now())
+		accepted.Client.StartServing(time.Now())
 	case http.StateIdle:
-		accepted.client.EndRequest(time.Now())
+		accepted.Client.EndRequest(time.Now())
 	}
 }
--- a/internal/cell/intakereport.go
+++ b/internal/adapters/intakenet/report.go
@@ -1,4 +1,4 @@
-package cell
+package intakenet
 
 import (
 	"sync"
@@ -11,11 +11,11 @@
 	"catkinvalve/internal/telemetry"
 )
 
-// intakeLogInterval is the least time between two log lines about the limits of one listener.
-const intakeLogInterval = time.Second
+// logInterval is the least time between two log lines about the limits of one listener.
+const logInterval = time.Second
 
-// intakeReport shows what a limiter does in metrics and in the log.
-type intakeReport struct {
+// Report shows what a limiter does in metrics and in the log.
+type Report struct {
 	limiter *intake.Limiter
 	log     *logrus.Entry
 	// counters of what the limiter has done
@@ -27,19 +27,22 @@
 	loggedAt        time.Time
 }
 
-// newIntakeReport registers the metrics intake.NAME.* of a listener.
-func newIntakeReport(registry metrics.Registry, log *logrus.Entry, listener string, limiter *intake.Limiter) *intakeReport {
+// NewReport registers the metrics intake.LISTENER.*, and logs to log.
+func NewReport(registry metrics.Registry, log *logrus.Entry, listener string, limiter *intake.Limiter) *Report {
 	counter := func(name string) metrics.Counter {
 		return telemetry.Counter(registry, "intake."+listener+"."+name)
 	}
 	telemetry.RegisterGauge(registry, "intake."+listener+".bytes", func() int64 { return limiter.Stats().Bytes })
 	telemetry.RegisterGauge(registry, "intake."+listener+".conns", func() int64 { return int64(limiter.Stats().Conns) })
-	return &intakeReport{limiter: limiter, log: log.WithFields(logrus.Fields{"event": "clients_limited", "listener": listener}),
+	return &Report{limiter: limiter, log: log.WithFields(logrus.Fields{"event": "clients_limited", "listener": listener}),
 		refusedRequests: counter("refused_requests"), refusedConns: counter("refused_conns"), evicted: counter("evicted"), closedIdle: counter("closed_idle")}
 }
 
-// update counts what the limiter has done since the last update.
-func (r *intakeReport) update() {
+// RefusedConns returns the counter of refused connections.
+func (r *Report) RefusedConns() metrics.Counter { return r.refusedConns }
+
+// Update counts what the limiter has done since the last update.
+func (r *Report) Update() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.limiter.Stats()
@@ -49,7 +52,7 @@
 	r.closedIdle.Inc(s.ClosedIdle - r.counted.ClosedIdle)
 	r.counted = s
 	now := time.Now()
-	if now.Sub(r.loggedAt) < intakeLogInterval {
+	if now.Sub(r.loggedAt) < logInterval {
 		return
 	}
 	r.log.WithFields(logrus.Fields{"refused_requests": s.RefusedRequests - r.logged.RefusedRequests, "refused_conns": s.RefusedConns - r.logged.RefusedConns,
--- a/internal/adapters/linkrpc/transport.go
+++ b/internal/adapters/linkrpc/transport.go
@@ -149,10 +149,22 @@
 		l.Close()
 		return err
 	}
+	recordIdentity(conn)
 	l.run(s.t.Handler)
 	return nil
 }
 
+// identifiable is a connection that limits what its peer may send before it has identified itself.
+type identifiable interface{ Identified() }
+
+// recordIdentity records that the peer of an accepted connection has sent its hello.
+func recordIdentity(conn net.Conn) {
+	limited, _ := conn.(writeTimeoutConn)
+	if c, ok := limited.Conn.(identifiable); ok {
+		c.Identified()
+	}
+}
+
 // View implements cellpb.DRPCLinksServer.
 func (s *server) View(_ context.Context, req *cellpb.ViewRequest) (*cellpb.ViewResponse, error) {
 	return s.t.Viewer.View(req), nil
--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -9,7 +9,9 @@
 
 	"github.com/sourcegraph/conc"
 
+	"catkinvalve/internal/adapters/intakedrpc"
 	"catkinvalve/internal/adapters/intakehttp"
+	"catkinvalve/internal/adapters/intakenet"
 	"catkinvalve/internal/intake"
 )
 
@@ -23,12 +25,12 @@
 // limit makes the listeners limit their clients.
 func (s *Servers) limit(d *Daemon) {
 	memoryMB, maxFiles := d.settings.MemoryMB, d.settings.MaxFiles
-	limited := func(name string, l net.Listener, limits intake.Limits, listen func(net.Listener, *intake.Limiter, func()) *intakehttp.Listener) net.Listener {
-		r := newIntakeReport(d.registry, d.log, name, intake.NewLimiter(limits))
-		return listen(l, r.limiter, r.update)
+	limited := func(name string, l net.Listener, limits intake.Limits, listen func(net.Listener, *intake.Limiter, func()) net.Listener) net.Listener {
+		limiter := intake.NewLimiter(limits)
+		return listen(l, limiter, intakenet.NewReport(d.registry, d.log, name, limiter).Update)
 	}
 	s.Callers = limited("callers", s.Callers, intake.CallerLimits(memoryMB, maxFiles), intakehttp.NewListener)
-	s.Links = limited("links", s.Links, intake.LinkLimits(maxFiles), intakehttp.NewLinkListener)
+	s.Links = limited("links", s.Links, intake.LinkLimits(memoryMB, maxFiles), intakedrpc.NewLinkListener)
 	s.Readiness = limited("readiness", s.Readiness, intake.OperatorLimits(maxFiles), intakehttp.NewListener)
 	s.Metrics = limited("metrics", s.Metrics, intake.OperatorLimits(maxFiles), intakehttp.NewListener)
 }
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -42,6 +42,8 @@
 	beforeAnswer phase
 	// evicted is set when the current request was evicted.
 	evicted bool
+	// inCall is set while a call is executed, on a connection that carries messages.
+	inCall bool
 	// bodyStart, deadline, expected and received describe the body being read. progress counts
 	// the bytes since the last progress.
 	bodyStart, deadline          time.Time
@@ -223,35 +225,50 @@
 // Grow reserves n more bytes for the request, and evicts others for them if necessary. It returns
 // a *RefusedError if there is no room.
 func (c *Client) Grow(now time.Time, n int64) error {
+	err := c.TryGrow(now, n)
+	if err != nil && !err.Evicted {
+		c.limiter.countRefusal()
+	}
+	if err != nil {
+		return err
+	}
+	return nil
+}
+
+// CountRefusal counts a request that was refused for another reason than missing room.
+func (c *Client) CountRefusal() { c.limiter.countRefusal() }
+
+// TryGrow is Grow for a client that tries again. It does not count as a refusal.
+func (c *Client) TryGrow(now time.Time, n int64) *RefusedError {
+	victims, err := c.grow(now, n)
+	for _, v := range victims {
+		v.conn.InterruptRead()
+	}
+	return err
+}
+
+// grow reserves n more bytes and returns the clients that were evicted for them.
+func (c *Client) grow(now time.Time, n int64) (victims []*Client, err *RefusedError) {
 	l := c.limiter
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if c.evicted || c.element == nil {
-		l.mu.Unlock()
-		return &RefusedError{RetryAfter: retryAfter, Evicted: true}
+		return nil, &RefusedError{RetryAfter: retryAfter, Evicted: true}
 	}
 	if l.limits.Bytes == 0 {
 		c.hold(n)
-		l.mu.Unlock()
-		return nil
+		return nil, nil
 	}
 	limit := l.limits.Bytes
 	if c.held-ConnBytes+n > SmallRequestBytes {
 		limit -= l.limits.ReservedBytes
 	}
 	victims, ok := l.makeRoom(now, n, limit, c)
-	if ok {
-		c.hold(n)
-	} else {
-		l.stats.RefusedRequests++
-	}
-	l.mu.Unlock()
-	for _, v := range victims {
-		v.conn.InterruptRead()
-	}
 	if !ok {
-		return &RefusedError{RetryAfter: retryAfter}
+		return victims, &RefusedError{RetryAfter: retryAfter}
 	}
-	return nil
+	c.hold(n)
+	return victims, nil
 }
 
 // Shrink releases n bytes of the request.
--- a/internal/intake/evict.go
+++ b/internal/intake/evict.go
@@ -28,12 +28,15 @@
 }
 
 // requestVictim returns the client whose request is evicted so that another can grow, or nil: of
-// those that hold memory and are too slow, the one without progress for the longest time. mu must
-// be held.
+// those that hold memory and are too slow, or idle, the one without progress for the longest time.
+// mu must be held.
 func (l *Limiter) requestVictim(now time.Time, requester *Client) *Client {
 	for e := l.clients.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*Client)
-		if c != requester && !c.evicted && c.held > ConnBytes && c.reading() && c.tooSlow(now) {
+		if c == requester || c.evicted || c.held <= ConnBytes {
+			continue
+		}
+		if c.reading() && c.tooSlow(now) || c.phase == phaseIdle && now.Sub(c.since) >= l.limits.MinIdle {
 			return c
 		}
 	}
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -42,7 +42,7 @@
 	// Bytes and Conns are what clients hold.
 	Bytes int64
 	Conns int
-	// RefusedRequests and RefusedConns found no room.
+	// RefusedRequests and RefusedConns found no room, or were not what the listener serves.
 	RefusedRequests, RefusedConns int64
 	// EvictedRequests were interrupted while they were being read or answered, and ClosedIdle
 	// connections were closed while they were idle.
@@ -101,6 +101,13 @@
 	}
 }
 
+// countRefusal counts a request that was refused.
+func (l *Limiter) countRefusal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stats.RefusedRequests++
+}
+
 // countEviction counts the eviction of a client in its present phase. mu must be held.
 func (l *Limiter) countEviction(v *Client) {
 	if v.phase == phaseIdle {
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -29,6 +29,7 @@
 // 0.4 of the descriptors. The rest remains for the store, for advice and for calls under way.
 const (
 	memoryShare     = 0.25
+	linkMemoryShare = 0.125
 	reservedShare   = 0.2
 	connMemoryShare = 0.5
 	callerFileShare = 0.3
@@ -58,18 +59,32 @@
 // CallerLimits returns the limits of the callers' listener of a process with the given memory and
 // number of file descriptors, which are 0 when not known.
 func CallerLimits(memoryMB int64, maxFiles int) Limits {
-	l := Limits{Bytes: int64(memoryShare * float64(memoryMB<<20))}
+	l := memoryLimits(memoryMB, memoryShare)
+	l.LimitConns(connsOf(maxFiles, callerFileShare, minCallerConns, 0))
+	return l
+}
+
+// memoryLimits returns limits for a share of a process's memory.
+func memoryLimits(memoryMB int64, share float64) Limits {
+	l := Limits{Bytes: int64(share * float64(memoryMB<<20))}
 	l.ReservedBytes = int64(reservedShare * float64(l.Bytes))
 	l.Conns = int(connMemoryShare * float64(l.Bytes) / ConnBytes)
-	if byFiles := connsOf(maxFiles, callerFileShare, minCallerConns, 0); l.Conns == 0 || byFiles > 0 && byFiles < l.Conns {
-		l.Conns = byFiles
-	}
 	return l
 }
 
+// LimitConns lowers the limit of connections to n, unless n is 0.
+func (l *Limits) LimitConns(n int) {
+	if l.Conns == 0 || n > 0 && n < l.Conns {
+		l.Conns = n
+	}
+}
+
 // LinkLimits returns the limits of the listener for other daemons.
-func LinkLimits(maxFiles int) Limits {
-	return Limits{Conns: connsOf(maxFiles, linkFileShare, minLinkConns, defaultLinkConns), MinIdle: silentLinkTime}
+func LinkLimits(memoryMB int64, maxFiles int) Limits {
+	l := memoryLimits(memoryMB, linkMemoryShare)
+	l.LimitConns(connsOf(maxFiles, linkFileShare, minLinkConns, defaultLinkConns))
+	l.MinIdle = silentLinkTime
+	return l
 }
 
 // OperatorLimits returns the limits of the listeners for the load balancer and for metrics.
