Limit what the kernel holds for a client that is not read

What callers saw: a daemon with 96 MB and many descriptors reached 99 to 119 MB under 1,000 clients with unfinished bodies. Its own memory was within its budgets; the rest were bytes that the kernel had received and the daemon had not read, which the platform counts. Cause: the kernel takes 64 KB and more for each connection, whether the daemon reads or not: while a refused client still sends, before a body's turn, and behind a request that is being answered. Change: listeners for callers, readiness, metrics and the fault port set SO_RCVBUF, so that it takes 32 KiB. Links keep the kernel's own value. Why it works: the limit holds from the first packet of a connection, whatever the daemon does with it; the connections of a listener are limited already.

--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/spf13/cobra"
 
+	"catkinvalve/internal/adapters/intakenet"
 	"catkinvalve/internal/adapters/jsonhttp"
 	"catkinvalve/internal/adapters/listclient"
 	"catkinvalve/internal/adapters/logclient"
@@ -139,6 +140,14 @@
 	return net.Listen("tcp", address)
 }
 
+// openClientListener is openListener for clients other than daemons.
+func openClientListener(ctx context.Context, address string) (net.Listener, error) {
+	if ctx.Err() != nil {
+		return nil, errStopped
+	}
+	return intakenet.Listen(ctx, address)
+}
+
 // loadSettings reads the settings file and prints all of its problems to standard
 // error. It returns false if there are any.
 func loadSettings(path string) (*settings.Settings, bool) {
@@ -197,7 +206,7 @@
 	if err != nil {
 		return err
 	}
-	callers, err := openListener(ctx, set.Addresses.CallerListen)
+	callers, err := openClientListener(ctx, set.Addresses.CallerListen)
 	if err != nil {
 		return fmt.Errorf("cannot listen for callers: %w; free the address or change addresses.caller_listen", err)
 	}
@@ -210,7 +219,7 @@
 
 // serveFaults serves the port for fault injection in the background.
 func serveFaults(ctx context.Context, addr string) (*daemon.LinkFaults, error) {
-	l, err := openListener(ctx, addr)
+	l, err := openClientListener(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("cannot listen for fault injection: %w; remove addresses.fault_listen", err)
 	}
--- a/internal/daemon/command/platform.go
+++ b/internal/daemon/command/platform.go
@@ -100,17 +100,18 @@
 func listen(ctx context.Context, set cell.Settings, d *cell.Daemon, registry metrics.Registry) (*cell.Servers, error) {
 	s := &cell.Servers{CallerHandler: platform.NewCallerHandler(d.API()), ReadinessHandler: platform.NewReadinessHandler(d.API())}
 	var errs []error
-	open := func(purpose, address string) net.Listener {
-		l, err := openListener(ctx, address)
+	type opener func(ctx context.Context, address string) (net.Listener, error)
+	open := func(openAddress opener, purpose, address string) net.Listener {
+		l, err := openAddress(ctx, address)
 		if err != nil {
 			errs = append(errs, fmt.Errorf("cannot listen for %s: %w; free the address", purpose, err))
 		}
 		return l
 	}
-	s.Callers = open("callers", set.CallerAddress)
-	s.Readiness = open("the balancer", set.ReadinessAddress)
-	s.Links = open("daemons", set.LinkAddress())
-	s.Metrics = open("metrics", set.MetricsAddress())
+	s.Callers = open(openClientListener, "callers", set.CallerAddress)
+	s.Readiness = open(openClientListener, "the balancer", set.ReadinessAddress)
+	s.Links = open(openListener, "daemons", set.LinkAddress())
+	s.Metrics = open(openClientListener, "metrics", set.MetricsAddress())
 	s.MetricsHandler = platform.NewOperatorHandler(d.API(), metricsHandler(registry))
 	return s, errors.Join(errs...)
 }
