Own cell: limit the memory and connections of callers together

What callers saw: 2,000 unfinished bodies of 262,000 bytes took a daemon of the project's own cell to 761 MB; with 1,000 of them it reached 597 MB where its instance has 96. Cause: httpapi limited one body and the number of connections, not the bytes of all bodies and headers together, and the connections not by the descriptors of the process. Change: httpapi uses the listener, the budget and the body reader that daemons on the platform use, with the memory and descriptors from its settings (limits.memory_mb, limits.max_files). A body for which there is no memory is refused with `overloaded` and Retry-After 1 s, before anything is submitted; one without progress gives way. The runtime's memory limit follows the settings too. The settings are refused if they leave no room for the largest body. Why it works: memory is reserved before a buffer is allocated, and the sum is bounded.

--- a/internal/adapters/httpapi/body.go
+++ b/internal/adapters/httpapi/body.go
@@ -2,39 +2,47 @@
 
 import (
 	"errors"
-	"io"
 	"mime"
 	"net/http"
-	"os"
 	"strings"
+	"time"
 
+	"catkinvalve/internal/adapters/intakehttp"
 	"catkinvalve/internal/fault"
+	"catkinvalve/internal/intake"
 )
 
-// readBody reads a JSON body within the limits of size and time. net/http clears the read
-// deadline at the end of the body, so the deadline does not end a longer wait.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// decodeBody reads a JSON body within the limits of size, time and memory, and passes it to decode.
+// The memory of the body remains reserved until the end of the call, for what was decoded.
+func (s *Server) decodeBody(w http.ResponseWriter, r *http.Request, decode func([]byte) error) error {
 	if err := checkContentType(r.Header); err != nil {
-		return nil, err
+		intakehttp.DiscardBody(w, r)
+		return err
 	}
-	if r.ContentLength > s.opts.BodyBytes {
-		w.Header().Set("Connection", "close")
-		return nil, s.bodyTooLarge()
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.opts.BodyBytes))
+	body, err := intakehttp.ReadBody(w, r, s.opts.BodyBytes, time.Now().Add(s.opts.BodyTimeout))
 	if err != nil {
-		w.Header().Set("Connection", "close")
-		return nil, s.bodyError(err)
+		return s.bodyError(w, err)
 	}
-	return body, nil
+	body.Decode(func(data []byte) int64 {
+		err = decode(data)
+		return int64(len(data))
+	})
+	return err
 }
 
-func (s *Server) bodyError(err error) error {
+// bodyError returns the error of a call whose body was not read to its end.
+func (s *Server) bodyError(w http.ResponseWriter, err error) error {
 	var tooLarge *http.MaxBytesError
+	var refused *intake.RefusedError
+	var late *intakehttp.TimeoutError
 	switch {
 	case errors.As(err, &tooLarge):
 		return s.bodyTooLarge()
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.As(err, &refused):
+		setRetryAfter(w, refused.RetryAfter)
+		return fault.Wrap(err, fault.Overloaded, "retry later or through another daemon; nothing was submitted",
+			"the daemon has no memory for the body")
+	case errors.As(err, &late):
 		return fault.Wrap(err, fault.SlowBody, "send the body faster or in smaller requests; nothing was submitted",
 			"the body did not arrive within %s", s.opts.BodyTimeout)
 	default:
@@ -67,7 +75,7 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
-	w.Header().Set("Connection", "close")
+	intakehttp.AbandonBody(w, r)
 	return fault.New(fault.Malformed, "send the call without a body", "%s %s takes no body", r.Method, truncate(r.URL.Path))
 }
 
--- a/internal/adapters/httpapi/middleware.go
+++ b/internal/adapters/httpapi/middleware.go
@@ -79,7 +79,7 @@
 		id := requestID(r.Header)
 		w.Header().Set(requestIDHeader, id)
 		r = r.WithContext(context.WithValue(r.Context(), requestIDKey{}, id))
-		s.setDeadlines(w, r)
+		s.limitBody(w, r)
 		sw := &statusWriter{ResponseWriter: w}
 		defer func() {
 			s.handlePanic(sw, id, recover())
@@ -90,14 +90,11 @@
 	}
 }
 
-// setDeadlines clears the write deadline that the previous call on the connection set, and
-// limits the time for reading the body. The limit also applies to a body that no handler
-// reads, because the server discards it before it reuses the connection.
-func (s *Server) setDeadlines(w http.ResponseWriter, r *http.Request) {
-	control := http.NewResponseController(w)
-	_ = control.SetWriteDeadline(time.Time{})
+// limitBody limits the time for reading the body. The limit also applies to a body that no
+// handler reads, because the server discards it before it reuses the connection.
+func (s *Server) limitBody(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength != 0 {
-		_ = control.SetReadDeadline(time.Now().Add(s.opts.BodyTimeout))
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.opts.BodyTimeout))
 	}
 }
 
--- a/internal/adapters/httpapi/options.go
+++ b/internal/adapters/httpapi/options.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"catkinvalve/internal/intake"
 	"catkinvalve/internal/telemetry"
 )
 
@@ -16,15 +17,15 @@
 	// HeaderBytes is the maximum size of the request line and headers. Values below
 	// headerSlackBytes (4096) have the same effect as headerSlackBytes.
 	HeaderBytes int
-	// HeaderTimeout limits reading the headers, BodyTimeout reading the body and
-	// WriteTimeout writing the response.
+	// HeaderTimeout limits reading the headers and BodyTimeout reading the body.
 	HeaderTimeout time.Duration
 	BodyTimeout   time.Duration
-	WriteTimeout  time.Duration
 	// IdleTimeout limits the time between two calls on a connection.
 	IdleTimeout time.Duration
 	// MaxConns is the maximum number of open connections.
 	MaxConns int
+	// Clients limits the connections further, and the memory of requests.
+	Clients intake.Limits
 	// MaxWait limits the wait that a caller can request; longer ones are shortened.
 	MaxWait time.Duration
 	// MaxWaitingCalls is the maximum number of calls that wait for a final fate at the same
@@ -38,15 +39,13 @@
 	Log        *logrus.Entry
 }
 
-// DefaultOptions returns the limits of an entry daemon that has 32 MB of memory for
-// control: 64 bodies of the maximum size take half of it.
+// DefaultOptions returns the limits of a small entry daemon.
 func DefaultOptions() Options {
 	return Options{
 		BodyBytes:       256 << 10,
 		HeaderBytes:     16 << 10,
 		HeaderTimeout:   5 * time.Second,
 		BodyTimeout:     10 * time.Second,
-		WriteTimeout:    10 * time.Second,
 		IdleTimeout:     60 * time.Second,
 		MaxConns:        2048,
 		MaxWait:         60 * time.Second,
@@ -62,7 +61,6 @@
 	setDefault(&o.HeaderBytes, d.HeaderBytes)
 	setDefault(&o.HeaderTimeout, d.HeaderTimeout)
 	setDefault(&o.BodyTimeout, d.BodyTimeout)
-	setDefault(&o.WriteTimeout, d.WriteTimeout)
 	setDefault(&o.IdleTimeout, d.IdleTimeout)
 	setDefault(&o.MaxConns, d.MaxConns)
 	setDefault(&o.MaxWait, d.MaxWait)
--- a/internal/adapters/httpapi/response.go
+++ b/internal/adapters/httpapi/response.go
@@ -4,13 +4,15 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"net/http"
+	"strconv"
 	"time"
 
 	"catkinvalve/internal/fault"
 )
 
-// writeJSON responds with value as JSON. Writing is limited by WriteTimeout.
+// writeJSON responds with value as JSON. The listener limits the time of writing.
 func (s *Server) writeJSON(w http.ResponseWriter, status int, value any) {
 	body, err := json.Marshal(value)
 	if err != nil {
@@ -22,7 +24,6 @@
 }
 
 func (s *Server) writeBody(w http.ResponseWriter, status int, body []byte) {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.opts.WriteTimeout))
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("X-Content-Type-Options", "nosniff")
 	w.WriteHeader(status)
@@ -31,6 +32,11 @@
 	}
 }
 
+// setRetryAfter sets the header that states when the caller may try again, in whole seconds.
+func setRetryAfter(w http.ResponseWriter, after time.Duration) {
+	w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
+}
+
 // writeError responds with the kind, message and remedy of err.
 func (s *Server) writeError(w http.ResponseWriter, err error) {
 	e := fault.From(err)
--- a/internal/adapters/httpapi/routes.go
+++ b/internal/adapters/httpapi/routes.go
@@ -51,11 +51,11 @@
 }
 
 func (s *Server) doSubmit(w http.ResponseWriter, r *http.Request) (api.RequestStatus, error) {
-	body, err := s.readBody(w, r)
-	if err != nil {
-		return api.RequestStatus{}, err
-	}
-	request, err := decodeSubmit(body)
+	var request api.SubmitRequest
+	err := s.decodeBody(w, r, func(body []byte) (err error) {
+		request, err = decodeSubmit(body)
+		return err
+	})
 	if err != nil {
 		return api.RequestStatus{}, err
 	}
@@ -116,12 +116,8 @@
 }
 
 func (s *Server) doPublish(w http.ResponseWriter, r *http.Request) (api.PublishResult, error) {
-	body, err := s.readBody(w, r)
-	if err != nil {
-		return api.PublishResult{}, err
-	}
 	var publication api.PublishRequest
-	if err := decodeStrict(body, &publication); err != nil {
+	if err := s.decodeBody(w, r, func(body []byte) error { return decodeStrict(body, &publication) }); err != nil {
 		return api.PublishResult{}, err
 	}
 	if err := checkPublish(&publication); err != nil {
--- a/internal/adapters/httpapi/server.go
+++ b/internal/adapters/httpapi/server.go
@@ -12,6 +12,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"catkinvalve/internal/adapters/intakehttp"
+	"catkinvalve/internal/adapters/intakenet"
+	"catkinvalve/internal/intake"
 	"catkinvalve/internal/telemetry"
 )
 
@@ -30,8 +33,10 @@
 	// waitSlots is a semaphore with one element per call that waits for a final fate.
 	waitSlots    chan struct{}
 	waitsRefused metrics.Counter
-	connsRefused metrics.Counter
 	panics       metrics.Counter
+	// limiter limits the clients of the listener, and report shows what it does.
+	limiter *intake.Limiter
+	report  *intakenet.Report
 }
 
 // New returns a server that calls service. Start makes it serve connections.
@@ -44,9 +49,13 @@
 		serveError:   make(chan error, 1),
 		waitSlots:    make(chan struct{}, opts.MaxWaitingCalls),
 		waitsRefused: telemetry.Counter(opts.Registry, "http.waiting.refused"),
-		connsRefused: telemetry.Counter(opts.Registry, "http.connections.refused"),
 		panics:       telemetry.Counter(opts.Registry, "http.panics"),
+		limiter:      intake.NewLimiter(opts.clientLimits()),
 	}
+	s.report = intakenet.NewReport(opts.Registry, opts.Log, "callers", s.limiter)
+	telemetry.RegisterGauge(opts.Registry, "http.connections", func() int64 { return int64(s.limiter.Stats().Conns) })
+	// The counter is registered under its earlier name as well.
+	_ = opts.Registry.Register("http.connections.refused", s.report.RefusedConns())
 	telemetry.RegisterGauge(opts.Registry, "http.waiting", func() int64 { return int64(len(s.waitSlots)) })
 	s.http = &http.Server{
 		Handler:           s.routes(),
@@ -57,13 +66,13 @@
 		// daemon's log with them, so they are discarded.
 		ErrorLog: stdlog.New(io.Discard, "", 0),
 	}
+	intakehttp.Limit(s.http)
 	return s
 }
 
 // Start serves the connections that l accepts until Shutdown. It does not block.
 func (s *Server) Start(l net.Listener) {
-	limited := newLimitedListener(l, s.opts.MaxConns, s.connsRefused)
-	telemetry.RegisterGauge(s.opts.Registry, "http.connections", limited.open.Load)
+	limited := intakehttp.NewListenerWithRefusal(l, s.limiter, refusalResponse(s.opts.clientLimits().Conns), s.report.Update)
 	s.serving.Go(func() {
 		if err := s.http.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			s.log.WithError(err).Error("HTTP listener failed")
--- a/internal/adapters/httpapi/server_test.go
+++ b/internal/adapters/httpapi/server_test.go
@@ -293,7 +293,7 @@
 		conns = append(conns, conn)
 	}
 	assert.Equal(t, sendRaw(t, addr, ""), 429)
-	assert.Equal(t, s.connsRefused.Count(), int64(1))
+	assert.Equal(t, s.report.RefusedConns().Count(), int64(1))
 	conns[0].Close()
 	for end := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 		if sendRaw(t, addr, "GET /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n") == 200 {
--- a/internal/adapters/intakehttp/body.go
+++ b/internal/adapters/intakehttp/body.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"runtime"
 	"time"
+
+	"catkinvalve/internal/intake"
 )
 
 const (
@@ -13,8 +15,6 @@
 	// it grows.
 	firstBufferBytes = 4 << 10
 	bufferGrowth     = 4
-	// bytesPerBodyByte covers a body's buffer and what it decodes to.
-	bytesPerBodyByte = 2
 	// smallBodyBytes is the size of a body that is read to its end although its request is
 	// refused, so that the connection can be used again.
 	smallBodyBytes = firstBufferBytes
@@ -141,11 +141,11 @@
 	if b.conn == nil {
 		return nil
 	}
-	if err := b.conn.Client.Grow(time.Now(), bytesPerBodyByte*n); err != nil {
+	if err := b.conn.Client.Grow(time.Now(), intake.BytesPerBodyByte*n); err != nil {
 		b.conn.Limited()
 		return err
 	}
-	b.reserved += bytesPerBodyByte * n
+	b.reserved += intake.BytesPerBodyByte * n
 	return nil
 }
 
--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -6,10 +6,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/rcrowley/go-metrics"
@@ -176,9 +178,35 @@
 	}
 }
 
+// memoryLimitShare is the part of the instance's memory that becomes the runtime's memory
+// limit, near which garbage is collected more often.
+const memoryLimitShare = 0.6
+
+// limitMemory sets the runtime's memory limit for an instance with memoryMB MiB of memory. It does
+// nothing if that is 0.
+func limitMemory(memoryMB int64) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memoryMB<<20)))
+	}
+}
+
+// fileLimit returns the number of file descriptors that the operating system grants the process,
+// and 0 if that is not known.
+func fileLimit() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 // run runs the daemon with its own settings file until ctx ends.
 func run(ctx context.Context, set settings.Settings) error {
 	limitProcs()
+	limitMemory(set.Limits.MemoryMB)
+	if set.Limits.MaxFiles == 0 {
+		set.Limits.MaxFiles = fileLimit()
+	}
 	log, err := telemetry.NewLogger(os.Stderr, set.LogLevel, set.DaemonID, string(set.DataCentre))
 	if err != nil {
 		return err
--- a/internal/daemon/command/platform.go
+++ b/internal/daemon/command/platform.go
@@ -20,14 +20,8 @@
 	"catkinvalve/platform"
 )
 
-const (
-	// gcPercent is below the default of 100, which saves memory at the cost of
-	// processor time.
-	gcPercent = 75
-	// memoryLimitShare is the part of the instance's memory that becomes the
-	// runtime's memory limit, near which garbage is collected more often.
-	memoryLimitShare = 0.6
-)
+// gcPercent is below the default of 100, which saves memory at the cost of processor time.
+const gcPercent = 75
 
 // loadPlatform reads the settings that the platform provides. It returns false after
 // it has printed an error to standard error.
@@ -58,9 +52,7 @@
 func runPlatform(ctx context.Context, set cell.Settings, hangups <-chan os.Signal) error {
 	limitProcs()
 	debug.SetGCPercent(gcPercent)
-	if set.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(set.MemoryMB<<20)))
-	}
+	limitMemory(set.MemoryMB)
 	registry := metrics.NewRegistry()
 	lines := telemetry.NewLineWriter(os.Stdout, registry)
 	defer lines.Close()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/core/scheduler"
 	"catkinvalve/internal/fault"
+	"catkinvalve/internal/intake"
 	"catkinvalve/internal/pause"
 	"catkinvalve/internal/ports"
 	"catkinvalve/internal/ring"
@@ -152,6 +153,7 @@
 		BodyBytes: d.set.Limits.BodyBytes, HeaderBytes: int(d.set.Limits.HeaderBytes),
 		HeaderTimeout: d.set.Limits.HeaderReadTimeout, BodyTimeout: d.set.Limits.BodyReadTimeout,
 		IdleTimeout: d.set.Limits.IdleTimeout, MaxConns: d.set.Limits.MaxConnections, MaxWait: d.set.Limits.MaxWait,
+		Clients:  intake.CallerLimits(d.set.Limits.MemoryMB, d.set.Limits.MaxFiles),
 		Registry: deps.Registry, Histograms: d.histograms, Log: deps.Logger,
 	})
 	return nil
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -21,6 +21,8 @@
 const (
 	// ConnBytes is reserved for each connection: goroutine stacks, buffers and a short header.
 	ConnBytes = 16 << 10
+	// BytesPerBodyByte is reserved for each byte of a body: its buffer, and what it decodes to.
+	BytesPerBodyByte = 2
 	// SmallRequestBytes is what a request may hold, besides ConnBytes, to count as small.
 	SmallRequestBytes = 16 << 10
 )
@@ -79,6 +81,12 @@
 	}
 }
 
+// LargestBody returns the size of the largest body for which there is room while no other client
+// holds anything.
+func (l Limits) LargestBody() int64 {
+	return (l.Bytes - l.ReservedBytes - ConnBytes) / BytesPerBodyByte
+}
+
 // LinkLimits returns the limits of the listener for other daemons.
 func LinkLimits(memoryMB int64, maxFiles int) Limits {
 	l := memoryLimits(memoryMB, linkMemoryShare)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -36,6 +36,7 @@
 		{"same seed", d, d + `, "seeds": [{"address": "1.2.3.4:5", "data_centre": "a"}, {"address": @"1.2.3.4:5", "data_centre": "a"}]`, "seed 1.2.3.4:5 is listed twice"},
 		{"limit", d, d + `, "limits": {"body_bytes": @0}`, "limits.body_bytes is 0"},
 		{"memory", d, d + `, "limits": {"memory_mb": @8}`, "limits.memory_mb is 8"},
+		{"body larger than memory", d, d + `, "limits": {"body_bytes": @60000000}`, "limits.body_bytes 60000000 is above"},
 		{"files", d, d + `, "limits": {"max_files": @-1}`, "limits.max_files is -1"},
 		{"timeout", d, d + `, "limits": {"idle_timeout": @"-1s"}`, "limits.idle_timeout is -1s"},
 		{"duration type", d, d + `, "timings": {"renew_interval": @1}`, "timings.renew_interval is 1; write a duration"},
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"catkinvalve/internal/core/model"
+	"catkinvalve/internal/intake"
 	"catkinvalve/internal/jsonc"
 )
 
@@ -81,6 +82,7 @@
 	checkSeparateListeners,
 	checkSeedsUnique,
 	checkLimits,
+	checkMemory,
 	checkTimings,
 	checkRenewal,
 	checkTaskGrace,
@@ -183,6 +185,18 @@
 	checkDuration(doc, "limits.max_wait", s.Limits.MaxWait, time.Millisecond)
 }
 
+// checkMemory ensures that the memory for callers has room for the largest body.
+func checkMemory(s *Settings, doc *jsonc.Document) {
+	if s.Limits.MemoryMB < minMemoryMB {
+		return // Reported already.
+	}
+	largest := intake.CallerLimits(s.Limits.MemoryMB, 0).LargestBody()
+	if s.Limits.BodyBytes > largest && !doc.InvalidWithin("limits") {
+		doc.Report("limits.body_bytes", "lower it or raise limits.memory_mb",
+			"limits.body_bytes %d is above %d, the largest body for which limits.memory_mb %d has room", s.Limits.BodyBytes, largest, s.Limits.MemoryMB)
+	}
+}
+
 func checkTimings(s *Settings, doc *jsonc.Document) {
 	checkDuration(doc, "timings.lease_ttl", s.Timings.LeaseTTL, 10*time.Millisecond)
 	checkDuration(doc, "timings.renew_interval", s.Timings.RenewInterval, time.Millisecond)
