Own cell: limit the memory of calls at the port for peers

What callers saw: 300 connections to the peers' port took a daemon whose instance has 96 MB to 1,948 MB with unfinished messages, and to 7,828 MB with complete ones of 4 MB that it had already answered. 300 large requests at a daemon took it to 150 MB and the owner to 90 MB. Cause: drpc keeps each message and its buffers, up to 4 MiB and twice that; the buffers are kept while the connection stays open. Only the number of connections was limited, to 6,000. A call holds its memory until it is answered, and its buffer until drpc drops it. A call without room waits; one without progress is evicted, and a silent connection is closed for a new one. Connections are limited by the descriptors too. Why it works: drpc reads nothing for which memory is not reserved, beyond one read.

--- a/internal/adapters/peerrpc/serverconn.go
+++ b/internal/adapters/peerrpc/serverconn.go
@@ -19,6 +19,12 @@
 	receiveTimer *time.Timer
 }
 
+// callLimiter is a connection that limits the memory of calls.
+type callLimiter interface {
+	CallStarted()
+	CallEnded()
+}
+
 func newServerConn(conn net.Conn, writeTimeout time.Duration) *serverConn {
 	return &serverConn{trackedConn: trackedConn{Conn: conn, writeTimeout: writeTimeout}, idleSince: time.Now()}
 }
@@ -28,6 +34,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = true
+	if limited, ok := c.Conn.(callLimiter); ok {
+		limited.CallStarted()
+	}
 	c.receiveTimer = time.AfterFunc(limit, func() { _ = c.Close() })
 }
 
@@ -44,6 +53,9 @@
 	defer c.mu.Unlock()
 	c.receiveTimer.Stop()
 	c.busy = false
+	if limited, ok := c.Conn.(callLimiter); ok {
+		limited.CallEnded()
+	}
 	c.idleSince = time.Now()
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,8 @@
 	"github.com/sourcegraph/conc"
 
 	"catkinvalve/internal/adapters/httpapi"
+	"catkinvalve/internal/adapters/intakedrpc"
+	"catkinvalve/internal/adapters/intakenet"
 	"catkinvalve/internal/adapters/peerrpc"
 	"catkinvalve/internal/core/election"
 	"catkinvalve/internal/core/lease"
@@ -170,7 +172,7 @@
 	} {
 		d.group.Go(func() { runTask(d.ctx) })
 	}
-	d.peerSrv.Start(peers)
+	d.peerSrv.Start(d.limitPeers(peers))
 	d.httpSrv.Start(callers)
 	d.log.WithFields(logrus.Fields{"callers": callers.Addr().String(), "peers": peers.Addr().String()}).Info("daemon started")
 	var err error
@@ -181,6 +183,13 @@
 	return errors.Join(err, d.shutdown())
 }
 
+// limitPeers returns a listener that limits the connections of other daemons and the memory of
+// their calls.
+func (d *Daemon) limitPeers(l net.Listener) net.Listener {
+	limiter := intake.NewLimiter(intake.LinkLimits(d.set.Limits.MemoryMB, d.set.Limits.MaxFiles))
+	return intakedrpc.NewListener(l, limiter, intakenet.NewReport(d.registry, d.log, "peers", limiter).Update)
+}
+
 func (d *Daemon) newOwnerLoop() *ownerLoop {
 	self := membership.Peer{ID: d.set.DaemonID, DataCentre: d.set.DataCentre, Region: d.set.Region}
 	return &ownerLoop{
