Fault port: limit connections and bodies

What testers saw: the fault port of a daemon, which tests open for fault injection, took it to 485 MB with 300 long headers and to 621 descriptors with idle connections. Cause: its server had no limits but the time of the header. Change: it uses the listener and body reader of the other ports, with 16 connections, 1 MiB for all of them and 64 KiB for a body. Why it works: as for callers; requests for faults are a few hundred bytes long.

--- a/internal/daemon/faults.go
+++ b/internal/daemon/faults.go
@@ -7,6 +7,9 @@
 	"slices"
 	"sync"
 	"time"
+
+	"catkinvalve/internal/adapters/intakehttp"
+	"catkinvalve/internal/intake"
 )
 
 // LinkFaults blocks calls from and to other daemons in tests. The zero value blocks
@@ -39,25 +42,36 @@
 	return slices.Contains(f.blockedIn, id)
 }
 
-// faultHeaderTimeout bounds reading the header of a request on the fault port.
-const faultHeaderTimeout = 5 * time.Second
+const (
+	// maxFaultBytes is the largest body on the fault port, and faultBodyTimeout limits its reading.
+	maxFaultBytes    = 64 << 10
+	faultBodyTimeout = 5 * time.Second
+)
+
+// faultPortLimits are the limits of the clients of the fault port.
+var faultPortLimits = intake.Limits{Conns: 16, Bytes: 1 << 20}
 
 // Serve serves the fault port until l is closed. It always returns an error.
 func (f *LinkFaults) Serve(l net.Listener) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /admin/fault", f.handleFault)
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: faultHeaderTimeout}
-	return srv.Serve(l)
+	limited := intakehttp.NewListener(l, intake.NewLimiter(faultPortLimits), func() {})
+	return intakehttp.NewOperatorServer(mux).Serve(limited)
 }
 
 func (f *LinkFaults) handleFault(w http.ResponseWriter, r *http.Request) {
-	var body LinkFaultRequest
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+	body, err := intakehttp.ReadBody(w, r, maxFaultBytes, time.Now().Add(faultBodyTimeout))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var request LinkFaultRequest
+	if err := json.Unmarshal(body.Data, &request); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	f.mu.Lock()
-	f.blockedOut, f.blockedIn = body.BlockOut, body.BlockIn
+	f.blockedOut, f.blockedIn = request.BlockOut, request.BlockIn
 	f.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
 }
