Own cell: reserve memory for what calls of peers decode to

What callers saw: 20 clients of the peers' port that each send one complete call with 2,000,000 empty records, in 4 MB, took a daemon whose instance has 96 MB to 542 MB. Cause: an empty record has 2 bytes in a message and some 270 in memory; the limit for the messages that arrive knew the first only. Change: before a message is decoded, its memory is estimated from the message's fields and the sizes of their Go types, and reserved until the call has ended.

--- a/internal/adapters/intakedrpc/conn.go
+++ b/internal/adapters/intakedrpc/conn.go
@@ -39,6 +39,9 @@
 	// identifyBy is when it must have.
 	identifyBy time.Time
 
+	// reservedByCall is the memory that Reserve has reserved. The goroutine that serves calls uses it.
+	reservedByCall int64
+
 	// The goroutine that reads uses the fields below.
 
 	// allowance is what the peer may still send before it has identified itself.
@@ -83,7 +86,21 @@
 func (c *conn) CallStarted() { c.Client.StartCall(time.Now()) }
 
 // CallEnded implements Conn.
-func (c *conn) CallEnded() { c.Client.EndCall(time.Now()) }
+func (c *conn) CallEnded() {
+	c.Client.Shrink(c.reservedByCall)
+	c.reservedByCall = 0
+	c.Client.EndCall(time.Now())
+}
+
+// Reserve implements Conn.
+func (c *conn) Reserve(n int64) error {
+	if err := c.awaitRoom(time.Now(), n); err != nil {
+		c.Limited()
+		return err
+	}
+	c.reservedByCall += n
+	return nil
+}
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
--- a/internal/adapters/intakedrpc/listener.go
+++ b/internal/adapters/intakedrpc/listener.go
@@ -17,6 +17,9 @@
 	// CallStarted records that a call is executed from now on, and CallEnded that it was answered.
 	CallStarted()
 	CallEnded()
+	// Reserve reserves n bytes for the present call until it has ended. It waits for room for a
+	// limited time and then returns an error.
+	Reserve(n int64) error
 }
 
 // NewListener returns a listener for connections with one call at a time.
--- a/internal/adapters/peerrpc/interceptor.go
+++ b/internal/adapters/peerrpc/interceptor.go
@@ -45,6 +45,9 @@
 			err = i.server.handlePanic(rpc, cause)
 		}
 	}()
+	if limited, ok := conn.Conn.(memoryReserver); ok {
+		stream = &limitedStream{Stream: stream, conn: limited}
+	}
 	return i.next.HandleRPC(stream, rpc)
 }
 
--- a/test/clientload/owncell_test.go
+++ b/test/clientload/owncell_test.go
@@ -129,6 +129,9 @@
 	for _, s := range append(frameShapes[1:], httpShapes...) {
 		playOwn(t, lowered, peers, crowdSize, s)
 	}
+	playOwn(t, lowered, peers, 20, shape{"empty_records", "messages that decode to many times their size fill the memory", func(c *client) {
+		c.sendAndHold(replication(2_000_000))
+	}})
 }
 
 // The fault port is open in tests only.
--- a/test/clientload/shapes_test.go
+++ b/test/clientload/shapes_test.go
@@ -68,8 +68,16 @@
 }
 
 // invocation returns the frames of a call of a method with a name of n bytes, which no daemon has.
-func invocation(n int) string {
-	packet := drpcwire.Packet{Data: []byte(strings.Repeat("x", n)), ID: drpcwire.ID{Stream: 1, Message: 1}, Kind: drpcwire.KindInvoke}
+func invocation(n int) string { return frames(drpcwire.KindInvoke, 1, strings.Repeat("x", n)) }
+
+// replication returns the frames of a call with n records that are empty.
+func replication(n int) string {
+	return frames(drpcwire.KindInvoke, 1, "/catkinvalve.peer.Peer/Replicate") + frames(drpcwire.KindMessage, 2, strings.Repeat("\x22\x00", n))
+}
+
+// frames returns the frames of a message.
+func frames(kind drpcwire.Kind, message uint64, data string) string {
+	packet := drpcwire.Packet{Data: []byte(data), ID: drpcwire.ID{Stream: 1, Message: message}, Kind: kind}
 	var frames []byte
 	_ = drpcwire.SplitN(packet, 0, func(f drpcwire.Frame) error { // The function returns no error.
 		frames = drpcwire.AppendFrame(frames, f)
