Own cell: limit the copies of records that are kept for peers

Cause: a daemon keeps a copy of all its records for each caller that pages through them, by the ID that the caller states. A client that fetches one page under ever new IDs makes it keep any number of copies, 0.9 KB a record each. Found by reading; no process was seen to end. Change: 16 copies are kept. The caller whose copy is dropped gets a new one with its next page, as after a restart of the daemon. Why it works: the number of copies no longer depends on what callers state.

--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -158,8 +158,13 @@
 	return f, ok
 }
 
+// maxSnapshots limits the memory that callers can use, whose IDs are not checked. Only daemons that
+// have just started fetch records.
+const maxSnapshots = 16
+
 // storeSnapshot keeps a snapshot while the caller has more pages to fetch, and drops
-// it after the last one.
+// it after the last one. If there are too many it drops another one, whose caller gets a
+// new one with its next page.
 func (s *peerService) storeSnapshot(caller string, f fetchRecordsReply, more bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,9 +172,20 @@
 		delete(s.snapshots, caller)
 		return
 	}
+	if _, ok := s.snapshots[caller]; !ok && len(s.snapshots) >= maxSnapshots {
+		s.dropSnapshot()
+	}
 	s.snapshots[caller] = f
 }
 
+// dropSnapshot drops any snapshot. mu must be held.
+func (s *peerService) dropSnapshot() {
+	for caller := range s.snapshots {
+		delete(s.snapshots, caller)
+		return
+	}
+}
+
 // sortRecords sorts records by key.
 func sortRecords(records []model.Record) {
 	slices.SortFunc(records, func(a, b model.Record) int { return strings.Compare(a.Request.Key, b.Request.Key) })
