Own cell: reserve memory for answers until they are read

What callers saw: 1,000 clients that ask for a configuration of 200 KB and do not read the answers took a daemon whose instance has 96 MB to 183 MB. Cause: each handler holds the encoded answer while its client does not read. Most of those without room waited for the lock of the report, or to be encoded, with their answers in memory. Change: an answer above 4 KiB reserves its memory until the call ends; no more answers than there are processors are encoded before that. A call that reads is refused without room; one that was executed says so (fate_unknown_yet). The report of a limiter no longer makes its callers wait. Why it works: what is encoded without a reservation is bounded by the number of processors.

--- a/internal/adapters/httpapi/clients_test.go
+++ b/internal/adapters/httpapi/clients_test.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"catkinvalve/internal/api"
+	"catkinvalve/internal/core/model"
 	"catkinvalve/internal/fault"
 	"catkinvalve/internal/intake"
 )
@@ -52,3 +55,22 @@
 	}
 	assert.Equal(t, s.limiter.Stats().Bytes, int64(0))
 }
+
+// Guards against an answer for which there is no memory and that says that a call with an effect had
+// none.
+func TestAnswerWithoutRoomIsRefused(t *testing.T) {
+	large := strings.Repeat("x", 300<<10)
+	submit := func(context.Context, api.SubmitRequest) (api.RequestStatus, error) {
+		return api.RequestStatus{Key: "a", Fate: model.Done, Answer: []byte(large)}, nil
+	}
+	fate := func(context.Context, string, time.Duration) (api.RequestStatus, error) {
+		return api.RequestStatus{Key: "a", Fate: model.Done, Answer: []byte(large)}, nil
+	}
+	_, addr := startServer(t, &fakeService{submit: submit, fate: fate}, Options{Clients: intake.Limits{Bytes: 256 << 10}})
+	_, f, header := call(t, "POST", "http://"+addr+"/v1/requests", jsonType, `{"key":"a","service":"s"}`)
+	assert.Equal(t, f.Kind, fault.FateUnknownYet)
+	assert.Equal(t, header.Get("Retry-After"), "1")
+	status, f, _ := call(t, "GET", "http://"+addr+"/v1/requests/a", "", "")
+	assert.Equal(t, status, http.StatusTooManyRequests)
+	assert.Equal(t, f.Kind, fault.Overloaded)
+}
--- a/internal/adapters/httpapi/middleware.go
+++ b/internal/adapters/httpapi/middleware.go
@@ -59,6 +59,8 @@
 type statusWriter struct {
 	http.ResponseWriter
 	status int
+	// request is the call that is answered.
+	request *http.Request
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -80,7 +82,7 @@
 		w.Header().Set(requestIDHeader, id)
 		r = r.WithContext(context.WithValue(r.Context(), requestIDKey{}, id))
 		s.limitBody(w, r)
-		sw := &statusWriter{ResponseWriter: w}
+		sw := &statusWriter{ResponseWriter: w, request: r}
 		defer func() {
 			s.handlePanic(sw, id, recover())
 			telemetry.ObserveSince(latency, start)
--- a/internal/adapters/httpapi/response.go
+++ b/internal/adapters/httpapi/response.go
@@ -6,32 +6,80 @@
 	"errors"
 	"math"
 	"net/http"
+	"runtime"
 	"strconv"
 	"time"
 
+	"catkinvalve/internal/adapters/intakehttp"
 	"catkinvalve/internal/fault"
 )
 
-// writeJSON responds with value as JSON. The listener limits the time of writing.
+// answer is a response before it is written.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// encodeSlots limits the answers that are encoded at the same time, since no memory is reserved for
+// them until their size is known.
+var encodeSlots = make(chan struct{}, runtime.NumCPU())
+
+// writeJSON responds with value as JSON.
 func (s *Server) writeJSON(w http.ResponseWriter, status int, value any) {
-	body, err := json.Marshal(value)
-	if err != nil {
-		s.log.WithError(err).Error("cannot encode the response")
-		status = http.StatusInternalServerError
-		body = errorBody(fault.From(err))
-	}
-	s.writeBody(w, status, append(body, '\n'))
+	s.respond(w, func() answer {
+		body, err := json.Marshal(value)
+		if err != nil {
+			s.log.WithError(err).Error("cannot encode the response")
+			return answer{http.StatusInternalServerError, errorBody(fault.From(err))}
+		}
+		return answer{status, append(body, '\n')}
+	})
 }
 
-func (s *Server) writeBody(w http.ResponseWriter, status int, body []byte) {
+// respond writes an answer that encode returns. The listener limits the time of writing.
+func (s *Server) respond(w http.ResponseWriter, encode func() answer) {
+	a := prepare(w, encode)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("X-Content-Type-Options", "nosniff")
-	w.WriteHeader(status)
-	if _, err := w.Write(body); err != nil {
+	w.WriteHeader(a.status)
+	if _, err := w.Write(a.body); err != nil {
 		s.log.WithError(err).Debug("cannot write the response to the caller")
 	}
 }
 
+// prepare encodes an answer and reserves memory for it until the end of the call. If there is no
+// room, it returns an error in its place.
+func prepare(w http.ResponseWriter, encode func() answer) answer {
+	encodeSlots <- struct{}{}
+	defer func() { <-encodeSlots }()
+	a := encode()
+	sw, ok := w.(*statusWriter)
+	if !ok {
+		return a
+	}
+	err := intakehttp.ReserveAnswer(sw.request, len(a.body))
+	if err == nil {
+		return a
+	}
+	setRetryAfter(w, answerRetryAfter)
+	e := answerFault(err, sw.request.Method)
+	return answer{e.HTTPStatus(), errorBody(e)}
+}
+
+// answerRetryAfter is when a caller whose answer found no room may try again. Answers that are not
+// read give way within this time.
+const answerRetryAfter = time.Second
+
+// answerFault returns the error of a call whose answer finds no room. A call that reads has no effect;
+// another one may have had its own.
+func answerFault(err error, method string) *fault.Error {
+	if method == http.MethodGet {
+		return fault.Wrap(err, fault.Overloaded, "retry later or through another daemon", "the daemon has no memory for the answer")
+	}
+	return fault.Wrap(err, fault.FateUnknownYet, "ask for the state of the key or configuration later, through any daemon",
+		"the call was executed, but the daemon has no memory for the answer")
+}
+
 // setRetryAfter sets the header that states when the caller may try again, in whole seconds.
 func setRetryAfter(w http.ResponseWriter, after time.Duration) {
 	w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
--- a/internal/adapters/httpapi/routes.go
+++ b/internal/adapters/httpapi/routes.go
@@ -156,15 +156,18 @@
 			s.writeJSON(w, http.StatusServiceUnavailable, fault.From(err))
 			return
 		}
-		s.writeBody(w, http.StatusOK, []byte("{\"status\":\"ok\"}\n"))
+		s.respond(w, func() answer { return answer{http.StatusOK, []byte("{\"status\":\"ok\"}\n")} })
 	}
 }
 
 func (s *Server) metrics(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	var buf bytes.Buffer
-	if err := telemetry.WriteJSON(&buf, s.opts.Registry); err != nil {
-		s.writeError(w, err)
-		return
-	}
-	s.writeBody(w, http.StatusOK, buf.Bytes())
+	s.respond(w, func() answer {
+		var buf bytes.Buffer
+		if err := telemetry.WriteJSON(&buf, s.opts.Registry); err != nil {
+			e := fault.From(err)
+			s.log.WithError(err).Error("cannot encode the metrics")
+			return answer{e.HTTPStatus(), errorBody(e)}
+		}
+		return answer{http.StatusOK, buf.Bytes()}
+	})
 }
--- a/internal/adapters/intakehttp/body.go
+++ b/internal/adapters/intakehttp/body.go
@@ -20,6 +20,8 @@
 	smallBodyBytes = firstBufferBytes
 	// discardTimeout limits that.
 	discardTimeout = time.Second
+	// smallAnswerBytes is the size of an answer that fits into the buffers of its connection.
+	smallAnswerBytes = 4 << 10
 )
 
 // decodeSlots limits the large bodies that are decoded at the same time, since decoding needs
@@ -185,3 +187,17 @@
 		AbandonBody(w, r)
 	}
 }
+
+// ReserveAnswer reserves memory for an answer of n bytes until the end of the request. It returns a
+// *intake.RefusedError if there is no room.
+func ReserveAnswer(r *http.Request, n int) error {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok || n <= smallAnswerBytes {
+		return nil
+	}
+	if err := c.Client.GrowAnswer(time.Now(), int64(n)); err != nil {
+		c.Limited()
+		return err
+	}
+	return nil
+}
--- a/internal/adapters/intakenet/report.go
+++ b/internal/adapters/intakenet/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -20,6 +21,8 @@
 	log     *logrus.Entry
 	// counters of what the limiter has done
 	refusedRequests, refusedConns, evicted, closedIdle metrics.Counter
+	// outdated is set when the limiter has done something that may not be counted.
+	outdated atomic.Bool
 	// mu guards the fields below.
 	mu sync.Mutex
 	// counted is what the counters contain, and logged what the log does.
@@ -41,10 +44,19 @@
 // RefusedConns returns the counter of refused connections.
 func (r *Report) RefusedConns() metrics.Counter { return r.refusedConns }
 
-// Update counts what the limiter has done since the last update.
+// Update counts what the limiter has done since the last update. It does not wait for another
+// goroutine that does so, which then counts again.
 func (r *Report) Update() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.outdated.Store(true)
+	for r.outdated.Load() && r.mu.TryLock() {
+		r.outdated.Store(false)
+		r.count()
+		r.mu.Unlock()
+	}
+}
+
+// count updates the counters and the log. mu must be held.
+func (r *Report) count() {
 	s := r.limiter.Stats()
 	r.refusedRequests.Inc(s.RefusedRequests - r.counted.RefusedRequests)
 	r.refusedConns.Inc(s.RefusedConns - r.counted.RefusedConns)
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -42,6 +42,9 @@
 	beforeAnswer phase
 	// evicted is set when the current request was evicted.
 	evicted bool
+	// largeAnswer is set while memory is reserved for an answer, and cut when the connection is to be
+	// closed since the client does not read it.
+	largeAnswer, cut bool
 	// inCall is set while a call is executed, on a connection that carries messages.
 	inCall bool
 	// bodyStart, deadline, expected and received describe the body being read. progress counts
@@ -206,7 +209,7 @@
 func (c *Client) EndRequest(now time.Time) {
 	c.limiter.mu.Lock()
 	c.enter(phaseIdle, now)
-	c.evicted = false
+	c.evicted, c.largeAnswer = false, false
 	if c.element != nil {
 		c.hold(ConnBytes - c.held)
 	}
@@ -242,11 +245,28 @@
 func (c *Client) TryGrow(now time.Time, n int64) *RefusedError {
 	victims, err := c.grow(now, n)
 	for _, v := range victims {
-		v.conn.InterruptRead()
+		if v.cut {
+			v.conn.Disconnect()
+		} else {
+			v.conn.InterruptRead()
+		}
 	}
 	return err
 }
 
+// GrowAnswer reserves n more bytes for the answer to the request. If the client does not read it while
+// others need the room, its connection may be closed. GrowAnswer returns a *RefusedError if there is
+// no room.
+func (c *Client) GrowAnswer(now time.Time, n int64) error {
+	if err := c.Grow(now, n); err != nil {
+		return err
+	}
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.largeAnswer = true
+	return nil
+}
+
 // grow reserves n more bytes and returns the clients that were evicted for them.
 func (c *Client) grow(now time.Time, n int64) (victims []*Client, err *RefusedError) {
 	l := c.limiter
--- a/internal/intake/evict.go
+++ b/internal/intake/evict.go
@@ -36,15 +36,18 @@
 		if c == requester || c.evicted || c.held <= ConnBytes {
 			continue
 		}
-		if c.reading() && c.tooSlow(now) || c.phase == phaseIdle && now.Sub(c.since) >= l.limits.MinIdle {
+		if c.evictable() && c.tooSlow(now) || c.phase == phaseIdle && now.Sub(c.since) >= l.limits.MinIdle {
 			return c
 		}
 	}
 	return nil
 }
 
-// reading reports whether the request is still being read, so that nobody has acted on it.
-func (c *Client) reading() bool { return c.phase == phaseHeader || c.phase == phaseBody }
+// evictable reports whether the request may be evicted if it is too slow: it is still being read, so
+// that nobody has acted on it, or its answer is large.
+func (c *Client) evictable() bool {
+	return c.phase == phaseHeader || c.phase == phaseBody || c.phase == phaseAnswer && c.largeAnswer
+}
 
 // tooSlow reports whether the client keeps others waiting that need the room.
 func (c *Client) tooSlow(now time.Time) bool {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -209,3 +209,28 @@
 	assert.Assert(t, silentConn.interrupted && !busyConn.interrupted)
 	assert.Equal(t, l.Stats().RefusedRequests, int64(0), "a client that tries again is not refused")
 }
+
+// Guards against large answers that nobody reads and that keep out other requests, and against an
+// answer that is cut off while its client reads it.
+func TestUnreadLargeAnswerIsCut(t *testing.T) {
+	l := NewLimiter(Limits{Bytes: 1 << 20})
+	answered := func(now time.Time) (*Client, *fakeConn) {
+		conn := &fakeConn{}
+		c, err := l.Open(now, conn)
+		assert.NilError(t, err)
+		c.StartServing(now)
+		assert.NilError(t, c.GrowAnswer(now, 400<<10))
+		c.StartAnswer(now)
+		return c, conn
+	}
+	_, unread := answered(startTime)
+	read, readConn := answered(startTime)
+	now := startTime.Add(stallTime)
+	read.StartAnswer(now)
+	next, _ := openBody(t, l, now, 100, 400<<10)
+	assert.Assert(t, unread.disconnected && !readConn.disconnected)
+	assert.Assert(t, next.Grow(now, 400<<10) != nil)
+	read.EndAnswer(now)
+	read.EndRequest(now)
+	assert.NilError(t, next.Grow(now, 400<<10))
+}
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -126,7 +126,7 @@
 			return victims, false
 		}
 		l.countEviction(v)
-		v.evicted = true
+		v.evicted, v.cut = true, v.phase == phaseAnswer
 		v.hold(ConnBytes - v.held)
 		victims = append(victims, v)
 	}
--- a/test/clientload/owncell_test.go
+++ b/test/clientload/owncell_test.go
@@ -15,7 +15,9 @@
 
 const (
 	dataCentre = "klang-a"
-	// configText is the configuration of the cell.
+	// commentBytes makes the configuration as large as a body.
+	commentBytes = 200_000
+	// configText is the configuration of the cell. A comment follows it.
 	configText = `{"cell": "load", "data_centres": [{"name": "klang-a", "region": "klang"}],
 		"teams": [{"name": "parties", "quota": {"milli_cpu": 64000, "slots": 16}}],
 		"services": [{"name": "fill-plan", "team": "parties", "class": "batch", "size": {"milli_cpu": 100, "mem_mb": 100},
@@ -44,7 +46,7 @@
 		d := cluster.Daemons[id]
 		c.daemons = append(c.daemons, &daemonProcess{Process: d.Process, addresses: []string{d.CallerAddr, d.PeerAddr, d.Fault}})
 	}
-	_, err = cluster.Publish(t.Context(), configText)
+	_, err = cluster.Publish(t.Context(), configText+"// "+strings.Repeat("x", commentBytes))
 	assert.NilError(t, err)
 	c.checkOrdinaryRequests()
 	return c
@@ -115,6 +117,9 @@
 		requests := strings.Repeat("GET /metrics HTTP/1.1\r\nHost: load.example\r\n\r\n", 50)
 		c.drip(time.Now().Add(holdTime), func(int) string { return requests })
 	}},
+	{"large_unread_answers", "the same for answers as large as the configuration", func(c *client) {
+		c.sendAndHold(strings.Repeat("GET /v1/config HTTP/1.1\r\nHost: load.example\r\n\r\n", 50))
+	}},
 }
 
 func TestClientLoadOwnCell(t *testing.T) {
@@ -144,7 +149,7 @@
 
 // As TestClientLoadManyConnections.
 func TestClientLoadOwnCellManyConnections(t *testing.T) {
-	for _, s := range httpShapes {
+	for _, s := range append(ownShapes, httpShapes...) {
 		playOwn(t, manyFiles, callers, largeCrowd, s)
 	}
 }
