Reserve memory for views until strangers have read them

What callers saw: 1,000 clients of the links' port that ask for the daemon's view, with a configuration of 1,200 routes, and do not read it took a daemon with 96 MB to 121 MB. Cause: a view contains the whole configuration; each connection held one, its encoding and its buffer while its peer did not read.

--- a/internal/adapters/linkrpc/transport.go
+++ b/internal/adapters/linkrpc/transport.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -107,10 +108,10 @@
 // all accepted links have ended.
 func (t *Transport) Serve(ctx context.Context, l net.Listener) error {
 	mux := drpcmux.New()
-	if err := cellpb.DRPCRegisterLinks(mux, &server{t}); err != nil {
+	if err := cellpb.DRPCRegisterLinks(mux, &server{t: t}); err != nil {
 		return err
 	}
-	drpc := drpcserver.New(mux)
+	drpc := drpcserver.New(callHandler{mux})
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
 	var wg conc.WaitGroup
@@ -134,7 +135,11 @@
 }
 
 // server serves the RPCs of accepted connections.
-type server struct{ t *Transport }
+type server struct {
+	t *Transport
+	// largestView is the encoded size of the largest view so far, in bytes.
+	largestView atomic.Int64
+}
 
 // Connect implements cellpb.DRPCLinksServer. It returns when the link is closed. An error
 // that it returns is sent to the peer.
@@ -149,23 +154,9 @@
 		l.Close()
 		return err
 	}
-	recordIdentity(conn)
-	l.run(s.t.Handler)
-	return nil
-}
-
-// identifiable is a connection that limits what its peer may send before it has identified itself.
-type identifiable interface{ Identified() }
-
-// recordIdentity records that the peer of an accepted connection has sent its hello.
-func recordIdentity(conn net.Conn) {
-	limited, _ := conn.(writeTimeoutConn)
-	if c, ok := limited.Conn.(identifiable); ok {
+	if c := limitedConn(conn); c != nil {
 		c.Identified()
 	}
-}
-
-// View implements cellpb.DRPCLinksServer.
-func (s *server) View(_ context.Context, req *cellpb.ViewRequest) (*cellpb.ViewResponse, error) {
-	return s.t.Viewer.View(req), nil
+	l.run(s.t.Handler)
+	return nil
 }
--- a/test/clientload/clientload_test.go
+++ b/test/clientload/clientload_test.go
@@ -149,6 +149,16 @@
 	playShapes(t, linkPort, append(frameShapes, httpShapes...)...)
 }
 
+// Guards against peers that do not read a large configuration and so fill the memory.
+func TestClientLoadLinksManyConnections(t *testing.T) {
+	t.Run("unread_views", func(t *testing.T) {
+		const routes = 1_200
+		startCellWithRoutes(t, manyFiles, routes).play(func(c *platformCell) {
+			crowd(c.target(linkPort, c.follower()), largeCrowd, func(k *client) { k.sendAndHold(views(50)) })
+		})
+	})
+}
+
 // Guards against headers that take more memory than is reserved for them, on a daemon whose memory
 // limits the connections and not its descriptors.
 func TestClientLoadManyConnections(t *testing.T) {
--- a/test/clientload/platformcell_test.go
+++ b/test/clientload/platformcell_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -51,6 +52,12 @@
 
 // startPlatformCell starts the store and the daemons and waits until all of them accept a job.
 func startPlatformCell(t *testing.T, b bounds) *platformCell {
+	t.Helper()
+	return startCellWithRoutes(t, b, 1)
+}
+
+// startCellWithRoutes is startPlatformCell with a number of routes in the configuration.
+func startCellWithRoutes(t *testing.T, b bounds, routes int) *platformCell {
 	t.Helper()
 	client, err := jsonhttp.New(jsonhttp.Options{Timeout: 5 * time.Second})
 	assert.NilError(t, err)
@@ -59,7 +66,7 @@
 	server := &http.Server{Handler: platform.StandinStoreHandler(c.topic, executeAlways), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(l) }() // Serve returns when the server is closed.
 	t.Cleanup(func() { _ = server.Close() })
-	c.publishConfig()
+	c.publishConfig(routes)
 	for i := range daemonCount {
 		c.daemons = append(c.daemons, nil)
 		c.startDaemon(i)
@@ -101,9 +108,17 @@
 	return c.topics[name]
 }
 
-func (c *platformCell) publishConfig() {
-	queue := jobs.Queue{Name: "jobs", Service: "build", MaxAttempts: 3, Slack: 2, Target: time.Second}
-	record, err := platform.ConfigRecord(&ports.CellConfig{Version: 1, MaxBodyBytes: maxBodyBytes, Routes: []ports.Route{{Host: host, Prefix: prefix, Queue: queue}}})
+func (c *platformCell) publishConfig(routes int) {
+	config := &ports.CellConfig{Version: 1, MaxBodyBytes: maxBodyBytes}
+	for i := range routes {
+		queue := jobs.Queue{Name: fmt.Sprint("jobs", i), Service: "build", MaxAttempts: 3, Slack: 2, Target: time.Second}
+		routePrefix := prefix
+		if i > 0 {
+			routePrefix = fmt.Sprintf("/%s/%d/", strings.Repeat("x", 100), i)
+		}
+		config.Routes = append(config.Routes, ports.Route{Host: host, Prefix: routePrefix, Queue: queue})
+	}
+	record, err := platform.ConfigRecord(config)
 	assert.NilError(c.t, err)
 	_, err = c.topic(platform.OperatorTopic()).Append(ports.Append{Records: []ports.KeyedRecord{record}})
 	assert.NilError(c.t, err)
--- a/test/clientload/shapes_test.go
+++ b/test/clientload/shapes_test.go
@@ -75,6 +75,18 @@
 	return frames(drpcwire.KindInvoke, 1, "/catkinvalve.peer.Peer/Replicate") + frames(drpcwire.KindMessage, 2, strings.Repeat("\x22\x00", n))
 }
 
+// views returns the frames of n calls for the view of a daemon, which contains its configuration.
+func views(n int) string {
+	var calls strings.Builder
+	for i := range n {
+		stream := uint64(i + 1)
+		invoke := drpcwire.Frame{Data: []byte("/catkinvalve.cell.Links/View"), ID: drpcwire.ID{Stream: stream, Message: 1}, Kind: drpcwire.KindInvoke, Done: true}
+		request := drpcwire.Frame{ID: drpcwire.ID{Stream: stream, Message: 2}, Kind: drpcwire.KindMessage, Done: true}
+		calls.Write(drpcwire.AppendFrame(drpcwire.AppendFrame(nil, invoke), request))
+	}
+	return calls.String()
+}
+
 // frames returns the frames of a message.
 func frames(kind drpcwire.Kind, message uint64, data string) string {
 	packet := drpcwire.Packet{Data: []byte(data), ID: drpcwire.ID{Stream: 1, Message: message}, Kind: kind}
