Close connections whose buffered header finds no room

Cause: the limiter interrupted the read of such a connection by a deadline in the past, which net/http replaces by its own when a request has ended, so that up to 4 KiB of a header in its buffer stayed in memory without a reservation. Change: the connection is closed. The frames of drpc are followed without their kind, which nothing used. Why it works: the answer to the request before was written already. Evidence: TestBufferedHeaderWithoutRoomEndsConnection fails without the change.

--- a/internal/adapters/intakedrpc/frames.go
+++ b/internal/adapters/intakedrpc/frames.go
@@ -1,10 +1,6 @@
 package intakedrpc
 
-import (
-	"fmt"
-
-	"storj.io/drpc/drpcwire"
-)
+import "fmt"
 
 // MaxFrameBytes is the largest amount of data in one frame. A drpc stream divides its messages
 // into frames of this size.
@@ -29,11 +25,8 @@
 	fieldData
 )
 
-// Bits of the control byte.
-const (
-	doneBit  = 1 << 0
-	kindMask = 0b111111 << 1
-)
+// doneBit of the control byte marks the last frame of a message.
+const doneBit = 1 << 0
 
 // varintBits is the number of bits that each byte of a varint adds, and varintMore marks a byte
 // that is not its last.
@@ -49,9 +42,8 @@
 	// varint is the part of the present varint that was read, of shift bits.
 	varint uint64
 	shift  uint
-	// done is set if the present frame is the last one of its message, whose kind is kind.
+	// done is set if the present frame is the last one of its message.
 	done bool
-	kind drpcwire.Kind
 	// rest is the data of the present frame that has not arrived.
 	rest uint64
 	// messageBytes is the data of the present message that has arrived.
@@ -87,7 +79,6 @@
 func (s *scanner) headerByte(b byte) error {
 	if s.field == fieldControl {
 		s.done = b&doneBit != 0
-		s.kind = drpcwire.Kind(b & kindMask >> 1)
 		s.field++
 		return nil
 	}
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -221,7 +221,7 @@
 	missing := c.header.reserved
 	c.limiter.mu.Unlock()
 	if missing > 0 && c.Grow(now, missing) != nil {
-		c.conn.InterruptRead()
+		c.conn.Disconnect()
 	}
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -234,3 +234,16 @@
 	read.EndRequest(now)
 	assert.NilError(t, next.Grow(now, 400<<10))
 }
+
+// Guards against lines in the server's buffer that stay there although there is no room for them: the
+// server sets read deadlines of its own after a request.
+func TestBufferedHeaderWithoutRoomEndsConnection(t *testing.T) {
+	l := NewLimiter(Limits{Bytes: 40 << 10})
+	conn := &fakeConn{}
+	c, err := l.Open(startTime, conn)
+	assert.NilError(t, err)
+	assert.NilError(t, c.Received(startTime, append([]byte("GET / HTTP/1.1\r\n\r\n"), bytes.Repeat([]byte("a:\r\n"), 500)...)))
+	c.StartServing(startTime)
+	c.EndRequest(startTime)
+	assert.Assert(t, conn.disconnected)
+}
