--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 
 # Measures the memory of daemons under crowds of clients, so nothing else may run beside it.
 client-load:
-	$(GO) test -count=1 -timeout 900s -p 1 -run '^TestClientLoad' $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./test/clientload
+	$(GO) test -count=1 -timeout 1800s -p 1 -run '^TestClientLoad' $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./test/clientload
 
 lint:
 	@unformatted=$$(gofmt -l cmd internal platform test 2>/dev/null); \
