--- a/internal/cell/claim_test.go
+++ b/internal/cell/claim_test.go
@@ -48,9 +48,8 @@
 func (c claimant) hello() *cellpb.Hello             { return &cellpb.Hello{Node: "claimant", Claimed: c.token} }
 
 // Guards against a daemon that claims the leadership although another daemon, to which
-// it has just opened a link, is already claiming it. Found on kerlann-voix-grown,
-// trouble-1: after a power loss of all daemons, ten of them claimed the leadership
-// within a second.
+// it has just opened a link, is already claiming it. After a power loss of all daemons,
+// ten of them claimed the leadership within a second.
 func TestClaimInProgressIsRespected(t *testing.T) {
 	t.Parallel()
 	c := newTestCell(t, 1)
