--- /dev/null
+++ b/review/standin-3/case_failing.go
@@ -0,0 +1,91 @@
+//go:build review3
+
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+func init() { cases["failing"] = playFailing }
+
+const (
+	failingWorkers  = 8
+	failingCapacity = 8000
+	// serviceTasks are the tasks of the service, each of which fails failsAfter after its start on average.
+	serviceTasks = 24
+	serviceCPU   = 100
+	failsAfter   = 12 * time.Second
+	// memberCPU is what each of the failingWorkers members of the other job needs: two fit on each worker.
+	memberCPU = 3000
+	// settleTime is the time between the two jobs, and watchTime that for which the second one is watched.
+	settleTime = 25 * time.Second
+	watchTime  = 55 * time.Second
+)
+
+// playFailing runs a small service whose tasks fail now and then, and beside it a job of which all tasks have to
+// start together, one on each worker. The workers are almost empty.
+func playFailing(rec *recorder, root, dir string, trouble bool) (int, error) {
+	c, err := setup(rec, root, dir, 3, failingWorkers, size{failingCapacity, 32000}, []route{queue("urgent", 0), queue("services", 1)})
+	defer c.stop()
+	if err != nil {
+		return cannotRun, err
+	}
+	service, gang := jobID(1), jobID(2)
+	sizes := map[string]int64{service: serviceCPU, gang: memberCPU}
+	c.fleet.mu.Lock()
+	c.fleet.size = func(task string) size { return size{sizes[task[:16]], 100} }
+	c.fleet.mu.Unlock()
+	spec := "lasting"
+	if trouble {
+		spec = fmt.Sprintf("lasting;fails=%d", failsAfter.Milliseconds())
+	}
+	if status := c.submit(0, "/services/", service, job{Spec: spec, Steps: []step{{Count: serviceTasks, CPU: serviceCPU, MemMB: 100,
+		AntiAffinity: serviceTasks / failingWorkers, LongRunning: true}}}); status != 200 {
+		return cannotRun, fmt.Errorf("the service was answered with %d", status)
+	}
+	time.Sleep(settleTime)
+	if status := c.submit(1, "/urgent/", gang, job{Spec: fmt.Sprintf("gang=%d;ms=1000", failingWorkers), Steps: []step{{Count: failingWorkers, CPU: memberCPU, MemMB: 100,
+		EstimatedMs: 1000, Gang: true, AntiAffinity: 1}}}); status != 200 {
+		return cannotRun, fmt.Errorf("the job was answered with %d", status)
+	}
+	begin := time.Now()
+	// since is since when the job has had nothing running although there is room for it twice over on the workers
+	// and less than half of their capacity is in use; longest is the longest such time that ended or lasts later
+	// than finish_s after the end of the traffic.
+	var since time.Time
+	var longest time.Duration
+	for time.Since(begin) < watchTime && c.fleet.endsOf(gang)["done"] < failingWorkers {
+		time.Sleep(50 * time.Millisecond)
+		room, used := 0, int64(failingWorkers*failingCapacity)
+		for _, free := range c.fleet.freeCPU() {
+			room += int(free / memberCPU)
+			used -= free
+		}
+		if c.fleet.runningOf(gang) > 0 || room < 2*failingWorkers || used >= failingWorkers*failingCapacity/2 {
+			since = time.Time{}
+			continue
+		}
+		if since.IsZero() {
+			since = time.Now()
+		}
+		if time.Since(begin) > finish {
+			longest = max(longest, time.Since(since))
+		}
+	}
+	state := c.state(0, "/urgent/", gang)
+	rec.add("GET /urgent/%s: %s; its runs have ended so: %v", gang, state, c.fleet.endsOf(gang))
+	rec.add("the job had nothing running for %.1f s on end, with room for it twice over; the service's runs have ended so: %v", longest.Seconds(), c.fleet.endsOf(service))
+	lines := c.linesOf(`"step_waiting"`, gang)
+	if len(lines) > 0 {
+		rec.add("log: %s", lines[len(lines)-1])
+	}
+	if longest > lossTime && !strings.HasPrefix(state, "comp") {
+		return ruleBroken, nil
+	}
+	if state != "completed" {
+		return cannotRun, fmt.Errorf("the job is shown as %q", state)
+	}
+	return ruleHeld, nil
+}
