--- a/review/standin-3/cell.go
+++ b/review/standin-3/cell.go
@@ -301,14 +301,15 @@
 
 // step and job are what a client submits.
 type step struct {
-	Count        int   `json:"count"`
-	CPU          int   `json:"cpu,omitempty"`
-	MemMB        int   `json:"memMb,omitempty"`
-	EstimatedMs  int   `json:"estimatedMs,omitempty"`
-	DependsOn    []int `json:"dependsOn,omitempty"`
-	Gang         bool  `json:"gang,omitempty"`
-	AntiAffinity int   `json:"antiAffinity,omitempty"`
-	LongRunning  bool  `json:"longRunning,omitempty"`
+	Count        int    `json:"count"`
+	CPU          int    `json:"cpu,omitempty"`
+	MemMB        int    `json:"memMb,omitempty"`
+	EstimatedMs  int    `json:"estimatedMs,omitempty"`
+	DependsOn    []int  `json:"dependsOn,omitempty"`
+	Gang         bool   `json:"gang,omitempty"`
+	AntiAffinity int    `json:"antiAffinity,omitempty"`
+	LongRunning  bool   `json:"longRunning,omitempty"`
+	Label        string `json:"requiredLabel,omitempty"`
 }
 
 type job struct {
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -11,16 +11,17 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // Bounds of a small deployment that concern workers.
 const (
-	holdMaxMs   = 10000
-	stopDelay   = 50 * time.Millisecond
-	gangTimeout = 3 * time.Second
-	tick        = 5 * time.Millisecond
-	endsInPage  = 500
+	holdMaxMs      = 10000
+	usualStopDelay = 50 * time.Millisecond
+	gangTimeout    = 3 * time.Second
+	tick           = 5 * time.Millisecond
+	endsInPage     = 500
 )
 
 // fleet holds all workers. Its mutex guards them, so that gangs are seen whole.
@@ -39,6 +40,8 @@
 	size                func(task string) size
 	// quiet leaves the starts and ends out of the record.
 	quiet bool
+	// stopDelay is how long a stop takes.
+	stopDelay time.Duration
 }
 
 type size struct{ CPU, MemMB int64 }
@@ -63,6 +66,8 @@
 	ends    [][]any
 	lastEnd int64
 	changed chan struct{}
+	// seq counts the writes of the entry.
+	seq atomic.Int64
 }
 
 // run is a run of a task. Its spec tells what it does: "ms=N" takes N ms, "lasting" runs until it is
@@ -81,7 +86,7 @@
 
 func newFleet(rec *recorder, s *store) *fleet {
 	return &fleet{rec: rec, store: s, started: map[string]int{}, ended: map[string]map[string]int{}, lastEnd: map[string]time.Time{},
-		size: func(string) size { return size{} }}
+		size: func(string) size { return size{} }, stopDelay: usualStopDelay}
 }
 
 func (f *fleet) add(id, addr, service, zone string, capacity size, labels ...string) *worker {
@@ -114,10 +119,24 @@
 
 func (w *worker) register(state string) {
 	entry, _ := json.Marshal(map[string]any{"service": w.service, "address": w.addr, "zone": w.zone, "version": "1", "slots": 8, "state": state,
-		"coldRemainingMs": 0, "seqNum": 1, "born": w.born.UnixMilli(), "capacity": map[string]any{"cpu": w.capacity.CPU, "memMb": w.capacity.MemMB, "gpu": 0}, "labels": w.labels})
+		"coldRemainingMs": 0, "seqNum": w.seq.Add(1), "born": w.born.UnixMilli(), "capacity": map[string]any{"cpu": w.capacity.CPU, "memMb": w.capacity.MemMB, "gpu": 0}, "labels": w.labels})
 	w.f.store.put("keyed.servers", w.id, entry)
 }
 
+// beat writes the entries of all workers in each interval until done is closed.
+func (f *fleet) beat(done <-chan struct{}, interval time.Duration) {
+	t := time.NewTicker(interval / time.Duration(len(f.workers)))
+	defer t.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			return
+		case <-t.C:
+			f.workers[i%len(f.workers)].register("ready")
+		}
+	}
+}
+
 // crash ends the worker's life at once: its port is closed, its connections end, all that it ran is gone.
 func (w *worker) crash() {
 	w.f.mu.Lock()
@@ -228,7 +247,11 @@
 func (w *worker) runStop(o *order) string {
 	w.highest[o.Task] = max(w.highest[o.Task], o.RunID)
 	if r := w.runs[o.Task]; r != nil && r.number <= o.RunID && r.stopAt.IsZero() {
-		r.stopAt = time.Now().Add(stopDelay)
+		if w.f.stopDelay == 0 {
+			w.end(o.Task, r, "stopped")
+			return ""
+		}
+		r.stopAt = time.Now().Add(w.f.stopDelay)
 	}
 	return ""
 }
