--- a/review/standin-3/cell.go
+++ b/review/standin-3/cell.go
@@ -310,6 +310,7 @@
 	AntiAffinity int    `json:"antiAffinity,omitempty"`
 	LongRunning  bool   `json:"longRunning,omitempty"`
 	Label        string `json:"requiredLabel,omitempty"`
+	DataRack     string `json:"dataRack,omitempty"`
 }
 
 type job struct {
