--- a/review/standin-3/case_failing.go
+++ b/review/standin-3/case_failing.go
@@ -10,21 +10,21 @@
 func init() { cases["failing"] = playFailing }
 
 const (
-	failingWorkers  = 8
+	failingWorkers  = 16
 	failingCapacity = 8000
 	// serviceCPU is what the one task of the service needs, which fails failsAfter after each start on average.
 	serviceCPU = 100
 	failsAfter = 20 * time.Millisecond
 	// gangMembers is the number of members of the other job, memberCPU what each needs. One may run on each worker.
-	gangMembers = 4
+	gangMembers = 8
 	memberCPU   = 3000
 	// settleTime is the time between the two jobs, and watchTime that for which the second one is watched.
 	settleTime = 25 * time.Second
 	watchTime  = 55 * time.Second
 )
 
-// playFailing runs a service of one small task that fails at its startup each time, and beside it a job of four tasks
-// that have to start together, on four of eight workers. The workers are almost empty.
+// playFailing runs a service of one small task that fails at its startup each time, and beside it a job of eight tasks
+// that have to start together, on eight of 16 workers. The workers are almost empty.
 func playFailing(rec *recorder, root, dir string, trouble bool) (int, error) {
 	c, err := setup(rec, root, dir, 3, failingWorkers, size{failingCapacity, 32000}, []route{queue("urgent", 0), queue("services", 1)})
 	defer c.stop()
