review: case 15, a service waits 10.2 s after the loss of a worker that had restarted

Cause: for 13 s after a restart under the same ID the leader takes a worker's lease to be holdMaxMs long, not 4.5 s.

--- a/review/standin-3/case_most.go
+++ b/review/standin-3/case_most.go
@@ -64,20 +64,7 @@
 			rec.add("the platform removes the entry of %s", w.id)
 		})
 	}
-	begin := time.Now()
-	var since time.Time
-	var longest time.Duration
-	for time.Since(begin) < mostWatch {
-		time.Sleep(10 * time.Millisecond)
-		switch running := len(c.fleet.running(task)) > 0; {
-		case running:
-			since = time.Time{}
-		case since.IsZero():
-			since = time.Now()
-		default:
-			longest = max(longest, time.Since(since))
-		}
-	}
+	longest := c.longestAway(task, mostWatch)
 	allowed := stableWindow + calmTime + lossTime
 	rec.add("the task had no run for %.1f s on end; allowed are %.0f s", longest.Seconds(), allowed.Seconds())
 	lines := c.linesOf(`"step_waiting"`, id)
--- a/review/standin-3/cell.go
+++ b/review/standin-3/cell.go
@@ -13,7 +13,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -379,10 +378,3 @@
 		_ = c.lock.Close()
 	}
 }
-
-func envInt(name string, fallback int) int {
-	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
-		return n
-	}
-	return fallback
-}
